Lend shares of a limit to one holder for short terms

Cause: rate and burst have to hold over the whole fleet without a second coordination service, and a static split refuses wrongly. Before: no limits. Not yet: hand-over of seats at a drain, claims in the key-value service, state machine, measurement.

--- /dev/null
+++ b/mintlanding/limits/outbox.py
@@ -0,0 +1,88 @@
+"""Batches for other instances, and the ids by which doubles are dropped."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from mintlanding.limits.messages import Envelope, LimitsMessage, Send
+
+_REMEMBERED_IDS = 1024
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What is known of the process at the other end."""
+
+    incarnation: int = 0
+    highest: int = 0
+    seen: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Outbox:
+    """Collect messages and number the batches that carry them."""
+
+    incarnation: int
+    _queues: dict[str, list[LimitsMessage]] = field(default_factory=dict)
+    _due: dict[str, float] = field(default_factory=dict)
+    _peers: dict[str, _Peer] = field(default_factory=dict)
+    _last_id: int = 0
+
+    def put(self, instance: str, message: LimitsMessage, due: float) -> None:
+        """Send the message at `due` or with the next batch before."""
+        self._queues.setdefault(instance, []).append(message)
+        self._due[instance] = min(due, self._due.get(instance, due))
+
+    def flush(self, now: float) -> list[Send]:
+        """Return the batches that are due."""
+        ready = [name for name, due in self._due.items() if due <= now]
+        return [self._seal(name) for name in ready]
+
+    def next_due(self) -> float:
+        """Return when the next batch is due."""
+        return min(self._due.values(), default=float('inf'))
+
+    def accept(self, envelope: Envelope, sender: str) -> bool:
+        """Tell whether a batch is new, and meant for this process."""
+        if envelope.receiver_incarnation not in {0, self.incarnation}:
+            return False
+        peer = self._peers.setdefault(sender, _Peer())
+        if envelope.incarnation < peer.incarnation:
+            return False
+        if envelope.incarnation > peer.incarnation:
+            peer = _Peer(envelope.incarnation)
+            self._peers[sender] = peer
+        number = envelope.message_id
+        if number in peer.seen or number <= peer.highest - _REMEMBERED_IDS:
+            return False
+        self._remember(peer, number)
+        return True
+
+    def incarnation_of(self, instance: str) -> int:
+        """Return the latest incarnation heard of an instance."""
+        peer = self._peers.get(instance)
+        return peer.incarnation if peer else 0
+
+    def keep(self, instances: Iterable[str]) -> None:
+        """Drop what waits for instances that are no more."""
+        names = set(instances)
+        for name in [each for each in self._queues if each not in names]:
+            self._queues.pop(name)
+            self._due.pop(name)
+
+    def _seal(self, instance: str) -> Send:
+        self._last_id += 1
+        self._due.pop(instance)
+        batch = Envelope(
+            self.incarnation,
+            self._last_id,
+            self.incarnation_of(instance),
+            tuple(self._queues.pop(instance)),
+        )
+        return Send(instance, batch)
+
+    def _remember(self, peer: _Peer, number: int) -> None:
+        peer.seen.add(number)
+        peer.highest = max(peer.highest, number)
+        if len(peer.seen) > 2 * _REMEMBERED_IDS:
+            floor = peer.highest - _REMEMBERED_IDS
+            peer.seen = {each for each in peer.seen if each > floor}
--- /dev/null
+++ b/mintlanding/limits/requests.py
@@ -0,0 +1,308 @@
+"""Reservations of one instance: charged here, or drawn from the holder.
+
+A request is charged when its tokens are reserved. What it has not used comes
+back when it is settled; a request that was refused here while its grant was
+on its way is settled with 0 until the holder has confirmed it.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from math import inf
+
+import msgspec
+
+from mintlanding.core.results import Done, Failed, ResultCode
+from mintlanding.limits.holders import HolderView
+from mintlanding.limits.messages import (
+    Answer,
+    Draw,
+    Grant,
+    Landed,
+    Refuse,
+    Reservation,
+    Settle,
+    Settled,
+)
+from mintlanding.limits.outbox import Outbox
+from mintlanding.limits.pools import Pool
+from mintlanding.limits.terms import Terms
+
+_MAX_HOPS = 2
+_TOMBSTONE_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A draw that the holder has not answered, or that waits for seats."""
+
+    draw: Draw
+    deadline: float
+    holder: str = ''
+
+
+@dataclass(slots=True)
+class _Granted:
+    """Where a request is charged that has been answered to its caller."""
+
+    holder: str
+    at: float
+
+
+@dataclass(slots=True)
+class _Unsettled:
+    """A settlement that the holder has not confirmed."""
+
+    message: Settle
+    due: float
+    give_up_at: float
+
+
+@dataclass(slots=True)
+class Requests:
+    """The requests that came in here and the draws of other instances."""
+
+    terms: Terms
+    view: HolderView
+    outbox: Outbox
+    pools: dict[str, Pool]
+    answers: list[Answer] = field(default_factory=list)
+    settling_until: float = 0
+    _pending: dict[str, _Pending] = field(default_factory=dict)
+    _parked: dict[str, _Pending] = field(default_factory=dict)
+    _granted: dict[str, _Granted] = field(default_factory=dict)
+    _unsettled: dict[tuple[str, str], _Unsettled] = field(default_factory=dict)
+    _passed: dict[str, _Granted] = field(default_factory=dict)
+    _closed: dict[str, float] = field(default_factory=dict)
+    _waiting: Counter[str] = field(default_factory=Counter)
+
+    def reserve(self, draw: Draw, now: float) -> None:
+        """Charge a request here or at the holder of its workspace."""
+        known = (self._pending, self._parked, self._granted)
+        if any(draw.request_id in each for each in known):
+            return
+        pool = self.pools.get(draw.workspace)
+        if pool is None:
+            self._fail(draw, ResultCode.limits_unavailable)
+            return
+        if draw.tokens > pool.limit.burst:
+            self._fail(draw, ResultCode.larger_than_burst)
+            return
+        holder = self.view.root(draw.workspace)
+        if holder in {self.view.instance, ''}:
+            self._charge_or_park(draw, pool, now)
+            return
+        due = now + self.terms.flush if self._waiting[holder] else now
+        self._waiting[holder] += 1
+        deadline = now + self.terms.request_timeout
+        self._pending[draw.request_id] = _Pending(draw, deadline, holder)
+        self.outbox.put(holder, draw, due)
+
+    def draw(self, draw: Draw, now: float) -> None:
+        """Answer another instance, or pass its draw on to the holder."""
+        if draw.request_id in self._closed:
+            return
+        pool = self.pools.get(draw.workspace)
+        if pool is None:
+            self._reject(draw, None, now)
+            return
+        if pool.bucket.has_charge(draw.request_id):
+            return
+        holder = self.view.root(draw.workspace)
+        is_here = holder in {self.view.instance, '', draw.origin}
+        if is_here or draw.hops >= _MAX_HOPS:
+            self._charge_or_park(draw, pool, now)
+            return
+        self._passed[draw.request_id] = _Granted(holder, now)
+        passed = msgspec.structs.replace(draw, hops=draw.hops + 1)
+        self.outbox.put(holder, passed, now)
+
+    def grant(self, message: Grant, sender: str, now: float) -> None:
+        """Answer the caller, or send a grant back that comes too late."""
+        pending = self._pending.get(message.request_id)
+        if pending is None or pending.deadline <= now:
+            if message.request_id in self._granted:
+                granted = self._granted[message.request_id]
+                if granted.holder == sender:
+                    return
+            settle = Settle(message.request_id, message.workspace, 0)
+            self._send_settle(settle, sender, now)
+            return
+        self._drop_pending(message.request_id)
+        landed = Landed(message.request_id, message.workspace)
+        self.outbox.put(sender, landed, now + self.terms.lazy)
+        self._succeed(pending.draw, sender, now)
+
+    def refuse(self, message: Refuse) -> None:
+        """Answer the caller that the holder has not enough tokens."""
+        pending = self._drop_pending(message.request_id)
+        if pending is not None:
+            code = ResultCode(message.code)
+            self._fail(pending.draw, code, message.retry_after)
+
+    def land(self, message: Landed, now: float) -> None:
+        """Count a grant as arrived."""
+        pool = self.pools.get(message.workspace)
+        if pool is not None:
+            pool.expire(now)
+            pool.bucket.land(message.request_id, now)
+
+    def settle(self, message: Settle, now: float) -> None:
+        """Refund what a request of this instance has not used."""
+        granted = self._granted.pop(message.request_id, None)
+        if granted is None:
+            return
+        if granted.holder == self.view.instance:
+            self._settle_here(message, now)
+            return
+        self._send_settle(message, granted.holder, now)
+
+    def settle_draw(self, message: Settle, sender: str, now: float) -> None:
+        """Refund what a request of another instance has not used."""
+        due = now + self.terms.lazy
+        self.outbox.put(sender, Settled(message.request_id), due)
+        self._parked.pop(message.request_id, None)
+        passed = self._passed.pop(message.request_id, None)
+        if passed is not None:
+            self._send_settle(message, passed.holder, now)
+        self._closed[message.request_id] = now
+        self._settle_here(message, now)
+
+    def settled(self, message: Settled, sender: str) -> None:
+        """Stop repeating a settlement."""
+        self._unsettled.pop((message.request_id, sender), None)
+
+    def tick(self, now: float) -> None:
+        """Give up what waited too long and repeat settlements."""
+        self._retry_parked(now)
+        for pending in tuple(self._pending.values()):
+            if pending.deadline > now:
+                break
+            self._time_out(pending, now)
+        for key, unsettled in tuple(self._unsettled.items()):
+            if unsettled.give_up_at <= now:
+                self._unsettled.pop(key)
+            elif unsettled.due <= now:
+                unsettled.due = now + self.terms.settle_retry
+                self.outbox.put(key[1], unsettled.message, now)
+
+    def prune(self, now: float) -> None:
+        """Forget what nobody will ask for."""
+        before = now - self.terms.settle_within
+        for pool in self.pools.values():
+            pool.bucket.forget(before)
+        _drop_old(self._granted, before)
+        _drop_old(self._passed, now - _TOMBSTONE_SECONDS)
+        while self._closed:
+            name, closed_at = next(iter(self._closed.items()))
+            if closed_at > now - _TOMBSTONE_SECONDS:
+                return
+            self._closed.pop(name)
+
+    def next_wake(self) -> float:
+        """Return when `tick` has something to do."""
+        first = next(iter(self._pending.values()), None)
+        moments = [first.deadline] if first else []
+        moments += [each.deadline for each in self._parked.values()]
+        moments += [each.due for each in self._unsettled.values()]
+        return min(moments, default=inf)
+
+    def _charge_or_park(self, draw: Draw, pool: Pool, now: float) -> None:
+        if self._charge(draw, pool, now):
+            return
+        seats = len(pool.usable())
+        if seats < pool.seat_count and now < self.settling_until:
+            deadline = now + self.terms.patience
+            self._parked[draw.request_id] = _Pending(draw, deadline)
+            return
+        self._reject(draw, pool, now)
+
+    def _charge(self, draw: Draw, pool: Pool, now: float) -> bool:
+        pool.expire(now)
+        is_local = draw.origin == self.view.instance
+        until = None if is_local else now + self.terms.flight
+        name = draw.request_id
+        if not pool.bucket.take(name, draw.tokens, now, until):
+            return False
+        if is_local:
+            self._succeed(draw, self.view.instance, now)
+        else:
+            self.outbox.put(draw.origin, Grant(name, draw.workspace), now)
+        return True
+
+    def _retry_parked(self, now: float) -> None:
+        for name, parked in tuple(self._parked.items()):
+            pool = self.pools.get(parked.draw.workspace)
+            is_over = parked.deadline <= now
+            if pool is not None and self._charge(parked.draw, pool, now):
+                self._parked.pop(name)
+            elif pool is None or is_over:
+                self._parked.pop(name)
+                self._reject(parked.draw, pool, now)
+
+    def _time_out(self, pending: _Pending, now: float) -> None:
+        draw = pending.draw
+        self._drop_pending(draw.request_id)
+        settle = Settle(draw.request_id, draw.workspace, 0)
+        self._send_settle(settle, pending.holder, now)
+        pool = self.pools.get(draw.workspace)
+        if pool is not None and self._charge(draw, pool, now):
+            return
+        wait = self.terms.renew
+        self._fail(draw, ResultCode.limits_unavailable, wait)
+
+    def _settle_here(self, message: Settle, now: float) -> None:
+        pool = self.pools.get(message.workspace)
+        if pool is not None:
+            pool.expire(now)
+            pool.bucket.settle(message.request_id, message.used, now)
+
+    def _send_settle(self, message: Settle, holder: str, now: float) -> None:
+        due = now + self.terms.lazy
+        self._unsettled[message.request_id, holder] = _Unsettled(
+            message,
+            now + self.terms.settle_retry,
+            now + _TOMBSTONE_SECONDS,
+        )
+        self.outbox.put(holder, message, due)
+
+    def _reject(self, draw: Draw, pool: Pool | None, now: float) -> None:
+        code = ResultCode.limits_unavailable
+        wait = self.terms.renew
+        if pool is not None and pool.usable():
+            code = ResultCode.rate_exceeded
+            pool.expire(now)
+            refill = pool.bucket.wait(draw.tokens, now)
+            wait = self.terms.term if refill is None else refill
+        if draw.origin == self.view.instance:
+            self._fail(draw, code, wait)
+            return
+        refusal = Refuse(draw.request_id, int(code), wait)
+        self.outbox.put(draw.origin, refusal, now)
+
+    def _succeed(self, draw: Draw, holder: str, now: float) -> None:
+        self._granted[draw.request_id] = _Granted(holder, now)
+        done = Done(Reservation(draw.request_id, draw.workspace, draw.tokens))
+        self.answers.append(Answer(draw.request_id, done))
+
+    def _fail(
+        self,
+        draw: Draw,
+        code: ResultCode,
+        retry_after: float | None = None,
+    ) -> None:
+        failed = replace(Failed.of(code), retry_after=retry_after)
+        self.answers.append(Answer(draw.request_id, failed))
+
+    def _drop_pending(self, request_id: str) -> _Pending | None:
+        pending = self._pending.pop(request_id, None)
+        if pending is not None:
+            self._waiting[pending.holder] -= 1
+        return pending
+
+
+def _drop_old(table: dict[str, _Granted], before: float) -> None:
+    while table:
+        name, granted = next(iter(table.items()))
+        if granted.at >= before:
+            return
+        table.pop(name)
--- /dev/null
+++ b/mintlanding/limits/terms.py
@@ -0,0 +1,58 @@
+"""Rates, and the durations that bound who may use a share until when."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Self
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """A limit: `rate` in tokens a second, `burst` in tokens."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Durations in seconds.
+
+    A borrower uses a loan for `term` from the moment it asked for it; the
+    lender counts longer, by the clock drift and by the time that a granted
+    request may still be on its way. A holder of many zones borrows from the
+    holders of the zones for `zone_term`.
+    """
+
+    term: float = 3
+    zone_term: float = 3
+    renew: float = 1
+    announce: float = 2
+    request_timeout: float = 0.25
+    patience: float = 0.1
+    flush: float = 0.005
+    lazy: float = 0.05
+    settle_retry: float = 1
+    settle_within: float = 900
+    pause: float = 10
+    grace: float = 30
+    drift: float = 0.05
+    flat_members: int = 24
+
+    @classmethod
+    def from_config(cls, values: Mapping[str, float]) -> Self:  # noqa: WPS110
+        """Take durations by name; the others keep their defaults."""
+        return cls(**values)  # type: ignore[arg-type]
+
+    @classmethod
+    def for_fleet(cls) -> Self:
+        """Return terms for several hundred instances."""
+        return cls(term=18, zone_term=6, renew=4, announce=15, grace=60)
+
+    @property
+    def flight(self) -> float:
+        """How long a granted request may be on its way, by any clock."""
+        return self.request_timeout * (1 + self.drift)
+
+    def lender_term(self, term: float) -> float:
+        """How long the lender has to wait for a loan of `term`."""
+        return (term + self.request_timeout) * (1 + self.drift) + self.flight
