--- /dev/null
+++ b/mintlanding/limits/handover.py
@@ -0,0 +1,140 @@
+"""Hand-over of seats at a planned stop.
+
+The leaving instance gives its seats to live neighbours once all of them are
+home. It names the neighbour's own clock, so that a hand-over which arrives
+after the seats may have been claimed by another is not taken.
+"""
+
+from dataclasses import dataclass, field
+
+from mintlanding.limits.bucket import Parcel
+from mintlanding.limits.holders import rendezvous
+from mintlanding.limits.lending import Lending
+from mintlanding.limits.messages import (
+    Event,
+    HandedOver,
+    HandOver,
+    Loan,
+    SeatsHandedOver,
+    SeatsReceived,
+)
+from mintlanding.limits.pools import OWN, Pool
+
+
+@dataclass(slots=True)
+class _Unconfirmed:
+    """A hand-over that is repeated until the receiver has confirmed it."""
+
+    receiver: str
+    message: HandOver
+    due: float
+
+
+@dataclass(slots=True)
+class HandOvers:
+    """Hand-overs of one instance, in both directions."""
+
+    lending: Lending
+    events: list[Event]
+    _unconfirmed: dict[int, _Unconfirmed] = field(default_factory=dict)
+    _taken: set[tuple[str, int, int]] = field(default_factory=set)
+    _last_number: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether nothing is left to hand over."""
+        return not self.lending.owned and not self._unconfirmed
+
+    def tick(self, now: float) -> None:
+        """Hand over what is home; repeat what has not been confirmed."""
+        if not self.lending.is_leaving:
+            return
+        for successor, seats in self._successors(now).items():
+            self._give(successor, tuple(seats), now)
+        retry = self.lending.terms.settle_retry
+        for unconfirmed in self._unconfirmed.values():
+            if unconfirmed.due <= now:
+                unconfirmed.due = now + retry
+                receiver = unconfirmed.receiver
+                self.lending.outbox.put(receiver, unconfirmed.message, now)
+
+    def next_wake(self) -> float:
+        """Return when a hand-over is repeated."""
+        dues = (each.due for each in self._unconfirmed.values())
+        return min(dues, default=float('inf'))
+
+    def take(self, message: HandOver, sender: str, now: float) -> None:
+        """Own the seats that a leaving instance gives, and confirm."""
+        incarnation = self.lending.outbox.incarnation_of(sender)
+        key = (sender, incarnation, message.number)
+        if key in self._taken:
+            self.lending.outbox.put(sender, HandedOver(message.number), now)
+            return
+        if now - message.stamp > self.lending.terms.grace / 2:
+            return
+        if self.lending.is_leaving:
+            return
+        self._taken.add(key)
+        self.lending.outbox.put(sender, HandedOver(message.number), now)
+        self.lending.owned.update(message.seats)
+        parcels = {loan.workspaces[0]: loan for loan in message.loans}
+        for name, pool in self.lending.pools.items():
+            pool.expire(now)
+            for seat in message.seats:
+                pool.claim(seat, now, now)
+            loan = parcels.get(name)
+            if loan is not None:
+                parcel = Parcel(loan.tokens[0], loan.flight[0])
+                until = now + self.lending.terms.flight
+                pool.bucket.put(parcel, now, until)
+        self.events.append(SeatsReceived(frozenset(message.seats)))
+        self.lending.announce(now)
+        self.lending.push_all(now)
+
+    def confirm(self, message: HandedOver) -> None:
+        """Stop repeating a hand-over."""
+        self._unconfirmed.pop(message.number, None)
+
+    def _successors(self, now: float) -> dict[str, list[int]]:
+        lending = self.lending
+        names = sorted(set(lending.view.neighbours()) & lending.stamps.keys())
+        chosen: dict[str, list[int]] = {}
+        if not names:
+            return chosen
+        for seat in sorted(lending.owned):
+            if all(
+                _is_home(pool, seat, now) for pool in lending.pools.values()
+            ):
+                receiver = rendezvous(f'seat/{seat}', names)
+                chosen.setdefault(receiver, []).append(seat)
+        return chosen
+
+    def _give(self, receiver: str, seats: tuple[int, ...], now: float) -> None:
+        lending = self.lending
+        loans = []
+        for name, pool in lending.pools.items():
+            pool.expire(now)
+            parcel = pool.give_up(list(seats), now)
+            loans.append(
+                Loan(
+                    0,
+                    0,
+                    seats,
+                    (name,),
+                    (parcel.tokens,),
+                    (parcel.flight,),
+                ),
+            )
+        lending.owned.difference_update(seats)
+        self._last_number += 1
+        stamp = lending.stamps[receiver]
+        message = HandOver(self._last_number, stamp, seats, tuple(loans))
+        unconfirmed = _Unconfirmed(receiver, message, now)
+        self._unconfirmed[self._last_number] = unconfirmed
+        self.events.append(SeatsHandedOver(frozenset(seats)))
+
+
+def _is_home(pool: Pool, seat: int, now: float) -> bool:
+    pool.expire(now)
+    hold = pool.holds.get(seat)
+    return hold is not None and hold.lender == OWN and seat not in pool.lent
--- a/mintlanding/limits/holders.py
+++ b/mintlanding/limits/holders.py
@@ -38,15 +38,26 @@
         self._heads: dict[tuple[str, str], str] = {}
         self._is_leaving = False
         self.is_flat = True
+        self.moved_at = 0.0
+        self._excluded: dict[str, int] = {}
+        self._members: Sequence[Member] = ()
         self.live: frozenset[str] = frozenset()
         self.observe(())
 
     def observe(self, members: Sequence[Member]) -> bool:
         """Take a new list; return whether the choice may have changed."""
+        self._members = members
+        present = {each.instance: each.incarnation for each in members}
+        self._excluded = {
+            name: incarnation
+            for name, incarnation in self._excluded.items()
+            if present.get(name, incarnation + 1) <= incarnation
+        }
         live = {
             each.instance: each.zone
             for each in members
             if each.state is MemberState.live
+            and each.instance not in self._excluded
         }
         live.pop(self.instance, None)
         if not self._is_leaving:
@@ -64,6 +75,11 @@
         self._heads.clear()
         return True
 
+    def exclude(self, instance: str, incarnation: int) -> bool:
+        """Choose a process no more that has said that it leaves."""
+        self._excluded[instance] = incarnation
+        return self.observe(self._members)
+
     def leave(self) -> None:
         """Choose this instance no more."""
         self._is_leaving = True
--- a/mintlanding/limits/lending.py
+++ b/mintlanding/limits/lending.py
@@ -33,6 +33,7 @@
 
     incarnation: int
     stamp: float
+    asked_at: float = -inf
 
 
 @dataclass(slots=True)
@@ -66,6 +67,8 @@
     owned: set[int] = field(default_factory=set)
     is_leaving: bool = False
     owners: dict[str, float] = field(default_factory=dict)
+    stamps: dict[str, float] = field(default_factory=dict)
+    used: dict[int, float] = field(default_factory=dict)
     _borrowers: dict[str, _Borrower] = field(default_factory=dict)
     _lenders: dict[str, _Lender] = field(default_factory=dict)
     _held: dict[str, set[str]] = field(default_factory=dict)
@@ -76,18 +79,29 @@
 
     def announce(self, now: float) -> None:
         """Tell the neighbours which seats are in use here."""
-        message = Announce(tuple(sorted(self.owned)))
+        message = Announce(
+            tuple(sorted(self.owned)),
+            now,
+            self.is_leaving,
+        )
         for name in self.view.neighbours():
             self.outbox.put(name, message, now)
 
     def hear(self, message: Announce, sender: str, now: float) -> None:
         """Note that the sender may lend, or no longer."""
+        self.stamps[sender] = message.stamp
+        if message.is_leaving:
+            self.stamps.pop(sender)
+            if self.view.exclude(sender, self.outbox.incarnation_of(sender)):
+                self.follow_view(now)
+        for seat in message.seats:
+            self.used[seat] = now
         if not message.seats:
             self.owners.pop(sender, None)
             return
         is_new = sender not in self.owners
         self.owners[sender] = now
-        if is_new:
+        if is_new and not self.is_leaving:
             self.ask((sender,), now)
 
     def ask_all(self, now: float) -> None:
@@ -108,6 +122,7 @@
         """Lend the sender what it should hold by the view from here."""
         if not self._is_latest(sender, message.stamp):
             return
+        self._borrowers[sender].asked_at = now
         groups: Groups = {}
         digest = self._renew_all(sender, now, groups)
         is_same = bool(digest) and digest == message.digest
@@ -136,6 +151,8 @@
             lender.highest = max(lender.highest, loan.number)
             if until > now:
                 self._adopt_loan(loan, hold, loan.number > highest, now)
+        if self.is_leaving:
+            self.give_back(tuple(self.pools), now)
 
     def give_back(
         self,
@@ -201,6 +218,7 @@
 
     def follow_view(self, now: float) -> None:
         """Move what another should hold by the view from here."""
+        self.view.moved_at = now
         self.reindex()
         strays = [
             workspace
@@ -213,13 +231,17 @@
             now,
         )
         self.ask_all(now)
+        self.push_all(now)
+
+    def push_all(self, now: float) -> None:
+        """Lend what has become free to all that asked a moment ago."""
         for name in sorted(self._borrowers):
             self.push(name, now)
 
     def push(self, borrower: str, now: float) -> None:
         """Lend what has become free to one that asked a moment ago."""
         latest = self._borrowers.get(borrower)
-        if latest is None or latest.stamp == -inf:
+        if latest is None or now - latest.asked_at > self.terms.renew:
             return
         if latest.incarnation != self.outbox.incarnation_of(borrower):
             return
--- a/mintlanding/limits/messages.py
+++ b/mintlanding/limits/messages.py
@@ -10,9 +10,14 @@
 
 
 class Announce(msgspec.Struct, frozen=True, tag='a', array_like=True):
-    """The seats that the sender uses as its own."""
+    """The seats that the sender uses as its own, at `stamp` of its clock.
+
+    A sender that is leaving is to be given no more loans.
+    """
 
     seats: tuple[int, ...]
+    stamp: float
+    is_leaving: bool = False
 
 
 class Ask(msgspec.Struct, frozen=True, tag='k', array_like=True):
@@ -111,23 +116,24 @@
     request_id: str
 
 
-class Seat(msgspec.Struct, frozen=True, array_like=True):
-    """A seat that changes hands, with the epoch of its record."""
-
-    number: int
-    epoch: int
-
-
 class HandOver(msgspec.Struct, frozen=True, tag='h', array_like=True):
-    """Seats that a leaving instance gives to the receiver."""
+    """Seats that a leaving instance gives to the receiver.
+
+    `stamp` repeats the receiver's clock from its latest announcement. The
+    loans say what moves along, one for each workspace; `number` tells this
+    hand-over from others of the sender.
+    """
 
-    seats: tuple[Seat, ...]
+    number: int
+    stamp: float
+    seats: tuple[int, ...]
+    loans: tuple[Loan, ...]
 
 
 class HandedOver(msgspec.Struct, frozen=True, tag='o', array_like=True):
-    """Seats that the receiver has taken."""
+    """The receiver has taken a hand-over."""
 
-    seats: tuple[Seat, ...]
+    number: int
 
 
 LimitsMessage = Union[
@@ -199,4 +205,19 @@
     seats: frozenset[int]
 
 
-Action = Send | Answer | SeatsLost
+@dataclass(frozen=True, slots=True)
+class SeatsReceived:
+    """A leaving instance has handed these seats over to this one."""
+
+    seats: frozenset[int]
+
+
+@dataclass(frozen=True, slots=True)
+class SeatsHandedOver:
+    """These seats belong to another instance from now on."""
+
+    seats: frozenset[int]
+
+
+Event = SeatsLost | SeatsReceived | SeatsHandedOver
+Action = Send | Answer | Event
--- a/mintlanding/limits/models.py
+++ b/mintlanding/limits/models.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from mintlanding.limits.bucket import Bucket
+from mintlanding.limits.handover import HandOvers
 from mintlanding.limits.holders import HolderView
 from mintlanding.limits.lending import Lending
 from mintlanding.limits.messages import (
@@ -13,7 +14,10 @@
     Ask,
     Draw,
     Envelope,
+    Event,
     Grant,
+    HandedOver,
+    HandOver,
     Landed,
     Lend,
     LimitsMessage,
@@ -50,7 +54,7 @@
         self._rnd = rnd
         self._seat_count = 1
         self._last_event: float | None = None
-        self._events: list[SeatsLost] = []
+        self._events: list[Event] = []
         self._renew_at = 0.0
         self._announce_at = 0.0
         self._outbox = Outbox(incarnation)
@@ -58,6 +62,7 @@
         parts = (terms, self._view, self._outbox, self.pools)
         self._lending = Lending(*parts)
         self._requests = Requests(*parts)
+        self._hand_overs = HandOvers(self._lending, self._events)
 
     @classmethod
     def from_config(
@@ -98,6 +103,8 @@
         """
         self._advance(now)
         owned = self._lending.owned
+        if self._lending.is_leaving:
+            seats &= owned
         free_from = now + self.terms.lender_term(self.terms.term)
         for pool in self.pools.values():
             pool.expire(now)
@@ -120,7 +127,6 @@
         self._advance(now)
         before = self._view.live
         if self._view.observe(members):
-            self._requests.settling_until = now + self.terms.renew
             self._lending.follow_view(now)
             if self._view.live - before:
                 self._lending.announce(now)
@@ -170,6 +176,7 @@
         """Do what is due."""
         self._advance(now)
         self._requests.tick(now)
+        self._hand_overs.tick(now)
         if now >= self._renew_at:
             jitter = self._rnd.uniform(0.9, 1)
             self._renew_at = now + self.terms.renew * jitter
@@ -185,15 +192,30 @@
         self._advance(now)
         self._view.leave()
         self._lending.is_leaving = True
+        self._lending.announce(now)
         self._lending.follow_view(now)
+        self._lending.recall(self.pools, now)
+        self._hand_overs.tick(now)
         return self._collect(now)
 
+    def is_drained(self) -> bool:
+        """Tell whether nothing of other instances depends on this one."""
+        held = any(pool.holds for pool in self.pools.values())
+        return not held and self._hand_overs.is_done
+
+    def seats_in_use(self, now: float) -> frozenset[int]:
+        """Return the seats that neighbours have said they use."""
+        since = now - self.terms.takeover
+        used = self._lending.used.items()
+        return frozenset(seat for seat, at in used if at >= since)
+
     def next_wake(self, now: float) -> float:
         """Return when `tick` is wanted next."""
         moments = (
             self._renew_at,
             self._announce_at,
             self._requests.next_wake(),
+            self._hand_overs.next_wake(),
             self._outbox.next_due(),
         )
         return max(now, min(moments))
@@ -258,6 +280,11 @@
                 self._requests.tick(now)
             case Return():
                 self._lending.take_back(message, sender, now)
+                self._hand_overs.tick(now)
+            case HandOver():
+                self._hand_overs.take(message, sender, now)
+            case HandedOver():
+                self._hand_overs.confirm(message)
             case Recall():
                 self._lending.give_back(message.workspaces, now, sender)
                 self._lending.recall(message.workspaces, now)
--- a/mintlanding/limits/requests.py
+++ b/mintlanding/limits/requests.py
@@ -66,7 +66,6 @@
     outbox: Outbox
     pools: dict[str, Pool]
     answers: list[Answer] = field(default_factory=list)
-    settling_until: float = 0
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _parked: dict[str, _Pending] = field(default_factory=dict)
     _granted: dict[str, _Granted] = field(default_factory=dict)
@@ -210,7 +209,10 @@
         if self._charge(draw, pool, now):
             return
         seats = len(pool.usable())
-        if seats < pool.seat_count and now < self.settling_until:
+        if (
+            seats < pool.seat_count
+            and now < self.view.moved_at + self.terms.renew
+        ):
             deadline = now + self.terms.patience
             self._parked[draw.request_id] = _Pending(draw, deadline)
             return
--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -35,6 +35,7 @@
     settle_within: float = 900
     pause: float = 10
     grace: float = 30
+    seat_poll: float = 5
     drift: float = 0.05
     flat_members: int = 24
 
@@ -56,3 +57,8 @@
     def lender_term(self, term: float) -> float:
         """How long the lender has to wait for a loan of `term`."""
         return (term + self.request_timeout) * (1 + self.drift) + self.flight
+
+    @property
+    def takeover(self) -> float:
+        """How long the owner of a seat has to be gone and silent."""
+        return self.grace * (1 + self.drift) + self.announce
--- a/mintlanding/limits/tests/fleets.py
+++ b/mintlanding/limits/tests/fleets.py
@@ -3,7 +3,13 @@
 import random
 
 from mintlanding.core.results import Done
-from mintlanding.limits.messages import Answer, SeatsLost, Send
+from mintlanding.limits.messages import (
+    Answer,
+    SeatsHandedOver,
+    SeatsLost,
+    SeatsReceived,
+    Send,
+)
 from mintlanding.limits.models import LimitsNode
 from mintlanding.limits.terms import Rate, Terms
 from mintlanding.membership.models import Member, MemberState
@@ -79,6 +85,10 @@
             self.queue.append((name, action.instance, action.message))
         elif isinstance(action, SeatsLost):
             self.lost.add(name)
+        elif isinstance(action, SeatsHandedOver):
+            self.seats[name] -= action.seats
+        elif isinstance(action, SeatsReceived):
+            self.seats[name] |= action.seats
         elif isinstance(action, Answer):
             answers = self.answers.setdefault(action.request_id, [])
             answers.append((self.now, action.outcome))
