--- a/mintlanding/limits/bucket.py
+++ b/mintlanding/limits/bucket.py
@@ -149,6 +149,10 @@
                 return
             self._charges.pop(name)
 
+    def is_full_within(self, seconds: float) -> bool:
+        """Tell whether tokens would soon be lost for want of room."""
+        return self.level + seconds * self.rate > self.room
+
     def has_charge(self, request_id: str) -> bool:
         """Tell whether the request is charged here and not settled."""
         return request_id in self._charges
--- a/mintlanding/limits/messages.py
+++ b/mintlanding/limits/messages.py
@@ -81,10 +81,15 @@
 
 
 class Grant(msgspec.Struct, frozen=True, tag='g', array_like=True):
-    """The tokens of a draw are charged."""
+    """The tokens of a draw are charged.
+
+    `confirm` asks for a `Landed`: the bucket is so full that tokens on their
+    way keep others from accruing.
+    """
 
     request_id: str
     workspace: str
+    confirm: bool = False
 
 
 class Refuse(msgspec.Struct, frozen=True, tag='n', array_like=True):
@@ -136,6 +141,22 @@
     number: int
 
 
+class Want(msgspec.Struct, frozen=True, tag='w', array_like=True):
+    """Ask a peer for spare tokens; only the ask-all policy sends it."""
+
+    request_id: str
+    workspace: str
+    tokens: float
+
+
+class Give(msgspec.Struct, frozen=True, tag='v', array_like=True):
+    """Spare tokens for a request; only the ask-all policy sends it."""
+
+    request_id: str
+    workspace: str
+    tokens: float
+
+
 LimitsMessage = Union[
     Announce,
     Ask,
@@ -150,6 +171,8 @@
     Settled,
     HandOver,
     HandedOver,
+    Want,
+    Give,
 ]
 
 
--- a/mintlanding/limits/requests.py
+++ b/mintlanding/limits/requests.py
@@ -29,6 +29,7 @@
 
 _MAX_HOPS = 2
 _TOMBSTONE_SECONDS = 60.0
+_PAUSE_SECONDS = 0.001
 
 
 @dataclass(slots=True)
@@ -38,6 +39,7 @@
     draw: Draw
     deadline: float
     holder: str = ''
+    ready_at: float = inf
 
 
 @dataclass(slots=True)
@@ -127,8 +129,9 @@
             self._send_settle(settle, sender, now)
             return
         self._drop_pending(message.request_id)
-        landed = Landed(message.request_id, message.workspace)
-        self.outbox.put(sender, landed, now + self.terms.lazy)
+        if message.confirm:
+            landed = Landed(message.request_id, message.workspace)
+            self.outbox.put(sender, landed, now)
         self._succeed(pending.draw, sender, now)
 
     def refuse(self, message: Refuse) -> None:
@@ -201,22 +204,37 @@
         """Return when `tick` has something to do."""
         first = next(iter(self._pending.values()), None)
         moments = [first.deadline] if first else []
-        moments += [each.deadline for each in self._parked.values()]
+        moments += [
+            min(each.deadline, each.ready_at) for each in self._parked.values()
+        ]
         moments += [each.due for each in self._unsettled.values()]
         return min(moments, default=inf)
 
     def _charge_or_park(self, draw: Draw, pool: Pool, now: float) -> None:
-        if self._charge(draw, pool, now):
+        """Charge, wait for a refill that is near, or refuse at once."""
+        self._retry_parked(now)
+        ahead = sum(
+            each.draw.tokens
+            for each in self._parked.values()
+            if each.draw.workspace == draw.workspace
+        )
+        if not ahead and self._charge(draw, pool, now):
             return
-        seats = len(pool.usable())
-        if (
-            seats < pool.seat_count
-            and now < self.view.moved_at + self.terms.renew
-        ):
-            deadline = now + self.terms.patience
-            self._parked[draw.request_id] = _Pending(draw, deadline)
+        pool.expire(now)
+        wait = pool.bucket.wait(draw.tokens + ahead, now)
+        ready_at = inf
+        if wait is not None and wait <= self.terms.linger:
+            ready_at = now + wait
+        elif not self._is_moving(pool, now):
+            self._reject(draw, pool, now, ahead)
             return
-        self._reject(draw, pool, now)
+        deadline = now + self.terms.patience
+        parked = _Pending(draw, deadline, ready_at=ready_at)
+        self._parked[draw.request_id] = parked
+
+    def _is_moving(self, pool: Pool, now: float) -> bool:
+        is_fresh = now < self.view.moved_at + self.terms.renew
+        return is_fresh and len(pool.usable()) < pool.seat_count
 
     def _charge(self, draw: Draw, pool: Pool, now: float) -> bool:
         pool.expire(now)
@@ -228,18 +246,27 @@
         if is_local:
             self._succeed(draw, self.view.instance, now)
         else:
-            self.outbox.put(draw.origin, Grant(name, draw.workspace), now)
+            confirm = pool.bucket.is_full_within(self.terms.flight)
+            grant = Grant(name, draw.workspace, confirm)
+            self.outbox.put(draw.origin, grant, now)
         return True
 
     def _retry_parked(self, now: float) -> None:
+        blocked: set[str] = set()
         for name, parked in tuple(self._parked.items()):
-            pool = self.pools.get(parked.draw.workspace)
-            is_over = parked.deadline <= now
-            if pool is not None and self._charge(parked.draw, pool, now):
-                self._parked.pop(name)
-            elif pool is None or is_over:
+            workspace = parked.draw.workspace
+            pool = self.pools.get(workspace)
+            is_over = pool is None or parked.deadline <= now
+            if pool is not None and workspace not in blocked:
+                if self._charge(parked.draw, pool, now):
+                    self._parked.pop(name)
+                    continue
+            if is_over:
                 self._parked.pop(name)
                 self._reject(parked.draw, pool, now)
+                continue
+            blocked.add(workspace)
+            parked.ready_at = max(parked.ready_at, now + _PAUSE_SECONDS)
 
     def _time_out(self, pending: _Pending, now: float) -> None:
         draw = pending.draw
@@ -267,13 +294,19 @@
         )
         self.outbox.put(holder, message, due)
 
-    def _reject(self, draw: Draw, pool: Pool | None, now: float) -> None:
+    def _reject(
+        self,
+        draw: Draw,
+        pool: Pool | None,
+        now: float,
+        ahead: float = 0,
+    ) -> None:
         code = ResultCode.limits_unavailable
         wait = self.terms.renew
         if pool is not None and pool.usable():
             code = ResultCode.rate_exceeded
             pool.expire(now)
-            refill = pool.bucket.wait(draw.tokens, now)
+            refill = pool.bucket.wait(draw.tokens + ahead, now)
             wait = self.terms.term if refill is None else refill
         if draw.origin == self.view.instance:
             self._fail(draw, code, wait)
--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -29,6 +29,7 @@
     announce: float = 2
     request_timeout: float = 0.25
     patience: float = 0.1
+    linger: float = 0.05
     flush: float = 0.005
     lazy: float = 0.05
     settle_retry: float = 1
