Refuse negative tokens; follow workspaces that go and come back

Cause: a loan of a workspace that has been removed was looked up by name, and a negative reservation added tokens.

--- a/mintlanding/limits/bucket.py
+++ b/mintlanding/limits/bucket.py
@@ -104,7 +104,7 @@
     ) -> bool:
         """Charge a request if there are tokens; `until` if it has to travel."""
         self.advance(now)
-        if tokens > self.level:
+        if not 0 <= tokens <= self.level:
             return False
         self._note()
         self.level -= tokens
@@ -126,6 +126,7 @@
         charge = self._charges.pop(request_id, None)
         if charge is None:
             return
+        used = max(0, used)
         if used > charge.tokens:
             self._note()
             self.level -= used - charge.tokens
--- a/mintlanding/limits/lending.py
+++ b/mintlanding/limits/lending.py
@@ -209,7 +209,9 @@
         """Ask the borrowers of some workspaces for what they have."""
         wanted: dict[str, list[str]] = {}
         for workspace in workspaces:
-            pool = self.pools[workspace]
+            pool = self.pools.get(workspace)
+            if pool is None:
+                continue
             for name in {lent.borrower for lent in pool.lent.values()}:
                 wanted.setdefault(name, []).append(workspace)
         wanted.pop(NOBODY, None)
@@ -253,6 +255,8 @@
     def reindex(self) -> None:
         """Follow a change of the view or of the workspaces."""
         self._children.clear()
+        for names in (*self._held.values(), *self._lent_to.values()):
+            names.intersection_update(self.pools)
 
     def forget(self) -> None:
         """Drop the seats, as after a pause."""
@@ -391,6 +395,7 @@
         self._next_number += 1
         incarnation = self.outbox.incarnation_of(sender)
         for pool in self._pools_of(sender):
+            pool.expire(now)
             term = self._term(sender)
             until = now + self.terms.lender_term(term)
             seats = [
--- a/mintlanding/limits/outbox.py
+++ b/mintlanding/limits/outbox.py
@@ -1,6 +1,5 @@
 """Batches for other instances, and the ids by which doubles are dropped."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from mintlanding.limits.messages import Envelope, LimitsMessage, Send
@@ -62,13 +61,6 @@
         peer = self._peers.get(instance)
         return peer.incarnation if peer else 0
 
-    def keep(self, instances: Iterable[str]) -> None:
-        """Drop what waits for instances that are no more."""
-        names = set(instances)
-        for name in [each for each in self._queues if each not in names]:
-            self._queues.pop(name)
-            self._due.pop(name)
-
     def _seal(self, instance: str) -> Send:
         self._last_id += 1
         self._due.pop(instance)
--- a/mintlanding/limits/requests.py
+++ b/mintlanding/limits/requests.py
@@ -85,6 +85,9 @@
         if pool is None:
             self._fail(draw, ResultCode.limits_unavailable)
             return
+        if not draw.tokens >= 0:  # noqa: WPS508 also refuses NaN
+            self._fail(draw, ResultCode.missing_field)
+            return
         if draw.tokens > pool.limit.burst:
             self._fail(draw, ResultCode.larger_than_burst)
             return
@@ -103,7 +106,7 @@
         if draw.request_id in self._closed:
             return
         pool = self.pools.get(draw.workspace)
-        if pool is None:
+        if pool is None or not draw.tokens >= 0:  # noqa: WPS508
             self._reject(draw, None, now)
             return
         if pool.bucket.has_charge(draw.request_id):
--- a/mintlanding/limits/tests/fleets.py
+++ b/mintlanding/limits/tests/fleets.py
@@ -125,6 +125,9 @@
         ((_, outcome),) = self.answers[request_id]
         return outcome
 
+    def is_done(self, request_id):
+        return isinstance(self.outcome(request_id), Done)
+
     def holder(self, workspace=WORKSPACE):
         node = next(iter(self.nodes.values()))
         return node._view.root(workspace)
--- a/mintlanding/limits/tests/test_models.py
+++ b/mintlanding/limits/tests/test_models.py
@@ -1,5 +1,6 @@
 from mintlanding.core.results import Done, ResultCode
-from mintlanding.limits.tests.fleets import WORKSPACE, Fleet
+from mintlanding.limits.terms import Rate, Terms
+from mintlanding.limits.tests.fleets import RATE, WORKSPACE, Fleet
 
 
 def test_the_holder_gathers_the_whole_burst():
@@ -62,3 +63,62 @@
     fleet.do(asker, 'reserve', 'next', WORKSPACE, 300)
     fleet.deliver_all()
     assert isinstance(fleet.outcome('next'), Done)
+
+
+def test_a_workspace_may_go_and_come_back():
+    fleet = Fleet(rates={WORKSPACE: RATE, 'store/weights': Rate(8, 3)})
+    fleet.run(12)
+    for name in fleet.names:
+        fleet.do(name, 'configure', {'store/weights': Rate(8, 3)}, 6)
+    fleet.run(5)
+    fleet.do('i0', 'reserve', 'gone', WORKSPACE, 5)
+    assert fleet.outcome('gone').code is ResultCode.limits_unavailable
+    for name in fleet.names:
+        fleet.do(name, 'configure', fleet.rates, 6)
+    fleet.run(12)
+    fleet.do('i0', 'reserve', 'back', WORKSPACE, 300)
+    fleet.run(0.1)
+    assert isinstance(fleet.outcome('back'), Done)
+
+
+def test_permits_of_the_weight_store_are_a_workspace_of_small_numbers():
+    fleet = Fleet(rates={'store/weights': Rate(8, 3)})
+    fleet.run(12)
+    for number in range(60):
+        name = fleet.names[number % 3]
+        fleet.do(name, 'reserve', f'load {number}', 'store/weights', 1)
+    fleet.run(0.02)
+    done = [each for each in fleet.answers if fleet.is_done(each)]
+    assert len(done) == 3
+    assert fleet.worst_overshoot(Rate(8, 3)) <= 1e-9
+
+
+def test_a_request_that_the_refill_allows_in_a_moment_waits_for_it():
+    fleet = Fleet(size=1)
+    fleet.run(12)
+    fleet.do('i0', 'reserve', 'first', WORKSPACE, 300)
+    fleet.do('i0', 'reserve', 'second', WORKSPACE, 4)
+    fleet.do('i0', 'reserve', 'third', WORKSPACE, 4)
+    assert 'second' not in fleet.answers
+    assert fleet.outcome('third').code is ResultCode.rate_exceeded
+    fleet.run(0.06)
+    assert isinstance(fleet.outcome('second'), Done)
+
+
+def test_negative_tokens_add_nothing():
+    fleet = Fleet(size=1)
+    fleet.run(12)
+    fleet.do('i0', 'reserve', 'first', WORKSPACE, -50)
+    fleet.do('i0', 'reserve', 'second', WORKSPACE, 300)
+    fleet.do('i0', 'reserve', 'third', WORKSPACE, 20)
+    assert not fleet.is_done('first')
+    assert not fleet.is_done('third')
+
+
+def test_a_large_fleet_lends_through_its_zones():
+    terms = Terms(term=12, zone_term=4, flat_members=4)
+    fleet = Fleet(size=9, seat_count=9, terms=terms, zones=('a', 'b', 'c'))
+    fleet.run(30)
+    fleet.do('i0', 'reserve', 'r', WORKSPACE, 300)
+    fleet.run(0.1)
+    assert isinstance(fleet.outcome('r'), Done)
