--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -80,12 +80,24 @@
     assert bucket.level == -20
 
 
-def empty_start(fleet):
-    """Spend everything so that any token afterwards is seen."""
-    fleet.run(12)
-    fleet.do(fleet.holder(), 'reserve', 'all', WORKSPACE, 300)
-    fleet.deliver_all()
-    assert isinstance(fleet.outcome('all'), Done)
+def find_heavier(fleet, holder):
+    guesses = (f'x{number}' for number in range(1000))
+    heavier = next(
+        name
+        for name in guesses
+        if rendezvous(WORKSPACE, [holder, name]) == name
+    )
+    fleet.zones[heavier] = 'a'
+    return heavier
+
+
+def assert_one_user(fleet):
+    users = [
+        seat
+        for node in fleet.nodes.values()
+        for seat in node.pools[WORKSPACE].usable()
+    ]
+    assert len(users) == len(set(users))
 
 
 def test_a_doubled_loan_brings_its_tokens_once():
@@ -114,13 +126,7 @@
     fleet = Fleet()
     fleet.run(12)
     holder = fleet.holder()
-    guesses = (f'x{number}' for number in range(1000))
-    heavier = next(
-        name
-        for name in guesses
-        if rendezvous(WORKSPACE, [holder, name]) == name
-    )
-    fleet.zones[heavier] = 'a'
+    heavier = find_heavier(fleet, holder)
     fleet.see([*fleet.names, heavier], at=[holder])
     fleet.see(fleet.names, at=[holder])
     held = [
@@ -131,14 +137,69 @@
     assert held
     fleet.queue = [each for each in fleet.queue if each not in held]
     fleet.run(1.2)
-    fleet.queue.extend(held)
+    others = [name for name in fleet.names if name != holder]
+    fleet.see([*fleet.names, heavier], at=others)
+    assert_one_user(fleet)
+    fleet.queue = held
+    while fleet.queue:
+        fleet.deliver()
+        assert_one_user(fleet)
+
+
+def test_a_loan_that_arrives_after_its_return_is_void():
+    fleet = Fleet()
+    fleet.run(12)
+    holder = fleet.holder()
+    heavier = find_heavier(fleet, holder)
+    fleet.see([*fleet.names, heavier], at=[holder])
     fleet.deliver_all()
-    users = [
-        seat
-        for node in fleet.nodes.values()
-        for seat in node.pools[WORKSPACE].usable()
-    ]
-    assert len(users) == len(set(users))
+    fleet.see(fleet.names, at=[holder])
+    held = []
+    while fleet.queue:
+        names = [type(each) for each in fleet.queue[0][2].messages]
+        if Lend in names:
+            held.append(fleet.queue.pop(0))
+        else:
+            fleet.deliver()
+    assert held
+    fleet.run(1.1)
+    fleet.see([*fleet.names, heavier])
+    fleet.deliver_all()
+    fleet.queue = held
+    while fleet.queue:
+        fleet.deliver()
+        assert_one_user(fleet)
+
+
+def test_a_grant_under_way_keeps_the_bucket_from_refilling():
+    fleet = Fleet()
+    fleet.run(12)
+    holder = fleet.holder()
+    asker = next(name for name in fleet.names if name != holder)
+    fleet.do(asker, 'reserve', 'first', WORKSPACE, 300)
+    while fleet.queue[0][1] != asker:
+        fleet.deliver()
+    fleet.now += 0.2
+    fleet.do(holder, 'reserve', 'second', WORKSPACE, 15)
+    fleet.deliver_all()
+    assert fleet.is_done('first')
+    assert fleet.worst_overshoot() <= 1e-9
+
+
+def test_a_grant_after_the_timeout_is_sent_back():
+    fleet = Fleet()
+    fleet.run(12)
+    holder = fleet.holder()
+    asker = next(name for name in fleet.names if name != holder)
+    fleet.do(asker, 'reserve', 'late', WORKSPACE, 300)
+    while fleet.queue[0][1] != asker:
+        fleet.deliver()
+    fleet.now += fleet.terms.request_timeout + 0.01
+    fleet.deliver_all()
+    fleet.run(0.3)
+    assert fleet.outcome('late').code is ResultCode.limits_unavailable
+    fleet.do(holder, 'reserve', 'next', WORKSPACE, 300)
+    assert fleet.is_done('next')
 
 
 def test_a_paused_process_spends_nothing_of_what_it_held():
