--- /dev/null
+++ b/mintlanding/agent/messages.py
@@ -0,0 +1,74 @@
+"""Messages between an agent and the entry of its instance."""
+
+import msgspec
+
+from mintlanding.configuration.models import Delta
+from mintlanding.membership.models import Member
+from mintlanding.peers.messages import Empty, Method
+from mintlanding.placement.messages import (
+    PinReport,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+    WorkerDigest,
+)
+
+
+class ViewRequest(msgspec.Struct, frozen=True):
+    """An entry's wish to follow the view; `revision` is the one it holds."""
+
+    entry: str
+    revision: int
+
+
+class ViewUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What changed since the last update; unset fields did not change.
+
+    `stale_seconds` is the time since a member with a live watch on the
+    platform vouched for the configuration.
+    """
+
+    delta: Delta | None = None
+    members: tuple[Member, ...] | None = None
+    digests: tuple[WorkerDigest, ...] = ()
+    stale_seconds: float = 0
+
+
+class TokenRequest(msgspec.Struct, frozen=True):
+    """Tokens to reserve for one request of a workspace."""
+
+    request_id: str
+    workspace: str
+    tokens: float
+
+
+class TokenReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A reservation (`code` 0) or a refusal; `retry_after` in seconds."""
+
+    request_id: str
+    code: int = 0
+    detail: str = ''
+    retry_after: float = 0
+
+
+class SettleRequest(msgspec.Struct, frozen=True):
+    """The tokens that a request with a reservation has used."""
+
+    request_id: str
+    workspace: str
+    reserved: float
+    used: float
+
+
+WATCH_VIEW = Method(
+    'agent',
+    'watch_view',
+    ViewRequest,
+    ViewUpdate,
+    streaming=True,
+)
+RESERVE_TOKENS = Method('limits', 'reserve', TokenRequest, TokenReply)
+SETTLE_TOKENS = Method('limits', 'settle', SettleRequest, Empty)
+RESERVE_WORKER = Method('placement', 'reserve', ReserveRequest, ReserveReply)
+RELEASE_WORKER = Method('placement', 'release', ReleaseRequest, Empty)
+REPORT_PINS = Method('placement', 'report_pins', PinReport, Empty)
--- /dev/null
+++ b/mintlanding/entry/control.py
@@ -0,0 +1,116 @@
+"""The entry's calls to agents: tokens at its own, workers at their stewards."""
+
+from dataclasses import dataclass
+
+from mintlanding.agent.messages import (
+    RELEASE_WORKER,
+    RESERVE_TOKENS,
+    RESERVE_WORKER,
+    SETTLE_TOKENS,
+    SettleRequest,
+    TokenRequest,
+)
+from mintlanding.core.exceptions import PeerError
+from mintlanding.core.logs import Logger
+from mintlanding.core.results import Done, Failed, Outcome, ResultCode
+from mintlanding.peers.client import PeerClient
+from mintlanding.placement.messages import (
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+)
+
+TOKENS_TIMEOUT_SECONDS = 2
+RELEASE_TIMEOUT_SECONDS = 2
+RELEASE_TRIES = 3
+GRANT_MARGIN_SECONDS = 1
+RETRY_SECONDS = 1
+
+_logger = Logger('entry')
+
+
+@dataclass(slots=True)
+class ControlClient:
+    """Typed calls to the agent of this instance and to stewards."""
+
+    peers: PeerClient
+    agent_address: str
+
+    async def reserve_tokens(self, req: TokenRequest) -> Outcome[TokenRequest]:
+        """Reserve tokens of the workspace's rate."""
+        try:
+            reply = await self.peers.call(
+                self.agent_address,
+                RESERVE_TOKENS,
+                req,
+                TOKENS_TIMEOUT_SECONDS,
+            )
+        except PeerError as exc:
+            _logger.warning('Tokens were not reserved.', reason=str(exc))
+            await self.settle_tokens(_unused(req))
+            return Failed(
+                ResultCode.limits_unavailable,
+                retry_after=RETRY_SECONDS,
+            )
+        if reply.code:
+            return Failed(
+                ResultCode(reply.code),
+                reply.detail,
+                retry_after=reply.retry_after or None,
+            )
+        return Done(req)
+
+    async def settle_tokens(self, req: SettleRequest) -> None:
+        """Tell the agent what a request has used."""
+        try:
+            await self.peers.call(
+                self.agent_address,
+                SETTLE_TOKENS,
+                req,
+                TOKENS_TIMEOUT_SECONDS,
+            )
+        except PeerError as exc:
+            _logger.warning('Tokens were not settled.', reason=str(exc))
+
+    async def reserve_worker(
+        self,
+        address: str,
+        req: ReserveRequest,
+    ) -> Outcome[ReserveReply]:
+        """Wait at the steward until the worker can take the request."""
+        try:
+            reply = await self.peers.call(
+                address,
+                RESERVE_WORKER,
+                req,
+                req.wait + GRANT_MARGIN_SECONDS,
+            )
+        except PeerError as exc:
+            _logger.warning('The steward gave no answer.', reason=str(exc))
+            return Failed(ResultCode.no_target, retry_after=RETRY_SECONDS)
+        if reply.code:
+            return Failed(
+                ResultCode(reply.code),
+                reply.detail,
+                retry_after=reply.retry_after or None,
+            )
+        return Done(reply)
+
+    async def release_worker(self, address: str, req: ReleaseRequest) -> None:
+        """Give a reservation back; repeated, since releases are idempotent."""
+        for _ in range(RELEASE_TRIES):
+            try:
+                await self.peers.call(
+                    address,
+                    RELEASE_WORKER,
+                    req,
+                    RELEASE_TIMEOUT_SECONDS,
+                )
+            except PeerError as exc:
+                _logger.warning('A release got no answer.', reason=str(exc))
+            else:
+                return
+
+
+def _unused(req: TokenRequest) -> SettleRequest:
+    return SettleRequest(req.request_id, req.workspace, req.tokens, 0)
--- /dev/null
+++ b/mintlanding/entry/view.py
@@ -0,0 +1,120 @@
+"""What the entry knows, fed by one stream from the agent of its instance."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.models import Change, Delta
+from mintlanding.core.clock import Clock
+from mintlanding.core.exceptions import PeerError
+from mintlanding.core.logs import Logger
+from mintlanding.membership.models import Member
+from mintlanding.peers.client import PeerClient
+from mintlanding.placement.messages import WorkerDigest
+
+SILENCE_SECONDS = 5
+RECONNECT_SECONDS = 0.2
+
+ChangeListener = Callable[[Sequence[Change]], None]
+
+
+class EntryView:
+    """Configuration, members and worker digests at this entry."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start empty: nothing can be served until the first update."""
+        self.directory = Directory()
+        self.members: dict[str, Member] = {}
+        self.digests: dict[str, WorkerDigest] = {}
+        self._clock = clock
+        self._stale_at_update = 0.0
+        self._updated_at = clock.monotonic()
+        self._listeners: list[ChangeListener] = []
+        self._ready = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a configuration has arrived."""
+        return self._ready.is_set()
+
+    @property
+    def stale_seconds(self) -> float:
+        """Return the seconds since the configuration was last vouched for."""
+        return (
+            self._stale_at_update + self._clock.monotonic() - self._updated_at
+        )
+
+    def on_change(self, listener: ChangeListener) -> None:
+        """Call the listener with the changes of each accepted delta."""
+        self._listeners.append(listener)
+
+    def apply(self, update: ViewUpdate) -> None:
+        """Take an update of the agent."""
+        self._updated_at = self._clock.monotonic()
+        self._stale_at_update = update.stale_seconds
+        if update.members is not None:
+            self.members = {each.instance: each for each in update.members}
+        for digest in update.digests:
+            self._take_digest(digest)
+        if update.delta is not None:
+            self._take_delta(update.delta)
+
+    async def wait_ready(self) -> None:
+        """Return when a configuration has arrived."""
+        await self._ready.wait()
+
+    def _take_digest(self, digest: WorkerDigest) -> None:
+        held = self.digests.get(digest.worker)
+        if held and _order(held) > _order(digest):
+            return
+        self.digests[digest.worker] = digest
+
+    def _take_delta(self, delta: Delta) -> None:
+        if not self.directory.apply(delta):
+            return
+        self._ready.set()
+        for listener in self._listeners:
+            listener(delta.changes)
+
+
+class ViewFollower:
+    """Keep an EntryView fed; reconnect when the stream ends or is silent."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        client: PeerClient,
+        address: str,
+        instance: str,
+    ) -> None:
+        """Follow the agent at `address`."""
+        self._view = view
+        self._client = client
+        self._address = address
+        self._instance = instance
+        self._logger = Logger('entry')
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except PeerError as exc:
+                self._logger.warning('The view broke off.', reason=str(exc))
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _follow(self) -> None:
+        req = ViewRequest(self._instance, self._view.directory.revision)
+        updates = self._client.stream(
+            self._address,
+            WATCH_VIEW,
+            req,
+            SILENCE_SECONDS,
+        )
+        async for update in updates:
+            self._view.apply(update)
+
+
+def _order(digest: WorkerDigest) -> tuple[int, int]:
+    return (digest.fencing, digest.sequence)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests across packages."""
