--- /dev/null
+++ b/mintlanding/entry/authentication.py
@@ -0,0 +1,99 @@
+"""Who calls: the key of a request and the workspace it stands for."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http.cookies import CookieError, SimpleCookie
+from urllib.parse import parse_qs
+
+from mintlanding.configuration.keys import (
+    KeyHasher,
+    PresentedKey,
+    parse_authorization,
+    parse_key,
+)
+from mintlanding.configuration.models import Key
+from mintlanding.core.results import Failed, Outcome, ResultCode
+from mintlanding.entry.exchange import Exchange
+from mintlanding.entry.view import EntryView
+
+STALE_RETRY_SECONDS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class KeyNames:
+    """Where a key may stand beside the Authorization header."""
+
+    headers: tuple[str, ...]
+    queries: tuple[str, ...]
+    cookies: tuple[str, ...]
+
+
+class Authenticator:
+    """Verify the key of an exchange against the view."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        hasher: KeyHasher,
+        names: KeyNames,
+        refuse_after: float,
+    ) -> None:
+        """Refuse all keys when the view is stale for `refuse_after` seconds."""
+        self._view = view
+        self._hasher = hasher
+        self._names = names
+        self._refuse_after = refuse_after
+
+    def authenticate(self, exchange: Exchange) -> Outcome[Key]:
+        """Return the key object, or why the caller is refused."""
+        if not self._view.is_ready:
+            return Failed(
+                ResultCode.configuration_missing,
+                retry_after=STALE_RETRY_SECONDS,
+            )
+        if self._is_too_stale():
+            return Failed(
+                ResultCode.configuration_stale,
+                retry_after=STALE_RETRY_SECONDS,
+            )
+        presented = self._present(exchange)
+        if isinstance(presented, Failed):
+            return presented
+        return self._hasher.verify_presented(
+            presented.value,
+            self._view.directory.find_key,
+        )
+
+    def _is_too_stale(self) -> bool:
+        stale = self._view.stale_seconds
+        return bool(self._refuse_after) and stale > self._refuse_after
+
+    def _present(self, exchange: Exchange) -> Outcome[PresentedKey]:
+        header = exchange.headers.get('authorization', '')
+        if header:
+            return parse_authorization(header)
+        for name in self._names.headers:
+            text = exchange.headers.get(name, '')
+            if text:
+                return parse_key(text)
+        return parse_key(self._find_elsewhere(exchange))
+
+    def _find_elsewhere(self, exchange: Exchange) -> str:
+        queries = parse_qs(exchange.query)
+        for name in self._names.queries:
+            if name in queries:
+                return queries[name][0]
+        cookies = _read_cookies(exchange.headers.get('cookie', ''))
+        found: Sequence[str] = [
+            cookies[name].value
+            for name in self._names.cookies
+            if name in cookies
+        ]
+        return found[0] if found else ''
+
+
+def _read_cookies(header: str) -> 'SimpleCookie':
+    try:
+        return SimpleCookie(header)
+    except CookieError:
+        return SimpleCookie()
--- a/mintlanding/entry/view.py
+++ b/mintlanding/entry/view.py
@@ -71,11 +71,12 @@
         self.digests[digest.worker] = digest
 
     def _take_delta(self, delta: Delta) -> None:
-        if not self.directory.apply(delta):
+        applied = self.directory.apply(delta)
+        if not applied.accepted:
             return
         self._ready.set()
         for listener in self._listeners:
-            listener(delta.changes)
+            listener(applied.changes)
 
 
 class ViewFollower:
