--- a/mintlanding/fairness/__init__.py
+++ b/mintlanding/fairness/__init__.py
@@ -1,1 +1,16 @@
-"""Order in which waiting requests of several workspaces are served."""
+"""Order of waiting reservations: fair over workspaces, bounded in number."""
+
+from mintlanding.fairness.baselines import FifoQueue, RoundRobinQueue
+from mintlanding.fairness.models import QueueTerms, Waiting
+from mintlanding.fairness.policies import QUEUES, QueuePolicy
+from mintlanding.fairness.weighted import WeightedFairQueue
+
+__all__ = (
+    'QUEUES',
+    'FifoQueue',
+    'QueuePolicy',
+    'QueueTerms',
+    'RoundRobinQueue',
+    'Waiting',
+    'WeightedFairQueue',
+)
--- /dev/null
+++ b/mintlanding/fairness/lanes.py
@@ -0,0 +1,157 @@
+"""One lane of start-time fair queueing over workspaces."""
+
+import heapq
+
+from mintlanding.fairness.models import Flow, Group, Waiting, oldest
+from mintlanding.placement.messages import AdapterRef
+
+# Accounts of idle workspaces are dropped in bulk beyond this number.
+_MAX_IDLE_TAGS = 4096
+
+
+class Lane:
+    """Serve the ready flow with the lowest virtual start time.
+
+    `ready` is the shared set of adapters that can run now. Heap rows may be
+    stale; a row counts only while it shows the state of its flow.
+    """
+
+    def __init__(self, ready: set[AdapterRef]) -> None:
+        """Start empty at virtual time 0."""
+        self.flows: dict[str, Flow] = {}
+        self.tokens: float = 0
+        self._ready = ready
+        self._virtual: float = 0
+        self._idle_tags: dict[str, float] = {}
+        self._heap: list[tuple[float, str]] = []
+        self._workspaces: dict[AdapterRef, set[str]] = {}
+        self._weight: float = 0
+
+    def add(self, item: Waiting) -> None:
+        """Append an item; an idle workspace restarts at the virtual time."""
+        flow = self.flows.get(item.workspace)
+        if flow is None:
+            tag = self._idle_tags.pop(item.workspace, 0)
+            flow = Flow(item.workspace, max(tag, self._virtual))
+            self.flows[item.workspace] = flow
+        else:
+            self._weight -= flow.weight
+        flow.add(item)
+        self._weight += flow.weight
+        self.tokens += item.tokens
+        self._workspaces.setdefault(item.ref, set()).add(item.workspace)
+        if item.ref in self._ready and len(flow.groups[item.ref]) == 1:
+            self._wake_flow(flow, item.ref)
+
+    def discard(self, item: Waiting) -> None:
+        """Take an item out wherever it stands."""
+        flow = self.flows[item.workspace]
+        flow.discard(item)
+        self.tokens -= item.tokens
+        if item.ref in flow.groups:
+            if item.ref in self._ready:
+                self._wake_flow(flow, item.ref)
+        else:
+            self._forget_ref(item)
+        if not flow.order:
+            self._forget_flow(flow)
+
+    def charge(self, item: Waiting) -> None:
+        """Advance the workspace of an item that is about to be served."""
+        flow = self.flows[item.workspace]
+        self._virtual = max(self._virtual, flow.tag)
+        flow.tag += item.tokens / item.weight
+        heapq.heappush(self._heap, (flow.tag, flow.workspace))
+
+    def settle(self, item: Waiting, used: float) -> None:
+        """Correct the tag of the workspace of a served item."""
+        shift = (used - item.tokens) / item.weight
+        flow = self.flows.get(item.workspace)
+        if flow is not None:
+            flow.tag += shift
+            heapq.heappush(self._heap, (flow.tag, flow.workspace))
+        elif item.workspace in self._idle_tags:
+            self._idle_tags[item.workspace] += shift
+
+    def next_ready(self) -> Waiting | None:
+        """Return the item to serve next."""
+        while self._heap:
+            tag, workspace = self._heap[0]
+            flow = self.flows.get(workspace)
+            group = None
+            if flow is not None and flow.tag == tag:
+                group = self._ready_group(flow)
+            if group is not None:
+                return oldest(group)
+            heapq.heappop(self._heap)
+        return None
+
+    def wake(self, ref: AdapterRef) -> None:
+        """Put the flows that wait for an adapter in reach of `next_ready`."""
+        for workspace in sorted(self._workspaces.get(ref, ())):
+            self._wake_flow(self.flows[workspace], ref)
+
+    def blocked(self) -> list[AdapterRef]:
+        """List adapters that are not ready, in the order of service."""
+        heads = [
+            (flow.tag, oldest(group).sequence, oldest(group).ref)
+            for flow in self.flows.values()
+            for group in flow.blocked(self._ready)
+        ]
+        heads.sort(key=lambda head: head[:2])
+        return list(dict.fromkeys(head[2] for head in heads))
+
+    def longest(self) -> Flow:
+        """Return the flow with the most tokens for its weight."""
+        return max(
+            self.flows.values(),
+            key=lambda flow: flow.tokens / flow.weight,
+        )
+
+    def backlog_with(self, item: Waiting) -> float:
+        """Return the tokens for its weight of a workspace with a new item."""
+        flow = self.flows.get(item.workspace)
+        queued = 0 if flow is None else flow.tokens
+        return (queued + item.tokens) / item.weight
+
+    def tokens_ahead(self, workspace: str, weight: float) -> float:
+        """Return the tokens served before a new item of a workspace."""
+        flow = self.flows.get(workspace)
+        if flow is None:
+            own, weights = 0.0, self._weight + weight
+        else:
+            own, weights = flow.tokens, self._weight
+        return min(self.tokens, own * weights / weight)
+
+    def _ready_group(self, flow: Flow) -> Group | None:
+        while flow.ready:
+            sequence, ref = flow.ready[0]
+            group = flow.groups.get(ref)
+            is_current = group and oldest(group).sequence == sequence
+            if is_current and ref in self._ready:
+                return group
+            heapq.heappop(flow.ready)
+        return None
+
+    def _wake_flow(self, flow: Flow, ref: AdapterRef) -> None:
+        group = flow.groups[ref]
+        heapq.heappush(flow.ready, (oldest(group).sequence, ref))
+        heapq.heappush(self._heap, (flow.tag, flow.workspace))
+
+    def _forget_ref(self, item: Waiting) -> None:
+        workspaces = self._workspaces[item.ref]
+        workspaces.discard(item.workspace)
+        if not workspaces:
+            self._workspaces.pop(item.ref)
+
+    def _forget_flow(self, flow: Flow) -> None:
+        self.flows.pop(flow.workspace)
+        self._weight = self._weight - flow.weight if self.flows else 0
+        self.tokens = self.tokens if self.flows else 0
+        self._idle_tags[flow.workspace] = flow.tag
+        if len(self._idle_tags) > _MAX_IDLE_TAGS:
+            self._idle_tags = {
+                workspace: tag
+                for workspace, tag in self._idle_tags.items()
+                if tag > self._virtual
+            }
--- /dev/null
+++ b/mintlanding/fairness/policies.py
@@ -0,0 +1,70 @@
+"""Queue policies behind one interface and one registry."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from mintlanding.core.registry import Registry
+from mintlanding.fairness.models import QueueTerms, Waiting
+from mintlanding.placement.messages import AdapterRef, Priority
+
+
+class QueuePolicy(Protocol):
+    """A bounded queue of the reservations that wait for one worker.
+
+    Only requests whose adapter is ready are popped. A policy never answers;
+    it hands back what it drops, and the caller answers.
+    """
+
+    def push(self, item: Waiting) -> Waiting | None:
+        """Add an item; return the one that has no place, maybe this one."""
+
+    def pop(self, now: float, drain_rate: float) -> Waiting | None:
+        """Take the next item whose adapter is ready."""
+
+    def set_ready(self, ref: AdapterRef, is_ready: bool) -> None:
+        """Say whether requests for an adapter can run now."""
+
+    def blocked(self) -> list[AdapterRef]:
+        """List adapters that waiting requests need, the next one first."""
+
+    def blocked_count(self) -> int:
+        """Count these adapters in constant time."""
+
+    def waiting_for(self, ref: AdapterRef) -> int:
+        """Count the requests that wait for an adapter."""
+
+    def remove(self, reservation_id: str) -> Waiting | None:
+        """Take an item out."""
+
+    def remove_ref(self, ref: AdapterRef) -> list[Waiting]:
+        """Take out all items for an adapter."""
+
+    def clear(self) -> list[Waiting]:
+        """Take out all items."""
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Take out the items whose latest start has passed."""
+
+    def settle(self, item: Waiting, used: float) -> None:
+        """Correct the account of a popped item to the tokens it used."""
+
+    def tokens_ahead(
+        self,
+        workspace: str,
+        weight: float,
+        priority: Priority,
+    ) -> float:
+        """Return the tokens that go before a new item of a workspace."""
+
+    def is_waiting(self, reservation_id: str) -> bool:
+        """Tell whether a reservation waits here."""
+
+    def __len__(self) -> int:
+        """Count the waiting items."""
+
+    @property
+    def tokens(self) -> float:
+        """Sum the tokens of the waiting items."""
+
+
+QUEUES: Registry[Callable[[QueueTerms], QueuePolicy]] = Registry('queue policy')
--- /dev/null
+++ b/mintlanding/fairness/store.py
@@ -0,0 +1,77 @@
+"""What all queue policies keep: items by id, by adapter and by expiry."""
+
+import heapq
+from collections import OrderedDict
+from dataclasses import replace
+
+from mintlanding.fairness.models import Group, QueueTerms, Waiting
+from mintlanding.placement.messages import AdapterRef
+
+
+class ItemStore:
+    """Waiting items by id, by adapter and by expiry; all steps logarithmic."""
+
+    def __init__(self, terms: QueueTerms) -> None:
+        """Start empty."""
+        self.terms = terms
+        self.tokens: float = 0
+        self.ready: set[AdapterRef] = set()
+        self.by_id: dict[str, Waiting] = {}
+        self.by_ref: dict[AdapterRef, Group] = {}
+        self.blocked: dict[AdapterRef, None] = {}
+        self._sequence = 0
+        self._expiry: list[tuple[float, int, str]] = []
+
+    def __len__(self) -> int:
+        """Count the waiting items."""
+        return len(self.by_id)
+
+    def is_full(self) -> bool:
+        """Tell whether no further item has a place."""
+        return len(self.by_id) >= self.terms.limit
+
+    def add(self, item: Waiting) -> Waiting:
+        """Number the item and keep it."""
+        self._sequence += 1
+        item = replace(item, sequence=self._sequence)
+        self.by_id[item.reservation_id] = item
+        group = self.by_ref.setdefault(item.ref, OrderedDict())
+        group[item.reservation_id] = item
+        if item.ref not in self.ready:
+            self.blocked.setdefault(item.ref)
+        self.tokens += item.tokens
+        row = (item.expires, item.sequence, item.reservation_id)
+        heapq.heappush(self._expiry, row)
+        return item
+
+    def discard(self, item: Waiting) -> None:
+        """Forget the item."""
+        self.by_id.pop(item.reservation_id)
+        group = self.by_ref[item.ref]
+        group.pop(item.reservation_id)
+        if not group:
+            self.by_ref.pop(item.ref)
+            self.blocked.pop(item.ref, None)
+        self.tokens = self.tokens - item.tokens if self.by_id else 0
+        if not self.by_id:
+            self._expiry.clear()
+
+    def expired(self, now: float) -> list[Waiting]:
+        """Return the items whose latest start has passed."""
+        found = []
+        while self._expiry and self._expiry[0][0] <= now:
+            _, sequence, reservation_id = heapq.heappop(self._expiry)
+            item = self.by_id.get(reservation_id)
+            if item is not None and item.sequence == sequence:
+                found.append(item)
+        return found
+
+    def set_ready(self, ref: AdapterRef, is_ready: bool) -> None:
+        """Keep which adapters are ready and which are waited for in vain."""
+        if is_ready:
+            self.ready.add(ref)
+            self.blocked.pop(ref, None)
+            return
+        self.ready.discard(ref)
+        if ref in self.by_ref:
+            self.blocked.setdefault(ref)
--- a/mintlanding/placement/messages.py
+++ b/mintlanding/placement/messages.py
@@ -52,7 +52,9 @@
     """An entry's wish to run one request on one worker.
 
     `tokens` is the expected work, `weight` the workspace's weight, `wait` the
-    seconds the entry is ready to wait, `prefix` a hash of the prompt's start.
+    seconds the entry is ready to wait (for batch: until the latest start that
+    meets its deadline), `prefix` a hash of the prompt's start, `entry` the
+    instance that asks.
     """
 
     reservation_id: str
@@ -64,6 +66,7 @@
     priority: Priority = Priority.interactive
     wait: float = 0
     prefix: int = 0
+    entry: str = ''
 
 
 class ReserveReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -98,3 +101,18 @@
     worker: str
     entry: str
     pins: tuple[tuple[str, AdapterRef], ...] = ()
+
+
+class EngineReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an engine says of itself; it lags by up to the configured bound.
+
+    `incarnation` rises when the engine restarts. `busy` are the adapters with
+    requests that run or wait on the engine.
+    """
+
+    worker: str
+    incarnation: int
+    resident: tuple[AdapterRef, ...] = ()
+    loading: tuple[AdapterRef, ...] = ()
+    busy: tuple[AdapterRef, ...] = ()
+    running: int = 0
--- /dev/null
+++ b/mintlanding/placement/planner.py
@@ -0,0 +1,242 @@
+"""Which adapter to load next, into which slot, under which permit."""
+
+import random
+
+from mintlanding.placement.admission import Admission
+from mintlanding.placement.authority import Authority
+from mintlanding.placement.eviction import EVICTIONS
+from mintlanding.placement.loads import LoadFailures, PermitBook
+from mintlanding.placement.messages import AdapterRef
+from mintlanding.placement.models import (
+    Action,
+    AskPermit,
+    EvictOrder,
+    FenceOrder,
+    LoadOrder,
+    PendingLoad,
+    ReturnPermit,
+    Slot,
+    SlotState,
+    StewardTerms,
+)
+from mintlanding.placement.popularity import DecayedPopularity
+from mintlanding.placement.slots import SlotTable
+
+# Prefetch only what was asked for about this often in a half-life.
+_MIN_PREFETCH_REQUESTS = 2
+
+
+class LoadPlanner:
+    """Ask for permits, then choose adapter and slot when one is granted.
+
+    The choice is made late, so that a permit always serves the request that
+    is next in the queue's order at that moment.
+    """
+
+    def __init__(
+        self,
+        terms: StewardTerms,
+        slots: SlotTable,
+        admission: Admission,
+        authority: Authority,
+        rnd: random.Random,
+    ) -> None:
+        """Share the state of the steward."""
+        self.failures = LoadFailures(terms, rnd)
+        self.popularity = DecayedPopularity.from_config(
+            terms.half_life,
+            terms.popularity_limit,
+        )
+        self.permits = PermitBook(terms.order_timeout)
+        self._terms = terms
+        self._slots = slots
+        self._queue = admission.queue
+        self._book = admission.book
+        self._authority = authority
+        self._eviction_key = EVICTIONS.get(terms.eviction)
+        self._fences: dict[int, int] = {}
+        self._next_id = rnd.getrandbits(47)
+
+    def new_id(self) -> int:
+        """Return an id that no earlier order here had."""
+        self._next_id += 1
+        return self._next_id
+
+    def plan(self, now: float) -> list[Action]:
+        """Ask for as many permits as there are loads to make."""
+        if not (self._queue.blocked_count() and self._authority.may_load()):
+            return []
+        missing = self._needed(now) - self.permits.count(urgent=True)
+        return [self._ask(now, urgent=True) for _ in range(missing)]
+
+    def permit(self, order_id: int, now: float) -> list[Action]:
+        """Use a granted permit or give it back."""
+        ask = self.permits.asks.pop(order_id, None)
+        if ask is None or not self._authority.may_load():
+            return [ReturnPermit(order_id, used=False)]
+        ref = self._next_ref(now)
+        if ref is None and not ask.urgent:
+            ref = self._prefetch_ref(now)
+        return self._start(order_id, ref, now)
+
+    def evicted(self, ref: AdapterRef, now: float) -> list[Action]:
+        """Start the load that waited for the slot of an adapter."""
+        return self._retry_pending(ref, now)
+
+    def overdue(self, now: float) -> list[Action]:
+        """Act on orders without an answer: their slots stay in doubt."""
+        actions: list[Action] = []
+        for slot in self._slots.overdue(now - self._terms.order_timeout):
+            if slot.state is SlotState.loading:
+                actions.append(ReturnPermit(slot.order_id))
+            else:
+                actions.extend(self._retry_pending(slot.ref, now))
+        return actions
+
+    def repeat_asks(self, now: float) -> list[Action]:
+        """Repeat refused and unanswered asks that are still needed."""
+        due = self.permits.due(now)
+        if not due:
+            return []
+        return self.plan(now)
+
+    def prefetch(self, now: float) -> list[Action]:
+        """Ask for a spare permit when a popular adapter is missing."""
+        if self.permits.asks or self.permits.pending:
+            return []
+        if self._queue.blocked_count() or not self._authority.may_load():
+            return []
+        if self._prefetch_ref(now) is None:
+            return []
+        return [self._ask(now, urgent=False)]
+
+    def fence(self) -> list[Action]:
+        """Show the engine the number, if it checks such numbers."""
+        if not self._authority.needs_fence:
+            return []
+        order_id = self.new_id()
+        self._fences[order_id] = self._authority.fencing
+        return [FenceOrder(order_id, self._authority.fencing)]
+
+    def is_current_fence(self, order_id: int) -> bool:
+        """Take the answer to a fence order; tell if it showed the newest."""
+        fencing = self._fences.pop(order_id, None)
+        if fencing != self._authority.fencing:
+            return False
+        self._fences.clear()
+        return True
+
+    def abandon(self) -> list[Action]:
+        """Give back all permits that no running load holds."""
+        ids = [*self.permits.asks, *self.permits.pending]
+        self.permits.asks.clear()
+        self.permits.pending.clear()
+        return [ReturnPermit(order_id, used=False) for order_id in ids]
+
+    def _ask(self, now: float, urgent: bool) -> AskPermit:
+        order_id = self.new_id()
+        self.permits.ask(order_id, urgent, now)
+        return AskPermit(order_id, urgent)
+
+    def _needed(self, now: float) -> int:
+        queue, under_way = self._queue, self.permits.pending_refs()
+        under_way.update(self._slots.held(SlotState.loading))
+        skipped = under_way.union(
+            ref for ref in self.failures if self.failures.is_waiting(ref, now)
+        )
+        needed = queue.blocked_count() - sum(
+            queue.waiting_for(ref) > 0 for ref in skipped
+        )
+        spare = self._terms.max_loads - len(under_way)
+        room = self._slots.free()
+        if room < needed and self._authority.may_evict(now):
+            room += len(self._evictable())
+        return max(0, min(needed, spare, room - len(self.permits.pending)))
+
+    def _next_ref(self, now: float) -> AdapterRef | None:
+        pending = self.permits.pending_refs()
+        for ref in self._queue.blocked():
+            is_under_way = ref in pending or self._slots.get(ref) is not None
+            if not (is_under_way or self.failures.is_waiting(ref, now)):
+                return ref
+        return None
+
+    def _start(
+        self,
+        order_id: int,
+        ref: AdapterRef | None,
+        now: float,
+    ) -> list[Action]:
+        if ref is None:
+            return [ReturnPermit(order_id, used=False)]
+        fencing = self._authority.fencing
+        if self._slots.free() > len(self.permits.pending):
+            self._slots.load(ref, order_id, now)
+            return [LoadOrder(order_id, ref, fencing)]
+        victim = self._victim(now)
+        if victim is None:
+            return [ReturnPermit(order_id, used=False)]
+        self.permits.pending[order_id] = PendingLoad(order_id, ref, victim.ref)
+        evict_id = self.new_id()
+        self._slots.evict(victim.ref, evict_id, now)
+        return [EvictOrder(evict_id, victim.ref, fencing)]
+
+    def _retry_pending(self, victim: AdapterRef, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for load in tuple(self.permits.pending.values()):
+            if load.victim == victim:
+                self.permits.pending.pop(load.order_id)
+                ref = self._next_ref(now) or self._still_missing(load.ref)
+                actions.extend(self._start(load.order_id, ref, now))
+        return actions
+
+    def _still_missing(self, ref: AdapterRef) -> AdapterRef | None:
+        return None if self._slots.get(ref) else ref
+
+    def _evictable(self) -> list[Slot]:
+        return [
+            slot
+            for slot in self._slots
+            if slot.state is SlotState.resident
+            and not slot.is_busy
+            and not self._book.pins(slot.ref)
+        ]
+
+    def _victim(self, now: float) -> Slot | None:
+        if not self._authority.may_evict(now):
+            return None
+        evictable = self._evictable()
+        idle = [
+            slot for slot in evictable if not self._queue.waiting_for(slot.ref)
+        ]
+        candidates = idle or evictable
+        if not candidates:
+            return None
+        return min(candidates, key=self._key)
+
+    def _key(self, slot: Slot) -> float:
+        return self._eviction_key(slot, self.popularity)
+
+    def _prefetch_ref(self, now: float) -> AdapterRef | None:
+        floor: float = 0
+        if not self._slots.free():
+            victim = self._victim_score(now)
+            if victim is None:
+                return None
+            floor = victim * self._terms.prefetch_ratio
+        for ref in self.popularity.top(2 * self._slots.number):
+            is_known = self._slots.get(ref) is not None
+            if is_known or self.failures.is_waiting(ref, now):
+                continue
+            requests = self.popularity.count(ref, now)
+            is_hot = requests >= _MIN_PREFETCH_REQUESTS
+            return (
+                ref if is_hot and self.popularity.score(ref) > floor else None
+            )
+        return None
+
+    def _victim_score(self, now: float) -> float | None:
+        if not self._authority.may_evict(now):
+            return None
+        scores = [self.popularity.score(slot.ref) for slot in self._evictable()]
+        return min(scores, default=None)
--- /dev/null
+++ b/mintlanding/placement/steward.py
@@ -0,0 +1,303 @@
+"""The steward of one worker: reservations, pins, loads and evictions."""
+
+import math
+import random
+from collections.abc import Sequence
+from typing import Self
+
+from mintlanding.core.results import ResultCode
+from mintlanding.placement.admission import Admission
+from mintlanding.placement.authority import Authority
+from mintlanding.placement.messages import (
+    AdapterRef,
+    EngineReport,
+    PinReport,
+    ReleaseRequest,
+    ReserveRequest,
+    WorkerDigest,
+)
+from mintlanding.placement.models import (
+    Action,
+    LeaseState,
+    Reservation,
+    ReturnPermit,
+    SlotState,
+    StewardTerms,
+    WorkerSpec,
+)
+from mintlanding.placement.planner import LoadPlanner
+from mintlanding.placement.slots import SlotTable
+from mintlanding.placement.summary import DigestBuilder
+
+_Code = ResultCode
+
+
+class Steward:
+    """Decide for one worker who runs, what is loaded and what is evicted.
+
+    Each event returns the actions to carry out, in order. A `ReserveReply`
+    among them is the one final answer to its reservation.
+    """
+
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        terms: StewardTerms,
+        rnd: random.Random,
+        digests: DigestBuilder,
+    ) -> None:
+        """Start without a lease and without knowledge of the engine."""
+        self._terms = terms
+        self._digests = digests
+        self._slots = SlotTable(spec.slots, terms.report_lag)
+        self._admission = Admission(spec, terms)
+        self._authority = Authority(spec, terms)
+        self._planner = LoadPlanner(
+            terms,
+            self._slots,
+            self._admission,
+            self._authority,
+            rnd,
+        )
+        self._heard = -math.inf
+        self._is_leaving = False
+
+    @classmethod
+    def from_config(
+        cls,
+        spec: WorkerSpec,
+        terms: StewardTerms,
+        rnd: random.Random,
+        steward: str = '',
+        address: str = '',
+    ) -> Self:
+        """Build the steward that instance `steward` at `address` runs."""
+        digests = DigestBuilder.from_config(spec, steward, address)
+        return cls(spec, terms, rnd, digests)
+
+    @property
+    def state(self) -> LeaseState:
+        """Return the state of the lease."""
+        return self._authority.state
+
+    def reserve(self, req: ReserveRequest, now: float) -> Sequence[Action]:
+        """Queue a reservation; answer it now or in a later event."""
+        self._authority.advance(now)
+        if self._admission.knows(req.reservation_id):
+            return self._admission.repeat(req.reservation_id)
+        code = self._refusal_code(now)
+        if code is not None:
+            return [self._admission.refuse_new(req, code, now)]
+        barred = self._planner.failures.refused_for(req.ref, now)
+        if barred:
+            code = _Code.adapter_load_failed
+            return [self._admission.refuse_new(req, code, now, barred)]
+        self._planner.popularity.note(req.ref, now)
+        replies = self._admission.enqueue(req, now)
+        return [*replies, *self._proceed(now)]
+
+    def release(self, req: ReleaseRequest, now: float) -> Sequence[Action]:
+        """End a reservation, granted or waiting; a late copy does nothing."""
+        self._authority.advance(now)
+        reservation = self._admission.release(req, now)
+        if reservation is None:
+            replies = self._admission.withdraw(req, now)
+            return [*replies, *self._proceed(now)]
+        self._slots.touch(reservation.ref, now)
+        return self._proceed(now)
+
+    def engine_report(
+        self,
+        report: EngineReport,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take a lagging report; one of an older incarnation is ignored."""
+        known = self._slots.incarnation
+        if known is not None and report.incarnation < known:
+            return []
+        self._heard = now
+        if known is None:
+            self._slots.incarnation = report.incarnation
+        elif report.incarnation > known:
+            self._slots.restart(report, now)
+            self._planner.failures.clear()
+        self._slots.apply(report, now)
+        self._authority.report(now)
+        settled = now - self._terms.report_lag - self._terms.start_within
+        self._admission.book.release_orphans(frozenset(report.busy), settled)
+        return self._proceed(now)
+
+    def load_done(
+        self,
+        order_id: int,
+        ok: bool,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the engine's answer to a load order."""
+        slot = self._slots.settle(order_id, ok, now)
+        if slot is None:
+            return []
+        if ok:
+            self._planner.failures.forget(slot.ref)
+            return [ReturnPermit(order_id), *self._proceed(now)]
+        self._planner.failures.note(slot.ref, now)
+        barred = self._planner.failures.refused_for(slot.ref, now)
+        replies = (
+            self._admission.refuse_ref(slot.ref, now, barred) if barred else []
+        )
+        return [ReturnPermit(order_id), *replies, *self._proceed(now)]
+
+    def evict_done(
+        self,
+        order_id: int,
+        ok: bool,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the engine's answer to an evict order."""
+        slot = self._slots.settle(order_id, not ok, now)
+        if slot is None:
+            return []
+        slot.is_busy = not ok
+        loads = self._planner.evicted(slot.ref, now)
+        return [*loads, *self._proceed(now)]
+
+    def fence_done(
+        self,
+        order_id: int,
+        ok: bool,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the engine's answer to a fence order."""
+        if ok and self._planner.is_current_fence(order_id):
+            self._authority.confirm(now)
+        return self._proceed(now)
+
+    def permit(
+        self,
+        order_id: int,
+        granted: bool,
+        retry_after: float,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the answer to an ask for a permit of the weight store."""
+        self._authority.advance(now)
+        if not granted:
+            self._planner.permits.refuse(order_id, retry_after, now)
+            return []
+        loads = self._planner.permit(order_id, now)
+        return [*loads, *self._proceed(now)]
+
+    def take_over(
+        self,
+        fencing: int,
+        now: float,
+        lease_until: float = math.inf,
+    ) -> Sequence[Action]:
+        """Begin under a new lease; a lower fencing number is ignored."""
+        if not self._authority.take_over(fencing, now, lease_until):
+            return []
+        self._is_leaving = False
+        returned = self._planner.abandon()
+        return [*returned, *self._planner.fence(), *self._proceed(now)]
+
+    def lease_renewed(
+        self,
+        lease_until: float,
+        now: float,
+    ) -> Sequence[Action]:
+        """Extend the lease under its number; none came between."""
+        self._authority.renew(lease_until, now)
+        return self._proceed(now)
+
+    def lease_lost(self, now: float) -> Sequence[Action]:
+        """Go on under the safe rule after the lease has lapsed."""
+        self._authority.lose()
+        return self._proceed(now)
+
+    def superseded(self, now: float) -> Sequence[Action]:
+        """Stop, since a newer steward exists; entries turn to that one."""
+        self._authority.supersede()
+        replies = self._admission.refuse_all(_Code.no_target, now)
+        return [*self._planner.abandon(), *replies]
+
+    def pins(self, report: PinReport, now: float) -> Sequence[Action]:
+        """Take over the reservations that an entry holds on the worker."""
+        for reservation_id, ref in report.pins:
+            pinned = Reservation(reservation_id, ref, now, report.entry)
+            self._admission.book.grant(pinned)
+        return self._proceed(now)
+
+    def pins_complete(self, now: float) -> Sequence[Action]:
+        """Note that all entries of the zone have reported their pins."""
+        self._authority.complete_pins()
+        return self._proceed(now)
+
+    def entry_gone(self, entry: str, now: float) -> Sequence[Action]:
+        """Drop what an entry waits for; its pins end when the engine idles."""
+        self._admission.book.orphan(entry, now)
+        replies = self._admission.refuse_entry(entry, now)
+        return [*replies, *self._proceed(now)]
+
+    def drain(self, now: float) -> Sequence[Action]:
+        """Take no more reservations; granted ones run to their end."""
+        self._is_leaving = True
+        replies = self._admission.refuse_all(_Code.draining, now)
+        return [*self._planner.abandon(), *replies]
+
+    def tick(self, now: float) -> Sequence[Action]:
+        """Act on what time brings: expiry, timeouts, backoff, prefetch."""
+        self._admission.book.prune(now)
+        self._planner.failures.prune(now)
+        actions = list(self._planner.overdue(now))
+        if self._authority.needs_fence:
+            actions.extend(self._planner.fence())
+        if self._is_silent(now):
+            detail = 'the engine is silent'
+            code = _Code.no_target
+            actions.extend(self._admission.refuse_all(code, now, detail))
+        actions.extend(self._planner.repeat_asks(now))
+        actions.extend(self._proceed(now))
+        if not self._is_leaving:
+            actions.extend(self._planner.prefetch(now))
+        return actions
+
+    def digest(self, now: float) -> WorkerDigest:
+        """Summarise the worker; the sequence rises with each change."""
+        queue = self._admission.queue
+        return self._digests.build(
+            fencing=self._authority.fencing,
+            resident=self._slots.held(SlotState.resident),
+            loading=self._slots.held(SlotState.loading),
+            queued=len(queue),
+            queued_tokens=queue.tokens,
+            running=len(self._admission.book),
+            silent=self._is_silent(now),
+            leaving=self._is_leaving,
+        )
+
+    def _proceed(self, now: float) -> list[Action]:
+        """Grant, expire and plan loads after any change."""
+        self._authority.advance(now)
+        self._admission.set_ready(self._ready(), now)
+        actions: list[Action] = []
+        if self._authority.is_active:
+            actions.extend(self._admission.grant(self._authority.fencing, now))
+        actions.extend(self._admission.expire(now))
+        actions.extend(self._planner.plan(now))
+        return actions
+
+    def _ready(self) -> set[AdapterRef]:
+        if not self._authority.may_load():
+            return set()
+        return set(self._slots.held(SlotState.resident))
+
+    def _refusal_code(self, now: float) -> ResultCode | None:
+        if self._is_leaving:
+            return _Code.draining
+        if not self._authority.is_active or self._is_silent(now):
+            return _Code.no_target
+        return None
+
+    def _is_silent(self, now: float) -> bool:
+        last = max(self._heard, self._authority.since)
+        return now > last + self._terms.silence_after
