--- /dev/null
+++ b/mintlanding/configuration/directory.py
@@ -0,0 +1,293 @@
+"""The configuration in memory: indexed objects at one revision.
+
+A directory accepts only higher revisions, so that nothing reverts when an old
+peer or a slow read answers late.
+"""
+
+import sys
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, cast
+
+import msgspec
+
+from mintlanding.configuration.indexes import Indexes
+from mintlanding.configuration.labels import LabelSelector
+from mintlanding.configuration.models import (
+    KINDS,
+    Adapter,
+    AdapterVersion,
+    AnyObject,
+    Change,
+    Delta,
+    Key,
+    Labels,
+    Ref,
+    Selector,
+    Service,
+    Target,
+    Workspace,
+)
+
+LOG_CHANGES = 4096
+_REPEATED_FIELDS = frozenset(
+    ('base_model', 'default_version', 'service', 'workspace', 'zone'),
+)
+_SELECTABLE = frozenset(('adapter', 'adapter-version', 'selector', 'target'))
+
+
+class Acceptance(StrEnum):
+    """What became of an offered delta."""
+
+    accepted = 'accepted'
+    stale = 'stale'
+    gap = 'gap'
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The outcome of an offer; `changes` lists what differs from before.
+
+    After `gap` the caller has to fetch the changes since its own revision.
+    """
+
+    acceptance: Acceptance
+    revision: int
+    changes: tuple[Change, ...] = ()
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the directory moved to a higher revision."""
+        return self.acceptance is Acceptance.accepted
+
+    @property
+    def needs_fetch(self) -> bool:
+        """Tell whether changes in between are missing."""
+        return self.acceptance is Acceptance.gap
+
+
+class Directory:
+    """All objects by kind and name, with the look-ups that requests need."""
+
+    def __init__(self, log_changes: int = LOG_CHANGES) -> None:
+        """Start empty at revision 0; keep a bounded log of changes."""
+        self.revision = 0
+        self.selection_epoch = 0
+        self._log: deque[Change] = deque()
+        self._log_limit = log_changes
+        self._log_base = 0
+        self._shared_labels: dict[str, Labels] = {}
+        self._objects: dict[str, dict[str, AnyObject]] = {}
+        self._clear()
+
+    def apply(self, delta: Delta) -> Applied:
+        """Accept a delta that leads to a higher revision without a gap."""
+        if delta.revision <= self.revision:
+            return Applied(Acceptance.stale, self.revision)
+        if delta.base > self.revision:
+            return Applied(Acceptance.gap, self.revision)
+        if delta.base == 0:
+            return self._replace(delta)
+        return self._advance(delta)
+
+    def get(self, kind: str, name: str) -> AnyObject | None:
+        """Return an object or nothing."""
+        return self._objects[kind].get(name)
+
+    def list(self, kind: str) -> tuple[AnyObject, ...]:
+        """Return the objects of a kind in order of their names."""
+        named = self._objects[kind]
+        return tuple(named[name] for name in sorted(named))
+
+    def count(self, kind: str) -> int:
+        """Return how many objects of a kind there are."""
+        return len(self._objects[kind])
+
+    def objects(self) -> Iterator[tuple[Ref, AnyObject]]:
+        """Go through all objects."""
+        for kind, named in self._objects.items():
+            for name, body in named.items():
+                yield (kind, name), body
+
+    def find_key(self, public_id: str) -> Key | None:
+        """Return a key by its public id."""
+        return cast(Key | None, self.get('key', public_id))
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return a workspace."""
+        return cast(Workspace | None, self.get('workspace', name))
+
+    def adapter(self, name: str) -> Adapter | None:
+        """Return an adapter."""
+        return cast(Adapter | None, self.get('adapter', name))
+
+    def adapter_version(self, name: str) -> AdapterVersion | None:
+        """Return a version by its full name `adapter@version`."""
+        return cast(AdapterVersion | None, self.get('adapter-version', name))
+
+    def service(self, name: str) -> Service | None:
+        """Return a service."""
+        return cast(Service | None, self.get('service', name))
+
+    def selector(self, name: str) -> Selector | None:
+        """Return a selector."""
+        return cast(Selector | None, self.get('selector', name))
+
+    def adapters_of(self, workspace: str) -> tuple[Adapter, ...]:
+        """Return the workspace's own adapters in order of their names."""
+        names = sorted(self._indexes.adapters_of(workspace))
+        return tuple(cast(Adapter, self.get('adapter', name)) for name in names)
+
+    def shared_adapters(self) -> tuple[Adapter, ...]:
+        """Return the adapters that are open to all keys."""
+        names = sorted(self._indexes.shared)
+        return tuple(cast(Adapter, self.get('adapter', name)) for name in names)
+
+    def versions_of(self, adapter: str) -> tuple[AdapterVersion, ...]:
+        """Return the versions of an adapter in order of their names."""
+        names = sorted(self._indexes.versions_of(adapter))
+        named = self._objects['adapter-version']
+        return tuple(cast(AdapterVersion, named[name]) for name in names)
+
+    def targets_of(
+        self,
+        service: str,
+        selector: LabelSelector | None = None,
+    ) -> tuple[Target, ...]:
+        """Return the targets of a service, if asked only those selected."""
+        named = self._objects['target']
+        names = self._indexes.targets_of(service)
+        found = tuple(cast(Target, named[name]) for name in sorted(names))
+        if selector is None:
+            return found
+        return tuple(each for each in found if selector.matches(each.labels))
+
+    def select_versions(
+        self,
+        selector: LabelSelector,
+        workspace: str,
+    ) -> set[str]:
+        """Return full names of the matching versions that it may use."""
+        return self._indexes.select_versions(selector, workspace)
+
+    def version_labels(self, name: str) -> Labels:
+        """Return the labels of a version over those of its adapter."""
+        return self._indexes.version_labels(name)
+
+    def delta_since(self, revision: int) -> Delta:
+        """Return what changed after a revision, or else a snapshot."""
+        if revision >= self.revision:
+            return Delta(base=revision, revision=revision)
+        if revision < self._log_base or revision == 0:
+            return self.snapshot()
+        latest = {
+            (change.kind, change.name): change
+            for change in self._log
+            if change.revision > revision
+        }
+        return Delta(
+            base=revision,
+            revision=self.revision,
+            changes=tuple(latest.values()),
+        )
+
+    def snapshot(self) -> Delta:
+        """Return all objects as a delta with base 0."""
+        changes = (
+            Change(revision=self.revision, kind=kind, name=name, body=body)
+            for (kind, name), body in self.objects()
+        )
+        return Delta(base=0, revision=self.revision, changes=tuple(changes))
+
+    def _advance(self, delta: Delta) -> Applied:
+        fresh = [
+            change
+            for change in delta.changes
+            if change.revision > self.revision
+        ]
+        done = tuple(self._put(change) for change in fresh)
+        self._log.extend(done)
+        self.revision = delta.revision
+        self._trim_log()
+        return Applied(Acceptance.accepted, self.revision, done)
+
+    def _replace(self, delta: Delta) -> Applied:
+        """Take a snapshot; equal objects stay the same ones in memory."""
+        before = self._objects
+        self._clear()
+        for change in delta.changes:
+            held = before[change.kind].get(change.name)
+            if held is not None and held == change.body:
+                self._file(held)
+            else:
+                self._put(change)
+        self.selection_epoch += 1
+        self.revision = delta.revision
+        self._log.clear()
+        self._log_base = delta.revision
+        changes = tuple(_differences(before, self._objects, delta.revision))
+        return Applied(Acceptance.accepted, self.revision, changes)
+
+    def _put(self, change: Change) -> Change:
+        if change.kind in _SELECTABLE:
+            self.selection_epoch += 1
+        if change.body is not None:
+            body = self._compact(change.body)
+            self._file(body)
+            return msgspec.structs.replace(change, body=body)
+        before = self._objects[change.kind].get(change.name)
+        if before is not None:
+            self._indexes.change(before, None)
+            self._objects[change.kind].pop(change.name)
+        return change
+
+    def _file(self, body: AnyObject) -> None:
+        kind, name = body.ref
+        named = self._objects[kind]
+        self._indexes.change(named.pop(name, None), body)
+        named[name] = body
+
+    def _compact(self, body: AnyObject) -> AnyObject:
+        """Share equal label maps and repeated strings between objects."""
+        fields: dict[str, Any] = {
+            name: sys.intern(held) if name in _REPEATED_FIELDS else held
+            for name, held in _fields_of(body).items()
+        }
+        identity = '\0'.join(
+            sorted('\1'.join(each) for each in body.labels.items())
+        )
+        fields['labels'] = self._shared_labels.setdefault(identity, body.labels)
+        return type(body)(**fields)
+
+    def _clear(self) -> None:
+        self._objects = {kind: {} for kind in KINDS}
+        self._shared_labels = {}
+        self._indexes = Indexes(self._objects)
+
+    def _trim_log(self) -> None:
+        while len(self._log) > self._log_limit:
+            self._log_base = self._log.popleft().revision
+
+
+def _fields_of(body: AnyObject) -> dict[str, Any]:
+    return {name: getattr(body, name) for name in body.__struct_fields__}
+
+
+def _differences(
+    before: dict[str, dict[str, AnyObject]],
+    after: dict[str, dict[str, AnyObject]],
+    revision: int,
+) -> Iterator[Change]:
+    for kind, named in after.items():
+        for name, body in named.items():
+            if before[kind].get(name) != body:
+                yield Change(
+                    revision=revision,
+                    kind=kind,
+                    name=name,
+                    body=body,
+                )
+        for gone in before[kind].keys() - named.keys():
+            yield Change(revision=revision, kind=kind, name=gone)
--- a/mintlanding/configuration/models.py
+++ b/mintlanding/configuration/models.py
@@ -20,6 +20,7 @@
     omit_defaults=True,
     tag_field='kind',
     forbid_unknown_fields=True,
+    gc=False,
 ):
     """Fields that all objects share."""
 
@@ -35,7 +36,9 @@
         return (str(self.__struct_config__.tag), self.name)
 
 
-class Workspace(ConfigObject, frozen=True, kw_only=True, tag='workspace'):
+class Workspace(
+    ConfigObject, frozen=True, kw_only=True, gc=False, tag='workspace'
+):
     """A tenant: `rate` in tokens a second, `burst` in tokens, a weight."""
 
     rate: float
@@ -43,7 +46,7 @@
     weight: float = 1
 
 
-class Key(ConfigObject, frozen=True, kw_only=True, tag='key'):
+class Key(ConfigObject, frozen=True, kw_only=True, gc=False, tag='key'):
     """A caller's key; only its keyed hash is kept. Named by its public id."""
 
     workspace: str
@@ -51,7 +54,7 @@
     withdrawn: bool = False
 
 
-class Adapter(ConfigObject, frozen=True, kw_only=True, tag='adapter'):
+class Adapter(ConfigObject, frozen=True, kw_only=True, gc=False, tag='adapter'):
     """An adapter of one workspace; `shared` ones are open to all keys."""
 
     workspace: str
@@ -61,7 +64,7 @@
 
 
 class AdapterVersion(
-    ConfigObject, frozen=True, kw_only=True, tag='adapter-version'
+    ConfigObject, frozen=True, kw_only=True, gc=False, tag='adapter-version'
 ):
     """One version of an adapter; named `adapter@version`."""
 
@@ -78,7 +81,7 @@
         return self.name.partition('@')[2]
 
 
-class Service(ConfigObject, frozen=True, kw_only=True, tag='service'):
+class Service(ConfigObject, frozen=True, kw_only=True, gc=False, tag='service'):
     """A group of targets.
 
     `engine` is true for model engines. `is_open` routes need no key.
@@ -91,7 +94,7 @@
     repeatable: bool = False
 
 
-class Target(ConfigObject, frozen=True, kw_only=True, tag='target'):
+class Target(ConfigObject, frozen=True, kw_only=True, gc=False, tag='target'):
     """A worker or a plain back end at `url` in an availability zone."""
 
     service: str
@@ -102,14 +105,16 @@
     checks_fencing: bool = False
 
 
-class Split(msgspec.Struct, frozen=True, omit_defaults=True):
+class Split(msgspec.Struct, frozen=True, omit_defaults=True, gc=False):
     """A share of a selector's traffic that goes to what `match` selects."""
 
     match: str
     weight: float = 1
 
 
-class Selector(ConfigObject, frozen=True, kw_only=True, tag='selector'):
+class Selector(
+    ConfigObject, frozen=True, kw_only=True, gc=False, tag='selector'
+):
     """A named rule over labels, used in the place of an adapter's name.
 
     `match` selects adapter versions, `targets` (optional) selects targets.
@@ -124,7 +129,9 @@
     sticky: bool = False
 
 
-class Settings(ConfigObject, frozen=True, kw_only=True, tag='settings'):
+class Settings(
+    ConfigObject, frozen=True, kw_only=True, gc=False, tag='settings'
+):
     """Fleet-wide settings under one name, such as permits of the store."""
 
     values: Mapping[str, float | str | bool] = {}  # noqa: WPS110
@@ -157,7 +164,7 @@
 }
 
 
-class Change(msgspec.Struct, frozen=True, omit_defaults=True):
+class Change(msgspec.Struct, frozen=True, omit_defaults=True, gc=False):
     """One object put (`body` set) or deleted (`body` unset) at a revision."""
 
     revision: int
--- /dev/null
+++ b/mintlanding/configuration/selectors.py
@@ -0,0 +1,214 @@
+"""From the model that a caller names to an adapter at a version.
+
+A model reads `adapter`, `adapter@version` or `selector:<name>`. What another
+workspace owns is not visible: the answer is the same as for an unknown name.
+"""
+
+import math
+import random
+from dataclasses import dataclass
+from typing import cast
+
+import xxhash
+
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.labels import LabelSelector
+from mintlanding.configuration.models import Adapter, Selector
+from mintlanding.core.results import Done, Failed, Outcome, ResultCode
+from mintlanding.placement.messages import AdapterRef
+
+SELECTOR_PREFIX = 'selector:'
+_HASH_SPAN = 1 << 64
+
+
+@dataclass(frozen=True, slots=True)
+class Resolution:
+    """The adapter at a version that a request runs on, and where."""
+
+    ref: AdapterRef
+    service: str
+    targets: LabelSelector | None = None
+    rule: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class CompiledSplit:
+    """A split with the versions that it selects, in order."""
+
+    rule: str
+    weight: float
+    versions: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CompiledSelector:
+    """A selector with its splits worked out for one state of the directory."""
+
+    name: str
+    sticky: bool
+    targets: LabelSelector | None
+    splits: tuple[CompiledSplit, ...]
+
+    @property
+    def open_splits(self) -> list[CompiledSplit]:
+        """Return the splits that can take traffic."""
+        return [each for each in self.splits if each.versions and each.weight]
+
+
+class Resolver:
+    """Resolve models against a directory; selectors are worked out once."""
+
+    def __init__(self, directory: Directory) -> None:
+        """Follow a directory."""
+        self._directory = directory
+        self._epoch = directory.selection_epoch
+        self._compiled: dict[str, CompiledSelector] = {}
+
+    def resolve(
+        self,
+        model: str,
+        workspace: str,
+        caller: str,
+        rng: random.Random,
+    ) -> Outcome[Resolution]:
+        """Find what a request of a workspace runs on."""
+        if model.startswith(SELECTOR_PREFIX):
+            name = model.removeprefix(SELECTOR_PREFIX)
+            return self._by_selector(name, workspace, caller, rng)
+        return self._by_name(model, workspace)
+
+    def visible_adapter(self, name: str, workspace: str) -> Adapter | None:
+        """Return an adapter that the workspace owns or that is shared."""
+        adapter = self._directory.adapter(name)
+        if adapter is None:
+            return None
+        if adapter.workspace == workspace or adapter.shared:
+            return adapter
+        return None
+
+    def compiled(self, selector: Selector) -> CompiledSelector:
+        """Work out a selector, or return it worked out before."""
+        if self._epoch != self._directory.selection_epoch:
+            self._compiled.clear()
+            self._epoch = self._directory.selection_epoch
+        found = self._compiled.get(selector.name)
+        if found is None:
+            found = self._compile(selector)
+            self._compiled[selector.name] = found
+        return found
+
+    def _by_name(self, model: str, workspace: str) -> Outcome[Resolution]:
+        name, _, number = model.partition('@')
+        adapter = self.visible_adapter(name, workspace)
+        if adapter is None:
+            return Failed.of(ResultCode.adapter_unknown, f'adapter {name!r}')
+        full_name = f'{name}@{number}' if number else self._default_of(adapter)
+        if self._directory.adapter_version(full_name) is None:
+            return Failed.of(
+                ResultCode.version_unknown,
+                f'adapter {name!r}, version {number or "(default)"!r}',
+            )
+        return Done(self._resolution(full_name, 'named by the caller'))
+
+    def _default_of(self, adapter: Adapter) -> str:
+        """Return the default version, or the only one there is."""
+        if adapter.default_version:
+            return f'{adapter.name}@{adapter.default_version}'
+        versions = self._directory.versions_of(adapter.name)
+        return versions[0].name if len(versions) == 1 else ''
+
+    def _by_selector(
+        self,
+        name: str,
+        workspace: str,
+        caller: str,
+        rng: random.Random,
+    ) -> Outcome[Resolution]:
+        selector = self._directory.selector(name)
+        if selector is None or selector.workspace != workspace:
+            return Failed.of(ResultCode.adapter_unknown, f'selector {name!r}')
+        compiled = self.compiled(selector)
+        splits = compiled.open_splits
+        if not splits:
+            return Failed.of(ResultCode.selector_empty, f'selector {name!r}')
+        salt = f'{name}\n{caller}'
+        if not (compiled.sticky and caller):
+            salt = f'{name}\n{rng.random()}'
+        split = pick_split(splits, salt)
+        version = pick_version(split.versions, salt)
+        return Done(self._resolution(version, split.rule, compiled.targets))
+
+    def _resolution(
+        self,
+        full_name: str,
+        rule: str,
+        targets: LabelSelector | None = None,
+    ) -> Resolution:
+        name, _, number = full_name.partition('@')
+        adapter = cast(Adapter, self._directory.adapter(name))
+        ref = AdapterRef(name, number)
+        return Resolution(ref, adapter.service, targets, rule)
+
+    def _compile(self, selector: Selector) -> CompiledSelector:
+        selected = self._select(selector.match, selector.workspace)
+        rule = f'selector {selector.name}'
+        if selector.splits:
+            splits = tuple(
+                CompiledSplit(
+                    f'{rule}, split {number} ({split.match})',
+                    split.weight,
+                    tuple(
+                        sorted(
+                            selected
+                            & self._select(split.match, selector.workspace),
+                        ),
+                    ),
+                )
+                for number, split in enumerate(selector.splits, start=1)
+            )
+        else:
+            splits = (CompiledSplit(rule, 1, tuple(sorted(selected))),)
+        targets = selector.targets and LabelSelector.parse(selector.targets)
+        return CompiledSelector(
+            selector.name,
+            selector.sticky,
+            targets or None,
+            splits,
+        )
+
+    def _select(self, match: str, workspace: str) -> set[str]:
+        selector = LabelSelector.parse(match)
+        return self._directory.select_versions(selector, workspace)
+
+
+def pick_split(splits: list[CompiledSplit], salt: str) -> CompiledSplit:
+    """Pick by weighted rendezvous: a new weight moves as few as it can."""
+    if len(splits) == 1:
+        return splits[0]
+    return max(
+        splits,
+        key=lambda split: (
+            split.weight / -math.log(_fraction(f'{salt}\n{split.rule}'))
+        ),
+    )
+
+
+def pick_version(versions: tuple[str, ...], salt: str) -> str:
+    """Pick by rendezvous, so that each caller keeps its version."""
+    if len(versions) == 1:
+        return versions[0]
+    seed = _hash(salt)
+    return max(
+        versions,
+        key=lambda name: _hash(name, seed),
+    )
+
+
+def _fraction(text: str) -> float:
+    """Hash to a number above 0 and below 1."""
+    return (_hash(text) + 0.5) / (_HASH_SPAN + 1)
+
+
+def _hash(text: str, seed: int = 0) -> int:
+    hashed: int = xxhash.xxh64_intdigest(text.encode(), seed=seed)
+    return hashed
