Add membership: heartbeats, views, digests and vouching

Instances need to know who is live, leaving, silent and gone without a service of their own. Gone takes two opinions held for gone_after seconds, and any direct contact or newer word of the member undoes it. Random gossip was ruled out for digests: each meeting would repeat nearly all of them.

Before: nothing. A first try kept counting the silence of members that were no longer called, so that a ring of 30 showed live members as silent; test_large_region_meets_over_ring_and_gateways failed on it.

--- /dev/null
+++ b/mintlanding/membership/digests.py
@@ -0,0 +1,102 @@
+"""The newest summary of each worker, own ones and those of other stewards."""
+
+import zlib
+from dataclasses import dataclass
+
+import msgspec
+
+from mintlanding.membership.messages import WorkerLoad
+from mintlanding.placement.messages import WorkerDigest
+
+Version = tuple[int, int]
+
+
+def version_of(digest: WorkerDigest) -> Version:
+    """Return what orders two digests of one worker."""
+    return (digest.fencing, digest.sequence)
+
+
+def frame_of(digest: WorkerDigest) -> int:
+    """Return a checksum of all but the sequence and the load."""
+    blank = WorkerLoad(digest.worker, digest.fencing, 0, 0)
+    return zlib.crc32(msgspec.msgpack.encode(apply_load(digest, blank)))
+
+
+def load_of(digest: WorkerDigest, frame: int) -> WorkerLoad:
+    """Return the part that changes with each request."""
+    return WorkerLoad(
+        worker=digest.worker,
+        fencing=digest.fencing,
+        sequence=digest.sequence,
+        frame=frame,
+        queued=digest.queued,
+        queued_tokens=round(digest.queued_tokens),
+        running=digest.running,
+    )
+
+
+def apply_load(digest: WorkerDigest, load: WorkerLoad) -> WorkerDigest:
+    """Return the digest with a later load."""
+    return msgspec.structs.replace(
+        digest,
+        sequence=load.sequence,
+        queued=load.queued,
+        queued_tokens=load.queued_tokens,
+        running=load.running,
+    )
+
+
+@dataclass(slots=True)
+class HeldDigest:
+    """The newest digest of a worker and the checksum of its frame."""
+
+    digest: WorkerDigest
+    frame: int
+
+
+class DigestBook:
+    """Keep the newest digest of each worker; older ones change nothing."""
+
+    def __init__(self) -> None:
+        """Begin without digests."""
+        self._held: dict[str, HeldDigest] = {}
+
+    def __len__(self) -> int:
+        """Count the workers."""
+        return len(self._held)
+
+    def view(self) -> dict[str, WorkerDigest]:
+        """Return the newest digest of each worker by the worker's name."""
+        return {name: held.digest for name, held in self._held.items()}
+
+    def get(self, worker: str) -> HeldDigest | None:
+        """Return what is held of a worker."""
+        return self._held.get(worker)
+
+    def accept(self, digest: WorkerDigest) -> bool:
+        """Take a digest unless one as new is held."""
+        held = self._held.get(digest.worker)
+        if held is not None and version_of(digest) <= version_of(held.digest):
+            return False
+        self._held[digest.worker] = HeldDigest(digest, frame_of(digest))
+        return True
+
+    def accept_load(self, load: WorkerLoad) -> WorkerDigest | None:
+        """Apply a later load to the digest that has its frame, if held."""
+        held = self._held.get(load.worker)
+        if held is None or not _fits(held, load):
+            return None
+        held.digest = apply_load(held.digest, load)
+        return held.digest
+
+    def forget(self, worker: str) -> None:
+        """Drop a worker that is no longer configured."""
+        self._held.pop(worker, None)
+
+
+def _fits(held: HeldDigest, load: WorkerLoad) -> bool:
+    return (
+        load.fencing == held.digest.fencing
+        and load.frame == held.frame
+        and load.sequence > held.digest.sequence
+    )
--- a/mintlanding/membership/models.py
+++ b/mintlanding/membership/models.py
@@ -1,9 +1,19 @@
 """What is known of the other instances."""
 
+from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from mintlanding.placement.messages import WorkerDigest
+
+if TYPE_CHECKING:
+    from mintlanding.membership.messages import Heartbeat
+
+
+LOAD_BYTES = 32
+
 
 class MemberState(StrEnum):
     """How an instance looks from here."""
@@ -27,3 +37,68 @@
     address: str
     incarnation: int = 0
     state: MemberState = MemberState.live
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipTerms:
+    """Periods in seconds and bounds on who is called and how much is sent.
+
+    A region of at most `mesh_limit` instances is a full mesh. In a larger one
+    an instance calls `fanout` instances of its zone, and `gateways` instances
+    of each zone call the other zones. `digest_rate` is the number of bytes a
+    second that loads of workers may take on one link, `record_limit` the
+    number of member records in one message.
+    """
+
+    interval: float = 1
+    silent_after: float = 3.5
+    gone_after: float = 10
+    forget_after: float = 3600
+    mesh_limit: int = 12
+    fanout: int = 2
+    gateways: int = 2
+    digest_rate: int = 2000
+    record_limit: int = 64
+    seeds: tuple[str, ...] = ()
+
+    @property
+    def loads_in_message(self) -> int:
+        """Return how many loads one message may carry."""
+        return max(1, round(self.digest_rate * self.interval / LOAD_BYTES))
+
+    def load_period(self, workers: int) -> float:
+        """Return how often the load of one of so many workers is told."""
+        return max(self.interval, workers * LOAD_BYTES / self.digest_rate)
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Call EXCHANGE at an address; `instance` is empty for a seed."""
+
+    address: str
+    message: 'Heartbeat'
+    instance: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A member is new or has another state, address or incarnation."""
+
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class DigestChanged:
+    """A newer summary of a worker has arrived."""
+
+    digest: WorkerDigest
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another process has joined as this instance with a later incarnation."""
+
+    incarnation: int
+
+
+MembershipAction = SendHeartbeat | MemberChanged | DigestChanged | Superseded
--- /dev/null
+++ b/mintlanding/membership/node.py
@@ -0,0 +1,286 @@
+"""The membership of one instance: what it knows, tells and calls."""
+
+import random
+from collections.abc import Iterable, Mapping
+from typing import Self
+
+from mintlanding.membership.book import MemberBook, renumber
+from mintlanding.membership.changes import ChangeLog, Kind
+from mintlanding.membership.confirmations import Confirmations
+from mintlanding.membership.digests import DigestBook
+from mintlanding.membership.links import Links
+from mintlanding.membership.messages import Heartbeat, MemberRecord
+from mintlanding.membership.models import (
+    DigestChanged,
+    Member,
+    MemberChanged,
+    MembershipAction,
+    MembershipTerms,
+    MemberState,
+    SendHeartbeat,
+    Superseded,
+)
+from mintlanding.membership.neighbours import choose_neighbours
+from mintlanding.membership.records import as_record, with_state
+from mintlanding.placement.messages import WorkerDigest
+
+_SEEDS_A_ROUND = 3
+
+
+class MembershipNode:
+    """Heartbeats in, heartbeats and changes out; no clock, no calls."""
+
+    def __init__(
+        self,
+        own: Member,
+        terms: MembershipTerms,
+        rnd: random.Random,
+    ) -> None:
+        """Begin with no other member; the terms name the seeds."""
+        self.configuration = Confirmations()
+        self._terms = terms
+        self._rnd = rnd
+        self._record = as_record(own)
+        self._book = MemberBook(own, terms)
+        self._digests = DigestBook()
+        self._log = ChangeLog(self._book, self._digests, terms)
+        self._links = Links(own.incarnation)
+        self._shown: dict[str, Member] = {}
+        self._events: list[MembershipAction] = []
+        self._published_at: dict[str, float] = {}
+        self._unpublished: set[str] = set()
+        self._round_at = 0.0
+        self._ticked_at: float | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        own: Member,
+        terms: MembershipTerms,
+        rnd: random.Random,
+    ) -> Self:
+        """Build the node of the member `own`."""
+        return cls(own, terms, rnd)
+
+    @property
+    def own(self) -> Member:
+        """Return this member as it tells of itself."""
+        return self._record.member
+
+    def members(self, now: float) -> dict[str, Member]:
+        """Return the other members by instance, with their states."""
+        return {
+            name: self._book.view(known, now)
+            for name, known in self._book.items()
+        }
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision that each member was last heard to hold."""
+        return {name: known.revision for name, known in self._book.items()}
+
+    def digests(self) -> dict[str, WorkerDigest]:
+        """Return the newest digest of each worker."""
+        return self._digests.view()
+
+    def heartbeat(self, message: Heartbeat, now: float) -> Heartbeat:
+        """Take a heartbeat and return its reply; `changes` tells the rest."""
+        self._apply(message, now)
+        return self._compose(message.sender.member, now, echo=message.sent)
+
+    def reply(self, message: Heartbeat, now: float) -> list[MembershipAction]:
+        """Take the reply to an own heartbeat."""
+        self._apply(message, now)
+        self.configuration.take(
+            message.revision,
+            message.confirmed_age,
+            message.echo,
+        )
+        return self.changes(now)
+
+    def call_failed(
+        self,
+        instance: str,
+        now: float,
+    ) -> list[MembershipAction]:
+        """Note that a heartbeat got no reply; seeds have no name."""
+        self._book.note_failure(instance)
+        return self.changes(now)
+
+    def platform_list(
+        self,
+        members: Iterable[Member],
+        now: float,
+    ) -> list[MembershipAction]:
+        """Take the platform's instance list, which lags."""
+        for name in self._book.take_list(members):
+            self._log.record(Kind.member, name)
+        return self.changes(now)
+
+    def leave(self, now: float) -> list[MembershipAction]:
+        """Tell everyone that this instance is leaving."""
+        self._record = with_state(self._record, MemberState.leaving)
+        self._round_at = now
+        return self.tick(now)
+
+    def put_digest(self, digest: WorkerDigest, now: float) -> None:
+        """Take the digest of a worker that this instance is steward of."""
+        held = self._digests.get(digest.worker)
+        frame = held.frame if held else None
+        if not self._digests.accept(digest):
+            return
+        fresh = self._digests.get(digest.worker)
+        if fresh is not None and fresh.frame != frame:
+            self._log.record(Kind.frame, digest.worker)
+            self._published_at[digest.worker] = now
+        else:
+            self._unpublished.add(digest.worker)
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker that is no longer configured."""
+        self._digests.forget(worker)
+        self._log.forget_worker(worker)
+        self._unpublished.discard(worker)
+        self._published_at.pop(worker, None)
+
+    def tick(self, now: float) -> list[MembershipAction]:
+        """Call neighbours when a round is due and judge the silent ones."""
+        self._excuse_pause(now)
+        self._publish_loads(now)
+        for name in self._book.judge(now):
+            self._log.forget_member(name)
+            self._links.forget(name)
+        actions = self.changes(now)
+        if now >= self._round_at:
+            self._round_at = now + self._terms.interval
+            actions.extend(self._round(now))
+        return actions
+
+    def changes(self, now: float) -> list[MembershipAction]:
+        """Return what has changed since the last call."""
+        actions = self._events
+        self._events = []
+        view = self.members(now)
+        for name, member in view.items():
+            if self._shown.get(name) != member:
+                actions.append(MemberChanged(member))
+        self._shown = view
+        return actions
+
+    def _apply(self, message: Heartbeat, now: float) -> None:
+        sender = message.sender.member.instance
+        if sender == self.own.instance:
+            self._answer_doubts(message.sender)
+            return
+        self._learn(message.sender, sender)
+        for record in message.records:
+            self._learn(record, sender)
+        known = self._book.get(sender)
+        same = message.sender.member.incarnation
+        if known is None or known.record.member.incarnation != same:
+            return
+        self._book.hear(sender, message.revision, now)
+        self._take_digests(message)
+        self._links.note(message)
+
+    def _learn(self, record: MemberRecord, source: str) -> None:
+        name = record.member.instance
+        if name == self.own.instance:
+            self._answer_doubts(record)
+        elif self._book.learn(record):
+            self._log.record(Kind.member, name, source)
+
+    def _answer_doubts(self, told: MemberRecord) -> None:
+        if told.member.incarnation > self.own.incarnation:
+            self._events.append(Superseded(told.member.incarnation))
+        if told.member.incarnation != self.own.incarnation:
+            return
+        if told.sequence > self._record.sequence or (
+            told.sequence == self._record.sequence and told.witnesses
+        ):
+            self._record = renumber(self._record, told.sequence + 1)
+
+    def _take_digests(self, message: Heartbeat) -> None:
+        sender = message.sender.member.instance
+        for digest in message.digests:
+            if self._digests.accept(digest):
+                self._log.record(Kind.frame, digest.worker, sender)
+                self._events.append(DigestChanged(digest))
+        for load in message.loads:
+            applied = self._digests.accept_load(load)
+            if applied is not None:
+                self._log.record(Kind.load, load.worker, sender)
+                self._events.append(DigestChanged(applied))
+
+    def _publish_loads(self, now: float) -> None:
+        period = self._terms.load_period(len(self._digests))
+        for worker in tuple(self._unpublished):
+            if now - self._published_at.get(worker, now - period) >= period:
+                self._log.record(Kind.load, worker)
+                self._published_at[worker] = now
+                self._unpublished.discard(worker)
+
+    def _excuse_pause(self, now: float) -> None:
+        before = self._ticked_at
+        self._ticked_at = now
+        if before is not None and now - before > self._terms.silent_after:
+            self._book.excuse(now)
+
+    def _round(self, now: float) -> list[MembershipAction]:
+        view = self.members(now)
+        present = [
+            each for each in view.values() if each.state != MemberState.gone
+        ]
+        called = choose_neighbours(self.own, present, self._terms)
+        for name in self._book.doubt(called, now):
+            self._log.record(Kind.member, name)
+        lost = [
+            each
+            for each in view.values()
+            if each.instance not in called
+            and each.state in {MemberState.gone, MemberState.silent}
+        ]
+        if lost:
+            probed = self._rnd.choice(lost)
+            called[probed.instance] = probed
+        self._book.watch(called, now)
+        sends: list[MembershipAction] = [
+            SendHeartbeat(each.address, self._compose(each, now), each.instance)
+            for each in called.values()
+        ]
+        sends.extend(self._call_seeds(view, now))
+        return sends
+
+    def _call_seeds(
+        self,
+        view: Mapping[str, Member],
+        now: float,
+    ) -> list[SendHeartbeat]:
+        met = {each.address for each in view.values()} | {self.own.address}
+        seeds = [each for each in self._terms.seeds if each not in met]
+        chosen = self._rnd.sample(seeds, min(len(seeds), _SEEDS_A_ROUND))
+        message = Heartbeat(self._record, sent=now)
+        return [SendHeartbeat(address, message) for address in chosen]
+
+    def _compose(
+        self,
+        peer: Member,
+        now: float,
+        echo: float = 0,
+    ) -> Heartbeat:
+        link = self._links.get(peer.instance)
+        is_same = link.incarnation == peer.incarnation
+        after = link.acknowledged if is_same else 0
+        parcel = self._log.parcel(peer.instance, peer.region, after)
+        return Heartbeat(
+            sender=self._record,
+            sent=now,
+            echo=echo,
+            journal=parcel.number,
+            acknowledged=link.received if is_same else 0,
+            acknowledged_incarnation=link.incarnation if is_same else 0,
+            revision=self.configuration.revision,
+            confirmed_age=self.configuration.age(now),
+            records=tuple(parcel.records),
+            digests=tuple(parcel.digests),
+            loads=tuple(parcel.loads),
+        )
--- /dev/null
+++ b/mintlanding/membership/tests/fleet.py
@@ -0,0 +1,115 @@
+"""Several nodes and the links between them, without clocks or sockets."""
+
+import random
+
+import msgspec
+
+from mintlanding.membership.messages import EXCHANGE
+from mintlanding.membership.models import (
+    Member,
+    MembershipTerms,
+    SendHeartbeat,
+)
+from mintlanding.membership.node import MembershipNode
+from mintlanding.peers.messages import PackCodec
+
+
+class Fleet:
+    """Carry heartbeats between nodes; cut pairs lose every message."""
+
+    def __init__(self, members, terms=None, seeds=2):
+        terms = terms or MembershipTerms()
+        addresses = tuple(each.address for each in members[:seeds])
+        self.terms = msgspec_replace(terms, addresses)
+        self.now = 0.0
+        self.nodes = {}
+        self.up = set()
+        self.cut = set()
+        self.bytes = 0
+        self.messages = 0
+        self.actions = {}
+        self._codec = PackCodec()
+        for member in members:
+            self.start(member)
+
+    def start(self, member):
+        rnd = random.Random(member.instance)
+        node = MembershipNode.from_config(member, self.terms, rnd)
+        self.nodes[member.instance] = node
+        self.actions[member.instance] = []
+        self.up.add(member.instance)
+
+    def run(self, seconds, step=0.5):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            for name in sorted(self.up):
+                self.take(name, self.nodes[name].tick(self.now))
+
+    def take(self, name, actions):
+        for action in actions:
+            self.actions[name].append(action)
+            if isinstance(action, SendHeartbeat):
+                self._send(name, action)
+
+    def states(self, name):
+        members = self.nodes[name].members(self.now)
+        return {each.instance: str(each.state) for each in members.values()}
+
+    def reaches(self, source, target):
+        return target in self.up and (source, target) not in self.cut
+
+    def cut_both(self, one, other):
+        self.cut |= {(one, other), (other, one)}
+
+    def _send(self, name, action):
+        target = self._at(action.address)
+        sent = self._wire(action.message)
+        if target is None or not self.reaches(name, target):
+            self._fail(name, action)
+            return
+        reply = self.nodes[target].heartbeat(sent, self.now)
+        self.take(target, self.nodes[target].changes(self.now))
+        if not self.reaches(target, name):
+            self._fail(name, action)
+            return
+        answer = self._wire(reply)
+        self.take(name, self.nodes[name].reply(answer, self.now))
+
+    def _fail(self, name, action):
+        failed = self.nodes[name].call_failed(action.instance, self.now)
+        self.take(name, failed)
+
+    def _at(self, address):
+        for name in self.up:
+            if self.nodes[name].own.address == address:
+                return name
+        return None
+
+    def _wire(self, message):
+        packed = self._codec.encode(message, EXCHANGE.request)
+        self.bytes += len(packed)
+        self.messages += 1
+        return self._codec.decode(packed, EXCHANGE.request)
+
+
+def msgspec_replace(terms, seeds):
+    fields = {name: getattr(terms, name) for name in terms.__dataclass_fields__}
+    return MembershipTerms(**{**fields, 'seeds': seeds})
+
+
+def make_members(count, zones=3, regions=1):
+    return [
+        Member(
+            instance=f'i{number}',
+            zone=f'z{number % zones}',
+            region=f'r{number % zones % regions}',
+            address=f'10.0.0.{number}:7000',
+            incarnation=1,
+        )
+        for number in range(count)
+    ]
+
+
+def later(member, incarnation):
+    return msgspec.structs.replace(member, incarnation=incarnation)
--- /dev/null
+++ b/mintlanding/membership/tests/test_node.py
@@ -0,0 +1,226 @@
+"""How members come, leave, fall silent and go."""
+
+import msgspec
+import pytest
+
+from mintlanding.membership.models import MembershipTerms, MemberState
+from mintlanding.membership.tests.fleet import Fleet, later, make_members
+from mintlanding.placement.messages import AdapterRef, WorkerDigest
+
+
+def make_digest(sequence, fencing=1, steward='i0', resident=(), running=0):
+    return WorkerDigest(
+        worker='w1',
+        zone='z0',
+        steward=steward,
+        steward_address='10.0.0.0:7000',
+        fencing=fencing,
+        sequence=sequence,
+        slots=4,
+        batch_limit=8,
+        resident=resident,
+        running=running,
+    )
+
+
+def set_state(member, state):
+    return msgspec.structs.replace(member, state=state)
+
+
+def test_seeds_are_enough_to_meet_everyone():
+    fleet = Fleet(make_members(8), seeds=1)
+    fleet.run(5)
+    for name in fleet.nodes:
+        assert set(fleet.states(name).values()) == {'live'}
+        assert len(fleet.states(name)) == 7
+
+
+def test_dead_member_is_silent_then_gone():
+    fleet = Fleet(make_members(8))
+    fleet.run(5)
+    fleet.up.discard('i7')
+    fleet.run(5)
+    assert fleet.states('i0')['i7'] == 'silent'
+    fleet.run(15)
+    assert {fleet.states(name)['i7'] for name in fleet.up} == {'gone'}
+
+
+def test_one_opinion_never_makes_a_member_gone():
+    fleet = Fleet(make_members(8))
+    fleet.run(5)
+    fleet.cut_both('i0', 'i7')
+    fleet.run(60)
+    assert fleet.states('i0')['i7'] == 'silent'
+    assert fleet.states('i1')['i7'] == 'live'
+
+
+def test_two_instances_alone_stay_silent_to_each_other():
+    fleet = Fleet(make_members(2))
+    fleet.run(5)
+    fleet.up.discard('i1')
+    fleet.run(60)
+    assert fleet.states('i0')['i1'] == 'silent'
+
+
+def test_platform_confirms_the_silence_of_the_only_peer():
+    members = make_members(2)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].platform_list(members, fleet.now)
+    fleet.up.discard('i1')
+    fleet.run(10)
+    fleet.nodes['i0'].platform_list(members[:1], fleet.now)
+    fleet.run(12)
+    assert fleet.states('i0')['i1'] == 'gone'
+
+
+def test_absence_from_the_list_alone_changes_nothing():
+    members = make_members(4)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].platform_list(members, fleet.now)
+    fleet.nodes['i0'].platform_list([], fleet.now)
+    fleet.run(30)
+    assert set(fleet.states('i0').values()) == {'live'}
+
+
+def test_member_is_leaving_by_its_own_word():
+    fleet = Fleet(make_members(4))
+    fleet.run(5)
+    fleet.take('i3', fleet.nodes['i3'].leave(fleet.now))
+    assert fleet.states('i0')['i3'] == 'leaving'
+
+
+def test_member_is_leaving_by_the_list_alone_everywhere():
+    members = make_members(4)
+    fleet = Fleet(members)
+    fleet.run(5)
+    leaving = set_state(members[3], MemberState.leaving)
+    fleet.nodes['i0'].platform_list([leaving], fleet.now)
+    assert fleet.states('i0')['i3'] == 'leaving'
+    fleet.nodes['i0'].platform_list(members, fleet.now)
+    fleet.run(3)
+    assert {fleet.states(name)['i3'] for name in ('i0', 'i1')} == {'leaving'}
+
+
+def test_late_list_does_not_mark_the_next_incarnation():
+    members = make_members(4)
+    old = [later(each, 0) for each in members]
+    old[3] = set_state(old[3], MemberState.leaving)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].platform_list(old, fleet.now)
+    fleet.start(later(members[3], 2))
+    fleet.run(5)
+    fleet.nodes['i0'].platform_list(old, fleet.now)
+    assert fleet.states('i0')['i3'] == 'live'
+
+
+def test_restarted_member_is_known_by_its_new_incarnation():
+    members = make_members(4)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.start(later(members[3], 2))
+    fleet.run(5)
+    seen = fleet.nodes['i0'].members(fleet.now)['i3']
+    assert seen.incarnation == 2
+
+
+def test_older_process_of_an_instance_learns_that_it_is_superseded():
+    members = make_members(4)
+    fleet = Fleet(members)
+    fleet.run(5)
+    older = fleet.nodes['i3']
+    fleet.start(later(members[3], 2))
+    fleet.run(5)
+    actions = older.tick(fleet.now)
+    message = actions[-1].message
+    older.reply(fleet.nodes['i0'].heartbeat(message, fleet.now), fleet.now)
+    assert older.own.incarnation == 1
+    assert fleet.nodes['i0'].members(fleet.now)['i3'].incarnation == 2
+
+
+def test_views_converge_after_a_zone_was_cut_off():
+    fleet = Fleet(make_members(8))
+    fleet.run(5)
+    inside = [name for name in fleet.nodes if name in {'i0', 'i3', 'i6'}]
+    outside = [name for name in fleet.nodes if name not in inside]
+    for one in inside:
+        for other in outside:
+            fleet.cut_both(one, other)
+    fleet.run(60)
+    assert fleet.states('i0')['i1'] == 'gone'
+    assert fleet.states('i1')['i0'] == 'gone'
+    fleet.cut.clear()
+    fleet.run(30)
+    for name in fleet.nodes:
+        assert set(fleet.states(name).values()) == {'live'}
+
+
+def test_paused_instance_does_not_take_the_others_for_gone():
+    fleet = Fleet(make_members(3))
+    fleet.run(5)
+    fleet.up.discard('i0')
+    fleet.now += 3600
+    actions = fleet.nodes['i0'].tick(fleet.now)
+    fleet.up.add('i0')
+    fleet.take('i0', actions)
+    assert set(fleet.states('i0').values()) == {'live'}
+
+
+def test_digests_reach_every_instance_of_the_region():
+    fleet = Fleet(make_members(8))
+    fleet.run(5)
+    ref = AdapterRef('a', '1')
+    fleet.nodes['i0'].put_digest(make_digest(1, resident=(ref,)), fleet.now)
+    fleet.run(3)
+    for number in range(2, 20):
+        digest = make_digest(number, resident=(ref,), running=number)
+        fleet.nodes['i0'].put_digest(digest, fleet.now)
+        fleet.run(0.5)
+    fleet.run(5)
+    for name in fleet.nodes:
+        assert fleet.nodes[name].digests()['w1'].running == 19
+        assert fleet.nodes[name].digests()['w1'].resident == (ref,)
+
+
+@pytest.mark.parametrize(
+    ('fencing', 'sequence'),
+    [(1, 9), (2, 4), (2, 5)],
+)
+def test_old_digest_never_replaces_a_newer_one(fencing, sequence):
+    node = Fleet(make_members(1)).nodes['i0']
+    node.put_digest(make_digest(5, fencing=2, running=3), 0)
+    node.put_digest(make_digest(sequence, fencing=fencing, running=1), 0)
+    assert node.digests()['w1'].running == 3
+
+
+def test_large_region_meets_over_ring_and_gateways():
+    terms = MembershipTerms(mesh_limit=6)
+    fleet = Fleet(make_members(30), terms, seeds=3)
+    fleet.run(40)
+    for name in fleet.nodes:
+        assert len(fleet.states(name)) == 29
+        assert set(fleet.states(name).values()) == {'live'}
+    fleet.up.discard('i5')
+    fleet.run(40)
+    assert {fleet.states(name)['i5'] for name in fleet.up} == {'gone'}
+
+
+def test_vouching_counts_from_the_question():
+    fleet = Fleet(make_members(2))
+    for node in fleet.nodes.values():
+        node.configuration.hold(7)
+    fleet.nodes['i0'].configuration.confirm(0)
+    fleet.run(5)
+    assert fleet.nodes['i1'].configuration.age(fleet.now) >= fleet.now
+
+
+def test_word_of_a_peer_that_is_ahead_confirms_nothing():
+    fleet = Fleet(make_members(2))
+    fleet.nodes['i0'].configuration.hold(8)
+    fleet.nodes['i1'].configuration.hold(7)
+    fleet.nodes['i0'].configuration.confirm(0)
+    fleet.run(5)
+    assert fleet.nodes['i1'].configuration.age(fleet.now) < 0
+    assert fleet.nodes['i1'].revisions()['i0'] == 8
