--- a/mintlanding/entry/authentication.py
+++ b/mintlanding/entry/authentication.py
@@ -1,6 +1,5 @@
 """Who calls: the key of a request and the workspace it stands for."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from http.cookies import CookieError, SimpleCookie
 from urllib.parse import parse_qs
@@ -80,16 +79,14 @@
 
     def _find_elsewhere(self, exchange: Exchange) -> str:
         queries = parse_qs(exchange.query)
-        for name in self._names.queries:
-            if name in queries:
-                return queries[name][0]
+        for parameter in self._names.queries:
+            if parameter in queries:
+                return queries[parameter][0]
         cookies = _read_cookies(exchange.headers.get('cookie', ''))
-        found: Sequence[str] = [
-            cookies[name].value
-            for name in self._names.cookies
-            if name in cookies
-        ]
-        return found[0] if found else ''
+        for cookie in self._names.cookies:
+            if cookie in cookies:
+                return cookies[cookie].value
+        return ''
 
 
 def _read_cookies(header: str) -> 'SimpleCookie':
--- /dev/null
+++ b/mintlanding/entry/dispatch.py
@@ -0,0 +1,198 @@
+"""Start generations: reserve a worker, call it, try another if that is safe."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from mintlanding.core.clock import Clock
+from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.engines.models import GenerateRequest
+from mintlanding.entry.background import Background
+from mintlanding.entry.control import ControlClient
+from mintlanding.entry.generation import Generation
+from mintlanding.entry.pins import Pins
+from mintlanding.entry.targets import EntryTargets
+from mintlanding.placement.messages import ReleaseRequest, ReserveRequest
+from mintlanding.routing.models import (
+    Attempt,
+    Progress,
+    RetryAfter,
+    WorkerRoute,
+)
+from mintlanding.routing.retries import RetryPolicy
+
+_PROGRESS: Mapping[Ran, Progress] = {
+    Ran.not_run: Progress.refused,
+    Ran.ran: Progress.sent,
+    Ran.unknown: Progress.sent,
+}
+# Another worker cannot help with these.
+_FINAL_CODES = frozenset(
+    (
+        ResultCode.deadline_unreachable,
+        ResultCode.target_wrong_adapter,
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A checked request that waits for a worker; `deadline` is monotonic."""
+
+    generate: GenerateRequest
+    reserve: ReserveRequest
+    pool: str
+    deadline: float
+    is_repeatable: bool = False
+
+
+class Dispatcher:
+    """Start generations; whatever it has reserved it releases."""
+
+    def __init__(
+        self,
+        targets: EntryTargets,
+        control: ControlClient,
+        background: Background,
+        retries: RetryPolicy,
+        clock: Clock,
+    ) -> None:
+        """Take what to choose from and whom to ask."""
+        self.pins = Pins()
+        self._targets = targets
+        self._control = control
+        self._background = background
+        self._retries = retries
+        self._clock = clock
+        self._rnd = random.Random()  # noqa: S311
+
+    async def start(self, job: Job) -> Outcome[Generation]:
+        """Try workers in turn as far as the retry policy allows."""
+        self._retries.budget.note_first_try()
+        tried: set[str] = set()
+        tries = 0
+        last: Failed | None = None
+        while True:
+            route = self._targets.choose_worker(
+                job.pool,
+                job.reserve.ref,
+                tried,
+            )
+            if isinstance(route, Failed):
+                return last or route
+            tried.add(route.value.worker)
+            tries += 1
+            outcome = await self._try_worker(job, route.value, tries)
+            if isinstance(outcome, Done):
+                return outcome
+            decision = self._decide(job, outcome, tries)
+            if isinstance(decision, Failed):
+                return decision
+            last = outcome
+            await asyncio.sleep(decision.seconds)
+
+    def finish(self, generation: Generation, used: float) -> None:
+        """End a generation if it still runs, and release its reservation."""
+        self._background.spawn(self._finish(generation, used))
+
+    def _decide(
+        self,
+        job: Job,
+        failure: Failed,
+        tries: int,
+    ) -> RetryAfter | Failed:
+        if failure.code in _FINAL_CODES:
+            return failure
+        attempt = Attempt(
+            _PROGRESS[failure.ran],
+            job.is_repeatable,
+            tries,
+            job.deadline,
+        )
+        now = self._clock.monotonic()
+        return self._retries.decide(attempt, failure, now, self._rnd)
+
+    async def _try_worker(
+        self,
+        job: Job,
+        route: WorkerRoute,
+        tries: int,
+    ) -> Outcome[Generation]:
+        reservation_id = f'{job.generate.request_id}-{tries}'
+        req = msgspec.structs.replace(
+            job.reserve,
+            worker=route.worker,
+            reservation_id=reservation_id,
+        )
+        self.pins.add(route.worker, reservation_id, req.ref)
+        outcome: Outcome[Generation] | None = None
+        try:
+            outcome = await self._reserve_and_call(job, route, req)
+        finally:
+            if not isinstance(outcome, Done):
+                self._background.spawn(self._abort(req, outcome))
+        return outcome
+
+    async def _reserve_and_call(
+        self,
+        job: Job,
+        route: WorkerRoute,
+        req: ReserveRequest,
+    ) -> Outcome[Generation]:
+        self._targets.workers.note_sent(route.worker)
+        granted = await self._control.reserve_worker(
+            route.steward_address,
+            req,
+        )
+        if isinstance(granted, Failed):
+            return granted
+        engine = self._targets.engine(route.worker)
+        if engine is None:
+            return Failed.of(ResultCode.no_target, 'the worker was removed')
+        generate = replace(job.generate, request_id=req.reservation_id)
+        opened = await engine.generate(generate)
+        if isinstance(opened, Failed):
+            return opened
+        return Done(
+            Generation(
+                generate,
+                engine,
+                opened.value,
+                route.worker,
+                granted.value.stalled,
+            ),
+        )
+
+    async def _finish(self, generation: Generation, used: float) -> None:
+        await generation.abandon()
+        await self._release(
+            generation.worker,
+            generation.req.request_id,
+            used,
+        )
+
+    async def _abort(
+        self,
+        req: ReserveRequest,
+        failure: Failed | None,
+    ) -> None:
+        engine = self._targets.engine(req.worker)
+        may_run = failure is None or failure.ran is not Ran.not_run
+        if engine is not None and may_run:
+            await engine.cancel(req.reservation_id)
+        await self._release(req.worker, req.reservation_id, used=0)
+
+    async def _release(
+        self,
+        worker: str,
+        reservation_id: str,
+        used: float,
+    ) -> None:
+        self.pins.drop(worker, reservation_id)
+        address = self._targets.steward_address(worker)
+        if address:
+            req = ReleaseRequest(reservation_id, worker, used)
+            await self._control.release_worker(address, req)
--- a/mintlanding/entry/view.py
+++ b/mintlanding/entry/view.py
@@ -6,6 +6,7 @@
 from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.models import Change, Delta
+from mintlanding.configuration.selectors import Resolver
 from mintlanding.core.clock import Clock
 from mintlanding.core.exceptions import PeerError
 from mintlanding.core.logs import Logger
@@ -17,6 +18,8 @@
 RECONNECT_SECONDS = 0.2
 
 ChangeListener = Callable[[Sequence[Change]], None]
+DigestListener = Callable[[WorkerDigest], None]
+MemberListener = Callable[[Member], None]
 
 
 class EntryView:
@@ -25,12 +28,15 @@
     def __init__(self, clock: Clock) -> None:
         """Start empty: nothing can be served until the first update."""
         self.directory = Directory()
+        self.resolver = Resolver(self.directory)
         self.members: dict[str, Member] = {}
         self.digests: dict[str, WorkerDigest] = {}
         self._clock = clock
         self._stale_at_update = 0.0
         self._updated_at = clock.monotonic()
         self._listeners: list[ChangeListener] = []
+        self._digest_listeners: list[DigestListener] = []
+        self._member_listeners: list[MemberListener] = []
         self._ready = asyncio.Event()
 
     @property
@@ -49,16 +55,24 @@
         """Call the listener with the changes of each accepted delta."""
         self._listeners.append(listener)
 
+    def on_digest(self, listener: DigestListener) -> None:
+        """Call the listener with each newer digest."""
+        self._digest_listeners.append(listener)
+
+    def on_member(self, listener: MemberListener) -> None:
+        """Call the listener with each member that an update lists."""
+        self._member_listeners.append(listener)
+
     def apply(self, update: ViewUpdate) -> None:
         """Take an update of the agent."""
         self._updated_at = self._clock.monotonic()
         self._stale_at_update = update.stale_seconds
+        if update.delta is not None:
+            self._take_delta(update.delta)
         if update.members is not None:
-            self.members = {each.instance: each for each in update.members}
+            self._take_members(update.members)
         for digest in update.digests:
             self._take_digest(digest)
-        if update.delta is not None:
-            self._take_delta(update.delta)
 
     async def wait_ready(self) -> None:
         """Return when a configuration has arrived."""
@@ -69,6 +83,14 @@
         if held and _order(held) > _order(digest):
             return
         self.digests[digest.worker] = digest
+        for listener in self._digest_listeners:
+            listener(digest)
+
+    def _take_members(self, members: Sequence[Member]) -> None:
+        self.members = {each.instance: each for each in members}
+        for member in members:
+            for listener in self._member_listeners:
+                listener(member)
 
     def _take_delta(self, delta: Delta) -> None:
         applied = self.directory.apply(delta)
