Add platform and engine clients, stand-ins, HTTP server

Cause: the binaries need the platform, the targets and a server to run on. Every call to a target or the platform takes a fresh connection: aiosonic repeats dropped idempotent calls on reused ones and hands a connection with an answer still to come to the next call.

--- /dev/null
+++ b/mintlanding/core/http.py
@@ -0,0 +1,239 @@
+"""Serve an ASGI application on the running loop, without signal handlers."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Self, cast
+
+import uvicorn
+from starlette.types import ASGIApp, Receive, Scope, Send
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+TRANSPORT_KEY = 'mintlanding.transport'
+_POLL_SECONDS = 0.02
+_TOO_LARGE_STATUS = 431
+_TOO_LARGE_BODY = b'{"error":{"code":104,"message":"headers too large"}}'
+_TOO_LARGE_HEADERS = (
+    (b'content-type', b'application/json'),
+    (b'content-length', str(len(_TOO_LARGE_BODY)).encode()),
+    (b'connection', b'close'),
+)
+_TOO_LARGE_RAW = b''.join(
+    (
+        b'HTTP/1.1 431 Request Header Fields Too Large\r\n',
+        *(b'%b: %b\r\n' % header for header in _TOO_LARGE_HEADERS),
+        b'\r\n',
+        _TOO_LARGE_BODY,
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds of one server; `header_seconds` ends a caller that dawdles."""
+
+    header_bytes: int = 16384
+    header_seconds: float = 10
+    keep_alive_seconds: int = 75
+    backlog: int = 2048
+
+
+async def refuse_headers(scope: Scope, receive: Receive, send: Send) -> None:
+    """Answer 431, in the shape of all errors."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': _TOO_LARGE_STATUS,
+            'headers': _TOO_LARGE_HEADERS,
+        },
+    )
+    await send({'type': 'http.response.body', 'body': _TOO_LARGE_BODY})
+
+
+class LimitedProtocol(HttpToolsProtocol):
+    """Bound the size and the time of headers; mark answers while draining."""
+
+    limits = HttpLimits()
+    is_draining: Callable[[], bool] = bool
+
+    def connection_made(self, transport: Any) -> None:
+        """Expect headers within their time."""
+        self._header_bytes = 0
+        self._header_timer: asyncio.TimerHandle | None = None
+        self._in_headers = True
+        super().connection_made(transport)
+        self._arm_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the timer."""
+        self._disarm_header_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Count bytes that belong to headers."""
+        if self._in_headers:
+            self._header_bytes += len(data)
+            self._arm_header_timer()
+        super().data_received(data)
+        if self._in_headers and self._header_bytes > self.limits.header_bytes:
+            self.transport.write(_TOO_LARGE_RAW)
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        """Show the transport to the application."""
+        super().on_message_begin()
+        scope = cast(dict[str, Any], self.scope)
+        scope[TRANSPORT_KEY] = self.transport
+
+    def on_headers_complete(self) -> None:
+        """Start the application, or the refusal when headers are too large."""
+        size = len(self.url) + sum(len(k) + len(v) for k, v in self.headers)
+        self._in_headers = False
+        self._header_bytes = 0
+        self._disarm_header_timer()
+        served = self.app
+        if size > self.limits.header_bytes:
+            self.app = refuse_headers
+        super().on_headers_complete()
+        self.app = served
+        if self.is_draining():
+            self.cycle.keep_alive = False
+
+    def on_message_complete(self) -> None:
+        """Expect the headers of the next request."""
+        super().on_message_complete()
+        self._in_headers = True
+
+    def _arm_header_timer(self) -> None:
+        if self._header_timer is None:
+            self._header_timer = self.loop.call_later(
+                self.limits.header_seconds,
+                self._end_slow_caller,
+            )
+
+    def _disarm_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _end_slow_caller(self) -> None:
+        self._header_timer = None
+        if self._in_headers and (self._header_bytes or self.cycle is None):
+            self.transport.close()
+
+
+class HttpServer:
+    """Listen on an address until drained or stopped."""
+
+    def __init__(
+        self,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        limits: HttpLimits,
+    ) -> None:
+        """Take what to serve and where."""
+        self.host = host
+        self.port = port
+        self._draining = False
+        self._state = ServerState()
+        self._listener: asyncio.Server | None = None
+        self._config = uvicorn.Config(
+            app,
+            loop='asyncio',
+            http='httptools',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=limits.keep_alive_seconds,
+            backlog=limits.backlog,
+        )
+        self._protocol = type(
+            'BoundProtocol',
+            (LimitedProtocol,),
+            {'limits': limits, 'is_draining': lambda each: self._draining},
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        limits: HttpLimits | None = None,
+    ) -> Self:
+        """Serve `app` on `host:port`; port 0 takes a free one."""
+        return cls(app, host, port, limits or HttpLimits())
+
+    @property
+    def address(self) -> str:
+        """Return `host:port`."""
+        return f'{self.host}:{self.port}'
+
+    @property
+    def transports(self) -> list[asyncio.Transport]:
+        """List the transports of the open connections."""
+        return [each.transport for each in self._state.connections]
+
+    async def start(self) -> None:
+        """Listen; raise OSError when the address is taken."""
+        if not self._config.loaded:
+            self._config.load()
+        loop = asyncio.get_running_loop()
+        self._draining = False
+        self._listener = await loop.create_server(
+            self._make_protocol,
+            host=self.host,
+            port=self.port,
+            backlog=self._config.backlog,
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def drain(self, seconds: float, idle_seconds: float = 0) -> bool:
+        """Accept nothing more and let running requests end.
+
+        Requests that arrive on open connections within `idle_seconds` are
+        still handed to the application. Returns whether all ended in time.
+        """
+        self._draining = True
+        await asyncio.sleep(_POLL_SECONDS)
+        self._close_listener()
+        await asyncio.sleep(idle_seconds)
+        for connection in tuple(self._state.connections):
+            connection.shutdown()
+        return await self._wait_idle(seconds)
+
+    async def stop(self) -> None:
+        """Stop listening and cut what is still open."""
+        self._close_listener()
+        for transport in self.transports:
+            transport.abort()
+        for task in tuple(self._state.tasks):
+            task.cancel()
+        await asyncio.gather(*self._state.tasks, return_exceptions=True)
+
+    async def _wait_idle(self, seconds: float) -> bool:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while self._state.connections or self._state.tasks:
+            if loop.time() >= until:
+                return False
+            await asyncio.sleep(_POLL_SECONDS)
+        return True
+
+    def _close_listener(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        protocol: asyncio.Protocol = self._protocol(
+            config=self._config,
+            server_state=self._state,
+            app_state={},
+        )
+        return protocol
--- /dev/null
+++ b/mintlanding/core/http_client.py
@@ -0,0 +1,208 @@
+"""One HTTP call on one fresh connection, never repeated by the library.
+
+aiosonic sends a request again when a reused connection drops, and hands a
+connection whose call was cancelled to the next call, answer still to come. A
+fresh connection for each call excludes both, and a connection that has gone
+silent is never met again.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+from aiosonic import HTTPClient, Timeouts
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError
+from aiosonic.pools import WsPool
+
+from mintlanding.core.exceptions import MintlandingError
+
+MAX_BODY_BYTES = 8 << 20
+_BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+_NO_BODY_STATUSES = frozenset((204, 304))
+_LOST = (
+    AiosonicError,
+    OSError,
+    ValueError,
+    EOFError,
+    TimeoutError,
+    asyncio.LimitOverrunError,
+)
+
+Headers = list[tuple[str, str]]
+
+
+class CallNotSent(MintlandingError):
+    """No connection came about; the other side has seen nothing."""
+
+
+class CallLost(MintlandingError):
+    """No whole answer came; the other side may have acted."""
+
+
+class CallTimeout(CallLost):
+    """No answer came in time; the other side may have acted."""
+
+
+class AnswerInvalid(CallLost):
+    """The answer breaks HTTP or is too large."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request; times in seconds, `answer` until the headers came."""
+
+    method: str
+    url: str
+    headers: Headers = field(default_factory=list)
+    body: bytes = b''
+    connect: float = 1
+    answer: float = 30
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class _FreshConnection(Connection):  # type: ignore[misc]
+    def reuse(self, urlparsed: Any, verify: bool) -> bool:
+        return False
+
+    async def __aexit__(self, exc_type: Any, exc: Any, trace: Any) -> None:
+        self.keep = False
+        await super().__aexit__(exc_type, exc, trace)
+
+
+class _FreshConnector(TCPConnector):  # type: ignore[misc]
+    async def after_acquire(self, *args: Any) -> Any:
+        try:
+            return await super().after_acquire(*args)
+        except (AiosonicError, OSError) as exc:
+            raise CallNotSent(repr(exc)) from exc
+
+
+class OpenAnswer:
+    """An answer whose body is read piece by piece."""
+
+    def __init__(self, response: Any) -> None:
+        """Take the library's response."""
+        self.status: int = response.status_code
+        self.headers: Headers = list(response.raw_headers)
+        self._response = response
+        self._connection: Any = response._connection
+
+    def header(self, name: str) -> str:
+        """Return a header's value, empty when it is missing."""
+        found = self._response.headers.get(name, '')
+        return str(found)
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise CallLost when it breaks off."""
+        try:
+            async for piece in self._response.read_chunks():
+                yield piece
+        except _LOST as exc:
+            raise CallLost(repr(exc)) from exc
+
+    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
+        """Read the whole body."""
+        if not self._response._has_pending_body():
+            return bytes(self._response.body)
+        parts: list[bytes] = []
+        size = 0
+        async for piece in self.pieces():
+            size += len(piece)
+            if size > limit:
+                raise AnswerInvalid('the body is too large')
+            parts.append(piece)
+        return b''.join(parts)
+
+    def close(self) -> None:
+        """Cut the connection, also under a reader that waits."""
+        self._connection.keep = False
+        self._connection.close()
+
+
+class HttpClient:
+    """Call one or many servers; a call's connection is its own."""
+
+    def __init__(self, client: HTTPClient) -> None:
+        """Take the library's client."""
+        self._client = client
+
+    @classmethod
+    def from_config(cls) -> Self:
+        """Keep no connections and take no proxies from the environment."""
+        connector = _FreshConnector(
+            connection_cls=_FreshConnection,
+            pool_cls=WsPool,
+        )
+        return cls(HTTPClient(connector=connector, trust_env=False))
+
+    async def open(self, call: HttpCall) -> OpenAnswer:
+        """Send a call and return once its headers came.
+
+        Raises CallNotSent when nothing was sent, else CallLost.
+        """
+        timeouts = Timeouts(
+            sock_connect=call.connect,
+            sock_read=None,
+            request_timeout=None,
+        )
+        headers = list(call.headers)
+        if not call.body and call.method in _BODY_METHODS:
+            headers.append(('Content-Length', '0'))
+        try:
+            async with asyncio.timeout(call.answer):
+                response = await self._client.request(
+                    call.url,
+                    call.method,
+                    headers=headers,
+                    data=call.body or None,
+                    timeouts=timeouts,
+                    stream=True,
+                )
+        except TimeoutError as timeout_exc:
+            raise CallTimeout(f'no answer in {call.answer} s') from timeout_exc
+        except _LOST as exc:
+            raise CallLost(repr(exc)) from exc
+        return _checked(response)
+
+    async def call(self, call: HttpCall) -> HttpAnswer:
+        """Send a call and read the whole answer within `call.answer`."""
+        try:
+            async with asyncio.timeout(call.answer):
+                return await self._whole(call)
+        except TimeoutError as exc:
+            raise CallTimeout(f'no answer in {call.answer} s') from exc
+
+    async def close(self) -> None:
+        """Close what is open."""
+        await self._client.aclose()
+
+    async def _whole(self, call: HttpCall) -> HttpAnswer:
+        answer = await self.open(call)
+        try:
+            body = await answer.read()
+        finally:
+            answer.close()
+        return HttpAnswer(answer.status, answer.headers, body)
+
+
+def _checked(response: Any) -> OpenAnswer:
+    # aiosonic takes a body without length or chunks for an empty one.
+    bounded = (
+        response.status_code in _NO_BODY_STATUSES
+        or 'content-length' in response.headers
+        or response.chunked
+    )
+    if not bounded:
+        raise AnswerInvalid('the answer gives no length')
+    return OpenAnswer(response)
--- a/mintlanding/core/results.py
+++ b/mintlanding/core/results.py
@@ -51,9 +51,11 @@
     target_timeout = 406
     target_interrupted = 407
     outcome_unknown = 408
+    target_refused = 409
     idempotency_in_progress = 410
     idempotency_mismatch = 411
     idempotency_unavailable = 412
+    fencing_old = 413
     conflict = 420
     in_use = 421
     object_unknown = 422
@@ -141,6 +143,7 @@
         'The call may have run; do not repeat it blindly.',
         Ran.unknown,
     ),
+    _Code.target_refused: ResultRow(503, 'The target refused the call.'),
     _Code.idempotency_in_progress: ResultRow(
         409,
         'A request with this idempotency key is in progress.',
@@ -154,6 +157,10 @@
         503,
         'Idempotency keys cannot be recorded at present.',
     ),
+    _Code.fencing_old: ResultRow(
+        503,
+        'A newer steward gives the orders.',
+    ),
     _Code.conflict: ResultRow(409, 'The object has changed meanwhile.'),
     _Code.in_use: ResultRow(409, 'The object is in use.'),
     _Code.object_unknown: ResultRow(404, 'There is no such object.'),
--- /dev/null
+++ b/mintlanding/engines/models.py
@@ -0,0 +1,41 @@
+"""Requests to targets and their timeouts."""
+
+from dataclasses import dataclass, field
+
+from mintlanding.placement.messages import AdapterRef, Priority
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetTimeouts:
+    """Seconds to connect, to the first data, and between bytes."""
+
+    connect: float = 1
+    first: float = 30
+    silence: float = 5
+    order: float = 30
+    report: float = 2
+
+
+@dataclass(frozen=True, slots=True)
+class GenerateRequest:
+    """A generation; `body` is the caller's with `model` set to the ref."""
+
+    body: bytes
+    path: str
+    ref: AdapterRef
+    request_id: str
+    workspace: str = ''
+    priority: Priority = Priority.interactive
+    is_stream: bool = True
+    headers: Headers = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """The whole answer of a plain service."""
+
+    status: int
+    headers: Headers
+    body: bytes
--- /dev/null
+++ b/mintlanding/platform/http.py
@@ -0,0 +1,184 @@
+"""The platform over HTTP; docs/reference/platform-protocols.md."""
+
+from typing import Any, Self, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.http_client import (
+    CallLost,
+    CallNotSent,
+    HttpAnswer,
+    HttpCall,
+    HttpClient,
+)
+from mintlanding.core.results import Done, Outcome
+from mintlanding.platform.instances import InstanceRecord
+from mintlanding.platform.keyvalue import Entry, Listing, conflict, too_large
+
+ReplyT = TypeVar('ReplyT')
+
+_OK = 200
+_UNKNOWN = 404
+_CONFLICT = 409
+_TOO_LARGE = 413
+_CONNECT_SECONDS = 1
+
+
+class IndexReply(msgspec.Struct, frozen=True):
+    """The answer to a write."""
+
+    index: int
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """The answer to a new lease."""
+
+    lease: str
+
+
+class _HttpPlatform:
+    """Calls on one service; nothing is repeated."""
+
+    def __init__(self, client: HttpClient, url: str, timeout: float) -> None:
+        """Take the base URL and the seconds that a call may take."""
+        self._client = client
+        self._url = url.rstrip('/')
+        self._timeout = timeout
+
+    @classmethod
+    def from_config(cls, url: str, timeout: float) -> Self:
+        """Call the service at `url`."""
+        return cls(HttpClient.from_config(), url, timeout)
+
+    async def close(self) -> None:
+        """Close what is open."""
+        await self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        extra: float = 0,
+    ) -> HttpAnswer:
+        call = HttpCall(
+            method,
+            self._url + path,
+            body=body,
+            connect=min(_CONNECT_SECONDS, self._timeout),
+            answer=self._timeout + extra,
+        )
+        try:
+            return await self._client.call(call)
+        except (CallNotSent, CallLost) as exc:
+            raise PlatformUnavailable(f'{method} {path}: {exc}') from exc
+
+
+class HttpKeyValueService(_HttpPlatform):
+    """A key-value service over HTTP."""
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of a key."""
+        answer = await self._call('GET', _key_path(key))
+        if answer.status == _UNKNOWN:
+            return None
+        return _decode(answer, Entry)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all entries under a prefix."""
+        query = urlencode({'prefix': prefix})
+        return _decode(await self._call('GET', f'/kv?{query}'), Listing)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,  # noqa: WPS110
+        expected: int | None = None,
+        lease: str = '',
+    ) -> Outcome[int]:
+        """Write if the key is still at index `expected`; 0 only creates."""
+        path = _key_path(key, expected, lease)
+        answer = await self._call('PUT', path, value)
+        return _written(key, answer)
+
+    async def delete(
+        self,
+        key: str,
+        expected: int | None = None,
+    ) -> Outcome[int]:
+        """Delete if the key is still at index `expected`."""
+        answer = await self._call('DELETE', _key_path(key, expected))
+        return _written(key, answer)
+
+    async def wait(self, prefix: str, after: int, seconds: float) -> Listing:
+        """Return the listing once its index is above `after`, or in time."""
+        query = urlencode(
+            {'prefix': prefix, 'after': after, 'seconds': seconds},
+        )
+        answer = await self._call('GET', f'/kv?{query}', extra=seconds)
+        return _decode(answer, Listing)
+
+    async def grant_lease(self, seconds: float) -> str:
+        """Return the id of a new lease."""
+        query = urlencode({'seconds': seconds})
+        answer = await self._call('POST', f'/leases?{query}')
+        return _decode(answer, LeaseReply).lease
+
+    async def keep_lease(self, lease: str) -> bool:
+        """Renew a lease; false when it has ended."""
+        answer = await self._call('PUT', f'/leases/{quote(lease, safe="")}')
+        return _is_known(answer)
+
+    async def drop_lease(self, lease: str) -> bool:
+        """End a lease and delete its entries."""
+        path = f'/leases/{quote(lease, safe="")}'
+        return _is_known(await self._call('DELETE', path))
+
+
+class HttpInstanceList(_HttpPlatform):
+    """An instance list over HTTP."""
+
+    async def fetch(self) -> tuple[InstanceRecord, ...]:
+        """Return the listed instances; raise PlatformUnavailable."""
+        answer = await self._call('GET', '/instances')
+        return _decode(answer, tuple[InstanceRecord, ...])
+
+
+def _key_path(key: str, expected: int | None = None, lease: str = '') -> str:
+    fields: dict[str, Any] = {}
+    if expected is not None:
+        fields['expected'] = expected
+    if lease:
+        fields['lease'] = lease
+    query = f'?{urlencode(fields)}' if fields else ''
+    return f'/kv/{quote(key)}{query}'
+
+
+def _written(key: str, answer: HttpAnswer) -> Outcome[int]:
+    if answer.status == _CONFLICT:
+        return conflict(key)
+    if answer.status == _TOO_LARGE:
+        return too_large(key)
+    return Done(_decode(answer, IndexReply).index)
+
+
+def _is_known(answer: HttpAnswer) -> bool:
+    if answer.status == _UNKNOWN:
+        return False
+    _check_status(answer)
+    return True
+
+
+def _decode(answer: HttpAnswer, kind: type[ReplyT]) -> ReplyT:
+    _check_status(answer)
+    try:
+        return msgspec.msgpack.decode(answer.body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise PlatformUnavailable(f'garbled answer: {exc}') from exc
+
+
+def _check_status(answer: HttpAnswer) -> None:
+    if answer.status != _OK:
+        raise PlatformUnavailable(f'status {answer.status}')
--- /dev/null
+++ b/mintlanding/platform/memory.py
@@ -0,0 +1,154 @@
+"""The platform in process memory, with faults, for tests."""
+
+import asyncio
+from dataclasses import dataclass
+
+from mintlanding.core.clock import Clock, SystemClock
+from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.results import Outcome
+from mintlanding.platform.instances import InstanceRecord
+from mintlanding.platform.keyvalue import Entry, Listing
+from mintlanding.platform.store import KeyValueStore
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """What goes wrong; `lose_answers` counts writes that take effect."""
+
+    down: bool = False
+    slow_seconds: float = 0
+    lose_answers: int = 0
+
+
+class MemoryKeyValueService:
+    """A key-value service that lives in this process."""
+
+    def __init__(
+        self,
+        store: KeyValueStore | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        """Share `store` to give several clients one service."""
+        self.store = store or KeyValueStore()
+        self.faults = PlatformFaults()
+        self.calls = 0
+        self._clock = clock or SystemClock()
+        self._changed = asyncio.Event()
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of a key."""
+        await self._enter()
+        return self.store.get(key, self._now())
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all entries under a prefix."""
+        await self._enter()
+        return self.store.list(prefix, self._now())
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,  # noqa: WPS110
+        expected: int | None = None,
+        lease: str = '',
+    ) -> Outcome[int]:
+        """Write if the key is still at index `expected`; 0 only creates."""
+        await self._enter()
+        entry = Entry(key, value, 0)
+        outcome = self.store.put(entry, expected, lease, self._now())
+        self._leave_write()
+        return outcome
+
+    async def delete(
+        self,
+        key: str,
+        expected: int | None = None,
+    ) -> Outcome[int]:
+        """Delete if the key is still at index `expected`."""
+        await self._enter()
+        outcome = self.store.delete(key, expected, self._now())
+        self._leave_write()
+        return outcome
+
+    async def wait(self, prefix: str, after: int, seconds: float) -> Listing:
+        """Return the listing once its index is above `after`, or in time."""
+        await self._enter()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wait_change(prefix, after)
+        except TimeoutError:
+            self._check_up()
+        return self.store.list(prefix, self._now())
+
+    async def grant_lease(self, seconds: float) -> str:
+        """Return the id of a new lease."""
+        await self._enter()
+        lease = self.store.grant_lease(seconds, self._now())
+        self._leave_write()
+        return lease
+
+    async def keep_lease(self, lease: str) -> bool:
+        """Renew a lease; false when it has ended."""
+        await self._enter()
+        kept = self.store.keep_lease(lease, self._now())
+        self._leave_write()
+        return kept
+
+    async def drop_lease(self, lease: str) -> bool:
+        """End a lease and delete its entries."""
+        await self._enter()
+        dropped = self.store.drop_lease(lease, self._now())
+        self._leave_write()
+        return dropped
+
+    def wake(self) -> None:
+        """Let waiting calls look again, after a fault or time has moved."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _enter(self) -> None:
+        self.calls += 1
+        if self.faults.slow_seconds:
+            await asyncio.sleep(self.faults.slow_seconds)
+        self._check_up()
+
+    async def _wait_change(self, prefix: str, after: int) -> None:
+        while not self.store.changed(prefix, after, self._now()):
+            changed = self._changed
+            expiry = self.store.next_expiry()
+            left = None if expiry is None else max(0, expiry - self._now())
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                self.store.expire(self._now())
+            self._check_up()
+
+    def _leave_write(self) -> None:
+        self.wake()
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise PlatformUnavailable('the answer was lost')
+
+    def _check_up(self) -> None:
+        if self.faults.down:
+            raise PlatformUnavailable('the service is down')
+
+    def _now(self) -> float:
+        return self._clock.monotonic()
+
+
+class MemoryInstanceList:
+    """An instance list that lives in this process."""
+
+    def __init__(self, records: tuple[InstanceRecord, ...] = ()) -> None:
+        """Start with these instances."""
+        self.records = records
+        self.faults = PlatformFaults()
+
+    async def fetch(self) -> tuple[InstanceRecord, ...]:
+        """Return the instances that the platform lists."""
+        if self.faults.slow_seconds:
+            await asyncio.sleep(self.faults.slow_seconds)
+        if self.faults.down:
+            raise PlatformUnavailable('the instance list is down')
+        return self.records
--- /dev/null
+++ b/mintlanding/standin/__main__.py
@@ -0,0 +1,59 @@
+"""Command that runs one stand-in."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+import yaml
+from pydantic import ValidationError
+
+from mintlanding.core.application import Application, run_application
+from mintlanding.standin import (  # noqa: F401
+    engine,
+    instances,
+    keyvalue,
+    plain,
+    weight_store,
+)
+from mintlanding.standin.base import KINDS
+from mintlanding.standin.settings import StandinSettings
+
+_EXIT_SETTINGS = 2
+
+
+def build_application(settings: StandinSettings) -> Application:
+    """Build the application that owns the stand-in."""
+    standin = KINDS.get(settings.kind)(settings)
+    application = Application('standin')
+    application.on_start(standin.start)
+    application.on_stop(standin.stop)
+    return application
+
+
+def serve(settings: str = '', **options: Any) -> None:
+    """Run a stand-in with options such as --kind engine --port 9001.
+
+    Args:
+        settings: A YAML file with the same fields; options go before it.
+        options: Fields of the settings.
+    """
+    fields: dict[str, Any] = {}
+    if settings:
+        fields.update(yaml.safe_load(Path(settings).read_text()) or {})
+    fields.update(options)
+    try:
+        checked = StandinSettings.model_validate(fields)
+    except ValidationError as exc:
+        sys.stderr.write(f'{exc}\n')
+        sys.exit(_EXIT_SETTINGS)
+    run_application(lambda: build_application(checked))
+
+
+def main() -> None:
+    """Run the command."""
+    fire.Fire(serve, name='mintlanding-standin')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/mintlanding/standin/answers.py
@@ -0,0 +1,102 @@
+"""Bodies that an engine stand-in sends."""
+
+from typing import Any
+
+import msgspec
+from starlette.responses import Response
+
+from mintlanding.standin.base import reply
+from mintlanding.standin.engine_model import Run
+from mintlanding.standin.faults import Faults
+
+GARBAGE = b'\x00\xffnot what was promised\n\n'
+
+
+def error_reply(
+    status: int,
+    code: str,
+    message: str,
+    ran: bool = False,
+) -> Response:
+    """Answer with a refusal."""
+    detail = {'code': code, 'message': message, 'ran': ran}
+    return reply({'error': detail}, status)
+
+
+def token_text(run: Run, number: int) -> str:
+    """Return the text of a token, which names its request."""
+    return f'{run.request_id}:{number} '
+
+
+def model_name(run: Run, faults: Faults) -> str:
+    """Return the adapter's name that the answer shows."""
+    return faults.wrong_adapter or run.adapter
+
+
+def whole_answer(run: Run, faults: Faults) -> Response:
+    """Answer with all tokens at once."""
+    if faults.garbage:
+        return Response(GARBAGE, headers={'x-request-id': run.request_id})
+    text = ''.join(token_text(run, number) for number in range(run.total))
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'length'}
+    if run.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    body = {
+        'id': run.request_id,
+        'object': 'chat.completion' if run.chat else 'text_completion',
+        'created': 0,
+        'model': model_name(run, faults),
+        'choices': [choice],
+        'usage': usage(run),
+    }
+    response = reply(body)
+    response.headers['x-request-id'] = run.request_id
+    return response
+
+
+def usage(run: Run) -> dict[str, int]:
+    """Count tokens as OpenAI-style answers do."""
+    return {
+        'prompt_tokens': 1,
+        'completion_tokens': run.done,
+        'total_tokens': run.done + 1,
+    }
+
+
+class ChunkWriter:
+    """Write the events of one stream."""
+
+    def __init__(self, run: Run, faults: Faults) -> None:
+        """Take the run that the events belong to."""
+        self._run = run
+        self._faults = faults
+        kind = 'chat.completion.chunk' if run.chat else 'text_completion'
+        self._head = {
+            'id': run.request_id,
+            'object': kind,
+            'created': 0,
+        }
+
+    def write(self, number: int) -> bytes:
+        """Return the event of one token; its id is the offset after it."""
+        text = token_text(self._run, number)
+        is_last = number + 1 == self._run.total
+        choice: dict[str, Any] = {
+            'index': 0,
+            'finish_reason': 'length' if is_last else None,
+        }
+        if self._run.chat:
+            choice['delta'] = {'content': text}
+        else:
+            choice['text'] = text
+        body: dict[str, Any] = {
+            **self._head,
+            'model': model_name(self._run, self._faults),
+            'choices': [choice],
+        }
+        if is_last:
+            body['usage'] = usage(self._run)
+        encoded = msgspec.json.encode(body)
+        return b'id: %d\ndata: %b\n\n' % (number + 1, encoded)
--- /dev/null
+++ b/mintlanding/standin/streams.py
@@ -0,0 +1,50 @@
+"""The event stream of one run, from an offset on."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from mintlanding.standin.answers import GARBAGE, ChunkWriter
+from mintlanding.standin.engine_model import Run
+from mintlanding.standin.faults import Faults
+
+_PING = b': ping\n\n'
+_END = b'data: [DONE]\n\n'
+
+
+async def stream_events(
+    run: Run,
+    offset: int,
+    faults: Faults,
+    ping_seconds: float,
+) -> AsyncIterator[bytes]:
+    """Yield events as tokens come, pings meanwhile, and the end.
+
+    A cancelled run's stream ends without its end marker.
+    """
+    if faults.garbage:
+        yield GARBAGE
+        return
+    writer = ChunkWriter(run, faults)
+    sent = offset
+    while sent < run.total and not run.cancelled:
+        if sent >= run.done:
+            if not await _changed(run, ping_seconds):
+                yield _PING
+            continue
+        ready = range(sent, run.done)
+        sent = run.done
+        yield b''.join(writer.write(number) for number in ready)
+    if run.cancelled and sent < run.total:
+        return
+    yield _END
+    if faults.answer_twice:
+        yield b''.join(writer.write(number) for number in range(run.total))
+        yield _END
+
+
+async def _changed(run: Run, seconds: float) -> bool:
+    try:
+        await asyncio.wait_for(run.changed.wait(), seconds)
+    except TimeoutError:
+        return False
+    return True
