--- a/mintlanding/entry/bodies.py
+++ b/mintlanding/entry/bodies.py
@@ -3,6 +3,7 @@
 from typing import Any, Self
 
 import msgspec
+import xxhash
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
@@ -74,6 +75,13 @@
             return Priority.batch
         return Priority.interactive
 
+    @property
+    def prefix_hash(self) -> int:
+        """Return a hash of the prompt's start, for prefix caches."""
+        start = self.document.get('messages') or self.document.get('prompt')
+        text = msgspec.json.encode(start)[:PREFIX_BYTES]
+        return xxhash.xxh64_intdigest(text)
+
     def encode_for(self, model: str) -> bytes:
         """Encode the body for an engine, which knows the adapter as `model`."""
         return msgspec.json.encode(
--- /dev/null
+++ b/mintlanding/entry/completions.py
@@ -0,0 +1,225 @@
+"""Completions: authenticate, select, charge, dispatch, relay, settle."""
+
+import random
+from dataclasses import dataclass
+
+from mintlanding.agent.messages import SettleRequest, TokenRequest
+from mintlanding.conf.models import EntrySettings
+from mintlanding.configuration.models import Key, Workspace
+from mintlanding.configuration.selectors import Resolution
+from mintlanding.core.clock import Clock
+from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.engines.models import GenerateRequest
+from mintlanding.engines.stream import EngineStream, StreamBroken
+from mintlanding.entry.background import Background
+from mintlanding.entry.bodies import Completion
+from mintlanding.entry.control import ControlClient
+from mintlanding.entry.dispatch import Dispatcher, Job
+from mintlanding.entry.endpoint import Endpoint, EndpointParts
+from mintlanding.entry.exchange import Exchange
+from mintlanding.entry.generation import Generation
+from mintlanding.entry.targets import pool_of
+from mintlanding.entry.usage import Usage
+from mintlanding.entry.view import EntryView
+from mintlanding.placement.messages import ReserveRequest
+
+STREAM_HEADERS = {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-cache',
+}
+STALE_HEADER = 'x-mintlanding-stale-seconds'
+STALE_AFTER_SECONDS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """A request that has passed all checks and is not charged yet."""
+
+    key: Key
+    workspace: Workspace
+    completion: Completion
+    resolution: Resolution
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionParts:
+    """What the endpoint works with."""
+
+    view: EntryView
+    control: ControlClient
+    dispatcher: Dispatcher
+    background: Background
+    clock: Clock
+    instance: str
+    cfg: EntrySettings
+
+
+class CompletionEndpoint(Endpoint):
+    """`POST /v1/completions` and `POST /v1/chat/completions`."""
+
+    def __init__(self, shared: EndpointParts, parts: CompletionParts) -> None:
+        """Take what all endpoints share and what completions need."""
+        super().__init__(shared)
+        self.parts = parts
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one completion."""
+        prepared = await self._prepare(exchange)
+        if isinstance(prepared, Failed):
+            await self.fail(exchange, prepared)
+            return
+        await self.run_tracked(
+            exchange,
+            prepared.value.key.name,
+            lambda: self._run(exchange, prepared.value),
+        )
+
+    async def _prepare(self, exchange: Exchange) -> Outcome[Prepared]:
+        first = self.authenticator.authenticate(exchange)
+        if isinstance(first, Failed):
+            return first
+        cfg = self.parts.cfg
+        body = await exchange.read_body(cfg.max_body_bytes, cfg.body_timeout)
+        if isinstance(body, Failed):
+            return body
+        completion = Completion.from_body(
+            body.value,
+            exchange.headers.get('content-type', ''),
+        )
+        if isinstance(completion, Failed):
+            return completion
+        # The key may have been withdrawn while the body arrived.
+        key = self.authenticator.authenticate(exchange)
+        if isinstance(key, Failed):
+            return key
+        return self._resolve(key.value, completion.value)
+
+    def _resolve(self, key: Key, completion: Completion) -> Outcome[Prepared]:
+        view = self.parts.view
+        workspace = view.directory.workspace(key.workspace)
+        if workspace is None:
+            return Failed.of(ResultCode.workspace_forbidden)
+        resolution = view.resolver.resolve(
+            completion.body.model,
+            key.workspace,
+            completion.body.user or key.name,
+            random.Random(),  # noqa: S311
+        )
+        if isinstance(resolution, Failed):
+            return resolution
+        return Done(Prepared(key, workspace, completion, resolution.value))
+
+    async def _run(self, exchange: Exchange, prepared: Prepared) -> None:
+        request_id = exchange.request_id
+        reserved = prepared.completion.total_tokens
+        usage = Usage(prepared.completion.input_tokens)
+        req = TokenRequest(request_id, prepared.workspace.name, reserved)
+        try:
+            tokens = await self.parts.control.reserve_tokens(req)
+            if isinstance(tokens, Failed):
+                await self.fail(exchange, tokens)
+                return
+            await self._dispatch(exchange, prepared, usage)
+        finally:
+            settle = SettleRequest(
+                request_id,
+                prepared.workspace.name,
+                reserved,
+                usage.total,
+            )
+            self.parts.background.spawn(
+                self.parts.control.settle_tokens(settle),
+            )
+
+    async def _dispatch(
+        self,
+        exchange: Exchange,
+        prepared: Prepared,
+        usage: Usage,
+    ) -> None:
+        started_at = self.parts.clock.monotonic()
+        started = await self.parts.dispatcher.start(
+            self._job(exchange, prepared),
+        )
+        if isinstance(started, Failed):
+            usage.note_failure(started)
+            await self.fail(exchange, started)
+            return
+        generation = started.value
+        waited = self.parts.clock.monotonic() - started_at
+        self.metrics.timing('entry.first_token', waited)
+        self.metrics.timing('entry.load_stall', generation.stalled)
+        try:
+            await self._relay(exchange, generation, usage)
+        finally:
+            usage.note_answer(generation)
+            self.parts.dispatcher.finish(generation, usage.total)
+
+    async def _relay(
+        self,
+        exchange: Exchange,
+        generation: Generation,
+        usage: Usage,
+    ) -> None:
+        usage.has_run = True
+        answer = generation.answer
+        is_stream = isinstance(answer, EngineStream)
+        headers = STREAM_HEADERS if is_stream else _JSON_HEADERS
+        await exchange.start(answer.status, {**headers, **self._marks()})
+        try:
+            async for chunk in generation.chunks():
+                await exchange.send_chunk(chunk)
+        except StreamBroken as exc:
+            failure = Failed(
+                ResultCode.target_interrupted,
+                str(exc),
+                Ran.ran,
+            )
+            await self.fail(exchange, failure)
+            return
+        await exchange.finish()
+        self.metrics.count('entry.results.ok')
+
+    def _marks(self) -> dict[str, str]:
+        stale = self.parts.view.stale_seconds
+        if stale < STALE_AFTER_SECONDS:
+            return {}
+        return {STALE_HEADER: f'{stale:.0f}'}
+
+    def _job(self, exchange: Exchange, prepared: Prepared) -> Job:
+        completion = prepared.completion
+        resolution = prepared.resolution
+        body = completion.encode_for(str(resolution.ref))
+        generate = GenerateRequest(
+            body=body,
+            path=exchange.path,
+            ref=resolution.ref,
+            request_id=exchange.request_id,
+            workspace=prepared.workspace.name,
+            priority=completion.priority,
+            is_stream=completion.body.stream,
+        )
+        reserve = ReserveRequest(
+            reservation_id=exchange.request_id,
+            worker='',
+            workspace=prepared.workspace.name,
+            ref=resolution.ref,
+            tokens=completion.total_tokens,
+            weight=prepared.workspace.weight,
+            priority=completion.priority,
+            wait=self.parts.cfg.queue_timeout,
+            prefix=completion.prefix_hash,
+            entry=self.parts.instance,
+        )
+        service = self.parts.view.directory.service(resolution.service)
+        deadline = self.parts.clock.monotonic() + self.parts.cfg.queue_timeout
+        return Job(
+            generate,
+            reserve,
+            pool_of(resolution, completion.body.model),
+            deadline,
+            is_repeatable=bool(service and service.repeatable),
+        )
+
+
+_JSON_HEADERS = {'content-type': 'application/json'}
--- a/mintlanding/entry/exchange.py
+++ b/mintlanding/entry/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import uuid
 from collections.abc import Mapping
 from typing import Any
 
@@ -12,7 +13,7 @@
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
 
 JSON_TYPE = 'application/json'
-HeaderPairs = list[tuple[bytes, bytes]]
+REQUEST_ID_HEADER = 'x-request-id'
 
 
 class CallerVanishedError(Exception):
@@ -29,7 +30,8 @@
         self.query: str = scope['query_string'].decode('latin-1')
         self.headers = Headers(scope=scope)
         self.path_params: Mapping[str, Any] = scope.get('path_params', {})
-        self.extra_headers: dict[str, str] = {}
+        self.request_id = uuid.uuid4().hex
+        self.extra_headers = {REQUEST_ID_HEADER: self.request_id}
         self.is_started = False
         self._receive = receive
         self._send = send
