Add routing: workers, plain targets, circuits and retries

The entry needs one choice per request that obeys leaving, silent and excluded targets, and a rule for what may be tried again. Workers are ranked by the placement package over the whole region, because a load stalls longer than a zone is away; among holders the own zone goes first. Hedging was ruled out: it doubles work on scarce slots.

A first count of requests since the last report never fell for targets that do not report, which made them look full; test_target_that_never_reports_is_not_taken_for_full failed on it.

--- /dev/null
+++ b/mintlanding/routing/circuit.py
@@ -0,0 +1,89 @@
+"""Whether a target that has failed may be used again."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class CircuitState(StrEnum):
+    """Closed: in use. Open: avoided. Half-open: one probe decides."""
+
+    closed = 'closed'
+    open = 'open'
+    half_open = 'half_open'
+
+
+@dataclass(frozen=True, slots=True)
+class CircuitTerms:
+    """Failures in a row that open a circuit; its pauses in seconds."""
+
+    failures: int = 3
+    first_pause: float = 0.5
+    longest_pause: float = 15
+
+
+@dataclass(slots=True)
+class Circuit:
+    """The circuit of one target."""
+
+    failures: int = 0
+    pause: float = 0
+    open_until: float = 0
+    is_probing: bool = False
+
+    def state(self, terms: CircuitTerms, now: float) -> CircuitState:
+        """Return the state at `now`."""
+        if self.failures < terms.failures:
+            return CircuitState.closed
+        if self.is_probing or now < self.open_until:
+            return CircuitState.open
+        return CircuitState.half_open
+
+
+class Circuits:
+    """The circuits of all targets; one that never failed costs nothing."""
+
+    def __init__(self, terms: CircuitTerms) -> None:
+        """Begin with all circuits closed."""
+        self._terms = terms
+        self._circuits: dict[str, Circuit] = {}
+
+    def state(self, target: str, now: float) -> CircuitState:
+        """Return the state of a target's circuit."""
+        circuit = self._circuits.get(target)
+        if circuit is None:
+            return CircuitState.closed
+        return circuit.state(self._terms, now)
+
+    def succeeded(self, target: str) -> None:
+        """Close the circuit."""
+        self._circuits.pop(target, None)
+
+    def failed(self, target: str, now: float, rnd: random.Random) -> None:
+        """Count a failure; the pause doubles with each one after opening."""
+        circuit = self._circuits.setdefault(target, Circuit())
+        circuit.failures += 1
+        circuit.is_probing = False
+        if circuit.failures < self._terms.failures:
+            return
+        doubled = max(self._terms.first_pause, circuit.pause * 2)
+        circuit.pause = min(doubled, self._terms.longest_pause)
+        circuit.open_until = now + circuit.pause * rnd.uniform(0.5, 1)
+
+    def probes(self, now: float) -> list[str]:
+        """Return the targets to probe now; each answer must be reported."""
+        due = [
+            target
+            for target, circuit in self._circuits.items()
+            if circuit.state(self._terms, now) == CircuitState.half_open
+        ]
+        for target in due:
+            self._circuits[target].is_probing = True
+        return due
+
+    def keep(self, targets: Iterable[str]) -> None:
+        """Forget the targets that are no longer configured."""
+        kept = set(targets)
+        for target in set(self._circuits) - kept:
+            self._circuits.pop(target)
--- /dev/null
+++ b/mintlanding/routing/models.py
@@ -0,0 +1,100 @@
+"""Requests as routing sees them, choices, and the terms of both."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+
+from mintlanding.placement.messages import AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTerms:
+    """Bounds of the choice of a target; times in seconds.
+
+    A holder of the adapter in the own zone is preferred while its load is at
+    most `zone_slack` of its batch limit above the best holder's. A plain
+    target is over its bound at `plain_bound` requests in flight from here.
+    """
+
+    zone_slack: float = 0.15
+    plain_bound: int = 32
+    come_back: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """A request for an adapter on one of a pool of workers."""
+
+    ref: AdapterRef
+    pool: str
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRoute:
+    """A worker and where to ask for a reservation on it."""
+
+    worker: str
+    steward: str
+    steward_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A request for a plain service."""
+
+    service: str
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class PlainTarget:
+    """A target of a plain service as the configuration has it."""
+
+    name: str
+    service: str
+    zone: str
+    url: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRoute:
+    """A plain target and where it listens."""
+
+    target: str
+    url: str
+
+
+class Progress(IntEnum):
+    """How far an attempt has got; later steps have higher numbers.
+
+    `not_sent`: no byte of the request has left. `refused`: the target or its
+    steward says that it did not run the request. `sent`: it may have run.
+    `answering`: a part of the answer has gone to the caller.
+    """
+
+    not_sent = 0
+    refused = 1
+    sent = 2
+    answering = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """A failed attempt at a request."""
+
+    progress: Progress
+    is_idempotent: bool
+    tries: int
+    deadline: float
+    retry_after: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """Try another target after `seconds`."""
+
+    seconds: float
+
+
+Pools = Mapping[str, frozenset[str]]
--- /dev/null
+++ b/mintlanding/routing/tests/test_plain.py
@@ -0,0 +1,120 @@
+"""Which target a plain call goes to; every policy keeps the contract."""
+
+import random
+
+import pytest
+
+from mintlanding.core.results import Done, Failed, Ran
+from mintlanding.routing.models import (
+    PlainRequest,
+    PlainTarget,
+    RoutingTerms,
+)
+from mintlanding.routing.plain import PLAIN_CHOICES, PlainRouter
+
+
+def make_router(policy='two-choices', count=6, **terms):
+    router = PlainRouter.from_config('z0', RoutingTerms(**terms), policy)
+    router.set_targets(make_targets(count))
+    return router
+
+
+def make_targets(count):
+    return [
+        PlainTarget(f't{each}', 'orders', f'z{each % 3}', f'http://t{each}')
+        for each in range(count)
+    ]
+
+
+def choose(router, seed=1, excluded=()):
+    req = PlainRequest('orders', frozenset(excluded))
+    return router.choose(req, 0, random.Random(seed))
+
+
+def chosen(router, excluded=()):
+    found = [choose(router, seed, excluded) for seed in range(30)]
+    assert all(isinstance(each, Done) for each in found)
+    return {each.value.target for each in found}
+
+
+@pytest.mark.parametrize('policy', PLAIN_CHOICES.names())
+def test_own_zone_goes_first(policy):
+    assert chosen(make_router(policy)) == {'t0', 't3'}
+
+
+@pytest.mark.parametrize('policy', PLAIN_CHOICES.names())
+def test_leaving_and_excluded_targets_get_nothing(policy):
+    router = make_router(policy, count=4)
+    router.set_leaving('t0', is_leaving=True)
+    assert chosen(router) == {'t3'}
+    assert chosen(router, excluded=('t3',)) <= {'t1', 't2'}
+    router.set_leaving('t0', is_leaving=False)
+    assert 't0' in chosen(router, excluded=('t3',))
+
+
+@pytest.mark.parametrize('policy', PLAIN_CHOICES.names())
+def test_own_zone_over_its_bound_overflows(policy):
+    router = make_router(policy, count=3, plain_bound=2)
+    router.started('t0')
+    router.started('t0')
+    assert chosen(router) - {'t0'}
+    router.ended('t0')
+    assert chosen(router) == {'t0'}
+
+
+def test_only_target_is_used_beyond_its_bound():
+    router = make_router(count=1, plain_bound=1)
+    router.started('t0')
+    assert chosen(router) == {'t0'}
+
+
+def test_lagging_report_is_corrected_by_own_requests():
+    router = make_router('least-loaded', count=4)
+    router.report('t0', 2)
+    router.report('t3', 3)
+    assert chosen(router) == {'t0'}
+    router.started('t0')
+    router.started('t0')
+    assert chosen(router) == {'t3'}
+    router.ended('t0')
+    router.ended('t0')
+    assert chosen(router) == {'t0'}
+
+
+def test_target_that_never_reports_is_not_taken_for_full():
+    router = make_router(count=3, plain_bound=2)
+    for _ in range(9):
+        router.started('t0')
+        router.ended('t0')
+    assert chosen(router) == {'t0'}
+
+
+def test_two_choices_avoid_the_most_loaded():
+    router = make_router('two-choices', count=9)
+    router.report('t0', 9)
+    assert chosen(router) == {'t3', 't6'}
+
+
+def test_failing_target_is_avoided():
+    router = make_router(count=4)
+    for _ in range(3):
+        router.circuits.failed('t0', 0, random.Random(1))
+    assert chosen(router) == {'t3'}
+
+
+def test_nothing_usable_is_not_run_with_a_time_to_come_back():
+    outcome = choose(make_router(count=0))
+    assert isinstance(outcome, Failed)
+    assert outcome.ran == Ran.not_run
+    assert outcome.retry_after > 0
+
+
+def test_loads_and_leaving_end_with_a_removed_target():
+    router = make_router(count=1)
+    router.set_leaving('t0', is_leaving=True)
+    router.set_targets([])
+    router.started('t0')
+    router.report('t0', 4)
+    router.ended('t0')
+    router.set_targets(make_targets(1))
+    assert chosen(router) == {'t0'}
--- /dev/null
+++ b/mintlanding/routing/tests/test_retries.py
@@ -0,0 +1,114 @@
+"""What may be tried again, and that retries stay within their budget."""
+
+import random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mintlanding.core.results import Failed, Ran, ResultCode
+from mintlanding.routing.models import Attempt, Progress, RetryAfter
+from mintlanding.routing.retries import RetryPolicy, RetryTerms
+
+UNREACHABLE = Failed.of(ResultCode.target_unreachable)
+TIMEOUT = Failed.of(ResultCode.target_timeout)
+INTERRUPTED = Failed.of(ResultCode.target_interrupted)
+
+
+def decide(progress, is_idempotent, failure=UNREACHABLE, **fields):
+    values = {'tries': 1, 'deadline': 10.0, **fields}
+    attempt = Attempt(progress, is_idempotent, **values)
+    policy = RetryPolicy(RetryTerms())
+    return policy.decide(attempt, failure, 0, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ('progress', 'is_idempotent', 'repeated'),
+    [
+        (Progress.not_sent, True, True),
+        (Progress.not_sent, False, True),
+        (Progress.refused, True, True),
+        (Progress.refused, False, True),
+        (Progress.sent, True, True),
+        (Progress.sent, False, False),
+        (Progress.answering, True, False),
+        (Progress.answering, False, False),
+    ],
+)
+def test_only_harmless_repeats_are_made(progress, is_idempotent, repeated):
+    decision = decide(progress, is_idempotent)
+    assert isinstance(decision, RetryAfter) is repeated
+
+
+@pytest.mark.parametrize(
+    ('progress', 'is_idempotent', 'failure', 'code', 'ran'),
+    [
+        (Progress.not_sent, False, UNREACHABLE, 402 + 1, Ran.not_run),
+        (Progress.not_sent, False, TIMEOUT, 406, Ran.not_run),
+        (Progress.refused, False, TIMEOUT, 406, Ran.not_run),
+        (Progress.sent, False, UNREACHABLE, 408, Ran.unknown),
+        (Progress.sent, False, TIMEOUT, 406, Ran.unknown),
+        (Progress.sent, True, UNREACHABLE, 403, Ran.unknown),
+        (Progress.answering, True, INTERRUPTED, 407, Ran.ran),
+        (Progress.answering, False, UNREACHABLE, 403, Ran.unknown),
+    ],
+)
+def test_final_answer_says_what_is_true(
+    progress, is_idempotent, failure, code, ran
+):
+    final = decide(progress, is_idempotent, failure, tries=3)
+    assert (final.code, final.ran) == (code, ran)
+
+
+def test_no_retry_after_the_deadline():
+    final = decide(Progress.not_sent, True, deadline=1.0, retry_after=2.0)
+    assert isinstance(final, Failed)
+
+
+def test_retry_waits_as_long_as_the_target_asks():
+    decision = decide(Progress.refused, True, retry_after=2.0)
+    assert decision.seconds >= 2
+
+
+class RetryMachine(RuleBasedStateMachine):
+    """Requests fail at any step; an oracle counts what could have run."""
+
+    def __init__(self):
+        super().__init__()
+        self.terms = RetryTerms()
+        self.policy = RetryPolicy(self.terms)
+        self.rnd = random.Random(1)
+        self.first_tries = 0
+        self.retries = 0
+
+    @rule(
+        is_idempotent=st.booleans(),
+        steps=st.lists(st.sampled_from(Progress), min_size=1, max_size=6),
+        failure=st.sampled_from((UNREACHABLE, TIMEOUT, INTERRUPTED)),
+    )
+    def run_request(self, is_idempotent, steps, failure):
+        self.policy.budget.note_first_try()
+        self.first_tries += 1
+        may_have_run = 0
+        for tries, progress in enumerate(steps, start=1):
+            may_have_run += progress >= Progress.sent
+            attempt = Attempt(progress, is_idempotent, tries, 1e9)
+            decision = self.policy.decide(attempt, failure, 0, self.rnd)
+            if isinstance(decision, Failed):
+                break
+            self.retries += 1
+            if progress >= Progress.sent:
+                assert is_idempotent
+        if not is_idempotent:
+            assert may_have_run <= 1
+        if isinstance(decision, Failed) and decision.ran == Ran.not_run:
+            assert steps[tries - 1] < Progress.sent
+
+    @invariant()
+    def retries_stay_within_the_budget(self):
+        allowed = self.terms.budget_burst
+        allowed += self.terms.budget_ratio * self.first_tries
+        assert self.retries <= allowed + 1e-6
+
+
+TestRetries = RetryMachine.TestCase
--- /dev/null
+++ b/mintlanding/routing/tests/test_workers.py
@@ -0,0 +1,149 @@
+"""Which worker a request for an adapter goes to."""
+
+import random
+
+import msgspec
+import pytest
+
+from mintlanding.core.results import Done, Failed, Ran, ResultCode
+from mintlanding.membership.models import Member, MemberState
+from mintlanding.placement.messages import AdapterRef, WorkerDigest
+from mintlanding.placement.popularity import DecayedPopularity
+from mintlanding.routing.models import EngineRequest
+from mintlanding.routing.workers import WorkerRouter
+
+REF = AdapterRef('a', '1')
+
+
+def make_digest(number, **fields):
+    base = WorkerDigest(
+        worker=f'w{number}',
+        zone=f'z{number % 3}',
+        steward=f'i{number}',
+        steward_address=f'10.0.0.{number}:7000',
+        fencing=1,
+        sequence=1,
+        slots=4,
+        batch_limit=8,
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def make_router(*digests, zone='z0', policy='placed'):
+    router = WorkerRouter.from_config(zone, policy=policy)
+    router.set_pools({'planner': frozenset(each.worker for each in digests)})
+    for digest in digests:
+        router.put_digest(digest)
+    return router
+
+
+def choose(router, now=0.0, **fields):
+    popularity = DecayedPopularity.from_config()
+    req = EngineRequest(REF, **{'pool': 'planner', **fields})
+    return router.choose(req, popularity, now, random.Random(1))
+
+
+def worker_of(outcome):
+    assert isinstance(outcome, Done)
+    return outcome.value.worker
+
+
+def steward(name, state):
+    return Member(name, 'z0', 'r0', '10.0.0.1:7000', 1, state)
+
+
+def test_holder_in_another_zone_beats_a_load_in_the_own_one():
+    far = make_digest(1, resident=(REF,))
+    router = make_router(make_digest(0), far, make_digest(3))
+    outcome = choose(router)
+    assert worker_of(outcome) == 'w1'
+    assert outcome.value.steward_address == far.steward_address
+
+
+def test_holder_in_the_own_zone_beats_one_elsewhere():
+    holders = [make_digest(each, resident=(REF,)) for each in range(3)]
+    for zone in range(3):
+        router = make_router(*holders, zone=f'z{zone}')
+        assert worker_of(choose(router)) == f'w{zone}'
+
+
+def test_busy_holder_in_the_own_zone_gives_way():
+    near = make_digest(0, resident=(REF,), running=5)
+    router = make_router(near, make_digest(1, resident=(REF,), running=1))
+    assert worker_of(choose(router)) == 'w1'
+
+
+@pytest.mark.parametrize('fields', [{'leaving': True}, {'silent': True}])
+def test_unusable_worker_gets_no_new_work(fields):
+    holder = make_digest(0, resident=(REF,))
+    router = make_router(holder, make_digest(1))
+    assert worker_of(choose(router)) == 'w0'
+    router.put_digest(make_digest(0, sequence=2, **fields))
+    assert worker_of(choose(router)) == 'w1'
+
+
+def test_stale_digest_does_not_bring_a_leaving_worker_back():
+    router = make_router(make_digest(0, leaving=True, sequence=5))
+    router.put_digest(make_digest(0, sequence=4))
+    assert isinstance(choose(router), Failed)
+
+
+@pytest.mark.parametrize('state', [MemberState.silent, MemberState.gone])
+def test_worker_of_an_absent_steward_is_passed_by(state):
+    router = make_router(make_digest(0, resident=(REF,)), make_digest(1))
+    router.put_member(steward('i0', state))
+    assert worker_of(choose(router)) == 'w1'
+    router.put_member(steward('i0', MemberState.live))
+    assert worker_of(choose(router)) == 'w0'
+
+
+def test_every_usable_worker_is_found_whatever_is_excluded():
+    digests = [make_digest(each) for each in range(9)]
+    router = make_router(*digests)
+    excluded = frozenset(f'w{each}' for each in range(8))
+    assert worker_of(choose(router, excluded=excluded)) == 'w8'
+
+
+def test_no_usable_worker_is_not_run_with_a_time_to_come_back():
+    for router in (make_router(), make_router(make_digest(0, leaving=True))):
+        outcome = choose(router)
+        assert outcome.code == ResultCode.no_target
+        assert outcome.ran == Ran.not_run
+        assert outcome.retry_after > 0
+
+
+def test_selector_pool_leaves_other_workers_alone():
+    router = make_router(make_digest(0), make_digest(1, resident=(REF,)))
+    router.set_pools(
+        {'planner': frozenset(('w0', 'w1')), 'gpu=new': frozenset(('w0',))},
+    )
+    assert worker_of(choose(router, pool='gpu=new')) == 'w0'
+    assert worker_of(choose(router)) == 'w1'
+
+
+def test_own_dispatches_count_before_the_digest_shows_them():
+    router = make_router(make_digest(0), make_digest(1), policy='least-loaded')
+    first = worker_of(choose(router))
+    router.note_sent(first)
+    assert worker_of(choose(router)) != first
+
+
+def test_open_circuit_is_avoided_until_a_probe_succeeds():
+    router = make_router(make_digest(0, resident=(REF,)), make_digest(1))
+    for _ in range(3):
+        router.circuits.failed('i0', 0, random.Random(1))
+    assert worker_of(choose(router)) == 'w1'
+    assert worker_of(choose(router, now=60)) == 'w1'
+    assert router.circuits.probes(60) == ['i0']
+    assert router.circuits.probes(60) == []
+    router.circuits.succeeded('i0')
+    assert worker_of(choose(router, now=60)) == 'w0'
+
+
+@pytest.mark.parametrize('policy', ['placed', 'least-loaded', 'round-robin'])
+def test_every_policy_chooses_a_usable_worker(policy):
+    router = make_router(
+        make_digest(0, leaving=True), make_digest(1), policy=policy
+    )
+    for _ in range(3):
+        assert worker_of(choose(router)) == 'w1'
--- /dev/null
+++ b/mintlanding/routing/workers.py
@@ -0,0 +1,174 @@
+"""Choose the worker for an adapter's request from the region's digests."""
+
+import random
+from collections.abc import Iterable
+from typing import Self
+
+from mintlanding.core.results import Done, Failed, Outcome, ResultCode
+from mintlanding.membership.models import Member, MemberState
+from mintlanding.placement.index import WorkerIndex
+from mintlanding.placement.messages import AdapterRef, WorkerDigest
+from mintlanding.placement.policies import CHOICES, WorkerChoice
+from mintlanding.placement.popularity import DecayedPopularity
+from mintlanding.routing.circuit import Circuits, CircuitState, CircuitTerms
+from mintlanding.routing.models import (
+    EngineRequest,
+    Pools,
+    RoutingTerms,
+    WorkerRoute,
+)
+
+_AWAY = frozenset((MemberState.silent, MemberState.gone))
+
+
+class WorkerRouter:
+    """The view of one entry and the choice made from it.
+
+    Circuits are kept by the names of workers and of their stewards. A pool is
+    a set of workers that a request may use: those of a service, or those of
+    them that a selector's labels leave.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        terms: RoutingTerms,
+        choice: WorkerChoice,
+        circuits: Circuits,
+    ) -> None:
+        """Begin without workers, in the entry's own zone."""
+        self.circuits = circuits
+        self._zone = zone
+        self._terms = terms
+        self._choice = choice
+        self._pools: Pools = {}
+        self._indexes: dict[str, WorkerIndex] = {}
+        self._digests: dict[str, WorkerDigest] = {}
+        self._away: set[str] = set()
+
+    @classmethod
+    def from_config(
+        cls,
+        zone: str,
+        terms: RoutingTerms | None = None,
+        policy: str = 'placed',
+    ) -> Self:
+        """Build the router of an entry in `zone` with a registered policy."""
+        circuits = Circuits(CircuitTerms())
+        return cls(
+            zone, terms or RoutingTerms(), CHOICES.get(policy)(), circuits
+        )
+
+    def set_pools(self, pools: Pools) -> None:
+        """Take the workers of each pool from the configuration."""
+        self._pools = dict(pools)
+        configured = frozenset().union(*self._pools.values())
+        self._digests = {
+            worker: digest
+            for worker, digest in self._digests.items()
+            if worker in configured
+        }
+        self._indexes = {
+            pool: WorkerIndex.from_digests(
+                self._digests[worker]
+                for worker in sorted(workers & self._digests.keys())
+            )
+            for pool, workers in self._pools.items()
+        }
+
+    def put_digest(self, digest: WorkerDigest) -> None:
+        """Take a digest; a stale one changes nothing."""
+        held = self._digests.get(digest.worker)
+        if held is not None and _version(held) >= _version(digest):
+            return
+        self._digests[digest.worker] = digest
+        for pool, workers in self._pools.items():
+            if digest.worker in workers:
+                self._indexes[pool].put(digest)
+
+    def put_member(self, member: Member) -> None:
+        """Take the state of an instance, which may be a steward."""
+        if member.state in _AWAY:
+            self._away.add(member.instance)
+        else:
+            self._away.discard(member.instance)
+
+    def note_sent(self, worker: str) -> None:
+        """Count a request that the worker's digest does not show yet."""
+        for pool, workers in self._pools.items():
+            if worker in workers:
+                self._indexes[pool].note_sent(worker)
+
+    def choose(
+        self,
+        req: EngineRequest,
+        popularity: DecayedPopularity,
+        now: float,
+        rnd: random.Random,
+    ) -> Outcome[WorkerRoute]:
+        """Return the best worker whose steward can be asked."""
+        index = self._indexes.get(req.pool)
+        if index is None:
+            return self._no_target('no such pool')
+        ranked = self._choice.choose(req.ref, index, popularity, now)
+        usable = self._usable(ranked, req, now)
+        if not usable:
+            usable = self._usable(self._rest(index), req, now)
+        if not usable:
+            return self._no_target('no usable worker')
+        return Done(_route(self._prefer_zone(usable, req.ref, index)))
+
+    def _usable(
+        self,
+        digests: Iterable[WorkerDigest],
+        req: EngineRequest,
+        now: float,
+    ) -> list[WorkerDigest]:
+        return [
+            digest
+            for digest in digests
+            if digest.worker not in req.excluded
+            and digest.steward not in self._away
+            and self._is_closed(digest.steward, now)
+            and self._is_closed(digest.worker, now)
+        ]
+
+    def _is_closed(self, name: str, now: float) -> bool:
+        return self.circuits.state(name, now) == CircuitState.closed
+
+    def _rest(self, index: WorkerIndex) -> list[WorkerDigest]:
+        workers = index.least_loaded(len(index))
+        return [self._digests[worker] for worker in workers]
+
+    def _prefer_zone(
+        self,
+        digests: list[WorkerDigest],
+        ref: AdapterRef,
+        index: WorkerIndex,
+    ) -> WorkerDigest:
+        """Prefer a near holder; where none holds it, the order decides."""
+        best = digests[0]
+        if best.zone == self._zone or ref not in best.resident:
+            return best
+        bound = index.load(best.worker)
+        bound += self._terms.zone_slack * best.batch_limit
+        for digest in digests:
+            is_near = digest.zone == self._zone and ref in digest.resident
+            if is_near and index.load(digest.worker) <= bound:
+                return digest
+        return best
+
+    def _no_target(self, detail: str) -> Failed:
+        return Failed(
+            ResultCode.no_target,
+            detail,
+            retry_after=self._terms.come_back,
+        )
+
+
+def _version(digest: WorkerDigest) -> tuple[int, int]:
+    return (digest.fencing, digest.sequence)
+
+
+def _route(digest: WorkerDigest) -> WorkerRoute:
+    return WorkerRoute(digest.worker, digest.steward, digest.steward_address)
