--- /dev/null
+++ b/mintlanding/agent/limits.py
@@ -0,0 +1,204 @@
+"""Carry out what the limits node decides."""
+
+import asyncio
+from collections.abc import Iterable
+
+from mintlanding.agent.context import AgentContext
+from mintlanding.agent.messages import (
+    RESERVE_TOKENS,
+    SETTLE_TOKENS,
+    SettleRequest,
+    TokenReply,
+    TokenRequest,
+)
+from mintlanding.configuration.models import Settings, Workspace
+from mintlanding.core.exceptions import PeerError
+from mintlanding.core.results import Failed, Outcome
+from mintlanding.limits.messages import (
+    DELIVER,
+    Action,
+    Answer,
+    Envelope,
+    Reservation,
+    SeatsLost,
+    Send,
+)
+from mintlanding.limits.models import LimitsNode
+from mintlanding.limits.terms import Rate, Terms
+from mintlanding.peers.messages import Empty
+
+SEND_TIMEOUT_SECONDS = 1
+SHORTEST_WAIT_SECONDS = 0.002
+LONGEST_WAIT_SECONDS = 0.5
+STORE_POOL = 'store/weights'
+_LIMITS_SETTINGS = 'limits'
+_STORE_RATE = 8.0
+_STORE_BURST = 3.0
+_SEAT_COUNT = 16
+
+
+class LimitsPart:
+    """Token limits: answers entries, exchanges messages with other agents."""
+
+    def __init__(self, context: AgentContext) -> None:
+        """Build the node and serve its methods."""
+        self._context = context
+        own = context.own
+        self.node = LimitsNode.from_config(
+            own.instance,
+            own.incarnation,
+            own.zone,
+            Terms(),
+            context.random('limits'),
+        )
+        self._waiting: dict[str, asyncio.Future[Outcome[Reservation]]] = {}
+        self._wake = asyncio.Event()
+        context.server.add(RESERVE_TOKENS, self._reserve)
+        context.server.add(SETTLE_TOKENS, self._settle)
+        context.server.add(DELIVER, self._receive)
+
+    @property
+    def seat_count(self) -> int:
+        """Return the number of seats of the configuration."""
+        found = self._context.directory.get('settings', _LIMITS_SETTINGS)
+        if not isinstance(found, Settings):
+            return _SEAT_COUNT
+        return int(found.values.get('seats', _SEAT_COUNT))
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._context.application.spawn(self._run_ticks())
+
+    def own_seats(self, seats: frozenset[int]) -> None:
+        """Use the seats that are claimed in the key-value service."""
+        self.carry_out(self.node.own_seats(seats, self._context.now))
+
+    def follow_members(self) -> None:
+        """Take a change of the members."""
+        members = list(self._context.members.values())
+        self.carry_out(self.node.observe_members(members, self._context.now))
+
+    def follow_configuration(self) -> None:
+        """Take a change of rates."""
+        directory = self._context.directory
+        rates = {
+            each.name: Rate(each.rate, each.burst)
+            for each in directory.list('workspace')
+            if isinstance(each, Workspace)
+        }
+        rates[STORE_POOL] = self._store_rate()
+        now = self._context.now
+        self.carry_out(self.node.configure(rates, self.seat_count, now))
+
+    async def reserve(self, req: TokenRequest) -> Outcome[Reservation]:
+        """Reserve tokens of a workspace or permits of the store."""
+        fut: asyncio.Future[Outcome[Reservation]] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[req.request_id] = fut
+        try:
+            self.carry_out(
+                self.node.reserve(
+                    req.request_id,
+                    req.workspace,
+                    req.tokens,
+                    self._context.now,
+                ),
+            )
+            return await fut
+        finally:
+            self._waiting.pop(req.request_id, None)
+
+    def settle(self, req: SettleRequest) -> None:
+        """Refund what a request has not used."""
+        self.carry_out(
+            self.node.settle(
+                req.request_id,
+                req.workspace,
+                req.reserved,
+                req.used,
+                self._context.now,
+            ),
+        )
+
+    def drain(self) -> None:
+        """Hand buckets over before this instance leaves."""
+        self.carry_out(self.node.drain(self._context.now))
+
+    def carry_out(self, actions: Iterable[Action]) -> None:
+        """Do what the node decided."""
+        for action in actions:
+            match action:
+                case Answer():
+                    self._answer(action)
+                case Send():
+                    self._context.application.spawn(self._send(action))
+                case SeatsLost():
+                    self.on_seats_lost()
+        self._wake.set()
+
+    def on_seats_lost(self) -> None:
+        """Claim seats again after a pause; the seats part replaces this."""
+
+    def _store_rate(self) -> Rate:
+        found = self._context.directory.get('settings', _LIMITS_SETTINGS)
+        values = found.values if isinstance(found, Settings) else {}
+        return Rate(
+            float(values.get('store_rate', _STORE_RATE)),
+            float(values.get('store_burst', _STORE_BURST)),
+        )
+
+    def _answer(self, action: Answer) -> None:
+        fut = self._waiting.get(action.request_id)
+        if fut is not None and not fut.done():
+            fut.set_result(action.outcome)
+
+    async def _reserve(self, req: TokenRequest, sender: str) -> TokenReply:
+        outcome = await self.reserve(req)
+        if isinstance(outcome, Failed):
+            return TokenReply(
+                req.request_id,
+                int(outcome.code),
+                outcome.detail,
+                outcome.retry_after or 0,
+            )
+        return TokenReply(req.request_id)
+
+    async def _settle(self, req: SettleRequest, sender: str) -> Empty:
+        self.settle(req)
+        return Empty()
+
+    async def _receive(self, message: Envelope, sender: str) -> Empty:
+        self.carry_out(self.node.receive(message, sender, self._context.now))
+        return Empty()
+
+    async def _send(self, action: Send) -> None:
+        address = self._context.address_of(action.instance)
+        if not address:
+            return
+        try:
+            await self._context.client.call(
+                address,
+                DELIVER,
+                action.message,
+                SEND_TIMEOUT_SECONDS,
+            )
+        except PeerError:
+            self._context.metrics.count('limits.messages_lost')
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self._wake.clear()
+            now = self._context.now
+            self.carry_out(self.node.tick(now))
+            self._wake.clear()
+            pause = self.node.next_wake(now) - self._context.now
+            bounded = min(
+                max(pause, SHORTEST_WAIT_SECONDS), LONGEST_WAIT_SECONDS
+            )
+            try:
+                async with asyncio.timeout(bounded):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(SHORTEST_WAIT_SECONDS)
--- /dev/null
+++ b/mintlanding/agent/stewards.py
@@ -0,0 +1,309 @@
+"""Stewardship of the zone's workers under a lease of the key-value service."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from mintlanding.agent.context import AgentContext
+from mintlanding.agent.desk import WorkerDesk
+from mintlanding.agent.limits import LimitsPart
+from mintlanding.agent.messages import (
+    RELEASE_WORKER,
+    REPORT_PINS,
+    RESERVE_WORKER,
+)
+from mintlanding.configuration.models import Target
+from mintlanding.core.exceptions import PlatformError
+from mintlanding.core.logs import Logger
+from mintlanding.core.results import Failed, ResultCode
+from mintlanding.membership.models import MemberState
+from mintlanding.peers.messages import Empty
+from mintlanding.placement.leases import (
+    ClaimWorker,
+    LeaseAction,
+    OpenLease,
+    RenewLease,
+    StewardLeases,
+    StewardshipLapsed,
+    StewardshipLost,
+    StewardshipWon,
+    choose_steward,
+)
+from mintlanding.placement.messages import (
+    PinReport,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+    WorkerDigest,
+)
+
+STEWARDS_PREFIX = 'stewards/'
+UNREACHED_STATES = frozenset(
+    (
+        MemberState.gone,
+        MemberState.silent,
+        MemberState.leaving,
+    )
+)
+
+_logger = Logger('placement')
+
+
+class StewardRecord(msgspec.Struct, frozen=True):
+    """What the key-value service holds for a worker under a lease."""
+
+    instance: str
+    incarnation: int
+
+
+class StewardsPart:
+    """Claim workers, run a desk for each, answer entries."""
+
+    def __init__(
+        self,
+        context: AgentContext,
+        limits: LimitsPart,
+        digests: Callable[[], dict[str, WorkerDigest]],
+        publish: Callable[[WorkerDigest], None],
+    ) -> None:
+        """Serve reservations; `digests` tells of other stewards."""
+        self._context = context
+        self._limits = limits
+        self._digests = digests
+        self._publish = publish
+        self._desks: dict[str, WorkerDesk] = {}
+        self._leases = StewardLeases(
+            context.own.instance,
+            context.cfg.agent.steward_lease,
+        )
+        self._is_leaving = False
+        context.server.add(RESERVE_WORKER, self._reserve)
+        context.server.add(RELEASE_WORKER, self._release)
+        context.server.add(REPORT_PINS, self._take_pins)
+
+    async def start(self) -> None:
+        """Begin to claim."""
+        self._context.application.spawn(self._run_ticks())
+
+    async def drain(self, timeout: float) -> None:
+        """Take no more reservations, then give the workers back."""
+        self._is_leaving = True
+        now = self._context.now
+        for desk in self._desks.values():
+            desk.carry_out(desk.steward.drain(now))
+        await self._drop_lease()
+
+    def follow_members(self) -> None:
+        """Tell the stewards which entries are gone."""
+        for member in self._context.members.values():
+            if member.state is MemberState.gone:
+                self._drop_entry(member.instance)
+        self._complete_pins()
+
+    async def _reserve(
+        self,
+        req: ReserveRequest,
+        sender: str,
+    ) -> ReserveReply:
+        desk = self._desks.get(req.worker)
+        if desk is None:
+            code = int(ResultCode.no_target)
+            return ReserveReply(
+                req.reservation_id,
+                code,
+                'not the steward of this worker',
+            )
+        return await desk.reserve(req)
+
+    async def _release(self, req: ReleaseRequest, sender: str) -> Empty:
+        desk = self._desks.get(req.worker)
+        if desk is not None:
+            desk.release(req)
+        return Empty()
+
+    async def _take_pins(self, report: PinReport, sender: str) -> Empty:
+        desk = self._desks.get(report.worker)
+        if desk is not None:
+            desk.take_pins(report)
+            self._complete_pins()
+        return Empty()
+
+    async def _run_ticks(self) -> None:
+        while True:
+            if not self._is_leaving:
+                self._tick()
+            await asyncio.sleep(self._context.cfg.agent.tick_interval)
+
+    def _tick(self) -> None:
+        now = self._context.now
+        self._stop_removed()
+        actions = self._leases.tick(self._wanted(), now)
+        self._carry_out(actions)
+        for desk in self._desks.values():
+            if desk.target.name in self._leases.held:
+                desk.carry_out(
+                    desk.steward.lease_renewed(self._leases.expires_at, now),
+                )
+
+    def _wanted(self) -> list[str]:
+        return [
+            worker.name
+            for worker in self._zone_workers()
+            if worker.name in self._leases.held or self._should_claim(worker)
+        ]
+
+    def _should_claim(self, worker: Target) -> bool:
+        own = self._context.own
+        members = self._context.members
+        digest = self._digests().get(worker.name)
+        if digest is not None and digest.steward != own.instance:
+            steward = members.get(digest.steward)
+            if steward and steward.state not in UNREACHED_STATES:
+                return False
+        chosen = choose_steward(worker.name, own.zone, members.values())
+        return chosen == own.instance
+
+    def _zone_workers(self) -> list[Target]:
+        directory = self._context.directory
+        return [
+            each
+            for each in directory.list('target')
+            if isinstance(each, Target)
+            and each.zone == self._context.own.zone
+            and getattr(directory.service(each.service), 'engine', False)
+        ]
+
+    def _carry_out(self, actions: Iterable[LeaseAction]) -> None:
+        for action in actions:
+            match action:
+                case OpenLease() | RenewLease() | ClaimWorker():
+                    self._context.application.spawn(self._call(action))
+                case StewardshipWon():
+                    self._take_over(action)
+                case StewardshipLapsed(worker=worker):
+                    self._lapse(worker)
+                case StewardshipLost(worker=worker):
+                    self._lose(worker)
+
+    async def _call(self, action: LeaseAction) -> None:
+        match action:
+            case OpenLease(seconds=seconds):
+                await self._open_lease(seconds)
+            case RenewLease(lease=lease):
+                await self._renew_lease(lease)
+            case ClaimWorker():
+                await self._claim(action)
+
+    async def _open_lease(self, seconds: float) -> None:
+        try:
+            lease = await self._context.key_value.grant_lease(seconds)
+        except PlatformError as exc:
+            _logger.warning('No lease was granted.', reason=str(exc))
+            lease = ''
+        self._leases.lease_opened(lease, self._context.now)
+
+    async def _renew_lease(self, lease: str) -> None:
+        try:
+            is_kept = await self._context.key_value.keep_lease(lease)
+        except PlatformError as exc:
+            _logger.warning('The lease was not renewed.', reason=str(exc))
+            self._leases.renewal_unanswered()
+            return
+        self._carry_out(self._leases.lease_renewed(lease, is_kept))
+
+    async def _claim(self, action: ClaimWorker) -> None:
+        own = self._context.own
+        record = StewardRecord(own.instance, own.incarnation)
+        fencing = 0
+        try:
+            outcome = await self._context.key_value.put(
+                f'{STEWARDS_PREFIX}{action.worker}',
+                msgspec.json.encode(record),
+                0,
+                action.lease,
+            )
+            if not isinstance(outcome, Failed):
+                fencing = outcome.value
+        except PlatformError as exc:
+            _logger.warning('A worker was not claimed.', reason=str(exc))
+        self._carry_out(
+            self._leases.worker_claimed(action.worker, action.lease, fencing),
+        )
+
+    def _take_over(self, won: StewardshipWon) -> None:
+        target = self._context.directory.get('target', won.worker)
+        if not isinstance(target, Target):
+            return
+        desk = self._desks.get(won.worker)
+        if desk is None:
+            desk = WorkerDesk(
+                self._context,
+                target,
+                self._limits,
+                self._publish,
+            )
+            self._desks[won.worker] = desk
+            desk.start()
+        desk.pinned_entries.clear()
+        _logger.info(
+            'Stewardship begins.',
+            worker=won.worker,
+            fencing=won.fencing,
+        )
+        desk.carry_out(
+            desk.steward.take_over(
+                won.fencing,
+                self._context.now,
+                self._leases.expires_at,
+            ),
+        )
+        self._complete_pins()
+
+    def _lapse(self, worker: str) -> None:
+        desk = self._desks.get(worker)
+        if desk is not None:
+            _logger.warning('The lease has lapsed.', worker=worker)
+            desk.carry_out(desk.steward.lease_lost(self._context.now))
+
+    def _lose(self, worker: str) -> None:
+        desk = self._desks.pop(worker, None)
+        if desk is not None:
+            _logger.warning('Another agent is steward.', worker=worker)
+            desk.carry_out(desk.steward.superseded(self._context.now))
+            self._context.application.spawn(desk.stop())
+
+    def _stop_removed(self) -> None:
+        configured = {each.name for each in self._zone_workers()}
+        for worker in set(self._desks) - configured:
+            self._leases.held.pop(worker, None)
+            self._leases.lapsed.pop(worker, None)
+            self._lose(worker)
+
+    def _drop_entry(self, instance: str) -> None:
+        for desk in self._desks.values():
+            desk.carry_out(
+                desk.steward.entry_gone(instance, self._context.now),
+            )
+
+    def _complete_pins(self) -> None:
+        expected = {
+            each.instance
+            for each in self._context.members.values()
+            if each.state is not MemberState.gone
+            and each.region == self._context.own.region
+        }
+        for desk in self._desks.values():
+            if expected <= desk.pinned_entries:
+                desk.carry_out(
+                    desk.steward.pins_complete(self._context.now),
+                )
+
+    async def _drop_lease(self) -> None:
+        lease = self._leases.lease
+        if not lease:
+            return
+        try:
+            await self._context.key_value.drop_lease(lease)
+        except PlatformError as exc:
+            _logger.warning('The lease was not dropped.', reason=str(exc))
--- /dev/null
+++ b/mintlanding/agent/view.py
@@ -0,0 +1,94 @@
+"""Stream the agent's view to the entry of its instance."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from mintlanding.agent.context import AgentContext
+from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
+from mintlanding.placement.messages import WorkerDigest
+
+VOUCH_SECONDS = 1
+COALESCE_SECONDS = 0.01
+
+
+@dataclass(slots=True, eq=False)
+class Subscriber:
+    """One stream and what it has not been told yet."""
+
+    revision: int
+    members_changed: bool = True
+    digests: dict[str, WorkerDigest] = field(default_factory=dict)
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class ViewPart:
+    """Tell entries what changes, coalesced, and at least once a second."""
+
+    def __init__(
+        self,
+        context: AgentContext,
+        stale_seconds: Callable[[], float],
+        digests: Callable[[], dict[str, WorkerDigest]],
+    ) -> None:
+        """Serve the view."""
+        self._context = context
+        self._stale_seconds = stale_seconds
+        self._digests = digests
+        self._subscribers: set[Subscriber] = set()
+        context.server.add_stream(WATCH_VIEW, self._watch)
+
+    def configuration_changed(self) -> None:
+        """Wake the streams to send the new revision."""
+        for each in self._subscribers:
+            each.wake.set()
+
+    def members_changed(self) -> None:
+        """Wake the streams to send the members."""
+        for each in self._subscribers:
+            each.members_changed = True
+            each.wake.set()
+
+    def digest_changed(self, digest: WorkerDigest) -> None:
+        """Wake the streams to send a digest."""
+        for each in self._subscribers:
+            each.digests[digest.worker] = digest
+            each.wake.set()
+
+    async def _watch(
+        self,
+        req: ViewRequest,
+        sender: str,
+    ) -> AsyncIterator[ViewUpdate]:
+        subscriber = Subscriber(req.revision, digests=dict(self._digests()))
+        self._subscribers.add(subscriber)
+        try:
+            while True:
+                yield self._update(subscriber)
+                await _wait(subscriber.wake)
+        finally:
+            self._subscribers.discard(subscriber)
+
+    def _update(self, subscriber: Subscriber) -> ViewUpdate:
+        directory = self._context.directory
+        delta = None
+        if directory.revision > subscriber.revision:
+            delta = directory.delta_since(subscriber.revision)
+            subscriber.revision = directory.revision
+        members = None
+        if subscriber.members_changed:
+            members = tuple(self._context.members.values())
+            subscriber.members_changed = False
+        digests = tuple(subscriber.digests.values())
+        subscriber.digests.clear()
+        return ViewUpdate(delta, members, digests, self._stale_seconds())
+
+
+async def _wait(wake: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(VOUCH_SECONDS):
+            await wake.wait()
+    except TimeoutError:
+        return
+    wake.clear()
+    await asyncio.sleep(COALESCE_SECONDS)
--- a/mintlanding/engines/messages.py
+++ b/mintlanding/engines/messages.py
@@ -29,12 +29,14 @@
     """Load of an engine, as old as the engine's reports lag.
 
     `incarnation` changes when the engine restarts, which empties it.
-    `resident` and `loading` hold names such as `adapter@version`.
+    `resident`, `loading` and `busy` hold names such as `adapter@version`;
+    `busy` are those with requests that run or wait.
     """
 
     incarnation: int
     resident: tuple[str, ...] = ()
     loading: tuple[str, ...] = ()
+    busy: tuple[str, ...] = ()
     running: int = 0
     queued: int = 0
     kv_use: float = 0
--- a/mintlanding/entry/authentication.py
+++ b/mintlanding/entry/authentication.py
@@ -67,15 +67,22 @@
         stale = self._view.stale_seconds
         return bool(self._refuse_after) and stale > self._refuse_after
 
-    def _present(self, exchange: Exchange) -> Outcome[PresentedKey]:
+    def present_text(self, exchange: Exchange) -> str:
+        """Return the text of the key as it was presented, empty if none."""
         header = exchange.headers.get('authorization', '')
         if header:
-            return parse_authorization(header)
+            return header.partition(' ')[2].strip() or header
         for name in self._names.headers:
             text = exchange.headers.get(name, '')
             if text:
-                return parse_key(text)
-        return parse_key(self._find_elsewhere(exchange))
+                return text
+        return self._find_elsewhere(exchange)
+
+    def _present(self, exchange: Exchange) -> Outcome[PresentedKey]:
+        header = exchange.headers.get('authorization', '')
+        if header:
+            return parse_authorization(header)
+        return parse_key(self.present_text(exchange))
 
     def _find_elsewhere(self, exchange: Exchange) -> str:
         queries = parse_qs(exchange.query)
--- a/mintlanding/entry/completions.py
+++ b/mintlanding/entry/completions.py
@@ -18,6 +18,7 @@
 from mintlanding.entry.endpoint import Endpoint, EndpointParts
 from mintlanding.entry.exchange import Exchange
 from mintlanding.entry.generation import Generation
+from mintlanding.entry.open_requests import OpenRequest
 from mintlanding.entry.targets import pool_of
 from mintlanding.entry.usage import Usage
 from mintlanding.entry.view import EntryView
@@ -71,7 +72,7 @@
         await self.run_tracked(
             exchange,
             prepared.value.key.name,
-            lambda: self._run(exchange, prepared.value),
+            lambda opened: self._run(exchange, prepared.value, opened),
         )
 
     async def _prepare(self, exchange: Exchange) -> Outcome[Prepared]:
@@ -109,7 +110,12 @@
             return resolution
         return Done(Prepared(key, workspace, completion, resolution.value))
 
-    async def _run(self, exchange: Exchange, prepared: Prepared) -> None:
+    async def _run(
+        self,
+        exchange: Exchange,
+        prepared: Prepared,
+        opened: OpenRequest,
+    ) -> None:
         request_id = exchange.request_id
         reserved = prepared.completion.total_tokens
         usage = Usage(prepared.completion.input_tokens)
@@ -119,7 +125,11 @@
             if isinstance(tokens, Failed):
                 await self.fail(exchange, tokens)
                 return
-            await self._dispatch(exchange, prepared, usage)
+            await self._dispatch(
+                exchange,
+                self._job(exchange, prepared, opened),
+                usage,
+            )
         finally:
             settle = SettleRequest(
                 request_id,
@@ -134,13 +144,11 @@
     async def _dispatch(
         self,
         exchange: Exchange,
-        prepared: Prepared,
+        job: Job,
         usage: Usage,
     ) -> None:
         started_at = self.parts.clock.monotonic()
-        started = await self.parts.dispatcher.start(
-            self._job(exchange, prepared),
-        )
+        started = await self.parts.dispatcher.start(job)
         if isinstance(started, Failed):
             usage.note_failure(started)
             await self.fail(exchange, started)
@@ -186,7 +194,12 @@
             return {}
         return {STALE_HEADER: f'{stale:.0f}'}
 
-    def _job(self, exchange: Exchange, prepared: Prepared) -> Job:
+    def _job(
+        self,
+        exchange: Exchange,
+        prepared: Prepared,
+        opened: OpenRequest,
+    ) -> Job:
         completion = prepared.completion
         resolution = prepared.resolution
         body = completion.encode_for(str(resolution.ref))
@@ -218,6 +231,7 @@
             reserve,
             pool_of(resolution, completion.body.model),
             deadline,
+            opened.note_sent,
             is_repeatable=bool(service and service.repeatable),
         )
 
--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -46,6 +46,7 @@
     reserve: ReserveRequest
     pool: str
     deadline: float
+    note_sent: Callable[[], None]
     is_repeatable: bool = False
 
 
@@ -149,10 +150,13 @@
         )
         if isinstance(granted, Failed):
             return granted
+        if not self._targets.is_current(route.worker, granted.value.fencing):
+            return Failed.of(ResultCode.no_target, 'a newer steward exists')
         engine = self._targets.engine(route.worker)
         if engine is None:
             return Failed.of(ResultCode.no_target, 'the worker was removed')
         generate = replace(job.generate, request_id=req.reservation_id)
+        job.note_sent()
         opened = await engine.generate(generate)
         if isinstance(opened, Failed):
             return opened
--- a/mintlanding/entry/endpoint.py
+++ b/mintlanding/entry/endpoint.py
@@ -68,13 +68,13 @@
         self,
         exchange: Exchange,
         key_id: str,
-        work: Callable[[], Awaitable[None]],
+        work: Callable[[OpenRequest], Awaitable[None]],
     ) -> None:
         """Run the work so that a withdrawal or a hang-up ends it."""
         with self.requests.track(exchange.request_id, key_id) as opened:
             watcher = asyncio.create_task(_watch_caller(exchange, opened))
             try:
-                await work()
+                await work(opened)
             except asyncio.CancelledError:
                 if not opened.claim_cancellation():
                     raise
@@ -83,9 +83,10 @@
                 watcher.cancel()
 
     async def _end(self, exchange: Exchange, opened: OpenRequest) -> None:
-        if opened.failure is None:
+        failure = opened.truthful_failure()
+        if failure is None:
             raise CallerVanishedError
-        await self.fail(exchange, opened.failure)
+        await self.fail(exchange, failure)
 
     async def _fail_safely(
         self,
--- a/mintlanding/entry/open_requests.py
+++ b/mintlanding/entry/open_requests.py
@@ -4,20 +4,28 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from mintlanding.core.results import Failed
+from mintlanding.core.results import Failed, Ran
 
 
 @dataclass(slots=True, eq=False)
 class OpenRequest:
-    """One request in progress and the task that serves it."""
+    """One request in progress and the task that serves it.
+
+    `may_have_run` is set before the first byte may leave for a target.
+    """
 
     request_id: str
     key_id: str
     task: 'asyncio.Task[object]'
     failure: Failed | None = None
     is_vanished: bool = False
+    may_have_run: bool = False
+
+    def note_sent(self) -> None:
+        """Note that a target may run the request from now on."""
+        self.may_have_run = True
 
     def end(self, failure: Failed) -> None:
         """Stop the request; its caller gets the failure."""
@@ -31,6 +39,12 @@
             self.is_vanished = True
             self.task.cancel()
 
+    def truthful_failure(self) -> Failed | None:
+        """Return the failure with what is known of the request's run."""
+        if self.failure is None or not self.may_have_run:
+            return self.failure
+        return replace(self.failure, ran=Ran.unknown)
+
     def claim_cancellation(self) -> bool:
         """Tell whether a cancellation was ours, and take it back if so."""
         if self.failure is None and not self.is_vanished:
--- /dev/null
+++ b/mintlanding/entry/pin_reports.py
@@ -0,0 +1,61 @@
+"""Tell each new steward of a worker what this entry holds there."""
+
+import asyncio
+
+from mintlanding.agent.messages import REPORT_PINS
+from mintlanding.core.exceptions import PeerError
+from mintlanding.core.logs import Logger
+from mintlanding.entry.background import Background
+from mintlanding.entry.pins import Pins
+from mintlanding.entry.view import EntryView
+from mintlanding.peers.client import PeerClient
+from mintlanding.placement.messages import WorkerDigest
+
+TIMEOUT_SECONDS = 1
+RETRY_SECONDS = 0.3
+TRIES = 10
+
+_logger = Logger('entry')
+
+
+class PinReporter:
+    """Report pins when the fencing number of a worker rises."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        pins: Pins,
+        client: PeerClient,
+        background: Background,
+        instance: str,
+    ) -> None:
+        """Follow the digests of a view."""
+        self._pins = pins
+        self._client = client
+        self._background = background
+        self._instance = instance
+        self._fencing: dict[str, int] = {}
+        view.on_digest(self._take_digest)
+
+    def _take_digest(self, digest: WorkerDigest) -> None:
+        known = self._fencing.get(digest.worker, 0)
+        if digest.fencing > known:
+            self._fencing[digest.worker] = digest.fencing
+            self._background.spawn(self._report(digest))
+
+    async def _report(self, digest: WorkerDigest) -> None:
+        for _ in range(TRIES):
+            if self._fencing[digest.worker] != digest.fencing:
+                return
+            try:
+                await self._client.call(
+                    digest.steward_address,
+                    REPORT_PINS,
+                    self._pins.report(digest.worker, self._instance),
+                    TIMEOUT_SECONDS,
+                )
+            except PeerError as exc:
+                _logger.warning('Pins were not reported.', reason=str(exc))
+                await asyncio.sleep(RETRY_SECONDS)
+            else:
+                return
--- a/mintlanding/entry/targets.py
+++ b/mintlanding/entry/targets.py
@@ -106,6 +106,11 @@
         digest: WorkerDigest | None = self._view.digests.get(worker)
         return digest.steward_address if digest else ''
 
+    def is_current(self, worker: str, fencing: int) -> bool:
+        """Tell whether no newer steward of the worker is known here."""
+        digest = self._view.digests.get(worker)
+        return digest is None or digest.fencing <= fencing
+
     async def close(self) -> None:
         """Close what is open."""
         await self._http.close()
--- a/mintlanding/standin/engine.py
+++ b/mintlanding/standin/engine.py
@@ -267,6 +267,7 @@
             incarnation=model.incarnation,
             resident=tuple(sorted(model.resident)),
             loading=tuple(sorted(model.loading)),
+            busy=tuple(sorted(model.busy)),
             running=model.running,
             queued=model.queued,
             kv_use=min(1, (model.running + model.queued) / limit),
--- a/mintlanding/standin/engine_model.py
+++ b/mintlanding/standin/engine_model.py
@@ -135,11 +135,15 @@
         run.wake()
         return True
 
+    @property
+    def busy(self) -> set[str]:
+        """Return the adapters with requests that wait or run."""
+        active = (*self._waiting, *self._running)
+        return {each.adapter for each in active if not each.is_over}
+
     def is_running(self, adapter: str) -> bool:
         """Tell whether a request of the adapter waits or runs."""
-        active = (*self._waiting, *self._running)
-        names = {each.adapter for each in active if not each.is_over}
-        return adapter in names
+        return adapter in self.busy
 
     def check_fencing(self, fencing: int, ignore: bool) -> bool:
         """Accept an order's number unless it is below one seen before."""
