Keep the configuration in the key-value service

Operators race and answers of writes get lost. Every change is one compare-and-swap of a manifest that carries the recent changes; older state lies in immutable chunks whose names carry the revision their writer started from, so collection can never take one that may still be named. A lost answer is settled by reading back the write id. A state machine drives two operators with lost calls, lost answers, outages, restarts and collection: python -m pytest mintlanding/configuration/tests/test_storage.py passes.

--- /dev/null
+++ b/mintlanding/configuration/checks.py
@@ -0,0 +1,310 @@
+"""Checks on a proposed configuration: every mistake at once, with a hint."""
+
+import re
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.labels import LabelSelector, SelectorSyntaxError
+from mintlanding.configuration.models import (
+    Adapter,
+    AdapterVersion,
+    AnyObject,
+    Key,
+    Ref,
+    Selector,
+    Service,
+    Target,
+    Workspace,
+)
+from mintlanding.configuration.proposals import Proposal
+from mintlanding.core.checks import CHECKS, CheckMessage, run_checks
+
+NAME_HINT = 'use 1 to 128 letters, digits, dots, dashes and underscores'
+MAX_LABELS = 32
+MAX_SHOWN_USERS = 5
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
+_VERSION_NAME = re.compile(
+    '[A-Za-z0-9][A-Za-z0-9._-]{0,127}@[A-Za-z0-9._-]{1,64}'
+)
+_LABEL = re.compile('[A-Za-z0-9][A-Za-z0-9_./:-]{0,127}')
+_DIGEST = re.compile('[0-9a-f]{64}')
+_URL_SCHEMES = frozenset(('http', 'https'))
+
+
+@dataclass(frozen=True, slots=True)
+class ProposedState:
+    """The configuration as it would be after the proposals."""
+
+    directory: Directory
+    proposals: tuple[Proposal, ...]
+
+    @classmethod
+    def of(
+        cls,
+        directory: Directory,
+        proposals: Sequence[Proposal],
+    ) -> 'ProposedState':
+        """Lay proposals over a directory."""
+        return cls(directory, tuple(proposals))
+
+    def bodies(self) -> Iterator[AnyObject]:
+        """Go through the proposed objects."""
+        for each in self.proposals:
+            if each.body is not None:
+                yield each.body
+
+    def deleted(self) -> set[Ref]:
+        """Return what the proposals delete."""
+        return {each.ref for each in self.proposals if each.body is None}
+
+    def put(self) -> set[Ref]:
+        """Return what the proposals put."""
+        return {each.ref for each in self.proposals if each.body is not None}
+
+    def all_bodies(self) -> Iterator[AnyObject]:
+        """Go through all objects as they would be."""
+        replaced = {each.ref for each in self.proposals}
+        for ref, body in self.directory.objects():
+            if ref not in replaced:
+                yield body
+        yield from self.bodies()
+
+
+@dataclass(frozen=True, slots=True)
+class Reference:
+    """A field of an object that names another one."""
+
+    field: str
+    ref: Ref
+
+
+def references_of(body: AnyObject) -> list[Reference]:
+    """List what an object names."""
+    found: list[Reference] = []
+    if isinstance(body, Key | Adapter | Selector):
+        found.append(Reference('workspace', ('workspace', body.workspace)))
+    if isinstance(body, Adapter | Target):
+        found.append(Reference('service', ('service', body.service)))
+    if isinstance(body, AdapterVersion):
+        found.append(Reference('name', ('adapter', body.adapter)))
+    if isinstance(body, Adapter) and body.default_version:
+        full_name = f'{body.name}@{body.default_version}'
+        ref = ('adapter-version', full_name)
+        found.append(Reference('default_version', ref))
+    return found
+
+
+def check_proposals(
+    directory: Directory,
+    proposals: Sequence[Proposal],
+) -> list[CheckMessage]:
+    """Run every check on the configuration as it would be."""
+    state = ProposedState.of(directory, proposals)
+    names = [name for name in CHECKS.names() if name.startswith(_PREFIX)]
+    return run_checks(state, names)
+
+
+def place_of(body: AnyObject, field: str) -> str:
+    """Write where a mistake stands."""
+    kind, name = body.ref
+    return f'{kind}/{name}.{field}'
+
+
+_PREFIX = 'configuration.'
+
+
+@CHECKS.register('configuration.names')
+def check_names(state: ProposedState) -> Iterable[CheckMessage]:
+    """C001: names that cannot stand in a path or a model."""
+    for body in state.bodies():
+        if isinstance(body, AdapterVersion):
+            is_valid = _VERSION_NAME.fullmatch(body.name)
+            hint = 'write adapter@version'
+        else:
+            is_valid = _NAME.fullmatch(body.name)
+            hint = NAME_HINT
+        if not is_valid:
+            place = place_of(body, 'name')
+            yield CheckMessage('C001', place, 'is not a valid name', hint)
+
+
+@CHECKS.register('configuration.labels')
+def check_labels(state: ProposedState) -> Iterable[CheckMessage]:
+    """C002: labels that no selector could name."""
+    for body in state.bodies():
+        place = place_of(body, 'labels')
+        if len(body.labels) > MAX_LABELS:
+            message = f'has {len(body.labels)} labels'
+            hint = f'keep to {MAX_LABELS}'
+            yield CheckMessage('C002', place, message, hint)
+        for label, held in body.labels.items():
+            if not (_LABEL.fullmatch(label) and _LABEL.fullmatch(held)):
+                message = f'{label!r}: {held!r} cannot be selected'
+                hint = 'use letters, digits and _ . / : - (128 at most)'
+                yield CheckMessage('C002', place, message, hint)
+
+
+@CHECKS.register('configuration.references')
+def check_references(state: ProposedState) -> Iterable[CheckMessage]:
+    """C003: references to what does not exist."""
+    put = state.put()
+    deleted = state.deleted()
+    for body in state.bodies():
+        for reference in references_of(body):
+            kind, name = reference.ref
+            is_held = state.directory.get(kind, name) is not None
+            if reference.ref in put:
+                continue
+            if not is_held or reference.ref in deleted:
+                yield CheckMessage(
+                    'C003',
+                    place_of(body, reference.field),
+                    f'there is no {kind} {name!r}',
+                    f'create it before or in the same apply: kind {kind}',
+                )
+
+
+@CHECKS.register('configuration.in_use')
+def check_in_use(state: ProposedState) -> Iterable[CheckMessage]:
+    """C004: deletions of what other objects name."""
+    deleted = state.deleted()
+    if not deleted:
+        return
+    users: dict[Ref, list[str]] = {}
+    for body in state.all_bodies():
+        for reference in references_of(body):
+            if reference.ref in deleted:
+                user = '/'.join(body.ref)
+                users.setdefault(reference.ref, []).append(user)
+    for ref, names in sorted(users.items()):
+        shown = ', '.join(sorted(names)[:MAX_SHOWN_USERS])
+        yield CheckMessage(
+            'C004',
+            '/'.join(ref),
+            f'is in use by {len(names)} object(s): {shown}',
+            'delete or change these in the same apply',
+        )
+
+
+@CHECKS.register('configuration.numbers')
+def check_numbers(state: ProposedState) -> Iterable[CheckMessage]:
+    """C005: numbers out of range."""
+    for body in state.bodies():
+        for field, is_valid in _numbers_of(body):
+            if not is_valid:
+                yield CheckMessage(
+                    'C005',
+                    place_of(body, field),
+                    'is out of range',
+                    'rate, burst and weight are finite and above 0, '
+                    'counts and split weights not below 0',
+                )
+
+
+@CHECKS.register('configuration.selectors')
+def check_selectors(state: ProposedState) -> Iterable[CheckMessage]:
+    """C006: label selectors that cannot be read."""
+    for body in state.bodies():
+        if not isinstance(body, Selector):
+            continue
+        texts = {'match': body.match, 'targets': body.targets}
+        for number, split in enumerate(body.splits):
+            texts[f'splits[{number}].match'] = split.match
+        for field, text in texts.items():
+            try:
+                LabelSelector.parse(text)
+            except SelectorSyntaxError as exc:
+                place = place_of(body, field)
+                yield CheckMessage('C006', place, str(exc), exc.hint)
+
+
+@CHECKS.register('configuration.urls')
+def check_urls(state: ProposedState) -> Iterable[CheckMessage]:
+    """C007: targets that cannot be called."""
+    for body in state.bodies():
+        if isinstance(body, Target) and not _is_url(body.url):
+            yield CheckMessage(
+                'C007',
+                place_of(body, 'url'),
+                f'{body.url!r} is not an address',
+                'write http://host:port or https://host:port',
+            )
+
+
+@CHECKS.register('configuration.keys')
+def check_keys(state: ProposedState) -> Iterable[CheckMessage]:
+    """C008: keys without a hash, or moved to another workspace."""
+    for body in state.bodies():
+        if not isinstance(body, Key):
+            continue
+        if not _DIGEST.fullmatch(body.digest):
+            yield CheckMessage(
+                'C008',
+                place_of(body, 'digest'),
+                'is not a keyed hash',
+                'grant keys with `mintlanding keys grant`',
+            )
+        held = state.directory.find_key(body.name)
+        if held is not None and held.workspace != body.workspace:
+            yield CheckMessage(
+                'C008',
+                place_of(body, 'workspace'),
+                f'the key belongs to workspace {held.workspace!r}',
+                'withdraw the key and grant a new one',
+            )
+
+
+@CHECKS.register('configuration.twice')
+def check_twice(state: ProposedState) -> Iterable[CheckMessage]:
+    """C009: two changes of one object in one apply."""
+    seen: set[Ref] = set()
+    for each in state.proposals:
+        if each.ref in seen:
+            yield CheckMessage(
+                'C009',
+                '/'.join(each.ref),
+                'stands twice',
+                'keep one of them',
+            )
+        seen.add(each.ref)
+
+
+@CHECKS.register('configuration.engines')
+def check_engines(state: ProposedState) -> Iterable[CheckMessage]:
+    """C010: engine services without a base model."""
+    for body in state.bodies():
+        if isinstance(body, Service) and body.engine and not body.base_model:
+            yield CheckMessage(
+                'C010',
+                place_of(body, 'base_model'),
+                'an engine service needs a base model',
+                'name the base model, or set engine: false',
+            )
+
+
+def _numbers_of(body: AnyObject) -> Iterator[tuple[str, bool]]:
+    if isinstance(body, Workspace):
+        for field in ('rate', 'burst', 'weight'):
+            yield field, _is_positive(getattr(body, field))
+    if isinstance(body, Target):
+        for count in ('slots', 'batch_limit'):
+            yield count, getattr(body, count) >= 0
+    if isinstance(body, Selector):
+        for number, split in enumerate(body.splits):
+            is_valid = 0 <= split.weight < float('inf')
+            yield f'splits[{number}].weight', is_valid
+
+
+def _is_positive(amount: float) -> bool:
+    return 0 < amount < float('inf')
+
+
+def _is_url(text: str) -> bool:
+    try:
+        parts = urlsplit(text)
+        has_port = parts.port is None or parts.port > 0
+    except ValueError:
+        return False
+    return parts.scheme in _URL_SCHEMES and bool(parts.hostname) and has_port
--- /dev/null
+++ b/mintlanding/configuration/storage.py
@@ -0,0 +1,456 @@
+"""The configuration in the platform's key-value service.
+
+Every change is one compare-and-swap of the manifest. A write whose answer was
+lost is settled by reading back its write id: the swap names the manifest it
+replaces, so the same change cannot take effect twice.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from mintlanding.configuration.checks import check_proposals
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.documents import (
+    BLOB_PREFIX,
+    MANIFEST_KEY,
+    BlobRef,
+    Commit,
+    Edit,
+    Manifest,
+    blob_revision,
+    fingerprint,
+    unpack_commits,
+    unpack_manifest,
+    unpack_objects,
+)
+from mintlanding.configuration.exceptions import (
+    ConfigurationTooLarge,
+    StoredConfigurationError,
+)
+from mintlanding.configuration.layout import (
+    LayoutLimits,
+    LayoutPlanner,
+    NextState,
+    WritePlan,
+)
+from mintlanding.configuration.models import Change, Delta
+from mintlanding.configuration.proposals import (
+    Proposal,
+    action_of,
+    number_changes,
+)
+from mintlanding.core.checks import CheckMessage
+from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.platform.keyvalue import CREATE_ONLY, Entry, KeyValueService
+
+MAX_ATTEMPTS = 16
+MAX_LOADS = 5
+CONCURRENT_CALLS = 4
+RETRY_AFTER_SECONDS = 2
+CLOCK_SKEW_SECONDS = 300
+MAX_COMMIT_EDITS = 64
+_NONCE_BYTES = 8
+_MILLISECONDS = 1000
+_HEX = 16
+
+
+def new_write_id(now: float) -> str:
+    """Return a unique id of one write, made at wall-clock second `now`."""
+    milliseconds = int(now * _MILLISECONDS)
+    return f'{milliseconds:012x}-{secrets.token_hex(_NONCE_BYTES)}'
+
+
+def write_id_time(write_id: str) -> float | None:
+    """Return when a write id was made, if it tells."""
+    try:
+        return int(write_id.partition('-')[0], _HEX) / _MILLISECONDS
+    except ValueError:
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Authorship:
+    """Who writes, under which id, at which wall-clock second."""
+
+    author: str
+    write_id: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """An accepted change; `repeated` when it had been accepted before."""
+
+    revision: int
+    write_id: str
+    changes: tuple[Change, ...] = ()
+    repeated: bool = False
+
+
+@dataclass(slots=True)
+class StoredState:
+    """What was last read: the manifest and its index in the service."""
+
+    manifest: Manifest = field(default_factory=Manifest)
+    index: int = CREATE_ONLY
+
+
+class ConfigurationStorage:
+    """Read and change the configuration; keeps a directory up to date."""
+
+    def __init__(
+        self,
+        service: KeyValueService,
+        limits: LayoutLimits | None = None,
+    ) -> None:
+        """Use a key-value service."""
+        self.directory = Directory()
+        self._service = service
+        self._limits = limits or LayoutLimits()
+        self._stored = StoredState()
+        self._lock = asyncio.Lock()
+
+    async def load(self) -> Directory:
+        """Bring the directory up to date and return it."""
+        async with self._lock:
+            await self._refresh()
+        return self.directory
+
+    async def changes_since(self, revision: int) -> Delta:
+        """Read what changed after a revision, or else a snapshot."""
+        entry = await self._service.get(MANIFEST_KEY)
+        return await self.delta_of(entry, revision)
+
+    async def delta_of(self, entry: Entry | None, revision: int) -> Delta:
+        """Return the changes after a revision from a manifest just read."""
+        if entry is None:
+            return Delta(base=revision, revision=revision)
+        return (await self._read(entry, revision)).delta
+
+    async def check(
+        self,
+        proposals: Sequence[Proposal],
+    ) -> list[CheckMessage]:
+        """Check proposals against the configuration in force."""
+        await self.load()
+        return check_proposals(self.directory, proposals)
+
+    async def commit(
+        self,
+        proposals: Sequence[Proposal],
+        authorship: Authorship,
+    ) -> Outcome[Committed]:
+        """Change the configuration, all proposals or none.
+
+        A failure with `ran` unknown may have taken effect: repeat it with the
+        same write id.
+        """
+        async with self._lock:
+            return await self._commit(proposals, authorship)
+
+    async def history(self, limit: int) -> list[Commit]:
+        """Return the latest commits, newest first, as far as kept."""
+        async with self._lock:
+            await self._refresh()
+        manifest = self._stored.manifest
+        found = list(reversed(manifest.commits))
+        for segment in reversed(manifest.segments):
+            if len(found) >= limit:
+                break
+            content = await self._read_blob(segment.blob)
+            if content is not None:
+                found.extend(reversed(unpack_commits(content)))
+        return found[:limit]
+
+    async def collect(self) -> int:
+        """Delete blobs that no manifest names or ever will; count them."""
+        async with self._lock:
+            await self._refresh()
+        manifest = self._stored.manifest
+        listing = await self._service.list(BLOB_PREFIX)
+        garbage = [
+            entry.key
+            for entry in listing.entries
+            if entry.key not in manifest.blob_keys()
+            and blob_revision(entry.key) < manifest.revision
+        ]
+        for key in garbage:
+            await self._service.delete(key)
+        return len(garbage)
+
+    async def _commit(
+        self,
+        proposals: Sequence[Proposal],
+        authorship: Authorship,
+    ) -> Outcome[Committed]:
+        if write_id_time(authorship.write_id) is None:
+            return Failed.of(
+                ResultCode.object_invalid,
+                'the write id does not begin with its time in hex',
+            )
+        may_have_run = False
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                outcome = await self._attempt(proposals, authorship)
+            except _AnswerLost:
+                may_have_run = True
+            except PlatformUnavailable as exc:
+                return _unavailable(authorship, str(exc), may_have_run)
+            else:
+                if outcome is not None:
+                    return outcome
+        return _unavailable(authorship, 'too many attempts', may_have_run)
+
+    async def _attempt(
+        self,
+        proposals: Sequence[Proposal],
+        authorship: Authorship,
+    ) -> Outcome[Committed] | None:
+        """Try once; nothing when another writer came first."""
+        await self._refresh()
+        settled = await self._settled(authorship.write_id)
+        if settled is not None:
+            return settled
+        numbered = number_changes(self.directory, proposals)
+        if isinstance(numbered, Failed):
+            return numbered
+        failure = self._find_mistakes(proposals)
+        if failure is not None:
+            return failure
+        if not numbered.value:
+            revision = self.directory.revision
+            return Done(Committed(revision, authorship.write_id))
+        return await self._write(numbered.value, authorship)
+
+    def _find_mistakes(self, proposals: Sequence[Proposal]) -> Failed | None:
+        messages = check_proposals(self.directory, proposals)
+        if not messages:
+            return None
+        in_use = all(message.check_id == 'C004' for message in messages)
+        code = ResultCode.in_use if in_use else ResultCode.object_invalid
+        return Failed.of(code, '\n'.join(str(each) for each in messages))
+
+    async def _write(
+        self,
+        changes: tuple[Change, ...],
+        authorship: Authorship,
+    ) -> Outcome[Committed] | None:
+        before = self.directory.revision
+        delta = Delta(base=before, revision=before + 1, changes=changes)
+        commit = _commit_record(self.directory, delta, authorship)
+        planner = LayoutPlanner(
+            self._stored.manifest,
+            secrets.token_hex(_NONCE_BYTES),
+            self._limits,
+        )
+        try:
+            plan = planner.plan(NextState(self.directory, changes), commit)
+        except ConfigurationTooLarge as exc:
+            return Failed.of(ResultCode.object_invalid, str(exc))
+        await self._put_blobs(plan)
+        index = await self._swap(plan)
+        if index is None:
+            return None
+        self.directory.apply(delta)
+        self._stored = StoredState(plan.manifest, index)
+        await self._delete_retired(plan)
+        return Done(
+            Committed(delta.revision, authorship.write_id, changes),
+        )
+
+    async def _put_blobs(self, plan: WritePlan) -> None:
+        """Write the blobs; names are unique, so a repeated put is harmless."""
+        limit = asyncio.Semaphore(CONCURRENT_CALLS)
+
+        async def put(key: str, content: bytes) -> None:
+            async with limit:
+                await self._service.put(key, content)
+
+        await asyncio.gather(*(put(*each) for each in plan.blobs.items()))
+
+    async def _swap(self, plan: WritePlan) -> int | None:
+        try:
+            outcome = await self._service.put(
+                MANIFEST_KEY,
+                plan.content,
+                expected=self._stored.index,
+            )
+        except PlatformUnavailable as exc:
+            raise _AnswerLost(str(exc)) from exc
+        return None if isinstance(outcome, Failed) else outcome.value
+
+    async def _delete_retired(self, plan: WritePlan) -> None:
+        """Delete what the new manifest no longer names; `collect` repairs."""
+        try:
+            for key in sorted(plan.retired):
+                await self._service.delete(key)
+        except PlatformUnavailable:
+            return
+
+    async def _refresh(self) -> None:
+        entry = await self._service.get(MANIFEST_KEY)
+        if entry is None:
+            self._refuse_revert(Manifest())
+            return
+        if entry.index == self._stored.index:
+            return
+        reading = await self._read(entry, self.directory.revision)
+        self._refuse_revert(reading.manifest)
+        self.directory.apply(reading.delta)
+        self._stored = StoredState(reading.manifest, reading.index)
+
+    def _refuse_revert(self, manifest: Manifest) -> None:
+        """Stop when the service lost data that was accepted before."""
+        if manifest.revision < self.directory.revision:
+            raise StoredConfigurationError(
+                f'the service holds revision {manifest.revision}, below '
+                f'the accepted {self.directory.revision}; restore it',
+            )
+
+    async def _read(self, entry: Entry, revision: int) -> '_Reading':
+        """Read the changes after a revision; follow the manifest if it moves.
+
+        A chunk goes only after a newer manifest has replaced its own.
+        """
+        for _ in range(MAX_LOADS):
+            manifest = unpack_manifest(entry.value)
+            delta = await self._read_delta(manifest, revision)
+            if delta is not None:
+                return _Reading(delta, manifest, entry.index)
+            fresh = await self._service.get(MANIFEST_KEY)
+            entry = fresh or entry
+        raise StoredConfigurationError('chunks of the manifest are missing')
+
+    async def _settled(self, write_id: str) -> Outcome[Committed] | None:
+        """Return the outcome of a write that was accepted before."""
+        for commit in self._stored.manifest.commits:
+            if commit.write_id == write_id:
+                return Done(Committed(commit.revision, write_id, repeated=True))
+        return await self._settled_in_history(write_id)
+
+    async def _settled_in_history(
+        self,
+        write_id: str,
+    ) -> Outcome[Committed] | None:
+        manifest = self._stored.manifest
+        made_at = write_id_time(write_id)
+        if not manifest.segments:
+            return None
+        earliest = (made_at or 0) - CLOCK_SKEW_SECONDS
+        if earliest > manifest.commits[0].at:
+            return None
+        for segment in reversed(manifest.segments):
+            content = await self._read_blob(segment.blob)
+            for commit in unpack_commits(content or b''):
+                if commit.write_id == write_id:
+                    return Done(
+                        Committed(commit.revision, write_id, repeated=True),
+                    )
+            if segment.since < earliest:
+                return None
+        if manifest.segments[0].first > 1:
+            return Failed.of(
+                ResultCode.conflict,
+                'the write id is older than the history that is kept',
+            )
+        return None
+
+    async def _read_delta(
+        self,
+        manifest: Manifest,
+        revision: int,
+    ) -> Delta | None:
+        if manifest.revision <= revision:
+            return Delta(base=revision, revision=revision)
+        if revision and manifest.tail_base <= revision:
+            changes = [
+                change for change in manifest.tail if change.revision > revision
+            ]
+            return Delta(
+                base=revision,
+                revision=manifest.revision,
+                changes=tuple(changes),
+            )
+        return await self._read_snapshot(manifest)
+
+    async def _read_snapshot(self, manifest: Manifest) -> Delta | None:
+        """Read the chunks and lay the tail over; nothing if one is gone."""
+        bodies: dict[tuple[str, str], Change] = {}
+        for ref in manifest.chunks:
+            content = await self._read_blob(ref)
+            if content is None:
+                return None
+            for body in unpack_objects(content):
+                kind, name = body.ref
+                bodies[body.ref] = Change(
+                    revision=manifest.revision,
+                    kind=kind,
+                    name=name,
+                    body=body,
+                )
+        for change in manifest.tail:
+            if change.revision > manifest.folded:
+                bodies[(change.kind, change.name)] = change
+        kept = [each for each in bodies.values() if each.body is not None]
+        return Delta(base=0, revision=manifest.revision, changes=tuple(kept))
+
+    async def _read_blob(self, ref: BlobRef) -> bytes | None:
+        entry = await self._service.get(ref.key)
+        if entry is None:
+            return None
+        if fingerprint(entry.value) != ref.digest:
+            raise StoredConfigurationError(f'{ref.key} is damaged')
+        return entry.value
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """What was read: the changes, and the manifest that they lead to."""
+
+    delta: Delta
+    manifest: Manifest
+    index: int
+
+
+class _AnswerLost(PlatformUnavailable):
+    """The swap of the manifest was sent and not answered."""
+
+
+def _unavailable(
+    authorship: Authorship,
+    detail: str,
+    may_have_run: bool,
+) -> Failed:
+    return Failed(
+        ResultCode.platform_unavailable,
+        f'{detail}; write id {authorship.write_id}',
+        Ran.unknown if may_have_run else Ran.not_run,
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def _commit_record(
+    directory: Directory,
+    delta: Delta,
+    authorship: Authorship,
+) -> Commit:
+    edits = [
+        Edit(
+            change.kind,
+            change.name,
+            action_of(directory.get(change.kind, change.name), change.body),
+            0 if change.body is None else change.body.version,
+        )
+        for change in delta.changes[:MAX_COMMIT_EDITS]
+    ]
+    return Commit(
+        delta.revision,
+        authorship.write_id,
+        authorship.author,
+        authorship.at,
+        tuple(edits),
+        len(delta.changes) - len(edits),
+    )
--- /dev/null
+++ b/mintlanding/configuration/watching.py
@@ -0,0 +1,28 @@
+"""Wait for new revisions in the key-value service with one waiting call."""
+
+from mintlanding.configuration.documents import MANIFEST_KEY
+from mintlanding.configuration.models import Delta
+from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.platform.keyvalue import KeyValueService
+
+
+class ConfigurationWatch:
+    """Long-poll the manifest; its answer carries the recent changes."""
+
+    def __init__(self, service: KeyValueService) -> None:
+        """Start before the first change."""
+        self._service = service
+        self._storage = ConfigurationStorage(service)
+        self._index = 0
+
+    async def next_delta(self, revision: int, seconds: float) -> Delta:
+        """Return what changed after a revision, at the latest in `seconds`.
+
+        An equal base and revision mean that nothing did. The index moves only
+        once the changes were read, so that a failed read is repeated.
+        """
+        listing = await self._service.wait(MANIFEST_KEY, self._index, seconds)
+        entry = listing.entries[0] if listing.entries else None
+        delta = await self._storage.delta_of(entry, revision)
+        self._index = listing.index
+        return delta
