--- a/mintlanding/core/metrics.py
+++ b/mintlanding/core/metrics.py
@@ -56,3 +56,30 @@
     def timing(self, name: str, seconds: float) -> None:
         """Record a duration in seconds."""
         self.client.timing(name, seconds * _MILLISECONDS)
+
+
+class StatsdAddress(Protocol):
+    """The part of the settings that says where metrics go."""
+
+    @property
+    def host(self) -> str:
+        """Return the host."""
+
+    @property
+    def port(self) -> int:
+        """Return the UDP port."""
+
+    @property
+    def prefix(self) -> str:
+        """Return what all names begin with."""
+
+
+def build_metrics(address: StatsdAddress | None) -> Metrics:
+    """Return metrics that go to an address, or nowhere without one."""
+    if address is None:
+        return NullMetrics()
+    return StatsdMetrics.from_address(
+        address.host,
+        address.port,
+        address.prefix,
+    )
--- a/mintlanding/entry/application.py
+++ b/mintlanding/entry/application.py
@@ -5,13 +5,11 @@
 
 from mintlanding.conf.models import EntrySettings, InstanceSettings
 from mintlanding.configuration.keys import KeyHasher
-from mintlanding.configuration.models import Change
 from mintlanding.core.application import Application
 from mintlanding.core.clock import SystemClock
 from mintlanding.core.exceptions import ConfigurationError
 from mintlanding.core.http import HttpLimits, HttpServer
-from mintlanding.core.metrics import Metrics, NullMetrics, StatsdMetrics
-from mintlanding.core.results import Failed, ResultCode
+from mintlanding.core.metrics import build_metrics
 from mintlanding.engines.headers import CredentialFilter
 from mintlanding.engines.models import TargetTimeouts
 from mintlanding.entry.authentication import Authenticator, KeyNames
@@ -27,6 +25,7 @@
 from mintlanding.entry.services import METHODS, ServiceEndpoint, ServiceParts
 from mintlanding.entry.targets import EntryTargets
 from mintlanding.entry.view import EntryView, ViewFollower
+from mintlanding.entry.withdrawals import Withdrawals
 from mintlanding.orders.ledger import OrderLedger
 from mintlanding.peers.auth import PeerKeyring
 from mintlanding.peers.client import PeerClient
@@ -46,13 +45,13 @@
         self.application = Application('entry')
         self._entry = entry
         self._clock = SystemClock()
-        self._metrics = _build_metrics(cfg)
+        self._metrics = build_metrics(cfg.statsd)
         self._requests = OpenRequests()
         self._background = Background()
         keyring = PeerKeyring.from_config(cfg.instance, cfg.peers.secrets)
         self._peers = PeerClient(keyring)
         self._view = EntryView(self._clock)
-        self._view.on_change(self._end_withdrawn)
+        self._withdrawals = Withdrawals(self._view, self._requests)
         self._key_value = HttpKeyValueService.from_config(
             cfg.platform.key_value_url,
             cfg.platform.timeout,
@@ -183,24 +182,3 @@
         await self._targets.close()
         await self._key_value.close()
         self._peers.close()
-
-    def _end_withdrawn(self, changes: tuple[Change, ...]) -> None:
-        for change in changes:
-            if change.kind != 'key':
-                continue
-            key = self._view.directory.find_key(change.name)
-            if key is None or key.withdrawn:
-                self._requests.end_key(
-                    change.name,
-                    Failed.of(ResultCode.key_withdrawn),
-                )
-
-
-def _build_metrics(cfg: InstanceSettings) -> Metrics:
-    if cfg.statsd is None:
-        return NullMetrics()
-    return StatsdMetrics.from_address(
-        cfg.statsd.host,
-        cfg.statsd.port,
-        cfg.statsd.prefix,
-    )
