Serve a request end to end through separate processes

Ruled out: a temporary share of rates by position in the instance list; two lists that differ would count a share twice. Seats are created once instead and never taken over until the claim decision lands. Before: no request was served.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 clean:
 	rm -rf .venv build *.egg-info
+
+.PHONY: reference
+reference: $(VENV)
+	$(PY) -m mintlanding.core.reference > docs/reference/result-codes.md
+	$(PY) -m mintlanding.conf.reference > docs/reference/settings.md
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -142,7 +142,7 @@
                 command += [
                     f'--slots={self.size.slots}',
                     f'--batch-limit={self.size.batch_limit}',
-                    f'--weight-store-url={store.url}',
+                    f'--store-url={store.url}',
                 ]
             self.start(each.name, command)
 
--- /dev/null
+++ b/demo/seed.py
@@ -0,0 +1,93 @@
+"""The configuration that the demo fleet starts with."""
+
+from collections.abc import Iterator
+
+from demo.fleet import PEPPER, Fleet
+from demo.sizes import FleetSize
+from mintlanding.configuration.keys import IssuedKey, KeyHasher
+from mintlanding.configuration.models import (
+    Adapter,
+    AdapterVersion,
+    AnyObject,
+    Selector,
+    Service,
+    Settings,
+    Target,
+    Workspace,
+)
+
+ENGINE_SERVICE = 'planner-models'
+PLAIN_SERVICE = 'orders-api'
+SEAT_COUNT = 16
+RATE = 40_000
+BURST = 120_000
+SMALL_RATE = 2_000
+SMALL_BURST = 6_000
+
+
+def issue_keys(size: FleetSize) -> dict[str, IssuedKey]:
+    """Issue one key for each workspace."""
+    hasher = KeyHasher.from_config([PEPPER])
+    return {name: hasher.issue(name) for name in size.workspaces}
+
+
+def adapter_name(number: int) -> str:
+    """Return the name of an adapter by number."""
+    return f'layout-{number:04}'
+
+
+def workspace_of(size: FleetSize, number: int) -> str:
+    """Return the workspace that owns an adapter."""
+    return size.workspaces[number % len(size.workspaces)]
+
+
+def base_objects(
+    fleet: Fleet, keys: dict[str, IssuedKey]
+) -> Iterator[AnyObject]:
+    """Yield everything but adapters."""
+    yield Settings(name='limits', values={'seats': SEAT_COUNT})
+    yield Service(name=ENGINE_SERVICE, engine=True, base_model='tile-7b')
+    yield Service(name=PLAIN_SERVICE)
+    for index, workspace in enumerate(fleet.size.workspaces):
+        is_large = index < len(fleet.size.workspaces) - 1
+        yield Workspace(
+            name=workspace,
+            rate=RATE if is_large else SMALL_RATE,
+            burst=BURST if is_large else SMALL_BURST,
+        )
+        yield keys[workspace].key
+        yield Selector(
+            name=f'kitchen-{workspace}',
+            workspace=workspace,
+            match='stage=stable, room=kitchen',
+        )
+    for each in fleet.standins:
+        if each.service:
+            yield Target(
+                name=each.name,
+                service=each.service,
+                zone=each.zone,
+                url=each.url,
+                slots=fleet.size.slots if each.kind == 'engine' else 0,
+                batch_limit=fleet.size.batch_limit,
+                checks_fencing=each.kind == 'engine',
+            )
+
+
+def adapter_objects(size: FleetSize) -> Iterator[AnyObject]:
+    """Yield all adapters with their versions."""
+    for number in range(size.adapters):
+        name = adapter_name(number)
+        room = 'kitchen' if number % 10 < len(size.workspaces) else 'bath'
+        yield Adapter(
+            name=name,
+            workspace=workspace_of(size, number),
+            service=ENGINE_SERVICE,
+            default_version='1',
+            labels={'room': room},
+        )
+        yield AdapterVersion(
+            name=f'{name}@1',
+            weights=f'weights/{name}/1',
+            labels={'stage': 'stable'},
+        )
--- a/mintlanding/agent/application.py
+++ b/mintlanding/agent/application.py
@@ -6,6 +6,7 @@
 from mintlanding.agent.context import AgentContext
 from mintlanding.agent.limits import LimitsPart
 from mintlanding.agent.membership import MembershipPart
+from mintlanding.agent.seats import SeatsPart
 from mintlanding.agent.stewards import StewardsPart
 from mintlanding.agent.view import ViewPart
 from mintlanding.conf.models import InstanceSettings
@@ -49,6 +50,7 @@
         self.configuration = ConfigurationPart(self.context)
         self.membership = MembershipPart(self.context)
         self.limits = LimitsPart(self.context)
+        self.seats = SeatsPart(self.context, self.limits)
         self.stewards = StewardsPart(
             self.context,
             self.limits,
@@ -84,6 +86,7 @@
         await self.membership.start()
         await self.configuration.start()
         await self.limits.start()
+        await self.seats.start()
         await self.stewards.start()
 
     async def _drain(self) -> None:
