--- a/mintlanding/configuration/directory.py
+++ b/mintlanding/configuration/directory.py
@@ -201,6 +201,14 @@
         )
         return Delta(base=0, revision=self.revision, changes=tuple(changes))
 
+    def share(self, change: Change) -> Change:
+        """Return an equal change that shares memory with what is held."""
+        if change.body is None:
+            return change
+        held = self._objects[change.kind].get(change.name)
+        body = held if held == change.body else self._compact(change.body)
+        return msgspec.structs.replace(change, body=body)
+
     def _advance(self, delta: Delta) -> Applied:
         fresh = [
             change
--- /dev/null
+++ b/mintlanding/configuration/parts.py
@@ -0,0 +1,66 @@
+"""Send a delta in bounded parts, so that a snapshot needs little memory."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.documents import pack, unpack
+from mintlanding.configuration.exceptions import StoredConfigurationError
+from mintlanding.configuration.messages import DeltaPart
+from mintlanding.configuration.models import Change, Delta
+
+CHANGES_PER_PART = 1000
+MAX_PARTS = 10_000
+
+
+def split_delta(delta: Delta) -> Iterator[DeltaPart]:
+    """Go through the parts of a delta; there is at least one."""
+    changes = delta.changes
+    total = max(1, -(-len(changes) // CHANGES_PER_PART))
+    for number in range(total):
+        start = number * CHANGES_PER_PART
+        piece = changes[start : start + CHANGES_PER_PART]
+        yield DeltaPart(
+            base=delta.base,
+            revision=delta.revision,
+            number=number,
+            total=total,
+            content=pack(piece),
+        )
+
+
+class DeltaAssembler:
+    """Put parts together again; they must come in order and fit together."""
+
+    def __init__(self, directory: Directory) -> None:
+        """Share memory with what the directory holds already."""
+        self._directory = directory
+        self._first: DeltaPart | None = None
+        self._next = 0
+        self._changes: list[Change] = []
+
+    def add(self, part: DeltaPart) -> Delta | None:
+        """Take a part; return the delta when it is whole."""
+        first = self._first or part
+        if not self._fits(first, part):
+            raise StoredConfigurationError('parts of a delta do not fit')
+        self._first = first
+        self._next += 1
+        loaded = unpack(part.content, tuple[Change, ...])
+        self._changes.extend(self._directory.share(each) for each in loaded)
+        if self._next < part.total:
+            return None
+        return Delta(
+            base=part.base,
+            revision=part.revision,
+            changes=tuple(self._changes),
+        )
+
+    def _fits(self, first: DeltaPart, part: DeltaPart) -> bool:
+        expected = msgspec.structs.replace(
+            first,
+            number=self._next,
+            content=part.content,
+        )
+        return part == expected and self._next < part.total <= MAX_PARTS
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -125,9 +125,13 @@
         return await self.delta_of(entry, revision)
 
     async def delta_of(self, entry: Entry | None, revision: int) -> Delta:
-        """Return the changes after a revision from a manifest just read."""
+        """Return the changes after a revision from a manifest just read.
+
+        An empty delta at the revision of the service tells that it holds
+        nothing newer; this is lower when the service has lost data.
+        """
         if entry is None:
-            return Delta(base=revision, revision=revision)
+            return Delta(base=0, revision=0)
         return (await self._read(entry, revision)).delta
 
     async def check(
@@ -364,7 +368,7 @@
         revision: int,
     ) -> Delta | None:
         if manifest.revision <= revision:
-            return Delta(base=revision, revision=revision)
+            return Delta(base=manifest.revision, revision=manifest.revision)
         if revision and manifest.tail_base <= revision:
             changes = [
                 change for change in manifest.tail if change.revision > revision
--- a/mintlanding/configuration/watching.py
+++ b/mintlanding/configuration/watching.py
@@ -18,7 +18,7 @@
     async def next_delta(self, revision: int, seconds: float) -> Delta:
         """Return what changed after a revision, at the latest in `seconds`.
 
-        An equal base and revision mean that nothing did. The index moves only
+        An empty delta tells the revision of the service. The index moves only
         once the changes were read, so that a failed read is repeated.
         """
         listing = await self._service.wait(MANIFEST_KEY, self._index, seconds)
