--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -14,7 +14,7 @@
 from aiosonic import HTTPClient, Timeouts
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
-from aiosonic.exceptions import AiosonicError
+from aiosonic.exceptions import AiosonicError, HttpParsingError
 from aiosonic.pools import WsPool
 
 from mintlanding.core.exceptions import MintlandingError
@@ -22,14 +22,8 @@
 MAX_BODY_BYTES = 8 << 20
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 _NO_BODY_STATUSES = frozenset((204, 304))
-_LOST = (
-    AiosonicError,
-    OSError,
-    ValueError,
-    EOFError,
-    TimeoutError,
-    asyncio.LimitOverrunError,
-)
+_GARBAGE = (HttpParsingError, ValueError, asyncio.LimitOverrunError)
+_LOST = (AiosonicError, OSError, EOFError, *_GARBAGE)
 
 Headers = list[tuple[str, str]]
 
@@ -115,6 +109,8 @@
         """Read the whole body."""
         if not self._response._has_pending_body():
             return bytes(self._response.body)
+        if (self._response._remaining or 0) > limit:
+            raise AnswerInvalid('the body is too large')
         parts: list[bytes] = []
         size = 0
         async for piece in self.pieces():
@@ -171,6 +167,8 @@
                 )
         except TimeoutError as timeout_exc:
             raise CallTimeout(f'no answer in {call.answer} s') from timeout_exc
+        except _GARBAGE as garbage:
+            raise AnswerInvalid(repr(garbage)) from garbage
         except _LOST as exc:
             raise CallLost(repr(exc)) from exc
         return _checked(response)
--- /dev/null
+++ b/mintlanding/core/tests/test_http.py
@@ -0,0 +1,106 @@
+"""The server bounds headers and lets running requests end."""
+
+import asyncio
+
+from starlette.responses import PlainTextResponse
+
+from mintlanding.core.http import HttpLimits, HttpServer
+from mintlanding.core.http_client import HttpCall, HttpClient
+
+
+async def _app(scope, receive, send):
+    await PlainTextResponse(scope['path'])(scope, receive, send)
+
+
+async def _serving(app=_app, **limits):
+    server = HttpServer.from_config(app, '127.0.0.1', 0, HttpLimits(**limits))
+    await server.start()
+    return server
+
+
+async def _exchange(server, raw):
+    reader, writer = await asyncio.open_connection(server.host, server.port)
+    writer.write(raw)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+async def test_too_large_headers_are_refused():
+    server = await _serving(header_bytes=1000)
+    whole = b'GET / HTTP/1.1\r\nx: ' + b'y' * 2000 + b'\r\n\r\n'
+    endless = b'GET / HTTP/1.1\r\nx: ' + b'y' * 9000
+    assert b' 431 ' in await _exchange(server, whole)
+    assert b' 431 ' in await _exchange(server, endless)
+    await server.stop()
+
+
+async def test_large_body_is_no_large_header():
+    server = await _serving(header_bytes=1000)
+    call = HttpCall('POST', f'http://{server.address}/x', body=b'y' * 50_000)
+    answer = await HttpClient.from_config().call(call)
+    await server.stop()
+    assert answer.status == 200
+
+
+async def test_caller_that_never_ends_its_headers_is_cut_off():
+    server = await _serving(header_seconds=0.01)
+    assert await _exchange(server, b'GET / HT') == b''
+    assert await _exchange(server, b'') == b''
+    await server.stop()
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    server = await _serving()
+    raw = b'GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nconnection: close\r\n\r\n'
+    answer = await _exchange(server, raw)
+    await server.stop()
+    assert 0 < answer.find(b'/1') < answer.find(b'/2')
+
+
+async def test_drain_answers_what_was_accepted():
+    entered, go_on = asyncio.Event(), asyncio.Event()
+
+    async def app(scope, receive, send):
+        entered.set()
+        await go_on.wait()
+        await _app(scope, receive, send)
+
+    server = await _serving(app)
+    call = HttpCall('GET', f'http://{server.address}/held')
+    running = asyncio.create_task(HttpClient.from_config().call(call))
+    await entered.wait()
+    draining = asyncio.create_task(server.drain(5))
+    await asyncio.sleep(0)
+    go_on.set()
+    answer = await running
+    assert answer.body == b'/held'
+    assert await draining
+
+
+async def test_request_on_an_open_connection_is_answered_while_draining():
+    server = await _serving()
+    reader, writer = await asyncio.open_connection(server.host, server.port)
+    request = b'GET /%d HTTP/1.1\r\n\r\n'
+    writer.write(request % 1)
+    await reader.readuntil(b'/1')
+    draining = asyncio.create_task(server.drain(5, idle_seconds=0.05))
+    await asyncio.sleep(0)
+    writer.write(request % 2)
+    answer = await reader.read()
+    assert b'/2' in answer and b'connection: close' in answer
+    assert await draining
+
+
+async def test_drain_reports_what_did_not_end():
+    async def app(scope, receive, send):
+        await asyncio.Event().wait()
+
+    server = await _serving(app)
+    call = HttpCall('GET', f'http://{server.address}/')
+    running = asyncio.create_task(HttpClient.from_config().call(call))
+    while not server.transports:
+        await asyncio.sleep(0)
+    assert not await server.drain(0.01)
+    await server.stop()
+    await asyncio.gather(running, return_exceptions=True)
--- /dev/null
+++ b/mintlanding/engines/relay.py
@@ -0,0 +1,72 @@
+"""Hand on a stream across broken connections."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from mintlanding.core.results import Done, Failed, Ran
+from mintlanding.engines.client import EngineClient, OpenedAnswer
+from mintlanding.engines.stream import EngineStream, StreamBroken
+from mintlanding.placement.messages import AdapterRef
+
+RESUME_PAUSES = (0.0, 0.2, 1.0)
+
+
+@dataclass(slots=True)
+class StreamRelay:
+    """One answer, resumed at its offset when its connection breaks.
+
+    Each token is handed on once and in order. `resumes` counts how often it
+    was taken up again.
+    """
+
+    client: EngineClient
+    opened: OpenedAnswer
+    ref: AdapterRef
+    request_id: str
+    resumes: int = 0
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the answer; raise StreamBroken when it cannot go on."""
+        while True:
+            try:
+                async for chunk in self.opened.chunks():
+                    yield chunk
+            except StreamBroken as exc:
+                await self._resume(exc)
+            else:
+                return
+
+    async def cancel(self) -> None:
+        """Leave the stream and end the engine's work on it."""
+        self.opened.close()
+        if not self.opened.is_complete:
+            await self.client.cancel(self.request_id)
+
+    async def _resume(self, broken: StreamBroken) -> None:
+        self.opened.close()
+        offset = self.opened.offset
+        for pause in RESUME_PAUSES:
+            await asyncio.sleep(pause)
+            outcome = await self.client.resume(
+                self.ref,
+                self.request_id,
+                offset,
+            )
+            if isinstance(outcome, Done):
+                self.opened = outcome.value
+                self.resumes += 1
+                return
+            if _is_final(outcome):
+                break
+        raise StreamBroken(f'no resume at {offset}: {broken}')
+
+
+def is_stream(opened: OpenedAnswer) -> bool:
+    """Tell whether an answer comes in events."""
+    return isinstance(opened, EngineStream)
+
+
+def _is_final(outcome: Failed) -> bool:
+    # A refusal says that the engine no longer knows the stream.
+    return outcome.ran is Ran.not_run and outcome.detail == 'unknown_stream'
--- a/mintlanding/engines/stream.py
+++ b/mintlanding/engines/stream.py
@@ -12,6 +12,7 @@
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _DATA_FIELD = b'data:'
+_PING = b': ping\n\n'
 _STREAM_END = b'data: [DONE]\n\n'
 _MAX_HELD_BYTES = 1 << 20
 
@@ -61,7 +62,9 @@
                 self._first = held
                 is_end = found == b'[DONE]'
                 return None if is_end else _decode_head(found)
-        raise StreamBroken('the stream has no data')
+        if held.replace(_PING, b''):
+            raise TargetError('the stream has no data')
+        raise StreamBroken('the stream ended before its first data')
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the answer; raise StreamBroken when it ends too early."""
--- a/mintlanding/standin/faults.py
+++ b/mintlanding/standin/faults.py
@@ -47,8 +47,8 @@
         self._silent: weakref.WeakSet[Any] = weakref.WeakSet()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replace all faults."""
-        self.faults = faults
+        """Replace all faults; counts are used up on a copy."""
+        self.faults = msgspec.structs.replace(faults)
         if faults.frozen:
             self._thawed.clear()
         else:
