Spread the configuration between agents in the running system

Cause: every agent watched the platform; the distribution node needs few. Before: one waiting call an agent.

--- a/mintlanding/agent/application.py
+++ b/mintlanding/agent/application.py
@@ -47,8 +47,11 @@
                 cfg.platform.timeout,
             ),
         )
-        self.configuration = ConfigurationPart(self.context)
         self.membership = MembershipPart(self.context)
+        self.configuration = ConfigurationPart(
+            self.context,
+            self.membership.node.configuration,
+        )
         self.limits = LimitsPart(self.context)
         self.seats = SeatsPart(self.context, self.limits)
         self.stewards = StewardsPart(
@@ -78,6 +81,8 @@
         self.membership.on_members(self.limits.follow_members)
         self.membership.on_members(self.stewards.follow_members)
         self.membership.on_members(self.view.members_changed)
+        self.membership.on_members(self.configuration.follow_members)
+        self.membership.on_heartbeat(self.configuration.heard)
         self.membership.on_digest(self.view.digest_changed)
 
     async def _start(self) -> None:
--- a/mintlanding/agent/configuration.py
+++ b/mintlanding/agent/configuration.py
@@ -1,16 +1,38 @@
-"""Follow the configuration and tell the other parts of each revision."""
+"""Carry out what the distribution node decides."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from mintlanding.agent.context import AgentContext
+from mintlanding.configuration.actions import (
+    Action,
+    Announce,
+    FetchDelta,
+    InForce,
+    StopWatch,
+    Watch,
+)
+from mintlanding.configuration.distribution import DistributionNode
+from mintlanding.configuration.messages import (
+    ANNOUNCE,
+    FETCH,
+    Announcement,
+    AnnounceReply,
+    DeltaPart,
+    FetchRequest,
+)
 from mintlanding.configuration.models import Delta
+from mintlanding.configuration.parts import DeltaAssembler, split_delta
 from mintlanding.configuration.watching import ConfigurationWatch
-from mintlanding.core.exceptions import PlatformError
+from mintlanding.core.exceptions import MintlandingError, PeerError
 from mintlanding.core.logs import Logger
+from mintlanding.membership.confirmations import Confirmations
+from mintlanding.membership.messages import Heartbeat
+from mintlanding.membership.models import Member
 
-WATCH_SECONDS = 20
-RETRY_SECONDS = 0.5
+ANNOUNCE_TIMEOUT_SECONDS = 2
+FETCH_SILENCE_SECONDS = 5
+TICK_SECONDS = 0.2
 
 _logger = Logger('configuration')
 
@@ -18,48 +40,149 @@
 class ConfigurationPart:
     """The directory of this instance, kept current."""
 
-    def __init__(self, context: AgentContext) -> None:
-        """Begin with an empty directory."""
+    def __init__(
+        self,
+        context: AgentContext,
+        confirmations: Confirmations,
+    ) -> None:
+        """Begin with an empty directory; share what heartbeats confirm."""
         self._context = context
+        self.node = DistributionNode(
+            context.own,
+            context.directory,
+            confirmations,
+            context.random('configuration'),
+            context.now,
+        )
         self._watch = ConfigurationWatch(context.key_value)
+        self._watching: asyncio.Task[None] | None = None
         self._listeners: list[Callable[[], None]] = []
-        self._vouched_at: float | None = None
         self._started_at = context.now
+        context.server.add(ANNOUNCE, self._take_announcement)
+        context.server.add_stream(FETCH, self._serve_fetch)
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call the listener after each accepted delta."""
+        """Call the listener after each accepted revision."""
         self._listeners.append(listener)
 
     def stale_seconds(self) -> float:
-        """Return the seconds since the configuration was vouched for."""
-        vouched = self._vouched_at
-        return self._context.now - (vouched or self._started_at)
+        """Return the seconds since the platform vouched, or since start."""
+        now = self._context.now
+        age = self.node.stale_seconds(now)
+        return age if age >= 0 else now - self._started_at
 
     async def start(self) -> None:
-        """Begin to watch."""
-        self._context.application.spawn(self._follow())
-
-    def apply(self, delta: Delta) -> bool:
-        """Accept a delta and tell the listeners."""
-        applied = self._context.directory.apply(delta)
-        if not applied.accepted:
-            return False
-        _logger.info('A revision is in force.', revision=applied.revision)
+        """Begin to tick."""
+        self._context.application.spawn(self._run_ticks())
+
+    def follow_members(self) -> None:
+        """Take a change of the members."""
+        members = self._context.members.values()
+        self._carry_out(self.node.members(members, self._context.now))
+
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Take the revision that a heartbeat tells."""
+        sender = heartbeat.sender.member.instance
+        now = self._context.now
+        self._carry_out(self.node.heard(sender, heartbeat.revision, now))
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self._carry_out(self.node.tick(self._context.now))
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        spawn = self._context.application.spawn
+        for action in actions:
+            match action:
+                case Watch():
+                    self._watching = spawn(self._run_watch(action))
+                case StopWatch():
+                    self._stop_watch()
+                case FetchDelta():
+                    spawn(self._fetch(action))
+                case Announce():
+                    for peer in action.peers:
+                        spawn(self._announce(peer, action.message))
+                case InForce():
+                    self._tell(action)
+
+    def _tell(self, action: InForce) -> None:
+        _logger.info('A revision is in force.', revision=action.revision)
         for listener in self._listeners:
             listener()
-        return True
 
-    async def _follow(self) -> None:
-        while True:
-            asked_at = self._context.now
-            try:
-                delta = await self._watch.next_delta(
-                    self._context.directory.revision,
-                    WATCH_SECONDS,
-                )
-            except PlatformError as exc:
-                _logger.warning('The watch broke off.', reason=str(exc))
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._vouched_at = asked_at
-            self.apply(delta)
+    def _stop_watch(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+
+    async def _run_watch(self, action: Watch) -> None:
+        asked_at = self._context.now
+        try:
+            delta = await self._watch.next_delta(action.after, action.seconds)
+        except MintlandingError as exc:
+            _logger.warning('The watch broke off.', reason=str(exc))
+            now = self._context.now
+            self._carry_out(self.node.watch_failed(str(exc), now))
+            return
+        now = self._context.now
+        self._carry_out(self.node.watch_result(delta, asked_at, now))
+
+    async def _fetch(self, action: FetchDelta) -> None:
+        peer = action.peer
+        try:
+            delta = await self._receive_delta(peer, action.after)
+        except MintlandingError as exc:
+            _logger.warning('A fetch failed.', reason=str(exc))
+            now = self._context.now
+            self._carry_out(self.node.fetch_failed(peer.instance, now))
+            return
+        now = self._context.now
+        self._carry_out(self.node.fetched(peer.instance, delta, now))
+
+    async def _receive_delta(self, peer: Member, after: int) -> Delta:
+        assembler = DeltaAssembler(self._context.directory)
+        parts = self._context.client.stream(
+            peer.address,
+            FETCH,
+            FetchRequest(after),
+            FETCH_SILENCE_SECONDS,
+        )
+        async for part in parts:
+            delta = assembler.add(part)
+            if delta is not None:
+                return delta
+        raise PeerError('the delta ended early')
+
+    async def _announce(self, peer: Member, message: Announcement) -> None:
+        try:
+            reply = await self._context.client.call(
+                peer.address,
+                ANNOUNCE,
+                message,
+                ANNOUNCE_TIMEOUT_SECONDS,
+            )
+        except PeerError as exc:
+            _logger.warning('An announcement failed.', reason=str(exc))
+            return
+        now = self._context.now
+        self._carry_out(self.node.heard(peer.instance, reply.revision, now))
+
+    async def _take_announcement(
+        self,
+        message: Announcement,
+        sender: str,
+    ) -> AnnounceReply:
+        now = self._context.now
+        self._carry_out(self.node.announced(message, sender, now))
+        return AnnounceReply(self.node.revision)
+
+    async def _serve_fetch(
+        self,
+        req: FetchRequest,
+        sender: str,
+    ) -> AsyncIterator[DeltaPart]:
+        delta = self._context.directory.delta_since(req.after)
+        for part in split_delta(delta):
+            yield part
--- a/mintlanding/agent/membership.py
+++ b/mintlanding/agent/membership.py
@@ -44,6 +44,7 @@
         self._terms = terms
         self._on_members: list[Callable[[], None]] = []
         self._on_digest: list[Callable[[WorkerDigest], None]] = []
+        self._on_heartbeat: list[Callable[[Heartbeat], None]] = []
         context.server.add(EXCHANGE, self._take_heartbeat)
 
     def on_members(self, listener: Callable[[], None]) -> None:
@@ -54,6 +55,10 @@
         """Call the listener with each digest that arrives."""
         self._on_digest.append(listener)
 
+    def on_heartbeat(self, listener: Callable[[Heartbeat], None]) -> None:
+        """Call the listener with each heartbeat and each reply to one."""
+        self._on_heartbeat.append(listener)
+
     async def start(self) -> None:
         """Begin heartbeats."""
         self._publish_members()
@@ -84,6 +89,7 @@
         now = self._context.now
         reply = self.node.heartbeat(message, now)
         self._carry_out(self.node.changes(now))
+        self._tell_heartbeat(message)
         return reply
 
     async def _run_ticks(self) -> None:
@@ -159,3 +165,8 @@
             self._carry_out(failed)
             return
         self._carry_out(self.node.reply(reply, self._context.now))
+        self._tell_heartbeat(reply)
+
+    def _tell_heartbeat(self, message: Heartbeat) -> None:
+        for listener in self._on_heartbeat:
+            listener(message)
--- a/mintlanding/agent/messages.py
+++ b/mintlanding/agent/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mintlanding.configuration.models import Delta
+from mintlanding.configuration.messages import DeltaPart
 from mintlanding.membership.models import Member
 from mintlanding.peers.messages import Empty, Method
 from mintlanding.placement.messages import (
@@ -24,11 +24,12 @@
 class ViewUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
     """What changed since the last update; unset fields did not change.
 
-    `stale_seconds` is the time since a member with a live watch on the
-    platform vouched for the configuration.
+    A delta comes in parts, one in each update. `stale_seconds` is the time
+    since a member with a live watch on the platform vouched for the
+    configuration.
     """
 
-    delta: Delta | None = None
+    part: DeltaPart | None = None
     members: tuple[Member, ...] | None = None
     digests: tuple[WorkerDigest, ...] = ()
     stale_seconds: float = 0
--- a/mintlanding/agent/view.py
+++ b/mintlanding/agent/view.py
@@ -1,11 +1,13 @@
 """Stream the agent's view to the entry of its instance."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass, field
 
 from mintlanding.agent.context import AgentContext
 from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
+from mintlanding.configuration.messages import DeltaPart
+from mintlanding.configuration.parts import split_delta
 from mintlanding.placement.messages import WorkerDigest
 
 VOUCH_SECONDS = 1
@@ -64,24 +66,28 @@
         self._subscribers.add(subscriber)
         try:
             while True:
+                for part in self._parts(subscriber):
+                    yield ViewUpdate(part, stale_seconds=self._stale_seconds())
                 yield self._update(subscriber)
                 await _wait(subscriber.wake)
         finally:
             self._subscribers.discard(subscriber)
 
-    def _update(self, subscriber: Subscriber) -> ViewUpdate:
+    def _parts(self, subscriber: Subscriber) -> Iterator[DeltaPart]:
         directory = self._context.directory
-        delta = None
         if directory.revision > subscriber.revision:
             delta = directory.delta_since(subscriber.revision)
             subscriber.revision = directory.revision
+            yield from split_delta(delta)
+
+    def _update(self, subscriber: Subscriber) -> ViewUpdate:
         members = None
         if subscriber.members_changed:
             members = tuple(self._context.members.values())
             subscriber.members_changed = False
         digests = tuple(subscriber.digests.values())
         subscriber.digests.clear()
-        return ViewUpdate(delta, members, digests, self._stale_seconds())
+        return ViewUpdate(None, members, digests, self._stale_seconds())
 
 
 async def _wait(wake: asyncio.Event) -> None:
--- a/mintlanding/entry/completions.py
+++ b/mintlanding/entry/completions.py
@@ -10,7 +10,8 @@
 from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.models import GenerateRequest
-from mintlanding.engines.stream import EngineStream, StreamBroken
+from mintlanding.engines.relay import is_stream
+from mintlanding.engines.stream import StreamBroken
 from mintlanding.entry.background import Background
 from mintlanding.entry.bodies import Completion
 from mintlanding.entry.control import ControlClient
@@ -29,7 +30,7 @@
     'cache-control': 'no-cache',
 }
 STALE_HEADER = 'x-mintlanding-stale-seconds'
-STALE_AFTER_SECONDS = 5
+STALE_AFTER_SECONDS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +161,7 @@
         try:
             await self._relay(exchange, generation, usage)
         finally:
-            usage.note_answer(generation)
+            usage.note_answer(generation.relay.opened)
             self.parts.dispatcher.finish(generation, usage.total)
 
     async def _relay(
@@ -170,12 +171,11 @@
         usage: Usage,
     ) -> None:
         usage.has_run = True
-        answer = generation.answer
-        is_stream = isinstance(answer, EngineStream)
-        headers = STREAM_HEADERS if is_stream else _JSON_HEADERS
+        answer = generation.relay.opened
+        headers = STREAM_HEADERS if is_stream(answer) else _JSON_HEADERS
         await exchange.start(answer.status, {**headers, **self._marks()})
         try:
-            async for chunk in generation.chunks():
+            async for chunk in generation.relay.chunks():
                 await exchange.send_chunk(chunk)
         except StreamBroken as exc:
             failure = Failed(
--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -10,6 +10,7 @@
 from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.models import GenerateRequest
+from mintlanding.engines.relay import StreamRelay
 from mintlanding.entry.background import Background
 from mintlanding.entry.control import ControlClient
 from mintlanding.entry.generation import Generation
@@ -160,21 +161,22 @@
         opened = await engine.generate(generate)
         if isinstance(opened, Failed):
             return opened
+        relay = StreamRelay(
+            engine,
+            opened.value,
+            req.ref,
+            req.reservation_id,
+        )
+        stalled = granted.value.stalled
         return Done(
-            Generation(
-                generate,
-                engine,
-                opened.value,
-                route.worker,
-                granted.value.stalled,
-            ),
+            Generation(relay, route.worker, req.reservation_id, stalled),
         )
 
     async def _finish(self, generation: Generation, used: float) -> None:
-        await generation.abandon()
+        await generation.relay.cancel()
         await self._release(
             generation.worker,
-            generation.req.request_id,
+            generation.reservation_id,
             used,
         )
 
--- a/mintlanding/entry/usage.py
+++ b/mintlanding/entry/usage.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from mintlanding.core.results import Failed, Ran
-from mintlanding.engines.client import WholeAnswer
-from mintlanding.entry.generation import Generation
+from mintlanding.engines.client import OpenedAnswer, WholeAnswer
 
 
 class _UsageField(msgspec.Struct):
@@ -37,9 +36,8 @@
         """Take a failure before the first byte."""
         self.has_run = failure.ran is not Ran.not_run
 
-    def note_answer(self, generation: Generation) -> None:
+    def note_answer(self, answer: OpenedAnswer) -> None:
         """Take the output of an answer, whole or as far as it came."""
-        answer = generation.answer
         if isinstance(answer, WholeAnswer):
             self.output_tokens = _output_of(answer.body, self.input_tokens)
             return
--- a/mintlanding/entry/view.py
+++ b/mintlanding/entry/view.py
@@ -5,10 +5,12 @@
 
 from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
 from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.messages import DeltaPart
 from mintlanding.configuration.models import Change, Delta
+from mintlanding.configuration.parts import DeltaAssembler
 from mintlanding.configuration.selectors import Resolver
 from mintlanding.core.clock import Clock
-from mintlanding.core.exceptions import PeerError
+from mintlanding.core.exceptions import MintlandingError
 from mintlanding.core.logs import Logger
 from mintlanding.membership.models import Member
 from mintlanding.peers.client import PeerClient
@@ -29,6 +31,7 @@
         """Start empty: nothing can be served until the first update."""
         self.directory = Directory()
         self.resolver = Resolver(self.directory)
+        self._assembler = DeltaAssembler(self.directory)
         self.members: dict[str, Member] = {}
         self.digests: dict[str, WorkerDigest] = {}
         self._clock = clock
@@ -67,8 +70,8 @@
         """Take an update of the agent."""
         self._updated_at = self._clock.monotonic()
         self._stale_at_update = update.stale_seconds
-        if update.delta is not None:
-            self._take_delta(update.delta)
+        if update.part is not None:
+            self._take_part(update.part)
         if update.members is not None:
             self._take_members(update.members)
         for digest in update.digests:
@@ -92,6 +95,16 @@
             for listener in self._member_listeners:
                 listener(member)
 
+    def restart_parts(self) -> None:
+        """Forget the parts of a delta whose stream has ended."""
+        self._assembler = DeltaAssembler(self.directory)
+
+    def _take_part(self, part: DeltaPart) -> None:
+        delta = self._assembler.add(part)
+        if delta is not None:
+            self.restart_parts()
+            self._take_delta(delta)
+
     def _take_delta(self, delta: Delta) -> None:
         applied = self.directory.apply(delta)
         if not applied.accepted:
@@ -123,11 +136,12 @@
         while True:
             try:
                 await self._follow()
-            except PeerError as exc:
+            except MintlandingError as exc:
                 self._logger.warning('The view broke off.', reason=str(exc))
             await asyncio.sleep(RECONNECT_SECONDS)
 
     async def _follow(self) -> None:
+        self._view.restart_parts()
         req = ViewRequest(self._instance, self._view.directory.revision)
         updates = self._client.stream(
             self._address,
