--- a/mintlanding/agent/__main__.py
+++ b/mintlanding/agent/__main__.py
@@ -2,8 +2,8 @@
 
 import fire
 
-from mintlanding.conf.command import run_binary
 from mintlanding.agent.application import AgentApplication
+from mintlanding.conf.command import run_binary
 
 
 def serve(settings: str) -> None:
--- a/mintlanding/peers/server.py
+++ b/mintlanding/peers/server.py
@@ -1,5 +1,6 @@
 """Serve typed methods to the other processes of the system."""
 
+import asyncio
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any, cast
@@ -12,12 +13,22 @@
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import PeerRefused
 from mintlanding.core.logs import Logger
-from mintlanding.peers.auth import PeerKeyring
+from mintlanding.peers.auth import (
+    MAX_SKEW_SECONDS,
+    NONCE_HEADER,
+    NonceWindow,
+    PeerKeyring,
+    check_body,
+)
+from mintlanding.peers.connections import connection_settings
+from mintlanding.peers.framing import receive_packed
 from mintlanding.peers.messages import Method, PackCodec
 
 UnaryHandler = Callable[[Any, str], Awaitable[Any]]
 StreamHandler = Callable[[Any, str], AsyncIterator[Any]]
 
+_GRACE_SECONDS = 5
+
 
 class PeerServer:
     """Accept calls of members only; handlers get the message and the sender."""
@@ -33,21 +44,40 @@
         self._clock = clock or SystemClock()
         self._tls = tls
         self._logger = Logger('peers')
+        self._codec = PackCodec()
+        self._nonces = NonceWindow(2 * MAX_SKEW_SECONDS)
         self._mapping: dict[str, Handler] = {}
         self._server: Server | None = None
+        self._running = 0
+        self._is_draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers in the form grpclib expects."""
         return self._mapping
 
+    def set_keyring(self, keyring: PeerKeyring) -> None:
+        """Verify later calls with other secrets."""
+        self._keyring = keyring
+
     def add(self, method: Method[Any, Any], handler: UnaryHandler) -> None:
         """Serve a method that has one reply."""
 
         async def serve(stream: Stream[Any, Any]) -> None:
             req, sender = await self._receive(method, stream)
-            await stream.send_message(await handler(req, sender))
+            reply = await self._run(method, handler(req, sender))
+            await stream.send_message(reply)
 
-        self._put(method, serve, Cardinality.UNARY_UNARY)
+        async def count(stream: Stream[Any, Any]) -> None:
+            self._running += 1
+            self._idle.clear()
+            try:
+                await self._answer_cut(serve(stream))
+            finally:
+                self._end_call()
+
+        self._put(method, count, Cardinality.UNARY_UNARY)
 
     def add_stream(
         self,
@@ -61,17 +91,35 @@
             async for reply in handler(req, sender):
                 await stream.send_message(reply)
 
-        self._put(method, serve, Cardinality.UNARY_STREAM)
+        async def answer(stream: Stream[Any, Any]) -> None:
+            await self._answer_cut(serve(stream))
+
+        self._put(method, answer, Cardinality.UNARY_STREAM)
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
-        self._server = Server([self], codec=PackCodec())  # type: ignore
+        self._is_draining = False
+        self._server = Server(
+            [self],
+            codec=self._codec,  # type: ignore[arg-type]
+            config=connection_settings(),
+        )
         await self._server.start(host, port, ssl=self._tls)
 
-    async def stop(self) -> None:
-        """Stop listening and end the calls that run."""
+    async def stop(self, grace: float = _GRACE_SECONDS) -> None:
+        """Take no more calls, let the ones with one reply end, then close.
+
+        Calls that still run after `grace` seconds are cancelled; so are the
+        streams, which have no end of their own.
+        """
         if self._server is None:
             return
+        self._is_draining = True
+        try:
+            async with asyncio.timeout(grace):
+                await self._idle.wait()
+        except TimeoutError:
+            self._logger.warning('Calls cut off.', calls=self._running)
         self._server.close()
         await self._server.wait_closed()
 
@@ -80,23 +128,81 @@
         method: Method[Any, Any],
         stream: Stream[Any, Any],
     ) -> tuple[Any, str]:
-        now = self._clock.wall()
+        if self._is_draining:
+            raise GRPCError(Status.UNAVAILABLE, 'the process is stopping')
         headers = cast(Mapping[str, str], stream.metadata)
         try:
-            sender = self._keyring.verify(method.path, headers, now)
+            sender = self._authenticate(method, headers)
         except PeerRefused as exc:
             self._logger.warning('Call refused.', reason=str(exc))
             raise GRPCError(Status.UNAUTHENTICATED, str(exc)) from exc
         try:
-            req = await stream.recv_message()
-        except msgspec.DecodeError as decode_exc:
-            self._logger.warning('Message refused.', reason=str(decode_exc))
-            raise GRPCError(
-                Status.INVALID_ARGUMENT,
-                str(decode_exc),
-            ) from decode_exc
+            req = await self._receive_body(method, stream, headers)
+        except (PeerRefused, msgspec.DecodeError) as cause:
+            self._logger.warning(
+                'Message refused.',
+                method=method.path,
+                sender=sender,
+                reason=str(cause),
+            )
+            raise GRPCError(Status.INVALID_ARGUMENT, str(cause)) from cause
         return req, sender
 
+    def _authenticate(
+        self,
+        method: Method[Any, Any],
+        headers: Mapping[str, str],
+    ) -> str:
+        now = self._clock.wall()
+        sender = self._keyring.verify(method.path, headers, now)
+        nonce = str(headers.get(NONCE_HEADER, ''))
+        if not self._nonces.accept(f'{sender} {nonce}', now):
+            raise PeerRefused('the call has been received before')
+        return sender
+
+    async def _receive_body(
+        self,
+        method: Method[Any, Any],
+        stream: Stream[Any, Any],
+        headers: Mapping[str, str],
+    ) -> Any:
+        packed = await receive_packed(stream, method.max_bytes)
+        if packed is None:
+            raise msgspec.DecodeError('the call has no message')
+        check_body(headers, packed)
+        return self._codec.decode(packed, method.request)
+
+    async def _run(
+        self,
+        method: Method[Any, Any],
+        work: Awaitable[Any],
+    ) -> Any:
+        try:
+            return await work
+        except GRPCError:
+            raise
+        except Exception as exc:
+            self._logger.error(
+                'A handler failed.',
+                method=method.path,
+                reason=repr(exc),
+            )
+            raise GRPCError(Status.INTERNAL, 'the handler failed') from exc
+
+    async def _answer_cut(self, work: Awaitable[None]) -> None:
+        """Tell the caller of a call that the stop of the server cuts off."""
+        try:
+            await work
+        except asyncio.CancelledError as exc:
+            if not self._is_draining:
+                raise
+            raise GRPCError(Status.UNAVAILABLE, 'cut off by a stop') from exc
+
+    def _end_call(self) -> None:
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
     def _put(
         self,
         method: Method[Any, Any],
