--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -14,22 +14,19 @@
 from aiosonic import HTTPClient, Timeouts
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
-from aiosonic.exceptions import AiosonicError
+from aiosonic.exceptions import AiosonicError, HttpParsingError
 from aiosonic.pools import WsPool
+from httptools import HttpParserError, HttpResponseParser
 
 from mintlanding.core.exceptions import MintlandingError
 
 MAX_BODY_BYTES = 8 << 20
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 _NO_BODY_STATUSES = frozenset((204, 304))
-_LOST = (
-    AiosonicError,
-    OSError,
-    ValueError,
-    EOFError,
-    TimeoutError,
-    asyncio.LimitOverrunError,
-)
+_GARBAGE = (HttpParsingError, ValueError, asyncio.LimitOverrunError)
+_LOST = (AiosonicError, OSError, EOFError, HttpParserError, *_GARBAGE)
+_READ_BYTES = 1 << 16
+_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 Headers = list[tuple[str, str]]
 
@@ -88,6 +85,34 @@
             raise CallNotSent(repr(exc)) from exc
 
 
+class _ChunkedBody:
+    """Take the chunks out of a body, after headers that were read before."""
+
+    def __init__(self) -> None:
+        self.is_whole = False
+        self._parts: list[bytes] = []
+        self._parser = HttpResponseParser(self)
+        self._parser.feed_data(_CHUNKED_HEAD)
+
+    def on_body(self, part: bytes) -> None:
+        if not self.is_whole:
+            self._parts.append(part)
+
+    def on_message_complete(self) -> None:
+        self.is_whole = True
+
+    def feed(self, raw: bytes) -> bytes:
+        try:
+            self._parser.feed_data(raw)
+        except HttpParserError:
+            # What follows the last chunk belongs to no answer.
+            if not self.is_whole:
+                raise
+        piece = b''.join(self._parts)
+        self._parts.clear()
+        return piece
+
+
 class OpenAnswer:
     """An answer whose body is read piece by piece."""
 
@@ -104,9 +129,14 @@
         return str(found)
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raise CallLost when it breaks off."""
+        """Yield the body as it comes; raise CallLost when it breaks off.
+
+        Chunks that arrived together come in one piece.
+        """
+        response = self._response
+        reading = self._chunks() if response.chunked else response.read_chunks()
         try:
-            async for piece in self._response.read_chunks():
+            async for piece in reading:
                 yield piece
         except _LOST as exc:
             raise CallLost(repr(exc)) from exc
@@ -115,6 +145,8 @@
         """Read the whole body."""
         if not self._response._has_pending_body():
             return bytes(self._response.body)
+        if (self._response._remaining or 0) > limit:
+            raise AnswerInvalid('the body is too large')
         parts: list[bytes] = []
         size = 0
         async for piece in self.pieces():
@@ -124,6 +156,17 @@
             parts.append(piece)
         return b''.join(parts)
 
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        # The library awaits twice for each chunk.
+        body = _ChunkedBody()
+        while not body.is_whole:
+            raw = await self._connection.read(_READ_BYTES)
+            if not raw:
+                raise EOFError('the body broke off')
+            piece = body.feed(raw)
+            if piece:
+                yield piece
+
     def close(self) -> None:
         """Cut the connection, also under a reader that waits."""
         self._connection.keep = False
@@ -171,6 +214,8 @@
                 )
         except TimeoutError as timeout_exc:
             raise CallTimeout(f'no answer in {call.answer} s') from timeout_exc
+        except _GARBAGE as garbage:
+            raise AnswerInvalid(repr(garbage)) from garbage
         except _LOST as exc:
             raise CallLost(repr(exc)) from exc
         return _checked(response)
