--- a/mintlanding/agent/application.py
+++ b/mintlanding/agent/application.py
@@ -4,6 +4,7 @@
 
 from mintlanding.agent.configuration import ConfigurationPart
 from mintlanding.agent.context import AgentContext
+from mintlanding.agent.fleet import FleetPart
 from mintlanding.agent.limits import LimitsPart
 from mintlanding.agent.membership import MembershipPart
 from mintlanding.agent.seats import SeatsPart
@@ -14,9 +15,7 @@
 from mintlanding.core.clock import SystemClock
 from mintlanding.core.metrics import build_metrics
 from mintlanding.membership.models import Member
-from mintlanding.peers.auth import PeerKeyring
-from mintlanding.peers.client import PeerClient
-from mintlanding.peers.server import PeerServer
+from mintlanding.peers.build import build_client, build_keyring, build_server
 from mintlanding.platform.http import HttpInstanceList, HttpKeyValueService
 
 _MILLISECONDS = 1000
@@ -29,15 +28,14 @@
         """Build the parts; nothing runs before the application starts."""
         self.application = Application('agent')
         self._cfg = cfg
-        keyring = PeerKeyring.from_config(cfg.instance, cfg.peers.secrets)
         self.context = AgentContext(
             cfg=cfg,
             own=_build_member(cfg),
             application=self.application,
             clock=SystemClock(),
             metrics=build_metrics(cfg.statsd),
-            server=PeerServer(keyring),
-            client=PeerClient(keyring),
+            server=build_server(cfg),
+            client=build_client(cfg),
             key_value=HttpKeyValueService.from_config(
                 cfg.platform.key_value_url,
                 cfg.platform.timeout,
@@ -65,10 +63,16 @@
             self.configuration.stale_seconds,
             self.membership.node.digests,
         )
+        self.fleet = FleetPart(
+            self.context,
+            self.membership.node.revisions,
+            self.configuration.stale_seconds,
+        )
         self._connect_parts()
         self.application.on_start(self._start)
         self.application.on_drain(self._drain)
         self.application.on_stop(self._stop)
+        self.application.on_reload(self._reload)
 
     @classmethod
     def from_config(cls, cfg: InstanceSettings) -> 'AgentApplication':
@@ -98,11 +102,17 @@
         await self.membership.leave()
         await self.stewards.drain(self._cfg.agent.drain_timeout)
         self.limits.drain()
+        await self.view.wait_unwatched(self._cfg.agent.drain_timeout)
 
     async def _stop(self) -> None:
         await self.context.server.stop()
         self.context.client.close()
 
+    async def _reload(self, cfg: InstanceSettings) -> None:
+        keyring = build_keyring(cfg)
+        self.context.client.set_keyring(keyring)
+        self.context.server.set_keyring(keyring)
+
 
 def _build_member(cfg: InstanceSettings) -> Member:
     return Member(
--- a/mintlanding/agent/messages.py
+++ b/mintlanding/agent/messages.py
@@ -73,3 +73,34 @@
 RESERVE_WORKER = Method('placement', 'reserve', ReserveRequest, ReserveReply)
 RELEASE_WORKER = Method('placement', 'release', ReleaseRequest, Empty)
 REPORT_PINS = Method('placement', 'report_pins', PinReport, Empty)
+
+
+class InstanceStatus(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an agent knows of one instance; `stale_seconds` of its own only."""
+
+    member: Member
+    revision: int
+    stale_seconds: float | None = None
+
+
+class FleetStatus(msgspec.Struct, frozen=True):
+    """The fleet as one agent sees it."""
+
+    instances: tuple[InstanceStatus, ...]
+
+
+class LeaveRequest(msgspec.Struct, frozen=True):
+    """An operator's wish that an instance leaves."""
+
+    instance: str
+
+
+class LeaveReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The state of the instance, or a result code."""
+
+    state: str = ''
+    code: int = 0
+
+
+READ_FLEET = Method('agent', 'read_fleet', Empty, FleetStatus)
+LEAVE = Method('agent', 'leave', LeaveRequest, LeaveReply)
--- a/mintlanding/agent/view.py
+++ b/mintlanding/agent/view.py
@@ -8,11 +8,14 @@
 from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
 from mintlanding.configuration.messages import DeltaPart
 from mintlanding.configuration.parts import split_delta
+from mintlanding.core.logs import Logger
 from mintlanding.placement.messages import WorkerDigest
 
 VOUCH_SECONDS = 1
 COALESCE_SECONDS = 0.01
 
+_logger = Logger('agent')
+
 
 @dataclass(slots=True, eq=False)
 class Subscriber:
@@ -38,6 +41,8 @@
         self._stale_seconds = stale_seconds
         self._digests = digests
         self._subscribers: set[Subscriber] = set()
+        self._unwatched = asyncio.Event()
+        self._unwatched.set()
         context.server.add_stream(WATCH_VIEW, self._watch)
 
     def configuration_changed(self) -> None:
@@ -57,6 +62,14 @@
             each.digests[digest.worker] = digest
             each.wake.set()
 
+    async def wait_unwatched(self, timeout: float) -> None:
+        """Wait until the entry has drained and left, or `timeout` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._unwatched.wait()
+        except TimeoutError:
+            _logger.warning('The entry has not left in time.')
+
     async def _watch(
         self,
         req: ViewRequest,
@@ -64,6 +77,7 @@
     ) -> AsyncIterator[ViewUpdate]:
         subscriber = Subscriber(req.revision, digests=dict(self._digests()))
         self._subscribers.add(subscriber)
+        self._unwatched.clear()
         try:
             while True:
                 for part in self._parts(subscriber):
@@ -72,6 +86,8 @@
                 await _wait(subscriber.wake)
         finally:
             self._subscribers.discard(subscriber)
+            if not self._subscribers:
+                self._unwatched.set()
 
     def _parts(self, subscriber: Subscriber) -> Iterator[DeltaPart]:
         directory = self._context.directory
--- a/mintlanding/conf/command.py
+++ b/mintlanding/conf/command.py
@@ -23,7 +23,7 @@
         sys.stderr.write(f'{exc}\n')
         sys.exit(EXIT_SETTINGS)
     try:
-        run_application(lambda: build(cfg))
+        run_application(lambda: build(cfg), lambda: load_settings(path))
     except ConfigurationError as unusable:
         sys.stderr.write(f'{unusable}\n')
         sys.exit(EXIT_SETTINGS)
--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -7,9 +7,11 @@
 
 from transitions import Machine
 
+from mintlanding.core.exceptions import ConfigurationError
 from mintlanding.core.logs import Logger, configure_logs
 
 Hook = Callable[[], Awaitable[None]]
+ReloadHook = Callable[[Any], Awaitable[None]]
 
 _STATES = ('created', 'starting', 'serving', 'draining', 'stopped')
 _TRANSITIONS = (
@@ -40,6 +42,7 @@
         self._on_start: list[Hook] = []
         self._on_drain: list[Hook] = []
         self._on_stop: list[Hook] = []
+        self._on_reload: list[ReloadHook] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self._stop_asked = asyncio.Event()
         self._machine = Machine(
@@ -62,6 +65,16 @@
         """Run the hook when the process stops."""
         self._on_stop.append(hook)
 
+    def on_reload(self, hook: ReloadHook) -> None:
+        """Run the hook with the new settings when they are read again."""
+        self._on_reload.append(hook)
+
+    async def reload(self, cfg: Any) -> None:
+        """Run the reload hooks; only secrets change without a restart."""
+        for hook in self._on_reload:
+            await hook(cfg)
+        self.logger.info('The settings were read again.')
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a background task that ends with the application."""
         task = asyncio.get_running_loop().create_task(work)
@@ -117,11 +130,39 @@
             self.logger.error('A task failed.', reason=repr(exc))
 
 
-def run_application(build: Callable[[], Application]) -> None:
-    """Run one application on one plain asyncio loop."""
+def run_application(
+    build: Callable[[], Application],
+    read_settings: Callable[[], Any] | None = None,
+) -> None:
+    """Run one application on one plain asyncio loop.
+
+    With `read_settings`, SIGHUP reads them again and runs the reload hooks.
+    """
 
     async def main() -> None:
-        await build().run()
+        application = build()
+        if read_settings is not None:
+            _reload_on_hangup(application, read_settings)
+        await application.run()
 
     configure_logs()
     asyncio.run(main())
+
+
+def _reload_on_hangup(
+    application: Application,
+    read_settings: Callable[[], Any],
+) -> None:
+    def reload() -> None:
+        try:
+            cfg = read_settings()
+        except ConfigurationError as exc:
+            application.logger.error(
+                'The settings were not taken.',
+                reason=str(exc),
+            )
+            return
+        application.spawn(application.reload(cfg))
+
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload)
--- a/mintlanding/entry/completions.py
+++ b/mintlanding/entry/completions.py
@@ -4,17 +4,14 @@
 from dataclasses import dataclass
 
 from mintlanding.agent.messages import SettleRequest, TokenRequest
-from mintlanding.conf.models import EntrySettings
 from mintlanding.configuration.models import Key, Workspace
 from mintlanding.configuration.selectors import Resolution
-from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.models import GenerateRequest
 from mintlanding.engines.relay import is_stream
 from mintlanding.engines.stream import StreamBroken
-from mintlanding.entry.background import Background
 from mintlanding.entry.bodies import Completion
-from mintlanding.entry.control import ControlClient
+from mintlanding.entry.context import EntryContext
 from mintlanding.entry.dispatch import Dispatcher, Job
 from mintlanding.entry.endpoint import Endpoint, EndpointParts
 from mintlanding.entry.exchange import Exchange
@@ -22,7 +19,6 @@
 from mintlanding.entry.open_requests import OpenRequest
 from mintlanding.entry.targets import pool_of
 from mintlanding.entry.usage import Usage
-from mintlanding.entry.view import EntryView
 from mintlanding.placement.messages import ReserveRequest
 
 STREAM_HEADERS = {
@@ -43,26 +39,19 @@
     resolution: Resolution
 
 
-@dataclass(frozen=True, slots=True)
-class CompletionParts:
-    """What the endpoint works with."""
-
-    view: EntryView
-    control: ControlClient
-    dispatcher: Dispatcher
-    background: Background
-    clock: Clock
-    instance: str
-    cfg: EntrySettings
-
-
 class CompletionEndpoint(Endpoint):
     """`POST /v1/completions` and `POST /v1/chat/completions`."""
 
-    def __init__(self, shared: EndpointParts, parts: CompletionParts) -> None:
+    def __init__(
+        self,
+        shared: EndpointParts,
+        context: EntryContext,
+        dispatcher: Dispatcher,
+    ) -> None:
         """Take what all endpoints share and what completions need."""
         super().__init__(shared)
-        self.parts = parts
+        self._context = context
+        self._dispatcher = dispatcher
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one completion."""
@@ -80,7 +69,7 @@
         first = self.authenticator.authenticate(exchange)
         if isinstance(first, Failed):
             return first
-        cfg = self.parts.cfg
+        cfg = self._context.entry
         body = await exchange.read_body(cfg.max_body_bytes, cfg.body_timeout)
         if isinstance(body, Failed):
             return body
@@ -97,7 +86,7 @@
         return self._resolve(key.value, completion.value)
 
     def _resolve(self, key: Key, completion: Completion) -> Outcome[Prepared]:
-        view = self.parts.view
+        view = self._context.view
         workspace = view.directory.workspace(key.workspace)
         if workspace is None:
             return Failed.of(ResultCode.workspace_forbidden)
@@ -122,7 +111,7 @@
         usage = Usage(prepared.completion.input_tokens)
         req = TokenRequest(request_id, prepared.workspace.name, reserved)
         try:
-            tokens = await self.parts.control.reserve_tokens(req)
+            tokens = await self._context.control.reserve_tokens(req)
             if isinstance(tokens, Failed):
                 await self.fail(exchange, tokens)
                 return
@@ -138,8 +127,8 @@
                 reserved,
                 usage.total,
             )
-            self.parts.background.spawn(
-                self.parts.control.settle_tokens(settle),
+            self._context.background.spawn(
+                self._context.control.settle_tokens(settle),
             )
 
     async def _dispatch(
@@ -148,21 +137,21 @@
         job: Job,
         usage: Usage,
     ) -> None:
-        started_at = self.parts.clock.monotonic()
-        started = await self.parts.dispatcher.start(job)
+        started_at = self._context.clock.monotonic()
+        started = await self._dispatcher.start(job)
         if isinstance(started, Failed):
             usage.note_failure(started)
             await self.fail(exchange, started)
             return
         generation = started.value
-        waited = self.parts.clock.monotonic() - started_at
+        waited = self._context.clock.monotonic() - started_at
         self.metrics.timing('entry.first_token', waited)
         self.metrics.timing('entry.load_stall', generation.stalled)
         try:
             await self._relay(exchange, generation, usage)
         finally:
             usage.note_answer(generation.relay.opened)
-            self.parts.dispatcher.finish(generation, usage.total)
+            self._dispatcher.finish(generation, usage.total)
 
     async def _relay(
         self,
@@ -189,7 +178,7 @@
         self.metrics.count('entry.results.ok')
 
     def _marks(self) -> dict[str, str]:
-        stale = self.parts.view.stale_seconds
+        stale = self._context.view.stale_seconds
         if stale < STALE_AFTER_SECONDS:
             return {}
         return {STALE_HEADER: f'{stale:.0f}'}
@@ -220,12 +209,14 @@
             tokens=completion.total_tokens,
             weight=prepared.workspace.weight,
             priority=completion.priority,
-            wait=self.parts.cfg.queue_timeout,
+            wait=self._context.entry.queue_timeout,
             prefix=completion.prefix_hash,
-            entry=self.parts.instance,
+            entry=self._context.cfg.instance,
+        )
+        service = self._context.view.directory.service(resolution.service)
+        deadline = (
+            self._context.clock.monotonic() + self._context.entry.queue_timeout
         )
-        service = self.parts.view.directory.service(resolution.service)
-        deadline = self.parts.clock.monotonic() + self.parts.cfg.queue_timeout
         return Job(
             generate,
             reserve,
--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -7,15 +7,12 @@
 
 import msgspec
 
-from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.models import GenerateRequest
 from mintlanding.engines.relay import StreamRelay
-from mintlanding.entry.background import Background
-from mintlanding.entry.control import ControlClient
+from mintlanding.entry.context import EntryContext
 from mintlanding.entry.generation import Generation
 from mintlanding.entry.pins import Pins
-from mintlanding.entry.targets import EntryTargets
 from mintlanding.placement.messages import ReleaseRequest, ReserveRequest
 from mintlanding.routing.models import (
     Attempt,
@@ -23,7 +20,6 @@
     RetryAfter,
     WorkerRoute,
 )
-from mintlanding.routing.retries import RetryPolicy
 
 _PROGRESS: Mapping[Ran, Progress] = {
     Ran.not_run: Progress.refused,
@@ -54,21 +50,14 @@
 class Dispatcher:
     """Start generations; whatever it has reserved it releases."""
 
-    def __init__(
-        self,
-        targets: EntryTargets,
-        control: ControlClient,
-        background: Background,
-        retries: RetryPolicy,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, context: EntryContext) -> None:
         """Take what to choose from and whom to ask."""
         self.pins = Pins()
-        self._targets = targets
-        self._control = control
-        self._background = background
-        self._retries = retries
-        self._clock = clock
+        self._targets = context.targets
+        self._control = context.control
+        self._background = context.background
+        self._retries = context.retries
+        self._clock = context.clock
         self._rnd = random.Random()  # noqa: S311
 
     async def start(self, job: Job) -> Outcome[Generation]:
--- a/mintlanding/entry/pin_reports.py
+++ b/mintlanding/entry/pin_reports.py
@@ -5,10 +5,8 @@
 from mintlanding.agent.messages import REPORT_PINS
 from mintlanding.core.exceptions import PeerError
 from mintlanding.core.logs import Logger
-from mintlanding.entry.background import Background
+from mintlanding.entry.context import EntryContext
 from mintlanding.entry.pins import Pins
-from mintlanding.entry.view import EntryView
-from mintlanding.peers.client import PeerClient
 from mintlanding.placement.messages import WorkerDigest
 
 TIMEOUT_SECONDS = 1
@@ -21,21 +19,14 @@
 class PinReporter:
     """Report pins when the fencing number of a worker rises."""
 
-    def __init__(
-        self,
-        view: EntryView,
-        pins: Pins,
-        client: PeerClient,
-        background: Background,
-        instance: str,
-    ) -> None:
-        """Follow the digests of a view."""
+    def __init__(self, context: EntryContext, pins: Pins) -> None:
+        """Follow the digests of the entry's view."""
         self._pins = pins
-        self._client = client
-        self._background = background
-        self._instance = instance
+        self._client = context.peers
+        self._background = context.background
+        self._instance = context.cfg.instance
         self._fencing: dict[str, int] = {}
-        view.on_digest(self._take_digest)
+        context.view.on_digest(self._take_digest)
 
     def _take_digest(self, digest: WorkerDigest) -> None:
         known = self._fencing.get(digest.worker, 0)
--- a/mintlanding/entry/services.py
+++ b/mintlanding/entry/services.py
@@ -4,26 +4,19 @@
 import random
 from dataclasses import dataclass
 
-from mintlanding.conf.models import EntrySettings
 from mintlanding.configuration.models import Key, Service
-from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.headers import CredentialFilter
 from mintlanding.engines.models import Headers, PlainAnswer
-from mintlanding.entry.background import Background
+from mintlanding.entry.context import EntryContext
 from mintlanding.entry.endpoint import Endpoint, EndpointParts
 from mintlanding.entry.exchange import Exchange
 from mintlanding.entry.open_requests import OpenRequest
-from mintlanding.entry.targets import EntryTargets
-from mintlanding.entry.view import EntryView
-from mintlanding.orders.ledger import OrderLedger
 from mintlanding.orders.models import Claim, OrderRequest, Replay, StoredAnswer
 from mintlanding.routing.models import Attempt, Progress, RetryAfter
-from mintlanding.routing.retries import RetryPolicy
 
 IDEMPOTENCY_HEADER = 'idempotency-key'
 REPLAYED_HEADER = 'idempotency-replayed'
-METHODS = ('GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'PATCH', 'DELETE')
 
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _DROPPED_ANSWER_HEADERS = frozenset(
@@ -38,20 +31,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceParts:
-    """What the endpoint works with."""
-
-    view: EntryView
-    targets: EntryTargets
-    ledger: OrderLedger
-    retries: RetryPolicy
-    credentials: CredentialFilter
-    background: Background
-    clock: Clock
-    cfg: EntrySettings
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
     """A checked call of a plain service."""
@@ -88,10 +67,16 @@
 class ServiceEndpoint(Endpoint):
     """`/services/{service}/{path}`."""
 
-    def __init__(self, shared: EndpointParts, parts: ServiceParts) -> None:
+    def __init__(
+        self,
+        shared: EndpointParts,
+        context: EntryContext,
+        credentials: CredentialFilter,
+    ) -> None:
         """Take what all endpoints share and what services need."""
         super().__init__(shared)
-        self.parts = parts
+        self._context = context
+        self._credentials = credentials
         self._rnd = random.Random()  # noqa: S311
 
     async def serve(self, exchange: Exchange) -> None:
@@ -111,7 +96,7 @@
         first = self._admit(exchange)
         if isinstance(first, Failed):
             return first
-        cfg = self.parts.cfg
+        cfg = self._context.entry
         body = await exchange.read_body(cfg.max_body_bytes, cfg.body_timeout)
         if isinstance(body, Failed):
             return body
@@ -126,8 +111,8 @@
         exchange: Exchange,
     ) -> Outcome[tuple[Service, Key | None]]:
         name = str(exchange.path_params['service'])
-        service = self.parts.view.directory.service(name)
-        if self.parts.view.is_ready and (service is None or service.engine):
+        service = self._context.view.directory.service(name)
+        if self._context.view.is_ready and (service is None or service.engine):
             return Failed.of(ResultCode.unknown_route)
         if service is not None and service.is_open:
             return Done((service, None))
@@ -145,7 +130,7 @@
         body: bytes,
     ) -> ServiceCall:
         service, key = admitted
-        credentials = self.parts.credentials
+        credentials = self._credentials
         secret = self.authenticator.present_text(exchange)
         query = credentials.clean_query(exchange.query, secret)
         path = f'/{exchange.path_params["path"]}'
@@ -172,14 +157,14 @@
             outcome = await self._send_detached(call, opened)
             await self._answer(exchange, outcome)
             return
-        claimed = await self.parts.ledger.claim(order)
+        claimed = await self._context.ledger.claim(order)
         if isinstance(claimed, Failed):
             await self.fail(exchange, claimed)
         elif isinstance(claimed.value, Replay):
             await self._replay(exchange, claimed.value.answer)
         else:
             sending = self._send_order(call, claimed.value, opened)
-            outcome = await self.parts.background.run(sending)
+            outcome = await self._context.background.run(sending)
             await self._answer(exchange, outcome)
 
     async def _send_detached(
@@ -190,7 +175,7 @@
         """Send; a call that may not be repeated outlives its caller."""
         if call.is_idempotent:
             return await self._send(call, opened)
-        return await self.parts.background.run(self._send(call, opened))
+        return await self._context.background.run(self._send(call, opened))
 
     async def _send_order(
         self,
@@ -198,7 +183,7 @@
         claim: Claim,
         opened: OpenRequest,
     ) -> Outcome[PlainAnswer]:
-        ledger = self.parts.ledger
+        ledger = self._context.ledger
         outcome = await self._send(call, opened, claim)
         if isinstance(outcome, Done):
             await ledger.finish(claim, _stored(outcome.value))
@@ -214,12 +199,15 @@
         opened: OpenRequest,
         claim: Claim | None = None,
     ) -> Outcome[PlainAnswer]:
-        self.parts.retries.budget.note_first_try()
-        deadline = self.parts.clock.monotonic() + self.parts.cfg.request_timeout
+        self._context.retries.budget.note_first_try()
+        deadline = (
+            self._context.clock.monotonic()
+            + self._context.entry.request_timeout
+        )
         tried: set[str] = set()
         last: Failed | None = None
         while True:
-            if claim and not claim.may_send(self.parts.clock.monotonic()):
+            if claim and not claim.may_send(self._context.clock.monotonic()):
                 return last or Failed.of(ResultCode.idempotency_unavailable)
             outcome = await self._try_target(call, tried, opened)
             if outcome is None:
@@ -238,7 +226,7 @@
         tried: set[str],
         opened: OpenRequest,
     ) -> Outcome[PlainAnswer] | None:
-        targets = self.parts.targets
+        targets = self._context.targets
         route = targets.choose_plain(call.service.name, tried)
         if isinstance(route, Failed):
             return None
@@ -264,11 +252,11 @@
         target: str,
         outcome: Outcome[PlainAnswer],
     ) -> None:
-        circuits = self.parts.targets.plain.circuits
+        circuits = self._context.targets.plain.circuits
         if isinstance(outcome, Done):
             circuits.succeeded(target)
             return
-        now = self.parts.clock.monotonic()
+        now = self._context.clock.monotonic()
         circuits.failed(target, now, self._rnd)
 
     def _decide(
@@ -282,8 +270,8 @@
         if failure.ran is Ran.not_run:
             progress = Progress.not_sent
         attempt = Attempt(progress, call.is_idempotent, tries, deadline)
-        now = self.parts.clock.monotonic()
-        return self.parts.retries.decide(attempt, failure, now, self._rnd)
+        now = self._context.clock.monotonic()
+        return self._context.retries.decide(attempt, failure, now, self._rnd)
 
     async def _answer(
         self,
