Add the service-level burn report

Cause: operators need to see which objective, workspace and adapter burns. Counts sit in rings of 30 s, 5 min and 1 h buckets, latencies in two hdrhistograms in turn, adapters in a space-saving sketch, so that memory does not grow with 21,000 adapters. Ruled out: sending buckets with wall-clock times (clocks differ), counters for each adapter.

--- /dev/null
+++ b/mintlanding/reports/histograms.py
@@ -0,0 +1,96 @@
+"""Latency histograms that forget within two hours and can be added up."""
+
+import binascii
+import zlib
+
+from hdrh.codec import HdrCookieException, HdrLengthException
+from hdrh.histogram import HdrHistogram
+
+_ROTATE_SECONDS = 3600
+_MIN_MILLISECONDS = 1
+_MAX_MILLISECONDS = 600_000
+_DIGITS = 2
+_MILLISECONDS = 1000
+_BROKEN = (
+    binascii.Error,
+    zlib.error,
+    HdrCookieException,
+    HdrLengthException,
+    IndexError,
+    ValueError,
+)
+
+
+class RecentHistogram:
+    """Two histograms in turn: the current hour and the one before."""
+
+    def __init__(self) -> None:
+        """Start empty; memory is taken at the first record."""
+        self._hour = 0
+        self._current: HdrHistogram | None = None
+        self._previous: HdrHistogram | None = None
+
+    def record(self, seconds: float, now: float) -> None:
+        """Record a duration."""
+        self._rotate(now)
+        if self._current is None:
+            self._current = _empty()
+        milliseconds = round(seconds * _MILLISECONDS)
+        clipped = max(_MIN_MILLISECONDS, min(_MAX_MILLISECONDS, milliseconds))
+        self._current.record_value(clipped)
+
+    def encode(self, now: float) -> bytes:
+        """Return both hours as one, empty when there is nothing."""
+        self._rotate(now)
+        kept = [each for each in (self._current, self._previous) if each]
+        if not kept:
+            return b''
+        both = _empty()
+        for each in kept:
+            both.add(each)
+        return bytes(both.encode())
+
+    def _rotate(self, now: float) -> None:
+        hour = int(now // _ROTATE_SECONDS)
+        if hour == self._hour:
+            return
+        follows = hour == self._hour + 1
+        self._previous = self._current if follows else None
+        self._current = None
+        self._hour = hour
+
+
+def add_encoded(first: bytes, second: bytes) -> bytes:
+    """Add two encoded histograms; a broken one counts as empty."""
+    decoded = [decode(each) for each in (first, second) if each]
+    kept = [each for each in decoded if each is not None]
+    if not kept:
+        return b''
+    both = _empty()
+    for each in kept:
+        both.add(each)
+    return bytes(both.encode())
+
+
+def percentile(encoded: bytes, share: float) -> float | None:
+    """Return a percentile in seconds, None without records."""
+    histogram = decode(encoded) if encoded else None
+    if histogram is None:
+        return None
+    value = histogram.get_value_at_percentile(share)
+    return float(value) / _MILLISECONDS
+
+
+def decode(encoded: bytes) -> HdrHistogram | None:
+    """Decode a histogram; None when the bytes are broken."""
+    try:
+        histogram = HdrHistogram.decode(encoded)
+    except _BROKEN:
+        return None
+    if histogram.highest_trackable_value > _MAX_MILLISECONDS:
+        return None
+    return histogram
+
+
+def _empty() -> HdrHistogram:
+    return HdrHistogram(_MIN_MILLISECONDS, _MAX_MILLISECONDS, _DIGITS)
--- /dev/null
+++ b/mintlanding/reports/messages.py
@@ -0,0 +1,89 @@
+"""Samples from entries and snapshots between agents."""
+
+import msgspec
+
+from mintlanding.peers.messages import Empty, Method
+
+
+class RequestSample(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one request was like; times in seconds, None if not measured.
+
+    `between_tokens` is the mean gap of its stream. A refusal for good reason
+    is no sample for availability: `is_refused` leaves it out.
+    """
+
+    workspace: str
+    service: str
+    adapter: str = ''
+    is_available: bool = True
+    is_refused: bool = False
+    is_wrongly_refused: bool = False
+    first_token: float | None = None
+    between_tokens: float | None = None
+    load_stall: float | None = None
+
+
+class SampleBatch(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Samples of an entry; `dropped` ones did not fit its buffer."""
+
+    samples: tuple[RequestSample, ...]
+    dropped: int = 0
+
+
+class Counts(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that an objective counted, and the bad ones among them."""
+
+    total: int = 0
+    bad: int = 0
+
+    def __add__(self, other: 'Counts') -> 'Counts':
+        """Add both numbers."""
+        return Counts(self.total + other.total, self.bad + other.bad)
+
+
+class Series(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One indicator of a workspace and service on one or more instances.
+
+    `windows` are counts by the name of the window. `history` are counts of
+    five minutes each, the latest first. `histogram` is an encoded
+    hdrhistogram in milliseconds of the last one to two hours.
+    """
+
+    workspace: str
+    service: str
+    indicator: str
+    windows: dict[str, Counts]
+    history: tuple[Counts, ...] = ()
+    histogram: bytes = b''
+
+
+class AdapterBurn(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Bad requests of an adapter in the last one to two hours.
+
+    `overcount` is how many of them may belong to others.
+    """
+
+    workspace: str
+    adapter: str
+    indicator: str
+    bad: int
+    overcount: int = 0
+
+
+class Snapshot(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one instance, or several added up, remember.
+
+    `remembered` are the seconds since each instance began to count;
+    `missing` are the addresses that did not answer.
+    """
+
+    remembered: dict[str, float]
+    series: tuple[Series, ...] = ()
+    adapters: tuple[AdapterBurn, ...] = ()
+    dropped: int = 0
+    missing: tuple[str, ...] = ()
+
+
+RECORD_SAMPLES = Method('Reports', 'RecordSamples', SampleBatch, Empty)
+REPORT = Method('Reports', 'Report', Empty, Snapshot)
+FLEET_REPORT = Method('Reports', 'FleetReport', Empty, Snapshot)
--- /dev/null
+++ b/mintlanding/reports/models.py
@@ -0,0 +1,149 @@
+"""Service-level objectives and what they are measured by."""
+
+from enum import StrEnum
+from typing import Annotated, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+ANY = '*'
+_MINUTE = 60
+_HOUR = 3600
+_DAY = 86400
+
+
+class Indicator(StrEnum):
+    """What an objective counts as good or bad for each request.
+
+    `availability`: answered without a failure of the system or a target.
+    `wrongful_refusal`: not refused while the workspace was within its rate.
+    The others are good up to the threshold of their objective.
+    """
+
+    availability = 'availability'
+    first_token = 'first_token'  # noqa: S105
+    between_tokens = 'between_tokens'  # noqa: S105
+    load_stall = 'load_stall'
+    wrongful_refusal = 'wrongful_refusal'
+
+
+LATENCIES = (
+    Indicator.first_token,
+    Indicator.between_tokens,
+    Indicator.load_stall,
+)
+
+
+class Objective(BaseModel):
+    """A share of good requests to reach; `threshold` in seconds."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    indicator: Indicator
+    target: Annotated[float, Field(gt=0, lt=1)]
+    threshold: Annotated[float, Field(gt=0)] | None = None
+    workspace: str = ANY
+    service: str = ANY
+
+    @model_validator(mode='after')
+    def _check_threshold(self) -> Self:
+        if (self.threshold is None) == (self.indicator in LATENCIES):
+            needed = 'needs' if self.threshold is None else 'takes no'
+            raise ValueError(f'{self.indicator} {needed} threshold')
+        return self
+
+    @property
+    def budget(self) -> float:
+        """Return the share of requests that may be bad."""
+        return 1 - self.target
+
+    def rank(self, workspace: str, service: str) -> int:
+        """Return how closely it fits, -1 if not at all."""
+        if self.workspace not in {ANY, workspace}:
+            return -1
+        if self.service not in {ANY, service}:
+            return -1
+        return 2 * (self.workspace != ANY) + (self.service != ANY)
+
+
+_DEFAULTS = (
+    Objective(indicator=Indicator.availability, target=0.999),
+    Objective(indicator=Indicator.first_token, target=0.95, threshold=0.36),
+    Objective(
+        indicator=Indicator.between_tokens,
+        target=0.95,
+        threshold=0.028,
+    ),
+    Objective(indicator=Indicator.load_stall, target=0.99, threshold=0.25),
+    Objective(indicator=Indicator.wrongful_refusal, target=0.999),
+)
+
+
+class ReportSettings(BaseModel):
+    """Objectives of the fleet; the closest fit applies to a request.
+
+    At most `max_series` pairs of workspace and service are kept apart, what
+    comes later is counted together. `top` adapters are remembered.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    objectives: tuple[Objective, ...] = _DEFAULTS
+    max_series: Annotated[int, Field(ge=1)] = 64
+    top: Annotated[int, Field(ge=1)] = 200
+
+    def find(
+        self,
+        workspace: str,
+        service: str,
+        indicator: Indicator,
+    ) -> Objective | None:
+        """Return the objective that applies, if there is one."""
+        fitting = [
+            each
+            for each in self.objectives
+            if each.indicator is indicator
+            and each.rank(workspace, service) >= 0
+        ]
+        if not fitting:
+            return None
+        return max(fitting, key=lambda each: each.rank(workspace, service))
+
+
+class Window(BaseModel):
+    """A span that is looked back on, and the size of its buckets."""
+
+    model_config = ConfigDict(frozen=True)
+
+    name: str
+    seconds: int
+    ring: int
+
+
+# Rings by the seconds of their buckets; each holds the windows that use it.
+RINGS: dict[int, int] = {30: 120, 300: 72, _HOUR: 72}
+WINDOWS = (
+    Window(name='5m', seconds=5 * _MINUTE, ring=30),
+    Window(name='1h', seconds=_HOUR, ring=30),
+    Window(name='30m', seconds=30 * _MINUTE, ring=30),
+    Window(name='6h', seconds=6 * _HOUR, ring=300),
+    Window(name='3d', seconds=3 * _DAY, ring=_HOUR),
+)
+PLOT_RING = 300
+
+
+class AlertRule(BaseModel):
+    """An alert holds when both windows burn faster than `rate`."""
+
+    model_config = ConfigDict(frozen=True)
+
+    severity: str
+    short: str
+    long: str
+    rate: float
+
+
+RULES = (
+    AlertRule(severity='page', short='5m', long='1h', rate=14.4),
+    AlertRule(severity='page', short='30m', long='6h', rate=6),
+    AlertRule(severity='ticket', short='6h', long='3d', rate=1),
+)
--- /dev/null
+++ b/mintlanding/reports/rendering.py
@@ -0,0 +1,174 @@
+"""Show a burn report as a table, as JSON or as one HTML page."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import jinja2
+import msgspec
+from tabulate import tabulate
+
+from mintlanding.core.registry import Registry
+from mintlanding.reports.burn import BurnReport, ObjectiveBurn, WindowBurn
+from mintlanding.reports.models import WINDOWS
+from mintlanding.reports.plots import Plot
+
+Renderer = Callable[[BurnReport], str]
+RENDERERS: Registry[Renderer] = Registry('report format')
+
+_HOUR_SECONDS = 3600
+_MILLISECONDS = 1000
+_PERCENT = 100
+_NOTHING = '-'
+_HEADS = (
+    'workspace',
+    'service',
+    'objective',
+    *(window.name for window in WINDOWS),
+    'p50',
+    'p95',
+    'alert',
+)
+_PLOT = Plot()
+
+
+@dataclass(frozen=True, slots=True)
+class _Row:
+    """One objective on the HTML page."""
+
+    cells: list[str]
+    severity: str
+    lines: list[str]
+    budget_line: float
+    peak: str
+
+
+def coverage(report: BurnReport) -> str:
+    """Say how much the numbers cover."""
+    oldest = report.oldest / _HOUR_SECONDS
+    youngest = report.youngest / _HOUR_SECONDS
+    text = (
+        f'{report.instances} instances answered. They remember requests of '
+        f'the last {youngest:.1f} to {oldest:.1f} hours; what instances '
+        'counted that have stopped is lost.'
+    )
+    if report.missing:
+        text += f' No answer from: {", ".join(report.missing)}.'
+    if report.dropped:
+        text += f' {report.dropped} samples were dropped.'
+    return text
+
+
+@RENDERERS.register('table')
+def render_table(report: BurnReport) -> str:
+    """Return tables for people."""
+    rows = [_cells(burn) for burn in report.burns]
+    parts = [coverage(report), '', tabulate(rows, headers=_HEADS)]
+    if report.adapters:
+        adapters = [
+            (each.workspace, each.adapter, each.indicator, each.bad)
+            for each in report.adapters
+        ]
+        heads = ('workspace', 'adapter', 'indicator', 'bad')
+        title = 'Adapters that burn the most (last one to two hours)'
+        parts.extend(('', title, '', tabulate(adapters, headers=heads)))
+    return '\n'.join(parts)
+
+
+@RENDERERS.register('json')
+def render_json(report: BurnReport) -> str:
+    """Return everything for programs; times in seconds."""
+    document = {
+        'coverage': coverage(report),
+        'instances': report.instances,
+        'missing': report.missing,
+        'remembered_seconds': [report.youngest, report.oldest],
+        'dropped': report.dropped,
+        'objectives': [_document(burn) for burn in report.burns],
+        'adapters': report.adapters,
+    }
+    encoded = msgspec.json.encode(document)
+    return msgspec.json.format(encoded, indent=2).decode()
+
+
+@RENDERERS.register('html')
+def render_html(report: BurnReport) -> str:
+    """Return one page that needs no other file."""
+    folder = Path(__file__).with_name('templates')
+    environment = jinja2.Environment(
+        loader=jinja2.FileSystemLoader(folder),
+        autoescape=True,
+        undefined=jinja2.StrictUndefined,
+    )
+    return environment.get_template('burn.html').render(
+        coverage=coverage(report),
+        heads=_HEADS,
+        rows=[_row(burn) for burn in report.burns],
+        adapters=report.adapters,
+        plot=_PLOT,
+    )
+
+
+def _cells(burn: ObjectiveBurn) -> list[str]:
+    objective = burn.objective
+    share = f'{objective.target * _PERCENT:g} %'
+    name = f'{objective.indicator} {share}'
+    if objective.threshold is not None:
+        name += f' under {objective.threshold * _MILLISECONDS:g} ms'
+    return [
+        burn.workspace,
+        burn.service,
+        name,
+        *(_rate_text(window) for window in burn.windows),
+        _time_text(burn.median),
+        _time_text(burn.high),
+        '; '.join(burn.alerts) or _NOTHING,
+    ]
+
+
+def _rate_text(window: WindowBurn) -> str:
+    if window.rate is None:
+        return _NOTHING
+    mark = '' if window.is_whole else '*'
+    return f'{window.rate:.2f}{mark}'
+
+
+def _time_text(seconds: float | None) -> str:
+    if seconds is None:
+        return _NOTHING
+    return f'{seconds * _MILLISECONDS:.0f} ms'
+
+
+def _document(burn: ObjectiveBurn) -> dict[str, object]:
+    return {
+        'workspace': burn.workspace,
+        'service': burn.service,
+        'objective': burn.objective.model_dump(mode='json'),
+        'windows': {
+            window.name: {
+                'total': window.counts.total,
+                'bad': window.counts.bad,
+                'rate': window.rate,
+                'covered_seconds': window.covered,
+                'seconds': window.seconds,
+            }
+            for window in burn.windows
+        },
+        'alerts': burn.alerts,
+        'p50': burn.median,
+        'p95': burn.high,
+        'history': burn.history,
+    }
+
+
+def _row(burn: ObjectiveBurn) -> _Row:
+    known = [rate for rate in burn.history if rate is not None]
+    peak = max(known, default=0)
+    top = max(peak, 2)
+    return _Row(
+        _cells(burn),
+        burn.alerts[0].partition(':')[0] if burn.alerts else '',
+        _PLOT.lines(burn.history, top),
+        _PLOT.level(1, top),
+        f'{peak:.1f}',
+    )
--- /dev/null
+++ b/mintlanding/reports/rings.py
@@ -0,0 +1,50 @@
+"""Counts by time in a fixed amount of memory."""
+
+from array import array
+
+from mintlanding.reports.messages import Counts
+
+
+class CountRing:
+    """Totals and bad ones in buckets of equal length; old ones are lost."""
+
+    def __init__(self, bucket_seconds: int, buckets: int) -> None:
+        """Remember `buckets` whole buckets besides the current one."""
+        self._seconds = bucket_seconds
+        self._size = buckets + 1
+        self._totals = array('L', bytes(8 * self._size))
+        self._bads = array('L', bytes(8 * self._size))
+        self._newest = 0
+
+    def add(self, is_bad: bool, now: float) -> None:
+        """Count one."""
+        place = self._advance(now) % self._size
+        self._totals[place] += 1
+        self._bads[place] += is_bad
+
+    def sum(self, seconds: float, now: float) -> Counts:
+        """Return the counts of the last `seconds`, to the nearest bucket."""
+        buckets = max(1, round(seconds / self._seconds))
+        history = self.history(now)[:buckets]
+        return Counts(
+            sum(each.total for each in history),
+            sum(each.bad for each in history),
+        )
+
+    def history(self, now: float) -> tuple[Counts, ...]:
+        """Return the counts of each bucket, the current one first."""
+        newest = self._advance(now)
+        places = [(newest - age) % self._size for age in range(self._size - 1)]
+        return tuple(
+            Counts(self._totals[place], self._bads[place]) for place in places
+        )
+
+    def _advance(self, now: float) -> int:
+        bucket = int(now // self._seconds)
+        stale = min(bucket - self._newest, self._size)
+        for age in range(stale):
+            place = (bucket - age) % self._size
+            self._totals[place] = 0
+            self._bads[place] = 0
+        self._newest = max(self._newest, bucket)
+        return self._newest
