Let failed targets come back, and do not replay half an answer

Cause: a target whose circuit had opened was used again only if the process probed it, and no process does yet; a lost probe report kept it out for good. Now one request that may be repeated is the trial, others wait until nobody has probed for the longest pause. Ruled out: trials by orders at once, since an order lost on a silent target is a customer's order.

Before: test_failed_target_comes_back_though_nobody_probes could not pass, no request ever went back.

An answer too large to keep was replayed with an empty body; it is now told as result 414 answer_not_kept, ran. Ends of orders that an outage kept from being recorded are settled with later ones.

--- a/mintlanding/core/results.py
+++ b/mintlanding/core/results.py
@@ -56,6 +56,7 @@
     idempotency_mismatch = 411
     idempotency_unavailable = 412
     fencing_old = 413
+    answer_not_kept = 414
     conflict = 420
     in_use = 421
     object_unknown = 422
@@ -161,6 +162,11 @@
         503,
         'A newer steward gives the orders.',
     ),
+    _Code.answer_not_kept: ResultRow(
+        409,
+        'The request ran once before; its answer was too large to keep.',
+        Ran.ran,
+    ),
     _Code.conflict: ResultRow(409, 'The object has changed meanwhile.'),
     _Code.in_use: ResultRow(409, 'The object is in use.'),
     _Code.object_unknown: ResultRow(404, 'There is no such object.'),
--- a/mintlanding/orders/decisions.py
+++ b/mintlanding/orders/decisions.py
@@ -45,7 +45,7 @@
     if found.fingerprint != mine.fingerprint:
         return Failed.of(ResultCode.idempotency_mismatch)
     if found.state == OrderState.done and found.answer is not None:
-        return Replay(found.answer)
+        return replay(found.answer)
     if found.state == OrderState.claimed and wall < found.until:
         return in_progress(found.until - wall)
     return Failed.of(
@@ -54,6 +54,14 @@
     )
 
 
+def replay(answer: StoredAnswer) -> Replay | Failed:
+    """Return the kept answer, or say that the order ran without one."""
+    if answer.is_cut:
+        detail = f'the answer had status {answer.status}'
+        return Failed.of(ResultCode.answer_not_kept, detail)
+    return Replay(answer)
+
+
 def in_progress(left: float) -> Failed:
     """Return the failure for a request that another one is ahead of."""
     failure = Failed.of(ResultCode.idempotency_in_progress)
--- a/mintlanding/orders/ledger.py
+++ b/mintlanding/orders/ledger.py
@@ -107,8 +107,8 @@
 
     async def settle(self) -> None:
         """Try again to record the ends that the service did not take."""
-        for ending in tuple(self._unsettled.values()):
-            await self._end(ending.claim, ending.record)
+        for _ in tuple(self._unsettled):
+            await self._settle_one()
 
     async def _try_claim(
         self,
@@ -169,6 +169,17 @@
         if isinstance(outcome, Failed):
             self._lease = ''
         self._unsettled.pop(claim_id, None)
+        await self._settle_one()
+
+    async def _settle_one(self) -> None:
+        """Record one more end while the service answers."""
+        if not self._unsettled:
+            return
+        _, ending = self._unsettled.popitem(last=False)
+        try:
+            await self._write_end(ending.claim, ending.record)
+        except PlatformUnavailable:
+            self._unsettled[ending.claim.record.claim_id] = ending
 
     async def _write_end(
         self,
--- a/mintlanding/routing/circuit.py
+++ b/mintlanding/routing/circuit.py
@@ -7,7 +7,7 @@
 
 
 class CircuitState(StrEnum):
-    """Closed: in use. Open: avoided. Half-open: one probe decides."""
+    """Closed: in use. Open: avoided. Half-open: one trial decides."""
 
     closed = 'closed'
     open = 'open'
@@ -30,13 +30,12 @@
     failures: int = 0
     pause: float = 0
     open_until: float = 0
-    is_probing: bool = False
 
     def state(self, terms: CircuitTerms, now: float) -> CircuitState:
         """Return the state at `now`."""
         if self.failures < terms.failures:
             return CircuitState.closed
-        if self.is_probing or now < self.open_until:
+        if now < self.open_until:
             return CircuitState.open
         return CircuitState.half_open
 
@@ -64,22 +63,43 @@
         """Count a failure; the pause doubles with each one after opening."""
         circuit = self._circuits.setdefault(target, Circuit())
         circuit.failures += 1
-        circuit.is_probing = False
         if circuit.failures < self._terms.failures:
             return
         doubled = max(self._terms.first_pause, circuit.pause * 2)
         circuit.pause = min(doubled, self._terms.longest_pause)
         circuit.open_until = now + circuit.pause * rnd.uniform(0.5, 1)
 
+    def admits(self, target: str, now: float, *, may_fail: bool) -> bool:
+        """Tell whether a request may go to a target.
+
+        A request that must not fail is kept off a half-open circuit, unless
+        nobody has probed the target for the longest pause.
+        """
+        circuit = self._circuits.get(target)
+        if circuit is None:
+            return True
+        state = circuit.state(self._terms, now)
+        if state != CircuitState.half_open:
+            return state == CircuitState.closed
+        return may_fail or now >= circuit.open_until + self._terms.longest_pause
+
+    def note_trial(self, target: str, now: float) -> None:
+        """Let one request or probe decide; its loss only costs a pause."""
+        circuit = self._circuits.get(target)
+        if circuit is None:
+            return
+        if circuit.state(self._terms, now) == CircuitState.half_open:
+            circuit.open_until = now + self._terms.longest_pause
+
     def probes(self, now: float) -> list[str]:
-        """Return the targets to probe now; each answer must be reported."""
+        """Return the targets to probe now; report each answer."""
         due = [
             target
             for target, circuit in self._circuits.items()
             if circuit.state(self._terms, now) == CircuitState.half_open
         ]
         for target in due:
-            self._circuits[target].is_probing = True
+            self.note_trial(target, now)
         return due
 
     def keep(self, targets: Iterable[str]) -> None:
--- a/mintlanding/routing/plain.py
+++ b/mintlanding/routing/plain.py
@@ -7,7 +7,7 @@
 
 from mintlanding.core.registry import Registry
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
-from mintlanding.routing.circuit import Circuits, CircuitState, CircuitTerms
+from mintlanding.routing.circuit import Circuits, CircuitTerms
 from mintlanding.routing.models import (
     PlainRequest,
     PlainTarget,
@@ -205,6 +205,7 @@
         for targets in (with_room, usable):
             if targets:
                 chosen = self._choice.pick(targets, self._loads, rnd)
+                self.circuits.note_trial(chosen.name, now)
                 return Done(TargetRoute(chosen.name, chosen.url))
         return Failed(
             ResultCode.no_target,
@@ -218,7 +219,11 @@
             for target in self._services.get(req.service, ())
             if target.name not in req.excluded
             and target.name not in self._leaving
-            and self.circuits.state(target.name, now) == CircuitState.closed
+            and self.circuits.admits(
+                target.name,
+                now,
+                may_fail=req.is_repeatable,
+            )
         ]
 
     def _has_room(self, target: PlainTarget) -> bool:
--- a/mintlanding/routing/tests/test_plain.py
+++ b/mintlanding/routing/tests/test_plain.py
@@ -102,6 +102,37 @@
     assert chosen(router) == {'t3'}
 
 
+def test_order_does_not_try_out_a_doubtful_target():
+    router = make_router(count=4)
+    for _ in range(3):
+        router.circuits.failed('t0', 0, random.Random(1))
+    order = PlainRequest('orders', is_repeatable=False)
+    seen = {
+        router.choose(order, now, random.Random(now)).value.target
+        for now in range(1, 12)
+    }
+    assert seen == {'t3'}
+    assert router.circuits.probes(12) == ['t0']
+    assert router.circuits.probes(12) == []
+    router.circuits.succeeded('t0')
+    seen = {
+        router.choose(order, 12, random.Random(each)).value.target
+        for each in range(20)
+    }
+    assert seen == {'t0', 't3'}
+
+
+def test_failed_target_comes_back_though_nobody_probes():
+    router = make_router(count=1)
+    for _ in range(3):
+        router.circuits.failed('t0', 0, random.Random(1))
+    order = PlainRequest('orders', is_repeatable=False)
+    rnd = random.Random(1)
+    assert isinstance(router.choose(order, 10, rnd), Failed)
+    assert isinstance(router.choose(order, 30, rnd), Done)
+    assert isinstance(router.choose(order, 30, rnd), Failed)
+
+
 def test_nothing_usable_is_not_run_with_a_time_to_come_back():
     outcome = choose(make_router(count=0))
     assert isinstance(outcome, Failed)
--- a/mintlanding/routing/workers.py
+++ b/mintlanding/routing/workers.py
@@ -10,7 +10,7 @@
 from mintlanding.placement.messages import AdapterRef, WorkerDigest
 from mintlanding.placement.policies import CHOICES, WorkerChoice
 from mintlanding.placement.popularity import DecayedPopularity
-from mintlanding.routing.circuit import Circuits, CircuitState, CircuitTerms
+from mintlanding.routing.circuit import Circuits, CircuitTerms
 from mintlanding.routing.models import (
     EngineRequest,
     Pools,
@@ -116,7 +116,10 @@
             usable = self._usable(self._rest(index), req, now)
         if not usable:
             return self._no_target('no usable worker')
-        return Done(_route(self._prefer_zone(usable, req.ref, index)))
+        chosen = self._prefer_zone(usable, req.ref, index)
+        self.circuits.note_trial(chosen.steward, now)
+        self.circuits.note_trial(chosen.worker, now)
+        return Done(_route(chosen))
 
     def _usable(
         self,
@@ -129,13 +132,10 @@
             for digest in digests
             if digest.worker not in req.excluded
             and digest.steward not in self._away
-            and self._is_closed(digest.steward, now)
-            and self._is_closed(digest.worker, now)
+            and self.circuits.admits(digest.steward, now, may_fail=True)
+            and self.circuits.admits(digest.worker, now, may_fail=True)
         ]
 
-    def _is_closed(self, name: str, now: float) -> bool:
-        return self.circuits.state(name, now) == CircuitState.closed
-
     def _rest(self, index: WorkerIndex) -> list[WorkerDigest]:
         workers = index.least_loaded(len(index))
         return [self._digests[worker] for worker in workers]
