--- a/demo/seed.py
+++ b/demo/seed.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Iterator
 
-from demo.fleet import PEPPER, Fleet
+from demo.fleet import Fleet
 from demo.sizes import FleetSize
-from mintlanding.configuration.keys import IssuedKey, KeyHasher
 from mintlanding.configuration.models import (
     Adapter,
     AdapterVersion,
@@ -25,12 +24,6 @@
 SMALL_BURST = 6_000
 
 
-def issue_keys(size: FleetSize) -> dict[str, IssuedKey]:
-    """Issue one key for each workspace."""
-    hasher = KeyHasher.from_config([PEPPER])
-    return {name: hasher.issue(name) for name in size.workspaces}
-
-
 def adapter_name(number: int) -> str:
     """Return the name of an adapter by number."""
     return f'layout-{number:04}'
@@ -41,10 +34,8 @@
     return size.workspaces[number % len(size.workspaces)]
 
 
-def base_objects(
-    fleet: Fleet, keys: dict[str, IssuedKey]
-) -> Iterator[AnyObject]:
-    """Yield everything but adapters."""
+def base_objects(fleet: Fleet) -> Iterator[AnyObject]:
+    """Yield everything but adapters and keys."""
     yield Settings(name='limits', values={'seats': SEAT_COUNT})
     yield Service(name=ENGINE_SERVICE, engine=True, base_model='tile-7b')
     yield Service(name=PLAIN_SERVICE)
@@ -55,7 +46,6 @@
             rate=RATE if is_large else SMALL_RATE,
             burst=BURST if is_large else SMALL_BURST,
         )
-        yield keys[workspace].key
         yield Selector(
             name=f'kitchen-{workspace}',
             workspace=workspace,
