--- a/demo/scenarios.py
+++ b/demo/scenarios.py
@@ -203,8 +203,8 @@
             asyncio.create_task(caller.complete(adapter, tokens=tokens)),
         )
         await asyncio.sleep(pause)
-    replies = await asyncio.gather(*tasks)
     elapsed = time.monotonic() - started
+    replies = await asyncio.gather(*tasks)
     stop.set()
     others = [reply for _, reply in await quiet]
     used = sum(
