Prove the callers' fault table against real agent, entry and stand-ins

Cause: each bad input needs a code, a status and a true word on the run. Before: unit tests only. After: 32 rows pass (pytest tests/test_callers.py). Conclusion: unknown selectors answer as unknown adapters do, so that names of other workspaces cannot be probed; empty ones have a code of their own.

--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,328 @@
+"""A small fleet in one process: real agents, entries and stand-ins."""
+
+import asyncio
+import socket
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+
+import mintlanding.standin.__main__  # noqa: F401
+from mintlanding.agent.application import AgentApplication
+from mintlanding.conf.models import InstanceSettings
+from mintlanding.configuration.keys import KeyHasher
+from mintlanding.configuration.models import (
+    Adapter,
+    AdapterVersion,
+    Selector,
+    Service,
+    Settings,
+    Target,
+    Workspace,
+)
+from mintlanding.configuration.proposals import Proposal
+from mintlanding.configuration.storage import (
+    Authorship,
+    ConfigurationStorage,
+    new_write_id,
+)
+from mintlanding.core.exceptions import PeerUnavailable
+from mintlanding.core.http_client import HttpAnswer, HttpCall, HttpClient
+from mintlanding.core.results import Done
+from mintlanding.entry.application import EntryApplication
+from mintlanding.platform.http import HttpKeyValueService
+from mintlanding.platform.instances import InstanceRecord
+from mintlanding.standin.base import KINDS
+from mintlanding.standin.settings import StandinSettings
+
+HOST = '127.0.0.1'
+REGION = 'r'
+PEPPER = 'pepper-0123456789'
+SECRET = 'secret-0123456789'
+ZONES = ('za', 'zb', 'zc')
+WAIT_SECONDS = 30
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+async def eventually(question, seconds=WAIT_SECONDS):
+    """Wait for an event; the bound only ends a hang."""
+    async with asyncio.timeout(seconds):
+        while True:
+            found = question()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return found
+            await asyncio.sleep(0.02)
+
+
+@dataclass
+class Reply:
+    status: int
+    body: bytes
+    headers: dict
+
+    @property
+    def document(self):
+        return msgspec.json.decode(self.body)
+
+    @property
+    def error(self):
+        return self.document['error']
+
+
+@dataclass
+class Node:
+    cfg: InstanceSettings
+    agent: AgentApplication
+    entry: EntryApplication
+
+    @property
+    def name(self):
+        return self.cfg.instance
+
+    @property
+    def zone(self):
+        return self.cfg.zone
+
+    @property
+    def url(self):
+        return f'http://{HOST}:{self.cfg.entry.port}'
+
+    async def start(self):
+        await self.agent.application.start()
+        await self.entry.application.start()
+
+    async def stop(self):
+        await self.entry.application.stop()
+        await self.agent.application.stop()
+
+
+@dataclass
+class Fleet:
+    standins: dict = field(default_factory=dict)
+    nodes: list = field(default_factory=list)
+    http: HttpClient = field(default_factory=HttpClient.from_config)
+    keys: dict = field(default_factory=dict)
+    cut: set = field(default_factory=set)
+    settings: dict = field(default_factory=dict)
+
+    async def add_standin(self, name, kind, **options):
+        settings = StandinSettings(kind=kind, name=name, **options)
+        standin = KINDS.get(kind)(settings)
+        await standin.start()
+        self.standins[name] = standin
+        return standin
+
+    @property
+    def storage(self):
+        url = self.standins['kv'].url
+        return ConfigurationStorage(HttpKeyValueService.from_config(url, 2))
+
+    async def start(self, instances=2, workers=1, plain=1, slots=4):
+        await self.add_standin('kv', 'keyvalue')
+        await self.add_standin('list', 'instances')
+        await self.add_standin('store', 'weight-store')
+        store_url = self.standins['store'].url
+        for number in range(workers):
+            await self.add_standin(
+                f'w{number}',
+                'engine',
+                slots=slots,
+                batch_limit=8,
+                step_seconds=0.005,
+                load_seconds=0.05,
+                store_url=store_url,
+            )
+        for number in range(plain):
+            await self.add_standin(f'p{number}', 'plain')
+        await self.apply(*self.base_objects(workers, plain))
+        for number in range(instances):
+            self.nodes.append(self.build_node(number))
+        await self.list_all()
+        for node in self.nodes:
+            await node.start()
+        for node in self.nodes:
+            await eventually(lambda node=node: self.serves(node))
+
+    async def stop(self):
+        for node in reversed(self.nodes):
+            await node.stop()
+        for standin in self.standins.values():
+            await standin.stop()
+
+    def base_objects(self, workers, plain):
+        hasher = KeyHasher.from_config([PEPPER])
+        yield Settings(name='limits', values={'seats': 4})
+        yield Service(name='models', engine=True, base_model='base')
+        yield Service(name='orders')
+        yield Service(name='public', is_open=True)
+        for name in ('red', 'blue'):
+            yield Workspace(name=name, rate=1e6, burst=1e6)
+            issued = hasher.issue(name)
+            self.keys[name] = issued.text
+            yield issued.key
+            for number in range(6):
+                adapter = f'{name}-{number}'
+                yield Adapter(
+                    name=adapter,
+                    workspace=name,
+                    service='models',
+                    default_version='1',
+                )
+                yield AdapterVersion(name=f'{adapter}@1')
+        yield Selector(name='none', workspace='red', match='no=such')
+        for number in range(workers):
+            yield self.target(f'w{number}', 'models', ZONES[number % 3], 4)
+        for number in range(plain):
+            yield self.target(f'p{number}', 'orders', ZONES[number % 3])
+        yield self.target('p0', 'public', ZONES[0], name='open0')
+
+    def target(self, standin, service, zone, slots=0, name=''):
+        return Target(
+            name=name or standin,
+            service=service,
+            zone=zone,
+            url=self.standins[standin].url,
+            slots=slots,
+            batch_limit=8,
+            checks_fencing=True,
+        )
+
+    def build_node(self, number, zone=''):
+        cfg = InstanceSettings.model_validate(
+            {
+                'instance': f'i{number}',
+                'zone': zone or ZONES[number % 3],
+                'region': REGION,
+                'key_pepper': PEPPER,
+                'peers': {'port': free_port(), 'secrets': [SECRET]},
+                'platform': {
+                    'key_value_url': self.standins['kv'].url,
+                    'instance_list_url': self.standins['list'].url,
+                    'poll_interval': 0.2,
+                    'timeout': 0.5,
+                },
+                'entry': {'port': free_port(), 'body_timeout': 0.5},
+                'agent': {
+                    'tick_interval': 0.05,
+                    'heartbeat_interval': 0.2,
+                    'steward_lease': 2,
+                },
+                **self.settings,
+            }
+        )
+        node = Node(
+            cfg,
+            AgentApplication.from_config(cfg),
+            EntryApplication.from_config(cfg),
+        )
+        for client in (node.agent.context.client, node.entry.context.peers):
+            self._guard(client, node)
+        return node
+
+    def _guard(self, client, node):
+        """Let calls between cut zones fail as a partition would."""
+        real_call, real_stream = client.call, client.stream
+
+        def check(address):
+            zone = next(
+                (
+                    each.zone
+                    for each in self.nodes
+                    if address.endswith(f':{each.cfg.peers.port}')
+                ),
+                node.zone,
+            )
+            if zone != node.zone and {zone, node.zone} & self.cut:
+                raise PeerUnavailable('the zones are cut')
+
+        async def call(address, *args):
+            check(address)
+            return await real_call(address, *args)
+
+        async def stream(address, *args):
+            check(address)
+            async for reply in real_stream(address, *args):
+                yield reply
+
+        client.call, client.stream = call, stream
+
+    async def list_all(self, leaving=()):
+        records = [
+            InstanceRecord(
+                node.name,
+                node.zone,
+                REGION,
+                f'{HOST}:{node.cfg.peers.port}',
+                'leaving' if node.name in leaving else 'live',
+            )
+            for node in self.nodes
+        ]
+        await self.http.call(
+            HttpCall(
+                'PUT',
+                f'http://{self.standins["list"].side.address}/instances',
+                [('content-type', 'application/json')],
+                msgspec.json.encode(records),
+            ),
+        )
+
+    async def apply(self, *bodies):
+        proposals = [Proposal.put(body) for body in bodies]
+        now = time.time()
+        authorship = Authorship('test', new_write_id(now), now)
+        outcome = await self.storage.commit(proposals, authorship)
+        assert isinstance(outcome, Done), outcome
+        return outcome.value.revision
+
+    async def in_force(self, revision):
+        await eventually(
+            lambda: all(
+                node.entry.context.view.directory.revision >= revision
+                for node in self.nodes
+            ),
+        )
+
+    async def serves(self, node):
+        reply = await self.complete(node, 'red-0', tokens=1)
+        return reply.status == 200
+
+    async def complete(self, node, model, key='red', tokens=4, **extra):
+        body = {'model': model, 'prompt': 'hi', 'max_tokens': tokens, **extra}
+        return await self.call(
+            node,
+            'POST',
+            '/v1/completions',
+            msgspec.json.encode(body),
+            key=key,
+        )
+
+    async def order(self, node, order_id, idempotency_key='', key='red'):
+        extra = (
+            [('idempotency-key', idempotency_key)] if idempotency_key else []
+        )
+        return await self.call(
+            node,
+            'POST',
+            '/services/orders/place',
+            msgspec.json.encode({'id': order_id}),
+            key=key,
+            headers=extra,
+        )
+
+    async def call(self, node, method, path, body=b'', key='', headers=()):
+        sent = [('content-type', 'application/json')]
+        sent = [each for each in sent if each[0] not in dict(headers)]
+        if key:
+            text = self.keys.get(key, key)
+            sent.append(('authorization', f'Bearer {text}'))
+        answer: HttpAnswer = await self.http.call(
+            HttpCall(method, node.url + path, sent + list(headers), body),
+        )
+        return Reply(answer.status, answer.body, dict(answer.headers))
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,265 @@
+"""What callers get for good and bad requests; one row a fault."""
+
+import asyncio
+
+import msgspec
+import pytest
+import pytest_asyncio
+
+from mintlanding.core.results import RESULTS, ResultCode
+from mintlanding.standin.faults import Faults
+from tests.fleet import Fleet, eventually
+
+Code = ResultCode
+COMPLETIONS = '/v1/completions'
+GOOD = msgspec.json.encode({'model': 'red-0', 'prompt': 'hi', 'max_tokens': 2})
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def fleet():
+    running = Fleet()
+    await running.start(instances=1)
+    yield running
+    await running.stop()
+
+
+def body(**fields):
+    return msgspec.json.encode({'model': 'red-0', 'prompt': 'hi', **fields})
+
+
+ROWS = [
+    ('unknown path', 'GET', '/nowhere', b'', 'red', Code.unknown_route),
+    ('unknown service', 'GET', '/services/x/y', b'', 'red', Code.unknown_route),
+    (
+        'engine as a service',
+        'GET',
+        '/services/models/y',
+        b'',
+        'red',
+        Code.unknown_route,
+    ),
+    ('wrong method', 'GET', COMPLETIONS, b'', 'red', Code.method_not_allowed),
+    ('no key', 'POST', COMPLETIONS, GOOD, '', Code.key_missing),
+    (
+        'malformed key',
+        'POST',
+        COMPLETIONS,
+        GOOD,
+        'nonsense',
+        Code.key_malformed,
+    ),
+    (
+        'unknown key',
+        'POST',
+        COMPLETIONS,
+        GOOD,
+        f'mk_{"0" * 12}_{"0" * 48}',
+        Code.key_unknown,
+    ),
+    ('key elsewhere', 'POST', COMPLETIONS, GOOD, 'blue', Code.adapter_unknown),
+    ('not JSON', 'POST', COMPLETIONS, b'{"model":', 'red', Code.malformed_json),
+    ('bad UTF-8', 'POST', COMPLETIONS, b'"\xff"', 'red', Code.malformed_json),
+    ('a JSON list', 'POST', COMPLETIONS, b'[]', 'red', Code.missing_field),
+    ('deep JSON', 'POST', COMPLETIONS, b'[' * 9999, 'red', Code.malformed_json),
+    (
+        'no model',
+        'POST',
+        COMPLETIONS,
+        b'{"prompt":"x"}',
+        'red',
+        Code.missing_field,
+    ),
+    (
+        'no prompt',
+        'POST',
+        COMPLETIONS,
+        b'{"model":"red-0"}',
+        'red',
+        Code.missing_field,
+    ),
+    (
+        'bad max_tokens',
+        'POST',
+        COMPLETIONS,
+        body(max_tokens=-1),
+        'red',
+        Code.missing_field,
+    ),
+    (
+        'unknown adapter',
+        'POST',
+        COMPLETIONS,
+        body(model='nope'),
+        'red',
+        Code.adapter_unknown,
+    ),
+    (
+        'unknown version',
+        'POST',
+        COMPLETIONS,
+        body(model='red-0@9'),
+        'red',
+        Code.version_unknown,
+    ),
+    (
+        'unknown selector',
+        'POST',
+        COMPLETIONS,
+        body(model='selector:x'),
+        'red',
+        Code.adapter_unknown,
+    ),
+    (
+        'empty selector',
+        'POST',
+        COMPLETIONS,
+        body(model='selector:none'),
+        'red',
+        Code.selector_empty,
+    ),
+    (
+        'over-long body',
+        'POST',
+        COMPLETIONS,
+        b'x' * 1_000_001,
+        'red',
+        Code.body_too_large,
+    ),
+    (
+        'over the burst',
+        'POST',
+        COMPLETIONS,
+        body(max_tokens=10**6),
+        'red',
+        Code.larger_than_burst,
+    ),
+]
+
+
+@pytest.mark.asyncio(loop_scope='module')
+@pytest.mark.parametrize('row', ROWS, ids=[row[0] for row in ROWS])
+async def test_bad_request_has_its_code(fleet, row):
+    _, method, path, sent, key, code = row
+    reply = await fleet.call(fleet.nodes[0], method, path, sent, key=key)
+    assert reply.error['code'] == code
+    assert reply.status == RESULTS[code].status
+    assert reply.error['ran'] == 'not_run'
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_wrong_content_type_is_refused(fleet):
+    reply = await fleet.call(
+        fleet.nodes[0],
+        'POST',
+        COMPLETIONS,
+        GOOD,
+        key='red',
+        headers=[('content-type', 'text/plain')],
+    )
+    assert reply.error['code'] == Code.wrong_content_type
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_over_long_header_is_refused(fleet):
+    reply = await fleet.call(
+        fleet.nodes[0],
+        'POST',
+        COMPLETIONS,
+        GOOD,
+        headers=[('x-long', 'x' * 20_000)],
+    )
+    assert reply.error['code'] == Code.header_too_large
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_slow_body_is_refused(fleet):
+    host, port = fleet.nodes[0].url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    key = fleet.keys['red']
+    writer.write(
+        b'POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n'
+        b'content-type: application/json\r\n'
+        b'authorization: Bearer ' + key.encode() + b'\r\n\r\n{"model"',
+    )
+    head = await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    assert b' 408 ' in head.split(b'\r\n')[0]
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_vanished_caller_cancels_its_work_on_the_engine(fleet):
+    engine = fleet.standins['w0']
+    before = engine.records.counts.get('cancel', 0)
+    reading = asyncio.create_task(
+        fleet.complete(fleet.nodes[0], 'red-0', tokens=5000, stream=True),
+    )
+    await eventually(lambda: engine.model.running)
+    reading.cancel()
+    await eventually(
+        lambda: engine.records.counts.get('cancel', 0) > before,
+    )
+    await eventually(lambda: not engine.model.running)
+
+
+FAULTS = [
+    (
+        'another adapter',
+        Faults(wrong_adapter='blue-9@9'),
+        Code.target_wrong_adapter,
+        'unknown',
+    ),
+    ('garbage', Faults(garbage=True), Code.target_garbage, 'ran'),
+]
+
+
+@pytest.mark.asyncio(loop_scope='module')
+@pytest.mark.parametrize('stream', [False, True])
+@pytest.mark.parametrize('fault', FAULTS, ids=[each[0] for each in FAULTS])
+async def test_faulty_target_has_its_code(fleet, fault, stream):
+    _, faults, code, ran = fault
+    engine = fleet.standins['w0']
+    await engine.set_faults(faults)
+    try:
+        reply = await fleet.complete(fleet.nodes[0], 'red-0', stream=stream)
+    finally:
+        await engine.set_faults(Faults())
+    assert (reply.error['code'], reply.error['ran']) == (code, ran)
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_answer_given_twice_reaches_the_caller_once(fleet):
+    engine = fleet.standins['w0']
+    await engine.set_faults(Faults(answer_twice=True))
+    try:
+        reply = await fleet.complete(fleet.nodes[0], 'red-0', stream=True)
+    finally:
+        await engine.set_faults(Faults())
+    assert reply.body.count(b'data: [DONE]') == 1
+    assert (
+        reply.body.count(b'\nid: 1\n') + reply.body.startswith(b'id: 1\n') == 1
+    )
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_no_target_sees_a_key_wherever_it_was_put(fleet):
+    node, key = fleet.nodes[0], fleet.keys['red']
+    for path, headers in (
+        ('/services/orders/a', [('authorization', f'Bearer {key}')]),
+        ('/services/orders/b', [('x-api-key', key)]),
+        ('/services/orders/c', [('cookie', f'api_key={key}; taste=blue')]),
+        (f'/services/orders/d?api_key={key}&size=2', []),
+    ):
+        reply = await fleet.call(node, 'GET', path, headers=headers)
+        assert reply.status == 200
+    calls = fleet.standins['p0'].records.list()
+    seen = msgspec.json.encode(calls).decode()
+    assert key not in seen
+    assert key.rpartition('_')[2] not in seen
+    names = {name for call in calls for name in call.headers}
+    assert not names & {'authorization', 'x-api-key'}
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_open_route_needs_no_key(fleet):
+    reply = await fleet.call(fleet.nodes[0], 'GET', '/services/public/menu')
+    assert reply.status == 200
