--- a/mintlanding/agent/messages.py
+++ b/mintlanding/agent/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mintlanding.configuration.models import Delta
+from mintlanding.configuration.messages import DeltaPart
 from mintlanding.membership.models import Member
 from mintlanding.peers.messages import Empty, Method
 from mintlanding.placement.messages import (
@@ -24,11 +24,12 @@
 class ViewUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
     """What changed since the last update; unset fields did not change.
 
-    `stale_seconds` is the time since a member with a live watch on the
-    platform vouched for the configuration.
+    A delta comes in parts, one in each update. `stale_seconds` is the time
+    since a member with a live watch on the platform vouched for the
+    configuration.
     """
 
-    delta: Delta | None = None
+    part: DeltaPart | None = None
     members: tuple[Member, ...] | None = None
     digests: tuple[WorkerDigest, ...] = ()
     stale_seconds: float = 0
@@ -72,3 +73,34 @@
 RESERVE_WORKER = Method('placement', 'reserve', ReserveRequest, ReserveReply)
 RELEASE_WORKER = Method('placement', 'release', ReleaseRequest, Empty)
 REPORT_PINS = Method('placement', 'report_pins', PinReport, Empty)
+
+
+class InstanceStatus(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an agent knows of one instance; `stale_seconds` of its own only."""
+
+    member: Member
+    revision: int
+    stale_seconds: float | None = None
+
+
+class FleetStatus(msgspec.Struct, frozen=True):
+    """The fleet as one agent sees it."""
+
+    instances: tuple[InstanceStatus, ...]
+
+
+class LeaveRequest(msgspec.Struct, frozen=True):
+    """An operator's wish that an instance leaves."""
+
+    instance: str
+
+
+class LeaveReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The state of the instance, or a result code."""
+
+    state: str = ''
+    code: int = 0
+
+
+READ_FLEET = Method('agent', 'read_fleet', Empty, FleetStatus)
+LEAVE = Method('agent', 'leave', LeaveRequest, LeaveReply)
--- a/mintlanding/agent/view.py
+++ b/mintlanding/agent/view.py
@@ -1,16 +1,21 @@
 """Stream the agent's view to the entry of its instance."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass, field
 
 from mintlanding.agent.context import AgentContext
 from mintlanding.agent.messages import WATCH_VIEW, ViewRequest, ViewUpdate
+from mintlanding.configuration.messages import DeltaPart
+from mintlanding.configuration.parts import split_delta
+from mintlanding.core.logs import Logger
 from mintlanding.placement.messages import WorkerDigest
 
 VOUCH_SECONDS = 1
 COALESCE_SECONDS = 0.01
 
+_logger = Logger('agent')
+
 
 @dataclass(slots=True, eq=False)
 class Subscriber:
@@ -36,6 +41,8 @@
         self._stale_seconds = stale_seconds
         self._digests = digests
         self._subscribers: set[Subscriber] = set()
+        self._unwatched = asyncio.Event()
+        self._unwatched.set()
         context.server.add_stream(WATCH_VIEW, self._watch)
 
     def configuration_changed(self) -> None:
@@ -55,6 +62,14 @@
             each.digests[digest.worker] = digest
             each.wake.set()
 
+    async def wait_unwatched(self, timeout: float) -> None:
+        """Wait until the entry has drained and left, or `timeout` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._unwatched.wait()
+        except TimeoutError:
+            _logger.warning('The entry has not left in time.')
+
     async def _watch(
         self,
         req: ViewRequest,
@@ -62,26 +77,33 @@
     ) -> AsyncIterator[ViewUpdate]:
         subscriber = Subscriber(req.revision, digests=dict(self._digests()))
         self._subscribers.add(subscriber)
+        self._unwatched.clear()
         try:
             while True:
+                for part in self._parts(subscriber):
+                    yield ViewUpdate(part, stale_seconds=self._stale_seconds())
                 yield self._update(subscriber)
                 await _wait(subscriber.wake)
         finally:
             self._subscribers.discard(subscriber)
+            if not self._subscribers:
+                self._unwatched.set()
 
-    def _update(self, subscriber: Subscriber) -> ViewUpdate:
+    def _parts(self, subscriber: Subscriber) -> Iterator[DeltaPart]:
         directory = self._context.directory
-        delta = None
         if directory.revision > subscriber.revision:
             delta = directory.delta_since(subscriber.revision)
             subscriber.revision = directory.revision
+            yield from split_delta(delta)
+
+    def _update(self, subscriber: Subscriber) -> ViewUpdate:
         members = None
         if subscriber.members_changed:
             members = tuple(self._context.members.values())
             subscriber.members_changed = False
         digests = tuple(subscriber.digests.values())
         subscriber.digests.clear()
-        return ViewUpdate(delta, members, digests, self._stale_seconds())
+        return ViewUpdate(None, members, digests, self._stale_seconds())
 
 
 async def _wait(wake: asyncio.Event) -> None:
