Try each command as a new operator and mend what surprised

Seen with real processes: the library showed no commands in its help, printed an empty line before each result, took a word too many for a version and 007 for a number, and ran a command before it refused left-over words. Commands now return a plan that runs once all words are understood; the overview is written here; words are kept as typed.

--- a/mintlanding/admin/errors.py
+++ b/mintlanding/admin/errors.py
@@ -25,7 +25,8 @@
     ResultCode.in_use: 'delete or change what uses it in the same apply',
     ResultCode.object_unknown: 'list the kind to see the names there are',
     ResultCode.platform_unavailable: (
-        'repeat with the same write id; it cannot take effect twice'
+        'the key-value service is down or slow: try again later; '
+        'a change repeated with its write id takes effect once'
     ),
     ResultCode.unknown_route: 'GET /openapi.json describes all routes',
     ResultCode.method_not_allowed: 'GET /openapi.json describes all routes',
--- a/mintlanding/cli/__main__.py
+++ b/mintlanding/cli/__main__.py
@@ -7,30 +7,23 @@
 
 from mintlanding.cli.commands import Commands
 from mintlanding.cli.exceptions import CommandError, ExitCode
+from mintlanding.cli.help import HELP_WORDS, overview
+from mintlanding.cli.parsing import keep_texts
 from mintlanding.cli.plans import Plan, run_plan
 
 NAME = 'mintlanding'
-_HELP_FLAG = '--help'
 
 
 def run(words: Sequence[str]) -> int:
     """Run one command and return its exit code."""
+    if not words or words[0] in HELP_WORDS:
+        sys.stdout.write(f'{overview()}\n')
+        return int(ExitCode.done if words else ExitCode.usage)
     try:
-        plan = fire.Fire(
-            Commands,
-            command=list(words) or [_HELP_FLAG],
-            name=NAME,
-            serialize=_write_nothing,
-        )
-        if isinstance(plan, Plan):
-            return int(run_plan(plan))
+        return _run_command(words)
     except CommandError as exc:
         sys.stderr.write('{0}\n'.format('\n'.join(exc.lines())))
         return int(exc.exit_code)
-    sys.stderr.write(
-        f'error: the command is not complete\nhint: {NAME} {_HELP_FLAG}\n',
-    )
-    return int(ExitCode.usage)
 
 
 def main() -> None:
@@ -38,8 +31,24 @@
     sys.exit(run(sys.argv[1:]))
 
 
-def _write_nothing(found: object) -> str:
-    return ''
+def _run_command(words: Sequence[str]) -> int:
+    plan = fire.Fire(
+        Commands,
+        command=keep_texts(words),
+        name=NAME,
+        serialize=_write_nothing,
+    )
+    if isinstance(plan, Plan):
+        return int(run_plan(plan))
+    raise CommandError(
+        ExitCode.usage,
+        'the command is not complete',
+        f'{NAME} --help lists the commands',
+    )
+
+
+def _write_nothing(found: object) -> None:
+    """Keep the library from writing the plan."""
 
 
 if __name__ == '__main__':
--- a/mintlanding/cli/client.py
+++ b/mintlanding/cli/client.py
@@ -201,8 +201,6 @@
         f'  {each["place"]}: {each["message"]} (hint: {each["hint"]})'
         for each in error.get('mistakes', ())
     ]
-    if error.get('current'):
-        details.append(f'  there now: {json.dumps(error["current"])}')
     exit_code = _EXIT_CODES.get(int(error.get('code', 0)), ExitCode.refused)
     if error.get('ran') == Ran.unknown:
         exit_code = ExitCode.outcome_unknown
--- a/mintlanding/cli/commands.py
+++ b/mintlanding/cli/commands.py
@@ -17,12 +17,13 @@
 from mintlanding.cli.output import (
     Output,
     Result,
+    cell,
     changes_table,
     moment,
     objects_table,
     table,
 )
-from mintlanding.cli.parsing import parse_collection, texts
+from mintlanding.cli.parsing import is_set, parse_collection, parse_number
 from mintlanding.cli.plans import Options, Plan
 from mintlanding.cli.views import (
     changed,
@@ -45,9 +46,9 @@
     writes for programs. docs/reference/commands.md lists the exit codes.
     """
 
-    @texts('output', 'url', 'token_file')
     def __init__(
         self,
+        *,
         output: str = 'table',
         url: str = '',
         token_file: str = '',
@@ -57,7 +58,6 @@
         self.keys = KeyCommands(self._options)
         self.report = ReportCommands(self._options)
 
-    @texts('file')
     def check(self, file: str) -> Plan:
         """Check a file of settings or of objects, without a server.
 
@@ -66,17 +66,15 @@
         """
         return self._plan(lambda: _check(file))
 
-    @texts('file')
-    def apply(self, file: str, dry_run: bool = False) -> Plan:
+    def apply(self, file: str, *, dry_run: bool = False) -> Plan:
         """Put and delete the objects of a file, all or none.
 
         Args:
             file: Path of the YAML file, or - for standard input.
             dry_run: Only tell what would change.
         """
-        return self._plan(lambda: self._apply(file, dry_run))
+        return self._plan(lambda: self._apply(file, is_set(dry_run)))
 
-    @texts('file')
     def diff(self, file: str) -> Plan:
         """Tell what applying a file would change; exits 10 if anything.
 
@@ -85,7 +83,6 @@
         """
         return self._plan(lambda: self._diff(file))
 
-    @texts('kind', 'name')
     def get(self, kind: str, name: str) -> Plan:
         """Show one object.
 
@@ -95,10 +92,10 @@
         """
         return self._plan(lambda: self._get(kind, name))
 
-    @texts('kind', 'selector', 'workspace')
     def list(
         self,
         kind: str,
+        *,
         selector: str = '',
         workspace: str = '',
     ) -> Plan:
@@ -111,12 +108,12 @@
         """
         return self._plan(lambda: self._list(kind, selector, workspace))
 
-    @texts('kind', 'name')
     def delete(
         self,
         kind: str,
         name: str,
-        version: int | None = None,
+        *,
+        version: str = '',
         dry_run: bool = False,
     ) -> Plan:
         """Delete an object that is not in use.
@@ -127,26 +124,28 @@
             version: Only if the object is still at this version.
             dry_run: Only tell what would change.
         """
-        return self._plan(lambda: self._delete(kind, name, version, dry_run))
+        held = parse_number('version', version) if version else None
+        return self._plan(
+            lambda: self._delete(kind, name, held, is_set(dry_run)),
+        )
 
-    def history(self, limit: int = 20) -> Plan:
+    def history(self, *, limit: str = '20') -> Plan:
         """Show who changed what when, newest first.
 
         Args:
             limit: How many changes to show.
         """
-        return self._plan(lambda: self._history(limit))
+        return self._plan(lambda: self._history(parse_number('limit', limit)))
 
-    def status(self, wait: float = 0) -> Plan:
+    def status(self, *, wait: str = '0') -> Plan:
         """Show at which revision each daemon is; exits 11 if one is behind.
 
         Args:
             wait: Seconds to wait for the newest revision to be in force.
         """
-        return self._plan(lambda: self._status(wait))
+        return self._plan(lambda: self._status(parse_number('wait', wait)))
 
-    @texts('model', 'workspace', 'caller')
-    def explain(self, model: str, workspace: str, caller: str = '') -> Plan:
+    def explain(self, model: str, *, workspace: str, caller: str = '') -> Plan:
         """Show which rule takes a request where, and why not the others.
 
         Args:
@@ -157,7 +156,6 @@
         """
         return self._plan(lambda: self._explain(model, workspace, caller))
 
-    @texts('instance')
     def drain(self, instance: str) -> Plan:
         """Ask an instance to leave; accepted work ends first.
 
@@ -187,7 +185,7 @@
     def _get(self, kind: str, name: str) -> Result:
         path = object_path(parse_collection(kind), name)
         found = self._options.connect().get(path)
-        rows = [[field, str(held)] for field, held in found.items()]
+        rows = [[field, cell(held)] for field, held in found.items()]
         return Result(found, table(rows, ['field', 'value']))
 
     def _list(self, kind: str, selector: str, workspace: str) -> Result:
@@ -229,7 +227,7 @@
         headers = ['revision', 'when', 'who', 'what']
         return Result(found['commits'], table(rows, headers))
 
-    def _status(self, wait: float) -> Result:
+    def _status(self, wait: int) -> Result:
         client = self._options.connect()
         until = time.monotonic() + wait
         found = client.get('/v1/status')
--- a/mintlanding/cli/groups.py
+++ b/mintlanding/cli/groups.py
@@ -2,7 +2,7 @@
 
 from mintlanding.cli.client import object_path
 from mintlanding.cli.output import Result, table
-from mintlanding.cli.parsing import parse_labels, texts
+from mintlanding.cli.parsing import parse_labels
 from mintlanding.cli.plans import Options, Plan
 
 
@@ -13,8 +13,7 @@
         """Share the options."""
         self._options = options
 
-    @texts('workspace', 'labels')
-    def grant(self, workspace: str, labels: str = '') -> Plan:
+    def grant(self, workspace: str, *, labels: str = '') -> Plan:
         """Grant a new key to a workspace; it is shown this once.
 
         Args:
@@ -23,7 +22,6 @@
         """
         return Plan(self._options, lambda: self._grant(workspace, labels))
 
-    @texts('key_id')
     def withdraw(self, key_id: str) -> Plan:
         """Withdraw a key for good; it stops working within seconds.
 
--- a/mintlanding/cli/output.py
+++ b/mintlanding/cli/output.py
@@ -70,8 +70,8 @@
         [
             item['name'],
             item['version'],
-            *(_cell(item[name]) for name in names),
-            _cell(item['labels']),
+            *(cell(item[name]) for name in names),
+            cell(item['labels']),
         ]
         for item in items
     ]
@@ -85,8 +85,8 @@
         head = [change['action'], change['kind'], change['name']]
         fields = change['fields'] or [{}]
         for number, field in enumerate(fields):
-            before = _cell(field.get('before'))
-            after = _cell(field.get('after'))
+            before = cell(field.get('before'))
+            after = cell(field.get('after'))
             shown = head if number == 0 else ['', '', '']
             rows.append([*shown, field.get('field', ''), before, after])
     headers = ['action', 'kind', 'name', 'field', 'before', 'after']
@@ -99,7 +99,8 @@
     return found.strftime('%Y-%m-%d %H:%M:%SZ')
 
 
-def _cell(held: Any) -> str:
+def cell(held: Any) -> str:
+    """Write one field."""
     if held is None:
         return ''
     if isinstance(held, bool):
@@ -107,7 +108,7 @@
     if isinstance(held, dict):
         return ','.join(f'{name}={found}' for name, found in held.items())
     if isinstance(held, list):
-        return '; '.join(_cell(each) for each in held)
+        return '; '.join(cell(each) for each in held)
     if isinstance(held, float) and held.is_integer():
         return str(int(held))
     return str(held)
--- a/mintlanding/cli/parsing.py
+++ b/mintlanding/cli/parsing.py
@@ -1,24 +1,35 @@
 """Read words of the command line."""
 
-from collections.abc import Callable
-from typing import TypeVar, cast
+from collections.abc import Sequence
 
-from fire.decorators import SetParseFns
+from fire.parser import DefaultParseValue
 
 from mintlanding.admin.objects import COLLECTIONS, collection_of
 from mintlanding.cli.exceptions import CommandError, ExitCode
 
-CommandT = TypeVar('CommandT', bound=Callable[..., object])
+_SET_WORDS = frozenset(('1', 'on', 'true', 'yes'))
 
 
-def texts(*names: str) -> Callable[[CommandT], CommandT]:
-    """Return a decorator that keeps arguments as typed, such as 007."""
-    parsers = dict.fromkeys(names, str)
+def keep_texts(words: Sequence[str]) -> list[str]:
+    """Quote words that the library would take for numbers, such as 007."""
+    return [_keep_text(word) for word in words]
 
-    def decorate(command: CommandT) -> CommandT:
-        return cast(CommandT, SetParseFns(**parsers)(command))
 
-    return decorate
+def is_set(flag: object) -> bool:
+    """Read a flag, given bare or as --flag=true."""
+    return str(flag).lower() in _SET_WORDS
+
+
+def parse_number(name: str, text: str) -> int:
+    """Read a whole number that is not negative."""
+    found = str(text)
+    if not (found.isascii() and found.isdecimal()):
+        raise CommandError(
+            ExitCode.usage,
+            f'--{name} {found!r} is not a whole number',
+            f'write --{name} 5',
+        )
+    return int(found)
 
 
 def parse_collection(text: str) -> str:
@@ -49,3 +60,12 @@
             )
         found[label.strip()] = held.strip()
     return found
+
+
+def _keep_text(word: str) -> str:
+    if word.startswith('-'):
+        flag, separator, text = word.partition('=')
+        return f'{flag}={_keep_text(text)}' if separator and text else word
+    if isinstance(DefaultParseValue(word), str):
+        return word
+    return repr(word)
