--- /dev/null
+++ b/mintlanding/cli/exceptions.py
@@ -0,0 +1,44 @@
+"""Failures of commands, each with an exit code and a hint."""
+
+from collections.abc import Sequence
+from enum import IntEnum
+
+from mintlanding.core.exceptions import MintlandingError
+
+
+class ExitCode(IntEnum):
+    """Exit codes; docs/reference/commands.md tables them."""
+
+    done = 0
+    refused = 1
+    usage = 2
+    conflict = 3
+    unknown_object = 4
+    unavailable = 5
+    not_offered = 6
+    unauthorized = 7
+    outcome_unknown = 8
+    differs = 10
+    not_in_force = 11
+
+
+class CommandError(MintlandingError):
+    """A command that failed: why, and what to do."""
+
+    def __init__(
+        self,
+        exit_code: ExitCode,
+        message: str,
+        hint: str = '',
+        details: Sequence[str] = (),
+    ) -> None:
+        """Take the sentence, the hint and further lines."""
+        super().__init__(message)
+        self.exit_code = exit_code
+        self.hint = hint
+        self.details = list(details)
+
+    def lines(self) -> list[str]:
+        """Return what standard error shows."""
+        hint = [f'hint: {self.hint}'] if self.hint else []
+        return [f'error: {self}', *self.details, *hint]
