--- a/mintlanding/standin/base.py
+++ b/mintlanding/standin/base.py
@@ -26,7 +26,7 @@
     def __init__(self, settings: StandinSettings) -> None:
         """Build the servers; nothing listens yet."""
         self.settings = settings
-        self.records = Records()
+        self.records = Records(settings.journal)
         self.gate = FaultGate(Starlette(routes=self.routes()))
         self.server = HttpServer.from_config(
             self.gate,
--- a/mintlanding/standin/records.py
+++ b/mintlanding/standin/records.py
@@ -1,11 +1,13 @@
 """What a stand-in itself has seen, for the verdicts of tests."""
 
+import os
 from collections import deque
 from typing import Any
 
 import msgspec
 
 _KEPT = 100_000
+_JOURNAL_MODE = 0o600
 
 
 class Record(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -30,16 +32,23 @@
 
 
 class Records:
-    """The latest records in order, and a count of every event."""
+    """The latest records in order, and a count of every event.
 
-    def __init__(self) -> None:
-        """Start empty."""
+    With a journal each record is also written to a file at once, so that
+    tests can read it after they have killed the process.
+    """
+
+    def __init__(self, journal: str = '') -> None:
+        """Start empty; `journal` is the path of a file to append to."""
         self._kept: deque[Record] = deque(maxlen=_KEPT)
+        self._journal = _open_journal(journal) if journal else None
         self.counts: dict[str, int] = {}
 
     def add(self, record: Record) -> None:
         """Keep a record."""
         self._kept.append(record)
+        if self._journal is not None:
+            os.write(self._journal, msgspec.json.encode(record) + b'\n')
         count = self.counts.get(record.event, 0)
         self.counts[record.event] = count + 1
 
@@ -54,3 +63,7 @@
     def as_document(self, event: str = '') -> dict[str, Any]:
         """Return counts and records for the side port."""
         return {'counts': self.counts, 'records': self.list(event)}
+
+
+def _open_journal(path: str) -> int:
+    return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, _JOURNAL_MODE)
--- a/mintlanding/standin/settings.py
+++ b/mintlanding/standin/settings.py
@@ -11,7 +11,8 @@
     """Where a stand-in listens and how its target behaves.
 
     Times are in seconds. The fields from `name` on concern engines and the
-    weight store; `instances` is the file the instance list begins with.
+    weight store. `instances` is what the instance list begins with, and
+    `journal` a file that takes each record.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
@@ -20,6 +21,7 @@
     host: str = '127.0.0.1'
     port: int = 0
     side_port: int = 0
+    journal: str = ''
     instances: tuple[dict[str, str], ...] = ()
     name: str = 'engine'
     slots: int = 8
