Start no thread, know what was sent, forgive a slow reader

Cause: aiosonic resolves even IP numbers in a thread pool; errors before the first byte, such as a header that cannot be written, were told as garbage with unknown outcome; a stream whose caller read slowly was cut as silent. After: hosts are IP numbers, a call is not_run exactly when no byte was written, silence counts only while the relay waits for the engine.

--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -7,7 +7,10 @@
 """
 
 import asyncio
+import ipaddress
+import socket
 from collections.abc import AsyncIterator
+from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any, Self
 
@@ -16,6 +19,7 @@
 from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError, HttpParsingError
 from aiosonic.pools import WsPool
+from aiosonic.resolver import AbstractResolver
 from httptools import HttpParserError, HttpResponseParser
 
 from mintlanding.core.exceptions import MintlandingError
@@ -68,23 +72,29 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """Whether any byte of a call may have left."""
+
+    is_sent: bool = False
+
+
+_attempt: ContextVar[_Attempt] = ContextVar('attempt')
+
+
 class _FreshConnection(Connection):  # type: ignore[misc]
     def reuse(self, urlparsed: Any, verify: bool) -> bool:
         return False
 
+    def write(self, data: bytes) -> None:
+        _attempt.get().is_sent = True
+        super().write(data)
+
     async def __aexit__(self, exc_type: Any, exc: Any, trace: Any) -> None:
         self.keep = False
         await super().__aexit__(exc_type, exc, trace)
 
 
-class _FreshConnector(TCPConnector):  # type: ignore[misc]
-    async def after_acquire(self, *args: Any) -> Any:
-        try:
-            return await super().after_acquire(*args)
-        except (AiosonicError, OSError) as exc:
-            raise CallNotSent(repr(exc)) from exc
-
-
 class _ChunkedBody:
     """Take the chunks out of a body, after headers that were read before."""
 
@@ -113,6 +123,32 @@
         return piece
 
 
+class _NumberResolver(AbstractResolver):  # type: ignore[misc]
+    """Take IP numbers as they are; the library would start a thread."""
+
+    async def resolve(
+        self,
+        hostname: str,
+        port: int = 0,
+        family: int = socket.AF_UNSPEC,
+    ) -> list[dict[str, Any]]:
+        address = ipaddress.ip_address(hostname)
+        family = socket.AF_INET if address.version == 4 else socket.AF_INET6
+        return [
+            {
+                'hostname': hostname,
+                'host': hostname,
+                'port': port,
+                'family': family,
+                'proto': socket.IPPROTO_TCP,
+                'flags': socket.AI_NUMERICHOST,
+            },
+        ]
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
 class OpenAnswer:
     """An answer whose body is read piece by piece."""
 
@@ -182,10 +218,14 @@
 
     @classmethod
     def from_config(cls) -> Self:
-        """Keep no connections and take no proxies from the environment."""
-        connector = _FreshConnector(
+        """Keep no connections and take no proxies from the environment.
+
+        Hosts are IP numbers; a call to a name is not sent.
+        """
+        connector = TCPConnector(
             connection_cls=_FreshConnection,
             pool_cls=WsPool,
+            resolver=_NumberResolver(),
         )
         return cls(HTTPClient(connector=connector, trust_env=False))
 
@@ -202,6 +242,8 @@
         headers = list(call.headers)
         if not call.body and call.method in _BODY_METHODS:
             headers.append(('Content-Length', '0'))
+        attempt = _Attempt()
+        _attempt.set(attempt)
         try:
             async with asyncio.timeout(call.answer):
                 response = await self._client.request(
@@ -212,12 +254,8 @@
                     timeouts=timeouts,
                     stream=True,
                 )
-        except TimeoutError as timeout_exc:
-            raise CallTimeout(f'no answer in {call.answer} s') from timeout_exc
-        except _GARBAGE as garbage:
-            raise AnswerInvalid(repr(garbage)) from garbage
         except _LOST as exc:
-            raise CallLost(repr(exc)) from exc
+            raise _failure(exc, attempt) from exc
         return _checked(response)
 
     async def call(self, call: HttpCall) -> HttpAnswer:
@@ -226,7 +264,7 @@
             async with asyncio.timeout(call.answer):
                 return await self._whole(call)
         except TimeoutError as exc:
-            raise CallTimeout(f'no answer in {call.answer} s') from exc
+            raise _failure(exc, _attempt.get()) from exc
 
     async def close(self) -> None:
         """Close what is open."""
@@ -241,10 +279,21 @@
         return HttpAnswer(answer.status, answer.headers, body)
 
 
+def _failure(exc: Exception, attempt: _Attempt) -> MintlandingError:
+    if not attempt.is_sent:
+        return CallNotSent(repr(exc))
+    if isinstance(exc, TimeoutError):
+        return CallTimeout('no answer in time')
+    if isinstance(exc, _GARBAGE):
+        return AnswerInvalid(repr(exc))
+    return CallLost(repr(exc))
+
+
 def _checked(response: Any) -> OpenAnswer:
     # aiosonic takes a body without length or chunks for an empty one.
     bounded = (
-        response.status_code in _NO_BODY_STATUSES
+        response.method == 'HEAD'
+        or response.status_code in _NO_BODY_STATUSES
         or 'content-length' in response.headers
         or response.chunked
     )
--- a/mintlanding/core/tests/test_http_client.py
+++ b/mintlanding/core/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Calls go out once, and every answer is that of its own call."""
 
 import asyncio
+import threading
 from contextlib import asynccontextmanager
 
 import pytest
@@ -83,6 +84,29 @@
         await HttpClient.from_config().call(HttpCall('POST', url))
 
 
+async def test_calls_start_no_thread():
+    async with raw_server(_echo) as (url, _):
+        await HttpClient.from_config().call(HttpCall('GET', f'{url}/x'))
+    assert threading.active_count() == 1
+
+
+@pytest.mark.parametrize('host', ['localhost', 'engine.example', '[::1', ''])
+async def test_call_to_no_ip_number_is_not_sent(host):
+    call = HttpCall('GET', f'http://{host}:1/')
+    with pytest.raises(CallNotSent):
+        await HttpClient.from_config().call(call)
+
+
+@pytest.mark.parametrize('header', [('x', 'a\r\nb'), ('x y', 'a'), ('x', '\0')])
+async def test_header_that_cannot_be_written_is_not_sent(header):
+    async with raw_server(_echo) as (url, seen):
+        with pytest.raises(CallNotSent):
+            await HttpClient.from_config().call(
+                HttpCall('POST', f'{url}/x', [header]),
+            )
+    assert not seen
+
+
 async def test_environment_proxies_are_ignored(monkeypatch):
     monkeypatch.setenv('HTTP_PROXY', 'http://127.0.0.1:9')
     monkeypatch.setenv('http_proxy', 'http://127.0.0.1:9')
--- a/mintlanding/engines/stream.py
+++ b/mintlanding/engines/stream.py
@@ -41,6 +41,7 @@
         self._first = b''
         self._heard = 0.0
         self._is_silent = False
+        self._is_reading = True
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -89,13 +90,11 @@
 
     async def _whole_events(self) -> AsyncIterator[bytes]:
         held = b''
+        loop = asyncio.get_running_loop()
         self._watch()
         try:
             async for piece in self._answer.pieces():
-                self._heard = asyncio.get_running_loop().time()
-                if not held and piece.endswith(_EVENT_END):
-                    yield piece
-                    continue
+                self._is_reading = False
                 held += piece
                 end = held.rfind(_EVENT_END) + len(_EVENT_END)
                 if end >= len(_EVENT_END):
@@ -103,6 +102,8 @@
                     held = held[end:]
                 if len(held) > _MAX_HELD_BYTES:
                     raise StreamBroken('an event is too large')
+                self._is_reading = True
+                self._heard = loop.time()
         except CallLost as exc:
             reason = 'no bytes in time' if self._is_silent else str(exc)
             raise StreamBroken(reason) from exc
@@ -127,6 +128,9 @@
     def _check_silence(self) -> None:
         loop = asyncio.get_running_loop()
         left = self._heard + self._silence - loop.time()
+        if not self._is_reading:
+            # The reader is slow, not the engine.
+            left = self._silence
         if left > 0:
             self._timer = loop.call_later(left, self._check_silence)
             return
--- a/mintlanding/engines/tests/test_stream.py
+++ b/mintlanding/engines/tests/test_stream.py
@@ -18,6 +18,7 @@
 class _Answer:
     status = 200
     headers = ()
+    is_closed = False
 
     def __init__(self, pieces):
         self._pieces = pieces
@@ -27,7 +28,7 @@
             yield piece
 
     def close(self):
-        """Do nothing."""
+        self.is_closed = True
 
 
 async def _relay(pieces):
@@ -89,3 +90,13 @@
 async def test_garbled_beginning_is_an_error(pieces):
     with pytest.raises(TargetError):
         await EngineStream(_Answer(pieces), 60, 0).open()
+
+
+async def test_slow_reader_does_not_make_the_engine_silent():
+    answer = _Answer([*_EVENTS, _END])
+    stream = EngineStream(answer, 0.005, 0)
+    await stream.open()
+    async for _ in stream.chunks():
+        await asyncio.sleep(0.012)
+        assert not answer.is_closed or stream.is_complete
+    assert stream.is_complete
