Claim and hand over seats by the limits slice's decision

Cause: seats were created once and never moved. Before: a replaced instance's seats were lost for good. A lone instance does not wait for a neighbour: its stop fell from 10 s to at once.

--- a/demo/seed.py
+++ b/demo/seed.py
@@ -17,7 +17,7 @@
 
 ENGINE_SERVICE = 'planner-models'
 PLAIN_SERVICE = 'orders-api'
-SEAT_COUNT = 16
+SEAT_COUNT = 18
 RATE = 40_000
 BURST = 120_000
 SMALL_RATE = 2_000
@@ -36,7 +36,10 @@
 
 def base_objects(fleet: Fleet) -> Iterator[AnyObject]:
     """Yield everything but adapters and keys."""
-    yield Settings(name='limits', values={'seats': SEAT_COUNT})
+    zones = ','.join(fleet.size.zones)
+    limits: dict[str, float | str | bool] = {'seats': SEAT_COUNT}
+    limits['zones'] = zones
+    yield Settings(name='limits', values=limits)
     yield Service(name=ENGINE_SERVICE, engine=True, base_model='tile-7b')
     yield Service(name=PLAIN_SERVICE)
     for index, workspace in enumerate(fleet.size.workspaces):
--- a/mintlanding/agent/application.py
+++ b/mintlanding/agent/application.py
@@ -18,6 +18,8 @@
 from mintlanding.peers.build import build_client, build_keyring, build_server
 from mintlanding.platform.http import HttpInstanceList, HttpKeyValueService
 
+HAND_OVER_SECONDS = 10
+
 _MILLISECONDS = 1000
 
 
@@ -83,6 +85,8 @@
         self.configuration.on_change(self.limits.follow_configuration)
         self.configuration.on_change(self.view.configuration_changed)
         self.membership.on_members(self.limits.follow_members)
+        self.membership.on_members(self.seats.follow_members)
+        self.membership.on_heartbeat(self.seats.heard)
         self.membership.on_members(self.stewards.follow_members)
         self.membership.on_members(self.view.members_changed)
         self.membership.on_members(self.configuration.follow_members)
@@ -101,8 +105,9 @@
     async def _drain(self) -> None:
         await self.membership.leave()
         await self.stewards.drain(self._cfg.agent.drain_timeout)
-        self.limits.drain()
         await self.view.wait_unwatched(self._cfg.agent.drain_timeout)
+        self.limits.drain()
+        await self.seats.hand_over(HAND_OVER_SECONDS)
 
     async def _stop(self) -> None:
         await self.context.server.stop()
--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -1,7 +1,7 @@
 """Carry out what the limits node decides."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from mintlanding.agent.context import AgentContext
 from mintlanding.agent.messages import (
@@ -19,11 +19,12 @@
     Action,
     Answer,
     Envelope,
+    Event,
     Reservation,
-    SeatsLost,
     Send,
 )
 from mintlanding.limits.models import LimitsNode
+from mintlanding.limits.seats import SeatPlan
 from mintlanding.limits.terms import Rate, Terms
 from mintlanding.peers.messages import Empty
 
@@ -44,26 +45,34 @@
         """Build the node and serve its methods."""
         self._context = context
         own = context.own
+        self.terms = Terms.from_config(context.cfg.agent.limits)
         self.node = LimitsNode.from_config(
             own.instance,
             own.incarnation,
             own.zone,
-            Terms(),
+            self.terms,
             context.random('limits'),
         )
         self._waiting: dict[str, asyncio.Future[Outcome[Reservation]]] = {}
         self._wake = asyncio.Event()
+        self._on_event: list[Callable[[Event], None]] = []
         context.server.add(RESERVE_TOKENS, self._reserve)
         context.server.add(SETTLE_TOKENS, self._settle)
         context.server.add(DELIVER, self._receive)
 
     @property
-    def seat_count(self) -> int:
-        """Return the number of seats of the configuration."""
-        found = self._context.directory.get('settings', _LIMITS_SETTINGS)
-        if not isinstance(found, Settings):
-            return _SEAT_COUNT
-        return int(found.values.get('seats', _SEAT_COUNT))
+    def seat_plan(self) -> SeatPlan:
+        """Return the seats of the configuration and their zones."""
+        values = self._values()
+        zones = str(values.get('zones', '')).split(',')
+        return SeatPlan(
+            int(values.get('seats', _SEAT_COUNT)),
+            tuple(zone.strip() for zone in zones if zone.strip()),
+        )
+
+    def on_event(self, listener: Callable[[Event], None]) -> None:
+        """Call the listener when seats change hands."""
+        self._on_event.append(listener)
 
     async def start(self) -> None:
         """Begin to tick."""
@@ -88,7 +97,8 @@
         }
         rates[STORE_POOL] = self._store_rate()
         now = self._context.now
-        self.carry_out(self.node.configure(rates, self.seat_count, now))
+        seat_count = self.seat_plan.seat_count
+        self.carry_out(self.node.configure(rates, seat_count, now))
 
     async def reserve(self, req: TokenRequest) -> Outcome[Reservation]:
         """Reserve tokens of a workspace or permits of the store."""
@@ -133,16 +143,20 @@
                     self._answer(action)
                 case Send():
                     self._context.application.spawn(self._send(action))
-                case SeatsLost():
-                    self.on_seats_lost()
+                case _:
+                    self._tell(action)
         self._wake.set()
 
-    def on_seats_lost(self) -> None:
-        """Claim seats again after a pause; the seats part replaces this."""
+    def _tell(self, event: Event) -> None:
+        for listener in self._on_event:
+            listener(event)
 
-    def _store_rate(self) -> Rate:
+    def _values(self) -> Mapping[str, float | str | bool]:
         found = self._context.directory.get('settings', _LIMITS_SETTINGS)
-        values = found.values if isinstance(found, Settings) else {}
+        return found.values if isinstance(found, Settings) else {}
+
+    def _store_rate(self) -> Rate:
+        values = self._values()
         return Rate(
             float(values.get('store_rate', _STORE_RATE)),
             float(values.get('store_burst', _STORE_BURST)),
--- a/mintlanding/agent/seats.py
+++ b/mintlanding/agent/seats.py
@@ -1,6 +1,7 @@
-"""Claim seats of the limits in the key-value service."""
+"""Carry out what the seat claims decide, in the key-value service."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -9,63 +10,169 @@
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
 from mintlanding.core.results import Done
-from mintlanding.placement.leases import choose_steward
+from mintlanding.limits.messages import (
+    Event,
+    SeatsHandedOver,
+    SeatsLost,
+    SeatsReceived,
+)
+from mintlanding.limits.seats import (
+    ClaimAction,
+    ReadSeats,
+    SeatClaims,
+    SeatRecord,
+    StoredSeat,
+    WriteSeat,
+)
+from mintlanding.membership.messages import Heartbeat
+from mintlanding.membership.models import MemberState
 
 SEATS_PREFIX = 'seats/'
-CLAIM_SECONDS = 0.5
+TICK_SECONDS = 0.25
 
 _logger = Logger('limits')
 
 
-class SeatRecord(msgspec.Struct, frozen=True):
-    """The owner of a seat."""
-
-    instance: str
-    incarnation: int
-
-
 class SeatsPart:
-    """Create the records of free seats; a record is never taken over here."""
+    """The seats that this agent owns for its limits."""
 
     def __init__(self, context: AgentContext, limits: LimitsPart) -> None:
         """Claim for the limits of this agent."""
         self._context = context
         self._limits = limits
-        self._owned: set[int] = set()
-        self._tried: set[int] = set()
+        self._claims: SeatClaims | None = None
+        self._used: frozenset[int] = frozenset()
+        limits.on_event(self._take_event)
 
     async def start(self) -> None:
         """Begin to claim."""
-        self._context.application.spawn(self._run())
+        self._context.application.spawn(self._run_ticks())
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CLAIM_SECONDS)
-            if self._context.directory.revision:
-                await self._claim_free()
+    def follow_members(self) -> None:
+        """Take a change of the members."""
+        if self._claims is not None:
+            members = list(self._context.members.values())
+            self._claims.observe_members(members, self._context.now)
+
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Note that another instance of the zone has been heard."""
+        sender = heartbeat.sender.member
+        if self._claims is not None and sender.zone == self._context.own.zone:
+            self._claims.hear_peer(self._context.now)
+
+    async def hand_over(self, timeout: float) -> None:
+        """Wait until the seats are handed over, or `timeout` seconds."""
+        if self._claims is not None:
+            self._claims.leave()
+        if not self._has_neighbour():
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                while not self._limits.node.is_drained():
+                    await asyncio.sleep(TICK_SECONDS)
+        except TimeoutError:
+            _logger.warning('Seats were not handed over.')
 
-    async def _claim_free(self) -> None:
+    def _has_neighbour(self) -> bool:
         own = self._context.own
-        members = self._context.members.values()
-        for seat in range(self._limits.seat_count):
-            chosen = choose_steward(f'seat/{seat}', own.zone, members)
-            if seat in self._tried or chosen != own.instance:
+        return any(
+            each.zone == own.zone
+            and each.instance != own.instance
+            and each.state is MemberState.live
+            for each in self._context.members.values()
+        )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if self._claims is None:
+                self._begin()
                 continue
-            await self._claim(seat)
+            self._carry_out(self._claims.tick(self._context.now))
+            self._use()
 
-    async def _claim(self, seat: int) -> None:
+    def _begin(self) -> None:
+        if not self._context.directory.revision:
+            return
         own = self._context.own
-        record = SeatRecord(own.instance, own.incarnation)
+        self._claims = SeatClaims.from_config(
+            own.instance,
+            own.incarnation,
+            own.zone,
+            self._limits.seat_plan,
+            self._limits.terms,
+            self._context.now,
+        )
+        self.follow_members()
+
+    def _carry_out(self, actions: Iterable[ClaimAction]) -> None:
+        for action in actions:
+            match action:
+                case ReadSeats():
+                    self._context.application.spawn(self._read())
+                case WriteSeat():
+                    self._context.application.spawn(self._write(action))
+
+    async def _read(self) -> None:
+        try:
+            listing = await self._context.key_value.list(SEATS_PREFIX)
+        except PlatformError as exc:
+            _logger.warning('Seats were not read.', reason=str(exc))
+            return
+        records = {
+            int(each.key.removeprefix(SEATS_PREFIX)): StoredSeat(
+                msgspec.json.decode(each.value, type=SeatRecord),
+                each.index,
+            )
+            for each in listing.entries
+        }
+        if self._claims is None:
+            return
+        now = self._context.now
+        in_use = self._limits.node.seats_in_use(now)
+        self._carry_out(self._claims.take_records(records, in_use, now))
+        self._use()
+
+    async def _write(self, action: WriteSeat) -> None:
+        claims = self._claims
+        if claims is None:
+            return
         try:
             outcome = await self._context.key_value.put(
-                f'{SEATS_PREFIX}{seat}',
-                msgspec.json.encode(record),
-                0,
+                f'{SEATS_PREFIX}{action.seat}',
+                msgspec.json.encode(action.record),
+                action.expected,
             )
         except PlatformError as exc:
-            _logger.warning('A seat was not claimed.', reason=str(exc))
+            _logger.warning('A seat may not be written.', reason=str(exc))
+            claims.leave_open(self._context.now)
             return
-        self._tried.add(seat)
         if isinstance(outcome, Done):
-            self._owned.add(seat)
-            self._limits.own_seats(frozenset(self._owned))
+            claims.confirm(action.seat)
+        else:
+            claims.reject(action.seat, self._context.now)
+        self._use()
+
+    def _take_event(self, event: Event) -> None:
+        if self._claims is None:
+            return
+        now = self._context.now
+        match event:
+            case SeatsLost():
+                _logger.warning('Seats are lost after a pause.')
+                self._claims.lose_all(now)
+            case SeatsReceived(seats=seats):
+                self._claims.accept_hand_over(seats, now)
+                self._used = self._claims.seats()
+            case SeatsHandedOver(seats=seats):
+                self._claims.hand_over(seats)
+                self._used = self._claims.seats()
+        self._use()
+
+    def _use(self) -> None:
+        if self._claims is None:
+            return
+        seats = self._claims.seats()
+        if seats != self._used:
+            self._used = seats
+            self._limits.own_seats(seats)
--- a/mintlanding/conf/models.py
+++ b/mintlanding/conf/models.py
@@ -75,12 +75,17 @@
 
 
 class AgentSettings(SettingsModel):
-    """The agent: control of one instance."""
+    """The agent: control of one instance.
+
+    `limits` changes durations of the token limits by name; docs/topics/limits.md
+    lists them. All instances of a fleet must have the same.
+    """
 
     tick_interval: Seconds = 0.2
     heartbeat_interval: Seconds = 1
     steward_lease: Seconds = 6
     drain_timeout: Seconds = 70
+    limits: dict[str, Seconds] = Field(default_factory=dict)
 
 
 class StalenessSettings(SettingsModel):
--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -88,15 +88,15 @@
 
     async def start(self) -> None:
         """Run the start hooks."""
-        self.trigger('begin')
+        self._move('begin')
         for hook in self._on_start:
             await hook()
-        self.trigger('serve')
+        self._move('serve')
         self.logger.info('Started.')
 
     async def stop(self) -> None:
         """Run the drain hooks, end the tasks, run the stop hooks."""
-        self.trigger('drain')
+        self._move('drain')
         self.logger.info('Draining.')
         for hook in self._on_drain:
             await hook()
@@ -105,7 +105,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for hook in reversed(self._on_stop):
             await hook()
-        self.trigger('finish')
+        self._move('finish')
         self.logger.info('Stopped.')
 
     async def run(self) -> None:
@@ -117,7 +117,7 @@
         await self._stop_asked.wait()
         await self.stop()
 
-    def trigger(self, name: str) -> None:
+    def _move(self, name: str) -> None:
         """Move the life cycle; the state machine refuses a wrong order."""
         self._machine.events[name].trigger(self)
 
--- /dev/null
+++ b/mintlanding/core/tests/test_application.py
@@ -0,0 +1,47 @@
+"""The life cycle of a process."""
+
+import logging
+
+import pytest
+
+from mintlanding.core.application import Application
+
+
+async def test_hooks_run_in_order_and_stop_in_reverse():
+    seen = []
+    application = Application('test')
+
+    def hook(name):
+        async def run():
+            seen.append(name)
+
+        return run
+
+    for number in (1, 2):
+        application.on_start(hook(f'start {number}'))
+        application.on_drain(hook(f'drain {number}'))
+        application.on_stop(hook(f'stop {number}'))
+    await application.start()
+    await application.stop()
+    assert seen == [
+        'start 1',
+        'start 2',
+        'drain 1',
+        'drain 2',
+        'stop 2',
+        'stop 1',
+    ]
+    assert application.state == 'stopped'
+
+
+async def test_state_machine_binds_without_a_warning(caplog):
+    with caplog.at_level(logging.WARNING):
+        Application('test')
+    assert not caplog.records
+
+
+async def test_second_start_is_refused():
+    application = Application('test')
+    await application.start()
+    with pytest.raises(Exception, match='begin'):
+        await application.start()
--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -1,9 +1,11 @@
 """Rates, and the durations that bound who may use a share until when."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Self
 
+from mintlanding.core.exceptions import ConfigurationError
+
 
 @dataclass(frozen=True, slots=True)
 class Rate:
@@ -42,6 +44,13 @@
     @classmethod
     def from_config(cls, values: Mapping[str, float]) -> Self:  # noqa: WPS110
         """Take durations by name; the others keep their defaults."""
+        known = {each.name for each in fields(cls)}
+        unknown = sorted(values.keys() - known)
+        if unknown:
+            raise ConfigurationError(
+                f'agent.limits: unknown {", ".join(unknown)}; '
+                f'known: {", ".join(sorted(known))}',
+            )
         return cls(**values)  # type: ignore[arg-type]
 
     @classmethod
--- a/mintlanding/placement/authority.py
+++ b/mintlanding/placement/authority.py
@@ -8,15 +8,19 @@
 
 _State = LeaseState
 _TRANSITIONS = (
-    {'trigger': 'gather', 'source': '*', 'dest': _State.gathering},
-    {'trigger': 'hold', 'source': _State.gathering, 'dest': _State.held},
+    {'trigger': 'begin_gathering', 'source': '*', 'dest': _State.gathering},
     {
-        'trigger': 'lapse',
+        'trigger': 'begin_holding',
+        'source': _State.gathering,
+        'dest': _State.held,
+    },
+    {
+        'trigger': 'let_lapse',
         'source': (_State.gathering, _State.held),
         'dest': _State.lapsed,
     },
-    {'trigger': 'renew', 'source': _State.lapsed, 'dest': _State.gathering},
-    {'trigger': 'supersede', 'source': '*', 'dest': _State.superseded},
+    {'trigger': 'resume', 'source': _State.lapsed, 'dest': _State.gathering},
+    {'trigger': 'give_way', 'source': '*', 'dest': _State.superseded},
 )
 
 
@@ -60,22 +64,22 @@
         self._until = until
         self._reported = -math.inf
         self._has_pins = False
-        self._trigger('gather')
+        self._trigger('begin_gathering')
         return True
 
     def renew(self, until: float, now: float) -> None:
         """Extend the lease under its number."""
         self._until = until
-        self._trigger('renew')
+        self._trigger('resume')
         self.advance(now)
 
     def lose(self) -> None:
         """Note that the lease has lapsed."""
-        self._trigger('lapse')
+        self._trigger('let_lapse')
 
     def supersede(self) -> None:
         """Note that a newer steward exists."""
-        self._trigger('supersede')
+        self._trigger('give_way')
 
     def confirm(self, now: float) -> None:
         """Note that the engine knows the number."""
@@ -92,9 +96,9 @@
     def advance(self, now: float) -> None:
         """Move on with time: the lease ends, or the pins become known."""
         if now >= self._until:
-            self._trigger('lapse')
+            self._trigger('let_lapse')
         if self._knows_pins(now):
-            self._trigger('hold')
+            self._trigger('begin_holding')
 
     @property
     def needs_fence(self) -> bool:
