--- a/mintlanding/conf/models.py
+++ b/mintlanding/conf/models.py
@@ -77,8 +77,8 @@
 class AgentSettings(SettingsModel):
     """The agent: control of one instance.
 
-    `limits` changes durations of the token limits by name; docs/topics/limits.md
-    lists them. All instances of a fleet must have the same.
+    `limits` changes durations of the token limits by name, as
+    docs/topics/limits.md lists them; the same at all instances of a fleet.
     """
 
     tick_interval: Seconds = 0.2
