Prove the steward by a state machine; keep slots that were just loaded

Cause: with a full batch, waiting requests swapped resident adapters without end: loads evicted adapters whose own requests still waited (seen as a run of the state machine that did not end). Ruled out: never evicting an adapter with waiting requests, since a steady stream for resident ones would then starve the others. Before: no bound on such swaps. After: a slot with waiting requests is evicted only when unused for demand_patience; the machine bounds the steps.

--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -150,7 +150,7 @@
         spare = self._terms.max_loads - len(under_way)
         room = self._slots.free()
         if room < needed and self._authority.may_evict(now):
-            room += len(self._evictable())
+            room += len(self._candidates(now))
         return max(0, min(needed, spare, room - len(self.permits.pending)))
 
     def _next_ref(self, now: float) -> AdapterRef | None:
@@ -205,14 +205,21 @@
     def _victim(self, now: float) -> Slot | None:
         if not self._authority.may_evict(now):
             return None
+        candidates = self._candidates(now)
+        return min(candidates, key=self._key, default=None)
+
+    def _candidates(self, now: float) -> list[Slot]:
+        """Return idle slots, else those whose requests got no place lately.
+
+        A slot just loaded is kept, or else loads would only swap places
+        while the batch is full.
+        """
         evictable = self._evictable()
         idle = [
             slot for slot in evictable if not self._queue.waiting_for(slot.ref)
         ]
-        candidates = idle or evictable
-        if not candidates:
-            return None
-        return min(candidates, key=self._key)
+        before = now - self._terms.demand_patience
+        return idle or [slot for slot in evictable if slot.changed < before]
 
     def _key(self, slot: Slot) -> float:
         return self._eviction_key(slot, self.popularity)
@@ -238,5 +245,7 @@
     def _victim_score(self, now: float) -> float | None:
         if not self._authority.may_evict(now):
             return None
-        scores = [self.popularity.score(slot.ref) for slot in self._evictable()]
+        scores = [
+            self.popularity.score(slot.ref) for slot in self._candidates(now)
+        ]
         return min(scores, default=None)
--- /dev/null
+++ b/mintlanding/placement/tests/test_steward_machine.py
@@ -0,0 +1,431 @@
+"""What must always hold for stewards, whatever happens in which order."""
+
+import random
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from mintlanding.placement.messages import (
+    AdapterRef,
+    EngineReport,
+    PinReport,
+    Priority,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+)
+from mintlanding.placement.models import (
+    AskPermit,
+    EvictOrder,
+    FenceOrder,
+    LeaseState,
+    LoadOrder,
+    ReturnPermit,
+    StewardTerms,
+    WorkerSpec,
+)
+from mintlanding.placement.steward import Steward
+
+TERMS = StewardTerms(reservation_life=60, load_tries=2)
+SLOTS = 3
+BATCH = 3
+REFS = [AdapterRef(f'adapter-{number}', 'v1') for number in range(7)]
+ENTRIES = ('entry-1', 'entry-2')
+
+
+class Engine:
+    """A fake engine that obeys orders at once and answers when told to."""
+
+    def __init__(self, checks_fencing):
+        self.checks_fencing = checks_fencing
+        self.highest = 0
+        self.incarnation = 1
+        self.resident = set()
+        self.loading = {}
+        self.answers = []
+        self.snapshots = []
+
+    def obey(self, steward, order):
+        if self.checks_fencing:
+            if order.fencing < self.highest:
+                self.answers.append((steward, order, False))
+                return False
+            self.highest = order.fencing
+        if isinstance(order, LoadOrder):
+            assert order.ref not in self.resident
+            assert order.ref not in self.loading.values()
+            assert len(self.resident) + len(self.loading) < SLOTS
+            self.loading[order.order_id] = order.ref
+            return True
+        if isinstance(order, EvictOrder):
+            self.resident.discard(order.ref)
+        self.answers.append((steward, order, True))
+        return True
+
+    def finish_load(self, steward, order, ok):
+        ref = self.loading.pop(order.order_id, None)
+        if ref is None:
+            return
+        if ok:
+            self.resident.add(ref)
+        self.answers.append((steward, order, ok))
+
+    def restart(self):
+        self.incarnation += 1
+        self.resident.clear()
+        self.loading.clear()
+
+    def report(self, busy):
+        return EngineReport(
+            'w',
+            self.incarnation,
+            resident=tuple(sorted(self.resident)),
+            loading=tuple(sorted(self.loading.values())),
+            busy=tuple(sorted(busy)),
+        )
+
+
+class StewardMachine(RuleBasedStateMachine):
+    """One engine, a line of stewards, two entries, a store of permits."""
+
+    checks_fencing = True
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.rnd = random.Random(3)
+        self.engine = Engine(self.checks_fencing)
+        self.stewards = []
+        self.known_incarnation = {}
+        self.asks = []
+        self.loads = []
+        self.permits = set()
+        self.active = {}
+        self.asked = {}
+        self.answered = {}
+        self.asked_of = {}
+        self.floor = Counter()
+        self.number = 0
+        self.fencing = 0
+        self.start_steward()
+
+    @initialize(is_steady=st.sampled_from((True, True, True, False)))
+    def begin(self, is_steady):
+        if is_steady:
+            self.become_steady()
+
+    def start_steward(self):
+        spec = WorkerSpec('w', 'zone', SLOTS, BATCH, self.checks_fencing)
+        steward = Steward.from_config(spec, TERMS, self.rnd)
+        self.fencing += 1
+        steward.number = self.fencing
+        steward.has_pins = False
+        steward.taken = self.now
+        self.stewards.append(steward)
+        self.known_incarnation[steward] = self.engine.incarnation
+        self.run(steward, steward.take_over(self.fencing, self.now))
+
+    @property
+    def steward(self):
+        return self.stewards[-1]
+
+    def run(self, steward, actions):
+        for action in actions:
+            self.carry_out(steward, action)
+
+    def carry_out(self, steward, action):
+        if isinstance(action, ReserveReply):
+            self.take_reply(steward, action)
+        elif isinstance(action, AskPermit):
+            self.asks.append((steward, action))
+        elif isinstance(action, ReturnPermit):
+            self.permits.discard((steward, action.order_id))
+        else:
+            assert action.fencing == steward.number
+            self.check_order(steward, action)
+            is_taken = self.engine.obey(steward, action)
+            if isinstance(action, LoadOrder) and is_taken:
+                self.loads.append((steward, action))
+
+    def check_order(self, steward, action):
+        lapsed = steward.state is LeaseState.lapsed
+        if isinstance(action, EvictOrder):
+            assert not (lapsed and not self.checks_fencing)
+            is_over = self.now >= steward.taken + TERMS.reservation_life
+            assert steward.has_pins or is_over
+            if action.fencing >= self.engine.highest:
+                assert action.ref not in self.active.values()
+        if isinstance(action, FenceOrder):
+            assert self.checks_fencing
+
+    def take_reply(self, steward, reply):
+        key = (steward, reply.reservation_id)
+        assert key not in self.answered, 'a second final answer'
+        self.answered[key] = reply
+        if reply.code:
+            assert reply.retry_after > 0
+            return
+        req = self.asked[reply.reservation_id]
+        if self.known_incarnation[steward] == self.engine.incarnation:
+            if steward is self.steward:
+                assert req.ref in self.engine.resident
+        assert reply.fencing == steward.number
+        if reply.fencing < self.floor[req.entry]:
+            return
+        self.active[reply.reservation_id] = req.ref
+
+    @rule(
+        which=st.integers(0, len(REFS) - 1),
+        wait=st.sampled_from((0, 0.5, 5, 30)),
+        priority=st.sampled_from(list(Priority)),
+        entry=st.sampled_from(ENTRIES),
+        workspace=st.sampled_from(('one', 'two')),
+        is_old=st.booleans(),
+    )
+    def reserve(self, which, wait, priority, entry, workspace, is_old):
+        self.number += 1
+        req = ReserveRequest(
+            reservation_id=f'r{self.number}',
+            worker='w',
+            workspace=workspace,
+            ref=REFS[which],
+            tokens=self.rnd.randint(1, 200),
+            priority=priority,
+            wait=wait,
+            entry=entry,
+        )
+        steward = self.stewards[0] if is_old else self.steward
+        self.asked[req.reservation_id] = req
+        self.asked_of[req.reservation_id] = steward
+        self.run(steward, steward.reserve(req, self.now))
+
+    def settle_all(self):
+        """Carry everything under way to its end."""
+        steps = 0
+        while self.asks or self.loads or self.engine.answers:
+            steps += 1
+            assert steps < 200, 'loads and evictions without end'
+            self.answer_ask(True, 0)
+            self.finish_load(True)
+            self.deliver_answer(0, False)
+
+    @rule(numbers=st.lists(st.integers(0, len(REFS) - 1), max_size=4))
+    def serve(self, numbers):
+        for which in numbers:
+            for entry in ENTRIES[: 1 + which % 2]:
+                self.reserve(which, 30, Priority.interactive, entry, 'one', 0)
+        self.settle_all()
+
+    @rule()
+    def serve_and_release(self):
+        for reservation_id in sorted(self.active)[:2]:
+            self.release_one(reservation_id, 1)
+        self.settle_all()
+
+    @rule(seconds=st.sampled_from((0, 2)))
+    def take_over_in_traffic(self, seconds):
+        self.take_over()
+        self.now += seconds
+        self.settle_all()
+
+    @rule(data=st.data())
+    def reserve_again(self, data):
+        if not self.asked:
+            return
+        reservation_id = data.draw(st.sampled_from(sorted(self.asked)))
+        steward = self.asked_of[reservation_id]
+        was = self.answered.get((steward, reservation_id))
+        replies = steward.reserve(self.asked[reservation_id], self.now)
+        if reservation_id in self.active:
+            assert list(replies) == [was]
+        elif was is not None and replies:
+            self.answered.pop((steward, reservation_id))
+            self.run(steward, replies)
+
+    @rule(data=st.data(), is_doubled=st.booleans())
+    def release(self, data, is_doubled):
+        if not self.active:
+            return
+        reservation_id = data.draw(st.sampled_from(sorted(self.active)))
+        self.release_one(reservation_id, 1 + is_doubled)
+
+    def release_one(self, reservation_id, times):
+        self.active.pop(reservation_id)
+        req = ReleaseRequest(reservation_id, 'w', 50)
+        for steward in self.stewards:
+            for _ in range(times):
+                self.run(steward, steward.release(req, self.now))
+
+    @rule(data=st.data())
+    def withdraw(self, data):
+        if not self.asked:
+            return
+        reservation_id = data.draw(st.sampled_from(sorted(self.asked)))
+        if reservation_id in self.active:
+            return
+        steward = self.asked_of[reservation_id]
+        req = ReleaseRequest(reservation_id, 'w')
+        self.run(steward, steward.release(req, self.now))
+
+    @rule(granted=st.booleans(), retry_after=st.floats(0, 1))
+    def answer_ask(self, granted, retry_after):
+        if not self.asks:
+            return
+        steward, ask = self.asks.pop(0)
+        if granted:
+            self.permits.add((steward, ask.order_id))
+        actions = steward.permit(ask.order_id, granted, retry_after, self.now)
+        self.run(steward, actions)
+
+    @rule()
+    def lose_ask(self):
+        if self.asks:
+            self.asks.pop()
+
+    @rule(ok=st.sampled_from((True, True, True, False)))
+    def finish_load(self, ok):
+        if self.loads:
+            steward, order = self.loads.pop(0)
+            self.engine.finish_load(steward, order, ok)
+
+    @rule(index=st.integers(0, 5), is_doubled=st.booleans())
+    def deliver_answer(self, index, is_doubled):
+        if index >= len(self.engine.answers):
+            return
+        steward, order, ok = self.engine.answers.pop(index)
+        for _ in range(1 + is_doubled):
+            if isinstance(order, LoadOrder):
+                actions = steward.load_done(order.order_id, ok, self.now)
+            elif isinstance(order, EvictOrder):
+                actions = steward.evict_done(order.order_id, ok, self.now)
+            else:
+                actions = steward.fence_done(order.order_id, ok, self.now)
+            self.run(steward, actions)
+
+    @rule()
+    def lose_answer(self):
+        if self.engine.answers:
+            self.engine.answers.pop()
+
+    @rule()
+    def measure(self):
+        busy = set(self.active.values())
+        self.engine.snapshots.append((self.now, self.engine.report(busy)))
+
+    @rule(index=st.integers(0, 3), is_doubled=st.booleans())
+    def deliver_report(self, index, is_doubled):
+        since = self.now - TERMS.report_lag
+        fresh = [row for row in self.engine.snapshots if row[0] >= since]
+        self.engine.snapshots = fresh
+        if index >= len(fresh):
+            return
+        report = fresh[index][1]
+        steward = self.steward
+        for _ in range(1 + is_doubled):
+            known = self.known_incarnation[steward]
+            self.known_incarnation[steward] = max(known, report.incarnation)
+            self.run(steward, steward.engine_report(report, self.now))
+
+    @rule()
+    def measure_and_deliver(self):
+        self.measure()
+        self.deliver_report(len(self.engine.snapshots) - 1, False)
+
+    @rule()
+    def restart_engine(self):
+        self.engine.restart()
+        self.loads.clear()
+        self.active.clear()
+
+    @rule(seconds=st.sampled_from((0.01, 0.3, 1, 2, 7)))
+    def advance(self, seconds):
+        self.now += seconds
+        for steward in self.stewards:
+            self.run(steward, steward.tick(self.now))
+
+    @rule()
+    def lose_lease(self):
+        self.run(self.steward, self.steward.lease_lost(self.now))
+
+    @rule()
+    def renew_lease(self):
+        steward = self.steward
+        self.run(steward, steward.lease_renewed(float('inf'), self.now))
+
+    @rule()
+    def take_over(self):
+        old = self.steward
+        self.run(old, old.lease_lost(self.now))
+        self.start_steward()
+
+    @rule()
+    def gather_pins(self):
+        steward = self.steward
+        for entry in ENTRIES:
+            self.floor[entry] = steward.number
+            pins = tuple(
+                (reservation_id, ref)
+                for reservation_id, ref in self.active.items()
+                if self.asked[reservation_id].entry == entry
+            )
+            report = PinReport('w', entry, pins)
+            self.run(steward, steward.pins(report, self.now))
+        steward.has_pins = True
+        self.run(steward, steward.pins_complete(self.now))
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def lose_entry(self, entry):
+        steward = self.steward
+        self.run(steward, steward.entry_gone(entry, self.now))
+
+    @rule()
+    def become_steady(self):
+        """Bring a quiet time, so that runs reach the ordinary state."""
+        while self.engine.answers:
+            self.deliver_answer(0, False)
+        self.gather_pins()
+        self.now += TERMS.report_lag + TERMS.start_within
+        self.measure_and_deliver()
+
+    @invariant()
+    def slots_are_enough(self):
+        used = len(self.engine.resident) + len(self.engine.loading)
+        assert used <= SLOTS
+
+    @invariant()
+    def the_batch_is_kept(self):
+        digest = self.steward.digest(self.now)
+        assert digest.running <= BATCH + len(self.active)
+
+    @invariant()
+    def nothing_in_use_is_lost(self):
+        assert set(self.active.values()) <= self.engine.resident or (
+            self.engine.incarnation > 1
+            and any(
+                known < self.engine.incarnation
+                for known in self.known_incarnation.values()
+            )
+        )
+
+    def teardown(self):
+        self.now += 100
+        for steward in self.stewards:
+            self.run(steward, steward.tick(self.now))
+        for reservation_id, steward in self.asked_of.items():
+            assert (steward, reservation_id) in self.answered
+
+
+class UncheckedStewardMachine(StewardMachine):
+    """The same with an engine that obeys every steward."""
+
+    checks_fencing = False
+
+
+TestChecked = StewardMachine.TestCase
+TestUnchecked = UncheckedStewardMachine.TestCase
