Write what libraries log as lines of this system

Cause: uvicorn and asyncio wrote unstructured lines to standard error, and an exception's text may hold what a caller sent, a key included. After: one handler on the root logger; type and place of an exception, never its text. test_exception_in_a_library_shows_its_place_and_no_content.

--- a/mintlanding/core/logs.py
+++ b/mintlanding/core/logs.py
@@ -1,6 +1,9 @@
 """Structured logs: eliot JSON lines, a fixed prefix for each part."""
 
+import asyncio
+import logging
 import sys
+import traceback
 from typing import Any
 
 import eliot
@@ -53,6 +56,36 @@
         )
 
 
+class ForwardHandler(logging.Handler):
+    """Write what libraries log as lines of this system.
+
+    Of an exception type and place are kept, not the text, which may hold
+    anything that a caller sent.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Forward one record; a cancelled task is no news."""
+        exc = record.exc_info[1] if record.exc_info else None
+        if isinstance(exc, asyncio.CancelledError):
+            return
+        part = record.name.partition('.')[0]
+        log = Logger(part)
+        write = log.error if record.levelno >= logging.ERROR else log.warning
+        fields = {} if exc is None else _describe_exception(exc)
+        # Further lines may show objects with what callers sent.
+        sentence = str(record.msg).strip().partition('\n')[0]
+        write(sentence, **fields)
+
+
+def _describe_exception(exc: BaseException) -> dict[str, Any]:
+    frames = traceback.extract_tb(exc.__traceback__)
+    places = [f'{each.filename}:{each.lineno}' for each in frames]
+    return {'exception': type(exc).__name__, 'places': places}
+
+
 def configure_logs() -> None:
-    """Send the logs of this process to standard error."""
+    """Send the logs of this process and its libraries to standard error."""
     eliot.to_file(sys.stderr)
+    root = logging.getLogger()
+    if not any(isinstance(each, ForwardHandler) for each in root.handlers):
+        root.addHandler(ForwardHandler(logging.WARNING))
--- a/mintlanding/core/tests/test_logs.py
+++ b/mintlanding/core/tests/test_logs.py
@@ -1,17 +1,42 @@
 """Logs never show a secret."""
 
+import asyncio
+import logging
+
+import pytest
 from eliot.testing import MemoryLogger, swap_logger
 
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import ForwardHandler, Logger
 
 
-def test_secret_fields_are_hidden():
-    memory = MemoryLogger()
-    previous = swap_logger(memory)
-    try:
-        Logger('entry').info('Request refused.', authorization='Bearer abc')
-    finally:
-        swap_logger(previous)
+@pytest.fixture
+def memory():
+    made = MemoryLogger()
+    previous = swap_logger(made)
+    yield made
+    swap_logger(previous)
+
+
+def test_secret_fields_are_hidden(memory):
+    Logger('entry').info('Request refused.', authorization='Bearer abc')
     (message,) = memory.messages
     assert message['message'] == 'entry: Request refused.'
     assert 'abc' not in str(message)
+
+
+def test_exception_in_a_library_shows_its_place_and_no_content(memory):
+    library = logging.Logger('uvicorn.error')
+    library.addHandler(ForwardHandler(logging.WARNING))
+    try:
+        raise ValueError('Bearer abc')
+    except ValueError as exc:
+        library.error(
+            'Exception in %s\nfuture: <Bearer abc>', 'application', exc_info=exc
+        )
+    library.error('Cancelled', exc_info=asyncio.CancelledError())
+    library.info('Started.')
+    (message,) = memory.messages
+    assert message['message'].startswith('uvicorn: Exception')
+    assert message['exception'] == 'ValueError'
+    assert __file__ in message['places'][0]
+    assert 'abc' not in str(message)
