--- a/mintlanding/reports/histograms.py
+++ b/mintlanding/reports/histograms.py
@@ -60,16 +60,25 @@
         self._hour = hour
 
 
-def add_encoded(first: bytes, second: bytes) -> bytes:
-    """Add two encoded histograms; a broken one counts as empty."""
-    decoded = [decode(each) for each in (first, second) if each]
-    kept = [each for each in decoded if each is not None]
-    if not kept:
-        return b''
-    both = _empty()
-    for each in kept:
-        both.add(each)
-    return bytes(both.encode())
+class HistogramSum:
+    """Add up encoded histograms; a broken one counts as empty."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._sum: HdrHistogram | None = None
+
+    def add(self, encoded: bytes) -> None:
+        """Add one."""
+        decoded = decode(encoded) if encoded else None
+        if decoded is None:
+            return
+        if self._sum is None:
+            self._sum = _empty()
+        self._sum.add(decoded)
+
+    def encode(self) -> bytes:
+        """Return the sum, empty when there is nothing."""
+        return b'' if self._sum is None else bytes(self._sum.encode())
 
 
 def percentile(encoded: bytes, share: float) -> float | None:
--- a/mintlanding/reports/merging.py
+++ b/mintlanding/reports/merging.py
@@ -1,75 +1,120 @@
 """Add up the snapshots of several instances."""
 
 from collections.abc import Iterable
-from itertools import zip_longest
 
-from mintlanding.reports.histograms import add_encoded
+from mintlanding.reports.histograms import HistogramSum
 from mintlanding.reports.messages import AdapterBurn, Counts, Series, Snapshot
 
-_NONE = Counts()
+_TOP_ADAPTERS = 1000
 
+_SeriesKey = tuple[str, str, str]
+
+
+class _CountsSum:
+    """Totals and bad ones of many places, added up in place."""
+
+    def __init__(self) -> None:
+        self._totals: list[int] = []
+        self._bads: list[int] = []
+
+    def add(self, place: int, counts: Counts) -> None:
+        while len(self._totals) <= place:
+            self._totals.append(0)
+            self._bads.append(0)
+        self._totals[place] += counts.total
+        self._bads[place] += counts.bad
+
+    def result(self) -> tuple[Counts, ...]:
+        pairs = zip(self._totals, self._bads, strict=True)
+        return tuple(Counts(total, bad) for total, bad in pairs)
+
+
+class _SeriesSum:
+    """One indicator of a workspace and service over instances."""
+
+    def __init__(self) -> None:
+        self._windows: dict[str, _CountsSum] = {}
+        self._history = _CountsSum()
+        self._histogram = HistogramSum()
+
+    def add(self, series: Series) -> None:
+        for name, counts in series.windows.items():
+            self._windows.setdefault(name, _CountsSum()).add(0, counts)
+        for place, bucket in enumerate(series.history):
+            self._history.add(place, bucket)
+        self._histogram.add(series.histogram)
+
+    def result(self, key: _SeriesKey) -> Series:
+        windows = {
+            name: counts.result()[0] for name, counts in self._windows.items()
+        }
+        return Series(
+            *key,
+            windows,
+            self._history.result(),
+            self._histogram.encode(),
+        )
 
-def merge(snapshots: Iterable[Snapshot]) -> Snapshot:
-    """Return the sum; an instance that comes twice counts once.
 
-    A sum can't be taken apart again, so pass the instances' own snapshots.
+class SnapshotSum:
+    """Add up snapshots one by one; an instance that comes twice counts once.
+
+    A sum can't be taken apart again, so add the instances' own snapshots.
     """
-    remembered: dict[str, float] = {}
-    series: dict[tuple[str, str, str], Series] = {}
-    adapters: dict[tuple[str, str, str], AdapterBurn] = {}
-    dropped = 0
-    missing: list[str] = []
-    for snapshot in snapshots:
-        missing.extend(snapshot.missing)
-        if snapshot.remembered.keys() & remembered.keys():
-            continue
-        remembered.update(snapshot.remembered)
-        dropped += snapshot.dropped
-        for each in snapshot.series:
-            key = (each.workspace, each.service, each.indicator)
-            series[key] = _add(series[key], each) if key in series else each
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._remembered: dict[str, float] = {}
+        self._series: dict[_SeriesKey, _SeriesSum] = {}
+        self._adapters: dict[_SeriesKey, AdapterBurn] = {}
+        self._missing: list[str] = []
+        self._dropped = 0
+
+    def add(self, snapshot: Snapshot) -> None:
+        """Add one instance."""
+        self._missing.extend(snapshot.missing)
+        if snapshot.remembered.keys() & self._remembered.keys():
+            return
+        self._remembered.update(snapshot.remembered)
+        self._dropped += snapshot.dropped
+        for series in snapshot.series:
+            key = (series.workspace, series.service, series.indicator)
+            self._series.setdefault(key, _SeriesSum()).add(series)
         for burn in snapshot.adapters:
-            _add_adapter(adapters, burn)
-    return Snapshot(
-        remembered,
-        tuple(series[key] for key in sorted(series)),
-        tuple(sorted(adapters.values(), key=_fewer_bad)),
-        dropped,
-        tuple(dict.fromkeys(missing)),
-    )
-
-
-def _add(first: Series, second: Series) -> Series:
-    names = (*first.windows, *second.windows)
-    windows = {
-        name: first.windows.get(name, _NONE) + second.windows.get(name, _NONE)
-        for name in dict.fromkeys(names)
-    }
-    pairs = zip_longest(first.history, second.history, fillvalue=_NONE)
-    return Series(
-        first.workspace,
-        first.service,
-        first.indicator,
-        windows,
-        tuple(mine + theirs for mine, theirs in pairs),
-        add_encoded(first.histogram, second.histogram),
-    )
-
-
-def _add_adapter(
-    adapters: dict[tuple[str, str, str], AdapterBurn],
-    burn: AdapterBurn,
-) -> None:
-    key = (burn.workspace, burn.adapter, burn.indicator)
-    held = adapters.get(key)
-    if held is None:
-        adapters[key] = burn
-        return
-    adapters[key] = AdapterBurn(
-        *key,
-        held.bad + burn.bad,
-        held.overcount + burn.overcount,
-    )
+            self._add_adapter(burn)
+
+    def result(self) -> Snapshot:
+        """Return the sum."""
+        burns = sorted(self._adapters.values(), key=_fewer_bad)
+        return Snapshot(
+            self._remembered,
+            tuple(
+                summed.result(key)
+                for key, summed in sorted(self._series.items())
+            ),
+            tuple(burns[:_TOP_ADAPTERS]),
+            self._dropped,
+            tuple(dict.fromkeys(self._missing)),
+        )
+
+    def _add_adapter(self, burn: AdapterBurn) -> None:
+        key = (burn.workspace, burn.adapter, burn.indicator)
+        held = self._adapters.get(key)
+        if held is not None:
+            burn = AdapterBurn(
+                *key,
+                held.bad + burn.bad,
+                held.overcount + burn.overcount,
+            )
+        self._adapters[key] = burn
+
+
+def merge(snapshots: Iterable[Snapshot]) -> Snapshot:
+    """Return the sum of several instances' own snapshots."""
+    total = SnapshotSum()
+    for snapshot in snapshots:
+        total.add(snapshot)
+    return total.result()
 
 
 def _fewer_bad(burn: AdapterBurn) -> int:
--- a/mintlanding/reports/messages.py
+++ b/mintlanding/reports/messages.py
@@ -36,10 +36,6 @@
     total: int = 0
     bad: int = 0
 
-    def __add__(self, other: 'Counts') -> 'Counts':
-        """Add both numbers."""
-        return Counts(self.total + other.total, self.bad + other.bad)
-
 
 class Series(msgspec.Struct, frozen=True, omit_defaults=True):
     """One indicator of a workspace and service on one or more instances.
--- a/mintlanding/reports/rings.py
+++ b/mintlanding/reports/rings.py
@@ -24,11 +24,12 @@
 
     def sum(self, seconds: float, now: float) -> Counts:
         """Return the counts of the last `seconds`, to the nearest bucket."""
+        place = self._advance(now) % self._size
         buckets = max(1, round(seconds / self._seconds))
-        history = self.history(now)[:buckets]
+        start = place - min(buckets, self._size - 1) + 1
         return Counts(
-            sum(each.total for each in history),
-            sum(each.bad for each in history),
+            _sum_between(self._totals, start, place),
+            _sum_between(self._bads, start, place),
         )
 
     def history(self, now: float) -> tuple[Counts, ...]:
@@ -48,3 +49,9 @@
             self._bads[place] = 0
         self._newest = max(self._newest, bucket)
         return self._newest
+
+
+def _sum_between(ring: 'array[int]', start: int, end: int) -> int:
+    if start >= 0:
+        return sum(ring[start : end + 1])
+    return sum(ring[start:]) + sum(ring[: end + 1])
--- a/mintlanding/reports/service.py
+++ b/mintlanding/reports/service.py
@@ -8,7 +8,7 @@
 from mintlanding.peers.client import PeerClient
 from mintlanding.peers.messages import Empty
 from mintlanding.peers.server import PeerServer
-from mintlanding.reports.merging import merge
+from mintlanding.reports.merging import SnapshotSum
 from mintlanding.reports.messages import (
     FLEET_REPORT,
     RECORD_SAMPLES,
@@ -62,21 +62,27 @@
 
     async def fleet_report(self, req: Empty, sender: str) -> Snapshot:
         """Return what all instances remember, as far as they answer."""
-        own = self._recorder.snapshot(self._clock.monotonic())
-        others = await gather_snapshots(self._peers, self._addresses())
-        return merge((own, *others))
+        total = SnapshotSum()
+        total.add(self._recorder.snapshot(self._clock.monotonic()))
+        await gather_snapshots(self._peers, self._addresses(), total)
+        return total.result()
 
 
 async def gather_snapshots(
     peers: PeerClient,
     addresses: Iterable[str],
-) -> list[Snapshot]:
-    """Ask the agents at these addresses; `missing` names the silent ones."""
+    total: SnapshotSum,
+) -> None:
+    """Ask the agents at these addresses and add their answers to the sum.
+
+    Answers are added as they come, so that the loop is free between them.
+    """
     gate = asyncio.Semaphore(_AT_ONCE)
-    asked = tuple(dict.fromkeys(addresses))
-    return await asyncio.gather(
-        *(_ask(peers, address, gate) for address in asked),
-    )
+    asked = dict.fromkeys(addresses)
+    asking = [_ask(peers, address, gate) for address in asked]
+    for answer in asyncio.as_completed(asking):
+        total.add(await answer)
+        await asyncio.sleep(0)
 
 
 async def _ask(
--- a/mintlanding/reports/tests/test_parts.py
+++ b/mintlanding/reports/tests/test_parts.py
@@ -10,7 +10,7 @@
 from mintlanding.peers.client import PeerClient
 from mintlanding.peers.messages import Empty
 from mintlanding.peers.server import PeerServer
-from mintlanding.reports.histograms import add_encoded, decode, percentile
+from mintlanding.reports.histograms import HistogramSum, decode, percentile
 from mintlanding.reports.messages import (
     FLEET_REPORT,
     RECORD_SAMPLES,
@@ -58,7 +58,9 @@
 @given(st.binary(max_size=200))
 def test_broken_histogram_counts_as_empty(raw):
     assert decode(raw) is None or percentile(raw, 50) is not None
-    assert add_encoded(raw, b'') == b'' or decode(raw) is not None
+    total = HistogramSum()
+    total.add(raw)
+    assert total.encode() == b'' or decode(raw) is not None
 
 
 def test_full_buffer_drops_and_says_so():
