--- a/mintlanding/reports/burn.py
+++ b/mintlanding/reports/burn.py
@@ -1,6 +1,8 @@
 """Burn rates: how fast the budget of each objective is used up."""
 
-from dataclasses import dataclass
+from typing import Any, Self
+
+import msgspec
 
 from mintlanding.reports.histograms import percentile
 from mintlanding.reports.messages import AdapterBurn, Counts, Series, Snapshot
@@ -17,8 +19,7 @@
 _TOP_ADAPTERS = 20
 
 
-@dataclass(frozen=True, slots=True)
-class WindowBurn:
+class WindowBurn(msgspec.Struct, frozen=True):
     """One window; a rate of 1 uses up the budget exactly.
 
     `covered` are the seconds of the window that the instance which counts
@@ -37,13 +38,14 @@
         return self.covered >= self.seconds
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectiveBurn:
+class ObjectiveBurn(msgspec.Struct, frozen=True):
     """One objective of one workspace and service; times in seconds."""
 
     workspace: str
     service: str
-    objective: Objective
+    indicator: str
+    target: float
+    threshold: float | None
     windows: tuple[WindowBurn, ...]
     alerts: tuple[str, ...]
     median: float | None
@@ -57,8 +59,7 @@
         return rates.get('1h') or 0
 
 
-@dataclass(frozen=True, slots=True)
-class BurnReport:
+class BurnReport(msgspec.Struct, frozen=True):
     """What a fleet's instances remember, against the objectives.
 
     `missing` are the instances that did not answer.
@@ -72,6 +73,16 @@
     youngest: float
     dropped: int
 
+    @classmethod
+    def from_document(cls, document: Any) -> Self:
+        """Read what `as_document` gave, also after a way through JSON."""
+        return msgspec.convert(document, cls)
+
+    def as_document(self) -> dict[str, Any]:
+        """Return plain dictionaries and lists."""
+        document: dict[str, Any] = msgspec.to_builtins(self)
+        return document
+
 
 def burn_rate(counts: Counts, objective: Objective) -> float | None:
     """Return the bad share over the budget; None without requests."""
@@ -102,7 +113,7 @@
 
 
 def _by_burn(burn: ObjectiveBurn) -> tuple[float, str, str, str]:
-    place = (burn.workspace, burn.service, burn.objective.indicator)
+    place = (burn.workspace, burn.service, burn.indicator)
     return (-burn.worst, *place)
 
 
@@ -134,7 +145,9 @@
     return ObjectiveBurn(
         series.workspace,
         series.service,
-        objective,
+        objective.indicator.value,
+        objective.target,
+        objective.threshold,
         windows,
         _alerts({each.name: each.rate or 0 for each in windows}),
         percentile(series.histogram, _MEDIAN),
--- a/mintlanding/reports/rendering.py
+++ b/mintlanding/reports/rendering.py
@@ -78,16 +78,7 @@
 @RENDERERS.register('json')
 def render_json(report: BurnReport) -> str:
     """Return everything for programs; times in seconds."""
-    document = {
-        'coverage': coverage(report),
-        'instances': report.instances,
-        'missing': report.missing,
-        'remembered_seconds': [report.youngest, report.oldest],
-        'dropped': report.dropped,
-        'objectives': [_document(burn) for burn in report.burns],
-        'adapters': report.adapters,
-    }
-    encoded = msgspec.json.encode(document)
+    encoded = msgspec.json.encode(report.as_document())
     return msgspec.json.format(encoded, indent=2).decode()
 
 
@@ -110,11 +101,9 @@
 
 
 def _cells(burn: ObjectiveBurn) -> list[str]:
-    objective = burn.objective
-    share = f'{objective.target * _PERCENT:g} %'
-    name = f'{objective.indicator} {share}'
-    if objective.threshold is not None:
-        name += f' under {objective.threshold * _MILLISECONDS:g} ms'
+    name = f'{burn.indicator} {burn.target * _PERCENT:g} %'
+    if burn.threshold is not None:
+        name += f' under {burn.threshold * _MILLISECONDS:g} ms'
     return [
         burn.workspace,
         burn.service,
@@ -139,28 +128,6 @@
     return f'{seconds * _MILLISECONDS:.0f} ms'
 
 
-def _document(burn: ObjectiveBurn) -> dict[str, object]:
-    return {
-        'workspace': burn.workspace,
-        'service': burn.service,
-        'objective': burn.objective.model_dump(mode='json'),
-        'windows': {
-            window.name: {
-                'total': window.counts.total,
-                'bad': window.counts.bad,
-                'rate': window.rate,
-                'covered_seconds': window.covered,
-                'seconds': window.seconds,
-            }
-            for window in burn.windows
-        },
-        'alerts': burn.alerts,
-        'p50': burn.median,
-        'p95': burn.high,
-        'history': burn.history,
-    }
-
-
 def _row(burn: ObjectiveBurn) -> _Row:
     known = [rate for rate in burn.history if rate is not None]
     peak = max(known, default=0)
