Count popularity at the grant; show entries which workers cannot load

Cause: (1) a flooding tenant's requests raised the popularity of its adapters and pushed out those of others; (2) with the key-value service down, engines that do not check the fencing number may not evict, and requests for other adapters waited there until refused. Ruled out for (2): evicting all the same, which the safe rule forbids.

--- a/mintlanding/placement/authority.py
+++ b/mintlanding/placement/authority.py
@@ -120,6 +120,10 @@
             return False
         return self.may_load() and self._knows_pins(now)
 
+    def may_evict_later(self) -> bool:
+        """Tell whether evictions are allowed now or once pins are known."""
+        return self.state is not _State.lapsed or self._checks_fencing
+
     def _knows_pins(self, now: float) -> bool:
         terms = self._terms
         settled = self._confirmed + terms.report_lag + terms.start_within
--- a/mintlanding/placement/index.py
+++ b/mintlanding/placement/index.py
@@ -106,6 +106,11 @@
         sent = self._sent.get(worker, 0)
         return digest.running + digest.queued + sent
 
+    def can_serve(self, worker: str, holders: set[str]) -> bool:
+        """Tell whether a worker holds the adapter or can load it."""
+        digest = self._digests[worker]
+        return digest.can_load or worker in holders
+
     def mean_load(self) -> float:
         """Return the mean load over the usable workers."""
         return self.total_load / len(self._digests) if self._digests else 0
--- a/mintlanding/placement/messages.py
+++ b/mintlanding/placement/messages.py
@@ -28,7 +28,8 @@
 
     `queued` and `running` count requests, `queued_tokens` tokens. `sequence`
     rises with each change under one `fencing` number; a digest with a lower
-    pair is stale.
+    pair is stale. `can_load` is false while the worker's steward may not
+    evict and no slot is free.
     """
 
     worker: str
@@ -44,6 +45,7 @@
     queued: int = 0
     queued_tokens: float = 0
     running: int = 0
+    can_load: bool = True
     silent: bool = False
     leaving: bool = False
 
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -1,12 +1,13 @@
 """Which adapter to load next, into which slot, under which permit."""
 
 import random
+from collections.abc import Iterable
 
 from mintlanding.placement.admission import Admission
 from mintlanding.placement.authority import Authority
 from mintlanding.placement.eviction import EVICTIONS
 from mintlanding.placement.loads import LoadFailures, PermitBook
-from mintlanding.placement.messages import AdapterRef
+from mintlanding.placement.messages import AdapterRef, ReserveReply
 from mintlanding.placement.models import (
     Action,
     AskPermit,
@@ -110,6 +111,18 @@
             return []
         return [self._ask(now, urgent=False)]
 
+    def note_grants(self, replies: Iterable[ReserveReply], now: float) -> None:
+        """Count requests that were served, so that a flood counts no more."""
+        for reply in replies:
+            reservation = self._book.get(reply.reservation_id)
+            if reservation is not None:
+                self.popularity.note(reservation.ref, now)
+                self._slots.touch(reservation.ref, now)
+
+    def can_load(self, now: float) -> bool:
+        """Tell whether a further adapter could get a slot at some time."""
+        return self._authority.may_evict_later() or self._slots.free() > 0
+
     def fence(self) -> list[Action]:
         """Show the engine the number, if it checks such numbers."""
         if not self._authority.needs_fence:
@@ -220,7 +233,7 @@
             slot for slot in evictable if not self._queue.waiting_for(slot.ref)
         ]
         before = now - self._terms.demand_patience
-        return idle or [slot for slot in evictable if slot.changed < before]
+        return idle or [slot for slot in evictable if slot.used < before]
 
     def _key(self, slot: Slot) -> float:
         return self._eviction_key(slot, self.popularity)
--- a/mintlanding/placement/policies.py
+++ b/mintlanding/placement/policies.py
@@ -77,6 +77,8 @@
         ]
         if len(ranked) < _CANDIDATES:
             ranked.extend(index.least_loaded(_CANDIDATES))
+        holding = index.holders(ref)
+        ranked.sort(key=lambda each: not index.can_serve(each, holding))
         return _digests(ranked, index)
 
     def _replicas(self, rate: float) -> int:
--- a/mintlanding/placement/slots.py
+++ b/mintlanding/placement/slots.py
@@ -117,7 +117,7 @@
             self._adopt(held, held in resident, before)
         busy = set(report.busy)
         for slot in self:
-            slot.is_busy = slot.ref in busy and slot.changed < before
+            slot.is_busy = slot.ref in busy and slot.used < before
         self._removed = {
             ref: when for ref, when in self._removed.items() if when >= before
         }
@@ -127,7 +127,6 @@
         slot = self._slots.get(ref)
         if slot is not None:
             slot.used = now
-            slot.changed = max(slot.changed, now)
 
     def _may_be_loading(self, slot: Slot, loading: set[AdapterRef]) -> bool:
         is_loading = slot.state is SlotState.loading
@@ -161,6 +160,7 @@
         slot.order_id = 0
         slot.is_doubtful = False
         slot.changed = now
+        slot.used = now
 
     def _remove(self, slot: Slot, now: float) -> None:
         self._slots.pop(slot.ref)
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -86,14 +86,13 @@
         if self._admission.knows(req.reservation_id):
             is_held = self._slots.is_resident(req.ref)
             return self._admission.repeat(req, is_held)
-        code = self._refusal_code(now)
+        code = self._refusal_code(req.ref, now)
         if code is not None:
             return [self._admission.refuse_new(req, code, now)]
         barred = self._planner.failures.refused_for(req.ref, now)
         if barred:
             code = _Code.adapter_load_failed
             return [self._admission.refuse_new(req, code, now, barred)]
-        self._planner.popularity.note(req.ref, now)
         replies = self._admission.enqueue(req, now)
         return [*replies, *self._proceed(now)]
 
@@ -272,6 +271,7 @@
             queued=len(queue),
             queued_tokens=queue.tokens,
             running=len(self._admission.book),
+            can_load=self._planner.can_load(now),
             silent=self._is_silent(now),
             leaving=self._is_leaving,
         )
@@ -282,7 +282,9 @@
         self._admission.set_ready(self._ready(), now)
         actions: list[Action] = []
         if self._authority.is_active:
-            actions.extend(self._admission.grant(self._authority.fencing, now))
+            replies = self._admission.grant(self._authority.fencing, now)
+            self._planner.note_grants(replies, now)
+            actions.extend(replies)
         actions.extend(self._admission.expire(now))
         actions.extend(self._planner.plan(now))
         return actions
@@ -292,11 +294,13 @@
             return set()
         return set(self._slots.held(SlotState.resident))
 
-    def _refusal_code(self, now: float) -> ResultCode | None:
+    def _refusal_code(self, ref: AdapterRef, now: float) -> ResultCode | None:
         if self._is_leaving:
             return _Code.draining
         if not self._authority.is_active or self._is_silent(now):
             return _Code.no_target
+        if self._slots.get(ref) is None and not self._planner.can_load(now):
+            return _Code.no_target
         return None
 
     def _is_silent(self, now: float) -> bool:
