Leave an adapter's worker only when its batch is full

Cause: at the bound of 0.75 of the batch limit adapters were loaded on second workers while their first one still had batch room.

--- a/mintlanding/placement/policies.py
+++ b/mintlanding/placement/policies.py
@@ -24,7 +24,7 @@
     """
 
     load_factor: float = 1.25
-    free_share: float = 0.75
+    free_share: float = 1
     replica_rate: float = 4
     max_replicas: int = 4
 
