--- a/mintlanding/fairness/baselines.py
+++ b/mintlanding/fairness/baselines.py
@@ -56,9 +56,6 @@
         """Count these adapters in constant time."""
         return len(self._store.blocked)
 
-    def charge_load(self, ref: AdapterRef) -> None:
-        """Keep no account."""
-
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
         return len(self._store.by_ref.get(ref, ()))
--- a/mintlanding/fairness/lanes.py
+++ b/mintlanding/fairness/lanes.py
@@ -2,7 +2,6 @@
 
 import heapq
 
-from mintlanding.fairness.load_shares import LoadShares
 from mintlanding.fairness.models import Flow, Group, Waiting, oldest
 from mintlanding.placement.messages import AdapterRef
 
@@ -21,7 +20,6 @@
         """Start empty at virtual time 0."""
         self.flows: dict[str, Flow] = {}
         self.tokens: float = 0
-        self.loads = LoadShares()
         self._ready = ready
         self._virtual: float = 0
         self._idle_tags: dict[str, float] = {}
@@ -93,25 +91,24 @@
             self._wake_flow(self.flows[workspace], ref)
 
     def blocked(self) -> list[AdapterRef]:
-        """List adapters that are not ready, in the order of service."""
+        """List adapters that are not ready, the one to load first in front.
+
+        The lowest tag goes first, among equals the shortest backlog, so that
+        a flood waits; in one flow the adapter with the most requests.
+        """
         heads = [
-            (self.loads.start(flow.workspace), oldest(group))
+            (flow.tag, flow.backlog, -len(group), oldest(group))
             for flow in self.flows.values()
             for group in flow.blocked(self._ready)
         ]
-        heads.sort(key=lambda head: (head[0], head[1].sequence))
-        return list(dict.fromkeys(item.ref for _, item in heads))
-
-    def charge_load(self, ref: AdapterRef) -> None:
-        """Charge a load to the workspaces that wait for it."""
-        for workspace in self._workspaces.get(ref, ()):
-            self.loads.charge(workspace, self.flows[workspace].weight)
+        heads.sort(key=_load_order)
+        return list(dict.fromkeys(head[-1].ref for head in heads))
 
     def longest(self) -> Flow:
         """Return the flow with the most tokens for its weight."""
         return max(
             self.flows.values(),
-            key=lambda flow: flow.tokens / flow.weight,
+            key=lambda flow: flow.backlog,
         )
 
     def backlog_with(self, item: Waiting) -> float:
@@ -183,3 +180,10 @@
                 for workspace, tag in self._idle_tags.items()
                 if tag > self._virtual
             }
+
+
+def _load_order(
+    head: tuple[float, float, int, Waiting],
+) -> tuple[float, float, int, int]:
+    tag, backlog, size, item = head
+    return tag, backlog, size, item.sequence
--- a/mintlanding/fairness/models.py
+++ b/mintlanding/fairness/models.py
@@ -61,6 +61,11 @@
     groups: dict[AdapterRef, Group] = field(default_factory=dict)
     ready: list[tuple[int, AdapterRef]] = field(default_factory=list)
 
+    @property
+    def backlog(self) -> float:
+        """Return the waiting tokens for the weight."""
+        return self.tokens / self.weight
+
     def add(self, item: Waiting) -> None:
         """Append an item."""
         self.weight = item.weight
--- a/mintlanding/fairness/policies.py
+++ b/mintlanding/fairness/policies.py
@@ -30,9 +30,6 @@
     def blocked_count(self) -> int:
         """Count these adapters in constant time."""
 
-    def charge_load(self, ref: AdapterRef) -> None:
-        """Charge a load to the workspaces that wait for an adapter."""
-
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
 
--- a/mintlanding/fairness/weighted.py
+++ b/mintlanding/fairness/weighted.py
@@ -91,11 +91,6 @@
         """Count these adapters in constant time."""
         return len(self._store.blocked)
 
-    def charge_load(self, ref: AdapterRef) -> None:
-        """Charge a load to the workspaces that wait for an adapter."""
-        for lane in self._lanes.values():
-            lane.charge_load(ref)
-
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
         return len(self._store.by_ref.get(ref, ()))
@@ -151,7 +146,7 @@
         if not lane.flows:
             return None
         flow = lane.longest()
-        if flow.tokens / flow.weight <= lane.backlog_with(item):
+        if flow.backlog <= lane.backlog_with(item):
             return None
         return flow.newest()
 
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -185,7 +185,6 @@
         fencing = self._authority.fencing
         if self._slots.free() > len(self.permits.pending):
             self._slots.load(ref, order_id, now)
-            self._queue.charge_load(ref)
             return [LoadOrder(order_id, ref, fencing)]
         victim = self._victim(now)
         if victim is None:
