Ask for batch loads with spare permits until a deadline is near

Cause: at night interactive requests waited behind the permits that batch summaries had asked for on other workers.

--- a/mintlanding/fairness/baselines.py
+++ b/mintlanding/fairness/baselines.py
@@ -56,6 +56,10 @@
         """Count these adapters in constant time."""
         return len(self._store.blocked)
 
+    def urgent_count(self, now: float) -> int:
+        """Count all of them, whatever their priority."""
+        return len(self._store.blocked)
+
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
         return len(self._store.by_ref.get(ref, ()))
--- a/mintlanding/fairness/lanes.py
+++ b/mintlanding/fairness/lanes.py
@@ -20,6 +20,7 @@
         """Start empty at virtual time 0."""
         self.flows: dict[str, Flow] = {}
         self.tokens: float = 0
+        self.blocked_refs: set[AdapterRef] = set()
         self._ready = ready
         self._virtual: float = 0
         self._idle_tags: dict[str, float] = {}
@@ -43,7 +44,9 @@
         self._weight += flow.weight
         self.tokens += item.tokens
         self._workspaces.setdefault(item.ref, set()).add(item.workspace)
-        if item.ref in self._ready and len(flow.groups[item.ref]) == 1:
+        if item.ref not in self._ready:
+            self.blocked_refs.add(item.ref)
+        elif len(flow.groups[item.ref]) == 1:
             self._wake_flow(flow, item.ref)
 
     def discard(self, item: Waiting) -> None:
@@ -87,9 +90,15 @@
 
     def wake(self, ref: AdapterRef) -> None:
         """Put the flows that wait for an adapter in reach of `next_ready`."""
+        self.blocked_refs.discard(ref)
         for workspace in sorted(self._workspaces.get(ref, ())):
             self._wake_flow(self.flows[workspace], ref)
 
+    def block(self, ref: AdapterRef) -> None:
+        """Note that an adapter is no longer ready."""
+        if ref in self._workspaces:
+            self.blocked_refs.add(ref)
+
     def blocked(self) -> list[AdapterRef]:
         """List adapters that are not ready, the one to load first in front.
 
@@ -167,6 +176,7 @@
         workspaces.discard(item.workspace)
         if not workspaces:
             self._workspaces.pop(item.ref)
+            self.blocked_refs.discard(item.ref)
 
     def _forget_flow(self, flow: Flow) -> None:
         self.flows.pop(flow.workspace)
--- a/mintlanding/fairness/models.py
+++ b/mintlanding/fairness/models.py
@@ -29,13 +29,15 @@
     `batch_share` is the least share of tokens that waiting batch requests
     get beside interactive ones; `max_batch_share` is the most that their
     deadlines can raise it to. `urgent_seconds` before its latest start a
-    batch request goes first.
+    batch request goes first, `urgent_load_seconds` before it no longer waits
+    for spare permits.
     """
 
     limit: int = 512
     batch_share: float = 0.1
     max_batch_share: float = 0.6
     urgent_seconds: float = 5
+    urgent_load_seconds: float = 30
 
 
 Group = OrderedDict[str, Waiting]
--- a/mintlanding/fairness/policies.py
+++ b/mintlanding/fairness/policies.py
@@ -30,6 +30,9 @@
     def blocked_count(self) -> int:
         """Count these adapters in constant time."""
 
+    def urgent_count(self, now: float) -> int:
+        """Count those of them that cannot wait for spare permits."""
+
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
 
--- a/mintlanding/fairness/weighted.py
+++ b/mintlanding/fairness/weighted.py
@@ -74,9 +74,11 @@
     def set_ready(self, ref: AdapterRef, is_ready: bool) -> None:
         """Say whether requests for an adapter can run now."""
         self._store.set_ready(ref, is_ready)
-        if is_ready:
-            for lane in self._lanes.values():
+        for lane in self._lanes.values():
+            if is_ready:
                 lane.wake(ref)
+            else:
+                lane.block(ref)
 
     def blocked(self) -> list[AdapterRef]:
         """List adapters that waiting requests need, the next one first."""
@@ -91,6 +93,15 @@
         """Count these adapters in constant time."""
         return len(self._store.blocked)
 
+    def urgent_count(self, now: float) -> int:
+        """Count interactive ones, and all when a batch deadline is near."""
+        self._drop_old_deadlines()
+        if self._latest:
+            left = self._latest[0][0] - now
+            if left < self._terms.urgent_load_seconds:
+                return self.blocked_count()
+        return len(self._lanes[_INTERACTIVE].blocked_refs)
+
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
         return len(self._store.by_ref.get(ref, ()))
@@ -151,16 +162,21 @@
         return flow.newest()
 
     def _urgent(self, now: float) -> Waiting | None:
+        self._drop_old_deadlines()
+        if not self._latest:
+            return None
+        expires, _, reservation_id = self._latest[0]
+        item = self._store.by_id[reservation_id]
+        is_close = expires - now <= self._terms.urgent_seconds
+        return item if is_close and item.ref in self._store.ready else None
+
+    def _drop_old_deadlines(self) -> None:
         while self._latest:
-            expires, sequence, reservation_id = self._latest[0]
+            _, sequence, reservation_id = self._latest[0]
             item = self._store.by_id.get(reservation_id)
-            if item is None or item.sequence != sequence:
-                heapq.heappop(self._latest)
-                continue
-            is_close = expires - now <= self._terms.urgent_seconds
-            is_ready = item.ref in self._store.ready
-            return item if is_close and is_ready else None
-        return None
+            if item is not None and item.sequence == sequence:
+                return
+            heapq.heappop(self._latest)
 
     def _lane_order(self, now: float, drain_rate: float) -> tuple[Lane, Lane]:
         batch, interactive = self._lanes[_BATCH], self._lanes[_INTERACTIVE]
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -1,7 +1,7 @@
 """Which adapter to load next, into which slot, under which permit."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from mintlanding.placement.admission import Admission
 from mintlanding.placement.authority import Authority
@@ -63,12 +63,17 @@
         self._next_id += 1
         return self._next_id
 
-    def plan(self, now: float) -> list[Action]:
+    def plan(self, now: float) -> Sequence[Action]:
         """Ask for as many permits as there are loads to make."""
         if not (self._queue.blocked_count() and self._authority.may_load()):
             return []
-        missing = self._needed(now) - self.permits.count(urgent=True)
-        return [self._ask(now, urgent=True) for _ in range(missing)]
+        needed = self._needed(now)
+        urgent = min(needed, self._queue.urgent_count(now))
+        urgent -= self.permits.count(urgent=True)
+        actions = [self._ask(now, urgent=True) for _ in range(urgent)]
+        missing = needed - len(self.permits.asks)
+        actions.extend(self._ask(now, urgent=False) for _ in range(missing))
+        return actions
 
     def permit(self, order_id: int, now: float) -> list[Action]:
         """Use a granted permit or give it back."""
@@ -94,7 +99,7 @@
                 actions.extend(self._retry_pending(slot.ref, now))
         return actions
 
-    def repeat_asks(self, now: float) -> list[Action]:
+    def repeat_asks(self, now: float) -> Sequence[Action]:
         """Repeat refused and unanswered asks that are still needed."""
         due = self.permits.due(now)
         if not due:
