Test queues, faults of a steward and the choice of a worker

Found on the way: a stale digest brought a silent or leaving worker back into the index (test failed first); transitions skipped two triggers named as methods of the lease. After: the index keeps the newest number of such a worker; the triggers have their own names.

--- a/mintlanding/placement/authority.py
+++ b/mintlanding/placement/authority.py
@@ -15,8 +15,8 @@
         'source': (_State.gathering, _State.held),
         'dest': _State.lapsed,
     },
-    {'trigger': 'renew', 'source': _State.lapsed, 'dest': _State.gathering},
-    {'trigger': 'supersede', 'source': '*', 'dest': _State.superseded},
+    {'trigger': 'extend', 'source': _State.lapsed, 'dest': _State.gathering},
+    {'trigger': 'retire', 'source': '*', 'dest': _State.superseded},
 )
 
 
@@ -65,7 +65,7 @@
     def renew(self, until: float, now: float) -> None:
         """Extend the lease under its number."""
         self._until = until
-        self._trigger('renew')
+        self._trigger('extend')
         self.advance(now)
 
     def lose(self) -> None:
@@ -74,7 +74,7 @@
 
     def supersede(self) -> None:
         """Note that a newer steward exists."""
-        self._trigger('supersede')
+        self._trigger('retire')
 
     def confirm(self, now: float) -> None:
         """Note that the engine knows the number."""
--- a/mintlanding/placement/index.py
+++ b/mintlanding/placement/index.py
@@ -36,6 +36,7 @@
         """Start without workers."""
         self.total_load: float = 0
         self._digests: dict[str, WorkerDigest] = {}
+        self._numbers: dict[str, tuple[int, int]] = {}
         self._salts: dict[str, int] = {}
         self._holders: dict[AdapterRef, set[str]] = {}
         self._sent: dict[str, int] = {}
@@ -64,11 +65,14 @@
     def put(self, digest: WorkerDigest) -> bool:
         """Take a digest; a stale one is ignored, an unusable one removes."""
         held = self._digests.get(digest.worker)
-        if held is not None and _number(held) >= _number(digest):
+        newest = self._numbers.get(digest.worker)
+        if newest is not None and newest >= _number(digest):
             return False
         if digest.silent or digest.leaving:
             self.remove(digest.worker)
+            self._numbers[digest.worker] = _number(digest)
             return True
+        self._numbers[digest.worker] = _number(digest)
         self._hold(digest, held)
         self.total_load -= self.load(digest.worker)
         self._sent.pop(digest.worker, None)
@@ -81,6 +85,7 @@
 
     def remove(self, worker: str) -> None:
         """Forget a worker that is gone, silent, leaving or unreachable."""
+        self._numbers.pop(worker, None)
         held = self._digests.get(worker)
         if held is None:
             return
--- /dev/null
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -0,0 +1,293 @@
+"""What a steward does when something fails, one row for each fault."""
+
+import pytest
+
+from mintlanding.core.results import ResultCode
+from mintlanding.placement.messages import PinReport, ReleaseRequest
+from mintlanding.placement.models import (
+    AskPermit,
+    EvictOrder,
+    FenceOrder,
+    LeaseState,
+    ReserveReply,
+    ReturnPermit,
+    StewardTerms,
+)
+from mintlanding.placement.tests.test_steward import (
+    READY,
+    TERMS,
+    build,
+    load,
+    only,
+    ref_of,
+    report,
+    request,
+)
+
+LATE = READY + TERMS.order_timeout + 0.1
+
+
+@pytest.fixture
+def steward():
+    steward = build()
+    steward.take_over(7, 0)
+    steward.pins_complete(0)
+    steward.engine_report(report(), READY)
+    return steward
+
+
+def fill(steward, now=READY, count=2):
+    for number in range(1, count + 1):
+        order = load(steward, ref_of(number), number, now)
+        steward.load_done(order.order_id, True, now)
+
+
+def replies(actions):
+    return [
+        (reply.reservation_id, ResultCode(reply.code) if reply.code else 0)
+        for reply in only(actions, ReserveReply)
+    ]
+
+
+def test_failed_load_is_tried_again_after_a_backoff():
+    terms = StewardTerms(silence_after=1e9)
+    steward = build(terms=terms)
+    steward.take_over(7, 0)
+    steward.engine_report(report(), READY)
+    order = load(steward, ref_of(1), 1, READY)
+    actions = steward.load_done(order.order_id, False, READY)
+    assert actions == [ReturnPermit(order.order_id)]
+    assert not only(steward.tick(READY + 0.1), AskPermit)
+    assert only(steward.tick(READY + 1), AskPermit)
+
+
+def test_load_failed_in_the_last_try_refuses_all_that_wait():
+    terms = StewardTerms(load_tries=1)
+    steward = build(terms=terms)
+    steward.take_over(7, 0)
+    steward.engine_report(report(), READY)
+    order = load(steward, ref_of(1), 1, READY)
+    steward.reserve(request(2, ref_of(1)), READY)
+    actions = steward.load_done(order.order_id, False, READY)
+    code = ResultCode.adapter_load_failed
+    assert replies(actions) == [('r1', code), ('r2', code)]
+    (reply,) = steward.reserve(request(3, ref_of(1)), READY + 0.1)
+    assert reply.code == code
+    assert 0 < reply.retry_after <= terms.load_backoff * 1.2
+    assert only(steward.reserve(request(4, ref_of(1)), READY + 1), AskPermit)
+
+
+def test_cold_engine_is_found_by_its_incarnation(steward):
+    fill(steward)
+    steward.engine_report(report(incarnation=2), READY + 1)
+    assert steward.digest(READY + 1).resident == ()
+    actions = steward.reserve(request(9, ref_of(1)), READY + 1)
+    assert only(actions, AskPermit)
+
+
+def test_answer_of_before_a_cold_restart_is_ignored(steward):
+    order = load(steward, ref_of(1), 1, READY)
+    steward.engine_report(report(incarnation=2), READY + 1)
+    assert not steward.load_done(order.order_id, True, READY + 1)
+    assert steward.digest(READY + 1).resident == ()
+
+
+def test_late_report_of_an_older_incarnation_is_ignored(steward):
+    fill(steward)
+    steward.engine_report(report(incarnation=2), READY + 1)
+    steward.engine_report(report(ref_of(1), ref_of(2)), READY + 2)
+    assert steward.digest(READY + 2).resident == ()
+
+
+def test_lagging_report_does_not_undo_a_load(steward):
+    fill(steward)
+    steward.engine_report(report(), READY + TERMS.report_lag / 2)
+    assert len(steward.digest(READY + 1).resident) == 2
+    steward.engine_report(report(), READY + TERMS.report_lag + 1)
+    assert not steward.digest(READY + 2).resident
+
+
+def test_lagging_report_does_not_bring_back_an_evicted_adapter(steward):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    load(steward, ref_of(3), 3, READY + 1)
+    steward.engine_report(report(ref_of(1), ref_of(2)), READY + 1.1)
+    digest = steward.digest(READY + 1.1)
+    assert len(digest.resident) + len(digest.loading) == 2
+
+
+@pytest.mark.parametrize('copies', [2, 3])
+def test_doubled_release_unpins_once(steward, copies):
+    fill(steward, count=1)
+    steward.reserve(request(5, ref_of(1)), READY)
+    for _ in range(copies):
+        steward.release(ReleaseRequest('r1', 'w', 100), READY + 1)
+    assert steward.digest(READY + 1).running == 1
+
+
+def test_release_that_overtakes_its_reserve_bars_it(steward):
+    fill(steward, count=1)
+    steward.release(ReleaseRequest('r8', 'w'), READY)
+    assert replies(steward.reserve(request(8, ref_of(1)), READY)) == [
+        ('r8', ResultCode.deadline_unreachable),
+    ]
+
+
+def test_doubled_reserve_gets_the_same_grant(steward):
+    fill(steward, count=1)
+    (first,) = steward.reserve(request(5, ref_of(1)), READY)
+    assert steward.reserve(request(5, ref_of(1)), READY + 1) == [first]
+    assert steward.digest(READY + 1).running == 2
+
+
+def test_silent_engine_gets_no_request(steward):
+    fill(steward, count=1)
+    steward.reserve(request(4, ref_of(4), wait=60), READY)
+    now = READY + TERMS.silence_after + 1
+    code = ResultCode.no_target
+    assert replies(steward.tick(now)) == [('r4', code)]
+    assert replies(steward.reserve(request(5, ref_of(1)), now)) == [
+        ('r5', code),
+    ]
+    assert steward.digest(now).silent
+    steward.engine_report(report(ref_of(1)), now + 1)
+    assert not steward.digest(now + 1).silent
+
+
+@pytest.mark.parametrize('was_loaded', [True, False])
+def test_lost_load_answer_is_settled_by_a_report(steward, was_loaded):
+    load(steward, ref_of(1), 1, READY)
+    steward.engine_report(report(), LATE - 1)
+    steward.tick(LATE)
+    assert steward.digest(LATE).loading == (ref_of(1),)
+    held = (ref_of(1),) if was_loaded else ()
+    steward.engine_report(report(*held), LATE + 1)
+    digest = steward.digest(LATE + 1)
+    assert digest.resident == held
+    assert digest.loading == ()
+
+
+def test_lost_evict_answer_gives_the_load_another_slot(steward):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(
+        steward.reserve(request(3, ref_of(3), wait=60), READY),
+        AskPermit,
+    )
+    (first,) = steward.permit(ask.order_id, True, 0, READY)
+    steward.engine_report(report(ref_of(1), ref_of(2)), LATE - 1)
+    (second,) = only(steward.tick(LATE), EvictOrder)
+    assert first.ref != second.ref
+
+
+def test_refused_permit_is_asked_for_again(steward):
+    (ask,) = only(steward.reserve(request(1, ref_of(1)), READY), AskPermit)
+    steward.permit(ask.order_id, False, 0.5, READY)
+    assert not only(steward.tick(READY + 0.4), AskPermit)
+    (again,) = only(steward.tick(READY + 0.5), AskPermit)
+    assert again.order_id != ask.order_id
+
+
+def test_permit_that_comes_too_late_is_given_back(steward):
+    (ask,) = only(steward.reserve(request(1, ref_of(1)), READY), AskPermit)
+    steward.release(ReleaseRequest('r1', 'w'), READY)
+    assert steward.permit(ask.order_id, True, 0, READY) == [
+        ReturnPermit(ask.order_id, used=False),
+    ]
+
+
+def test_lapsed_lease_without_fencing_allows_no_eviction(steward):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    steward.lease_lost(READY)
+    assert replies(steward.reserve(request(3, ref_of(3)), READY)) == [
+        ('r3', ResultCode.no_target),
+    ]
+    assert replies(steward.reserve(request(4, ref_of(1)), READY)) == [
+        ('r4', 0),
+    ]
+    assert not steward.digest(READY).can_load
+
+
+def test_lapsed_lease_allows_loads_into_free_slots(steward):
+    fill(steward, count=1)
+    steward.lease_lost(READY)
+    load(steward, ref_of(2), 2, READY)
+
+
+def test_lease_past_its_end_lapses_by_itself():
+    steward = build()
+    steward.take_over(7, 0, lease_until=READY + 1)
+    steward.pins_complete(0)
+    steward.engine_report(report(), READY)
+    assert steward.state is LeaseState.held
+    steward.tick(READY + 1)
+    assert steward.state is LeaseState.lapsed
+    steward.lease_renewed(READY + 9, READY + 2)
+    assert steward.state is LeaseState.held
+
+
+def test_new_steward_evicts_nothing_before_pins_are_gathered():
+    steward = build()
+    steward.take_over(7, 0)
+    full = report(ref_of(1), ref_of(2))
+    steward.engine_report(full, READY)
+    assert not steward.reserve(request(3, ref_of(3)), READY)
+    steward.pins(PinReport('w', 'entry', (('old', ref_of(1)),)), READY)
+    (ask,) = only(steward.pins_complete(READY), AskPermit)
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    assert evict.ref == ref_of(2)
+
+
+def test_checking_engine_learns_the_number_before_its_report_counts():
+    steward = build(checks_fencing=True)
+    (fence,) = only(steward.take_over(7, 0), FenceOrder)
+    steward.pins_complete(0)
+    steward.engine_report(report(ref_of(1)), READY)
+    assert not steward.reserve(request(1, ref_of(1)), READY)
+    assert only(steward.tick(READY), FenceOrder)
+    steward.fence_done(fence.order_id, True, READY)
+    later = READY + TERMS.report_lag
+    actions = steward.engine_report(report(ref_of(1)), later)
+    assert replies(actions) == [('r1', 0)]
+
+
+def test_reservations_of_a_gone_entry_end_when_the_engine_is_idle(steward):
+    fill(steward, count=1)
+    steward.reserve(request(5, ref_of(1), entry='e'), READY)
+    steward.reserve(request(6, ref_of(6), entry='e'), READY)
+    actions = steward.entry_gone('e', READY)
+    assert replies(actions) == [('r6', ResultCode.draining)]
+    later = READY + TERMS.report_lag + TERMS.start_within + 0.1
+    busy = report(ref_of(1), busy=(ref_of(1),))
+    steward.engine_report(busy, later)
+    assert steward.digest(later).running == 2
+    steward.engine_report(report(ref_of(1)), later + 1)
+    assert steward.digest(later + 1).running == 1
+
+
+def test_drained_steward_refuses_and_lets_running_requests_end(steward):
+    fill(steward, count=1)
+    steward.reserve(request(4, ref_of(4)), READY)
+    code = ResultCode.draining
+    assert replies(steward.drain(READY)) == [('r4', code)]
+    assert replies(steward.reserve(request(5, ref_of(1)), READY)) == [
+        ('r5', code),
+    ]
+    assert steward.digest(READY).running == 1
+
+
+def test_request_that_cannot_start_in_its_wait_is_refused_at_once(steward):
+    fill(steward, count=1)
+    for number in range(2, 6):
+        steward.reserve(request(number, ref_of(1)), READY)
+    steward.engine_report(report(ref_of(1)), READY + 10)
+    steward.release(ReleaseRequest('r1', 'w', 100), READY + 10)
+    for number in range(6, 12):
+        steward.reserve(request(number, ref_of(1), wait=60), READY + 10)
+    (reply,) = steward.reserve(request(12, ref_of(1), wait=2), READY + 10)
+    assert reply.code == ResultCode.deadline_unreachable
+    assert reply.retry_after > 1
