--- a/mintlanding/placement/authority.py
+++ b/mintlanding/placement/authority.py
@@ -8,19 +8,15 @@
 
 _State = LeaseState
 _TRANSITIONS = (
-    {'trigger': 'begin_gathering', 'source': '*', 'dest': _State.gathering},
+    {'trigger': 'gather', 'source': '*', 'dest': _State.gathering},
+    {'trigger': 'hold', 'source': _State.gathering, 'dest': _State.held},
     {
-        'trigger': 'begin_holding',
-        'source': _State.gathering,
-        'dest': _State.held,
-    },
-    {
-        'trigger': 'let_lapse',
+        'trigger': 'lapse',
         'source': (_State.gathering, _State.held),
         'dest': _State.lapsed,
     },
-    {'trigger': 'resume', 'source': _State.lapsed, 'dest': _State.gathering},
-    {'trigger': 'give_way', 'source': '*', 'dest': _State.superseded},
+    {'trigger': 'extend', 'source': _State.lapsed, 'dest': _State.gathering},
+    {'trigger': 'retire', 'source': '*', 'dest': _State.superseded},
 )
 
 
@@ -51,7 +47,6 @@
             transitions=_TRANSITIONS,
             initial=_State.none,
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
 
     def take_over(self, fencing: int, now: float, until: float) -> bool:
@@ -64,22 +59,22 @@
         self._until = until
         self._reported = -math.inf
         self._has_pins = False
-        self._trigger('begin_gathering')
+        self._trigger('gather')
         return True
 
     def renew(self, until: float, now: float) -> None:
         """Extend the lease under its number."""
         self._until = until
-        self._trigger('resume')
+        self._trigger('extend')
         self.advance(now)
 
     def lose(self) -> None:
         """Note that the lease has lapsed."""
-        self._trigger('let_lapse')
+        self._trigger('lapse')
 
     def supersede(self) -> None:
         """Note that a newer steward exists."""
-        self._trigger('give_way')
+        self._trigger('retire')
 
     def confirm(self, now: float) -> None:
         """Note that the engine knows the number."""
@@ -96,9 +91,9 @@
     def advance(self, now: float) -> None:
         """Move on with time: the lease ends, or the pins become known."""
         if now >= self._until:
-            self._trigger('let_lapse')
-        if self._knows_pins(now):
-            self._trigger('begin_holding')
+            self._trigger('lapse')
+        if self.state is _State.gathering and self._knows_pins(now):
+            self._trigger('hold')
 
     @property
     def needs_fence(self) -> bool:
@@ -125,6 +120,10 @@
             return False
         return self.may_load() and self._knows_pins(now)
 
+    def may_evict_later(self) -> bool:
+        """Tell whether evictions are allowed now or once pins are known."""
+        return self.state is not _State.lapsed or self._checks_fencing
+
     def _knows_pins(self, now: float) -> bool:
         terms = self._terms
         settled = self._confirmed + terms.report_lag + terms.start_within
@@ -132,7 +131,6 @@
         return self._reported >= settled and (self._has_pins or is_over)
 
     def _trigger(self, name: str) -> None:
-        event = self._machine.events[name]
-        # The library logs a trigger that the state does not allow.
-        if self.state.name in event.transitions:
-            event.trigger(self)
+        if name not in self._machine.get_triggers(self.state):
+            return
+        self._machine.events[name].trigger(self)
--- a/mintlanding/placement/policies.py
+++ b/mintlanding/placement/policies.py
@@ -24,7 +24,7 @@
     """
 
     load_factor: float = 1.25
-    free_share: float = 0.75
+    free_share: float = 1
     replica_rate: float = 4
     max_replicas: int = 4
 
@@ -77,6 +77,8 @@
         ]
         if len(ranked) < _CANDIDATES:
             ranked.extend(index.least_loaded(_CANDIDATES))
+        holding = index.holders(ref)
+        ranked.sort(key=lambda each: not index.can_serve(each, holding))
         return _digests(ranked, index)
 
     def _replicas(self, rate: float) -> int:
