--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -12,6 +12,7 @@
 from mintlanding.configuration.parts import DeltaAssembler, split_delta
 from mintlanding.configuration.selectors import Resolver
 from mintlanding.configuration.tests.samples import delta_of, large_objects
+from mintlanding.configuration.tests.test_distribution import new_fleet
 
 SIZES = (3_000, 21_000)
 
@@ -108,3 +109,19 @@
     packed = benchmark(msgspec.msgpack.encode, change)
     benchmark.extra_info['bytes'] = len(packed)
     assert msgspec.msgpack.decode(packed, type=Delta) == change
+
+
+@pytest.mark.parametrize('members', [8, 400])
+def test_tick_of_distribution(benchmark, members):
+    fleet = new_fleet(members, zones='abcdefghi')
+    fleet.change()
+    fleet.run(5)
+    node = fleet.nodes['i0']
+    benchmark(node.tick, fleet.now)
+
+
+@pytest.mark.parametrize('members', [8, 400])
+def test_take_members(benchmark, members):
+    fleet = new_fleet(members, zones='abcdefghi')
+    node = fleet.nodes['i0']
+    benchmark(node.members, fleet.members, 0)
--- a/benchmarks/measure_configuration.py
+++ b/benchmarks/measure_configuration.py
@@ -1,6 +1,7 @@
 """Measure memory and platform traffic of the configuration.
 
 python -m benchmarks.measure_configuration memory|resident|layouts [ADAPTERS ...]
+python -m benchmarks.measure_configuration distribution [MEMBERS ...]
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import MANIFEST_KEY
+from mintlanding.configuration.messages import Announcement
 from mintlanding.configuration.models import Adapter
 from mintlanding.configuration.parts import DeltaAssembler, split_delta
 from mintlanding.configuration.proposals import Proposal
@@ -25,6 +27,10 @@
     new_write_id,
 )
 from mintlanding.configuration.tests.samples import delta_of, large_objects
+from mintlanding.configuration.tests.test_distribution import (
+    new_fleet,
+    workspace,
+)
 from mintlanding.platform.memory import MemoryKeyValueService
 
 CHANGES_A_DAY = 3300
@@ -189,12 +195,42 @@
     print(f'  {seconds * 1000:.1f} ms of processor time a commit')
 
 
+def measure_distribution(members):
+    """Count what one change costs a fleet in nine zones."""
+    fleet = new_fleet(members, zones='abcdefghi')
+    fleet.change()
+    fleet.run(20)
+    watches = sum(entry[0] == 'watch' for entry in fleet.queue)
+    fleet.sent.clear()
+    started = time.process_time()
+    changes = 10
+    for _ in range(changes):
+        fleet.change()
+        fleet.step()
+        assert len(fleet.revisions()) == 1
+    seconds = time.process_time() - started
+    size = len(
+        msgspec.msgpack.encode(
+            Announcement('instance-0001', 7, delta_of(6, workspace(1))),
+        ),
+    )
+    each = members * changes
+    print(
+        f'{members} members: {watches} waiting calls, '
+        f'{fleet.sent["message"] / each:.2f} announcements of {size} bytes '
+        f'and {fleet.sent["FetchDelta"] / each:.3f} fetches a member and '
+        f'change, {seconds / each * 1e6:.0f} us of processor time',
+    )
+
+
 def main():
     what = sys.argv[1]
     sizes = [int(size) for size in sys.argv[2:]] or [21_000]
     for adapters in sizes:
         if what == 'memory':
             measure_memory(adapters)
+        elif what == 'distribution':
+            measure_distribution(adapters)
         elif what == 'resident':
             measure_resident(adapters)
         else:
--- a/mintlanding/admin/application.py
+++ b/mintlanding/admin/application.py
@@ -11,13 +11,17 @@
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.core.application import Application
-from mintlanding.core.exceptions import ConfigurationError
+from mintlanding.core.exceptions import ConfigurationError, PlatformError
 from mintlanding.core.http import HttpServer
+from mintlanding.core.logs import Logger
 from mintlanding.core.results import Failed
 from mintlanding.platform.http import HttpKeyValueService
 
 DRAIN_SECONDS = 30
 PROGRESS_POLL_SECONDS = 0.2
+COLLECT_SECONDS = 6 * 3600
+
+_logger = Logger('admin')
 
 
 class AdminApplication:
@@ -64,6 +68,7 @@
     async def _start(self) -> None:
         await self.server.start()
         self.application.spawn(self._follow_progress())
+        self.application.spawn(self._collect_blobs())
 
     async def _drain(self) -> None:
         await self.server.drain(DRAIN_SECONDS)
@@ -79,6 +84,17 @@
                 now = self.desk.clock.monotonic()
                 self.desk.progress.observe(found.value, now)
 
+    async def _collect_blobs(self) -> None:
+        """Delete now and then what interrupted commits left behind."""
+        while True:
+            await asyncio.sleep(COLLECT_SECONDS)
+            try:
+                count = await self.desk.storage.collect()
+            except PlatformError as exc:
+                _logger.warning('Blobs were not collected.', reason=str(exc))
+            else:
+                _logger.info('Blobs were collected.', count=count)
+
 
 def _admin_settings(cfg: InstanceSettings) -> AdminSettings:
     if cfg.admin is None:
--- a/mintlanding/configuration/distribution.py
+++ b/mintlanding/configuration/distribution.py
@@ -90,6 +90,7 @@
             for origin in memory.keys() - kept:
                 memory.pop(origin)
         self._fetch.keep_members(self._members)
+        self._watch.take_members(self._members.values())
         return self.tick(now)
 
     def heard(self, sender: str, revision: int, now: float) -> list[Action]:
@@ -171,9 +172,8 @@
         )
 
     def _watch_as_due(self, now: float) -> list[Action]:
-        all_members = (*self._members.values(), self.own)
         age = self.confirmations.age(now)
-        if self._watch.is_wanted(all_members, age, self.revision, now):
+        if self._watch.is_wanted(age, self.revision, now):
             seconds = self._watch.start(now)
             return [Watch(self.revision, seconds)] if seconds else []
         return [StopWatch()] if self._watch.stop() else []
--- a/mintlanding/configuration/watches.py
+++ b/mintlanding/configuration/watches.py
@@ -32,24 +32,24 @@
         self._retry_at = now
         self._failures = 0
         self._reason = ''
+        self._rank: int | None = 0
 
-    def is_wanted(
-        self,
-        members: Iterable[Member],
-        age: float,
-        revision: int,
-        now: float,
-    ) -> bool:
+    def take_members(self, others: Iterable[Member]) -> None:
+        """Work out this member's place among the claimants of its zone."""
+        ranked = watch_ranking((*others, self._own), self._own.zone)
+        names = [member.instance for member in ranked]
+        is_claimant = self._own.instance in names
+        self._rank = names.index(self._own.instance) if is_claimant else None
+
+    def is_wanted(self, age: float, revision: int, now: float) -> bool:
         """Tell whether this member should hold a watch.
 
         The first ones of the zone do. Further ones join one by one when
         nobody has vouched for long: the first ones may be cut off.
         """
-        ranked = watch_ranking(members, self._own.zone)
-        names = [member.instance for member in ranked]
-        if self._own.instance not in names:
+        if self._rank is None:
             return False
-        backup = names.index(self._own.instance) - WATCHERS_PER_ZONE
+        backup = self._rank - WATCHERS_PER_ZONE
         if backup < 0:
             return True
         if backup >= BACKUP_WATCHERS:
