--- a/mintlanding/admin/application.py
+++ b/mintlanding/admin/application.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Self
 
+from mintlanding.admin.agent_port import AgentPort
 from mintlanding.admin.authentication import OperatorDirectory
 from mintlanding.admin.desk import AdminDesk
 from mintlanding.admin.endpoint import AdminEndpoint
@@ -58,7 +59,7 @@
         desk = AdminDesk.from_parts(
             ConfigurationStorage(service),
             KeyHasher.from_config([cfg.key_pepper]),
-            fleet=fleet,
+            fleet=fleet or AgentPort.from_config(cfg),
         )
         operators = OperatorDirectory.from_config(admin.operators)
         application = cls(desk, operators, admin.host, admin.port)
--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -1,9 +1,11 @@
 """Rates, and the durations that bound who may use a share until when."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Self
 
+from mintlanding.core.exceptions import ConfigurationError
+
 
 @dataclass(frozen=True, slots=True)
 class Rate:
@@ -35,12 +37,20 @@
     settle_within: float = 900
     pause: float = 10
     grace: float = 30
+    seat_poll: float = 5
     drift: float = 0.05
     flat_members: int = 24
 
     @classmethod
     def from_config(cls, values: Mapping[str, float]) -> Self:  # noqa: WPS110
         """Take durations by name; the others keep their defaults."""
+        known = {each.name for each in fields(cls)}
+        unknown = sorted(values.keys() - known)
+        if unknown:
+            raise ConfigurationError(
+                f'agent.limits: unknown {", ".join(unknown)}; '
+                f'known: {", ".join(sorted(known))}',
+            )
         return cls(**values)  # type: ignore[arg-type]
 
     @classmethod
@@ -56,3 +66,8 @@
     def lender_term(self, term: float) -> float:
         """How long the lender has to wait for a loan of `term`."""
         return (term + self.request_timeout) * (1 + self.drift) + self.flight
+
+    @property
+    def takeover(self) -> float:
+        """How long the owner of a seat has to be gone and silent."""
+        return self.grace * (1 + self.drift) + self.announce
