Do not ask a peer again for a revision that it lost

A peer that restarts while the platform is down holds less than it was heard to hold; it was asked every half second without end. Its answer now counts for more than what was heard; the test failed before. A directory asked for changes after a revision above its own answered as if it held that revision.

--- a/mintlanding/admin/fleet.py
+++ b/mintlanding/admin/fleet.py
@@ -39,7 +39,7 @@
     if isinstance(found, Failed):
         return Refusal(found)
     progress = desk.progress
-    progress.revision = max(progress.revision, directory.revision)
+    progress.seen(directory.revision)
     in_force = progress.observe(found.value, desk.clock.monotonic())
     return StatusAnswer(
         revision=directory.revision,
--- a/mintlanding/admin/progress.py
+++ b/mintlanding/admin/progress.py
@@ -29,6 +29,13 @@
             self.accepted_at = now
             self.seconds = None
 
+    def seen(self, revision: int) -> None:
+        """Note a revision that another process accepted, at unknown time."""
+        if revision > self.revision:
+            self.revision = revision
+            self.accepted_at = _NEVER
+            self.seconds = None
+
     @property
     def is_pending(self) -> bool:
         """Tell whether some daemon may still lack the revision."""
--- a/mintlanding/admin/tests/test_api.py
+++ b/mintlanding/admin/tests/test_api.py
@@ -310,6 +310,18 @@
     assert progress.is_pending
 
 
+def test_progress_of_another_process_has_no_seconds():
+    progress = InForceProgress()
+    progress.accepted(1, 0)
+    daemon = DaemonStatus('i1', 'a', 'live', 1)
+    assert progress.observe((daemon,), 2)
+    assert progress.seconds == 2
+    progress.seen(2)
+    assert not progress.observe((daemon,), 3)
+    assert progress.observe((DaemonStatus('i1', 'a', 'live', 2),), 4)
+    assert progress.seconds is None
+
+
 async def test_explain_tells_the_rule(admin):
     await admin.apply(
         workspace(), service(), adapter(labels={'app': 'x'}), version()
--- a/mintlanding/configuration/directory.py
+++ b/mintlanding/configuration/directory.py
@@ -182,7 +182,7 @@
     def delta_since(self, revision: int) -> Delta:
         """Return what changed after a revision, or else a snapshot."""
         if revision >= self.revision:
-            return Delta(base=revision, revision=revision)
+            return Delta(base=self.revision, revision=self.revision)
         if revision < self._log_base or revision == 0:
             return self.snapshot()
         latest = {
--- a/mintlanding/configuration/distribution.py
+++ b/mintlanding/configuration/distribution.py
@@ -116,8 +116,7 @@
 
     def fetched(self, peer: str, delta: Delta, now: float) -> list[Action]:
         """Take a peer's answer to a fetch."""
-        self._fetch.note(peer, delta.revision)
-        self._fetch.end(peer, now, is_useful=delta.revision > self.revision)
+        self._fetch.answered(peer, delta.revision, now)
         actions = self._accept(delta)
         if actions and not self._is_near(peer):
             actions.extend(self._start_tree(delta, is_from_platform=False))
--- a/mintlanding/configuration/fetching.py
+++ b/mintlanding/configuration/fetching.py
@@ -28,6 +28,12 @@
         """Note the highest revision that a peer was heard to hold."""
         self._heard[peer] = max(revision, self._heard.get(peer, 0))
 
+    def answered(self, peer: str, revision: int, now: float) -> None:
+        """Note what a peer really holds; a restarted one may have lost it."""
+        before = self._heard.get(peer, 0)
+        self._heard[peer] = revision
+        self.end(peer, now, is_useful=bool(revision) and revision >= before)
+
     def keep_members(self, members: Mapping[str, Member]) -> None:
         """Forget who is no member."""
         self._known = len(members)
--- a/mintlanding/configuration/tests/test_directory.py
+++ b/mintlanding/configuration/tests/test_directory.py
@@ -114,6 +114,7 @@
     assert directory.delta_since(2).base == 0
     assert len(directory.delta_since(2).changes) == 5
     assert directory.delta_since(5) == Delta(base=5, revision=5)
+    assert directory.delta_since(9) == Delta(base=5, revision=5)
 
 
 _bodies = st.one_of(
--- a/mintlanding/configuration/tests/test_distribution.py
+++ b/mintlanding/configuration/tests/test_distribution.py
@@ -318,6 +318,22 @@
     assert node.stale_seconds(5) < 0
 
 
+def test_peer_that_lost_a_revision_is_not_asked_for_it_again():
+    node = DistributionNode(
+        member(0),
+        small_directory(),
+        Confirmations(),
+        random.Random(1),
+        0,
+    )
+    node.members([member(1)], 0)
+    assert any(isinstance(each, FetchDelta) for each in node.heard('i1', 5, 0))
+    node.fetched('i1', Delta(base=0, revision=0), 1)
+    later = [action for step in range(2, 20) for action in node.tick(step)]
+    assert not any(isinstance(each, FetchDelta) for each in later)
+    assert any(isinstance(each, FetchDelta) for each in node.heard('i1', 6, 20))
+
+
 def test_large_delta_is_announced_without_its_changes():
     fleet = new_fleet(12, zones='a')
     fleet.change()
