Say so when status and lists may be old

Tried with real processes and the key-value service frozen: status went on claiming that the newest revision was in force everywhere, although a newer one could exist.

--- a/mintlanding/admin/fleet.py
+++ b/mintlanding/admin/fleet.py
@@ -44,10 +44,11 @@
     return StatusAnswer(
         revision=directory.revision,
         stale=desk.is_stale,
-        in_force=in_force,
+        in_force=in_force and not desk.is_stale,
         seconds=progress.seconds,
         daemons=tuple(
-            _present(each, directory.revision) for each in found.value
+            _present(each, directory.revision)
+            for each in sorted(found.value, key=_instance_of)
         ),
     )
 
@@ -110,6 +111,10 @@
     return BurnAnswer(report=outcome.value)
 
 
+def _instance_of(daemon: DaemonStatus) -> str:
+    return daemon.instance
+
+
 def _present(daemon: DaemonStatus, revision: int) -> DaemonAnswer:
     return DaemonAnswer(
         instance=daemon.instance,
--- a/mintlanding/admin/messages.py
+++ b/mintlanding/admin/messages.py
@@ -145,7 +145,9 @@
 class StatusAnswer(Schema):
     """Whether the newest revision is in force everywhere, and how soon.
 
-    `seconds` counts from the acceptance here to the last live daemon.
+    `seconds` counts from the acceptance here to the last live daemon. While
+    `stale`, a newer revision than the one known here may exist, so nothing is
+    said to be in force everywhere.
     """
 
     revision: int
--- a/mintlanding/cli/commands.py
+++ b/mintlanding/cli/commands.py
@@ -1,5 +1,6 @@
 """The commands of operators."""
 
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +27,7 @@
 from mintlanding.cli.parsing import is_set, parse_collection, parse_number
 from mintlanding.cli.plans import Options, Plan
 from mintlanding.cli.views import (
+    STALE_NOTE,
     changed,
     edits_text,
     real_changes,
@@ -190,12 +192,15 @@
 
     def _list(self, kind: str, selector: str, workspace: str) -> Result:
         path = f'/v1/{parse_collection(kind)}'
-        pages = self._options.connect().pages(
+        found = self._options.connect().pages(
             path,
             selector=selector,
             workspace=workspace,
             limit=PAGE_OBJECTS,
         )
+        pages = list(found)
+        if any(page['stale'] for page in pages):
+            sys.stderr.write(f'note: {STALE_NOTE}\n')
         items = [item for page in pages for item in page['items']]
         return Result(items, objects_table(items))
 
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -219,6 +219,19 @@
     assert (code, 'not yet' in out) == (ExitCode.not_in_force, True)
 
 
+def test_outage_is_told_with_what_is_shown(shell):
+    shell.admin.desk.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 1))
+    shell.run('apply', shell.write(workspace()))
+    shell.admin.service.faults.down = True
+    code, out, _ = shell.run('status')
+    assert (code, 'newest known' in out) == (ExitCode.not_in_force, True)
+    code, out, err = shell.run('list', 'workspaces', '--output', 'json')
+    assert (code, 'does not answer' in err) == (0, True)
+    assert json.loads(out)[0]['name'] == 'north'
+    code, _, err = shell.run('apply', shell.write(workspace('other')))
+    assert (code, 'try again later' in err) == (ExitCode.unavailable, True)
+
+
 async def test_commands_reach_a_real_server():
     admin = Admin()
     server = HttpServer.from_config(admin.app, '127.0.0.1', 0)
--- a/mintlanding/cli/views.py
+++ b/mintlanding/cli/views.py
@@ -5,6 +5,8 @@
 from mintlanding.cli.exceptions import ExitCode
 from mintlanding.cli.output import Result, changes_table, table
 
+STALE_NOTE = 'the key-value service does not answer, there may be newer ones'
+
 
 def changed(found: dict[str, Any]) -> Result:
     changes = real_changes(found)
@@ -44,8 +46,10 @@
     ]
     headers = ['instance', 'zone', 'state', 'revision', 'current', 'stale s']
     verdict = 'in force everywhere' if found['in_force'] else 'not yet in force'
+    if found['stale']:
+        verdict = f'is the newest known here; {STALE_NOTE}'
     after = ''
-    if found['seconds'] is not None:
+    if found['in_force'] and found['seconds'] is not None:
         after = f' after {found["seconds"]:.2f} s'
     head = f'revision {found["revision"]} {verdict}{after}'
     exit_code = ExitCode.done if found['in_force'] else ExitCode.not_in_force
