--- a/benchmarks/measure_configuration.py
+++ b/benchmarks/measure_configuration.py
@@ -21,16 +21,13 @@
 from mintlanding.configuration.models import Adapter
 from mintlanding.configuration.parts import DeltaAssembler, split_delta
 from mintlanding.configuration.proposals import Proposal
-from mintlanding.configuration.storage import (
-    Authorship,
-    ConfigurationStorage,
-    new_write_id,
-)
+from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.configuration.tests.samples import delta_of, large_objects
 from mintlanding.configuration.tests.test_distribution import (
     new_fleet,
     workspace,
 )
+from mintlanding.configuration.writes import Authorship, new_write_id
 from mintlanding.platform.memory import MemoryKeyValueService
 
 CHANGES_A_DAY = 3300
--- a/mintlanding/admin/desk.py
+++ b/mintlanding/admin/desk.py
@@ -24,12 +24,8 @@
     find_conflict,
     number_changes,
 )
-from mintlanding.configuration.storage import (
-    Authorship,
-    Committed,
-    ConfigurationStorage,
-    new_write_id,
-)
+from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.configuration.writes import Authorship, Committed, new_write_id
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import PlatformError, PlatformUnavailable
 from mintlanding.core.logs import Logger
--- /dev/null
+++ b/mintlanding/configuration/reading.py
@@ -0,0 +1,124 @@
+"""Read the stored configuration: manifest, tail, chunks, history."""
+
+from dataclasses import dataclass
+
+from mintlanding.configuration.documents import (
+    MANIFEST_KEY,
+    BlobRef,
+    Commit,
+    Manifest,
+    fingerprint,
+    unpack_commits,
+    unpack_manifest,
+    unpack_objects,
+)
+from mintlanding.configuration.exceptions import StoredConfigurationError
+from mintlanding.configuration.models import Change, Delta
+from mintlanding.platform.keyvalue import Entry, KeyValueService
+
+MAX_LOADS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What was read: the changes, and the manifest that they lead to."""
+
+    delta: Delta
+    manifest: Manifest
+    index: int
+
+
+class ConfigurationReader:
+    """Read what the key-value service holds; changes nothing."""
+
+    def __init__(self, service: KeyValueService) -> None:
+        """Read from a key-value service."""
+        self._service = service
+
+    async def latest(self) -> Entry | None:
+        """Return the entry of the manifest."""
+        return await self._service.get(MANIFEST_KEY)
+
+    async def delta_of(self, entry: Entry | None, revision: int) -> Delta:
+        """Return the changes after a revision from a manifest just read.
+
+        An empty delta at the revision of the service tells that it holds
+        nothing newer; this is lower when the service has lost data.
+        """
+        if entry is None:
+            return Delta(base=0, revision=0)
+        return (await self.read(entry, revision)).delta
+
+    async def read(self, entry: Entry, revision: int) -> Reading:
+        """Read the changes after a revision; follow the manifest if it moves.
+
+        A chunk goes only after a newer manifest has replaced its own.
+        """
+        for _ in range(MAX_LOADS):
+            manifest = unpack_manifest(entry.value)
+            delta = await self._read_delta(manifest, revision)
+            if delta is not None:
+                return Reading(delta, manifest, entry.index)
+            fresh = await self.latest()
+            entry = fresh or entry
+        raise StoredConfigurationError('chunks of the manifest are missing')
+
+    async def commits(self, manifest: Manifest, limit: int) -> list[Commit]:
+        """Return the latest commits, newest first, as far as kept."""
+        found = list(reversed(manifest.commits))
+        for segment in reversed(manifest.segments):
+            if len(found) >= limit:
+                break
+            found.extend(reversed(await self.segment(segment.blob)))
+        return found[:limit]
+
+    async def segment(self, ref: BlobRef) -> tuple[Commit, ...]:
+        """Return the commits of a history segment; none when it has gone."""
+        content = await self._read_blob(ref)
+        return () if content is None else unpack_commits(content)
+
+    async def _read_delta(
+        self,
+        manifest: Manifest,
+        revision: int,
+    ) -> Delta | None:
+        if manifest.revision <= revision:
+            return Delta(base=manifest.revision, revision=manifest.revision)
+        if revision and manifest.tail_base <= revision:
+            changes = [
+                change for change in manifest.tail if change.revision > revision
+            ]
+            return Delta(
+                base=revision,
+                revision=manifest.revision,
+                changes=tuple(changes),
+            )
+        return await self._read_snapshot(manifest)
+
+    async def _read_snapshot(self, manifest: Manifest) -> Delta | None:
+        """Read the chunks and lay the tail over; nothing if one is gone."""
+        bodies: dict[tuple[str, str], Change] = {}
+        for ref in manifest.chunks:
+            content = await self._read_blob(ref)
+            if content is None:
+                return None
+            for body in unpack_objects(content):
+                kind, name = body.ref
+                bodies[body.ref] = Change(
+                    revision=manifest.revision,
+                    kind=kind,
+                    name=name,
+                    body=body,
+                )
+        for change in manifest.tail:
+            bodies[(change.kind, change.name)] = change
+        kept = [each for each in bodies.values() if each.body is not None]
+        return Delta(base=0, revision=manifest.revision, changes=tuple(kept))
+
+    async def _read_blob(self, ref: BlobRef) -> bytes | None:
+        entry = await self._service.get(ref.key)
+        if entry is None:
+            return None
+        if fingerprint(entry.value) != ref.digest:
+            raise StoredConfigurationError(f'{ref.key} is damaged')
+        return entry.value
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -15,15 +15,10 @@
 from mintlanding.configuration.documents import (
     BLOB_PREFIX,
     MANIFEST_KEY,
-    BlobRef,
     Commit,
     Edit,
     Manifest,
     blob_revision,
-    fingerprint,
-    unpack_commits,
-    unpack_manifest,
-    unpack_objects,
 )
 from mintlanding.configuration.exceptions import (
     ConfigurationTooLarge,
@@ -41,53 +36,23 @@
     action_of,
     number_changes,
 )
+from mintlanding.configuration.reading import ConfigurationReader
+from mintlanding.configuration.writes import (
+    Authorship,
+    Committed,
+    find_write,
+    write_id_time,
+)
 from mintlanding.core.checks import CheckMessage
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
-from mintlanding.platform.keyvalue import CREATE_ONLY, Entry, KeyValueService
+from mintlanding.platform.keyvalue import CREATE_ONLY, KeyValueService
 
 MAX_ATTEMPTS = 16
-MAX_LOADS = 5
 CONCURRENT_CALLS = 4
 RETRY_AFTER_SECONDS = 2
-CLOCK_SKEW_SECONDS = 300
 MAX_COMMIT_EDITS = 64
 _NONCE_BYTES = 8
-_MILLISECONDS = 1000
-_HEX = 16
-
-
-def new_write_id(now: float) -> str:
-    """Return a unique id of one write, made at wall-clock second `now`."""
-    milliseconds = int(now * _MILLISECONDS)
-    return f'{milliseconds:012x}-{secrets.token_hex(_NONCE_BYTES)}'
-
-
-def write_id_time(write_id: str) -> float | None:
-    """Return when a write id was made, if it tells."""
-    try:
-        return int(write_id.partition('-')[0], _HEX) / _MILLISECONDS
-    except ValueError:
-        return None
-
-
-@dataclass(frozen=True, slots=True)
-class Authorship:
-    """Who writes, under which id, at which wall-clock second."""
-
-    author: str
-    write_id: str
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Committed:
-    """An accepted change; `repeated` when it had been accepted before."""
-
-    revision: int
-    write_id: str
-    changes: tuple[Change, ...] = ()
-    repeated: bool = False
 
 
 @dataclass(slots=True)
@@ -108,6 +73,7 @@
     ) -> None:
         """Use a key-value service."""
         self.directory = Directory()
+        self.reader = ConfigurationReader(service)
         self._service = service
         self._limits = limits or LayoutLimits()
         self._stored = StoredState()
@@ -121,18 +87,7 @@
 
     async def changes_since(self, revision: int) -> Delta:
         """Read what changed after a revision, or else a snapshot."""
-        entry = await self._service.get(MANIFEST_KEY)
-        return await self.delta_of(entry, revision)
-
-    async def delta_of(self, entry: Entry | None, revision: int) -> Delta:
-        """Return the changes after a revision from a manifest just read.
-
-        An empty delta at the revision of the service tells that it holds
-        nothing newer; this is lower when the service has lost data.
-        """
-        if entry is None:
-            return Delta(base=0, revision=0)
-        return (await self._read(entry, revision)).delta
+        return await self.reader.delta_of(await self.reader.latest(), revision)
 
     async def check(
         self,
@@ -159,15 +114,7 @@
         """Return the latest commits, newest first, as far as kept."""
         async with self._lock:
             await self._refresh()
-        manifest = self._stored.manifest
-        found = list(reversed(manifest.commits))
-        for segment in reversed(manifest.segments):
-            if len(found) >= limit:
-                break
-            content = await self._read_blob(segment.blob)
-            if content is not None:
-                found.extend(reversed(unpack_commits(content)))
-        return found[:limit]
+        return await self.reader.commits(self._stored.manifest, limit)
 
     async def collect(self) -> int:
         """Delete blobs that no manifest names or ever will; count them."""
@@ -215,7 +162,11 @@
     ) -> Outcome[Committed] | None:
         """Try once; nothing when another writer came first."""
         await self._refresh()
-        settled = await self._settled(authorship.write_id)
+        settled = await find_write(
+            self.reader,
+            self._stored.manifest,
+            authorship.write_id,
+        )
         if settled is not None:
             return settled
         numbered = number_changes(self.directory, proposals)
@@ -295,13 +246,13 @@
             return
 
     async def _refresh(self) -> None:
-        entry = await self._service.get(MANIFEST_KEY)
+        entry = await self.reader.latest()
         if entry is None:
             self._refuse_revert(Manifest())
             return
         if entry.index == self._stored.index:
             return
-        reading = await self._read(entry, self.directory.revision)
+        reading = await self.reader.read(entry, self.directory.revision)
         self._refuse_revert(reading.manifest)
         self.directory.apply(reading.delta)
         self._stored = StoredState(reading.manifest, reading.index)
@@ -314,109 +265,6 @@
                 f'the accepted {self.directory.revision}; restore it',
             )
 
-    async def _read(self, entry: Entry, revision: int) -> '_Reading':
-        """Read the changes after a revision; follow the manifest if it moves.
-
-        A chunk goes only after a newer manifest has replaced its own.
-        """
-        for _ in range(MAX_LOADS):
-            manifest = unpack_manifest(entry.value)
-            delta = await self._read_delta(manifest, revision)
-            if delta is not None:
-                return _Reading(delta, manifest, entry.index)
-            fresh = await self._service.get(MANIFEST_KEY)
-            entry = fresh or entry
-        raise StoredConfigurationError('chunks of the manifest are missing')
-
-    async def _settled(self, write_id: str) -> Outcome[Committed] | None:
-        """Return the outcome of a write that was accepted before."""
-        for commit in self._stored.manifest.commits:
-            if commit.write_id == write_id:
-                return Done(Committed(commit.revision, write_id, repeated=True))
-        return await self._settled_in_history(write_id)
-
-    async def _settled_in_history(
-        self,
-        write_id: str,
-    ) -> Outcome[Committed] | None:
-        manifest = self._stored.manifest
-        made_at = write_id_time(write_id)
-        if not manifest.segments:
-            return None
-        earliest = (made_at or 0) - CLOCK_SKEW_SECONDS
-        if earliest > manifest.commits[0].at:
-            return None
-        for segment in reversed(manifest.segments):
-            content = await self._read_blob(segment.blob)
-            for commit in unpack_commits(content or b''):
-                if commit.write_id == write_id:
-                    return Done(
-                        Committed(commit.revision, write_id, repeated=True),
-                    )
-            if segment.since < earliest:
-                return None
-        if manifest.segments[0].first > 1:
-            return Failed.of(
-                ResultCode.conflict,
-                'the write id is older than the history that is kept',
-            )
-        return None
-
-    async def _read_delta(
-        self,
-        manifest: Manifest,
-        revision: int,
-    ) -> Delta | None:
-        if manifest.revision <= revision:
-            return Delta(base=manifest.revision, revision=manifest.revision)
-        if revision and manifest.tail_base <= revision:
-            changes = [
-                change for change in manifest.tail if change.revision > revision
-            ]
-            return Delta(
-                base=revision,
-                revision=manifest.revision,
-                changes=tuple(changes),
-            )
-        return await self._read_snapshot(manifest)
-
-    async def _read_snapshot(self, manifest: Manifest) -> Delta | None:
-        """Read the chunks and lay the tail over; nothing if one is gone."""
-        bodies: dict[tuple[str, str], Change] = {}
-        for ref in manifest.chunks:
-            content = await self._read_blob(ref)
-            if content is None:
-                return None
-            for body in unpack_objects(content):
-                kind, name = body.ref
-                bodies[body.ref] = Change(
-                    revision=manifest.revision,
-                    kind=kind,
-                    name=name,
-                    body=body,
-                )
-        for change in manifest.tail:
-            bodies[(change.kind, change.name)] = change
-        kept = [each for each in bodies.values() if each.body is not None]
-        return Delta(base=0, revision=manifest.revision, changes=tuple(kept))
-
-    async def _read_blob(self, ref: BlobRef) -> bytes | None:
-        entry = await self._service.get(ref.key)
-        if entry is None:
-            return None
-        if fingerprint(entry.value) != ref.digest:
-            raise StoredConfigurationError(f'{ref.key} is damaged')
-        return entry.value
-
-
-@dataclass(frozen=True, slots=True)
-class _Reading:
-    """What was read: the changes, and the manifest that they lead to."""
-
-    delta: Delta
-    manifest: Manifest
-    index: int
-
 
 class _AnswerLost(PlatformUnavailable):
     """The swap of the manifest was sent and not answered."""
--- a/mintlanding/configuration/tests/test_storage.py
+++ b/mintlanding/configuration/tests/test_storage.py
@@ -25,16 +25,14 @@
 from mintlanding.configuration.layout import LayoutLimits
 from mintlanding.configuration.models import Adapter, Service, Workspace
 from mintlanding.configuration.proposals import Proposal
-from mintlanding.configuration.storage import (
-    Authorship,
-    ConfigurationStorage,
-    new_write_id,
-)
+from mintlanding.configuration.reading import ConfigurationReader
+from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.configuration.tests.samples import (
     large_objects,
     small_objects,
 )
 from mintlanding.configuration.watching import ConfigurationWatch
+from mintlanding.configuration.writes import Authorship, new_write_id
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
 from mintlanding.platform.memory import MemoryKeyValueService
@@ -257,7 +255,7 @@
 async def test_a_lost_service_is_never_taken_for_an_empty_one():
     storage, _ = new_storage()
     await storage.commit(put_all(workspace()), signed())
-    storage._service = MemoryKeyValueService()
+    storage.reader = ConfigurationReader(MemoryKeyValueService())
     with pytest.raises(StoredConfigurationError):
         await storage.load()
 
@@ -317,7 +315,7 @@
     entry = await service.get(MANIFEST_KEY)
     for number in range(8, 30):
         await storage.commit(put_all(workspace(f'w{number}')), signed(number))
-    delta = await storage.delta_of(entry, 0)
+    delta = await storage.reader.delta_of(entry, 0)
     assert delta.revision == 30
 
 
--- a/mintlanding/configuration/watching.py
+++ b/mintlanding/configuration/watching.py
@@ -2,7 +2,7 @@
 
 from mintlanding.configuration.documents import MANIFEST_KEY
 from mintlanding.configuration.models import Delta
-from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.configuration.reading import ConfigurationReader
 from mintlanding.platform.keyvalue import KeyValueService
 
 
@@ -12,7 +12,7 @@
     def __init__(self, service: KeyValueService) -> None:
         """Start before the first change."""
         self._service = service
-        self._storage = ConfigurationStorage(service)
+        self._reader = ConfigurationReader(service)
         self._index = 0
 
     async def next_delta(self, revision: int, seconds: float) -> Delta:
@@ -23,6 +23,6 @@
         """
         listing = await self._service.wait(MANIFEST_KEY, self._index, seconds)
         entry = listing.entries[0] if listing.entries else None
-        delta = await self._storage.delta_of(entry, revision)
+        delta = await self._reader.delta_of(entry, revision)
         self._index = listing.index
         return delta
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -21,11 +21,8 @@
     Workspace,
 )
 from mintlanding.configuration.proposals import Proposal
-from mintlanding.configuration.storage import (
-    Authorship,
-    ConfigurationStorage,
-    new_write_id,
-)
+from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.configuration.writes import Authorship, new_write_id
 from mintlanding.core.exceptions import PeerUnavailable
 from mintlanding.core.http_client import HttpAnswer, HttpCall, HttpClient
 from mintlanding.core.results import Done
