--- a/mintlanding/configuration/distribution.py
+++ b/mintlanding/configuration/distribution.py
@@ -90,6 +90,7 @@
             for origin in memory.keys() - kept:
                 memory.pop(origin)
         self._fetch.keep_members(self._members)
+        self._watch.take_members(self._members.values())
         return self.tick(now)
 
     def heard(self, sender: str, revision: int, now: float) -> list[Action]:
@@ -115,8 +116,7 @@
 
     def fetched(self, peer: str, delta: Delta, now: float) -> list[Action]:
         """Take a peer's answer to a fetch."""
-        self._fetch.note(peer, delta.revision)
-        self._fetch.end(peer, now, is_useful=delta.revision > self.revision)
+        self._fetch.answered(peer, delta.revision, now)
         actions = self._accept(delta)
         if actions and not self._is_near(peer):
             actions.extend(self._start_tree(delta, is_from_platform=False))
@@ -171,9 +171,8 @@
         )
 
     def _watch_as_due(self, now: float) -> list[Action]:
-        all_members = (*self._members.values(), self.own)
         age = self.confirmations.age(now)
-        if self._watch.is_wanted(all_members, age, self.revision, now):
+        if self._watch.is_wanted(age, self.revision, now):
             seconds = self._watch.start(now)
             return [Watch(self.revision, seconds)] if seconds else []
         return [StopWatch()] if self._watch.stop() else []
