--- a/mintlanding/reports/burn.py
+++ b/mintlanding/reports/burn.py
@@ -98,7 +98,8 @@
     burns = [
         _objective_burn(series, objective, oldest)
         for series in snapshot.series
-        if (objective := _objective_of(series, settings)) is not None
+        if _has_requests(series)
+        and (objective := _objective_of(series, settings)) is not None
     ]
     burns.sort(key=_by_burn)
     return BurnReport(
@@ -112,6 +113,10 @@
     )
 
 
+def _has_requests(series: Series) -> bool:
+    return any(counts.total for counts in series.windows.values())
+
+
 def _by_burn(burn: ObjectiveBurn) -> tuple[float, str, str, str]:
     place = (burn.workspace, burn.service, burn.indicator)
     return (-burn.worst, *place)
