--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -7,22 +7,21 @@
 """
 
 import asyncio
-import ipaddress
-import socket
 from collections.abc import AsyncIterator
-from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any, Self
 
 from aiosonic import HTTPClient, Timeouts
-from aiosonic.connection import Connection
-from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError, HttpParsingError
-from aiosonic.pools import WsPool
-from aiosonic.resolver import AbstractResolver
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError
 
 from mintlanding.core.exceptions import MintlandingError
+from mintlanding.core.http_transport import (
+    Attempt,
+    ChunkedBody,
+    build_connector,
+    current_attempt,
+)
 
 MAX_BODY_BYTES = 8 << 20
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
@@ -30,7 +29,6 @@
 _GARBAGE = (HttpParsingError, ValueError, asyncio.LimitOverrunError)
 _LOST = (AiosonicError, OSError, EOFError, HttpParserError, *_GARBAGE)
 _READ_BYTES = 1 << 16
-_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 Headers = list[tuple[str, str]]
 
@@ -72,83 +70,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """Whether any byte of a call may have left."""
-
-    is_sent: bool = False
-
-
-_attempt: ContextVar[_Attempt] = ContextVar('attempt')
-
-
-class _FreshConnection(Connection):  # type: ignore[misc]
-    def reuse(self, urlparsed: Any, verify: bool) -> bool:
-        return False
-
-    def write(self, data: bytes) -> None:
-        _attempt.get().is_sent = True
-        super().write(data)
-
-    async def __aexit__(self, exc_type: Any, exc: Any, trace: Any) -> None:
-        self.keep = False
-        await super().__aexit__(exc_type, exc, trace)
-
-
-class _ChunkedBody:
-    """Take the chunks out of a body, after headers that were read before."""
-
-    def __init__(self) -> None:
-        self.is_whole = False
-        self._parts: list[bytes] = []
-        self._parser = HttpResponseParser(self)
-        self._parser.feed_data(_CHUNKED_HEAD)
-
-    def on_body(self, part: bytes) -> None:
-        if not self.is_whole:
-            self._parts.append(part)
-
-    def on_message_complete(self) -> None:
-        self.is_whole = True
-
-    def feed(self, raw: bytes) -> bytes:
-        try:
-            self._parser.feed_data(raw)
-        except HttpParserError:
-            # What follows the last chunk belongs to no answer.
-            if not self.is_whole:
-                raise
-        piece = b''.join(self._parts)
-        self._parts.clear()
-        return piece
-
-
-class _NumberResolver(AbstractResolver):  # type: ignore[misc]
-    """Take IP numbers as they are; the library would start a thread."""
-
-    async def resolve(
-        self,
-        hostname: str,
-        port: int = 0,
-        family: int = socket.AF_UNSPEC,
-    ) -> list[dict[str, Any]]:
-        address = ipaddress.ip_address(hostname)
-        family = socket.AF_INET if address.version == 4 else socket.AF_INET6
-        return [
-            {
-                'hostname': hostname,
-                'host': hostname,
-                'port': port,
-                'family': family,
-                'proto': socket.IPPROTO_TCP,
-                'flags': socket.AI_NUMERICHOST,
-            },
-        ]
-
-    async def close(self) -> None:
-        """Do nothing."""
-
-
 class OpenAnswer:
     """An answer whose body is read piece by piece."""
 
@@ -194,7 +115,7 @@
 
     async def _chunks(self) -> AsyncIterator[bytes]:
         # The library awaits twice for each chunk.
-        body = _ChunkedBody()
+        body = ChunkedBody()
         while not body.is_whole:
             raw = await self._connection.read(_READ_BYTES)
             if not raw:
@@ -222,11 +143,7 @@
 
         Hosts are IP numbers; a call to a name is not sent.
         """
-        connector = TCPConnector(
-            connection_cls=_FreshConnection,
-            pool_cls=WsPool,
-            resolver=_NumberResolver(),
-        )
+        connector = build_connector()
         return cls(HTTPClient(connector=connector, trust_env=False))
 
     async def open(self, call: HttpCall) -> OpenAnswer:
@@ -242,8 +159,8 @@
         headers = list(call.headers)
         if not call.body and call.method in _BODY_METHODS:
             headers.append(('Content-Length', '0'))
-        attempt = _Attempt()
-        _attempt.set(attempt)
+        attempt = Attempt()
+        current_attempt.set(attempt)
         try:
             async with asyncio.timeout(call.answer):
                 response = await self._client.request(
@@ -264,7 +181,7 @@
             async with asyncio.timeout(call.answer):
                 return await self._whole(call)
         except TimeoutError as exc:
-            raise _failure(exc, _attempt.get()) from exc
+            raise _failure(exc, current_attempt.get()) from exc
 
     async def close(self) -> None:
         """Close what is open."""
@@ -279,7 +196,7 @@
         return HttpAnswer(answer.status, answer.headers, body)
 
 
-def _failure(exc: Exception, attempt: _Attempt) -> MintlandingError:
+def _failure(exc: Exception, attempt: Attempt) -> MintlandingError:
     if not attempt.is_sent:
         return CallNotSent(repr(exc))
     if isinstance(exc, TimeoutError):
--- a/mintlanding/reports/rendering.py
+++ b/mintlanding/reports/rendering.py
@@ -16,6 +16,7 @@
 Renderer = Callable[[BurnReport], str]
 RENDERERS: Registry[Renderer] = Registry('report format')
 
+_MINUTE_SECONDS = 60
 _HOUR_SECONDS = 3600
 _MILLISECONDS = 1000
 _PERCENT = 100
@@ -45,12 +46,12 @@
 
 def coverage(report: BurnReport) -> str:
     """Say how much the numbers cover."""
-    oldest = report.oldest / _HOUR_SECONDS
-    youngest = report.youngest / _HOUR_SECONDS
+    youngest = _span_text(report.youngest)
+    oldest = _span_text(report.oldest)
     text = (
-        f'{report.instances} instances answered. They remember requests of '
-        f'the last {youngest:.1f} to {oldest:.1f} hours; what instances '
-        'counted that have stopped is lost.'
+        f'{report.instances} instances answered. They remember the last '
+        f'{youngest} to {oldest}; what instances counted that have stopped '
+        'is lost.'
     )
     if report.missing:
         text += f' No answer from: {", ".join(report.missing)}.'
@@ -100,6 +101,12 @@
     )
 
 
+def _span_text(seconds: float) -> str:
+    if seconds < _HOUR_SECONDS:
+        return f'{seconds / _MINUTE_SECONDS:.0f} min'
+    return f'{seconds / _HOUR_SECONDS:.1f} h'
+
+
 def _cells(burn: ObjectiveBurn) -> list[str]:
     name = f'{burn.indicator} {burn.target * _PERCENT:g} %'
     if burn.threshold is not None:
