--- a/mintlanding/membership/changes.py
+++ b/mintlanding/membership/changes.py
@@ -7,7 +7,7 @@
 from mintlanding.membership.digests import DigestBook, load_of
 from mintlanding.membership.journal import Entry, Journal
 from mintlanding.membership.messages import MemberRecord, WorkerLoad
-from mintlanding.membership.models import MembershipTerms
+from mintlanding.membership.models import Member, MembershipTerms
 from mintlanding.placement.messages import WorkerDigest
 
 _FRAME_WEIGHT = 12
@@ -68,7 +68,7 @@
         self._journal.forget((Kind.frame, worker))
         self._journal.forget((Kind.load, worker))
 
-    def parcel(self, instance: str, region: str, after: int) -> Parcel:
+    def parcel(self, peer: Member, after: int) -> Parcel:
         """Gather what the peer lacks, oldest first, within the bounds."""
         parcel = Parcel(self._journal.number)
         framed: set[str] = set()
@@ -76,8 +76,8 @@
             if self._is_full(parcel):
                 parcel.number = entry.number - 1
                 break
-            if entry.source != instance:
-                self._add(parcel, entry, region, framed)
+            if entry.source != source_of(peer):
+                self._add(parcel, entry, peer.region, framed)
         return parcel
 
     def _is_full(self, parcel: Parcel) -> bool:
@@ -106,3 +106,8 @@
             parcel.digests.append(held.digest)
         elif name not in framed:
             parcel.loads.append(load_of(held.digest, held.frame))
+
+
+def source_of(member: Member) -> str:
+    """Name one life of an instance; the next one has forgotten all."""
+    return f'{member.instance} {member.incarnation}'
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -1,11 +1,11 @@
 """The membership of one instance: what it knows, tells and calls."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Self
 
 from mintlanding.membership.book import MemberBook, renumber
-from mintlanding.membership.changes import ChangeLog, Kind
+from mintlanding.membership.changes import ChangeLog, Kind, source_of
 from mintlanding.membership.confirmations import Confirmations
 from mintlanding.membership.digests import DigestBook
 from mintlanding.membership.links import Links
@@ -118,7 +118,7 @@
 
     def leave(self, now: float) -> list[MembershipAction]:
         """Tell everyone that this instance is leaving."""
-        self._record = with_state(self._record, MemberState.leaving)
+        self._begin_leaving()
         self._round_at = now
         return self.tick(now)
 
@@ -171,9 +171,10 @@
         if sender == self.own.instance:
             self._answer_doubts(message.sender)
             return
-        self._learn(message.sender, sender)
+        source = source_of(message.sender.member)
+        self._learn(message.sender, source)
         for record in message.records:
-            self._learn(record, sender)
+            self._learn(record, source)
         known = self._book.get(sender)
         same = message.sender.member.incarnation
         if known is None or known.record.member.incarnation != same:
@@ -189,18 +190,25 @@
         elif self._book.learn(record):
             self._log.record(Kind.member, name, source)
 
+    def _begin_leaving(self) -> None:
+        if self.own.state != MemberState.leaving:
+            self._record = with_state(self._record, MemberState.leaving)
+            self._events.append(MemberChanged(self.own))
+
     def _answer_doubts(self, told: MemberRecord) -> None:
         if told.member.incarnation > self.own.incarnation:
             self._events.append(Superseded(told.member.incarnation))
         if told.member.incarnation != self.own.incarnation:
             return
+        if told.member.state == MemberState.leaving:
+            self._begin_leaving()
         if told.sequence > self._record.sequence or (
             told.sequence == self._record.sequence and told.witnesses
         ):
             self._record = renumber(self._record, told.sequence + 1)
 
     def _take_digests(self, message: Heartbeat) -> None:
-        sender = message.sender.member.instance
+        sender = source_of(message.sender.member)
         for digest in message.digests:
             if self._digests.accept(digest):
                 self._log.record(Kind.frame, digest.worker, sender)
@@ -227,10 +235,7 @@
 
     def _round(self, now: float) -> list[MembershipAction]:
         view = self.members(now)
-        present = [
-            each for each in view.values() if each.state != MemberState.gone
-        ]
-        called = choose_neighbours(self.own, present, self._terms)
+        called = self._called(view.values())
         for name in self._book.doubt(called, now):
             self._log.record(Kind.member, name)
         lost = [
@@ -250,6 +255,17 @@
         sends.extend(self._call_seeds(view, now))
         return sends
 
+    def _called(self, view: Collection[Member]) -> dict[str, Member]:
+        """Return the neighbours, and those that take the silent ones' place.
+
+        A silent neighbour is called on, but no link may depend on it.
+        """
+        present = [each for each in view if each.state != MemberState.gone]
+        heard = [each for each in present if each.state != MemberState.silent]
+        called = choose_neighbours(self.own, heard, self._terms)
+        called.update(choose_neighbours(self.own, present, self._terms))
+        return called
+
     def _call_seeds(
         self,
         view: Mapping[str, Member],
@@ -270,7 +286,7 @@
         link = self._links.get(peer.instance)
         is_same = link.incarnation == peer.incarnation
         after = link.acknowledged if is_same else 0
-        parcel = self._log.parcel(peer.instance, peer.region, after)
+        parcel = self._log.parcel(peer, after)
         return Heartbeat(
             sender=self._record,
             sent=now,
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -126,6 +126,17 @@
     assert seen.incarnation == 2
 
 
+def test_restarted_member_learns_again_what_it_had_told():
+    members = make_members(3)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(3)
+    fleet.start(later(members[0], 2))
+    fleet.run(5)
+    assert 'w1' in fleet.nodes['i0'].digests()
+
+
 def test_older_process_of_an_instance_learns_that_it_is_superseded():
     members = make_members(4)
     fleet = Fleet(members)
@@ -207,6 +218,18 @@
     assert {fleet.states(name)['i5'] for name in fleet.up} == {'gone'}
 
 
+def test_dead_gateways_do_not_part_the_zones():
+    terms = MembershipTerms(mesh_limit=2, gateways=1)
+    fleet = Fleet(make_members(5), terms)
+    fleet.run(20)
+    fleet.up -= {'i1', 'i2', 'i3'}
+    fleet.run(60)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    assert fleet.states('i0')['i4'] == 'live'
+    assert 'w1' in fleet.nodes['i4'].digests()
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
