Acknowledge only changes that follow on those received

Cause: a heartbeat composed for an earlier life of an instance begins above what the new life has received; the new life acknowledged it and never got the rest. Found by the state machine (views did not converge after restarts). Before: test_heartbeat_for_an_earlier_life_leaves_no_gap failed. After: a heartbeat names where its changes begin; 25 tests pass in 43 s on a busy machine (pytest mintlanding/membership), state machines included.

--- a/mintlanding/membership/links.py
+++ b/mintlanding/membership/links.py
@@ -27,13 +27,18 @@
         return self._links.get(instance, Link(0))
 
     def note(self, message: Heartbeat) -> None:
-        """Take the numbers of a heartbeat that has been applied."""
+        """Take the numbers of a heartbeat that has been applied.
+
+        One meant for an earlier life of this instance begins above what this
+        life has received, and is not acknowledged.
+        """
         member = message.sender.member
         link = self._links.get(member.instance)
         if link is None or link.incarnation != member.incarnation:
             link = Link(member.incarnation)
             self._links[member.instance] = link
-        link.received = max(link.received, message.journal)
+        if message.journal_after <= link.received:
+            link.received = max(link.received, message.journal)
         if message.acknowledged_incarnation == self._incarnation:
             link.acknowledged = max(link.acknowledged, message.acknowledged)
 
--- a/mintlanding/membership/messages.py
+++ b/mintlanding/membership/messages.py
@@ -45,7 +45,8 @@
     """A heartbeat and its reply.
 
     `sent` is the caller's monotonic second, which the reply gives back as
-    `echo`. `journal` numbers the sender's changes up to those carried here;
+    `echo`. The changes carried are those of the sender's journal above
+    `journal_after` up to `journal`;
     `acknowledged` is the last number received from the other side while it
     had the incarnation `acknowledged_incarnation`. `revision` was the newest
     configuration `confirmed_age` seconds ago; negative means never.
@@ -54,6 +55,7 @@
     sender: MemberRecord
     sent: float = 0
     echo: float = 0
+    journal_after: int = 0
     journal: int = 0
     acknowledged: int = 0
     acknowledged_incarnation: int = 0
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -291,6 +291,7 @@
             sender=self._record,
             sent=now,
             echo=echo,
+            journal_after=after,
             journal=parcel.number,
             acknowledged=link.received if is_same else 0,
             acknowledged_incarnation=link.incarnation if is_same else 0,
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -137,6 +137,18 @@
     assert 'w1' in fleet.nodes['i0'].digests()
 
 
+def test_heartbeat_for_an_earlier_life_leaves_no_gap():
+    members = make_members(2)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    fleet.start(later(members[1], 2))
+    fleet.take('i0', fleet.nodes['i0'].tick(fleet.now + 1))
+    fleet.run(5)
+    assert 'w1' in fleet.nodes['i1'].digests()
+
+
 def test_older_process_of_an_instance_learns_that_it_is_superseded():
     members = make_members(4)
     fleet = Fleet(members)
