--- /dev/null
+++ b/mintlanding/cli/commands.py
@@ -0,0 +1,310 @@
+"""The commands of operators."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from mintlanding.admin.messages import ApplyRequest
+from mintlanding.cli.client import object_path
+from mintlanding.cli.exceptions import CommandError, ExitCode
+from mintlanding.cli.files import (
+    check_objects,
+    is_settings,
+    read_documents,
+    read_objects,
+)
+from mintlanding.cli.groups import KeyCommands, ReportCommands
+from mintlanding.cli.output import (
+    Output,
+    Result,
+    cell,
+    changes_table,
+    moment,
+    objects_table,
+    table,
+)
+from mintlanding.cli.parsing import is_set, parse_collection, parse_number
+from mintlanding.cli.plans import Options, Plan
+from mintlanding.cli.views import (
+    changed,
+    edits_text,
+    real_changes,
+    status_result,
+)
+from mintlanding.conf.exceptions import SettingsError
+from mintlanding.conf.loader import load_settings
+
+POLL_SECONDS = 0.5
+PAGE_OBJECTS = 1000
+
+
+class Commands:
+    """Administer mintlanding.
+
+    The administration API is found by MINTLANDING_ADMIN or --url, the
+    operator's token by MINTLANDING_TOKEN or --token-file. --output json
+    writes for programs. docs/reference/commands.md lists the exit codes.
+    """
+
+    def __init__(
+        self,
+        *,
+        output: str = 'table',
+        url: str = '',
+        token_file: str = '',
+    ) -> None:
+        """Take the options of all commands."""
+        self._options = Options(Output.parse(output), url, token_file)
+        self.keys = KeyCommands(self._options)
+        self.report = ReportCommands(self._options)
+
+    def check(self, file: str) -> Plan:
+        """Check a file of settings or of objects, without a server.
+
+        Args:
+            file: Path of the YAML file, or - for standard input.
+        """
+        return self._plan(lambda: _check(file))
+
+    def apply(self, file: str, *, dry_run: bool = False) -> Plan:
+        """Put and delete the objects of a file, all or none.
+
+        Args:
+            file: Path of the YAML file, or - for standard input.
+            dry_run: Only tell what would change.
+        """
+        return self._plan(lambda: self._apply(file, is_set(dry_run)))
+
+    def diff(self, file: str) -> Plan:
+        """Tell what applying a file would change; exits 10 if anything.
+
+        Args:
+            file: Path of the YAML file, or - for standard input.
+        """
+        return self._plan(lambda: self._diff(file))
+
+    def get(self, kind: str, name: str) -> Plan:
+        """Show one object.
+
+        Args:
+            kind: Kind of the object, such as adapter.
+            name: Name of the object.
+        """
+        return self._plan(lambda: self._get(kind, name))
+
+    def list(
+        self,
+        kind: str,
+        *,
+        selector: str = '',
+        workspace: str = '',
+    ) -> Plan:
+        """List the objects of a kind.
+
+        Args:
+            kind: Kind of the objects, such as adapters.
+            selector: Label selector, such as 'tier=gold, !retired'.
+            workspace: Only objects of this workspace.
+        """
+        return self._plan(lambda: self._list(kind, selector, workspace))
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        *,
+        version: str = '',
+        dry_run: bool = False,
+    ) -> Plan:
+        """Delete an object that is not in use.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            version: Only if the object is still at this version.
+            dry_run: Only tell what would change.
+        """
+        held = parse_number('version', version) if version else None
+        return self._plan(
+            lambda: self._delete(kind, name, held, is_set(dry_run)),
+        )
+
+    def history(self, *, limit: str = '20') -> Plan:
+        """Show who changed what when, newest first.
+
+        Args:
+            limit: How many changes to show.
+        """
+        return self._plan(lambda: self._history(parse_number('limit', limit)))
+
+    def status(self, *, wait: str = '0') -> Plan:
+        """Show at which revision each daemon is; exits 11 if one is behind.
+
+        Args:
+            wait: Seconds to wait for the newest revision to be in force.
+        """
+        return self._plan(lambda: self._status(parse_number('wait', wait)))
+
+    def explain(self, model: str, *, workspace: str, caller: str = '') -> Plan:
+        """Show which rule takes a request where, and why not the others.
+
+        Args:
+            model: What the request names: adapter, adapter@version or
+                selector:name.
+            workspace: Workspace of the key.
+            caller: Id of the caller, for sticky selectors.
+        """
+        return self._plan(lambda: self._explain(model, workspace, caller))
+
+    def drain(self, instance: str) -> Plan:
+        """Ask an instance to leave; accepted work ends first.
+
+        Args:
+            instance: Name of the instance.
+        """
+        return self._plan(lambda: self._drain(instance))
+
+    def _plan(self, work: Callable[[], Result]) -> Plan:
+        return Plan(self._options, work)
+
+    def _apply(self, file: str, dry_run: bool) -> Result:
+        body = _body_of(read_objects(file))
+        client = self._options.connect()
+        query = _dry_run_query(dry_run)
+        found = client.change('POST', '/v1/apply', body, query=query)
+        return changed(found)
+
+    def _diff(self, file: str) -> Result:
+        body = _body_of(read_objects(file))
+        found = self._options.connect().change('POST', '/v1/diff', body)
+        changes = real_changes(found)
+        if not changes:
+            return Result(found, 'nothing would change')
+        return Result(found, changes_table(changes), ExitCode.differs)
+
+    def _get(self, kind: str, name: str) -> Result:
+        path = object_path(parse_collection(kind), name)
+        found = self._options.connect().get(path)
+        rows = [[field, cell(held)] for field, held in found.items()]
+        return Result(found, table(rows, ['field', 'value']))
+
+    def _list(self, kind: str, selector: str, workspace: str) -> Result:
+        path = f'/v1/{parse_collection(kind)}'
+        pages = self._options.connect().pages(
+            path,
+            selector=selector,
+            workspace=workspace,
+            limit=PAGE_OBJECTS,
+        )
+        items = [item for page in pages for item in page['items']]
+        return Result(items, objects_table(items))
+
+    def _delete(
+        self,
+        kind: str,
+        name: str,
+        version: int | None,
+        dry_run: bool,
+    ) -> Result:
+        path = object_path(parse_collection(kind), name)
+        query = _dry_run_query(dry_run)
+        client = self._options.connect()
+        return changed(
+            client.change('DELETE', path, version=version, query=query)
+        )
+
+    def _history(self, limit: int) -> Result:
+        found = self._options.connect().get('/v1/history', limit=limit)
+        rows = [
+            [
+                commit['revision'],
+                moment(commit['at']),
+                commit['author'],
+                edits_text(commit),
+            ]
+            for commit in found['commits']
+        ]
+        headers = ['revision', 'when', 'who', 'what']
+        return Result(found['commits'], table(rows, headers))
+
+    def _status(self, wait: int) -> Result:
+        client = self._options.connect()
+        until = time.monotonic() + wait
+        found = client.get('/v1/status')
+        while not found['in_force'] and time.monotonic() < until:
+            time.sleep(POLL_SECONDS)
+            found = client.get('/v1/status')
+        return status_result(found)
+
+    def _explain(self, model: str, workspace: str, caller: str) -> Result:
+        found = self._options.connect().get(
+            '/v1/explain',
+            model=model,
+            workspace=workspace,
+            caller=caller,
+        )
+        rows = [
+            ['yes' if rule['taken'] else 'no', rule['rule'], rule['reason']]
+            for rule in found['rules']
+        ]
+        head = f'{model} in {workspace}: {found["outcome"]}'
+        if found['adapter']:
+            head = (
+                f'{model} in {workspace} runs on {found["adapter"]}@'
+                f'{found["version"]}, service {found["service"]}, '
+                f'targets {", ".join(found["targets"]) or "(none)"}'
+            )
+        rules = table(rows, ['taken', 'rule', 'reason'])
+        done = found['outcome'] == 'done'
+        exit_code = ExitCode.done if done else ExitCode.refused
+        return Result(found, f'{head}\n\n{rules}', exit_code)
+
+    def _drain(self, instance: str) -> Result:
+        client = self._options.connect()
+        found = client.change('POST', '/v1/drain', {'instance': instance})
+        return Result(found, f'{instance} is {found["state"]}')
+
+
+def _check(file: str) -> Result:
+    documents = read_documents(file)
+    if is_settings(documents):
+        return _check_settings(file)
+    wanted = read_objects(file)
+    mistakes = check_objects(wanted)
+    if mistakes:
+        raise CommandError(
+            ExitCode.usage,
+            f'{file} has {len(mistakes)} mistake(s)',
+            'correct them and check again',
+            mistakes,
+        )
+    count = len(wanted.objects) + len(wanted.deletions)
+    text = (
+        f'{file}: {count} object(s), no mistakes; `mintlanding diff` compares'
+    )
+    return Result({'file': file, 'objects': count, 'mistakes': []}, text)
+
+
+def _check_settings(file: str) -> Result:
+    try:
+        load_settings(file)
+    except SettingsError as exc:
+        raise CommandError(
+            ExitCode.usage,
+            f'the settings cannot be used\n{exc}',
+            'docs/reference/settings.md describes each setting',
+        ) from exc
+    found = {'file': file, 'settings': True, 'mistakes': []}
+    return Result(found, f'{file}: settings, no mistakes')
+
+
+def _body_of(wanted: ApplyRequest) -> dict[str, Any]:
+    body: dict[str, Any] = wanted.model_dump(
+        mode='json',
+        exclude_none=True,
+    )
+    return body
+
+
+def _dry_run_query(dry_run: bool) -> dict[str, str]:
+    return {'dry_run': 'true'} if dry_run else {}
--- /dev/null
+++ b/mintlanding/cli/views.py
@@ -0,0 +1,62 @@
+"""How answers of the administration API are shown."""
+
+from typing import Any
+
+from mintlanding.cli.exceptions import ExitCode
+from mintlanding.cli.output import Result, changes_table, table
+
+
+def changed(found: dict[str, Any]) -> Result:
+    changes = real_changes(found)
+    if found['repeated']:
+        tail = f'accepted before, at revision {found["revision"]}'
+    elif not changes:
+        tail = f'nothing to change at revision {found["revision"]}'
+    elif found['dry_run']:
+        tail = f'dry run: nothing was changed at revision {found["revision"]}'
+    else:
+        tail = f'accepted at revision {found["revision"]}'
+    shown = f'{changes_table(changes)}\n\n' if changes else ''
+    return Result(found, f'{shown}{tail}')
+
+
+def edits_text(commit: dict[str, Any]) -> str:
+    edits = [
+        f'{edit["action"]} {edit["kind"]} {edit["name"]}'
+        for edit in commit['edits']
+    ]
+    if commit['unlisted_edits']:
+        edits.append(f'and {commit["unlisted_edits"]} more')
+    return '\n'.join(edits)
+
+
+def status_result(found: dict[str, Any]) -> Result:
+    rows = [
+        [
+            daemon['instance'],
+            daemon['zone'],
+            daemon['state'],
+            daemon['revision'],
+            'yes' if daemon['is_current'] else 'no',
+            _seconds(daemon['stale_seconds']),
+        ]
+        for daemon in found['daemons']
+    ]
+    headers = ['instance', 'zone', 'state', 'revision', 'current', 'stale s']
+    verdict = 'in force everywhere' if found['in_force'] else 'not yet in force'
+    after = ''
+    if found['seconds'] is not None:
+        after = f' after {found["seconds"]:.2f} s'
+    head = f'revision {found["revision"]} {verdict}{after}'
+    exit_code = ExitCode.done if found['in_force'] else ExitCode.not_in_force
+    return Result(found, f'{head}\n\n{table(rows, headers)}', exit_code)
+
+
+def _seconds(found: float | None) -> str:
+    return '' if found is None else f'{found:.1f}'
+
+
+def real_changes(found: dict[str, Any]) -> list[dict[str, Any]]:
+    return [
+        change for change in found['changes'] if change['action'] != 'unchanged'
+    ]
--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -7,15 +7,13 @@
 
 import msgspec
 
-from mintlanding.core.clock import Clock
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.engines.client import EngineClient, OpenedAnswer
 from mintlanding.engines.models import GenerateRequest
 from mintlanding.engines.relay import StreamRelay
-from mintlanding.entry.background import Background
-from mintlanding.entry.control import ControlClient
+from mintlanding.entry.context import EntryContext
 from mintlanding.entry.generation import Generation
 from mintlanding.entry.pins import Pins
-from mintlanding.entry.targets import EntryTargets
 from mintlanding.placement.messages import ReleaseRequest, ReserveRequest
 from mintlanding.routing.models import (
     Attempt,
@@ -23,7 +21,6 @@
     RetryAfter,
     WorkerRoute,
 )
-from mintlanding.routing.retries import RetryPolicy
 
 _PROGRESS: Mapping[Ran, Progress] = {
     Ran.not_run: Progress.refused,
@@ -37,6 +34,13 @@
         ResultCode.target_wrong_adapter,
     ),
 )
+_LOST_CODES = frozenset(
+    (
+        ResultCode.target_interrupted,
+        ResultCode.target_timeout,
+        ResultCode.outcome_unknown,
+    ),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,21 +58,14 @@
 class Dispatcher:
     """Start generations; whatever it has reserved it releases."""
 
-    def __init__(
-        self,
-        targets: EntryTargets,
-        control: ControlClient,
-        background: Background,
-        retries: RetryPolicy,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, context: EntryContext) -> None:
         """Take what to choose from and whom to ask."""
         self.pins = Pins()
-        self._targets = targets
-        self._control = control
-        self._background = background
-        self._retries = retries
-        self._clock = clock
+        self._targets = context.targets
+        self._control = context.control
+        self._background = context.background
+        self._retries = context.retries
+        self._clock = context.clock
         self._rnd = random.Random()  # noqa: S311
 
     async def start(self, job: Job) -> Outcome[Generation]:
@@ -159,6 +156,8 @@
         generate = replace(job.generate, request_id=req.reservation_id)
         job.note_sent()
         opened = await engine.generate(generate)
+        if isinstance(opened, Failed) and _may_be_lost(opened, generate):
+            opened = await self._look_for(engine, generate, opened)
         if isinstance(opened, Failed):
             return opened
         relay = StreamRelay(
@@ -172,6 +171,16 @@
             Generation(relay, route.worker, req.reservation_id, stalled),
         )
 
+    async def _look_for(
+        self,
+        engine: EngineClient,
+        generate: GenerateRequest,
+        failure: Failed,
+    ) -> Outcome[OpenedAnswer]:
+        """Take up a stream whose first connection gave no answer."""
+        resumed = await engine.resume(generate.ref, generate.request_id, 0)
+        return resumed if isinstance(resumed, Done) else failure
+
     async def _finish(self, generation: Generation, used: float) -> None:
         await generation.relay.cancel()
         await self._release(
@@ -202,3 +211,8 @@
         if address:
             req = ReleaseRequest(reservation_id, worker, used)
             await self._control.release_worker(address, req)
+
+
+def _may_be_lost(failure: Failed, generate: GenerateRequest) -> bool:
+    may_run = failure.ran is not Ran.not_run
+    return may_run and generate.is_stream and failure.code in _LOST_CODES
--- a/mintlanding/limits/messages.py
+++ b/mintlanding/limits/messages.py
@@ -10,9 +10,14 @@
 
 
 class Announce(msgspec.Struct, frozen=True, tag='a', array_like=True):
-    """The seats that the sender uses as its own."""
+    """The seats that the sender uses as its own, at `stamp` of its clock.
+
+    A sender that is leaving is to be given no more loans.
+    """
 
     seats: tuple[int, ...]
+    stamp: float
+    is_leaving: bool = False
 
 
 class Ask(msgspec.Struct, frozen=True, tag='k', array_like=True):
@@ -76,10 +81,15 @@
 
 
 class Grant(msgspec.Struct, frozen=True, tag='g', array_like=True):
-    """The tokens of a draw are charged."""
+    """The tokens of a draw are charged.
+
+    `confirm` asks for a `Landed`: the bucket is so full that tokens on their
+    way keep others from accruing.
+    """
 
     request_id: str
     workspace: str
+    confirm: bool = False
 
 
 class Refuse(msgspec.Struct, frozen=True, tag='n', array_like=True):
@@ -111,23 +121,40 @@
     request_id: str
 
 
-class Seat(msgspec.Struct, frozen=True, array_like=True):
-    """A seat that changes hands, with the epoch of its record."""
+class HandOver(msgspec.Struct, frozen=True, tag='h', array_like=True):
+    """Seats that a leaving instance gives to the receiver.
+
+    `stamp` repeats the receiver's clock from its latest announcement. The
+    loans say what moves along, one for each workspace; `number` tells this
+    hand-over from others of the sender.
+    """
 
     number: int
-    epoch: int
+    stamp: float
+    seats: tuple[int, ...]
+    loans: tuple[Loan, ...]
 
 
-class HandOver(msgspec.Struct, frozen=True, tag='h', array_like=True):
-    """Seats that a leaving instance gives to the receiver."""
+class HandedOver(msgspec.Struct, frozen=True, tag='o', array_like=True):
+    """The receiver has taken a hand-over."""
 
-    seats: tuple[Seat, ...]
+    number: int
 
 
-class HandedOver(msgspec.Struct, frozen=True, tag='o', array_like=True):
-    """Seats that the receiver has taken."""
+class Want(msgspec.Struct, frozen=True, tag='w', array_like=True):
+    """Ask a peer for spare tokens; only the ask-all policy sends it."""
+
+    request_id: str
+    workspace: str
+    tokens: float
 
-    seats: tuple[Seat, ...]
+
+class Give(msgspec.Struct, frozen=True, tag='v', array_like=True):
+    """Spare tokens for a request; only the ask-all policy sends it."""
+
+    request_id: str
+    workspace: str
+    tokens: float
 
 
 LimitsMessage = Union[
@@ -144,6 +171,8 @@
     Settled,
     HandOver,
     HandedOver,
+    Want,
+    Give,
 ]
 
 
@@ -199,4 +228,19 @@
     seats: frozenset[int]
 
 
-Action = Send | Answer | SeatsLost
+@dataclass(frozen=True, slots=True)
+class SeatsReceived:
+    """A leaving instance has handed these seats over to this one."""
+
+    seats: frozenset[int]
+
+
+@dataclass(frozen=True, slots=True)
+class SeatsHandedOver:
+    """These seats belong to another instance from now on."""
+
+    seats: frozenset[int]
+
+
+Event = SeatsLost | SeatsReceived | SeatsHandedOver
+Action = Send | Answer | Event
--- a/mintlanding/placement/authority.py
+++ b/mintlanding/placement/authority.py
@@ -15,8 +15,8 @@
         'source': (_State.gathering, _State.held),
         'dest': _State.lapsed,
     },
-    {'trigger': 'renew', 'source': _State.lapsed, 'dest': _State.gathering},
-    {'trigger': 'supersede', 'source': '*', 'dest': _State.superseded},
+    {'trigger': 'extend', 'source': _State.lapsed, 'dest': _State.gathering},
+    {'trigger': 'retire', 'source': '*', 'dest': _State.superseded},
 )
 
 
@@ -47,7 +47,6 @@
             transitions=_TRANSITIONS,
             initial=_State.none,
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
 
     def take_over(self, fencing: int, now: float, until: float) -> bool:
@@ -66,7 +65,7 @@
     def renew(self, until: float, now: float) -> None:
         """Extend the lease under its number."""
         self._until = until
-        self._trigger('renew')
+        self._trigger('extend')
         self.advance(now)
 
     def lose(self) -> None:
@@ -75,7 +74,7 @@
 
     def supersede(self) -> None:
         """Note that a newer steward exists."""
-        self._trigger('supersede')
+        self._trigger('retire')
 
     def confirm(self, now: float) -> None:
         """Note that the engine knows the number."""
@@ -93,7 +92,7 @@
         """Move on with time: the lease ends, or the pins become known."""
         if now >= self._until:
             self._trigger('lapse')
-        if self._knows_pins(now):
+        if self.state is _State.gathering and self._knows_pins(now):
             self._trigger('hold')
 
     @property
@@ -121,6 +120,10 @@
             return False
         return self.may_load() and self._knows_pins(now)
 
+    def may_evict_later(self) -> bool:
+        """Tell whether evictions are allowed now or once pins are known."""
+        return self.state is not _State.lapsed or self._checks_fencing
+
     def _knows_pins(self, now: float) -> bool:
         terms = self._terms
         settled = self._confirmed + terms.report_lag + terms.start_within
@@ -128,4 +131,6 @@
         return self._reported >= settled and (self._has_pins or is_over)
 
     def _trigger(self, name: str) -> None:
+        if name not in self._machine.get_triggers(self.state):
+            return
         self._machine.events[name].trigger(self)
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -1,12 +1,13 @@
 """Which adapter to load next, into which slot, under which permit."""
 
 import random
+from collections.abc import Iterable, Sequence
 
 from mintlanding.placement.admission import Admission
 from mintlanding.placement.authority import Authority
 from mintlanding.placement.eviction import EVICTIONS
 from mintlanding.placement.loads import LoadFailures, PermitBook
-from mintlanding.placement.messages import AdapterRef
+from mintlanding.placement.messages import AdapterRef, ReserveReply
 from mintlanding.placement.models import (
     Action,
     AskPermit,
@@ -62,12 +63,17 @@
         self._next_id += 1
         return self._next_id
 
-    def plan(self, now: float) -> list[Action]:
+    def plan(self, now: float) -> Sequence[Action]:
         """Ask for as many permits as there are loads to make."""
         if not (self._queue.blocked_count() and self._authority.may_load()):
             return []
-        missing = self._needed(now) - self.permits.count(urgent=True)
-        return [self._ask(now, urgent=True) for _ in range(missing)]
+        needed = self._needed(now)
+        urgent = min(needed, self._queue.urgent_count(now))
+        urgent -= self.permits.count(urgent=True)
+        actions = [self._ask(now, urgent=True) for _ in range(urgent)]
+        missing = needed - len(self.permits.asks)
+        actions.extend(self._ask(now, urgent=False) for _ in range(missing))
+        return actions
 
     def permit(self, order_id: int, now: float) -> list[Action]:
         """Use a granted permit or give it back."""
@@ -93,7 +99,7 @@
                 actions.extend(self._retry_pending(slot.ref, now))
         return actions
 
-    def repeat_asks(self, now: float) -> list[Action]:
+    def repeat_asks(self, now: float) -> Sequence[Action]:
         """Repeat refused and unanswered asks that are still needed."""
         due = self.permits.due(now)
         if not due:
@@ -110,6 +116,18 @@
             return []
         return [self._ask(now, urgent=False)]
 
+    def note_grants(self, replies: Iterable[ReserveReply], now: float) -> None:
+        """Count requests that were served, so that a flood counts no more."""
+        for reply in replies:
+            reservation = self._book.get(reply.reservation_id)
+            if reservation is not None:
+                self.popularity.note(reservation.ref, now)
+                self._slots.touch(reservation.ref, now)
+
+    def can_load(self, now: float) -> bool:
+        """Tell whether a further adapter could get a slot at some time."""
+        return self._authority.may_evict_later() or self._slots.free() > 0
+
     def fence(self) -> list[Action]:
         """Show the engine the number, if it checks such numbers."""
         if not self._authority.needs_fence:
@@ -150,7 +168,7 @@
         spare = self._terms.max_loads - len(under_way)
         room = self._slots.free()
         if room < needed and self._authority.may_evict(now):
-            room += len(self._evictable())
+            room += len(self._candidates(now))
         return max(0, min(needed, spare, room - len(self.permits.pending)))
 
     def _next_ref(self, now: float) -> AdapterRef | None:
@@ -205,14 +223,21 @@
     def _victim(self, now: float) -> Slot | None:
         if not self._authority.may_evict(now):
             return None
+        candidates = self._candidates(now)
+        return min(candidates, key=self._key, default=None)
+
+    def _candidates(self, now: float) -> list[Slot]:
+        """Return idle slots, else those whose requests got no place lately.
+
+        A slot just loaded is kept, or else loads would only swap places
+        while the batch is full.
+        """
         evictable = self._evictable()
         idle = [
             slot for slot in evictable if not self._queue.waiting_for(slot.ref)
         ]
-        candidates = idle or evictable
-        if not candidates:
-            return None
-        return min(candidates, key=self._key)
+        before = now - self._terms.demand_patience
+        return idle or [slot for slot in evictable if slot.used < before]
 
     def _key(self, slot: Slot) -> float:
         return self._eviction_key(slot, self.popularity)
@@ -238,5 +263,7 @@
     def _victim_score(self, now: float) -> float | None:
         if not self._authority.may_evict(now):
             return None
-        scores = [self.popularity.score(slot.ref) for slot in self._evictable()]
+        scores = [
+            self.popularity.score(slot.ref) for slot in self._candidates(now)
+        ]
         return min(scores, default=None)
