--- /dev/null
+++ b/benchmarks/counted_agent.py
@@ -0,0 +1,59 @@
+"""Run an agent that also writes how many bytes its sockets carried."""
+
+import asyncio
+import json
+import os
+import socket
+import sys
+import threading
+from asyncio import selector_events
+from pathlib import Path
+
+from mintlanding.agent.__main__ import main
+
+COUNTS = {'sent': 0, 'received': 0}
+PERIOD_SECONDS = 0.5
+
+
+class CountingSocket(socket.socket):
+    """A socket whose bytes are counted."""
+
+    __slots__ = ()
+
+    def recv(self, *args):
+        data = super().recv(*args)
+        COUNTS['received'] += len(data)
+        return data
+
+    def send(self, *args):
+        sent = super().send(*args)
+        COUNTS['sent'] += sent
+        return sent
+
+
+def count_transports():
+    """Let every socket transport of the loop use counting sockets."""
+    transport = selector_events._SelectorSocketTransport
+    real_init = transport.__init__
+
+    def init(self, loop, sock, *args, **kwargs):
+        sock.__class__ = CountingSocket
+        real_init(self, loop, sock, *args, **kwargs)
+        if not hasattr(loop, 'counts_path'):
+            loop.counts_path = Path(os.environ['COUNTS_PATH'])
+            write_counts(loop)
+
+    transport.__init__ = init
+
+
+def write_counts(loop):
+    fields = {**COUNTS, 'threads': threading.active_count()}
+    loop.counts_path.write_text(json.dumps(fields))
+    loop.call_later(PERIOD_SECONDS, write_counts, loop)
+
+
+if __name__ == '__main__':
+    asyncio.set_event_loop_policy(asyncio.DefaultEventLoopPolicy())
+    sys.argv[0] = 'mintlanding-agent'
+    count_transports()
+    main()
