Lose no permit at a cold restart and answer at once what cannot be loaded

Cause: a restart dropped loads under way and loads that waited for an eviction, and their permits were never given back; a report that showed an eviction before its answer had the same effect. Requests that waited when a lease lapsed stayed until their wait was over. Ruled out: leaving it to the permits' own timeout.

--- a/mintlanding/placement/admission.py
+++ b/mintlanding/placement/admission.py
@@ -138,11 +138,11 @@
     def refuse_ref(
         self,
         ref: AdapterRef,
+        code: ResultCode,
         now: float,
-        retry_after: float,
+        retry_after: float = 0,
     ) -> list[ReserveReply]:
         """Refuse what waits for an adapter that does not load."""
-        code = _Code.adapter_load_failed
         return [
             self.refuse(item, code, now, retry_after=retry_after)
             for item in self.queue.remove_ref(ref)
--- a/mintlanding/placement/models.py
+++ b/mintlanding/placement/models.py
@@ -103,7 +103,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnPermit:
-    """Give a permit back; `used` tells whether the store was asked."""
+    """Give a permit back; `used` tells whether the store was asked.
+
+    It may come twice for one order, when a lost answer comes late after all.
+    """
 
     order_id: int
     used: bool = True
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -8,7 +8,11 @@
 from mintlanding.placement.authority import Authority
 from mintlanding.placement.eviction import EVICTIONS
 from mintlanding.placement.loads import LoadFailures, PermitBook
-from mintlanding.placement.messages import AdapterRef, ReserveReply
+from mintlanding.placement.messages import (
+    AdapterRef,
+    EngineReport,
+    ReserveReply,
+)
 from mintlanding.placement.models import (
     Action,
     AskPermit,
@@ -121,6 +125,13 @@
             return []
         return [self._ask(now, urgent=False)]
 
+    def unreachable(self) -> list[AdapterRef]:
+        """List adapters that are waited for and cannot be loaded here."""
+        if self.can_load():
+            return []
+        blocked = self._queue.blocked()
+        return [ref for ref in blocked if self._slots.get(ref) is None]
+
     def note_grants(self, replies: Iterable[ReserveReply], now: float) -> None:
         """Count requests that were served, so that a flood counts no more."""
         for reply in replies:
@@ -129,7 +140,7 @@
                 self.popularity.note(reservation.ref, now)
                 self._slots.touch(reservation.ref, now)
 
-    def can_load(self, now: float) -> bool:
+    def can_load(self) -> bool:
         """Tell whether a further adapter could get a slot at some time."""
         return self._authority.may_evict_later() or self._slots.free() > 0
 
@@ -149,6 +160,13 @@
         self._fences.clear()
         return True
 
+    def restart(self, report: EngineReport, now: float) -> list[Action]:
+        """Begin anew with an engine that restarted."""
+        self.failures.clear()
+        lost = self._slots.restart(report, now)
+        returned = [ReturnPermit(order_id) for order_id in lost]
+        return [*returned, *self.abandon()]
+
     def abandon(self) -> list[Action]:
         """Give back all permits that no running load holds."""
         ids = [*self.permits.asks, *self.permits.pending]
--- a/mintlanding/placement/slots.py
+++ b/mintlanding/placement/slots.py
@@ -85,12 +85,19 @@
             slot.is_doubtful = True
         return found
 
-    def restart(self, report: EngineReport, now: float) -> None:
-        """Forget what a restarted engine has lost.
+    def restart(self, report: EngineReport, now: float) -> list[int]:
+        """Forget what a restarted engine has lost; return the lost loads.
 
         Orders under way may have reached either incarnation, so that only a
         later report settles them.
         """
+        lost = [
+            slot.order_id
+            for slot in self
+            if slot.state is SlotState.loading
+            and slot.order_id
+            and not slot.is_doubtful
+        ]
         self.incarnation = report.incarnation
         self._orders.clear()
         for slot in self:
@@ -101,17 +108,19 @@
             else:
                 self._slots.pop(slot.ref)
         self._removed.clear()
+        return lost
 
     def apply(self, report: EngineReport, now: float) -> None:
         """Correct the slots by a report of the same incarnation."""
         before = now - self._lag
         resident, loading = set(report.resident), set(report.loading)
         for slot in self:
-            if slot.changed >= before:
+            is_awaited = bool(slot.order_id) and not slot.is_doubtful
+            if is_awaited or slot.changed >= before:
                 continue
             if slot.ref in resident:
                 self._confirm(slot, now)
-            elif not self._may_be_loading(slot, loading):
+            elif not self._is_loading(slot, loading):
                 self._remove(slot, now)
         for held in report.resident + report.loading:
             self._adopt(held, held in resident, before)
@@ -128,10 +137,8 @@
         if slot is not None:
             slot.used = now
 
-    def _may_be_loading(self, slot: Slot, loading: set[AdapterRef]) -> bool:
-        is_loading = slot.state is SlotState.loading
-        awaits = bool(slot.order_id) and not slot.is_doubtful
-        return is_loading and (awaits or slot.ref in loading)
+    def _is_loading(self, slot: Slot, loading: set[AdapterRef]) -> bool:
+        return slot.state is SlotState.loading and slot.ref in loading
 
     def _confirm(self, slot: Slot, now: float) -> None:
         if slot.is_doubtful:
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -116,16 +116,16 @@
         if known is not None and report.incarnation < known:
             return []
         self._heard = now
+        actions: list[Action] = []
         if known is None:
             self._slots.incarnation = report.incarnation
         elif report.incarnation > known:
-            self._slots.restart(report, now)
-            self._planner.failures.clear()
+            actions.extend(self._planner.restart(report, now))
         self._slots.apply(report, now)
         self._authority.report(now)
         settled = now - self._terms.report_lag - self._terms.start_within
         self._admission.book.release_orphans(frozenset(report.busy), settled)
-        return self._proceed(now)
+        return [*actions, *self._proceed(now)]
 
     def load_done(
         self,
@@ -142,10 +142,13 @@
             return [ReturnPermit(order_id), *self._proceed(now)]
         self._planner.failures.note(slot.ref, now)
         barred = self._planner.failures.refused_for(slot.ref, now)
-        replies = (
-            self._admission.refuse_ref(slot.ref, now, barred) if barred else []
-        )
-        return [ReturnPermit(order_id), *replies, *self._proceed(now)]
+        actions: list[Action] = [ReturnPermit(order_id)]
+        if barred:
+            code = _Code.adapter_load_failed
+            actions.extend(
+                self._admission.refuse_ref(slot.ref, code, now, barred),
+            )
+        return [*actions, *self._proceed(now)]
 
     def evict_done(
         self,
@@ -255,6 +258,9 @@
             detail = 'the engine is silent'
             code = _Code.no_target
             actions.extend(self._admission.refuse_all(code, now, detail))
+        for ref in self._planner.unreachable():
+            code = _Code.no_target
+            actions.extend(self._admission.refuse_ref(ref, code, now))
         actions.extend(self._planner.repeat_asks(now))
         actions.extend(self._proceed(now))
         if not self._is_leaving:
@@ -271,7 +277,7 @@
             queued=len(queue),
             queued_tokens=queue.tokens,
             running=len(self._admission.book),
-            can_load=self._planner.can_load(now),
+            can_load=self._planner.can_load(),
             silent=self._is_silent(now),
             leaving=self._is_leaving,
         )
@@ -299,7 +305,7 @@
             return _Code.draining
         if not self._authority.is_active or self._is_silent(now):
             return _Code.no_target
-        if self._slots.get(ref) is None and not self._planner.can_load(now):
+        if self._slots.get(ref) is None and not self._planner.can_load():
             return _Code.no_target
         return None
 
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -9,6 +9,7 @@
     EvictOrder,
     FenceOrder,
     LeaseState,
+    LoadOrder,
     ReserveReply,
     ReturnPermit,
     StewardTerms,
@@ -212,6 +213,14 @@
     assert not steward.digest(READY).can_load
 
 
+def test_lapsed_lease_refuses_what_waits_for_an_eviction(steward):
+    fill(steward)
+    steward.reserve(request(3, ref_of(3), wait=60), READY)
+    steward.lease_lost(READY)
+    code = ResultCode.no_target
+    assert replies(steward.tick(READY)) == [('r3', code)]
+
+
 def test_lapsed_lease_allows_loads_into_free_slots(steward):
     fill(steward, count=1)
     steward.lease_lost(READY)
@@ -291,3 +300,35 @@
     (reply,) = steward.reserve(request(12, ref_of(1), wait=2), READY + 10)
     assert reply.code == ResultCode.deadline_unreachable
     assert reply.retry_after > 1
+
+
+def test_cold_restart_gives_back_the_permits_of_lost_loads(steward):
+    order = load(steward, ref_of(1), 1, READY)
+    actions = steward.engine_report(report(incarnation=2), READY + 1)
+    assert ReturnPermit(order.order_id) in actions
+
+
+def test_cold_restart_gives_back_the_permit_of_a_waiting_load(steward):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(steward.reserve(request(3, ref_of(3)), READY), AskPermit)
+    assert only(steward.permit(ask.order_id, True, 0, READY), EvictOrder)
+    actions = steward.engine_report(report(incarnation=2), READY + 1)
+    assert ReturnPermit(ask.order_id, used=False) in actions
+    assert only(actions, AskPermit)
+
+
+def test_report_that_shows_an_eviction_before_its_answer_loses_no_load(
+    steward,
+):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(steward.reserve(request(3, ref_of(3)), READY), AskPermit)
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    (held,) = {ref_of(1), ref_of(2)} - {evict.ref}
+    later = READY + TERMS.report_lag + 0.5
+    steward.engine_report(report(held), later)
+    actions = steward.evict_done(evict.order_id, True, later)
+    assert [order.ref for order in only(actions, LoadOrder)] == [ref_of(3)]
--- a/mintlanding/placement/tests/test_steward_machine.py
+++ b/mintlanding/placement/tests/test_steward_machine.py
@@ -410,9 +410,11 @@
         assert set(self.active.values()) <= self.engine.resident
 
     def teardown(self):
-        self.now += 100
-        for steward in self.stewards:
-            self.run(steward, steward.tick(self.now))
+        for _ in range(3):
+            self.now += 100
+            for steward in self.stewards:
+                self.run(steward, steward.tick(self.now))
+        assert not self.permits, 'permits that were not given back'
         for reservation_id, steward in self.asked_of.items():
             assert (steward, reservation_id) in self.answered
 
