--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -99,11 +99,21 @@
     )
 
 
-def show(rows):
-    widths = [max(len(str(r[i])) for r in rows) for i in range(len(rows[0]))]
-    for line in rows:
-        cells = (str(c).ljust(w) for c, w in zip(line, widths))
-        print('  '.join(cells).rstrip(), flush=True)
+def show(cells, widths):
+    line = (str(cell).ljust(width) for cell, width in zip(cells, widths))
+    print('  '.join(line).rstrip(), flush=True)
+
+
+def show_limits(seed):
+    """Print the rows of the limits, measured by their own module."""
+    if importlib.util.find_spec('benchmarks.measure_limits') is None:
+        return
+    rows = importlib.import_module('benchmarks.measure_limits').rows(seed)
+    table = [tuple(str(cell) for cell in each) for each in rows]
+    widths = [max(map(len, column)) for column in zip(*table)]
+    print()
+    for cells in table:
+        show(cells, widths)
 
 
 def plot(path, runs):
@@ -132,7 +142,10 @@
     parser.add_argument('--scenario', default='')
     parser.add_argument('--policy', default='')
     options = parser.parse_args()
-    began, rows, runs = time.monotonic(), [COLUMNS], []
+    began, runs = time.monotonic(), []
+    widths = [max(len(name), 5) for name in COLUMNS]
+    widths[:3] = 13, 11, 21
+    show(COLUMNS, widths)
     for site in SITES:
         scenarios = SCENARIOS + ((NIGHT,) if site.summaries else ())
         for scenario in scenarios:
@@ -142,12 +155,8 @@
                 if not all(w in n for w, n in zip(wanted, names)):
                     continue
                 runs.append(Run(site, scenario, policy, options.seed).run())
-                rows.append(row(runs[-1]))
-    show(rows)
-    if importlib.util.find_spec('benchmarks.measure_limits'):
-        limits = importlib.import_module('benchmarks.measure_limits')
-        print()
-        show([tuple(each) for each in limits.rows(options.seed)])
+                show(row(runs[-1]), widths)
+    show_limits(options.seed)
     if options.plot:
         plot(options.plot, runs)
     print(f'\nseed {options.seed}, {time.monotonic() - began:.0f} s of time')
--- a/benchmarks/measure_placement.py
+++ b/benchmarks/measure_placement.py
@@ -154,13 +154,6 @@
         self.index = WorkerIndex()
         self.choice = CHOICES.get(run.policy.choice)()
         self.popularity = DecayedPopularity.from_config()
-        self.gossip()
-
-    def gossip(self):
-        now = self.run.loop.now
-        for node in self.nodes.values():
-            self.index.put(node.steward.digest(now))
-        self.run.loop.after(DIGEST_SECONDS, self.gossip)
 
     def reach(self, nodes):
         for name in self.nodes.keys() - {node.name for node in nodes}:
@@ -245,6 +238,7 @@
         ]
         self.entries = [Entry(self, self.nodes) for _ in range(site.entries)]
         self._build_adapters()
+        self.gossip()
         self.loop.after(0, self.arrive)
         self._schedule_faults()
         self.until = RUN_SECONDS + DRAIN_SECONDS
@@ -278,6 +272,15 @@
             for number, ranks in self.owned.items()
         }
 
+    def gossip(self):
+        now = self.loop.now
+        digests = [(n.name, n.steward.digest(now)) for n in self.nodes]
+        for entry in self.entries:
+            for name, digest in digests:
+                if name in entry.nodes:
+                    entry.index.put(digest)
+        self.loop.after(DIGEST_SECONDS, self.gossip)
+
     def draw(self, workspace):
         cumulative = self.owned_weights[workspace]
         spot = self.traffic.random() * cumulative[-1]
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -6,7 +6,7 @@
 
 from mintlanding.placement.admission import Admission
 from mintlanding.placement.authority import Authority
-from mintlanding.placement.eviction import EVICTIONS
+from mintlanding.placement.eviction import VictimChooser
 from mintlanding.placement.loads import LoadFailures, PermitBook
 from mintlanding.placement.messages import (
     AdapterRef,
@@ -21,7 +21,6 @@
     LoadOrder,
     PendingLoad,
     ReturnPermit,
-    Slot,
     SlotState,
     StewardTerms,
 )
@@ -59,7 +58,13 @@
         self._queue = admission.queue
         self._book = admission.book
         self._authority = authority
-        self._eviction_key = EVICTIONS.get(terms.eviction)
+        self._victims = VictimChooser(
+            terms,
+            slots,
+            admission,
+            authority,
+            self.popularity,
+        )
         self._prefetch_at = -math.inf
         self._fences: dict[int, int] = {}
         self._next_id = rnd.getrandbits(47)
@@ -190,8 +195,8 @@
         )
         spare = self._terms.max_loads - len(under_way)
         room = self._slots.free()
-        if room < needed and self._authority.may_evict(now):
-            room += len(self._candidates(now))
+        if room < needed:
+            room += self._victims.count(now)
         return max(0, min(needed, spare, room - len(self.permits.pending)))
 
     def _next_ref(self, now: float) -> AdapterRef | None:
@@ -214,7 +219,7 @@
         if self._slots.free() > len(self.permits.pending):
             self._slots.load(ref, order_id, now)
             return [LoadOrder(order_id, ref, fencing)]
-        victim = self._victim(now)
+        victim = self._victims.choose(now)
         if victim is None:
             return [ReturnPermit(order_id, used=False)]
         self.permits.pending[order_id] = PendingLoad(order_id, ref, victim.ref)
@@ -234,41 +239,10 @@
     def _still_missing(self, ref: AdapterRef) -> AdapterRef | None:
         return None if self._slots.get(ref) else ref
 
-    def _evictable(self) -> list[Slot]:
-        return [
-            slot
-            for slot in self._slots
-            if slot.state is SlotState.resident
-            and not slot.is_busy
-            and not self._book.pins(slot.ref)
-        ]
-
-    def _victim(self, now: float) -> Slot | None:
-        if not self._authority.may_evict(now):
-            return None
-        candidates = self._candidates(now)
-        return min(candidates, key=self._key, default=None)
-
-    def _candidates(self, now: float) -> list[Slot]:
-        """Return idle slots, else those whose requests got no place lately.
-
-        A slot just loaded is kept, or else loads would only swap places
-        while the batch is full.
-        """
-        evictable = self._evictable()
-        idle = [
-            slot for slot in evictable if not self._queue.waiting_for(slot.ref)
-        ]
-        before = now - self._terms.demand_patience
-        return idle or [slot for slot in evictable if slot.used < before]
-
-    def _key(self, slot: Slot) -> float:
-        return self._eviction_key(slot, self.popularity)
-
     def _prefetch_ref(self, now: float) -> AdapterRef | None:
         floor: float = 0
         if not self._slots.free():
-            victim = self._victim_score(now)
+            victim = self._victims.lowest_score(now)
             if victim is None:
                 return None
             floor = victim * self._terms.prefetch_ratio
@@ -282,11 +256,3 @@
                 ref if is_hot and self.popularity.score(ref) > floor else None
             )
         return None
-
-    def _victim_score(self, now: float) -> float | None:
-        if not self._authority.may_evict(now):
-            return None
-        scores = [
-            self.popularity.score(slot.ref) for slot in self._candidates(now)
-        ]
-        return min(scores, default=None)
