--- /dev/null
+++ b/mintlanding/cli/files.py
@@ -0,0 +1,112 @@
+"""Read YAML files of objects; every mistake with its place."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import yaml
+from pydantic import ValidationError
+
+from mintlanding.admin.errors import refuse_validation
+from mintlanding.admin.messages import ApplyRequest
+from mintlanding.admin.schemas import KeySchema
+from mintlanding.cli.exceptions import CommandError, ExitCode
+from mintlanding.configuration.checks import check_proposals
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.proposals import Proposal
+
+STANDARD_INPUT = '-'
+_NEEDS_SERVER = frozenset(('C003', 'C004'))
+_FILE_HINT = 'docs/tutorial.md shows a file of objects'
+
+
+def read_text(path: str) -> str:
+    """Read a file, or standard input for `-`."""
+    if path == STANDARD_INPUT:
+        return sys.stdin.read()
+    try:
+        return Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise CommandError(
+            ExitCode.usage,
+            f'cannot read {path}: {exc}',
+            'name a YAML file, or - for standard input',
+        ) from exc
+
+
+def read_documents(path: str) -> list[Any]:
+    """Read all YAML documents of a file."""
+    text = read_text(path)
+    try:
+        documents = list(yaml.safe_load_all(text))
+    except yaml.YAMLError as exc:
+        raise CommandError(
+            ExitCode.usage,
+            f'{path} is not valid YAML: {exc}',
+            'check the indentation and the quotes there',
+        ) from exc
+    return [document for document in documents if document is not None]
+
+
+def is_settings(documents: list[Any]) -> bool:
+    """Tell whether a file holds the settings of an instance."""
+    if len(documents) != 1 or not isinstance(documents[0], dict):
+        return False
+    return 'kind' not in documents[0] and 'instance' in documents[0]
+
+
+def read_objects(path: str) -> ApplyRequest:
+    """Read objects: one a document, a list, or `objects` and `deletions`."""
+    found: dict[str, list[Any]] = {'objects': [], 'deletions': []}
+    for document in read_documents(path):
+        _collect(document, found, path)
+    if not any(found.values()):
+        raise CommandError(
+            ExitCode.usage,
+            f'{path} holds no objects',
+            _FILE_HINT,
+        )
+    try:
+        return ApplyRequest.model_validate(found)
+    except ValidationError as exc:
+        raise _mistakes(exc, path) from exc
+
+
+def check_objects(wanted: ApplyRequest) -> list[str]:
+    """Return the mistakes that show without the server."""
+    proposals = [
+        Proposal.put(offered.to_struct())
+        for offered in wanted.objects
+        if not isinstance(offered, KeySchema)
+    ]
+    return [
+        str(message)
+        for message in check_proposals(Directory(), proposals)
+        if message.check_id not in _NEEDS_SERVER
+    ]
+
+
+def _collect(document: Any, found: dict[str, list[Any]], path: str) -> None:
+    if isinstance(document, list):
+        found['objects'].extend(document)
+    elif isinstance(document, dict) and 'kind' in document:
+        found['objects'].append(document)
+    elif isinstance(document, dict) and document.keys() <= found.keys():
+        for name, listed in document.items():
+            found[name].extend(listed or [])
+    else:
+        raise CommandError(
+            ExitCode.usage,
+            f'{path} holds a document that is no object',
+            f'each object has a "kind"; {_FILE_HINT}',
+        )
+
+
+def _mistakes(exc: ValidationError, path: str) -> CommandError:
+    refusal = refuse_validation(exc, path)
+    return CommandError(
+        ExitCode.usage,
+        f'{path} has {len(refusal.mistakes)} mistake(s)',
+        _FILE_HINT,
+        [f'  {each.place}: {each.message}' for each in refusal.mistakes],
+    )
--- /dev/null
+++ b/mintlanding/entry/application.py
@@ -0,0 +1,95 @@
+"""The entry's application: parts, their order of start and their drain."""
+
+import asyncio
+from typing import Self
+
+from mintlanding.conf.models import InstanceSettings
+from mintlanding.core.application import Application
+from mintlanding.core.http import HttpLimits, HttpServer
+from mintlanding.entry.context import EntryContext
+from mintlanding.entry.dispatch import Dispatcher
+from mintlanding.entry.pin_reports import PinReporter
+from mintlanding.entry.routes import build_app
+from mintlanding.entry.view import ViewFollower
+from mintlanding.entry.withdrawals import Withdrawals
+from mintlanding.membership.models import Member, MemberState
+from mintlanding.peers.build import build_keyring
+from mintlanding.reports.samples import send_samples
+
+LINGER_SECONDS = 0.5
+SETTLE_SECONDS = 5
+LEDGER_SECONDS = 1
+
+
+class EntryApplication:
+    """Everything that one entry process owns."""
+
+    def __init__(self, context: EntryContext) -> None:
+        """Build the parts; nothing runs before the application starts."""
+        self.application = Application('entry')
+        self.context = context
+        self._dispatcher = Dispatcher(context)
+        self._withdrawals = Withdrawals(context.view, context.requests)
+        self._pin_reporter = PinReporter(context, self._dispatcher.pins)
+        self._follower = ViewFollower(
+            context.view,
+            context.peers,
+            context.agent_address,
+            context.cfg.instance,
+        )
+        self._server = HttpServer.from_config(
+            build_app(context, self._dispatcher),
+            context.entry.host,
+            context.entry.port,
+            HttpLimits(header_bytes=context.entry.max_header_bytes),
+        )
+        context.view.on_member(self._follow_own_member)
+        self.application.on_start(self._start)
+        self.application.on_drain(self._drain)
+        self.application.on_stop(self._stop)
+        self.application.on_reload(self._reload)
+
+    @classmethod
+    def from_config(cls, cfg: InstanceSettings) -> Self:
+        """Build the entry of an instance."""
+        return cls(EntryContext.from_config(cfg))
+
+    def _follow_own_member(self, member: Member) -> None:
+        """Leave with the instance when an operator asked its agent."""
+        is_own = member.instance == self.context.cfg.instance
+        if is_own and member.state is MemberState.leaving:
+            self.application.ask_stop()
+
+    async def _start(self) -> None:
+        self.application.spawn(self._follower.run())
+        self.application.spawn(self._settle_orders())
+        self.application.spawn(
+            send_samples(
+                self.context.samples,
+                self.context.peers,
+                self.context.agent_address,
+            ),
+        )
+        await self._server.start()
+
+    async def _settle_orders(self) -> None:
+        while True:
+            await asyncio.sleep(LEDGER_SECONDS)
+            await self.context.ledger.settle()
+
+    async def _drain(self) -> None:
+        drained = await self._server.drain(
+            self.context.entry.drain_timeout,
+            LINGER_SECONDS,
+        )
+        if not drained:
+            self.application.logger.warning('Requests were cut off.')
+        await self.context.background.wait_idle(SETTLE_SECONDS)
+        await self.context.ledger.settle()
+
+    async def _stop(self) -> None:
+        await self._server.stop()
+        await self.context.close()
+
+    async def _reload(self, cfg: InstanceSettings) -> None:
+        self.context.peers.set_keyring(build_keyring(cfg))
