--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -1,13 +1,18 @@
 """Which adapter to load next, into which slot, under which permit."""
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
 from mintlanding.placement.admission import Admission
 from mintlanding.placement.authority import Authority
-from mintlanding.placement.eviction import EVICTIONS
+from mintlanding.placement.eviction import VictimChooser
 from mintlanding.placement.loads import LoadFailures, PermitBook
-from mintlanding.placement.messages import AdapterRef, ReserveReply
+from mintlanding.placement.messages import (
+    AdapterRef,
+    EngineReport,
+    ReserveReply,
+)
 from mintlanding.placement.models import (
     Action,
     AskPermit,
@@ -16,7 +21,6 @@
     LoadOrder,
     PendingLoad,
     ReturnPermit,
-    Slot,
     SlotState,
     StewardTerms,
 )
@@ -54,7 +58,14 @@
         self._queue = admission.queue
         self._book = admission.book
         self._authority = authority
-        self._eviction_key = EVICTIONS.get(terms.eviction)
+        self._victims = VictimChooser(
+            terms,
+            slots,
+            admission,
+            authority,
+            self.popularity,
+        )
+        self._prefetch_at = -math.inf
         self._fences: dict[int, int] = {}
         self._next_id = rnd.getrandbits(47)
 
@@ -108,6 +119,9 @@
 
     def prefetch(self, now: float) -> list[Action]:
         """Ask for a spare permit when a popular adapter is missing."""
+        if now < self._prefetch_at:
+            return []
+        self._prefetch_at = now + self._terms.prefetch_interval
         if self.permits.asks or self.permits.pending:
             return []
         if self._queue.blocked_count() or not self._authority.may_load():
@@ -116,6 +130,13 @@
             return []
         return [self._ask(now, urgent=False)]
 
+    def unreachable(self) -> list[AdapterRef]:
+        """List adapters that are waited for and cannot be loaded here."""
+        if self.can_load():
+            return []
+        blocked = self._queue.blocked()
+        return [ref for ref in blocked if self._slots.get(ref) is None]
+
     def note_grants(self, replies: Iterable[ReserveReply], now: float) -> None:
         """Count requests that were served, so that a flood counts no more."""
         for reply in replies:
@@ -124,7 +145,7 @@
                 self.popularity.note(reservation.ref, now)
                 self._slots.touch(reservation.ref, now)
 
-    def can_load(self, now: float) -> bool:
+    def can_load(self) -> bool:
         """Tell whether a further adapter could get a slot at some time."""
         return self._authority.may_evict_later() or self._slots.free() > 0
 
@@ -144,6 +165,13 @@
         self._fences.clear()
         return True
 
+    def restart(self, report: EngineReport, now: float) -> list[Action]:
+        """Begin anew with an engine that restarted."""
+        self.failures.clear()
+        lost = self._slots.restart(report, now)
+        returned = [ReturnPermit(order_id) for order_id in lost]
+        return [*returned, *self.abandon()]
+
     def abandon(self) -> list[Action]:
         """Give back all permits that no running load holds."""
         ids = [*self.permits.asks, *self.permits.pending]
@@ -167,8 +195,8 @@
         )
         spare = self._terms.max_loads - len(under_way)
         room = self._slots.free()
-        if room < needed and self._authority.may_evict(now):
-            room += len(self._candidates(now))
+        if room < needed:
+            room += self._victims.count(now)
         return max(0, min(needed, spare, room - len(self.permits.pending)))
 
     def _next_ref(self, now: float) -> AdapterRef | None:
@@ -191,7 +219,7 @@
         if self._slots.free() > len(self.permits.pending):
             self._slots.load(ref, order_id, now)
             return [LoadOrder(order_id, ref, fencing)]
-        victim = self._victim(now)
+        victim = self._victims.choose(now)
         if victim is None:
             return [ReturnPermit(order_id, used=False)]
         self.permits.pending[order_id] = PendingLoad(order_id, ref, victim.ref)
@@ -211,41 +239,10 @@
     def _still_missing(self, ref: AdapterRef) -> AdapterRef | None:
         return None if self._slots.get(ref) else ref
 
-    def _evictable(self) -> list[Slot]:
-        return [
-            slot
-            for slot in self._slots
-            if slot.state is SlotState.resident
-            and not slot.is_busy
-            and not self._book.pins(slot.ref)
-        ]
-
-    def _victim(self, now: float) -> Slot | None:
-        if not self._authority.may_evict(now):
-            return None
-        candidates = self._candidates(now)
-        return min(candidates, key=self._key, default=None)
-
-    def _candidates(self, now: float) -> list[Slot]:
-        """Return idle slots, else those whose requests got no place lately.
-
-        A slot just loaded is kept, or else loads would only swap places
-        while the batch is full.
-        """
-        evictable = self._evictable()
-        idle = [
-            slot for slot in evictable if not self._queue.waiting_for(slot.ref)
-        ]
-        before = now - self._terms.demand_patience
-        return idle or [slot for slot in evictable if slot.used < before]
-
-    def _key(self, slot: Slot) -> float:
-        return self._eviction_key(slot, self.popularity)
-
     def _prefetch_ref(self, now: float) -> AdapterRef | None:
         floor: float = 0
         if not self._slots.free():
-            victim = self._victim_score(now)
+            victim = self._victims.lowest_score(now)
             if victim is None:
                 return None
             floor = victim * self._terms.prefetch_ratio
@@ -259,11 +256,3 @@
                 ref if is_hot and self.popularity.score(ref) > floor else None
             )
         return None
-
-    def _victim_score(self, now: float) -> float | None:
-        if not self._authority.may_evict(now):
-            return None
-        scores = [
-            self.popularity.score(slot.ref) for slot in self._candidates(now)
-        ]
-        return min(scores, default=None)
