Bound the answer to a large apply; tell an own lost write from a repeat

Applying 42,006 objects from the command line took effect but was reported as accepted before: the answer listed every field of every object, was over the client's 8 MB, and the call was sent again under its write id. Answers now list 1,000 changes and count the others.

--- a/mintlanding/admin/desk.py
+++ b/mintlanding/admin/desk.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Self
+from typing import Any, Self
 
 from mintlanding.admin.errors import Refusal, refuse_checks
 from mintlanding.admin.messages import (
@@ -18,6 +18,7 @@
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.models import AnyObject
 from mintlanding.configuration.proposals import (
+    Action,
     ObjectDiff,
     Proposal,
     diff,
@@ -32,6 +33,7 @@
 from mintlanding.core.results import Failed, Outcome, ResultCode
 
 RETRY_AFTER_SECONDS = 2
+MAX_LISTED_CHANGES = 1000
 
 _logger = Logger('admin')
 
@@ -114,11 +116,7 @@
         messages = check_proposals(directory, proposals)
         if messages:
             return refuse_checks(messages)
-        return ChangeAnswer(
-            revision=directory.revision,
-            dry_run=True,
-            changes=_changes(shown),
-        )
+        return _answer(directory.revision, shown, dry_run=True)
 
     def _accept(
         self,
@@ -133,11 +131,11 @@
             operator=operator,
             objects=len(committed.changes),
         )
-        return ChangeAnswer(
-            revision=committed.revision,
+        return _answer(
+            committed.revision,
+            () if committed.repeated else shown,
             repeated=committed.repeated,
             write_id=committed.write_id,
-            changes=() if committed.repeated else _changes(shown),
         )
 
     def _refuse(
@@ -177,23 +175,31 @@
     return None
 
 
-def _changes(shown: Sequence[ObjectDiff]) -> tuple[ObjectChange, ...]:
-    return tuple(
-        ObjectChange(
-            kind=each.kind,
-            name=each.name,
-            action=each.action,
-            fields=tuple(
-                FieldChange(
-                    field=one.field,
-                    before=one.before,
-                    after=one.after,
-                )
-                for one in each.fields
-                if one.field != 'digest'
-            ),
-        )
-        for each in shown
+def _answer(
+    revision: int,
+    shown: Sequence[ObjectDiff],
+    **fields: Any,
+) -> ChangeAnswer:
+    changed = [each for each in shown if each.action is not Action.unchanged]
+    listed = changed[:MAX_LISTED_CHANGES]
+    return ChangeAnswer(
+        revision=revision,
+        changes=tuple(_present_change(each) for each in listed),
+        unlisted_changes=len(changed) - len(listed),
+        **fields,
+    )
+
+
+def _present_change(shown: ObjectDiff) -> ObjectChange:
+    return ObjectChange(
+        kind=shown.kind,
+        name=shown.name,
+        action=shown.action,
+        fields=tuple(
+            FieldChange(field=each.field, before=each.before, after=each.after)
+            for each in shown.fields
+            if each.field != 'digest'
+        ),
     )
 
 
--- a/mintlanding/admin/messages.py
+++ b/mintlanding/admin/messages.py
@@ -70,13 +70,18 @@
 
 
 class ChangeAnswer(Schema):
-    """An accepted change, or with `dry_run` one that would be accepted."""
+    """An accepted change, or with `dry_run` one that would be accepted.
+
+    Objects that stay as they are do not appear; of a large change the first
+    objects are listed and the others counted.
+    """
 
     revision: int
     dry_run: bool = False
     repeated: bool = False
     write_id: str = ''
     changes: tuple[ObjectChange, ...] = ()
+    unlisted_changes: int = 0
 
 
 class Page(Schema):
--- a/mintlanding/cli/commands.py
+++ b/mintlanding/cli/commands.py
@@ -6,20 +6,15 @@
 from typing import Any
 
 from mintlanding.admin.messages import ApplyRequest
+from mintlanding.cli.checking import check_file
 from mintlanding.cli.client import object_path
-from mintlanding.cli.exceptions import CommandError, ExitCode
-from mintlanding.cli.files import (
-    check_objects,
-    is_settings,
-    read_documents,
-    read_objects,
-)
+from mintlanding.cli.exceptions import ExitCode
+from mintlanding.cli.files import read_objects
 from mintlanding.cli.groups import KeyCommands, ReportCommands
 from mintlanding.cli.output import (
     Output,
     Result,
     cell,
-    changes_table,
     moment,
     objects_table,
     table,
@@ -29,12 +24,10 @@
 from mintlanding.cli.views import (
     STALE_NOTE,
     changed,
+    changes_text,
     edits_text,
-    real_changes,
     status_result,
 )
-from mintlanding.conf.exceptions import SettingsError
-from mintlanding.conf.loader import load_settings
 
 POLL_SECONDS = 0.5
 PAGE_OBJECTS = 1000
@@ -66,7 +59,7 @@
         Args:
             file: Path of the YAML file, or - for standard input.
         """
-        return self._plan(lambda: _check(file))
+        return self._plan(lambda: check_file(file))
 
     def apply(self, file: str, *, dry_run: bool = False) -> Plan:
         """Put and delete the objects of a file, all or none.
@@ -179,10 +172,9 @@
     def _diff(self, file: str) -> Result:
         body = _body_of(read_objects(file))
         found = self._options.connect().change('POST', '/v1/diff', body)
-        changes = real_changes(found)
-        if not changes:
+        if not found['changes']:
             return Result(found, 'nothing would change')
-        return Result(found, changes_table(changes), ExitCode.differs)
+        return Result(found, changes_text(found), ExitCode.differs)
 
     def _get(self, kind: str, name: str) -> Result:
         path = object_path(parse_collection(kind), name)
@@ -270,39 +262,6 @@
         return Result(found, f'{instance} is {found["state"]}')
 
 
-def _check(file: str) -> Result:
-    documents = read_documents(file)
-    if is_settings(documents):
-        return _check_settings(file)
-    wanted = read_objects(file)
-    mistakes = check_objects(wanted)
-    if mistakes:
-        raise CommandError(
-            ExitCode.usage,
-            f'{file} has {len(mistakes)} mistake(s)',
-            'correct them and check again',
-            mistakes,
-        )
-    count = len(wanted.objects) + len(wanted.deletions)
-    text = (
-        f'{file}: {count} object(s), no mistakes; `mintlanding diff` compares'
-    )
-    return Result({'file': file, 'objects': count, 'mistakes': []}, text)
-
-
-def _check_settings(file: str) -> Result:
-    try:
-        load_settings(file)
-    except SettingsError as exc:
-        raise CommandError(
-            ExitCode.usage,
-            f'the settings cannot be used\n{exc}',
-            'docs/reference/settings.md describes each setting',
-        ) from exc
-    found = {'file': file, 'settings': True, 'mistakes': []}
-    return Result(found, f'{file}: settings, no mistakes')
-
-
 def _body_of(wanted: ApplyRequest) -> dict[str, Any]:
     body: dict[str, Any] = wanted.model_dump(
         mode='json',
--- a/mintlanding/cli/files.py
+++ b/mintlanding/cli/files.py
@@ -1,6 +1,8 @@
 """Read YAML files of objects; every mistake with its place."""
 
+import json
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +18,8 @@
 from mintlanding.configuration.proposals import Proposal
 
 STANDARD_INPUT = '-'
+_JSON_STARTS = ('{', '[')
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 _NEEDS_SERVER = frozenset(('C003', 'C004'))
 _FILE_HINT = 'docs/tutorial.md shows a file of objects'
 
@@ -35,10 +39,13 @@
 
 
 def read_documents(path: str) -> list[Any]:
-    """Read all YAML documents of a file."""
+    """Read all YAML documents of a file; JSON is read faster."""
     text = read_text(path)
+    if text.startswith(_JSON_STARTS):
+        with suppress(ValueError):
+            return [json.loads(text)]
     try:
-        documents = list(yaml.safe_load_all(text))
+        documents = list(yaml.load_all(text, Loader=_LOADER))
     except yaml.YAMLError as exc:
         raise CommandError(
             ExitCode.usage,
@@ -57,8 +64,13 @@
 
 def read_objects(path: str) -> ApplyRequest:
     """Read objects: one a document, a list, or `objects` and `deletions`."""
+    return request_of(read_documents(path), path)
+
+
+def request_of(documents: list[Any], path: str) -> ApplyRequest:
+    """Return the objects of the documents; raise CommandError on mistakes."""
     found: dict[str, list[Any]] = {'objects': [], 'deletions': []}
-    for document in read_documents(path):
+    for document in documents:
         _collect(document, found, path)
     if not any(found.values()):
         raise CommandError(
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -192,6 +192,17 @@
     assert shell.admin.desk.storage.directory.revision == 1
 
 
+def test_large_apply_is_accepted_at_once_and_summed_up(shell):
+    many = [workspace(f'w{number}') for number in range(1200)]
+    path = shell.folder / 'many.json'
+    path.write_text(json.dumps({'objects': many}))
+    code, out, _ = shell.run('apply', str(path))
+    assert (code, 'and 200 more' in out) == (0, True)
+    assert 'accepted at revision 1' in out
+    assert shell.sent == 1
+    assert 'nothing would change' in shell.run('diff', str(path))[1]
+
+
 def test_lost_grant_is_not_repeated(shell):
     shell.run('apply', shell.write(workspace()))
     shell.lost = [True]
--- a/mintlanding/cli/views.py
+++ b/mintlanding/cli/views.py
@@ -9,7 +9,7 @@
 
 
 def changed(found: dict[str, Any]) -> Result:
-    changes = real_changes(found)
+    changes = found['changes']
     if found['repeated']:
         tail = f'accepted before, at revision {found["revision"]}'
     elif not changes:
@@ -18,7 +18,7 @@
         tail = f'dry run: nothing was changed at revision {found["revision"]}'
     else:
         tail = f'accepted at revision {found["revision"]}'
-    shown = f'{changes_table(changes)}\n\n' if changes else ''
+    shown = f'{changes_text(found)}\n\n' if changes else ''
     return Result(found, f'{shown}{tail}')
 
 
@@ -60,7 +60,9 @@
     return '' if found is None else f'{found:.1f}'
 
 
-def real_changes(found: dict[str, Any]) -> list[dict[str, Any]]:
-    return [
-        change for change in found['changes'] if change['action'] != 'unchanged'
-    ]
+def changes_text(found: dict[str, Any]) -> str:
+    """Write the listed changes and count the others."""
+    shown = changes_table(found['changes'])
+    if found['unlisted_changes']:
+        shown = f'{shown}\nand {found["unlisted_changes"]} more'
+    return shown
--- a/mintlanding/configuration/distribution.py
+++ b/mintlanding/configuration/distribution.py
@@ -21,6 +21,7 @@
     Watch,
 )
 from mintlanding.configuration.directory import Applied, Directory
+from mintlanding.configuration.documents import size_of
 from mintlanding.configuration.fetching import FetchState
 from mintlanding.configuration.messages import Announcement
 from mintlanding.configuration.models import Delta
@@ -34,6 +35,7 @@
 from mintlanding.membership.models import Member
 
 MAX_PUSHED_CHANGES = 64
+MAX_PUSHED_BYTES = 64 << 10
 
 
 class DistributionNode:
@@ -242,5 +244,9 @@
 
 
 def _announcement(origin: str, revision: int, delta: Delta) -> Announcement:
-    is_small = delta.base and len(delta.changes) <= MAX_PUSHED_CHANGES
+    is_small = (
+        delta.base > 0
+        and len(delta.changes) <= MAX_PUSHED_CHANGES
+        and size_of(delta) <= MAX_PUSHED_BYTES
+    )
     return Announcement(origin, revision, delta if is_small else None)
--- a/mintlanding/configuration/documents.py
+++ b/mintlanding/configuration/documents.py
@@ -94,11 +94,15 @@
     return zlib.compress(encoded, _COMPRESSION_LEVEL)
 
 
-def unpack(content: bytes, document_type: type[DocumentT]) -> DocumentT:
+def unpack(
+    content: bytes,
+    document_type: type[DocumentT],
+    limit: int = MAX_UNPACKED_BYTES,
+) -> DocumentT:
     """Decode a document; raise StoredConfigurationError on anything else."""
     inflater = zlib.decompressobj()
     try:
-        encoded = inflater.decompress(content, MAX_UNPACKED_BYTES)
+        encoded = inflater.decompress(content, limit)
     except zlib.error as exc:
         raise StoredConfigurationError(f'not compressed data: {exc}') from exc
     if not inflater.eof:
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -8,7 +8,7 @@
 import asyncio
 import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mintlanding.configuration.checks import check_proposals
 from mintlanding.configuration.directory import Directory
@@ -142,23 +142,28 @@
                 ResultCode.object_invalid,
                 'the write id does not begin with its time in hex',
             )
-        may_have_run = False
+        lost: _LostWrites = {}
         for _ in range(MAX_ATTEMPTS):
             try:
-                outcome = await self._attempt(proposals, authorship)
-            except _AnswerLost:
-                may_have_run = True
+                outcome = await self._attempt(
+                    proposals,
+                    authorship,
+                    lost,
+                )
+            except _AnswerLost as answer_lost:
+                lost[answer_lost.revision] = answer_lost.changes
             except PlatformUnavailable as exc:
-                return _unavailable(authorship, str(exc), may_have_run)
+                return _unavailable(authorship, str(exc), bool(lost))
             else:
                 if outcome is not None:
                     return outcome
-        return _unavailable(authorship, 'too many attempts', may_have_run)
+        return _unavailable(authorship, 'too many attempts', bool(lost))
 
     async def _attempt(
         self,
         proposals: Sequence[Proposal],
         authorship: Authorship,
+        lost: '_LostWrites',
     ) -> Outcome[Committed] | None:
         """Try once; nothing when another writer came first."""
         await self._refresh()
@@ -168,7 +173,7 @@
             authorship.write_id,
         )
         if settled is not None:
-            return settled
+            return _with_lost(settled, lost)
         numbered = number_changes(self.directory, proposals)
         if isinstance(numbered, Failed):
             return numbered
@@ -206,7 +211,7 @@
         except ConfigurationTooLarge as exc:
             return Failed.of(ResultCode.object_invalid, str(exc))
         await self._put_blobs(plan)
-        index = await self._swap(plan)
+        index = await self._swap(plan, changes)
         if index is None:
             return None
         self.directory.apply(delta)
@@ -226,7 +231,11 @@
 
         await asyncio.gather(*(put(*each) for each in plan.blobs.items()))
 
-    async def _swap(self, plan: WritePlan) -> int | None:
+    async def _swap(
+        self,
+        plan: WritePlan,
+        changes: tuple[Change, ...],
+    ) -> int | None:
         try:
             outcome = await self._service.put(
                 MANIFEST_KEY,
@@ -234,7 +243,7 @@
                 expected=self._stored.index,
             )
         except PlatformUnavailable as exc:
-            raise _AnswerLost(str(exc)) from exc
+            raise _AnswerLost(str(exc), changes) from exc
         return None if isinstance(outcome, Failed) else outcome.value
 
     async def _delete_retired(self, plan: WritePlan) -> None:
@@ -266,9 +275,28 @@
             )
 
 
+_LostWrites = dict[int, tuple[Change, ...]]
+
+
 class _AnswerLost(PlatformUnavailable):
     """The swap of the manifest was sent and not answered."""
 
+    def __init__(self, message: str, changes: tuple[Change, ...]) -> None:
+        super().__init__(message)
+        self.revision = changes[0].revision
+        self.changes = changes
+
+
+def _with_lost(
+    settled: Outcome[Committed],
+    lost: _LostWrites,
+) -> Outcome[Committed]:
+    """Tell a write of this call, found again, from one of an earlier call."""
+    if isinstance(settled, Failed) or settled.value.revision not in lost:
+        return settled
+    changes = lost[settled.value.revision]
+    return Done(replace(settled.value, repeated=False, changes=changes))
+
 
 def _unavailable(
     authorship: Authorship,
--- a/mintlanding/configuration/writes.py
+++ b/mintlanding/configuration/writes.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Committed:
-    """An accepted change; `repeated` when it had been accepted before."""
+    """An accepted change; `repeated` when an earlier call had made it."""
 
     revision: int
     write_id: str
