--- a/benchmarks/measure_limits.py
+++ b/benchmarks/measure_limits.py
@@ -81,8 +81,14 @@
     order: int = 0
 
     def go(self):
-        self.rnd, self.traffic = random.Random(self.seed), random.Random(self.seed)
-        self.limits = {f'w{n}': Rate(self.rate * share, 3 * self.rate * share) for n, share in enumerate(SHARES)}
+        self.rnd, self.traffic = (
+            random.Random(self.seed),
+            random.Random(self.seed),
+        )
+        self.limits = {
+            f'w{n}': Rate(self.rate * share, 3 * self.rate * share)
+            for n, share in enumerate(SHARES)
+        }
         for n in range(self.size):
             self.join(ZONES[n % 3], frozenset((n, n + self.size)))
         self.see()
@@ -115,8 +121,16 @@
     def see(self):
         for name in tuple(self.nodes):
             side = self.zones[name] in self.cut
-            live = [each for each in self.nodes if (self.zones[each] in self.cut) == side]
-            self.do(name, 'observe_members', [Member(each, self.zones[each], 'r', each) for each in live])
+            live = [
+                each
+                for each in self.nodes
+                if (self.zones[each] in self.cut) == side
+            ]
+            self.do(
+                name,
+                'observe_members',
+                [Member(each, self.zones[each], 'r', each) for each in live],
+            )
 
     def do(self, name, method, *args):
         if name not in self.nodes:
@@ -137,8 +151,17 @@
             self.sent += 1
             mine, other = self.zones[name], self.zones[action.instance]
             if (mine in self.cut) == (other in self.cut):
-                delay = self.rnd.uniform(0.0003, 0.001 if mine == other else 0.002)
-                self.at(self.now + delay, self.do, action.instance, 'receive', action.message, name)
+                delay = self.rnd.uniform(
+                    0.0003, 0.001 if mine == other else 0.002
+                )
+                self.at(
+                    self.now + delay,
+                    self.do,
+                    action.instance,
+                    'receive',
+                    action.message,
+                    name,
+                )
         elif isinstance(action, messages.SeatsReceived):
             self.seats[name] |= action.seats
         elif isinstance(action, messages.SeatsHandedOver):
@@ -154,7 +177,13 @@
         limit = self.limits[workspace]
         load = 5 if self.flood and workspace == 'w0' else self.load
         pace = load / 0.15 * (1.7 if is_on else 0.3)
-        self.at(self.now + self.traffic.expovariate(pace), self.arrive, workspace, is_on, switch)
+        self.at(
+            self.now + self.traffic.expovariate(pace),
+            self.arrive,
+            workspace,
+            is_on,
+            switch,
+        )
         tokens = self.traffic.lognormvariate(0, 0.8) * limit.rate * 0.15 * 0.72
         tokens = min(limit.burst * 0.9, tokens)
         names = [name for name in self.nodes if name != self.leaving]
@@ -202,10 +231,15 @@
 
     def wrongful(self):
         """List the arrivals of requests that were refused wrongly."""
-        levels = {name: (limit.burst, WARM) for name, limit in self.limits.items()}
+        levels = {
+            name: (limit.burst, WARM) for name, limit in self.limits.items()
+        }
         found = []
         for each in self.requests.values():
-            limit, (level, last) = self.limits[each.workspace], levels[each.workspace]
+            limit, (level, last) = (
+                self.limits[each.workspace],
+                levels[each.workspace],
+            )
             level = min(limit.burst, level + (each.at - last) * limit.rate)
             if each.is_admitted:
                 level -= each.tokens
@@ -218,10 +252,17 @@
         """Return the most tokens that any window got above its bound."""
         worst = -1e18
         for name, limit in self.limits.items():
-            admitted = [each for each in self.requests.values() if each.is_admitted and each.workspace == name]
+            admitted = [
+                each
+                for each in self.requests.values()
+                if each.is_admitted and each.workspace == name
+            ]
             level, last = 0.0, 0.0
             for each in sorted(admitted, key=lambda one: one.answered_at):
-                level = max(0, level - (each.answered_at - last) * limit.rate) + each.tokens
+                level = (
+                    max(0, level - (each.answered_at - last) * limit.rate)
+                    + each.tokens
+                )
                 last = each.answered_at
                 worst = max(worst, level - limit.burst)
         return worst
@@ -230,9 +271,23 @@
         wrong, total = self.wrongful(), len(self.requests)
         refused = sum(not each.is_admitted for each in self.requests.values())
         recovery = RECOVERY + (CUT_END - FAULT_AT if self.fault == 'cut' else 0)
-        calm = [at for at in wrong if not any(0 <= at - one <= recovery for one in self.faults)]
-        shares = [100 * count / total for count in (refused, len(wrong), len(calm))]
-        return Row(customer, scenario, self.policy, total, *shares, self.overshoot(), self.sent / SECONDS / self.size)
+        calm = [
+            at
+            for at in wrong
+            if not any(0 <= at - one <= recovery for one in self.faults)
+        ]
+        shares = [
+            100 * count / total for count in (refused, len(wrong), len(calm))
+        ]
+        return Row(
+            customer,
+            scenario,
+            self.policy,
+            total,
+            *shares,
+            self.overshoot(),
+            self.sent / SECONDS / self.size,
+        )
 
 
 def rows(seed, customers=CUSTOMERS, scenarios=SCENARIOS):
@@ -251,7 +306,9 @@
     parser.add_argument('--seed', type=int, default=1)
     found = rows(parser.parse_args().seed)
     heads = [each.name for each in fields(Row)]
-    print(tabulate([vars(each).values() for each in found], heads, floatfmt='.3f'))
+    print(
+        tabulate([vars(each).values() for each in found], heads, floatfmt='.3f')
+    )
 
 
 if __name__ == '__main__':
--- a/mintlanding/membership/book.py
+++ b/mintlanding/membership/book.py
@@ -18,6 +18,7 @@
 _ITSELF = 'itself'
 _QUORUM = 2
 _FAILED_CALLS = 2
+_SPARED = 1.5
 
 
 @dataclass(slots=True)
@@ -27,6 +28,7 @@
     record: MemberRecord
     heard_at: float | None = None
     called_at: float | None = None
+    spoken_at: float | None = None
     failed_calls: int = 0
     doubted_at: float | None = None
     gone_at: float | None = None
@@ -98,6 +100,28 @@
             elif known.called_at is None:
                 known.called_at = now
 
+    def is_due(self, instance: str, now: float) -> bool:
+        """Tell whether to call a member in this round, and note the call.
+
+        One call in two rounds is enough while the member itself calls, since
+        the reply carries changes as well.
+        """
+        known = self._known[instance]
+        interval = self._terms.interval
+        heard = not _has_passed(known.heard_at, interval, now)
+        spoken = not _has_passed(known.spoken_at, _SPARED * interval, now)
+        if known.heard_at is None or known.spoken_at is None:
+            heard = False
+        if heard and spoken:
+            return False
+        known.spoken_at = now
+        return True
+
+    def call_all(self) -> None:
+        """Make every neighbour due in the next round."""
+        for known in self._known.values():
+            known.spoken_at = None
+
     def note_failure(self, instance: str) -> None:
         """Note that a call to a member has failed."""
         known = self._known.get(instance)
--- a/mintlanding/membership/models.py
+++ b/mintlanding/membership/models.py
@@ -61,7 +61,7 @@
     mesh_limit: int = 12
     fanout: int = 2
     gateways: int = 2
-    digest_rate: int = 2000
+    digest_rate: int = 1200
     record_limit: int = 64
     seeds: tuple[str, ...] = ()
 
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -119,6 +119,7 @@
     def leave(self, now: float) -> list[MembershipAction]:
         """Tell everyone that this instance is leaving."""
         self._begin_leaving()
+        self._book.call_all()
         self._round_at = now
         return self.tick(now)
 
@@ -251,6 +252,7 @@
         sends: list[MembershipAction] = [
             SendHeartbeat(each.address, self._compose(each, now), each.instance)
             for each in called.values()
+            if self._book.is_due(each.instance, now)
         ]
         sends.extend(self._call_seeds(view, now))
         return sends
