Answer a limits message in the reply to it

Cause: an agent's idle processor time goes to peer calls; an ask for loans was answered by a call of its own. Ruled out: longer terms, which lengthen the time after a crash.

--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -18,6 +18,7 @@
     DELIVER,
     Action,
     Answer,
+    Delivered,
     Envelope,
     Event,
     Reservation,
@@ -182,16 +183,23 @@
         self.settle(req)
         return Empty()
 
-    async def _receive(self, message: Envelope, sender: str) -> Empty:
-        self.carry_out(self.node.receive(message, sender, self._context.now))
-        return Empty()
+    async def _receive(self, message: Envelope, sender: str) -> Delivered:
+        actions = self.node.receive(message, sender, self._context.now)
+        back = [
+            each
+            for each in actions
+            if isinstance(each, Send) and each.instance == sender
+        ]
+        reply = back[0] if back else None
+        self.carry_out(each for each in actions if each is not reply)
+        return Delivered(reply.message if reply else None)
 
     async def _send(self, action: Send) -> None:
         address = self._context.address_of(action.instance)
         if not address:
             return
         try:
-            await self._context.client.call(
+            reply = await self._context.client.call(
                 address,
                 DELIVER,
                 action.message,
@@ -199,6 +207,12 @@
             )
         except PeerError:
             self._context.metrics.count('limits.messages_lost')
+            return
+        if reply.envelope is not None:
+            now = self._context.now
+            self.carry_out(
+                self.node.receive(reply.envelope, action.instance, now),
+            )
 
     async def _run_ticks(self) -> None:
         while True:
--- a/mintlanding/limits/messages.py
+++ b/mintlanding/limits/messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from mintlanding.core.results import Outcome
-from mintlanding.peers.messages import Empty, Method
+from mintlanding.peers.messages import Method
 
 
 class Announce(msgspec.Struct, frozen=True, tag='a', array_like=True):
@@ -188,11 +188,17 @@
     messages: tuple[LimitsMessage, ...]
 
 
-DELIVER: Method[Envelope, Empty] = Method(
+class Delivered(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The reply to an envelope, with what the receiver had to say at once."""
+
+    envelope: Envelope | None = None
+
+
+DELIVER: Method[Envelope, Delivered] = Method(
     'Limits',
     'Deliver',
     Envelope,
-    Empty,
+    Delivered,
 )
 
 
