--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,24 @@
 test: $(VENV)
 	$(PY) -m pytest
 
+prove: $(VENV)
+	HYPOTHESIS_PROFILE=prove $(PY) -m pytest $$($(PY) -m tests.promises)
+
+prove-mutants: $(VENV)
+	$(PY) -m tests.mutants
+
+chaos: $(VENV)
+	$(PY) -m demo.chaos --seed $(SEED)
+
+measure: $(VENV)
+	$(PY) -m benchmarks.measure --seed $(SEED)
+
+bench: $(VENV)
+	$(PY) -m pytest benchmarks/bench_*.py --benchmark-enable --benchmark-columns=min,median,max,rounds
+
+capacity: $(VENV)
+	$(PY) -m benchmarks.capacity
+
 lint: $(VENV)
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -180,7 +180,7 @@
     async def stop_one(self, name: str) -> int:
         """Stop one process gracefully; return its exit code."""
         self.signal(name, signal.SIGTERM)
-        return await self._wait(name)
+        return await self.wait(name)
 
     async def stop(self) -> None:
         """Stop everything, the instances first."""
@@ -189,7 +189,7 @@
         for group in (own, sorted(is_standin & set(self.processes))):
             for name in group:
                 self.signal(name, signal.SIGTERM)
-            await asyncio.gather(*map(self._wait, group))
+            await asyncio.gather(*map(self.wait, group))
 
     def exited(self) -> list[str]:
         """Name the processes that have ended."""
@@ -199,7 +199,12 @@
             if each.popen is not None and each.popen.poll() is not None
         ]
 
-    async def _wait(self, name: str) -> int:
+    def start_again(self, name: str) -> None:
+        """Start a process that has ended."""
+        self.start(name, self.processes[name].command[2:])
+
+    async def wait(self, name: str) -> int:
+        """Wait until a process has ended; return its exit code."""
         process = self.processes[name]
         if process.popen is None:
             return 0
