--- /dev/null
+++ b/mintlanding/agent/limits.py
@@ -0,0 +1,232 @@
+"""Carry out what the limits node decides."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+
+from mintlanding.agent.context import AgentContext
+from mintlanding.agent.messages import (
+    RESERVE_TOKENS,
+    SETTLE_TOKENS,
+    SettleRequest,
+    TokenReply,
+    TokenRequest,
+)
+from mintlanding.configuration.models import Settings, Workspace
+from mintlanding.core.exceptions import PeerError
+from mintlanding.core.results import Failed, Outcome
+from mintlanding.limits.messages import (
+    DELIVER,
+    Action,
+    Answer,
+    Delivered,
+    Envelope,
+    Event,
+    Reservation,
+    Send,
+)
+from mintlanding.limits.models import LimitsNode
+from mintlanding.limits.seats import SeatPlan
+from mintlanding.limits.terms import Rate, Terms
+from mintlanding.peers.messages import Empty
+
+SEND_TIMEOUT_SECONDS = 1
+SHORTEST_WAIT_SECONDS = 0.002
+LONGEST_WAIT_SECONDS = 0.5
+STORE_POOL = 'store/weights'
+_LIMITS_SETTINGS = 'limits'
+_STORE_RATE = 8.0
+_STORE_BURST = 3.0
+_SEAT_COUNT = 16
+
+
+class LimitsPart:
+    """Token limits: answers entries, exchanges messages with other agents."""
+
+    def __init__(self, context: AgentContext) -> None:
+        """Build the node and serve its methods."""
+        self._context = context
+        own = context.own
+        self.terms = Terms.from_config(context.cfg.agent.limits)
+        self.node = LimitsNode.from_config(
+            own.instance,
+            own.incarnation,
+            own.zone,
+            self.terms,
+            context.random('limits'),
+        )
+        self._waiting: dict[str, asyncio.Future[Outcome[Reservation]]] = {}
+        self._wake = asyncio.Event()
+        self._on_event: list[Callable[[Event], None]] = []
+        context.server.add(RESERVE_TOKENS, self._reserve)
+        context.server.add(SETTLE_TOKENS, self._settle)
+        context.server.add(DELIVER, self._receive)
+
+    @property
+    def seat_plan(self) -> SeatPlan:
+        """Return the seats of the configuration and their zones."""
+        values = self._values()
+        zones = str(values.get('zones', '')).split(',')
+        return SeatPlan(
+            int(values.get('seats', _SEAT_COUNT)),
+            tuple(zone.strip() for zone in zones if zone.strip()),
+        )
+
+    def on_event(self, listener: Callable[[Event], None]) -> None:
+        """Call the listener when seats change hands."""
+        self._on_event.append(listener)
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._context.application.spawn(self._run_ticks())
+
+    def own_seats(self, seats: frozenset[int]) -> None:
+        """Use the seats that are claimed in the key-value service."""
+        self.carry_out(self.node.own_seats(seats, self._context.now))
+
+    def follow_members(self) -> None:
+        """Take a change of the members."""
+        members = list(self._context.members.values())
+        self.carry_out(self.node.observe_members(members, self._context.now))
+
+    def follow_configuration(self) -> None:
+        """Take a change of rates."""
+        directory = self._context.directory
+        rates = {
+            each.name: Rate(each.rate, each.burst)
+            for each in directory.list('workspace')
+            if isinstance(each, Workspace)
+        }
+        rates[STORE_POOL] = self._store_rate()
+        now = self._context.now
+        seat_count = self.seat_plan.seat_count
+        self.carry_out(self.node.configure(rates, seat_count, now))
+
+    async def reserve(self, req: TokenRequest) -> Outcome[Reservation]:
+        """Reserve tokens of a workspace or permits of the store."""
+        fut: asyncio.Future[Outcome[Reservation]] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[req.request_id] = fut
+        try:
+            self.carry_out(
+                self.node.reserve(
+                    req.request_id,
+                    req.workspace,
+                    req.tokens,
+                    self._context.now,
+                ),
+            )
+            return await fut
+        finally:
+            self._waiting.pop(req.request_id, None)
+
+    def settle(self, req: SettleRequest) -> None:
+        """Refund what a request has not used."""
+        self.carry_out(
+            self.node.settle(
+                req.request_id,
+                req.workspace,
+                req.reserved,
+                req.used,
+                self._context.now,
+            ),
+        )
+
+    def drain(self) -> None:
+        """Hand buckets over before this instance leaves."""
+        self.carry_out(self.node.drain(self._context.now))
+
+    def carry_out(self, actions: Iterable[Action]) -> None:
+        """Do what the node decided."""
+        for action in actions:
+            match action:
+                case Answer():
+                    self._answer(action)
+                case Send():
+                    self._context.application.spawn(self._send(action))
+                case _:
+                    self._tell(action)
+        self._wake.set()
+
+    def _tell(self, event: Event) -> None:
+        for listener in self._on_event:
+            listener(event)
+
+    def _values(self) -> Mapping[str, float | str | bool]:
+        found = self._context.directory.get('settings', _LIMITS_SETTINGS)
+        return found.values if isinstance(found, Settings) else {}
+
+    def _store_rate(self) -> Rate:
+        values = self._values()
+        return Rate(
+            float(values.get('store_rate', _STORE_RATE)),
+            float(values.get('store_burst', _STORE_BURST)),
+        )
+
+    def _answer(self, action: Answer) -> None:
+        fut = self._waiting.get(action.request_id)
+        if fut is not None and not fut.done():
+            fut.set_result(action.outcome)
+
+    async def _reserve(self, req: TokenRequest, sender: str) -> TokenReply:
+        outcome = await self.reserve(req)
+        if isinstance(outcome, Failed):
+            return TokenReply(
+                req.request_id,
+                int(outcome.code),
+                outcome.detail,
+                outcome.retry_after or 0,
+            )
+        return TokenReply(req.request_id)
+
+    async def _settle(self, req: SettleRequest, sender: str) -> Empty:
+        self.settle(req)
+        return Empty()
+
+    async def _receive(self, message: Envelope, sender: str) -> Delivered:
+        actions = self.node.receive(message, sender, self._context.now)
+        back = [
+            each
+            for each in actions
+            if isinstance(each, Send) and each.instance == sender
+        ]
+        reply = back[0] if back else None
+        self.carry_out(each for each in actions if each is not reply)
+        return Delivered(reply.message if reply else None)
+
+    async def _send(self, action: Send) -> None:
+        address = self._context.address_of(action.instance)
+        if not address:
+            return
+        try:
+            reply = await self._context.client.call(
+                address,
+                DELIVER,
+                action.message,
+                SEND_TIMEOUT_SECONDS,
+            )
+        except PeerError:
+            self._context.metrics.count('limits.messages_lost')
+            return
+        if reply.envelope is not None:
+            now = self._context.now
+            self.carry_out(
+                self.node.receive(reply.envelope, action.instance, now),
+            )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self._wake.clear()
+            now = self._context.now
+            self.carry_out(self.node.tick(now))
+            self._wake.clear()
+            pause = self.node.next_wake(now) - self._context.now
+            bounded = min(
+                max(pause, SHORTEST_WAIT_SECONDS), LONGEST_WAIT_SECONDS
+            )
+            try:
+                async with asyncio.timeout(bounded):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(SHORTEST_WAIT_SECONDS)
--- a/mintlanding/core/results.py
+++ b/mintlanding/core/results.py
@@ -51,9 +51,12 @@
     target_timeout = 406
     target_interrupted = 407
     outcome_unknown = 408
+    target_refused = 409
     idempotency_in_progress = 410
     idempotency_mismatch = 411
     idempotency_unavailable = 412
+    fencing_old = 413
+    answer_not_kept = 414
     conflict = 420
     in_use = 421
     object_unknown = 422
@@ -63,6 +66,7 @@
     platform_unavailable = 503
     internal = 504
     configuration_stale = 505
+    function_unavailable = 506
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +145,7 @@
         'The call may have run; do not repeat it blindly.',
         Ran.unknown,
     ),
+    _Code.target_refused: ResultRow(503, 'The target refused the call.'),
     _Code.idempotency_in_progress: ResultRow(
         409,
         'A request with this idempotency key is in progress.',
@@ -154,6 +159,15 @@
         503,
         'Idempotency keys cannot be recorded at present.',
     ),
+    _Code.fencing_old: ResultRow(
+        503,
+        'A newer steward gives the orders.',
+    ),
+    _Code.answer_not_kept: ResultRow(
+        409,
+        'The request ran once before; its answer was too large to keep.',
+        Ran.ran,
+    ),
     _Code.conflict: ResultRow(409, 'The object has changed meanwhile.'),
     _Code.in_use: ResultRow(409, 'The object is in use.'),
     _Code.object_unknown: ResultRow(404, 'There is no such object.'),
@@ -172,6 +186,10 @@
         503,
         'The configuration here is too old to trust keys.',
     ),
+    _Code.function_unavailable: ResultRow(
+        501,
+        'This process does not offer the function.',
+    ),
 }
 
 
