Split loans by side; keep tokens when holders see a change at different times

Failures found by review, each with the test that failed first: - A return was answered with a loan on the returner's own stamp, which it ignores: 40 of 225 tokens left when the old holder saw a new one first. - A recall was passed on for seats that did not come from the recaller, so a new holder gave seats back that it should keep (189 of 225).

--- a/mintlanding/limits/handover.py
+++ b/mintlanding/limits/handover.py
@@ -9,7 +9,7 @@
 
 from mintlanding.limits.bucket import Parcel
 from mintlanding.limits.holders import rendezvous
-from mintlanding.limits.lending import Lending
+from mintlanding.limits.loans import Loans
 from mintlanding.limits.messages import (
     Event,
     HandedOver,
@@ -34,7 +34,7 @@
 class HandOvers:
     """Hand-overs of one instance, in both directions."""
 
-    lending: Lending
+    loans: Loans
     events: list[Event]
     _unconfirmed: dict[int, _Unconfirmed] = field(default_factory=dict)
     _taken: set[tuple[str, int, int]] = field(default_factory=set)
@@ -43,20 +43,20 @@
     @property
     def is_done(self) -> bool:
         """Tell whether nothing is left to hand over."""
-        return not self.lending.owned and not self._unconfirmed
+        return not self.loans.shares.owned and not self._unconfirmed
 
     def tick(self, now: float) -> None:
         """Hand over what is home; repeat what has not been confirmed."""
-        if not self.lending.is_leaving:
+        if not self.loans.shares.is_leaving:
             return
         for successor, seats in self._successors(now).items():
             self._give(successor, tuple(seats), now)
-        retry = self.lending.terms.settle_retry
+        retry = self.loans.shares.terms.settle_retry
         for unconfirmed in self._unconfirmed.values():
             if unconfirmed.due <= now:
                 unconfirmed.due = now + retry
                 receiver = unconfirmed.receiver
-                self.lending.outbox.put(receiver, unconfirmed.message, now)
+                self.loans.shares.outbox.put(receiver, unconfirmed.message, now)
 
     def next_wake(self) -> float:
         """Return when a hand-over is repeated."""
@@ -65,57 +65,57 @@
 
     def take(self, message: HandOver, sender: str, now: float) -> None:
         """Own the seats that a leaving instance gives, and confirm."""
-        incarnation = self.lending.outbox.incarnation_of(sender)
+        incarnation = self.loans.shares.outbox.incarnation_of(sender)
         key = (sender, incarnation, message.number)
         if key in self._taken:
-            self.lending.outbox.put(sender, HandedOver(message.number), now)
+            self.loans.shares.outbox.put(
+                sender, HandedOver(message.number), now
+            )
             return
-        if now - message.stamp > self.lending.terms.grace / 2:
+        if now - message.stamp > self.loans.shares.terms.grace / 2:
             return
-        if self.lending.is_leaving:
+        if self.loans.shares.is_leaving:
             return
         self._taken.add(key)
-        self.lending.outbox.put(sender, HandedOver(message.number), now)
-        self.lending.owned.update(message.seats)
+        self.loans.shares.outbox.put(sender, HandedOver(message.number), now)
+        self.loans.shares.owned.update(message.seats)
         parcels = {loan.workspaces[0]: loan for loan in message.loans}
-        for name, pool in self.lending.pools.items():
+        for name, pool in self.loans.shares.pools.items():
             pool.expire(now)
             for seat in message.seats:
                 pool.claim(seat, now, now)
             loan = parcels.get(name)
             if loan is not None:
                 parcel = Parcel(loan.tokens[0], loan.flight[0])
-                until = now + self.lending.terms.flight
+                until = now + self.loans.shares.terms.flight
                 pool.bucket.put(parcel, now, until)
         self.events.append(SeatsReceived(frozenset(message.seats)))
-        self.lending.announce(now)
-        self.lending.push_all(now)
+        self.loans.announce(now)
+        self.loans.lending.push_all(now)
 
     def confirm(self, message: HandedOver) -> None:
         """Stop repeating a hand-over."""
         self._unconfirmed.pop(message.number, None)
 
     def _successors(self, now: float) -> dict[str, list[int]]:
-        lending = self.lending
-        names = sorted(set(lending.view.neighbours()) & lending.stamps.keys())
+        shares = self.loans.shares
+        names = sorted(set(shares.view.neighbours()) & self.loans.stamps.keys())
         chosen: dict[str, list[int]] = {}
         if not names:
             return chosen
-        for seat in sorted(lending.owned):
-            if all(
-                _is_home(pool, seat, now) for pool in lending.pools.values()
-            ):
+        for seat in sorted(shares.owned):
+            if all(_is_home(pool, seat, now) for pool in shares.pools.values()):
                 receiver = rendezvous(f'seat/{seat}', names)
                 chosen.setdefault(receiver, []).append(seat)
         return chosen
 
     def _give(self, receiver: str, seats: tuple[int, ...], now: float) -> None:
-        lending = self.lending
-        loans = []
-        for name, pool in lending.pools.items():
+        shares = self.loans.shares
+        moved = []
+        for name, pool in shares.pools.items():
             pool.expire(now)
             parcel = pool.give_up(list(seats), now)
-            loans.append(
+            moved.append(
                 Loan(
                     0,
                     0,
@@ -125,10 +125,10 @@
                     (parcel.flight,),
                 ),
             )
-        lending.owned.difference_update(seats)
+        shares.owned.difference_update(seats)
         self._last_number += 1
-        stamp = lending.stamps[receiver]
-        message = HandOver(self._last_number, stamp, seats, tuple(loans))
+        stamp = self.loans.stamps[receiver]
+        message = HandOver(self._last_number, stamp, seats, tuple(moved))
         unconfirmed = _Unconfirmed(receiver, message, now)
         self._unconfirmed[self._last_number] = unconfirmed
         self.events.append(SeatsHandedOver(frozenset(seats)))
--- a/mintlanding/limits/models.py
+++ b/mintlanding/limits/models.py
@@ -7,7 +7,7 @@
 from mintlanding.limits.bucket import Bucket
 from mintlanding.limits.handover import HandOvers
 from mintlanding.limits.holders import HolderView
-from mintlanding.limits.lending import Lending
+from mintlanding.limits.loans import Loans
 from mintlanding.limits.messages import (
     Action,
     Announce,
@@ -31,6 +31,7 @@
 from mintlanding.limits.outbox import Outbox
 from mintlanding.limits.pools import Pool
 from mintlanding.limits.requests import Requests
+from mintlanding.limits.shares import Shares
 from mintlanding.limits.terms import Rate, Terms
 from mintlanding.membership.models import Member
 
@@ -60,9 +61,10 @@
         self._outbox = Outbox(incarnation)
         self._view = HolderView(instance, zone, terms.flat_members)
         parts = (terms, self._view, self._outbox, self.pools)
-        self._lending = Lending(*parts)
+        self._shares = Shares(*parts)
+        self._loans = Loans.from_shares(self._shares)
         self._requests = Requests(*parts)
-        self._hand_overs = HandOvers(self._lending, self._events)
+        self._hand_overs = HandOvers(self._loans, self._events)
 
     @classmethod
     def from_config(
@@ -93,7 +95,7 @@
                 self._add_pool(name, limit, now)
             elif pool.limit != limit:
                 pool.configure(limit, now)
-        self._lending.reindex()
+        self._loans.reindex()
         return self._collect(now)
 
     def own_seats(self, seats: frozenset[int], now: float) -> list[Action]:
@@ -102,8 +104,8 @@
         A new seat is used only after the loans of its last owner are over.
         """
         self._advance(now)
-        owned = self._lending.owned
-        if self._lending.is_leaving:
+        owned = self._shares.owned
+        if self._shares.is_leaving:
             seats &= owned
         free_from = now + self.terms.lender_term(self.terms.term)
         for pool in self.pools.values():
@@ -115,7 +117,7 @@
         if owned != seats:
             owned.clear()
             owned.update(seats)
-            self._lending.announce(now)
+            self._loans.announce(now)
         return self._collect(now)
 
     def observe_members(
@@ -127,9 +129,9 @@
         self._advance(now)
         before = self._view.live
         if self._view.observe(members):
-            self._lending.follow_view(now)
+            self._loans.follow_view(now)
             if self._view.live - before:
-                self._lending.announce(now)
+                self._loans.announce(now)
         return self._collect(now)
 
     def reserve(
@@ -180,21 +182,21 @@
         if now >= self._renew_at:
             jitter = self._rnd.uniform(0.9, 1)
             self._renew_at = now + self.terms.renew * jitter
-            self._lending.ask_all(now)
+            self._loans.ask_all(now)
             self._requests.prune(now)
         if now >= self._announce_at:
             self._announce_at = now + self.terms.announce
-            self._lending.announce(now)
+            self._loans.announce(now)
         return self._collect(now)
 
     def drain(self, now: float) -> list[Action]:
         """Leave: give back what is borrowed and recall what is lent."""
         self._advance(now)
         self._view.leave()
-        self._lending.is_leaving = True
-        self._lending.announce(now)
-        self._lending.follow_view(now)
-        self._lending.recall(self.pools, now)
+        self._shares.is_leaving = True
+        self._loans.announce(now)
+        self._loans.follow_view(now)
+        self._loans.lending.recall(self.pools, now)
         self._hand_overs.tick(now)
         return self._collect(now)
 
@@ -206,7 +208,7 @@
     def seats_in_use(self, now: float) -> frozenset[int]:
         """Return the seats that neighbours have said they use."""
         since = now - self.terms.takeover
-        used = self._lending.used.items()
+        used = self._loans.used.items()
         return frozenset(seat for seat, at in used if at >= since)
 
     def next_wake(self, now: float) -> float:
@@ -231,15 +233,15 @@
             pool.expire(now)
             for seat in tuple(pool.holds):
                 pool.drop(seat, now)
-        if self._lending.owned:
-            self._events.append(SeatsLost(frozenset(self._lending.owned)))
-        self._lending.forget()
+        if self._shares.owned:
+            self._events.append(SeatsLost(frozenset(self._shares.owned)))
+        self._loans.forget()
 
     def _add_pool(self, name: str, limit: Rate, now: float) -> None:
         pool = Pool(name, limit, self._seat_count, Bucket(now))
         self.pools[name] = pool
         free_from = now + self.terms.lender_term(self.terms.term)
-        for seat in self._lending.owned:
+        for seat in self._shares.owned:
             pool.claim(seat, now, free_from)
 
     def _handle(
@@ -272,22 +274,21 @@
     ) -> None:
         match message:
             case Announce():
-                self._lending.hear(message, sender, now)
+                self._loans.hear(message, sender, now)
             case Ask():
-                self._lending.answer(message, sender, now)
+                self._loans.lending.answer(message, sender, now)
             case Lend():
-                self._lending.adopt(message, sender, now)
+                self._loans.borrowing.adopt(message, sender, now)
                 self._requests.tick(now)
             case Return():
-                self._lending.take_back(message, sender, now)
+                self._loans.lending.take_back(message, sender, now)
                 self._hand_overs.tick(now)
             case HandOver():
                 self._hand_overs.take(message, sender, now)
             case HandedOver():
                 self._hand_overs.confirm(message)
             case Recall():
-                self._lending.give_back(message.workspaces, now, sender)
-                self._lending.recall(message.workspaces, now)
+                self._loans.return_recalled(message, sender, now)
 
     def _collect(self, now: float) -> list[Action]:
         answers = self._requests.answers
--- a/mintlanding/limits/pools.py
+++ b/mintlanding/limits/pools.py
@@ -56,6 +56,13 @@
         """List the seats whose tokens accrue here."""
         return [seat for seat in self.holds if seat not in self.lent]
 
+    def lends_on(self, lender: str) -> bool:
+        """Tell whether seats of a lender are with somebody else."""
+        holds = self.holds
+        return any(
+            seat in holds and holds[seat].lender == lender for seat in self.lent
+        )
+
     def expire(self, now: float) -> None:
         """Drop loans that are over; seats that come back are empty."""
         if self.next_end > now:
--- a/mintlanding/limits/tests/fleets.py
+++ b/mintlanding/limits/tests/fleets.py
@@ -128,6 +128,12 @@
     def is_done(self, request_id):
         return isinstance(self.outcome(request_id), Done)
 
+    def level(self, workspace=WORKSPACE):
+        buckets = [node.pools[workspace].bucket for node in self.nodes.values()]
+        for bucket in buckets:
+            bucket.advance(self.now)
+        return sum(bucket.level for bucket in buckets)
+
     def holder(self, workspace=WORKSPACE):
         node = next(iter(self.nodes.values()))
         return node._view.root(workspace)
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -274,9 +274,9 @@
     fleet.queue.extend(held)
     fleet.deliver_all()
     owned = [
-        seat for each in fleet.nodes.values() for seat in each._lending.owned
+        seat for each in fleet.nodes.values() for seat in each._shares.owned
     ]
     assert sorted(owned) == sorted(
         seat for name in fleet.nodes for seat in fleet.seats[name]
     )
-    assert node._lending.owned == set()
+    assert node._shares.owned == set()
--- a/mintlanding/limits/tests/test_models.py
+++ b/mintlanding/limits/tests/test_models.py
@@ -122,3 +122,21 @@
     fleet.do('i0', 'reserve', 'r', WORKSPACE, 300)
     fleet.run(0.1)
     assert isinstance(fleet.outcome('r'), Done)
+
+
+def test_a_new_holder_gets_the_tokens_whoever_sees_it_first():
+    fleet = Fleet(size=4, seat_count=8)
+    new = fleet.holder()
+    others = [name for name in fleet.names if name != new]
+    fleet.see(others)
+    fleet.run(15)
+    old = fleet.nodes[others[0]]._view.root(WORKSPACE)
+    before = fleet.level()
+    fleet.see(fleet.names, at=[old])
+    fleet.deliver_all()
+    fleet.run(0.02)
+    fleet.see(fleet.names)
+    fleet.deliver_all()
+    fleet.run(0.02)
+    assert fleet.level() >= before
+    assert fleet.nodes[new].pools[WORKSPACE].bucket.level >= before
