Keep a seat in its zone when it is claimed or handed over

Cause: without zones in the settings, an instance of another zone could take the seat of an instance that is gone while the one that had got it by hand-over was on the other side of a cut and went on using it. After: the record names the zone; claims and hand-overs stay inside it. test_seats_are_handed_over_inside_the_zone_only failed before.

--- a/mintlanding/limits/handover.py
+++ b/mintlanding/limits/handover.py
@@ -1,7 +1,7 @@
 """Hand-over of seats at a planned stop.
 
-The leaving instance gives its seats to live neighbours once all of them are
-home. It names the neighbour's own clock, so that a hand-over which arrives
+The leaving instance gives its seats to live instances of its zone once they
+are home. It names the receiver's own clock, so that a hand-over which arrives
 after the seats may have been claimed by another is not taken.
 """
 
@@ -99,7 +99,7 @@
 
     def _successors(self, now: float) -> dict[str, list[int]]:
         shares = self.loans.shares
-        names = sorted(set(shares.view.neighbours()) & self.loans.stamps.keys())
+        names = sorted(set(shares.view.zone_peers()) & self.loans.stamps.keys())
         chosen: dict[str, list[int]] = {}
         if not names:
             return chosen
--- a/mintlanding/limits/holders.py
+++ b/mintlanding/limits/holders.py
@@ -133,6 +133,10 @@
         """List the others that may lend to this instance directly."""
         if self.is_flat:
             return sorted(self.live - {self.instance})
+        return self.zone_peers()
+
+    def zone_peers(self) -> list[str]:
+        """List the other live instances of the zone."""
         names = self._zones.get(self.zone, ())
         return [each for each in names if each != self.instance]
 
--- a/mintlanding/limits/seats.py
+++ b/mintlanding/limits/seats.py
@@ -24,11 +24,16 @@
 
 
 class SeatRecord(msgspec.Struct, frozen=True):
-    """What the key-value service keeps of a seat."""
+    """What the key-value service keeps of a seat.
+
+    A seat stays in the zone of its first owner, so that no other zone takes
+    it across a cut.
+    """
 
     owner: str
     incarnation: int
     epoch: int
+    zone: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,6 +244,8 @@
             return False
         if stored is not None and stored.record.owner == self.instance:
             return True
+        if stored is not None and stored.record.zone not in {'', self.zone}:
+            return False
         if rendezvous(f'seat/{seat}', self._live) != self.instance:
             return False
         return stored is None or self._is_gone(stored.record.owner, now)
@@ -252,6 +259,11 @@
 
     def _write(self, seat: int, stored: StoredSeat | None) -> WriteSeat:
         epoch = stored.record.epoch + 1 if stored else 1
-        record = SeatRecord(self.instance, self.incarnation, epoch)
+        record = SeatRecord(
+            self.instance,
+            self.incarnation,
+            epoch,
+            self.zone,
+        )
         self._writing[seat] = record
         return WriteSeat(seat, record, stored.index if stored else 0)
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -280,3 +280,13 @@
         seat for name in fleet.nodes for seat in fleet.seats[name]
     )
     assert node._shares.owned == set()
+
+
+def test_seats_are_handed_over_inside_the_zone_only():
+    fleet = Fleet(size=4, seat_count=4, zones=('a', 'b'))
+    fleet.run(12)
+    fleet.do('i0', 'drain')
+    fleet.deliver_all()
+    fleet.run(0.2)
+    assert fleet.seats['i2'] == {0, 2}
+    assert fleet.nodes['i0'].is_drained()
--- a/mintlanding/limits/tests/test_seats.py
+++ b/mintlanding/limits/tests/test_seats.py
@@ -37,7 +37,7 @@
     claims = build()
     assert claims.tick(10) == [ReadSeats((0,))]
     write = claims.take_records({}, NOBODY, 10)
-    assert write == [WriteSeat(0, SeatRecord('i0', 1, 1), 0)]
+    assert write == [WriteSeat(0, SeatRecord('i0', 1, 1, 'a'), 0)]
     assert claims.seats() == NOBODY
 
 
@@ -79,7 +79,7 @@
         claims.observe_members([member('i0'), member('old')], 0)
     claims.take_records(stored('old'), in_use, 100)
     writes = claims.take_records(stored('old'), in_use, 100 + waited)
-    expected = [WriteSeat(0, SeatRecord('i0', 1, 2), 7)]
+    expected = [WriteSeat(0, SeatRecord('i0', 1, 2, 'a'), 7)]
     assert writes == (expected if is_taken else [])
 
 
@@ -120,7 +120,7 @@
     claims = build(live=('i0',))
     claims.accept_hand_over(frozenset((0,)), 10)
     writes = claims.take_records(stored('gone'), NOBODY, 5000)
-    assert writes == [WriteSeat(0, SeatRecord('i0', 1, 2), 7)]
+    assert writes == [WriteSeat(0, SeatRecord('i0', 1, 2, 'a'), 7)]
     assert claims.seats() == {0}
 
 
@@ -149,7 +149,7 @@
     assert claims.seats() == NOBODY
     records = {0: StoredSeat(record, 4)}
     writes = claims.take_records(records, NOBODY, 61)
-    assert writes == [WriteSeat(0, SeatRecord('i0', 1, 2), 4)]
+    assert writes == [WriteSeat(0, SeatRecord('i0', 1, 2, 'a'), 4)]
 
 
 def test_a_new_incarnation_waits_for_what_others_say_they_use():
@@ -158,3 +158,11 @@
     assert claims.take_records(stored('i0'), NOBODY, 1) == []
     assert claims.take_records(stored('i0'), in_use, 10) == []
     assert claims.take_records(stored('i0'), NOBODY, 10) != []
+
+
+def test_a_seat_stays_in_the_zone_of_its_first_owner():
+    claims = build()
+    record = SeatRecord('old', 1, 1, 'b')
+    for now in (100, 1000):
+        records = {0: StoredSeat(record, 7)}
+        assert claims.take_records(records, NOBODY, now) == []
