--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -46,13 +46,16 @@
     def from_config(cls, values: Mapping[str, float]) -> Self:  # noqa: WPS110
         """Take durations by name; the others keep their defaults."""
         known = {each.name for each in fields(cls)}
-        unknown = sorted(values.keys() - known)
+        unknown = ', '.join(sorted(values.keys() - known))
         if unknown:
-            raise ConfigurationError(
-                f'agent.limits: unknown {", ".join(unknown)}; '
-                f'known: {", ".join(sorted(known))}',
-            )
-        return cls(**values)  # type: ignore[arg-type]
+            raise ConfigurationError(f'unknown terms of the limits: {unknown}')
+        terms = cls(**values)  # type: ignore[arg-type]
+        for smaller, larger in _ORDER:
+            if getattr(terms, smaller) >= getattr(terms, larger):
+                raise ConfigurationError(
+                    f'limits: {smaller} has to be shorter than {larger}',
+                )
+        return terms
 
     @classmethod
     def for_fleet(cls) -> Self:
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -148,22 +148,21 @@
 
 def test_a_loan_that_arrives_after_its_return_is_void():
     fleet = Fleet()
-    fleet.run(12)
-    holder = fleet.holder()
-    heavier = find_heavier(fleet, holder)
-    fleet.see([*fleet.names, heavier], at=[holder])
     fleet.deliver_all()
-    fleet.see(fleet.names, at=[holder])
+    fleet.now += 5
+    for name in fleet.names:
+        fleet.do(name, 'tick')
     held = []
     while fleet.queue:
-        names = [type(each) for each in fleet.queue[0][2].messages]
-        if Lend in names:
+        if any(isinstance(each, Lend) for each in fleet.queue[0][2].messages):
             held.append(fleet.queue.pop(0))
         else:
             fleet.deliver()
     assert held
     fleet.run(1.1)
-    fleet.see([*fleet.names, heavier])
+    holder = fleet.holder()
+    assert len(fleet.nodes[holder].pools[WORKSPACE].usable()) == 6
+    fleet.see([*fleet.names, find_heavier(fleet, holder)])
     fleet.deliver_all()
     fleet.queue = held
     while fleet.queue:
--- a/mintlanding/limits/tests/test_models.py
+++ b/mintlanding/limits/tests/test_models.py
@@ -1,3 +1,8 @@
+from dataclasses import asdict
+
+import pytest
+
+from mintlanding.core.exceptions import ConfigurationError
 from mintlanding.core.results import Done, ResultCode
 from mintlanding.limits.terms import Rate, Terms
 from mintlanding.limits.tests.fleets import RATE, WORKSPACE, Fleet
@@ -140,3 +145,16 @@
     fleet.run(0.02)
     assert fleet.level() >= before
     assert fleet.nodes[new].pools[WORKSPACE].bucket.level >= before
+
+
+@pytest.mark.parametrize(
+    'values', [{'terms': 1}, {'renew': 3}, {'pause': 30}, {'patience': 1}]
+)
+def test_terms_that_cannot_hold_are_refused(values):
+    with pytest.raises(ConfigurationError):
+        Terms.from_config(values)
+
+
+def test_the_terms_of_a_large_fleet_hold():
+    terms = Terms.for_fleet()
+    assert Terms.from_config(asdict(terms)) == terms
