--- a/mintlanding/limits/terms.py
+++ b/mintlanding/limits/terms.py
@@ -6,6 +6,16 @@
 
 from mintlanding.core.exceptions import ConfigurationError
 
+_ORDER = (
+    ('renew', 'term'),
+    ('renew', 'zone_term'),
+    ('linger', 'patience'),
+    ('patience', 'request_timeout'),
+    ('request_timeout', 'term'),
+    ('pause', 'grace'),
+    ('announce', 'grace'),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Rate:
