--- a/mintlanding/limits/tests/test_properties.py
+++ b/mintlanding/limits/tests/test_properties.py
@@ -1,6 +1,7 @@
 """What must hold whatever is lost, doubled, late, cut, paused or restarted."""
 
 import copy
+import dataclasses
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -273,5 +274,12 @@
     terms = ZONED
 
 
+class MixedLimitsMachine(LimitsMachine):
+    """The same where each view may be flat or have zones."""
+
+    terms = dataclasses.replace(ZONED, flat_members=3)
+
+
+TestMixedLimits = MixedLimitsMachine.TestCase
 TestLimits = LimitsMachine.TestCase
 TestZonedLimits = ZonedLimitsMachine.TestCase
