--- a/mintlanding/limits/holders.py
+++ b/mintlanding/limits/holders.py
@@ -35,6 +35,7 @@
         self._flat_members = flat_members
         self._zones: dict[str, tuple[str, ...]] = {}
         self._roots: dict[str, str] = {}
+        self._root_zones: dict[str, str] = {}
         self._heads: dict[tuple[str, str], str] = {}
         self._is_leaving = False
         self.is_flat = True
@@ -68,11 +69,8 @@
         fresh = {zone: tuple(names) for zone, names in zones.items()}
         if fresh == self._zones:
             return False
-        self._zones = fresh
-        self.live = frozenset(live)
+        self._replace_zones(fresh)
         self.is_flat = len(live) <= self._flat_members
-        self._roots.clear()
-        self._heads.clear()
         return True
 
     def exclude(self, instance: str, incarnation: int) -> bool:
@@ -83,14 +81,11 @@
     def leave(self) -> None:
         """Choose this instance no more."""
         self._is_leaving = True
-        self._zones = {
+        others = {
             zone: tuple(each for each in names if each != self.instance)
             for zone, names in self._zones.items()
         }
-        self._zones = {zone: ids for zone, ids in self._zones.items() if ids}
-        self.live -= {self.instance}
-        self._roots.clear()
-        self._heads.clear()
+        self._replace_zones({zone: ids for zone, ids in others.items() if ids})
 
     def root(self, workspace: str) -> str:
         """Return the holder of the workspace's bucket."""
@@ -143,5 +138,24 @@
     def _choose(self, workspace: str) -> str:
         if self.is_flat:
             return rendezvous(workspace, self.live)
-        zone = rendezvous(workspace, self._zones)
-        return self.head(workspace, zone)
+        if workspace not in self._root_zones:
+            zone = rendezvous(workspace, self._zones)
+            self._root_zones[workspace] = zone
+        return self.head(workspace, self._root_zones[workspace])
+
+    def _replace_zones(self, fresh: dict[str, tuple[str, ...]]) -> None:
+        """Forget only the choices that the change may touch."""
+        changed = {
+            zone
+            for zone in self._zones.keys() | fresh.keys()
+            if self._zones.get(zone) != fresh.get(zone)
+        }
+        if self._zones.keys() != fresh.keys():
+            self._root_zones.clear()
+        for key in [each for each in self._heads if each[1] in changed]:
+            self._heads.pop(key)
+        self._roots.clear()
+        self._zones = fresh
+        self.live = frozenset(
+            instance for names in fresh.values() for instance in names
+        )
