--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -4,6 +4,9 @@
 import importlib
 import importlib.util
 import time
+from dataclasses import fields
+
+from tabulate import tabulate
 
 from benchmarks.measure_placement import WARM_SECONDS, Run
 from benchmarks.scenarios import NIGHT, POLICIES, SCENARIOS, SITES
@@ -109,11 +112,9 @@
     if importlib.util.find_spec('benchmarks.measure_limits') is None:
         return
     rows = importlib.import_module('benchmarks.measure_limits').rows(seed)
-    table = [tuple(str(cell) for cell in each) for each in rows]
-    widths = [max(map(len, column)) for column in zip(*table)]
-    print()
-    for cells in table:
-        show(cells, widths)
+    heads = [each.name for each in fields(rows[0])]
+    cells = [vars(each).values() for each in rows]
+    print(f'\n{tabulate(cells, heads, floatfmt=".3f")}')
 
 
 def plot(path, runs):
