Bound credit and odd numbers; load first what batch needs within ten seconds

Cause: batch saved up credit without bound while its adapters loaded, and a batch load never went before interactive ones, however close its latest start. Tokens, weights and waits of other processes were taken as they came; NaN, infinite or negative ones broke the accounts (rows fail without this change). Ruled out: refusing odd numbers, since the request itself may be fine.

--- a/mintlanding/fairness/baselines.py
+++ b/mintlanding/fairness/baselines.py
@@ -48,7 +48,7 @@
         """Say whether requests for an adapter can run now."""
         self._store.set_ready(ref, is_ready)
 
-    def blocked(self) -> list[AdapterRef]:
+    def blocked(self, now: float) -> list[AdapterRef]:
         """List adapters that waiting requests need, the oldest first."""
         return list(self._store.blocked)
 
--- a/mintlanding/fairness/models.py
+++ b/mintlanding/fairness/models.py
@@ -30,7 +30,8 @@
     get beside interactive ones; `max_batch_share` is the most that their
     deadlines can raise it to. `urgent_seconds` before its latest start a
     batch request goes first, `urgent_load_seconds` before it no longer waits
-    for spare permits.
+    for spare permits. `max_credit` bounds in tokens what batch saves up while
+    its adapters load.
     """
 
     limit: int = 512
@@ -38,6 +39,7 @@
     max_batch_share: float = 0.6
     urgent_seconds: float = 5
     urgent_load_seconds: float = 30
+    max_credit: float = 2000
 
 
 Group = OrderedDict[str, Waiting]
--- a/mintlanding/fairness/policies.py
+++ b/mintlanding/fairness/policies.py
@@ -24,7 +24,7 @@
     def set_ready(self, ref: AdapterRef, is_ready: bool) -> None:
         """Say whether requests for an adapter can run now."""
 
-    def blocked(self) -> list[AdapterRef]:
+    def blocked(self, now: float) -> list[AdapterRef]:
         """List adapters that waiting requests need, the next one first."""
 
     def blocked_count(self) -> int:
--- a/mintlanding/fairness/tests/test_queues.py
+++ b/mintlanding/fairness/tests/test_queues.py
@@ -137,7 +137,7 @@
         total = sum(each.tokens for each in self.held.values())
         assert queue.tokens == pytest.approx(total)
         refs = {each.ref for each in self.held.values()}
-        assert set(queue.blocked()) == refs - self.ready
+        assert set(queue.blocked(self.now)) == refs - self.ready
         assert queue.blocked_count() == len(refs - self.ready)
         assert queue.urgent_count(self.now) <= queue.blocked_count()
         counts = Counter(each.ref for each in self.held.values())
@@ -243,6 +243,29 @@
     assert queue.pop(0, RATE).reservation_id == 'b'
 
 
+def test_a_batch_load_close_to_its_latest_start_goes_first():
+    queue = WeightedFairQueue(TERMS)
+    queue.push(item('i', 'one', REFS[0]))
+    queue.push(item('b', 'two', REFS[1], priority=BATCH, expires=100))
+    assert queue.blocked(0) == [REFS[0], REFS[1]]
+    assert queue.urgent_count(0) == 1
+    assert queue.urgent_count(75) == 2
+    assert queue.blocked(95) == [REFS[1], REFS[0]]
+
+
+def test_batch_whose_adapter_loads_saves_up_a_bounded_credit():
+    queue = fair_queue(limit=1000, max_credit=50)
+    queue.set_ready(REFS[1], is_ready=False)
+    for number in range(300):
+        fields = {'priority': BATCH, 'expires': 1e6}
+        queue.push(item(f'b{number}', 'two', REFS[1], **fields))
+        queue.push(item(f'i{number}', 'one'))
+    drain(queue, 200)
+    queue.set_ready(REFS[1], is_ready=True)
+    served = Counter(found.priority for found in drain(queue, 20))
+    assert served[BATCH] <= 7
+
+
 def test_a_full_queue_drops_from_the_longest_backlog():
     queue = fair_queue(limit=4)
     for number in range(4):
--- a/mintlanding/fairness/weighted.py
+++ b/mintlanding/fairness/weighted.py
@@ -10,6 +10,8 @@
 
 _INTERACTIVE = Priority.interactive
 _BATCH = Priority.batch
+# Seconds before its latest start at which a batch request's load goes first.
+_LOAD_AHEAD = 10
 
 
 @QUEUES.register('weighted')
@@ -80,14 +82,20 @@
             else:
                 lane.block(ref)
 
-    def blocked(self) -> list[AdapterRef]:
-        """List adapters that waiting requests need, the next one first."""
-        refs = self._lanes[_INTERACTIVE].blocked()
-        seen = set(refs)
-        refs.extend(
-            ref for ref in self._lanes[_BATCH].blocked() if ref not in seen
-        )
-        return refs
+    def blocked(self, now: float) -> list[AdapterRef]:
+        """List adapters that waiting requests need, the next one first.
+
+        A batch request close to its latest start goes before all others.
+        """
+        refs = []
+        first = self._earliest_batch()
+        if first is not None and _is_close(first, now, _LOAD_AHEAD):
+            refs.append(first.ref)
+        refs.extend(self._lanes[_INTERACTIVE].blocked())
+        refs.extend(self._lanes[_BATCH].blocked())
+        return [
+            ref for ref in dict.fromkeys(refs) if ref in self._store.blocked
+        ]
 
     def blocked_count(self) -> int:
         """Count these adapters in constant time."""
@@ -95,11 +103,10 @@
 
     def urgent_count(self, now: float) -> int:
         """Count interactive ones, and all when a batch deadline is near."""
-        self._drop_old_deadlines()
-        if self._latest:
-            left = self._latest[0][0] - now
-            if left < self._terms.urgent_load_seconds:
-                return self.blocked_count()
+        first = self._earliest_batch()
+        seconds = self._terms.urgent_load_seconds
+        if first is not None and _is_close(first, now, seconds):
+            return self.blocked_count()
         return len(self._lanes[_INTERACTIVE].blocked_refs)
 
     def waiting_for(self, ref: AdapterRef) -> int:
@@ -162,21 +169,21 @@
         return flow.newest()
 
     def _urgent(self, now: float) -> Waiting | None:
-        self._drop_old_deadlines()
-        if not self._latest:
+        first = self._earliest_batch()
+        if first is None or first.ref not in self._store.ready:
             return None
-        expires, _, reservation_id = self._latest[0]
-        item = self._store.by_id[reservation_id]
-        is_close = expires - now <= self._terms.urgent_seconds
-        return item if is_close and item.ref in self._store.ready else None
+        is_close = _is_close(first, now, self._terms.urgent_seconds)
+        return first if is_close else None
 
-    def _drop_old_deadlines(self) -> None:
+    def _earliest_batch(self) -> Waiting | None:
+        """Return the batch item with the earliest latest start."""
         while self._latest:
             _, sequence, reservation_id = self._latest[0]
             item = self._store.by_id.get(reservation_id)
             if item is not None and item.sequence == sequence:
-                return
+                return item
             heapq.heappop(self._latest)
+        return None
 
     def _lane_order(self, now: float, drain_rate: float) -> tuple[Lane, Lane]:
         batch, interactive = self._lanes[_BATCH], self._lanes[_INTERACTIVE]
@@ -194,13 +201,19 @@
             return
         if self._lanes[_BATCH].flows:
             share = self._share(now, drain_rate)
-            self._credit += item.tokens * share / (1 - share)
+            earned = self._credit + item.tokens * share / (1 - share)
+            self._credit = min(earned, self._terms.max_credit)
 
     def _share(self, now: float, drain_rate: float) -> float:
         """Return the share of tokens that the batch deadlines need."""
         terms = self._terms
-        if not (self._latest and drain_rate):
+        first = self._earliest_batch()
+        if first is None or not drain_rate:
             return terms.batch_share
-        left = max(self._latest[0][0] - now, terms.urgent_seconds)
+        left = max(first.expires - now, terms.urgent_seconds)
         needed = self._lanes[_BATCH].tokens / (left * drain_rate)
         return min(max(needed, terms.batch_share), terms.max_batch_share)
+
+
+def _is_close(item: Waiting, now: float, seconds: float) -> bool:
+    return item.expires - now <= seconds
--- a/mintlanding/placement/admission.py
+++ b/mintlanding/placement/admission.py
@@ -16,6 +16,10 @@
 _Code = ResultCode
 # No caller is told to come back sooner than this many seconds.
 _MIN_RETRY_AFTER = 0.1
+# Bounds on numbers of other processes, so that no account can be broken.
+_MIN_TOKENS = 1.0
+_MIN_WEIGHT = 0.001
+_MAX_NUMBER = 1e9
 
 
 class Admission:
@@ -68,17 +72,18 @@
 
     def enqueue(self, req: ReserveRequest, now: float) -> list[ReserveReply]:
         """Queue a new reservation or refuse it."""
+        item = _waiting_item(req, now)
         ahead = self.queue.tokens_ahead(
-            req.workspace,
-            req.weight,
-            req.priority,
+            item.workspace,
+            item.weight,
+            item.priority,
         )
         delay = self.drain_rate.seconds_for(ahead)
         if ahead and delay > req.wait:
             code = _Code.deadline_unreachable
             return [self.refuse_new(req, code, now, delay - req.wait)]
         self._entries[req.reservation_id] = req.entry
-        dropped = self.queue.push(_waiting_item(req, now))
+        dropped = self.queue.push(item)
         if dropped is None:
             return []
         return [self.refuse(dropped, _Code.queue_full, now)]
@@ -185,8 +190,9 @@
             return None
         item = reservation.item
         if item is not None:
-            self.queue.settle(item, req.used)
-            self.drain_rate.note(req.used, now - reservation.granted)
+            used = _bounded(req.used, 0)
+            self.queue.settle(item, used)
+            self.drain_rate.note(used, now - reservation.granted)
         self._bar(req.reservation_id, now)
         return reservation
 
@@ -251,9 +257,14 @@
         reservation_id=req.reservation_id,
         workspace=req.workspace,
         ref=req.ref,
-        tokens=req.tokens,
-        weight=req.weight,
+        tokens=_bounded(req.tokens, _MIN_TOKENS),
+        weight=_bounded(req.weight, _MIN_WEIGHT),
         priority=req.priority,
         arrived=now,
-        expires=now + req.wait,
+        expires=now + _bounded(req.wait, 0),
     )
+
+
+def _bounded(number: float, least: float) -> float:
+    """Return the number in its bounds, the least one for what is none."""
+    return min(max(least, number), _MAX_NUMBER)
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -130,11 +130,11 @@
             return []
         return [self._ask(now, urgent=False)]
 
-    def unreachable(self) -> list[AdapterRef]:
+    def unreachable(self, now: float) -> list[AdapterRef]:
         """List adapters that are waited for and cannot be loaded here."""
         if self.can_load():
             return []
-        blocked = self._queue.blocked()
+        blocked = self._queue.blocked(now)
         return [ref for ref in blocked if self._slots.get(ref) is None]
 
     def note_grants(self, replies: Iterable[ReserveReply], now: float) -> None:
@@ -201,7 +201,7 @@
 
     def _next_ref(self, now: float) -> AdapterRef | None:
         pending = self.permits.pending_refs()
-        for ref in self._queue.blocked():
+        for ref in self._queue.blocked(now):
             is_under_way = ref in pending or self._slots.get(ref) is not None
             if not (is_under_way or self.failures.is_waiting(ref, now)):
                 return ref
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -258,7 +258,7 @@
             detail = 'the engine is silent'
             code = _Code.no_target
             actions.extend(self._admission.refuse_all(code, now, detail))
-        for ref in self._planner.unreachable():
+        for ref in self._planner.unreachable(now):
             code = _Code.no_target
             actions.extend(self._admission.refuse_ref(ref, code, now))
         actions.extend(self._planner.repeat_asks(now))
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -1,5 +1,7 @@
 """What a steward does when something fails, one row for each fault."""
 
+import math
+
 import pytest
 
 from mintlanding.core.results import ResultCode
@@ -332,3 +334,16 @@
     steward.engine_report(report(held), later)
     actions = steward.evict_done(evict.order_id, True, later)
     assert [order.ref for order in only(actions, LoadOrder)] == [ref_of(3)]
+
+
+@pytest.mark.parametrize('number', [0.0, -5.0, math.nan, math.inf, -math.inf])
+def test_numbers_without_sense_break_no_account(steward, number):
+    fill(steward, count=1)
+    fields = {'tokens': number, 'weight': number, 'workspace': 'odd'}
+    steward.reserve(request(5, ref_of(1), **fields), READY)
+    steward.release(ReleaseRequest('r5', 'w', number), READY + 1)
+    steward.reserve(request(6, ref_of(6), wait=number, **fields), READY + 1)
+    digest = steward.digest(READY + 1)
+    assert 0 <= digest.queued_tokens < math.inf
+    (reply,) = steward.reserve(request(7, ref_of(1)), READY + 1)
+    assert reply.code == 0
