--- a/mintlanding/admin/tests/test_openapi.py
+++ b/mintlanding/admin/tests/test_openapi.py
@@ -1,11 +1,15 @@
+from pathlib import Path
+
 import schemathesis
 from hypothesis import settings
 from schemathesis.checks import CHECKS, load_all_checks
 
+from mintlanding.admin.objects import COLLECTIONS
 from mintlanding.admin.openapi import describe_api
 from mintlanding.admin.operations import OPERATIONS
 from mintlanding.admin.ports import DaemonStatus
 from mintlanding.admin.tests.conftest import TOKEN, AdminClient, Fleet
+from mintlanding.core.checks import CHECKS as CHECK_FUNCTIONS
 
 # References between objects, label selectors and versions stand in no schema,
 # so an input that fits the schema may still be refused.
@@ -32,6 +36,17 @@
     assert len(ids) == len(set(ids))
 
 
+def test_page_tables_every_check_and_collection():
+    page = (
+        Path(__file__).parents[3] / 'docs/reference/admin-api.md'
+    ).read_text()
+    for name, check in CHECK_FUNCTIONS:
+        if name.startswith('configuration.'):
+            assert f'| `{check.__doc__[:4]}` |' in page
+    for collection, kind in COLLECTIONS.items():
+        assert f'| `/v1/{collection}` | `{kind}`' in page
+
+
 @_SCHEMA.parametrize()
 @settings(max_examples=8)
 def test_api_keeps_to_its_description(case):
--- a/mintlanding/configuration/checks.py
+++ b/mintlanding/configuration/checks.py
@@ -2,13 +2,11 @@
 
 import re
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass
 from urllib.parse import urlsplit
 
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.labels import LabelSelector, SelectorSyntaxError
 from mintlanding.configuration.models import (
-    Adapter,
     AdapterVersion,
     AnyObject,
     Key,
@@ -19,6 +17,7 @@
     Workspace,
 )
 from mintlanding.configuration.proposals import Proposal
+from mintlanding.configuration.states import ProposedState, references_of
 from mintlanding.core.checks import CHECKS, CheckMessage, run_checks
 
 NAME_HINT = 'use 1 to 128 letters, digits, dots, dashes and underscores'
@@ -30,72 +29,10 @@
 )
 _LABEL = re.compile('[A-Za-z0-9][A-Za-z0-9_./:-]{0,127}')
 _DIGEST = re.compile('[0-9a-f]{64}')
+_PREFIX = 'configuration.'
 _URL_SCHEMES = frozenset(('http', 'https'))
 
 
-@dataclass(frozen=True, slots=True)
-class ProposedState:
-    """The configuration as it would be after the proposals."""
-
-    directory: Directory
-    proposals: tuple[Proposal, ...]
-
-    @classmethod
-    def of(
-        cls,
-        directory: Directory,
-        proposals: Sequence[Proposal],
-    ) -> 'ProposedState':
-        """Lay proposals over a directory."""
-        return cls(directory, tuple(proposals))
-
-    def bodies(self) -> Iterator[AnyObject]:
-        """Go through the proposed objects."""
-        for each in self.proposals:
-            if each.body is not None:
-                yield each.body
-
-    def deleted(self) -> set[Ref]:
-        """Return what the proposals delete."""
-        return {each.ref for each in self.proposals if each.body is None}
-
-    def put(self) -> set[Ref]:
-        """Return what the proposals put."""
-        return {each.ref for each in self.proposals if each.body is not None}
-
-    def all_bodies(self) -> Iterator[AnyObject]:
-        """Go through all objects as they would be."""
-        replaced = {each.ref for each in self.proposals}
-        for ref, body in self.directory.objects():
-            if ref not in replaced:
-                yield body
-        yield from self.bodies()
-
-
-@dataclass(frozen=True, slots=True)
-class Reference:
-    """A field of an object that names another one."""
-
-    field: str
-    ref: Ref
-
-
-def references_of(body: AnyObject) -> list[Reference]:
-    """List what an object names."""
-    found: list[Reference] = []
-    if isinstance(body, Key | Adapter | Selector):
-        found.append(Reference('workspace', ('workspace', body.workspace)))
-    if isinstance(body, Adapter | Target):
-        found.append(Reference('service', ('service', body.service)))
-    if isinstance(body, AdapterVersion):
-        found.append(Reference('name', ('adapter', body.adapter)))
-    if isinstance(body, Adapter) and body.default_version:
-        full_name = f'{body.name}@{body.default_version}'
-        ref = ('adapter-version', full_name)
-        found.append(Reference('default_version', ref))
-    return found
-
-
 def check_proposals(
     directory: Directory,
     proposals: Sequence[Proposal],
@@ -112,9 +49,6 @@
     return f'{kind}/{name}.{field}'
 
 
-_PREFIX = 'configuration.'
-
-
 @CHECKS.register('configuration.names')
 def check_names(state: ProposedState) -> Iterable[CheckMessage]:
     """C001: names that cannot stand in a path or a model."""
--- /dev/null
+++ b/mintlanding/configuration/records.py
@@ -0,0 +1,34 @@
+"""The record of a commit in the history."""
+
+from mintlanding.configuration.directory import Directory
+from mintlanding.configuration.documents import Commit, Edit
+from mintlanding.configuration.models import Delta
+from mintlanding.configuration.proposals import action_of
+from mintlanding.configuration.writes import Authorship
+
+MAX_COMMIT_EDITS = 64
+
+
+def commit_record(
+    directory: Directory,
+    delta: Delta,
+    authorship: Authorship,
+) -> Commit:
+    """Tell who makes which changes; a large commit counts the rest."""
+    edits = [
+        Edit(
+            change.kind,
+            change.name,
+            action_of(directory.get(change.kind, change.name), change.body),
+            0 if change.body is None else change.body.version,
+        )
+        for change in delta.changes[:MAX_COMMIT_EDITS]
+    ]
+    return Commit(
+        delta.revision,
+        authorship.write_id,
+        authorship.author,
+        authorship.at,
+        tuple(edits),
+        len(delta.changes) - len(edits),
+    )
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -16,7 +16,6 @@
     BLOB_PREFIX,
     MANIFEST_KEY,
     Commit,
-    Edit,
     Manifest,
     blob_revision,
 )
@@ -33,10 +32,10 @@
 from mintlanding.configuration.models import Change, Delta
 from mintlanding.configuration.proposals import (
     Proposal,
-    action_of,
     number_changes,
 )
 from mintlanding.configuration.reading import ConfigurationReader
+from mintlanding.configuration.records import commit_record
 from mintlanding.configuration.writes import (
     Authorship,
     Committed,
@@ -51,7 +50,6 @@
 MAX_ATTEMPTS = 16
 CONCURRENT_CALLS = 4
 RETRY_AFTER_SECONDS = 2
-MAX_COMMIT_EDITS = 64
 _NONCE_BYTES = 8
 
 
@@ -200,7 +198,7 @@
     ) -> Outcome[Committed] | None:
         before = self.directory.revision
         delta = Delta(base=before, revision=before + 1, changes=changes)
-        commit = _commit_record(self.directory, delta, authorship)
+        commit = commit_record(self.directory, delta, authorship)
         planner = LayoutPlanner(
             self._stored.manifest,
             secrets.token_hex(_NONCE_BYTES),
@@ -309,27 +307,3 @@
         Ran.unknown if may_have_run else Ran.not_run,
         RETRY_AFTER_SECONDS,
     )
-
-
-def _commit_record(
-    directory: Directory,
-    delta: Delta,
-    authorship: Authorship,
-) -> Commit:
-    edits = [
-        Edit(
-            change.kind,
-            change.name,
-            action_of(directory.get(change.kind, change.name), change.body),
-            0 if change.body is None else change.body.version,
-        )
-        for change in delta.changes[:MAX_COMMIT_EDITS]
-    ]
-    return Commit(
-        delta.revision,
-        authorship.write_id,
-        authorship.author,
-        authorship.at,
-        tuple(edits),
-        len(delta.changes) - len(edits),
-    )
