Say unknown when the state is unreadable after a lost answer

A damaged manifest met while settling a lost write was reported as not run; the test failed before. During bursts each commit read all recent history segments again to look for its write id; they never change and are now read once. Writing moves to its own module.

--- a/mintlanding/configuration/reading.py
+++ b/mintlanding/configuration/reading.py
@@ -17,6 +17,7 @@
 from mintlanding.platform.keyvalue import Entry, KeyValueService
 
 MAX_LOADS = 5
+MAX_HELD_SEGMENTS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     def __init__(self, service: KeyValueService) -> None:
         """Read from a key-value service."""
         self._service = service
+        self._segments: dict[str, tuple[Commit, ...]] = {}
 
     async def latest(self) -> Entry | None:
         """Return the entry of the manifest."""
@@ -73,9 +75,21 @@
         return found[:limit]
 
     async def segment(self, ref: BlobRef) -> tuple[Commit, ...]:
-        """Return the commits of a history segment; none when it has gone."""
+        """Return the commits of a history segment; none when it has gone.
+
+        Segments never change, so that they are read once.
+        """
+        held = self._segments.get(ref.key)
+        if held is not None:
+            return held
         content = await self._read_blob(ref)
-        return () if content is None else unpack_commits(content)
+        if content is None:
+            return ()
+        if len(self._segments) >= MAX_HELD_SEGMENTS:
+            self._segments.clear()
+        found = unpack_commits(content)
+        self._segments[ref.key] = found
+        return found
 
     async def _read_delta(
         self,
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -14,7 +14,6 @@
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import (
     BLOB_PREFIX,
-    MANIFEST_KEY,
     Commit,
     Manifest,
     blob_revision,
@@ -27,7 +26,6 @@
     LayoutLimits,
     LayoutPlanner,
     NextState,
-    WritePlan,
 )
 from mintlanding.configuration.models import Change, Delta
 from mintlanding.configuration.proposals import (
@@ -42,13 +40,13 @@
     find_write,
     write_id_time,
 )
+from mintlanding.configuration.writing import AnswerLost, ManifestWriter
 from mintlanding.core.checks import CheckMessage
-from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.platform.keyvalue import CREATE_ONLY, KeyValueService
 
 MAX_ATTEMPTS = 16
-CONCURRENT_CALLS = 4
 RETRY_AFTER_SECONDS = 2
 _NONCE_BYTES = 8
 
@@ -73,6 +71,7 @@
         self.directory = Directory()
         self.reader = ConfigurationReader(service)
         self._service = service
+        self._writer = ManifestWriter(service)
         self._limits = limits or LayoutLimits()
         self._stored = StoredState()
         self._lock = asyncio.Lock()
@@ -148,9 +147,9 @@
                     authorship,
                     lost,
                 )
-            except _AnswerLost as answer_lost:
+            except AnswerLost as answer_lost:
                 lost[answer_lost.revision] = answer_lost.changes
-            except PlatformUnavailable as exc:
+            except PlatformError as exc:
                 return _unavailable(authorship, str(exc), bool(lost))
             else:
                 if outcome is not None:
@@ -208,50 +207,17 @@
             plan = planner.plan(NextState(self.directory, changes), commit)
         except ConfigurationTooLarge as exc:
             return Failed.of(ResultCode.object_invalid, str(exc))
-        await self._put_blobs(plan)
-        index = await self._swap(plan, changes)
+        await self._writer.put_blobs(plan)
+        index = await self._writer.swap(plan, changes, self._stored.index)
         if index is None:
             return None
         self.directory.apply(delta)
         self._stored = StoredState(plan.manifest, index)
-        await self._delete_retired(plan)
+        await self._writer.delete_retired(plan)
         return Done(
             Committed(delta.revision, authorship.write_id, changes),
         )
 
-    async def _put_blobs(self, plan: WritePlan) -> None:
-        """Write the blobs; names are unique, so a repeated put is harmless."""
-        limit = asyncio.Semaphore(CONCURRENT_CALLS)
-
-        async def put(key: str, content: bytes) -> None:
-            async with limit:
-                await self._service.put(key, content)
-
-        await asyncio.gather(*(put(*each) for each in plan.blobs.items()))
-
-    async def _swap(
-        self,
-        plan: WritePlan,
-        changes: tuple[Change, ...],
-    ) -> int | None:
-        try:
-            outcome = await self._service.put(
-                MANIFEST_KEY,
-                plan.content,
-                expected=self._stored.index,
-            )
-        except PlatformUnavailable as exc:
-            raise _AnswerLost(str(exc), changes) from exc
-        return None if isinstance(outcome, Failed) else outcome.value
-
-    async def _delete_retired(self, plan: WritePlan) -> None:
-        """Delete what the new manifest no longer names; `collect` repairs."""
-        try:
-            for key in sorted(plan.retired):
-                await self._service.delete(key)
-        except PlatformUnavailable:
-            return
-
     async def _refresh(self) -> None:
         entry = await self.reader.latest()
         if entry is None:
@@ -276,15 +242,6 @@
 _LostWrites = dict[int, tuple[Change, ...]]
 
 
-class _AnswerLost(PlatformUnavailable):
-    """The swap of the manifest was sent and not answered."""
-
-    def __init__(self, message: str, changes: tuple[Change, ...]) -> None:
-        super().__init__(message)
-        self.revision = changes[0].revision
-        self.changes = changes
-
-
 def _with_lost(
     settled: Outcome[Committed],
     lost: _LostWrites,
--- a/mintlanding/configuration/tests/test_storage.py
+++ b/mintlanding/configuration/tests/test_storage.py
@@ -35,6 +35,7 @@
 from mintlanding.configuration.writes import Authorship, new_write_id
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
+from mintlanding.platform.keyvalue import Entry
 from mintlanding.platform.memory import MemoryKeyValueService
 from mintlanding.platform.store import KeyValueStore
 
@@ -241,6 +242,34 @@
     assert failed.retry_after
 
 
+async def test_damage_after_a_lost_answer_tells_that_it_may_have_run():
+    storage, service = new_storage()
+    await storage.commit(put_all(workspace()), signed())
+
+    async def lose_and_damage():
+        service.drop_swaps = 1
+        service.store.put(Entry(MANIFEST_KEY, b'junk', 0), None, '', 0)
+
+    service.before_swap.append(lose_and_damage)
+    failed = await storage.commit(put_all(workspace(rate=2)), signed(1))
+    assert failed.code is ResultCode.platform_unavailable
+    assert failed.ran is Ran.unknown
+
+
+async def test_burst_of_commits_reads_each_segment_once():
+    storage, service = new_storage(limits=SMALL)
+    for number in range(40):
+        await storage.commit(
+            put_all(workspace(rate=number + 1)), signed(number)
+        )
+    calls = service.calls
+    for number in range(40, 44):
+        await storage.commit(
+            put_all(workspace(rate=number + 1)), signed(number)
+        )
+    assert service.calls - calls < 4 * 6
+
+
 async def test_write_id_older_than_the_history_is_refused():
     limits = LayoutLimits(inline_commits=2, segments=1)
     storage, _ = new_storage(limits=limits)
