Keep loads from waiting behind later ones

Cause: sparing calls to peers that answer halved the calls of a ring too, and a message held fewer loads than arise between two, so that changing entries moved to the end again and again. Seen: oldest load 28 s at 100 instances and 150 workers (python -m benchmarks.bench_membership). Only peers that call themselves are spared now, and a message holds four times what usually arises.

--- a/mintlanding/membership/book.py
+++ b/mintlanding/membership/book.py
@@ -29,6 +29,7 @@
     heard_at: float | None = None
     called_at: float | None = None
     spoken_at: float | None = None
+    has_called_at: float | None = None
     failed_calls: int = 0
     doubted_at: float | None = None
     gone_at: float | None = None
@@ -108,15 +109,18 @@
         """
         known = self._known[instance]
         interval = self._terms.interval
-        heard = not _has_passed(known.heard_at, interval, now)
-        spoken = not _has_passed(known.spoken_at, _SPARED * interval, now)
-        if known.heard_at is None or known.spoken_at is None:
-            heard = False
-        if heard and spoken:
+        has_called = _is_within(known.has_called_at, interval, now)
+        if has_called and _is_within(known.spoken_at, _SPARED * interval, now):
             return False
         known.spoken_at = now
         return True
 
+    def note_called(self, instance: str, now: float) -> None:
+        """Note that a member has called this instance."""
+        known = self._known.get(instance)
+        if known is not None:
+            known.has_called_at = now
+
     def call_all(self) -> None:
         """Make every neighbour due in the next round."""
         for known in self._known.values():
@@ -245,9 +249,7 @@
         return known is not None and known.gone_at is None
 
     def _is_heard(self, known: KnownMember, now: float) -> bool:
-        if known.heard_at is None:
-            return False
-        return now - known.heard_at <= self._terms.silent_after
+        return _is_within(known.heard_at, self._terms.silent_after, now)
 
     def _is_unheard(self, known: KnownMember, now: float) -> bool:
         if self._is_heard(known, now):
@@ -261,6 +263,10 @@
     return since is not None and now - since > period
 
 
+def _is_within(since: float | None, period: float, now: float) -> bool:
+    return since is not None and now - since <= period
+
+
 def renumber(record: MemberRecord, sequence: int) -> MemberRecord:
     """Return the member's own record, free of doubts, under a new number."""
     return msgspec.structs.replace(record, sequence=sequence, witnesses=())
--- a/mintlanding/membership/models.py
+++ b/mintlanding/membership/models.py
@@ -13,6 +13,7 @@
 
 
 LOAD_BYTES = 32
+_BURST = 4
 
 
 class MemberState(StrEnum):
@@ -77,8 +78,13 @@
 
     @property
     def loads_in_message(self) -> int:
-        """Return how many loads one message may carry."""
-        return max(1, round(self.digest_rate * self.interval / LOAD_BYTES))
+        """Return how many loads one message may carry.
+
+        This is more than what `load_period` lets arise between two messages,
+        so that no change waits behind later ones for long.
+        """
+        usual = self.digest_rate * self.interval / LOAD_BYTES
+        return max(_BURST, round(_BURST * usual))
 
     def load_period(self, workers: int) -> float:
         """Return how often the load of one of so many workers is told."""
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -85,6 +85,7 @@
     def heartbeat(self, message: Heartbeat, now: float) -> Heartbeat:
         """Take a heartbeat and return its reply; `changes` tells the rest."""
         self._apply(message, now)
+        self._book.note_called(message.sender.member.instance, now)
         return self._compose(message.sender.member, now, echo=message.sent)
 
     def reply(self, message: Heartbeat, now: float) -> list[MembershipAction]:
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -242,6 +242,25 @@
     assert 'w1' in fleet.nodes['i4'].digests()
 
 
+def test_no_load_waits_behind_later_ones():
+    terms = MembershipTerms(mesh_limit=6)
+    fleet = Fleet(make_members(18), terms, seeds=3)
+    fleet.run(20)
+    for second in range(30):
+        for number, node in enumerate(fleet.nodes.values()):
+            for worker in (number, number + 100):
+                digest = make_digest(second + 1, steward=node.own.instance)
+                digest = msgspec.structs.replace(digest, worker=f'w{worker}')
+                node.put_digest(digest, fleet.now)
+        fleet.run(1)
+    oldest = min(
+        digest.sequence
+        for node in fleet.nodes.values()
+        for digest in node.digests().values()
+    )
+    assert oldest >= 22
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
