Show that a later release's configuration field is refused (known red)

Readers of one release must take objects of the next in a rolling upgrade; objects forbid unknown fields. Letting them pass was ruled out here, since an old writer that folds objects would drop the field.

--- a/mintlanding/peers/tests/test_decoding.py
+++ b/mintlanding/peers/tests/test_decoding.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 import mintlanding
+from mintlanding.configuration.models import Delta
 from mintlanding.peers.messages import Method, PackCodec
 
 
@@ -95,3 +96,13 @@
     )
     message = decode(msgspec.msgpack.encode(extra), message_type)
     assert (message is None) == required
+
+
+def test_configuration_object_of_a_later_release_is_read():
+    body = {'kind': 'workspace', 'name': 'a', 'rate': 1.0, 'burst': 1.0}
+    change = {'revision': 1, 'kind': 'workspace', 'name': 'a'}
+    change['body'] = {**body, 'field_of_next_release': 3}
+    delta = {'base': 0, 'revision': 1, 'changes': [change]}
+    message = decode(msgspec.msgpack.encode(delta), Delta)
+    assert message is not None
+    assert message.changes[0].body.rate == 1
