Call lenders and engines less often; tick twice a second

Cause: an idle agent spent 4.8 % of a core at 9 agents (capacity run on a busy machine), most of it in peer calls; limits renewed every second. Ruled out: a leaner transport; the number of calls weighs more. Before: 4.8 % at 9 agents, 5.6 % at 18. After: measured in the next capacity run. Conclusion: shares of a crashed holder are out of use for 6 s instead of 3 s, which only a crash costs.

--- a/benchmarks/counted_agent.py
+++ b/benchmarks/counted_agent.py
@@ -12,7 +12,7 @@
 from mintlanding.agent.__main__ import main
 
 COUNTS = {'sent': 0, 'received': 0}
-PERIOD_SECONDS = 0.5
+PERIOD_SECONDS = 2
 
 
 class CountingSocket(socket.socket):
--- a/demo/chaos.py
+++ b/demo/chaos.py
@@ -113,13 +113,13 @@
             'answers by the adapter and version asked for',
             bool(good) and not wrong,
             f'{len(good) - len(wrong)} of {len(good)}, '
-            f'{len(seen.whole) - len(good)} refused or lost',
+            f'others {_codes(seen.whole)}',
         ),
         Row(
             'ended streams whole and in order',
             bool(ended) and not broken,
             f'{len(ended) - len(broken)} of {len(ended)}, '
-            f'{len(seen.streams) - len(ended)} refused or lost',
+            f'others {_codes(seen.streams)}',
         ),
     ]
 
@@ -165,6 +165,16 @@
     )
 
 
+def _codes(told: list[tuple[str, Reply]]) -> str:
+    counts = Counter(
+        reply.code or reply.status
+        for _, reply in told
+        if not reply.is_ok or not reply.body
+    )
+    slowest = max((reply.seconds for _, reply in told), default=0)
+    return f'{dict(counts)}, slowest {slowest:.1f} s'
+
+
 def _is_in_order(reply: Reply) -> bool:
     numbers = [
         int(line.removeprefix(b'id: '))
--- a/mintlanding/agent/desk.py
+++ b/mintlanding/agent/desk.py
@@ -34,8 +34,8 @@
 )
 from mintlanding.placement.steward import Steward
 
-REPORT_SECONDS = 0.5
-TICK_SECONDS = 0.1
+REPORT_SECONDS = 1
+TICK_SECONDS = 0.2
 PERMIT_RETRY_SECONDS = 0.2
 MIXED_ROLE = 'mixed'
 
--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -34,6 +34,9 @@
 LONGEST_WAIT_SECONDS = 0.5
 STORE_POOL = 'store/weights'
 _LIMITS_SETTINGS = 'limits'
+# A share that is lent to a crashed holder is out of use for one term; each
+# renewal is a call to every lender.
+_REGION_TERMS = {'term': 6.0, 'zone_term': 6.0, 'renew': 2.0, 'announce': 4.0}
 _STORE_RATE = 8.0
 _STORE_BURST = 3.0
 _SEAT_COUNT = 16
@@ -46,7 +49,9 @@
         """Build the node and serve its methods."""
         self._context = context
         own = context.own
-        self.terms = Terms.from_config(context.cfg.agent.limits)
+        self.terms = Terms.from_config(
+            {**_REGION_TERMS, **context.cfg.agent.limits},
+        )
         self.node = LimitsNode.from_config(
             own.instance,
             own.incarnation,
--- a/mintlanding/conf/models.py
+++ b/mintlanding/conf/models.py
@@ -83,7 +83,7 @@
     docs/topics/limits.md lists them; the same at all instances of a fleet.
     """
 
-    tick_interval: Seconds = 0.2
+    tick_interval: Seconds = 0.5
     heartbeat_interval: Seconds = 1
     steward_lease: Seconds = 6
     drain_timeout: Seconds = 70
