Compare the shown members only when one may differ

Cause: each heartbeat walked all members: 0.87 ms at 400 (scratch timing). Ruled out: fewer heartbeats.

--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -46,6 +46,7 @@
         self._log = ChangeLog(self._book, self._digests, terms)
         self._links = Links(own.incarnation)
         self._shown: dict[str, Member] = {}
+        self._may_differ = True
         self._events: list[MembershipAction] = []
         self._published_at: dict[str, float] = {}
         self._unpublished: set[str] = set()
@@ -105,6 +106,7 @@
     ) -> list[MembershipAction]:
         """Note that a heartbeat got no reply; seeds have no name."""
         self._book.note_failure(instance)
+        self._may_differ = True
         return self.changes(now)
 
     def platform_list(
@@ -113,6 +115,7 @@
         now: float,
     ) -> list[MembershipAction]:
         """Take the platform's instance list, which lags."""
+        self._may_differ = True
         for name in self._book.take_list(members):
             self._log.record(Kind.member, name)
         return self.changes(now)
@@ -147,6 +150,7 @@
     def tick(self, now: float) -> list[MembershipAction]:
         """Call neighbours when a round is due and judge the silent ones."""
         self._excuse_pause(now)
+        self._may_differ = True
         self._publish_loads(now)
         for name in self._book.judge(now):
             self._log.forget_member(name)
@@ -161,6 +165,9 @@
         """Return what has changed since the last call."""
         actions = self._events
         self._events = []
+        if not self._may_differ:
+            return actions
+        self._may_differ = False
         view = self.members(now)
         for name, member in view.items():
             if self._shown.get(name) != member:
@@ -190,6 +197,7 @@
         if name == self.own.instance:
             self._answer_doubts(record)
         elif self._book.learn(record):
+            self._may_differ = True
             self._log.record(Kind.member, name, source)
 
     def _begin_leaving(self) -> None:
