--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -36,7 +36,7 @@
 _LIMITS_SETTINGS = 'limits'
 # A share that is lent to a crashed holder is out of use for one term; each
 # renewal is a call to every lender.
-_REGION_TERMS = {'term': 6.0, 'zone_term': 6.0, 'renew': 2.0, 'announce': 4.0}
+_REGION_TERMS = {'term': 4.5, 'zone_term': 4.5, 'renew': 1.5, 'announce': 3.0}
 _STORE_RATE = 8.0
 _STORE_BURST = 3.0
 _SEAT_COUNT = 16
