--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -14,6 +14,7 @@
 from mintlanding.entry.context import EntryContext
 from mintlanding.entry.generation import Generation
 from mintlanding.entry.pins import Pins
+from mintlanding.entry.steward_watch import StewardWatch
 from mintlanding.placement.messages import ReleaseRequest, ReserveRequest
 from mintlanding.routing.models import (
     Attempt,
@@ -61,6 +62,7 @@
     def __init__(self, context: EntryContext) -> None:
         """Take what to choose from and whom to ask."""
         self.pins = Pins()
+        self._stewards = StewardWatch(context.view)
         self._targets = context.targets
         self._control = context.control
         self._background = context.background
@@ -142,9 +144,9 @@
         req: ReserveRequest,
     ) -> Outcome[Generation]:
         self._targets.workers.note_sent(route.worker)
-        granted = await self._control.reserve_worker(
-            route.steward_address,
-            req,
+        granted = await self._stewards.wait(
+            route,
+            self._control.reserve_worker(route.steward_address, req),
         )
         if isinstance(granted, Failed):
             return granted
