--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -90,7 +90,7 @@
         if code is not None:
             return [self._admission.refuse_new(req, code, now)]
         barred = self._planner.failures.refused_for(req.ref, now)
-        if barred:
+        if barred and not self._slots.is_resident(req.ref):
             code = _Code.adapter_load_failed
             return [self._admission.refuse_new(req, code, now, barred)]
         replies = self._admission.enqueue(req, now)
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -80,6 +80,19 @@
     assert only(steward.reserve(request(4, ref_of(1)), READY + 1), AskPermit)
 
 
+def test_adapter_that_is_resident_after_all_is_granted():
+    steward = build(terms=StewardTerms(load_tries=1, load_backoff=20))
+    steward.take_over(7, 0)
+    steward.engine_report(report(), READY)
+    order = load(steward, ref_of(1), 1, READY)
+    steward.load_done(order.order_id, False, READY)
+    later = READY + TERMS.report_lag + 1
+    steward.engine_report(report(ref_of(1)), later)
+    assert replies(steward.reserve(request(2, ref_of(1)), later)) == [
+        ('r2', 0),
+    ]
+
+
 def test_cold_engine_is_found_by_its_incarnation(steward):
     fill(steward)
     steward.engine_report(report(incarnation=2), READY + 1)
