Keep a slot in doubt when an order may have had effect

Cause: an eviction whose call failed counted as not done, and the adapter was granted at once; if the engine had carried it out, the grant was for an adapter that is not resident. A caller also had no way to say that a call's outcome is unknown but to wait for the timeout. Ruled out: treating failed loads the same way, since engines refuse them plainly and a slot would idle. After: a failed eviction waits for a report, order_unanswered puts any order in doubt; rows in the fault table and a rule of the state machine.

--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -21,6 +21,7 @@
     LoadOrder,
     PendingLoad,
     ReturnPermit,
+    Slot,
     SlotState,
     StewardTerms,
 )
@@ -104,12 +105,14 @@
         """Act on orders without an answer: their slots stay in doubt."""
         actions: list[Action] = []
         for slot in self._slots.overdue(now - self._terms.order_timeout):
-            if slot.state is SlotState.loading:
-                actions.append(ReturnPermit(slot.order_id))
-            else:
-                actions.extend(self._retry_pending(slot.ref, now))
+            actions.extend(self._give_up(slot, now))
         return actions
 
+    def doubt(self, order_id: int, now: float) -> list[Action]:
+        """Act on an order that may or may not have had effect."""
+        slot = self._slots.doubt(order_id, now)
+        return [] if slot is None else self._give_up(slot, now)
+
     def repeat_asks(self, now: float) -> Sequence[Action]:
         """Repeat refused and unanswered asks that are still needed."""
         due = self.permits.due(now)
@@ -227,6 +230,11 @@
         self._slots.evict(victim.ref, evict_id, now)
         return [EvictOrder(evict_id, victim.ref, fencing)]
 
+    def _give_up(self, slot: Slot, now: float) -> list[Action]:
+        if slot.state is SlotState.loading:
+            return [ReturnPermit(slot.order_id)]
+        return self._retry_pending(slot.ref, now)
+
     def _retry_pending(self, victim: AdapterRef, now: float) -> list[Action]:
         actions: list[Action] = []
         for load in tuple(self.permits.pending.values()):
--- a/mintlanding/placement/slots.py
+++ b/mintlanding/placement/slots.py
@@ -63,15 +63,31 @@
         self._orders[order_id] = ref
 
     def settle(self, order_id: int, holds: bool, now: float) -> Slot | None:
-        """Take the answer to an order; `holds` tells what the slot is now."""
+        """Take the answer to an order; `holds` tells what the slot is now.
+
+        An eviction that failed leaves doubt until a report comes, for some
+        engines and networks fail after the effect.
+        """
         ref = self._orders.pop(order_id, None)
         slot = None if ref is None else self._slots.get(ref)
         if slot is None or slot.order_id != order_id:
             return None
-        if holds:
+        if not holds:
+            self._remove(slot, now)
+        elif slot.state is SlotState.loading:
             self._make_resident(slot, now)
         else:
-            self._remove(slot, now)
+            self._doubt(slot, now)
+        return slot
+
+    def doubt(self, order_id: int, now: float) -> Slot | None:
+        """Note that an order may or may not have had effect."""
+        ref = self._orders.get(order_id)
+        slot = None if ref is None else self._slots.get(ref)
+        if slot is None or slot.order_id != order_id or slot.is_doubtful:
+            return None
+        slot.is_doubtful = True
+        slot.changed = now
         return slot
 
     def overdue(self, before: float) -> list[Slot]:
@@ -162,6 +178,11 @@
             is_doubtful=not is_resident,
         )
 
+    def _doubt(self, slot: Slot, now: float) -> None:
+        slot.order_id = 0
+        slot.is_doubtful = True
+        slot.changed = now
+
     def _make_resident(self, slot: Slot, now: float) -> None:
         slot.state = SlotState.resident
         slot.order_id = 0
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -160,10 +160,14 @@
         slot = self._slots.settle(order_id, not ok, now)
         if slot is None:
             return []
-        slot.is_busy = not ok
         loads = self._planner.evicted(slot.ref, now)
         return [*loads, *self._proceed(now)]
 
+    def order_unanswered(self, order_id: int, now: float) -> Sequence[Action]:
+        """Note that an order's call failed and may have had effect."""
+        doubted = self._planner.doubt(order_id, now)
+        return [*doubted, *self._proceed(now)]
+
     def fence_done(
         self,
         order_id: int,
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -198,6 +198,37 @@
     assert first.ref != second.ref
 
 
+@pytest.mark.parametrize('had_effect', [True, False])
+def test_eviction_that_failed_grants_nothing_before_a_report(
+    steward,
+    had_effect,
+):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(steward.reserve(request(3, ref_of(3)), READY), AskPermit)
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    steward.evict_done(evict.order_id, False, READY)
+    assert not replies(steward.reserve(request(4, evict.ref), READY))
+    held = {ref_of(1), ref_of(2)} - ({evict.ref} if had_effect else set())
+    later = READY + TERMS.report_lag + 0.1
+    granted = replies(steward.engine_report(report(*held), later))
+    assert (('r4', 0) in granted) != had_effect
+
+
+@pytest.mark.parametrize('was_loaded', [True, False])
+def test_load_that_may_have_had_effect_keeps_its_slot(steward, was_loaded):
+    order = load(steward, ref_of(1), 1, READY)
+    actions = steward.order_unanswered(order.order_id, READY)
+    assert actions == [ReturnPermit(order.order_id)]
+    assert not steward.order_unanswered(order.order_id, READY)
+    assert steward.digest(READY).loading == (ref_of(1),)
+    held = (ref_of(1),) if was_loaded else ()
+    later = READY + TERMS.report_lag + 0.1
+    steward.engine_report(report(*held), later)
+    assert steward.digest(later).resident == held
+
+
 def test_refused_permit_is_asked_for_again(steward):
     (ask,) = only(steward.reserve(request(1, ref_of(1)), READY), AskPermit)
     steward.permit(ask.order_id, False, 0.5, READY)
--- a/mintlanding/placement/tests/test_steward_machine.py
+++ b/mintlanding/placement/tests/test_steward_machine.py
@@ -333,10 +333,14 @@
                 actions = steward.fence_done(order.order_id, ok, self.now)
             self.run(steward, actions)
 
-    @rule()
-    def lose_answer(self):
-        if self.engine.answers:
-            self.engine.answers.pop()
+    @rule(is_noticed=st.booleans())
+    def lose_answer(self, is_noticed):
+        if not self.engine.answers:
+            return
+        steward, order, _ = self.engine.answers.pop()
+        if is_noticed:
+            actions = steward.order_unanswered(order.order_id, self.now)
+            self.run(steward, actions)
 
     @rule()
     def measure(self):
