Spread repeated asks for permits at random

Cause: where permits are refused instead of queued, all stewards came back at the same refill and the same one was always first. Ruled out: larger delays without spread.

--- a/mintlanding/placement/loads.py
+++ b/mintlanding/placement/loads.py
@@ -13,6 +13,8 @@
 
 # A refused permit is not asked for again sooner than this many seconds.
 _MIN_ASK_AGAIN = 0.02
+# A refused ask is repeated after this many times the delay it was told.
+_ASK_SPREAD = (1, 2)
 # A backoff is stretched by up to this share, so that stewards spread.
 _JITTER = 0.2
 
@@ -74,9 +76,10 @@
 class PermitBook:
     """Permits asked for, and loads that have one and await an eviction."""
 
-    def __init__(self, answer_timeout: float) -> None:
+    def __init__(self, answer_timeout: float, rnd: random.Random) -> None:
         """Start empty."""
         self._timeout = answer_timeout
+        self._rnd = rnd
         self.asks: dict[int, PermitAsk] = {}
         self.pending: dict[int, PendingLoad] = {}
 
@@ -89,10 +92,14 @@
         self.asks[order_id] = PermitAsk(order_id, urgent, now)
 
     def refuse(self, order_id: int, retry_after: float, now: float) -> None:
-        """Note a refusal; the ask is repeated later."""
+        """Note a refusal; the ask is repeated later.
+
+        Random delays keep one steward from being first at every refill.
+        """
         ask = self.asks.get(order_id)
         if ask is not None:
-            ask.ask_again = now + max(retry_after, _MIN_ASK_AGAIN)
+            delay = max(retry_after, _MIN_ASK_AGAIN)
+            ask.ask_again = now + delay * self._rnd.uniform(*_ASK_SPREAD)
 
     def due(self, now: float) -> list[PermitAsk]:
         """Take out the asks to repeat: refused ones and unanswered ones."""
--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -53,7 +53,7 @@
             terms.half_life,
             terms.popularity_limit,
         )
-        self.permits = PermitBook(terms.order_timeout)
+        self.permits = PermitBook(terms.order_timeout, rnd)
         self._terms = terms
         self._slots = slots
         self._queue = admission.queue
