--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -76,7 +76,7 @@
     total = sum(tally.served.values())
     due = entitled(tally.offered, site.shares)(total)
     shares = {each: tally.served[each] / due[each] for each in due if due[each]}
-    worst = min(shares, key=shares.get)
+    worst = min(shares.values(), default=0)
     waits = [percentile(each, 0.99) for each in tally.waits.values()]
     stalled = [each for each in tally.stalls if each > 0]
     done = tally.summaries_done / site.summaries if site.summaries else 0
@@ -92,7 +92,7 @@
         f'{percentile(tally.stalls, 0.99):.2f}',
         f'{100 * tally.refused / max(1, len(tally.stalls)):.1f}',
         f'{request_steps / max(1, possible):.3f}',
-        f'{shares[worst]:.3f}',
+        f'{worst:.3f}',
         f'{max(waits):.2f}',
         f'{(run.store.granted - run.loads_before) / seconds:.2f}',
         f'{site.loads_per_second}',
