--- a/mintlanding/cli/__main__.py
+++ b/mintlanding/cli/__main__.py
@@ -36,10 +36,12 @@
         Commands,
         command=keep_texts(words),
         name=NAME,
-        serialize=_write_nothing,
+        serialize=_write_script,
     )
     if isinstance(plan, Plan):
         return int(run_plan(plan))
+    if isinstance(plan, str):
+        return int(ExitCode.done)
     raise CommandError(
         ExitCode.usage,
         'the command is not complete',
@@ -47,8 +49,9 @@
     )
 
 
-def _write_nothing(found: object) -> None:
-    """Keep the library from writing the plan."""
+def _write_script(found: object) -> str | None:
+    """Let the library write its completion script, but no plan."""
+    return found if isinstance(found, str) else None
 
 
 if __name__ == '__main__':
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -117,6 +117,7 @@
     [
         ((), ExitCode.usage, 'usage'),
         (('--help',), ExitCode.done, 'keys withdraw'),
+        (('--', '--completion'), ExitCode.done, 'bash completion'),
         (('lsit',), ExitCode.usage, 'lsit'),
         (('keys',), ExitCode.usage, 'not complete'),
         (('get', 'adapter'), ExitCode.usage, 'name'),
