End quietly when the reader of a command leaves

Piping a command into head ended in a traceback; seen on trying, now tested with a real process. An interruption from the keyboard has its exit code.

--- a/mintlanding/cli/__main__.py
+++ b/mintlanding/cli/__main__.py
@@ -1,5 +1,6 @@
 """The operators' command line."""
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -28,7 +29,15 @@
 
 def main() -> None:
     """Run the command that the process was started with."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        code = run(sys.argv[1:])
+        sys.stdout.flush()
+    except BrokenPipeError:
+        _drop_output()
+        code = int(ExitCode.done)
+    except KeyboardInterrupt:
+        code = int(ExitCode.interrupted)
+    sys.exit(code)
 
 
 def _run_command(words: Sequence[str]) -> int:
@@ -49,6 +58,12 @@
     )
 
 
+def _drop_output() -> None:
+    """Write no more to a reader that left, such as `head`."""
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(nowhere, sys.stdout.fileno())
+
+
 def _write_script(found: object) -> str | None:
     """Let the library write its completion script, but no plan."""
     return found if isinstance(found, str) else None
--- a/mintlanding/cli/exceptions.py
+++ b/mintlanding/cli/exceptions.py
@@ -20,6 +20,7 @@
     outcome_unknown = 8
     differs = 10
     not_in_force = 11
+    interrupted = 130
 
 
 class CommandError(MintlandingError):
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -1,4 +1,6 @@
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -14,6 +16,7 @@
     workspace,
 )
 from mintlanding.admin.tests.conftest import AdminClient as Admin
+from mintlanding.cli import __main__ as cli_main
 from mintlanding.cli import client
 from mintlanding.cli.__main__ import run
 from mintlanding.cli.client import AdminClient
@@ -262,6 +265,28 @@
     assert raised.value.exit_code is ExitCode.unavailable
 
 
+@pytest.mark.process
+def test_a_reader_that_leaves_is_no_error():
+    command = [sys.executable, '-m', 'mintlanding.cli', '--', '--completion']
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+    process.stdout.close()
+    assert process.stderr.read() == b''
+    process.stderr.close()
+    assert process.wait() == 0
+
+
+def test_interruption_has_its_exit_code(monkeypatch):
+    def interrupt(words):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(cli_main, 'run', interrupt)
+    with pytest.raises(SystemExit) as raised:
+        cli_main.main()
+    assert raised.value.code == ExitCode.interrupted
+
+
 @pytest.mark.parametrize(
     ('status', 'body'),
     [(200, b'<html>'), (200, b'[]'), (404, b'{}'), (500, b'{"error": "x"}')],
