Refuse changes that do not fit their objects

A decoded change could name an unknown kind, which ended the task that applied it, or another object than its body, which filed the body under a wrong kind. Both are refused on decoding; the test failed before.

--- a/mintlanding/configuration/directory.py
+++ b/mintlanding/configuration/directory.py
@@ -210,7 +210,7 @@
             return change
         held = self._objects[change.kind].get(change.name)
         body = held if held == change.body else self._compact(change.body)
-        return msgspec.structs.replace(change, body=body)
+        return _with_body(change, body)
 
     def _advance(self, delta: Delta) -> Applied:
         fresh = [
@@ -247,7 +247,7 @@
         if change.body is not None:
             body = self._compact(change.body)
             self._file(change.kind, body)
-            return msgspec.structs.replace(change, body=body)
+            return _with_body(change, body)
         before = self._objects[change.kind].get(change.name)
         if before is not None:
             self._indexes.change(before, None)
@@ -282,6 +282,12 @@
             self._log_base = self._log.popleft().revision
 
 
+def _with_body(change: Change, body: AnyObject | None) -> Change:
+    if body is change.body:
+        return change
+    return msgspec.structs.replace(change, body=body)
+
+
 def _differences(
     before: dict[str, dict[str, AnyObject]],
     after: dict[str, dict[str, AnyObject]],
--- a/mintlanding/configuration/models.py
+++ b/mintlanding/configuration/models.py
@@ -172,6 +172,13 @@
     name: str
     body: AnyObject | None = None
 
+    def __post_init__(self) -> None:
+        """Refuse an unknown kind and another object's body."""
+        if self.kind not in KINDS:
+            raise ValueError(f'unknown kind {self.kind!r}')
+        if self.body is not None and self.body.ref != (self.kind, self.name):
+            raise ValueError('a change names another object than its body')
+
 
 class Delta(msgspec.Struct, frozen=True, omit_defaults=True):
     """All changes after `base` up to `revision`; `base` 0 is a snapshot."""
--- a/mintlanding/configuration/tests/test_directory.py
+++ b/mintlanding/configuration/tests/test_directory.py
@@ -182,6 +182,32 @@
                 assert found == expected
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'revision': 1, 'kind': 'thing', 'name': 'x'},
+        {
+            'revision': 1,
+            'kind': 'key',
+            'name': 'x',
+            'body': {'kind': 'service', 'name': 'x'},
+        },
+        {
+            'revision': 1,
+            'kind': 'service',
+            'name': 'y',
+            'body': {'kind': 'service', 'name': 'x'},
+        },
+    ],
+)
+def test_changes_that_do_not_fit_are_refused_on_decoding(change):
+    packed = msgspec.msgpack.encode(
+        {'base': 0, 'revision': 1, 'changes': [change]},
+    )
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(packed, type=Delta)
+
+
 @given(junk=st.binary(max_size=200))
 def test_decoding_junk_gives_a_clear_error(junk):
     try:
