--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -18,6 +18,7 @@
     DELIVER,
     Action,
     Answer,
+    Delivered,
     Envelope,
     Event,
     Reservation,
@@ -33,6 +34,9 @@
 LONGEST_WAIT_SECONDS = 0.5
 STORE_POOL = 'store/weights'
 _LIMITS_SETTINGS = 'limits'
+# A share that is lent to a crashed holder is out of use for one term; each
+# renewal is a call to every lender.
+_REGION_TERMS = {'term': 4.5, 'zone_term': 4.5, 'renew': 1.5, 'announce': 3.0}
 _STORE_RATE = 8.0
 _STORE_BURST = 3.0
 _SEAT_COUNT = 16
@@ -45,7 +49,9 @@
         """Build the node and serve its methods."""
         self._context = context
         own = context.own
-        self.terms = Terms.from_config(context.cfg.agent.limits)
+        self.terms = Terms.from_config(
+            {**_REGION_TERMS, **context.cfg.agent.limits},
+        )
         self.node = LimitsNode.from_config(
             own.instance,
             own.incarnation,
@@ -182,16 +188,23 @@
         self.settle(req)
         return Empty()
 
-    async def _receive(self, message: Envelope, sender: str) -> Empty:
-        self.carry_out(self.node.receive(message, sender, self._context.now))
-        return Empty()
+    async def _receive(self, message: Envelope, sender: str) -> Delivered:
+        actions = self.node.receive(message, sender, self._context.now)
+        back = [
+            each
+            for each in actions
+            if isinstance(each, Send) and each.instance == sender
+        ]
+        reply = back[0] if back else None
+        self.carry_out(each for each in actions if each is not reply)
+        return Delivered(reply.message if reply else None)
 
     async def _send(self, action: Send) -> None:
         address = self._context.address_of(action.instance)
         if not address:
             return
         try:
-            await self._context.client.call(
+            reply = await self._context.client.call(
                 address,
                 DELIVER,
                 action.message,
@@ -199,6 +212,12 @@
             )
         except PeerError:
             self._context.metrics.count('limits.messages_lost')
+            return
+        if reply.envelope is not None:
+            now = self._context.now
+            self.carry_out(
+                self.node.receive(reply.envelope, action.instance, now),
+            )
 
     async def _run_ticks(self) -> None:
         while True:
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -186,6 +186,7 @@
     fleet.up.discard('i0')
     fleet.now += 3600
     actions = fleet.nodes['i0'].tick(fleet.now)
+    assert set(fleet.states('i0').values()) == {'live'}
     fleet.up.add('i0')
     fleet.take('i0', actions)
     assert set(fleet.states('i0').values()) == {'live'}
@@ -242,6 +243,25 @@
     assert 'w1' in fleet.nodes['i4'].digests()
 
 
+def test_no_load_waits_behind_later_ones():
+    terms = MembershipTerms(mesh_limit=6)
+    fleet = Fleet(make_members(18), terms, seeds=3)
+    fleet.run(20)
+    for second in range(30):
+        for number, node in enumerate(fleet.nodes.values()):
+            for worker in (number, number + 100):
+                digest = make_digest(second + 1, steward=node.own.instance)
+                digest = msgspec.structs.replace(digest, worker=f'w{worker}')
+                node.put_digest(digest, fleet.now)
+        fleet.run(1)
+    oldest = min(
+        digest.sequence
+        for node in fleet.nodes.values()
+        for digest in node.digests().values()
+    )
+    assert oldest >= 22
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
