Never lose a cancellation in asyncio.wait_for

Cause: wait_for of Python 3.11 returns its result instead of the cancellation when both come at once; a bounded wait around it then never ends. Before: test_wait_ends_in_time_under_changes_elsewhere hung (ended after 60 s). After: passes; asyncio.timeout in its place, also around connects. The life cycle library's warnings about itself are no longer logged.

--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -29,6 +29,8 @@
 _GARBAGE = (HttpParsingError, ValueError, asyncio.LimitOverrunError)
 _LOST = (AiosonicError, OSError, EOFError, HttpParserError, *_GARBAGE)
 _READ_BYTES = 1 << 16
+# Time is bounded here and in the transport.
+_NO_TIMEOUTS = Timeouts(None, None, None, None)
 
 Headers = list[tuple[str, str]]
 
@@ -151,15 +153,10 @@
 
         Raises CallNotSent when nothing was sent, else CallLost.
         """
-        timeouts = Timeouts(
-            sock_connect=call.connect,
-            sock_read=None,
-            request_timeout=None,
-        )
         headers = list(call.headers)
         if not call.body and call.method in _BODY_METHODS:
             headers.append(('Content-Length', '0'))
-        attempt = Attempt()
+        attempt = Attempt(call.connect)
         current_attempt.set(attempt)
         try:
             async with asyncio.timeout(call.answer):
@@ -168,7 +165,7 @@
                     call.method,
                     headers=headers,
                     data=call.body or None,
-                    timeouts=timeouts,
+                    timeouts=_NO_TIMEOUTS,
                     stream=True,
                 )
         except _LOST as exc:
--- a/mintlanding/core/http_transport.py
+++ b/mintlanding/core/http_transport.py
@@ -1,5 +1,6 @@
 """Connections that are used once, by IP number, with what aiosonic lacks."""
 
+import asyncio
 import ipaddress
 import socket
 from contextvars import ContextVar
@@ -17,8 +18,9 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Whether any byte of a call may have left."""
+    """A call on its way: how long it may connect, whether it was sent."""
 
+    connect: float
     is_sent: bool = False
 
 
@@ -32,6 +34,14 @@
         """Refuse: whatever is open belongs to an earlier call."""
         return False
 
+    async def connect(self, *args: Any, **options: Any) -> None:
+        """Connect in time.
+
+        The library's own bound may swallow the cancellation of its caller.
+        """
+        async with asyncio.timeout(current_attempt.get().connect):
+            await super().connect(*args, **options)
+
     def write(self, data: bytes) -> None:
         """Note that the call may have left."""
         current_attempt.get().is_sent = True
--- a/mintlanding/core/logs.py
+++ b/mintlanding/core/logs.py
@@ -86,6 +86,8 @@
 def configure_logs() -> None:
     """Send the logs of this process and its libraries to standard error."""
     eliot.to_file(sys.stderr)
+    # It warns of every method of the life cycle that it finds in place.
+    logging.getLogger('transitions').setLevel(logging.ERROR)
     root = logging.getLogger()
     if not any(isinstance(each, ForwardHandler) for each in root.handlers):
         root.addHandler(ForwardHandler(logging.WARNING))
--- a/mintlanding/platform/memory.py
+++ b/mintlanding/platform/memory.py
@@ -1,6 +1,7 @@
 """The platform in process memory, with faults, for tests."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 
 from mintlanding.core.clock import Clock, SystemClock
@@ -114,13 +115,12 @@
 
     async def _wait_change(self, prefix: str, after: int) -> None:
         while not self.store.changed(prefix, after, self._now()):
-            changed = self._changed
             expiry = self.store.next_expiry()
             left = None if expiry is None else max(0, expiry - self._now())
-            try:
-                await asyncio.wait_for(changed.wait(), left)
-            except TimeoutError:
-                self.store.expire(self._now())
+            # asyncio.wait_for may swallow the cancellation of its caller.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
             self._check_up()
 
     def _leave_write(self) -> None:
--- a/mintlanding/platform/tests/test_contract.py
+++ b/mintlanding/platform/tests/test_contract.py
@@ -147,6 +147,21 @@
     assert listing.entries == ()
 
 
+async def test_wait_ends_in_time_under_changes_elsewhere(bench):
+    async def write_on():
+        while True:
+            await bench.service.put('b/1', b'')
+            await asyncio.sleep(0)
+
+    await bench.service.grant_lease(60)
+    writing = asyncio.create_task(write_on())
+    async with asyncio.timeout(5):
+        for _ in range(20):
+            listing = await bench.service.wait('a/', 0, 0.01)
+            assert listing.entries == ()
+    writing.cancel()
+
+
 async def test_waiting_call_counts_once(bench):
     before = bench.calls()
     await bench.service.wait('a/', 0, 0.01)
--- a/mintlanding/standin/streams.py
+++ b/mintlanding/standin/streams.py
@@ -44,7 +44,8 @@
 
 async def _changed(run: Run, seconds: float) -> bool:
     try:
-        await asyncio.wait_for(run.changed.wait(), seconds)
+        async with asyncio.timeout(seconds):
+            await run.changed.wait()
     except TimeoutError:
         return False
     return True
