--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -192,6 +192,17 @@
     assert shell.admin.desk.storage.directory.revision == 1
 
 
+def test_large_apply_is_accepted_at_once_and_summed_up(shell):
+    many = [workspace(f'w{number}') for number in range(1200)]
+    path = shell.folder / 'many.json'
+    path.write_text(json.dumps({'objects': many}))
+    code, out, _ = shell.run('apply', str(path))
+    assert (code, 'and 200 more' in out) == (0, True)
+    assert 'accepted at revision 1' in out
+    assert shell.sent == 1
+    assert 'nothing would change' in shell.run('diff', str(path))[1]
+
+
 def test_lost_grant_is_not_repeated(shell):
     shell.run('apply', shell.write(workspace()))
     shell.lost = [True]
@@ -219,6 +230,19 @@
     assert (code, 'not yet' in out) == (ExitCode.not_in_force, True)
 
 
+def test_outage_is_told_with_what_is_shown(shell):
+    shell.admin.desk.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 1))
+    shell.run('apply', shell.write(workspace()))
+    shell.admin.service.faults.down = True
+    code, out, _ = shell.run('status')
+    assert (code, 'newest known' in out) == (ExitCode.not_in_force, True)
+    code, out, err = shell.run('list', 'workspaces', '--output', 'json')
+    assert (code, 'does not answer' in err) == (0, True)
+    assert json.loads(out)[0]['name'] == 'north'
+    code, _, err = shell.run('apply', shell.write(workspace('other')))
+    assert (code, 'try again later' in err) == (ExitCode.unavailable, True)
+
+
 async def test_commands_reach_a_real_server():
     admin = Admin()
     server = HttpServer.from_config(admin.app, '127.0.0.1', 0)
--- a/mintlanding/cli/views.py
+++ b/mintlanding/cli/views.py
@@ -5,9 +5,11 @@
 from mintlanding.cli.exceptions import ExitCode
 from mintlanding.cli.output import Result, changes_table, table
 
+STALE_NOTE = 'the key-value service does not answer, there may be newer ones'
+
 
 def changed(found: dict[str, Any]) -> Result:
-    changes = real_changes(found)
+    changes = found['changes']
     if found['repeated']:
         tail = f'accepted before, at revision {found["revision"]}'
     elif not changes:
@@ -16,7 +18,7 @@
         tail = f'dry run: nothing was changed at revision {found["revision"]}'
     else:
         tail = f'accepted at revision {found["revision"]}'
-    shown = f'{changes_table(changes)}\n\n' if changes else ''
+    shown = f'{changes_text(found)}\n\n' if changes else ''
     return Result(found, f'{shown}{tail}')
 
 
@@ -44,8 +46,10 @@
     ]
     headers = ['instance', 'zone', 'state', 'revision', 'current', 'stale s']
     verdict = 'in force everywhere' if found['in_force'] else 'not yet in force'
+    if found['stale']:
+        verdict = f'is the newest known here; {STALE_NOTE}'
     after = ''
-    if found['seconds'] is not None:
+    if found['in_force'] and found['seconds'] is not None:
         after = f' after {found["seconds"]:.2f} s'
     head = f'revision {found["revision"]} {verdict}{after}'
     exit_code = ExitCode.done if found['in_force'] else ExitCode.not_in_force
@@ -56,7 +60,9 @@
     return '' if found is None else f'{found:.1f}'
 
 
-def real_changes(found: dict[str, Any]) -> list[dict[str, Any]]:
-    return [
-        change for change in found['changes'] if change['action'] != 'unchanged'
-    ]
+def changes_text(found: dict[str, Any]) -> str:
+    """Write the listed changes and count the others."""
+    shown = changes_table(found['changes'])
+    if found['unlisted_changes']:
+        shown = f'{shown}\nand {found["unlisted_changes"]} more'
+    return shown
--- a/mintlanding/configuration/tests/test_distribution.py
+++ b/mintlanding/configuration/tests/test_distribution.py
@@ -1,4 +1,5 @@
 import random
+import zlib
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -318,17 +319,39 @@
     assert node.stale_seconds(5) < 0
 
 
-def test_large_delta_is_announced_without_its_changes():
+def test_peer_that_lost_a_revision_is_not_asked_for_it_again():
+    node = DistributionNode(
+        member(0),
+        small_directory(),
+        Confirmations(),
+        random.Random(1),
+        0,
+    )
+    node.members([member(1)], 0)
+    assert any(isinstance(each, FetchDelta) for each in node.heard('i1', 5, 0))
+    node.fetched('i1', Delta(base=0, revision=0), 1)
+    later = [action for step in range(2, 20) for action in node.tick(step)]
+    assert not any(isinstance(each, FetchDelta) for each in later)
+    assert any(isinstance(each, FetchDelta) for each in node.heard('i1', 6, 20))
+
+
+@pytest.mark.parametrize(('count', 'label_bytes'), [(200, 1), (30, 4000)])
+def test_large_delta_is_announced_without_its_changes(count, label_bytes):
     fleet = new_fleet(12, zones='a')
     fleet.change()
     fleet.run(5)
-    bodies = [workspace(n) for n in range(2)]
-    many = [replace(bodies[0], name=f'x{n}') for n in range(200)]
+    labels = {'note': 'x' * label_bytes}
+    many = [
+        replace(workspace(0), name=f'x{number}', labels=labels)
+        for number in range(count)
+    ]
     fleet.platform.apply(delta_of(1, *many))
     fleet.changed_at.append(fleet.now)
+    fleet.sent.clear()
     fleet.run(2)
     assert fleet.revisions() == {2}
-    assert fleet.nodes['i3'].directory.count('workspace') == 201
+    assert fleet.nodes['i3'].directory.count('workspace') == count + 1
+    assert fleet.sent['FetchDelta'] >= 10
 
 
 @given(
@@ -362,6 +385,23 @@
     assert dict(follower.objects()) == dict(leader.objects())
 
 
+def test_parts_of_large_objects_are_bounded():
+    leader = Directory()
+    labels = {f'label-{number}': 'x' * 4000 for number in range(32)}
+    many = [
+        replace(workspace(0), name=f'x{number}', labels=labels)
+        for number in range(100)
+    ]
+    leader.apply(delta_of(0, *many))
+    follower = Directory()
+    assembler = DeltaAssembler(follower)
+    parts = list(split_delta(leader.snapshot()))
+    assert len(parts) >= 12
+    wholes = [assembler.add(part) for part in parts]
+    follower.apply(wholes[-1])
+    assert dict(follower.objects()) == dict(leader.objects())
+
+
 @pytest.mark.parametrize(
     'change',
     [
@@ -390,6 +430,18 @@
         DeltaAssembler(Directory()).add(part)
 
 
+def test_part_that_unpacks_to_too_much_is_refused():
+    part = DeltaPart(
+        base=0,
+        revision=1,
+        number=0,
+        total=1,
+        content=zlib.compress(bytes(9 << 20)),
+    )
+    with pytest.raises(StoredConfigurationError, match='too large'):
+        DeltaAssembler(Directory()).add(part)
+
+
 class Spreading(RuleBasedStateMachine):
     """Nothing reverts, nobody claims freshness wrongly, all converge."""
 
--- a/mintlanding/fairness/policies.py
+++ b/mintlanding/fairness/policies.py
@@ -24,12 +24,15 @@
     def set_ready(self, ref: AdapterRef, is_ready: bool) -> None:
         """Say whether requests for an adapter can run now."""
 
-    def blocked(self) -> list[AdapterRef]:
+    def blocked(self, now: float) -> list[AdapterRef]:
         """List adapters that waiting requests need, the next one first."""
 
     def blocked_count(self) -> int:
         """Count these adapters in constant time."""
 
+    def urgent_count(self, now: float) -> int:
+        """Count those of them that cannot wait for spare permits."""
+
     def waiting_for(self, ref: AdapterRef) -> int:
         """Count the requests that wait for an adapter."""
 
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -126,6 +126,29 @@
     assert seen.incarnation == 2
 
 
+def test_restarted_member_learns_again_what_it_had_told():
+    members = make_members(3)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(3)
+    fleet.start(later(members[0], 2))
+    fleet.run(5)
+    assert 'w1' in fleet.nodes['i0'].digests()
+
+
+def test_heartbeat_for_an_earlier_life_leaves_no_gap():
+    members = make_members(2)
+    fleet = Fleet(members)
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    fleet.start(later(members[1], 2))
+    fleet.take('i0', fleet.nodes['i0'].tick(fleet.now + 1))
+    fleet.run(5)
+    assert 'w1' in fleet.nodes['i1'].digests()
+
+
 def test_older_process_of_an_instance_learns_that_it_is_superseded():
     members = make_members(4)
     fleet = Fleet(members)
@@ -163,6 +186,7 @@
     fleet.up.discard('i0')
     fleet.now += 3600
     actions = fleet.nodes['i0'].tick(fleet.now)
+    assert set(fleet.states('i0').values()) == {'live'}
     fleet.up.add('i0')
     fleet.take('i0', actions)
     assert set(fleet.states('i0').values()) == {'live'}
@@ -207,6 +231,37 @@
     assert {fleet.states(name)['i5'] for name in fleet.up} == {'gone'}
 
 
+def test_dead_gateways_do_not_part_the_zones():
+    terms = MembershipTerms(mesh_limit=2, gateways=1)
+    fleet = Fleet(make_members(5), terms)
+    fleet.run(20)
+    fleet.up -= {'i1', 'i2', 'i3'}
+    fleet.run(60)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    assert fleet.states('i0')['i4'] == 'live'
+    assert 'w1' in fleet.nodes['i4'].digests()
+
+
+def test_no_load_waits_behind_later_ones():
+    terms = MembershipTerms(mesh_limit=6)
+    fleet = Fleet(make_members(18), terms, seeds=3)
+    fleet.run(20)
+    for second in range(30):
+        for number, node in enumerate(fleet.nodes.values()):
+            for worker in (number, number + 100):
+                digest = make_digest(second + 1, steward=node.own.instance)
+                digest = msgspec.structs.replace(digest, worker=f'w{worker}')
+                node.put_digest(digest, fleet.now)
+        fleet.run(1)
+    oldest = min(
+        digest.sequence
+        for node in fleet.nodes.values()
+        for digest in node.digests().values()
+    )
+    assert oldest >= 22
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
--- a/mintlanding/placement/admission.py
+++ b/mintlanding/placement/admission.py
@@ -16,6 +16,10 @@
 _Code = ResultCode
 # No caller is told to come back sooner than this many seconds.
 _MIN_RETRY_AFTER = 0.1
+# Bounds on numbers of other processes, so that no account can be broken.
+_MIN_TOKENS = 1.0
+_MIN_WEIGHT = 0.001
+_MAX_NUMBER = 1e9
 
 
 class Admission:
@@ -43,27 +47,43 @@
             or self.book.answer(reservation_id) is not None
         )
 
-    def repeat(self, reservation_id: str) -> list[ReserveReply]:
-        """Return the answer given before, none while it waits."""
-        reservation = self.book.get(reservation_id)
-        reply = self.book.answer(reservation_id)
-        if reservation is not None and reservation.reply is not None:
+    def repeat(
+        self,
+        req: ReserveRequest,
+        is_resident: bool,
+    ) -> list[ReserveReply]:
+        """Return the answer given before, none while it waits.
+
+        A grant is not repeated once its adapter is lost; its pin stays, for
+        the first answer may be in use.
+        """
+        reservation = self.book.get(req.reservation_id)
+        reply = self.book.answer(req.reservation_id)
+        if reservation is not None and is_resident:
             reply = reservation.reply
+        elif reservation is not None:
+            reply = ReserveReply(
+                req.reservation_id,
+                code=_Code.no_target,
+                detail='the adapter was lost',
+                retry_after=_MIN_RETRY_AFTER,
+            )
         return [] if reply is None else [reply]
 
     def enqueue(self, req: ReserveRequest, now: float) -> list[ReserveReply]:
         """Queue a new reservation or refuse it."""
+        item = _waiting_item(req, now)
         ahead = self.queue.tokens_ahead(
-            req.workspace,
-            req.weight,
-            req.priority,
+            item.workspace,
+            item.weight,
+            item.priority,
         )
         delay = self.drain_rate.seconds_for(ahead)
         if ahead and delay > req.wait:
             code = _Code.deadline_unreachable
             return [self.refuse_new(req, code, now, delay - req.wait)]
         self._entries[req.reservation_id] = req.entry
-        dropped = self.queue.push(_waiting_item(req, now))
+        dropped = self.queue.push(item)
         if dropped is None:
             return []
         return [self.refuse(dropped, _Code.queue_full, now)]
@@ -123,11 +143,11 @@
     def refuse_ref(
         self,
         ref: AdapterRef,
+        code: ResultCode,
         now: float,
-        retry_after: float,
+        retry_after: float = 0,
     ) -> list[ReserveReply]:
         """Refuse what waits for an adapter that does not load."""
-        code = _Code.adapter_load_failed
         return [
             self.refuse(item, code, now, retry_after=retry_after)
             for item in self.queue.remove_ref(ref)
@@ -170,8 +190,9 @@
             return None
         item = reservation.item
         if item is not None:
-            self.queue.settle(item, req.used)
-            self.drain_rate.note(req.used, now - reservation.granted)
+            used = _bounded(req.used, 0)
+            self.queue.settle(item, used)
+            self.drain_rate.note(used, now - reservation.granted)
         self._bar(req.reservation_id, now)
         return reservation
 
@@ -236,9 +257,14 @@
         reservation_id=req.reservation_id,
         workspace=req.workspace,
         ref=req.ref,
-        tokens=req.tokens,
-        weight=req.weight,
+        tokens=_bounded(req.tokens, _MIN_TOKENS),
+        weight=_bounded(req.weight, _MIN_WEIGHT),
         priority=req.priority,
         arrived=now,
-        expires=now + req.wait,
+        expires=now + _bounded(req.wait, 0),
     )
+
+
+def _bounded(number: float, least: float) -> float:
+    """Return the number in its bounds, the least one for what is none."""
+    return min(max(least, number), _MAX_NUMBER)
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -84,15 +84,15 @@
         """Queue a reservation; answer it now or in a later event."""
         self._authority.advance(now)
         if self._admission.knows(req.reservation_id):
-            return self._admission.repeat(req.reservation_id)
-        code = self._refusal_code(now)
+            is_held = self._slots.is_resident(req.ref)
+            return self._admission.repeat(req, is_held)
+        code = self._refusal_code(req.ref, now)
         if code is not None:
             return [self._admission.refuse_new(req, code, now)]
         barred = self._planner.failures.refused_for(req.ref, now)
         if barred:
             code = _Code.adapter_load_failed
             return [self._admission.refuse_new(req, code, now, barred)]
-        self._planner.popularity.note(req.ref, now)
         replies = self._admission.enqueue(req, now)
         return [*replies, *self._proceed(now)]
 
@@ -116,16 +116,16 @@
         if known is not None and report.incarnation < known:
             return []
         self._heard = now
+        actions: list[Action] = []
         if known is None:
             self._slots.incarnation = report.incarnation
         elif report.incarnation > known:
-            self._slots.restart(report, now)
-            self._planner.failures.clear()
+            actions.extend(self._planner.restart(report, now))
         self._slots.apply(report, now)
         self._authority.report(now)
         settled = now - self._terms.report_lag - self._terms.start_within
         self._admission.book.release_orphans(frozenset(report.busy), settled)
-        return self._proceed(now)
+        return [*actions, *self._proceed(now)]
 
     def load_done(
         self,
@@ -142,10 +142,13 @@
             return [ReturnPermit(order_id), *self._proceed(now)]
         self._planner.failures.note(slot.ref, now)
         barred = self._planner.failures.refused_for(slot.ref, now)
-        replies = (
-            self._admission.refuse_ref(slot.ref, now, barred) if barred else []
-        )
-        return [ReturnPermit(order_id), *replies, *self._proceed(now)]
+        actions: list[Action] = [ReturnPermit(order_id)]
+        if barred:
+            code = _Code.adapter_load_failed
+            actions.extend(
+                self._admission.refuse_ref(slot.ref, code, now, barred),
+            )
+        return [*actions, *self._proceed(now)]
 
     def evict_done(
         self,
@@ -255,6 +258,9 @@
             detail = 'the engine is silent'
             code = _Code.no_target
             actions.extend(self._admission.refuse_all(code, now, detail))
+        for ref in self._planner.unreachable(now):
+            code = _Code.no_target
+            actions.extend(self._admission.refuse_ref(ref, code, now))
         actions.extend(self._planner.repeat_asks(now))
         actions.extend(self._proceed(now))
         if not self._is_leaving:
@@ -271,6 +277,7 @@
             queued=len(queue),
             queued_tokens=queue.tokens,
             running=len(self._admission.book),
+            can_load=self._planner.can_load(),
             silent=self._is_silent(now),
             leaving=self._is_leaving,
         )
@@ -281,7 +288,9 @@
         self._admission.set_ready(self._ready(), now)
         actions: list[Action] = []
         if self._authority.is_active:
-            actions.extend(self._admission.grant(self._authority.fencing, now))
+            replies = self._admission.grant(self._authority.fencing, now)
+            self._planner.note_grants(replies, now)
+            actions.extend(replies)
         actions.extend(self._admission.expire(now))
         actions.extend(self._planner.plan(now))
         return actions
@@ -291,11 +300,13 @@
             return set()
         return set(self._slots.held(SlotState.resident))
 
-    def _refusal_code(self, now: float) -> ResultCode | None:
+    def _refusal_code(self, ref: AdapterRef, now: float) -> ResultCode | None:
         if self._is_leaving:
             return _Code.draining
         if not self._authority.is_active or self._is_silent(now):
             return _Code.no_target
+        if self._slots.get(ref) is None and not self._planner.can_load():
+            return _Code.no_target
         return None
 
     def _is_silent(self, now: float) -> bool:
