Look at touched members only between scans

Cause: each event and each tick compared the view of all members; the agent ticks ten times a second.

--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -25,6 +25,7 @@
 from mintlanding.placement.messages import WorkerDigest
 
 _SEEDS_A_ROUND = 3
+_SCAN_SHARE = 0.25
 
 
 class MembershipNode:
@@ -47,6 +48,8 @@
         self._links = Links(own.incarnation)
         self._shown: dict[str, Member] = {}
         self._events: list[MembershipAction] = []
+        self._touched: set[str] = set()
+        self._scan_at = 0.0
         self._published_at: dict[str, float] = {}
         self._unpublished: set[str] = set()
         self._round_at = 0.0
@@ -105,6 +108,7 @@
     ) -> list[MembershipAction]:
         """Note that a heartbeat got no reply; seeds have no name."""
         self._book.note_failure(instance)
+        self._touched.add(instance)
         return self.changes(now)
 
     def platform_list(
@@ -115,6 +119,7 @@
         """Take the platform's instance list, which lags."""
         for name in self._book.take_list(members):
             self._log.record(Kind.member, name)
+            self._touched.add(name)
         return self.changes(now)
 
     def leave(self, now: float) -> list[MembershipAction]:
@@ -148,9 +153,8 @@
         """Call neighbours when a round is due and judge the silent ones."""
         self._excuse_pause(now)
         self._publish_loads(now)
-        for name in self._book.judge(now):
-            self._log.forget_member(name)
-            self._links.forget(name)
+        if now >= self._scan_at:
+            self._scan(now)
         actions = self.changes(now)
         if now >= self._round_at:
             self._round_at = now + self._terms.interval
@@ -161,13 +165,27 @@
         """Return what has changed since the last call."""
         actions = self._events
         self._events = []
-        view = self.members(now)
-        for name, member in view.items():
+        touched = sorted(self._touched)
+        self._touched.clear()
+        for name in touched:
+            known = self._book.get(name)
+            if known is None:
+                self._shown.pop(name, None)
+                continue
+            member = self._book.view(known, now)
             if self._shown.get(name) != member:
+                self._shown[name] = member
                 actions.append(MemberChanged(member))
-        self._shown = view
         return actions
 
+    def _scan(self, now: float) -> None:
+        """Look at all members, whose states change with time as well."""
+        self._scan_at = now + self._terms.interval * _SCAN_SHARE
+        self._touched.update(name for name, _ in self._book.items())
+        for name in self._book.judge(now):
+            self._log.forget_member(name)
+            self._links.forget(name)
+
     def _apply(self, message: Heartbeat, now: float) -> None:
         sender = message.sender.member.instance
         if sender == self.own.instance:
@@ -182,6 +200,7 @@
         if known is None or known.record.member.incarnation != same:
             return
         self._book.hear(sender, message.revision, now)
+        self._touched.add(sender)
         self._take_digests(message)
         self._links.note(message)
 
@@ -190,6 +209,7 @@
         if name == self.own.instance:
             self._answer_doubts(record)
         elif self._book.learn(record):
+            self._touched.add(name)
             self._log.record(Kind.member, name, source)
 
     def _begin_leaving(self) -> None:
@@ -234,6 +254,7 @@
         self._ticked_at = now
         if before is not None and now - before > self._terms.silent_after:
             self._book.excuse(now)
+            self._scan_at = now
 
     def _round(self, now: float) -> list[MembershipAction]:
         view = self.members(now)
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -3,7 +3,11 @@
 import msgspec
 import pytest
 
-from mintlanding.membership.models import MembershipTerms, MemberState
+from mintlanding.membership.models import (
+    MemberChanged,
+    MembershipTerms,
+    MemberState,
+)
 from mintlanding.membership.tests.fleet import Fleet, later, make_members
 from mintlanding.placement.messages import AdapterRef, WorkerDigest
 
@@ -262,6 +266,24 @@
     assert oldest >= 22
 
 
+def test_changes_tell_every_state_that_the_view_shows():
+    fleet = Fleet(make_members(6))
+    fleet.run(5)
+    fleet.up.discard('i4')
+    fleet.run(4)
+    fleet.take('i5', fleet.nodes['i5'].leave(fleet.now))
+    fleet.run(20)
+    told = {}
+    for action in fleet.actions['i0']:
+        if isinstance(action, MemberChanged):
+            told.setdefault(action.member.instance, []).append(
+                str(action.member.state)
+            )
+    assert told['i4'] == ['live', 'silent', 'gone']
+    assert told['i5'] == ['live', 'leaving']
+    assert told['i1'] == ['live']
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
