Keep the indexes of pools that a change leaves alone

Cause: each change of a target, service or selector rebuilt the index of every pool, and each dispatch and digest went through all pools, of which every selector over targets makes one. After: only pools with other workers are rebuilt, and a worker knows its pools.

--- a/mintlanding/routing/tests/test_workers.py
+++ b/mintlanding/routing/tests/test_workers.py
@@ -4,6 +4,8 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
 from mintlanding.membership.models import Member, MemberState
@@ -13,6 +15,7 @@
 from mintlanding.routing.workers import WorkerRouter
 
 REF = AdapterRef('a', '1')
+POLICIES = ('placed', 'least-loaded', 'round-robin')
 
 
 def make_digest(number, **fields):
@@ -146,3 +149,55 @@
     )
     for _ in range(3):
         assert worker_of(choose(router)) == 'w1'
+
+
+changes = st.tuples(
+    st.sampled_from(('digest', 'member', 'pools', 'sent', 'fail', 'mend')),
+    st.integers(0, 4),
+    st.integers(1, 6),
+    st.booleans(),
+)
+
+
+@given(steps=st.lists(changes, max_size=30), policy=st.sampled_from(POLICIES))
+def test_no_change_makes_an_unusable_worker_the_choice(steps, policy):
+    router = WorkerRouter.from_config('z0', policy=policy)
+    rnd = random.Random(1)
+    newest, away, pool = {}, set(), frozenset()
+    for kind, number, sequence, flag in steps:
+        name = f'w{number}'
+        if kind == 'digest':
+            digest = make_digest(number, sequence=sequence, leaving=flag)
+            router.put_digest(digest)
+            held = newest.get(name)
+            if held is None or held.sequence < sequence:
+                newest[name] = digest
+        elif kind == 'member':
+            state = MemberState.gone if flag else MemberState.live
+            router.put_member(steward(f'i{number}', state))
+            away = away | {name} if flag else away - {name}
+        elif kind == 'pools':
+            pool = frozenset(f'w{each}' for each in range(number, sequence))
+            router.set_pools({'planner': pool, 'other': frozenset((name,))})
+            configured = pool | {name}
+            newest = {each: newest[each] for each in newest.keys() & configured}
+        elif kind == 'sent':
+            router.note_sent(name)
+        excluded = frozenset((name,)) if kind == 'fail' else frozenset()
+        usable = {
+            each
+            for each in pool & newest.keys()
+            if not newest[each].leaving
+            and each not in away
+            and each not in excluded
+        }
+        outcome = router.choose(
+            EngineRequest(REF, 'planner', excluded),
+            DecayedPopularity.from_config(),
+            0,
+            rnd,
+        )
+        if usable:
+            assert worker_of(outcome) in usable
+        else:
+            assert isinstance(outcome, Failed)
--- a/mintlanding/routing/workers.py
+++ b/mintlanding/routing/workers.py
@@ -1,7 +1,7 @@
 """Choose the worker for an adapter's request from the region's digests."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Self
 
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
@@ -42,6 +42,7 @@
         self._terms = terms
         self._choice = choice
         self._pools: Pools = {}
+        self._pools_of: dict[str, list[str]] = {}
         self._indexes: dict[str, WorkerIndex] = {}
         self._digests: dict[str, WorkerDigest] = {}
         self._away: set[str] = set()
@@ -60,19 +61,21 @@
         )
 
     def set_pools(self, pools: Pools) -> None:
-        """Take the workers of each pool from the configuration."""
-        self._pools = dict(pools)
-        configured = frozenset().union(*self._pools.values())
+        """Take the workers of each pool from the configuration.
+
+        A pool with the same workers as before keeps its index.
+        """
+        before, self._pools = self._pools, dict(pools)
+        self._pools_of = _pools_by_worker(self._pools)
         self._digests = {
             worker: digest
             for worker, digest in self._digests.items()
-            if worker in configured
+            if worker in self._pools_of
         }
         self._indexes = {
-            pool: WorkerIndex.from_digests(
-                self._digests[worker]
-                for worker in sorted(workers & self._digests.keys())
-            )
+            pool: self._indexes[pool]
+            if before.get(pool) == workers
+            else self._index(workers)
             for pool, workers in self._pools.items()
         }
 
@@ -82,9 +85,8 @@
         if held is not None and _version(held) >= _version(digest):
             return
         self._digests[digest.worker] = digest
-        for pool, workers in self._pools.items():
-            if digest.worker in workers:
-                self._indexes[pool].put(digest)
+        for pool in self._pools_of.get(digest.worker, ()):
+            self._indexes[pool].put(digest)
 
     def put_member(self, member: Member) -> None:
         """Take the state of an instance, which may be a steward."""
@@ -95,9 +97,8 @@
 
     def note_sent(self, worker: str) -> None:
         """Count a request that the worker's digest does not show yet."""
-        for pool, workers in self._pools.items():
-            if worker in workers:
-                self._indexes[pool].note_sent(worker)
+        for pool in self._pools_of.get(worker, ()):
+            self._indexes[pool].note_sent(worker)
 
     def choose(
         self,
@@ -136,6 +137,10 @@
             and self.circuits.admits(digest.worker, now, may_fail=True)
         ]
 
+    def _index(self, workers: Collection[str]) -> WorkerIndex:
+        known = sorted(self._digests.keys() & workers)
+        return WorkerIndex.from_digests(self._digests[each] for each in known)
+
     def _rest(self, index: WorkerIndex) -> list[WorkerDigest]:
         workers = index.least_loaded(len(index))
         return [self._digests[worker] for worker in workers]
@@ -166,6 +171,14 @@
         )
 
 
+def _pools_by_worker(pools: Pools) -> dict[str, list[str]]:
+    found: dict[str, list[str]] = {}
+    for pool, workers in pools.items():
+        for worker in workers:
+            found.setdefault(worker, []).append(pool)
+    return found
+
+
 def _version(digest: WorkerDigest) -> tuple[int, int]:
     return (digest.fencing, digest.sequence)
 
