--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -14,9 +14,7 @@
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import (
     BLOB_PREFIX,
-    MANIFEST_KEY,
     Commit,
-    Edit,
     Manifest,
     blob_revision,
 )
@@ -28,30 +26,28 @@
     LayoutLimits,
     LayoutPlanner,
     NextState,
-    WritePlan,
 )
 from mintlanding.configuration.models import Change, Delta
 from mintlanding.configuration.proposals import (
     Proposal,
-    action_of,
     number_changes,
 )
 from mintlanding.configuration.reading import ConfigurationReader
+from mintlanding.configuration.records import commit_record
 from mintlanding.configuration.writes import (
     Authorship,
     Committed,
     find_write,
     write_id_time,
 )
+from mintlanding.configuration.writing import AnswerLost, ManifestWriter
 from mintlanding.core.checks import CheckMessage
-from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.platform.keyvalue import CREATE_ONLY, KeyValueService
 
 MAX_ATTEMPTS = 16
-CONCURRENT_CALLS = 4
 RETRY_AFTER_SECONDS = 2
-MAX_COMMIT_EDITS = 64
 _NONCE_BYTES = 8
 
 
@@ -75,6 +71,7 @@
         self.directory = Directory()
         self.reader = ConfigurationReader(service)
         self._service = service
+        self._writer = ManifestWriter(service)
         self._limits = limits or LayoutLimits()
         self._stored = StoredState()
         self._lock = asyncio.Lock()
@@ -150,9 +147,9 @@
                     authorship,
                     lost,
                 )
-            except _AnswerLost as answer_lost:
+            except AnswerLost as answer_lost:
                 lost[answer_lost.revision] = answer_lost.changes
-            except PlatformUnavailable as exc:
+            except PlatformError as exc:
                 return _unavailable(authorship, str(exc), bool(lost))
             else:
                 if outcome is not None:
@@ -200,7 +197,7 @@
     ) -> Outcome[Committed] | None:
         before = self.directory.revision
         delta = Delta(base=before, revision=before + 1, changes=changes)
-        commit = _commit_record(self.directory, delta, authorship)
+        commit = commit_record(self.directory, delta, authorship)
         planner = LayoutPlanner(
             self._stored.manifest,
             secrets.token_hex(_NONCE_BYTES),
@@ -210,50 +207,17 @@
             plan = planner.plan(NextState(self.directory, changes), commit)
         except ConfigurationTooLarge as exc:
             return Failed.of(ResultCode.object_invalid, str(exc))
-        await self._put_blobs(plan)
-        index = await self._swap(plan, changes)
+        await self._writer.put_blobs(plan)
+        index = await self._writer.swap(plan, changes, self._stored.index)
         if index is None:
             return None
         self.directory.apply(delta)
         self._stored = StoredState(plan.manifest, index)
-        await self._delete_retired(plan)
+        await self._writer.delete_retired(plan)
         return Done(
             Committed(delta.revision, authorship.write_id, changes),
         )
 
-    async def _put_blobs(self, plan: WritePlan) -> None:
-        """Write the blobs; names are unique, so a repeated put is harmless."""
-        limit = asyncio.Semaphore(CONCURRENT_CALLS)
-
-        async def put(key: str, content: bytes) -> None:
-            async with limit:
-                await self._service.put(key, content)
-
-        await asyncio.gather(*(put(*each) for each in plan.blobs.items()))
-
-    async def _swap(
-        self,
-        plan: WritePlan,
-        changes: tuple[Change, ...],
-    ) -> int | None:
-        try:
-            outcome = await self._service.put(
-                MANIFEST_KEY,
-                plan.content,
-                expected=self._stored.index,
-            )
-        except PlatformUnavailable as exc:
-            raise _AnswerLost(str(exc), changes) from exc
-        return None if isinstance(outcome, Failed) else outcome.value
-
-    async def _delete_retired(self, plan: WritePlan) -> None:
-        """Delete what the new manifest no longer names; `collect` repairs."""
-        try:
-            for key in sorted(plan.retired):
-                await self._service.delete(key)
-        except PlatformUnavailable:
-            return
-
     async def _refresh(self) -> None:
         entry = await self.reader.latest()
         if entry is None:
@@ -278,15 +242,6 @@
 _LostWrites = dict[int, tuple[Change, ...]]
 
 
-class _AnswerLost(PlatformUnavailable):
-    """The swap of the manifest was sent and not answered."""
-
-    def __init__(self, message: str, changes: tuple[Change, ...]) -> None:
-        super().__init__(message)
-        self.revision = changes[0].revision
-        self.changes = changes
-
-
 def _with_lost(
     settled: Outcome[Committed],
     lost: _LostWrites,
@@ -309,27 +264,3 @@
         Ran.unknown if may_have_run else Ran.not_run,
         RETRY_AFTER_SECONDS,
     )
-
-
-def _commit_record(
-    directory: Directory,
-    delta: Delta,
-    authorship: Authorship,
-) -> Commit:
-    edits = [
-        Edit(
-            change.kind,
-            change.name,
-            action_of(directory.get(change.kind, change.name), change.body),
-            0 if change.body is None else change.body.version,
-        )
-        for change in delta.changes[:MAX_COMMIT_EDITS]
-    ]
-    return Commit(
-        delta.revision,
-        authorship.write_id,
-        authorship.author,
-        authorship.at,
-        tuple(edits),
-        len(delta.changes) - len(edits),
-    )
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -3,7 +3,11 @@
 import msgspec
 import pytest
 
-from mintlanding.membership.models import MembershipTerms, MemberState
+from mintlanding.membership.models import (
+    MemberChanged,
+    MembershipTerms,
+    MemberState,
+)
 from mintlanding.membership.tests.fleet import Fleet, later, make_members
 from mintlanding.placement.messages import AdapterRef, WorkerDigest
 
@@ -186,6 +190,7 @@
     fleet.up.discard('i0')
     fleet.now += 3600
     actions = fleet.nodes['i0'].tick(fleet.now)
+    assert set(fleet.states('i0').values()) == {'live'}
     fleet.up.add('i0')
     fleet.take('i0', actions)
     assert set(fleet.states('i0').values()) == {'live'}
@@ -242,6 +247,43 @@
     assert 'w1' in fleet.nodes['i4'].digests()
 
 
+def test_no_load_waits_behind_later_ones():
+    terms = MembershipTerms(mesh_limit=6)
+    fleet = Fleet(make_members(18), terms, seeds=3)
+    fleet.run(20)
+    for second in range(30):
+        for number, node in enumerate(fleet.nodes.values()):
+            for worker in (number, number + 100):
+                digest = make_digest(second + 1, steward=node.own.instance)
+                digest = msgspec.structs.replace(digest, worker=f'w{worker}')
+                node.put_digest(digest, fleet.now)
+        fleet.run(1)
+    oldest = min(
+        digest.sequence
+        for node in fleet.nodes.values()
+        for digest in node.digests().values()
+    )
+    assert oldest >= 22
+
+
+def test_changes_tell_every_state_that_the_view_shows():
+    fleet = Fleet(make_members(6))
+    fleet.run(5)
+    fleet.up.discard('i4')
+    fleet.run(4)
+    fleet.take('i5', fleet.nodes['i5'].leave(fleet.now))
+    fleet.run(20)
+    told = {}
+    for action in fleet.actions['i0']:
+        if isinstance(action, MemberChanged):
+            told.setdefault(action.member.instance, []).append(
+                str(action.member.state)
+            )
+    assert told['i4'] == ['live', 'silent', 'gone']
+    assert told['i5'] == ['live', 'leaving']
+    assert told['i1'] == ['live']
+
+
 def test_vouching_counts_from_the_question():
     fleet = Fleet(make_members(2))
     for node in fleet.nodes.values():
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -90,7 +90,7 @@
         if code is not None:
             return [self._admission.refuse_new(req, code, now)]
         barred = self._planner.failures.refused_for(req.ref, now)
-        if barred:
+        if barred and not self._slots.is_resident(req.ref):
             code = _Code.adapter_load_failed
             return [self._admission.refuse_new(req, code, now, barred)]
         replies = self._admission.enqueue(req, now)
@@ -160,10 +160,14 @@
         slot = self._slots.settle(order_id, not ok, now)
         if slot is None:
             return []
-        slot.is_busy = not ok
         loads = self._planner.evicted(slot.ref, now)
         return [*loads, *self._proceed(now)]
 
+    def order_unanswered(self, order_id: int, now: float) -> Sequence[Action]:
+        """Note that an order's call failed and may have had effect."""
+        doubted = self._planner.doubt(order_id, now)
+        return [*doubted, *self._proceed(now)]
+
     def fence_done(
         self,
         order_id: int,
@@ -258,7 +262,7 @@
             detail = 'the engine is silent'
             code = _Code.no_target
             actions.extend(self._admission.refuse_all(code, now, detail))
-        for ref in self._planner.unreachable():
+        for ref in self._planner.unreachable(now):
             code = _Code.no_target
             actions.extend(self._admission.refuse_ref(ref, code, now))
         actions.extend(self._planner.repeat_asks(now))
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -1,5 +1,7 @@
 """What a steward does when something fails, one row for each fault."""
 
+import math
+
 import pytest
 
 from mintlanding.core.results import ResultCode
@@ -78,6 +80,19 @@
     assert only(steward.reserve(request(4, ref_of(1)), READY + 1), AskPermit)
 
 
+def test_adapter_that_is_resident_after_all_is_granted():
+    steward = build(terms=StewardTerms(load_tries=1, load_backoff=20))
+    steward.take_over(7, 0)
+    steward.engine_report(report(), READY)
+    order = load(steward, ref_of(1), 1, READY)
+    steward.load_done(order.order_id, False, READY)
+    later = READY + TERMS.report_lag + 1
+    steward.engine_report(report(ref_of(1)), later)
+    assert replies(steward.reserve(request(2, ref_of(1)), later)) == [
+        ('r2', 0),
+    ]
+
+
 def test_cold_engine_is_found_by_its_incarnation(steward):
     fill(steward)
     steward.engine_report(report(incarnation=2), READY + 1)
@@ -183,11 +198,43 @@
     assert first.ref != second.ref
 
 
+@pytest.mark.parametrize('had_effect', [True, False])
+def test_eviction_that_failed_grants_nothing_before_a_report(
+    steward,
+    had_effect,
+):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(steward.reserve(request(3, ref_of(3)), READY), AskPermit)
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    steward.evict_done(evict.order_id, False, READY)
+    assert not replies(steward.reserve(request(4, evict.ref), READY))
+    held = {ref_of(1), ref_of(2)} - ({evict.ref} if had_effect else set())
+    later = READY + TERMS.report_lag + 0.1
+    granted = replies(steward.engine_report(report(*held), later))
+    assert (('r4', 0) in granted) != had_effect
+
+
+@pytest.mark.parametrize('was_loaded', [True, False])
+def test_load_that_may_have_had_effect_keeps_its_slot(steward, was_loaded):
+    order = load(steward, ref_of(1), 1, READY)
+    actions = steward.order_unanswered(order.order_id, READY)
+    assert actions == [ReturnPermit(order.order_id)]
+    assert not steward.order_unanswered(order.order_id, READY)
+    assert steward.digest(READY).loading == (ref_of(1),)
+    held = (ref_of(1),) if was_loaded else ()
+    later = READY + TERMS.report_lag + 0.1
+    steward.engine_report(report(*held), later)
+    assert steward.digest(later).resident == held
+
+
 def test_refused_permit_is_asked_for_again(steward):
     (ask,) = only(steward.reserve(request(1, ref_of(1)), READY), AskPermit)
     steward.permit(ask.order_id, False, 0.5, READY)
     assert not only(steward.tick(READY + 0.4), AskPermit)
-    (again,) = only(steward.tick(READY + 0.5), AskPermit)
+    assert not only(steward.tick(READY + 0.499), AskPermit)
+    (again,) = only(steward.tick(READY + 1), AskPermit)
     assert again.order_id != ask.order_id
 
 
@@ -332,3 +379,16 @@
     steward.engine_report(report(held), later)
     actions = steward.evict_done(evict.order_id, True, later)
     assert [order.ref for order in only(actions, LoadOrder)] == [ref_of(3)]
+
+
+@pytest.mark.parametrize('number', [0.0, -5.0, math.nan, math.inf, -math.inf])
+def test_numbers_without_sense_break_no_account(steward, number):
+    fill(steward, count=1)
+    fields = {'tokens': number, 'weight': number, 'workspace': 'odd'}
+    steward.reserve(request(5, ref_of(1), **fields), READY)
+    steward.release(ReleaseRequest('r5', 'w', number), READY + 1)
+    steward.reserve(request(6, ref_of(6), wait=number, **fields), READY + 1)
+    digest = steward.digest(READY + 1)
+    assert 0 <= digest.queued_tokens < math.inf
+    (reply,) = steward.reserve(request(7, ref_of(1)), READY + 1)
+    assert reply.code == 0
