--- a/mintlanding/limits/models.py
+++ b/mintlanding/limits/models.py
@@ -31,6 +31,7 @@
 from mintlanding.limits.outbox import Outbox
 from mintlanding.limits.pools import Pool
 from mintlanding.limits.requests import Requests
+from mintlanding.limits.settlements import Settlements
 from mintlanding.limits.shares import Shares
 from mintlanding.limits.terms import Rate, Terms
 from mintlanding.membership.models import Member
@@ -63,7 +64,8 @@
         parts = (terms, self._view, self._outbox, self.pools)
         self._shares = Shares(*parts)
         self._loans = Loans.from_shares(self._shares)
-        self._requests = Requests(*parts)
+        self._settlements = Settlements(terms, self._outbox)
+        self._requests = Requests(*parts, self._settlements)
         self._hand_overs = HandOvers(self._loans, self._events)
 
     @classmethod
@@ -262,7 +264,7 @@
             case Settle():
                 self._requests.settle_draw(message, sender, now)
             case Settled():
-                self._requests.settled(message, sender)
+                self._settlements.confirm(message, sender)
             case _:
                 self._handle_loan(message, sender, now)
 
--- a/mintlanding/limits/requests.py
+++ b/mintlanding/limits/requests.py
@@ -25,6 +25,7 @@
 )
 from mintlanding.limits.outbox import Outbox
 from mintlanding.limits.pools import Pool
+from mintlanding.limits.settlements import Settlements
 from mintlanding.limits.terms import Terms
 
 _MAX_HOPS = 2
@@ -50,15 +51,6 @@
     at: float
 
 
-@dataclass(slots=True)
-class _Unsettled:
-    """A settlement that the holder has not confirmed."""
-
-    message: Settle
-    due: float
-    give_up_at: float
-
-
 @dataclass(slots=True)
 class Requests:
     """The requests that came in here and the draws of other instances."""
@@ -67,11 +59,11 @@
     view: HolderView
     outbox: Outbox
     pools: dict[str, Pool]
+    settlements: Settlements
     answers: list[Answer] = field(default_factory=list)
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _parked: dict[str, _Pending] = field(default_factory=dict)
     _granted: dict[str, _Granted] = field(default_factory=dict)
-    _unsettled: dict[tuple[str, str], _Unsettled] = field(default_factory=dict)
     _passed: dict[str, _Granted] = field(default_factory=dict)
     _closed: dict[str, float] = field(default_factory=dict)
     _waiting: Counter[str] = field(default_factory=Counter)
@@ -129,7 +121,7 @@
                 if granted.holder == sender:
                     return
             settle = Settle(message.request_id, message.workspace, 0)
-            self._send_settle(settle, sender, now)
+            self.settlements.send(settle, sender, now)
             return
         self._drop_pending(message.request_id)
         if message.confirm:
@@ -159,7 +151,7 @@
         if granted.holder == self.view.instance:
             self._settle_here(message, now)
             return
-        self._send_settle(message, granted.holder, now)
+        self.settlements.send(message, granted.holder, now)
 
     def settle_draw(self, message: Settle, sender: str, now: float) -> None:
         """Refund what a request of another instance has not used."""
@@ -168,14 +160,10 @@
         self._parked.pop(message.request_id, None)
         passed = self._passed.pop(message.request_id, None)
         if passed is not None:
-            self._send_settle(message, passed.holder, now)
+            self.settlements.send(message, passed.holder, now)
         self._closed[message.request_id] = now
         self._settle_here(message, now)
 
-    def settled(self, message: Settled, sender: str) -> None:
-        """Stop repeating a settlement."""
-        self._unsettled.pop((message.request_id, sender), None)
-
     def tick(self, now: float) -> None:
         """Give up what waited too long and repeat settlements."""
         self._retry_parked(now)
@@ -183,12 +171,7 @@
             if pending.deadline > now:
                 break
             self._time_out(pending, now)
-        for key, unsettled in tuple(self._unsettled.items()):
-            if unsettled.give_up_at <= now:
-                self._unsettled.pop(key)
-            elif unsettled.due <= now:
-                unsettled.due = now + self.terms.settle_retry
-                self.outbox.put(key[1], unsettled.message, now)
+        self.settlements.tick(now)
 
     def prune(self, now: float) -> None:
         """Forget what nobody will ask for."""
@@ -210,7 +193,7 @@
         moments += [
             min(each.deadline, each.ready_at) for each in self._parked.values()
         ]
-        moments += [each.due for each in self._unsettled.values()]
+        moments.append(self.settlements.next_wake())
         return min(moments, default=inf)
 
     def _charge_or_park(self, draw: Draw, pool: Pool, now: float) -> None:
@@ -275,7 +258,7 @@
         draw = pending.draw
         self._drop_pending(draw.request_id)
         settle = Settle(draw.request_id, draw.workspace, 0)
-        self._send_settle(settle, pending.holder, now)
+        self.settlements.send(settle, pending.holder, now)
         pool = self.pools.get(draw.workspace)
         if pool is not None and self._charge(draw, pool, now):
             return
@@ -288,15 +271,6 @@
             pool.expire(now)
             pool.bucket.settle(message.request_id, message.used, now)
 
-    def _send_settle(self, message: Settle, holder: str, now: float) -> None:
-        due = now + self.terms.lazy
-        self._unsettled[message.request_id, holder] = _Unsettled(
-            message,
-            now + self.terms.settle_retry,
-            now + _TOMBSTONE_SECONDS,
-        )
-        self.outbox.put(holder, message, due)
-
     def _reject(
         self,
         draw: Draw,
