Own nothing that is named in the first call after a pause

Cause: own_seats noticed the pause, dropped the seats and then claimed the list it was given, which may be outdated; only the shell's answer to SeatsLost undid it. test_seats_named_in_the_first_call_after_a_pause_are_not_used failed before.

--- a/mintlanding/limits/models.py
+++ b/mintlanding/limits/models.py
@@ -104,8 +104,10 @@
         """Use exactly these seats as its own; new ones begin empty.
 
         A new seat is used only after the loans of its last owner are over.
+        The first call after a pause owns nothing: the seats may be outdated.
         """
-        self._advance(now)
+        if self._advance(now):
+            return self._collect(now)
         owned = self._shares.owned
         if self._shares.is_leaving:
             seats &= owned
@@ -224,11 +226,14 @@
         )
         return max(now, min(moments))
 
-    def _advance(self, now: float) -> None:
+    def _advance(self, now: float) -> bool:
+        """Drop the seats after a pause; return whether there was one."""
         last = self._last_event
         self._last_event = now
-        if last is not None and now - last > self.terms.pause:
+        is_late = last is not None and now - last > self.terms.pause
+        if is_late:
             self._forget_seats(now)
+        return is_late
 
     def _forget_seats(self, now: float) -> None:
         for pool in self.pools.values():
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -210,6 +210,17 @@
     assert fleet.lost == {'i0'}
 
 
+def test_seats_named_in_the_first_call_after_a_pause_are_not_used():
+    fleet = Fleet(size=1)
+    fleet.run(12)
+    fleet.now += fleet.terms.pause + 1
+    fleet.do('i0', 'own_seats', fleet.seats['i0'])
+    fleet.run(12)
+    assert fleet.lost == {'i0'}
+    fleet.do('i0', 'reserve', 'r', WORKSPACE, 5)
+    assert fleet.outcome('r').code is ResultCode.limits_unavailable
+
+
 def test_a_restart_begins_empty():
     fleet = Fleet(size=1)
     fleet.run(12)
