--- a/mintlanding/limits/models.py
+++ b/mintlanding/limits/models.py
@@ -107,6 +107,8 @@
         The first call after a pause owns nothing: the seats may be outdated.
         """
         if self._advance(now):
+            if seats and not self._events:
+                self._events.append(SeatsLost(seats))
             return self._collect(now)
         owned = self._shares.owned
         if self._shares.is_leaving:
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -221,6 +221,15 @@
     assert fleet.outcome('r').code is ResultCode.limits_unavailable
 
 
+def test_a_first_claim_right_after_a_pause_is_reported_as_lost():
+    fleet = Fleet(size=1)
+    fleet.restart('i0')
+    fleet.do('i0', 'tick')
+    fleet.now += fleet.terms.pause + 1
+    fleet.do('i0', 'own_seats', fleet.seats['i0'])
+    assert fleet.lost == {'i0'}
+
+
 def test_a_restart_begins_empty():
     fleet = Fleet(size=1)
     fleet.run(12)
