Probe waiting connections; give whole answers their own time

Cause: an answer that comes at once was bounded by the time to the first token, 30 s, which about 1,000 tokens at 28 ms use up; and a connection gone silent under it, or under a watch, was noticed only by that bound. After: TargetTimeouts.whole (600 s); the kernel probes waiting connections and ends one that has lost its other end in 11 s. Not shown: a probe that really fails needs a packet filter, which the tests do not have; the options are read back from the socket.

--- a/mintlanding/core/http_transport.py
+++ b/mintlanding/core/http_transport.py
@@ -13,6 +13,14 @@
 from aiosonic.resolver import AbstractResolver
 from httptools import HttpParserError, HttpResponseParser
 
+# A connection that something in between has lost track of ends in 11 s.
+_PROBE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 11_000),
+)
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
@@ -41,6 +49,9 @@
         """
         async with asyncio.timeout(current_attempt.get().connect):
             await super().connect(*args, **options)
+        sock = self.writer.get_extra_info('socket')
+        for level, option, setting in _PROBE_OPTIONS:
+            sock.setsockopt(level, option, setting)
 
     def write(self, data: bytes) -> None:
         """Note that the call may have left."""
--- a/mintlanding/core/tests/test_http_client.py
+++ b/mintlanding/core/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Calls go out once, and every answer is that of its own call."""
 
 import asyncio
+import socket
 import threading
 from contextlib import asynccontextmanager
 
@@ -84,6 +85,18 @@
         await HttpClient.from_config().call(HttpCall('POST', url))
 
 
+async def test_waiting_connection_is_probed():
+    async with raw_server(_echo) as (url, _):
+        opened = await HttpClient.from_config().open(
+            HttpCall('GET', f'{url}/x')
+        )
+        sock = opened._connection.writer.get_extra_info('socket')
+        probed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        idle = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        opened.close()
+    assert probed and idle == 5
+
+
 async def test_calls_start_no_thread():
     before = set(threading.enumerate())
     async with raw_server(_echo) as (url, _):
--- a/mintlanding/engines/client.py
+++ b/mintlanding/engines/client.py
@@ -100,7 +100,9 @@
             ('x-priority', str(int(req.priority))),
             ('x-workspace', req.workspace),
         ]
-        call = self._http_call('POST', req.path, headers, req.body)
+        bounds = self.timeouts
+        seconds = bounds.first if req.is_stream else bounds.whole
+        call = self._http_call('POST', req.path, headers, req.body, seconds)
         return await self._open(call, req.ref, req.request_id, 0)
 
     async def resume(
@@ -179,7 +181,7 @@
         offset: int,
     ) -> Outcome[OpenedAnswer]:
         try:
-            async with asyncio.timeout(self.timeouts.first):
+            async with asyncio.timeout(call.answer):
                 answer = await self.client.open(call)
                 return await self._check(answer, ref, request_id, offset)
         except TimeoutError:
--- a/mintlanding/engines/models.py
+++ b/mintlanding/engines/models.py
@@ -9,11 +9,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetTimeouts:
-    """Seconds to connect, to the first data, and between bytes."""
+    """Seconds to connect, to the first data, and between bytes.
+
+    `whole` is the time for an answer that comes at once.
+    """
 
     connect: float = 1
     first: float = 30
     silence: float = 5
+    whole: float = 600
     order: float = 30
     report: float = 2
 
