Pick the process tests' ports outside of those of outgoing connections

Cause: a port that was free when asked for may be taken by an outgoing connection before the process listens on it. Seen once in a merged run: OSError in the set-up of tests/test_outages.py::test_leaving_instance_finishes_what_it_accepted, whose fleet picks its ports the same way; it passed when run again. Ran: pytest tests/process.

--- a/tests/process/standins.py
+++ b/tests/process/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import socket
 import sys
@@ -18,10 +19,12 @@
 
 
 def free_port():
-    """Return a port that nothing listens on at present."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port outside of the range of outgoing connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 class StandinProcess:
