--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -1,4 +1,6 @@
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -14,6 +16,7 @@
     workspace,
 )
 from mintlanding.admin.tests.conftest import AdminClient as Admin
+from mintlanding.cli import __main__ as cli_main
 from mintlanding.cli import client
 from mintlanding.cli.__main__ import run
 from mintlanding.cli.client import AdminClient
@@ -117,6 +120,7 @@
     [
         ((), ExitCode.usage, 'usage'),
         (('--help',), ExitCode.done, 'keys withdraw'),
+        (('--', '--completion'), ExitCode.done, 'bash completion'),
         (('lsit',), ExitCode.usage, 'lsit'),
         (('keys',), ExitCode.usage, 'not complete'),
         (('get', 'adapter'), ExitCode.usage, 'name'),
@@ -192,6 +196,17 @@
     assert shell.admin.desk.storage.directory.revision == 1
 
 
+def test_large_apply_is_accepted_at_once_and_summed_up(shell):
+    many = [workspace(f'w{number}') for number in range(1200)]
+    path = shell.folder / 'many.json'
+    path.write_text(json.dumps({'objects': many}))
+    code, out, _ = shell.run('apply', str(path))
+    assert (code, 'and 200 more' in out) == (0, True)
+    assert 'accepted at revision 1' in out
+    assert shell.sent == 1
+    assert 'nothing would change' in shell.run('diff', str(path))[1]
+
+
 def test_lost_grant_is_not_repeated(shell):
     shell.run('apply', shell.write(workspace()))
     shell.lost = [True]
@@ -250,6 +265,28 @@
     assert raised.value.exit_code is ExitCode.unavailable
 
 
+@pytest.mark.process
+def test_a_reader_that_leaves_is_no_error():
+    command = [sys.executable, '-m', 'mintlanding.cli', '--', '--completion']
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+    process.stdout.close()
+    assert process.stderr.read() == b''
+    process.stderr.close()
+    assert process.wait() == 0
+
+
+def test_interruption_has_its_exit_code(monkeypatch):
+    def interrupt(words):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(cli_main, 'run', interrupt)
+    with pytest.raises(SystemExit) as raised:
+        cli_main.main()
+    assert raised.value.code == ExitCode.interrupted
+
+
 @pytest.mark.parametrize(
     ('status', 'body'),
     [(200, b'<html>'), (200, b'[]'), (404, b'{}'), (500, b'{"error": "x"}')],
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -8,15 +8,13 @@
 import asyncio
 import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mintlanding.configuration.checks import check_proposals
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import (
     BLOB_PREFIX,
-    MANIFEST_KEY,
     Commit,
-    Edit,
     Manifest,
     blob_revision,
 )
@@ -28,30 +26,28 @@
     LayoutLimits,
     LayoutPlanner,
     NextState,
-    WritePlan,
 )
 from mintlanding.configuration.models import Change, Delta
 from mintlanding.configuration.proposals import (
     Proposal,
-    action_of,
     number_changes,
 )
 from mintlanding.configuration.reading import ConfigurationReader
+from mintlanding.configuration.records import commit_record
 from mintlanding.configuration.writes import (
     Authorship,
     Committed,
     find_write,
     write_id_time,
 )
+from mintlanding.configuration.writing import AnswerLost, ManifestWriter
 from mintlanding.core.checks import CheckMessage
-from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.platform.keyvalue import CREATE_ONLY, KeyValueService
 
 MAX_ATTEMPTS = 16
-CONCURRENT_CALLS = 4
 RETRY_AFTER_SECONDS = 2
-MAX_COMMIT_EDITS = 64
 _NONCE_BYTES = 8
 
 
@@ -75,6 +71,7 @@
         self.directory = Directory()
         self.reader = ConfigurationReader(service)
         self._service = service
+        self._writer = ManifestWriter(service)
         self._limits = limits or LayoutLimits()
         self._stored = StoredState()
         self._lock = asyncio.Lock()
@@ -142,23 +139,28 @@
                 ResultCode.object_invalid,
                 'the write id does not begin with its time in hex',
             )
-        may_have_run = False
+        lost: _LostWrites = {}
         for _ in range(MAX_ATTEMPTS):
             try:
-                outcome = await self._attempt(proposals, authorship)
-            except _AnswerLost:
-                may_have_run = True
-            except PlatformUnavailable as exc:
-                return _unavailable(authorship, str(exc), may_have_run)
+                outcome = await self._attempt(
+                    proposals,
+                    authorship,
+                    lost,
+                )
+            except AnswerLost as answer_lost:
+                lost[answer_lost.revision] = answer_lost.changes
+            except PlatformError as exc:
+                return _unavailable(authorship, str(exc), bool(lost))
             else:
                 if outcome is not None:
                     return outcome
-        return _unavailable(authorship, 'too many attempts', may_have_run)
+        return _unavailable(authorship, 'too many attempts', bool(lost))
 
     async def _attempt(
         self,
         proposals: Sequence[Proposal],
         authorship: Authorship,
+        lost: '_LostWrites',
     ) -> Outcome[Committed] | None:
         """Try once; nothing when another writer came first."""
         await self._refresh()
@@ -168,7 +170,7 @@
             authorship.write_id,
         )
         if settled is not None:
-            return settled
+            return _with_lost(settled, lost)
         numbered = number_changes(self.directory, proposals)
         if isinstance(numbered, Failed):
             return numbered
@@ -195,7 +197,7 @@
     ) -> Outcome[Committed] | None:
         before = self.directory.revision
         delta = Delta(base=before, revision=before + 1, changes=changes)
-        commit = _commit_record(self.directory, delta, authorship)
+        commit = commit_record(self.directory, delta, authorship)
         planner = LayoutPlanner(
             self._stored.manifest,
             secrets.token_hex(_NONCE_BYTES),
@@ -205,46 +207,17 @@
             plan = planner.plan(NextState(self.directory, changes), commit)
         except ConfigurationTooLarge as exc:
             return Failed.of(ResultCode.object_invalid, str(exc))
-        await self._put_blobs(plan)
-        index = await self._swap(plan)
+        await self._writer.put_blobs(plan)
+        index = await self._writer.swap(plan, changes, self._stored.index)
         if index is None:
             return None
         self.directory.apply(delta)
         self._stored = StoredState(plan.manifest, index)
-        await self._delete_retired(plan)
+        await self._writer.delete_retired(plan)
         return Done(
             Committed(delta.revision, authorship.write_id, changes),
         )
 
-    async def _put_blobs(self, plan: WritePlan) -> None:
-        """Write the blobs; names are unique, so a repeated put is harmless."""
-        limit = asyncio.Semaphore(CONCURRENT_CALLS)
-
-        async def put(key: str, content: bytes) -> None:
-            async with limit:
-                await self._service.put(key, content)
-
-        await asyncio.gather(*(put(*each) for each in plan.blobs.items()))
-
-    async def _swap(self, plan: WritePlan) -> int | None:
-        try:
-            outcome = await self._service.put(
-                MANIFEST_KEY,
-                plan.content,
-                expected=self._stored.index,
-            )
-        except PlatformUnavailable as exc:
-            raise _AnswerLost(str(exc)) from exc
-        return None if isinstance(outcome, Failed) else outcome.value
-
-    async def _delete_retired(self, plan: WritePlan) -> None:
-        """Delete what the new manifest no longer names; `collect` repairs."""
-        try:
-            for key in sorted(plan.retired):
-                await self._service.delete(key)
-        except PlatformUnavailable:
-            return
-
     async def _refresh(self) -> None:
         entry = await self.reader.latest()
         if entry is None:
@@ -266,8 +239,18 @@
             )
 
 
-class _AnswerLost(PlatformUnavailable):
-    """The swap of the manifest was sent and not answered."""
+_LostWrites = dict[int, tuple[Change, ...]]
+
+
+def _with_lost(
+    settled: Outcome[Committed],
+    lost: _LostWrites,
+) -> Outcome[Committed]:
+    """Tell a write of this call, found again, from one of an earlier call."""
+    if isinstance(settled, Failed) or settled.value.revision not in lost:
+        return settled
+    changes = lost[settled.value.revision]
+    return Done(replace(settled.value, repeated=False, changes=changes))
 
 
 def _unavailable(
@@ -281,27 +264,3 @@
         Ran.unknown if may_have_run else Ran.not_run,
         RETRY_AFTER_SECONDS,
     )
-
-
-def _commit_record(
-    directory: Directory,
-    delta: Delta,
-    authorship: Authorship,
-) -> Commit:
-    edits = [
-        Edit(
-            change.kind,
-            change.name,
-            action_of(directory.get(change.kind, change.name), change.body),
-            0 if change.body is None else change.body.version,
-        )
-        for change in delta.changes[:MAX_COMMIT_EDITS]
-    ]
-    return Commit(
-        delta.revision,
-        authorship.write_id,
-        authorship.author,
-        authorship.at,
-        tuple(edits),
-        len(delta.changes) - len(edits),
-    )
--- a/mintlanding/limits/bucket.py
+++ b/mintlanding/limits/bucket.py
@@ -56,16 +56,14 @@
         return self.capacity - self.flight
 
     def advance(self, now: float) -> None:
-        """Accrue until `now`, then end the flights that are over."""
-        if now > self.now:
-            self.level += (now - self.now) * self.rate
-            self.now = now
-        self.level = min(self.level, max(self.room, 0))
+        """Accrue until `now`; flights end at their own time."""
         while self._flights:
             name, (tokens, until) = next(iter(self._flights.items()))
             if until > now:
-                return
+                break
+            self._accrue(until)
             self._land(name, tokens)
+        self._accrue(now)
 
     def resize(self, rate: float, capacity: float, now: float) -> None:
         """Change rate and capacity from `now` on; tokens above are lost."""
@@ -106,7 +104,7 @@
     ) -> bool:
         """Charge a request if there are tokens; `until` if it has to travel."""
         self.advance(now)
-        if tokens > self.level:
+        if not 0 <= tokens <= self.level:
             return False
         self._note()
         self.level -= tokens
@@ -128,6 +126,7 @@
         charge = self._charges.pop(request_id, None)
         if charge is None:
             return
+        used = max(0, used)
         if used > charge.tokens:
             self._note()
             self.level -= used - charge.tokens
@@ -157,6 +156,12 @@
         """Tell whether the request is charged here and not settled."""
         return request_id in self._charges
 
+    def _accrue(self, now: float) -> None:
+        if now > self.now:
+            self.level += (now - self.now) * self.rate
+            self.now = now
+        self.level = min(self.level, max(self.room, 0))
+
     def _fly(self, name: str, tokens: float, until: float) -> None:
         self._flights[name] = (tokens, until)
         self.flight += tokens
