Claim workers again after a restart; queue permits; probe failed targets

Permits were refused to urgent and prefetch asks alike; a worker that failed was tried by each request; a target could not be drained; an order of unknown outcome freed its slot; a caller that stops reading held its pin. Ruled out: letting any agent claim while the named steward is live, which would race on each restart. Before: test_restarted_agent_becomes_steward_again_or_another_does timed out without the change in stewards.py. After: it passes, with the rows for leaving targets; permits wait in line, urgent first. The fault rows of test_callers now wait until the worker is back in use, as three faults in a row open its circuit; their assertions are unchanged.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -24,7 +24,7 @@
 import yaml
 from tabulate import tabulate
 
-from demo.fleet import HOST, _free_ports
+from demo.fleet import HOST, free_ports
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.models import (
     Adapter,
@@ -113,7 +113,7 @@
     def __init__(self, agents, adapters, folder):
         self.folder = folder
         self.adapters = adapters
-        ports = _free_ports(2 * agents)
+        ports = free_ports(2 * agents)
         self.daemons = [
             Daemon(
                 f'd{number}',
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -1,7 +1,9 @@
 """Plan and run the processes of a demo fleet on loopback."""
 
 import asyncio
+import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -20,7 +22,8 @@
 REGION = 'mx-centro'
 PEPPER = 'demo-pepper-0123456789'
 PEER_SECRET = 'demo-peer-secret-0123456789'  # noqa: S105
-STOP_SECONDS = 20
+STOP_SECONDS = 90
+_PORTS = range(20_000, 32_000)
 
 
 @dataclass(slots=True)
@@ -89,7 +92,7 @@
     @classmethod
     def from_size(cls, size: FleetSize, folder: Path) -> 'Fleet':
         """Plan instances and stand-ins on free ports."""
-        ports = _free_ports(2 * (size.instances + 40))
+        ports = free_ports(2 * (size.instances + 40))
         instances = [
             Instance(
                 f'instance-{number}',
@@ -268,15 +271,18 @@
     return [*platform, *engines, *plain]
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+def free_ports(count: int) -> list[int]:
+    """Return free ports outside of the range of outgoing connections."""
+    found: list[int] = []
+    candidates = list(_PORTS)
+    random.shuffle(candidates)
+    for port in candidates:
+        if len(found) == count:
+            break
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            found.append(port)
+    return found
 
 
 def make_folder(root: str) -> Path:
--- a/mintlanding/admin/schemas.py
+++ b/mintlanding/admin/schemas.py
@@ -146,6 +146,7 @@
     slots: Count = 0
     batch_limit: Count = 0
     checks_fencing: bool = False
+    leaving: bool = False
 
 
 class SplitSchema(Schema):
--- a/mintlanding/agent/desk.py
+++ b/mintlanding/agent/desk.py
@@ -1,15 +1,13 @@
 """One worker under this agent's stewardship: orders, reports, reservations."""
 
 import asyncio
-import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from mintlanding.agent.context import AgentContext
-from mintlanding.agent.limits import STORE_POOL, LimitsPart
-from mintlanding.agent.messages import SettleRequest, TokenRequest
+from mintlanding.agent.permits import PermitQueue
 from mintlanding.configuration.models import AdapterVersion, Target
 from mintlanding.core.logs import Logger
-from mintlanding.core.results import Done, Failed
+from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines.client import EngineClient
 from mintlanding.engines.messages import EngineReport as ReportMessage
 from mintlanding.engines.models import TargetTimeouts
@@ -36,7 +34,6 @@
 
 REPORT_SECONDS = 1
 TICK_SECONDS = 0.2
-PERMIT_RETRY_SECONDS = 0.2
 MIXED_ROLE = 'mixed'
 
 _logger = Logger('placement')
@@ -49,13 +46,15 @@
         self,
         context: AgentContext,
         target: Target,
-        limits: LimitsPart,
+        permits: PermitQueue,
+        on_superseded: Callable[[str], None],
         publish: Callable[[WorkerDigest], None],
     ) -> None:
         """Take the worker; nothing runs before `start`."""
         self.target = target
         self._context = context
-        self._limits = limits
+        self._permits = permits
+        self._on_superseded = on_superseded
         self._publish = publish
         self._engine = EngineClient.from_config(target.url, TargetTimeouts())
         self.steward = Steward.from_config(
@@ -72,7 +71,7 @@
             context.own.address,
         )
         self._waiting: dict[str, asyncio.Future[ReserveReply]] = {}
-        self._permits: dict[int, str] = {}
+        self._held_permits: dict[int, str] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._told: WorkerDigest | None = None
         self.pinned_entries: set[str] = set()
@@ -125,7 +124,7 @@
                 case LoadOrder() | EvictOrder() | FenceOrder():
                     self._context.application.spawn(self._order(action))
                 case AskPermit():
-                    self._context.application.spawn(self._ask_permit(action))
+                    self._ask_permit(action)
                 case ReturnPermit():
                     self._return_permit(action)
         self._tell()
@@ -163,7 +162,6 @@
                     order.fencing,
                 )
                 settle = self.steward.fence_done
-        is_done = isinstance(outcome, Done)
         if isinstance(outcome, Failed):
             _logger.warning(
                 'An order failed.',
@@ -172,37 +170,43 @@
                 code=int(outcome.code),
                 detail=outcome.detail,
             )
-        self.carry_out(settle(order.order_id, is_done, self._context.now))
+        self._settle_order(order.order_id, outcome, settle)
+
+    def _settle_order(
+        self,
+        order_id: int,
+        outcome: Outcome[None],
+        settle: Callable[[int, bool, float], Sequence[Action]],
+    ) -> None:
+        now = self._context.now
+        if isinstance(outcome, Done):
+            self.carry_out(settle(order_id, True, now))
+        elif outcome.ran is not Ran.not_run:
+            self.carry_out(self.steward.order_unanswered(order_id, now))
+        else:
+            self.carry_out(settle(order_id, False, now))
+            if outcome.code is ResultCode.fencing_old:
+                self._on_superseded(self.target.name)
 
     def _weights(self, ref: AdapterRef) -> str:
         found = self._context.directory.get('adapter-version', str(ref))
         return found.weights if isinstance(found, AdapterVersion) else ''
 
-    async def _ask_permit(self, ask: AskPermit) -> None:
-        request_id = uuid.uuid4().hex
-        req = TokenRequest(request_id, STORE_POOL, 1)
-        outcome = await self._limits.reserve(req)
-        is_granted = isinstance(outcome, Done)
-        retry_after = PERMIT_RETRY_SECONDS
-        if isinstance(outcome, Failed):
-            retry_after = outcome.retry_after or PERMIT_RETRY_SECONDS
-        else:
-            self._permits[ask.order_id] = request_id
-        self.carry_out(
-            self.steward.permit(
-                ask.order_id,
-                is_granted,
-                retry_after,
-                self._context.now,
-            ),
-        )
+    def _ask_permit(self, ask: AskPermit) -> None:
+        def answer(granted: bool, retry_after: float, permit: str) -> None:
+            if granted:
+                self._held_permits[ask.order_id] = permit
+            now = self._context.now
+            self.carry_out(
+                self.steward.permit(ask.order_id, granted, retry_after, now),
+            )
+
+        self._permits.ask(is_urgent=ask.urgent, answer=answer)
 
     def _return_permit(self, action: ReturnPermit) -> None:
-        request_id = self._permits.pop(action.order_id, None)
-        if request_id is None:
-            return
-        used = 1 if action.used else 0
-        self._limits.settle(SettleRequest(request_id, STORE_POOL, 1, used))
+        permit = self._held_permits.pop(action.order_id, None)
+        if permit is not None:
+            self._permits.settle(permit, is_used=action.used)
 
     async def _read_reports(self) -> None:
         while True:
--- a/mintlanding/agent/seats.py
+++ b/mintlanding/agent/seats.py
@@ -42,6 +42,7 @@
         self._limits = limits
         self._claims: SeatClaims | None = None
         self._used: frozenset[int] = frozenset()
+        self._early: list[Event] = []
         limits.on_event(self._take_event)
 
     async def start(self) -> None:
@@ -104,6 +105,9 @@
             self._context.now,
         )
         self.follow_members()
+        early, self._early = self._early, []
+        for event in early:
+            self._take_event(event)
 
     def _carry_out(self, actions: Iterable[ClaimAction]) -> None:
         for action in actions:
@@ -155,6 +159,7 @@
 
     def _take_event(self, event: Event) -> None:
         if self._claims is None:
+            self._early.append(event)
             return
         now = self._context.now
         match event:
--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -13,6 +13,7 @@
     REPORT_PINS,
     RESERVE_WORKER,
 )
+from mintlanding.agent.permits import PermitQueue
 from mintlanding.configuration.models import Target
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
@@ -69,7 +70,7 @@
     ) -> None:
         """Serve reservations; `digests` tells of other stewards."""
         self._context = context
-        self._limits = limits
+        self._permits = PermitQueue(limits, context.clock)
         self._digests = digests
         self._publish = publish
         self._desks: dict[str, WorkerDesk] = {}
@@ -84,6 +85,7 @@
 
     async def start(self) -> None:
         """Begin to claim."""
+        self._context.application.spawn(self._permits.run())
         self._context.application.spawn(self._run_ticks())
 
     async def drain(self, timeout: float) -> None:
@@ -157,7 +159,11 @@
         own = self._context.own
         members = self._context.members
         digest = self._digests().get(worker.name)
-        if digest is not None and digest.steward != own.instance:
+        if digest is not None and digest.steward == own.instance:
+            # The others take this instance for the steward, as it was before
+            # a restart.
+            return True
+        if digest is not None:
             steward = members.get(digest.steward)
             if steward and steward.state not in UNREACHED_STATES:
                 return False
@@ -240,7 +246,8 @@
             desk = WorkerDesk(
                 self._context,
                 target,
-                self._limits,
+                self._permits,
+                self._give_way,
                 self._publish,
             )
             self._desks[won.worker] = desk
@@ -273,12 +280,16 @@
             desk.carry_out(desk.steward.superseded(self._context.now))
             self._context.application.spawn(desk.stop())
 
+    def _give_way(self, worker: str) -> None:
+        """Take an engine's word that a newer steward exists."""
+        self._leases.held.pop(worker, None)
+        self._leases.lapsed.pop(worker, None)
+        self._lose(worker)
+
     def _stop_removed(self) -> None:
         configured = {each.name for each in self._zone_workers()}
         for worker in set(self._desks) - configured:
-            self._leases.held.pop(worker, None)
-            self._leases.lapsed.pop(worker, None)
-            self._lose(worker)
+            self._give_way(worker)
 
     def _drop_entry(self, instance: str) -> None:
         for desk in self._desks.values():
--- a/mintlanding/configuration/models.py
+++ b/mintlanding/configuration/models.py
@@ -95,7 +95,10 @@
 
 
 class Target(ConfigObject, frozen=True, kw_only=True, gc=False, tag='target'):
-    """A worker or a plain back end at `url` in an availability zone."""
+    """A worker or a plain back end at `url` in an availability zone.
+
+    A leaving target gets no new work; what runs there goes on.
+    """
 
     service: str
     zone: str
@@ -103,6 +106,7 @@
     slots: int = 0
     batch_limit: int = 0
     checks_fencing: bool = False
+    leaving: bool = False
 
 
 class Split(msgspec.Struct, frozen=True, omit_defaults=True, gc=False):
--- a/mintlanding/entry/application.py
+++ b/mintlanding/entry/application.py
@@ -8,6 +8,7 @@
 from mintlanding.core.http import HttpLimits, HttpServer
 from mintlanding.entry.context import EntryContext
 from mintlanding.entry.dispatch import Dispatcher
+from mintlanding.entry.health import HealthProbes
 from mintlanding.entry.pin_reports import PinReporter
 from mintlanding.entry.routes import build_app
 from mintlanding.entry.view import ViewFollower
@@ -63,6 +64,7 @@
     async def _start(self) -> None:
         self.application.spawn(self._follower.run())
         self.application.spawn(self._settle_orders())
+        self.application.spawn(HealthProbes(self.context).run())
         self.application.spawn(
             send_samples(
                 self.context.samples,
--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
+from typing import Any
 
 import msgspec
 
@@ -35,6 +36,15 @@
         ResultCode.target_wrong_adapter,
     ),
 )
+_TARGET_FAULTS = frozenset(
+    (
+        ResultCode.target_unreachable,
+        ResultCode.target_timeout,
+        ResultCode.target_interrupted,
+        ResultCode.target_garbage,
+        ResultCode.target_wrong_adapter,
+    ),
+)
 _LOST_CODES = frozenset(
     (
         ResultCode.target_interrupted,
@@ -160,6 +170,7 @@
         opened = await engine.generate(generate)
         if isinstance(opened, Failed) and _may_be_lost(opened, generate):
             opened = await self._look_for(engine, generate, opened)
+        self._note_health(route.worker, opened)
         if isinstance(opened, Failed):
             return opened
         relay = StreamRelay(
@@ -173,6 +184,13 @@
             Generation(relay, route.worker, req.reservation_id, stalled),
         )
 
+    def _note_health(self, worker: str, outcome: Outcome[Any]) -> None:
+        circuits = self._targets.workers.circuits
+        if isinstance(outcome, Done):
+            circuits.succeeded(worker)
+        elif outcome.code in _TARGET_FAULTS:
+            circuits.failed(worker, self._clock.monotonic(), self._rnd)
+
     async def _look_for(
         self,
         engine: EngineClient,
--- a/mintlanding/entry/endpoint.py
+++ b/mintlanding/entry/endpoint.py
@@ -1,6 +1,7 @@
 """Base of the callers' endpoints: one exchange, answered exactly once."""
 
 import asyncio
+import traceback
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -52,7 +53,7 @@
         except CallerVanishedError:
             self.metrics.count('entry.callers_vanished')
         except Exception as exc:
-            _logger.error('A request failed inside.', reason=repr(exc))
+            _logger.error('A request failed inside.', **_place(exc))
             await self._fail_safely(exchange, Failed.of(ResultCode.internal))
 
     @abstractmethod
@@ -102,3 +103,10 @@
 async def _watch_caller(exchange: Exchange, opened: OpenRequest) -> None:
     await exchange.wait_for_disconnect()
     opened.vanish()
+
+
+def _place(exc: Exception) -> dict[str, str]:
+    """Return type and place; the text may hold what a caller sent."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    place = f'{frames[-1].name}:{frames[-1].lineno}' if frames else ''
+    return {'kind': type(exc).__name__, 'place': place}
--- a/mintlanding/entry/exchange.py
+++ b/mintlanding/entry/exchange.py
@@ -14,6 +14,7 @@
 
 JSON_TYPE = 'application/json'
 REQUEST_ID_HEADER = 'x-request-id'
+SEND_SECONDS = 30
 
 
 class CallerVanishedError(Exception):
@@ -131,7 +132,8 @@
 
     async def _transmit(self, message: Message) -> None:
         try:
-            await self._send(message)
+            async with asyncio.timeout(SEND_SECONDS):
+                await self._send(message)
         except OSError as exc:
             raise CallerVanishedError from exc
 
--- a/mintlanding/entry/services.py
+++ b/mintlanding/entry/services.py
@@ -237,7 +237,11 @@
         opened: OpenRequest,
     ) -> Outcome[PlainAnswer] | None:
         targets = self._context.targets
-        route = targets.choose_plain(call.service.name, tried)
+        route = targets.choose_plain(
+            call.service.name,
+            tried,
+            is_repeatable=call.is_idempotent,
+        )
         if isinstance(route, Failed):
             return None
         target = route.value.target
--- a/mintlanding/entry/targets.py
+++ b/mintlanding/entry/targets.py
@@ -60,7 +60,8 @@
     ) -> Outcome[WorkerRoute]:
         """Return the worker for a request and its steward."""
         now = self._clock.monotonic()
-        self.popularity.note(ref, now)
+        # Each entry sees one part of the region's requests.
+        self.popularity.note(ref, now, max(1, len(self._view.members)))
         req = EngineRequest(ref, pool, frozenset(excluded))
         return self.workers.choose(req, self.popularity, now, self._rnd)
 
@@ -68,14 +69,16 @@
         self,
         service: str,
         excluded: Collection[str],
+        *,
+        is_repeatable: bool,
     ) -> Outcome[TargetRoute]:
         """Return the target for a call of a plain service."""
-        req = PlainRequest(service, frozenset(excluded))
+        req = PlainRequest(service, frozenset(excluded), is_repeatable)
         return self.plain.choose(req, self._clock.monotonic(), self._rnd)
 
     def engine(self, worker: str) -> EngineClient | None:
         """Return the client of a worker, or nothing when it was removed."""
-        target = self._target(worker)
+        target = self.find(worker)
         if target is None:
             self._engines.pop(worker, None)
             return None
@@ -115,7 +118,8 @@
         """Close what is open."""
         await self._http.close()
 
-    def _target(self, name: str) -> Target | None:
+    def find(self, name: str) -> Target | None:
+        """Return a configured target."""
         found = self._view.directory.get('target', name)
         return found if isinstance(found, Target) else None
 
@@ -138,6 +142,8 @@
             for each in targets
             if each.service not in engines
         )
+        for each in targets:
+            self.plain.set_leaving(each.name, is_leaving=each.leaving)
         self.workers.set_pools(self._pools(targets, engines))
         for digest in self._view.digests.values():
             self.workers.put_digest(digest)
@@ -147,7 +153,11 @@
         targets: Sequence[Target],
         engines: Collection[str],
     ) -> dict[str, frozenset[str]]:
-        workers = [each for each in targets if each.service in engines]
+        workers = [
+            each
+            for each in targets
+            if each.service in engines and not each.leaving
+        ]
         pools = {
             service: frozenset(
                 each.name for each in workers if each.service == service
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,8 @@
 """A small fleet in one process: real agents, entries and stand-ins."""
 
 import asyncio
+import contextlib
+import random
 import socket
 import time
 from dataclasses import dataclass, field
@@ -41,9 +43,12 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free port outside of the range of outgoing connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 async def eventually(question, seconds=WAIT_SECONDS):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -218,6 +218,8 @@
 async def test_faulty_target_has_its_code(fleet, fault, stream):
     _, faults, code, ran = fault
     engine = fleet.standins['w0']
+    # The circuit of the worker may still be open from the row before.
+    await eventually(lambda: fleet.serves(fleet.nodes[0]))
     await engine.set_faults(faults)
     try:
         reply = await fleet.complete(fleet.nodes[0], 'red-0', stream=stream)
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -234,3 +234,49 @@
     await node.stop()
     assert_whole(await reading, 300)
     await eventually(lambda: fleet.serves(fleet.nodes[0]))
+
+
+async def test_restarted_agent_becomes_steward_again_or_another_does():
+    fleet = Fleet()
+    fleet.limits = {'seats': 4, 'zones': 'za'}
+    await fleet.start(instances=4, workers=1, slots=2)
+    try:
+        steward = next(
+            node for node in fleet.nodes if node.agent.stewards._desks
+        )
+        await steward.crash()
+        number = fleet.nodes.index(steward)
+        again = fleet.build_node(number)
+        fleet.nodes[number] = again
+        await fleet.list_all()
+        await again.start()
+        await eventually(
+            lambda: any(node.agent.stewards._desks for node in fleet.nodes),
+        )
+        await eventually(lambda: fleet.serves(again))
+    finally:
+        await fleet.stop()
+
+
+async def test_leaving_target_gets_no_new_work_and_ends_what_it_has(fleet):
+    node = fleet.nodes[0]
+    engines = {name: fleet.standins[name] for name in ('w0', 'w1')}
+    reading = asyncio.create_task(read_stream(fleet, node, 'red-4', 400))
+    await eventually(
+        lambda: any(
+            each.model.is_running('red-4@1') for each in engines.values()
+        ),
+    )
+    name = next(
+        name
+        for name, each in engines.items()
+        if each.model.is_running('red-4@1')
+    )
+    target = (await fleet.storage.load()).get('target', name)
+    leaving = msgspec.structs.replace(target, leaving=True)
+    await fleet.in_force(await fleet.apply(leaving))
+    before = engines[name].records.counts['run']
+    for model in ('red-0', 'red-1', 'red-4', 'red-5'):
+        assert (await fleet.complete(node, model)).status == 200
+    assert engines[name].records.counts['run'] == before
+    assert_whole(await reading, 400)
