--- a/mintlanding/configuration/documents.py
+++ b/mintlanding/configuration/documents.py
@@ -20,6 +20,9 @@
 MANIFEST_KEY = f'{PREFIX}manifest'
 BLOB_PREFIX = f'{PREFIX}blobs/'
 FORMAT = 1
+# Raise with each new field or kind of object: readers skip what they do not
+# know, and a writer that would drop it does not write.
+SCHEMA = 1
 MAX_UNPACKED_BYTES = 64 << 20
 _DIGEST_BYTES = 16
 _COMPRESSION_LEVEL = 6
@@ -66,7 +69,7 @@
     since: float
 
 
-class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Manifest(msgspec.Struct, frozen=True):
     """The root of the configuration.
 
     Chunks hold the objects as of revision `folded`, one blob for each bucket.
@@ -81,6 +84,7 @@
     tail: tuple[Change, ...] = ()
     commits: tuple[Commit, ...] = ()
     segments: tuple[HistorySegment, ...] = ()
+    schema: int = SCHEMA
 
     def blob_keys(self) -> set[str]:
         """Return the keys of all blobs that this manifest names."""
--- a/mintlanding/configuration/layout.py
+++ b/mintlanding/configuration/layout.py
@@ -12,6 +12,7 @@
 
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import (
+    SCHEMA,
     BlobRef,
     Commit,
     HistorySegment,
@@ -114,12 +115,14 @@
         if not is_full:
             return msgspec.structs.replace(
                 self._before,
+                schema=SCHEMA,
                 revision=after.revision,
                 tail=tail,
             )
         tail_base, kept = self._newer_half(tail, after.revision)
         return msgspec.structs.replace(
             self._before,
+            schema=SCHEMA,
             revision=after.revision,
             folded=after.revision,
             chunks=self._fold(after, tail),
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -14,6 +14,7 @@
 from mintlanding.configuration.directory import Directory
 from mintlanding.configuration.documents import (
     BLOB_PREFIX,
+    SCHEMA,
     Commit,
     Manifest,
     blob_revision,
@@ -164,6 +165,11 @@
     ) -> Outcome[Committed] | None:
         """Try once; nothing when another writer came first."""
         await self._refresh()
+        if self._stored.manifest.schema > SCHEMA:
+            return Failed.of(
+                ResultCode.conflict,
+                'a later release writes here; use its administration process',
+            )
         settled = await find_write(
             self.reader,
             self._stored.manifest,
--- a/mintlanding/configuration/tests/test_storage.py
+++ b/mintlanding/configuration/tests/test_storage.py
@@ -92,6 +92,27 @@
     assert loaded.workspace('north').version == 1
 
 
+async def test_writer_of_an_earlier_release_does_not_write():
+    service = MemoryKeyValueService()
+    storage = ConfigurationStorage(service)
+    await storage.commit(
+        [Proposal.put(Workspace(name='a', rate=1, burst=1))],
+        Authorship('op', new_write_id(1), 1),
+    )
+    entry = await service.get(MANIFEST_KEY)
+    later = replace(unpack_manifest(entry.value), schema=99)
+    await service.put(MANIFEST_KEY, pack(later), entry.index)
+    earlier = ConfigurationStorage(service)
+    assert (await earlier.load()).workspace('a')
+    outcome = await earlier.commit(
+        [Proposal.put(Workspace(name='b', rate=1, burst=1))],
+        Authorship('op', new_write_id(2), 2),
+    )
+    assert outcome.code is ResultCode.conflict
+    assert outcome.ran is Ran.not_run
+    assert unpack_manifest((await service.get(MANIFEST_KEY)).value) == later
+
+
 async def test_equal_content_changes_nothing():
     storage, service = new_storage()
     await storage.commit(put_all(workspace()), signed())
