End a request before its reservation's longest life

Cause: promise 2 assumes that no stream outlives reservation_life (600 s); the entry had a setting for it and did not use it. Ruled out: a longer life, which delays the first eviction after a takeover. Before: the new test never ended. After: a stream over request_timeout (300 s by default, at most 590) ends with code 406 and frees the worker.

--- a/mintlanding/conf/models.py
+++ b/mintlanding/conf/models.py
@@ -68,7 +68,7 @@
     max_body_bytes: Annotated[int, Field(gt=0)] = 1_000_000
     max_header_bytes: Annotated[int, Field(gt=0)] = 16_384
     body_timeout: Seconds = 10
-    request_timeout: Seconds = 120
+    request_timeout: Annotated[float, Field(gt=0, le=590)] = 300
     queue_timeout: Seconds = 20
     silence_timeout: Seconds = 10
     drain_timeout: Seconds = 60
--- a/mintlanding/entry/completions.py
+++ b/mintlanding/entry/completions.py
@@ -1,5 +1,6 @@
 """Completions: authenticate, select, charge, dispatch, relay, settle."""
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -118,12 +119,18 @@
                 meter.fail(tokens)
                 await self.fail(exchange, tokens)
                 return
-            await self._dispatch(
-                exchange,
-                self._job(exchange, prepared, opened),
-                usage,
-                meter,
-            )
+            async with asyncio.timeout(self._context.entry.request_timeout):
+                await self._dispatch(
+                    exchange,
+                    self._job(exchange, prepared, opened),
+                    usage,
+                    meter,
+                )
+        except TimeoutError:
+            # A pin may not outlive the longest life of a reservation.
+            failure = Failed.of(ResultCode.target_timeout)
+            meter.fail(failure)
+            await self.fail(exchange, failure)
         finally:
             settle = SettleRequest(
                 request_id,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -129,6 +129,7 @@
     cut: set = field(default_factory=set)
     platform_cut: set = field(default_factory=set)
     settings: dict = field(default_factory=dict)
+    entry: dict = field(default_factory=dict)
     limits: dict = field(default_factory=lambda: {'seats': 4, 'zones': 'za'})
 
     async def add_standin(self, name, kind, **options):
@@ -228,7 +229,11 @@
                     'poll_interval': 0.2,
                     'timeout': 0.5,
                 },
-                'entry': {'port': free_port(), 'body_timeout': 0.5},
+                'entry': {
+                    'port': free_port(),
+                    'body_timeout': 0.5,
+                    **self.entry,
+                },
                 'agent': {
                     'tick_interval': 0.05,
                     'heartbeat_interval': 0.2,
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -280,3 +280,17 @@
         assert (await fleet.complete(node, model)).status == 200
     assert engines[name].records.counts['run'] == before
     assert_whole(await reading, 400)
+
+
+async def test_request_over_its_time_ends_and_frees_the_worker():
+    fleet = Fleet()
+    fleet.entry = {'request_timeout': 1}
+    await fleet.start(instances=1, workers=1)
+    try:
+        engine = fleet.standins['w0']
+        reply = await read_stream(fleet, fleet.nodes[0], 'red-0', 5000)
+        assert b'"code":406' in reply.body
+        assert b'[DONE]' not in reply.body
+        await eventually(lambda: not engine.model.running)
+    finally:
+        await fleet.stop()
