--- /dev/null
+++ b/mintlanding/entry/service_calls.py
@@ -0,0 +1,181 @@
+"""Send the calls of plain services, those of orders at most once."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from mintlanding.configuration.models import Service
+from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.engines.models import Headers, PlainAnswer
+from mintlanding.entry.context import EntryContext
+from mintlanding.entry.open_requests import OpenRequest
+from mintlanding.orders.models import Claim, OrderRequest, StoredAnswer
+from mintlanding.routing.models import Attempt, Progress, RetryAfter
+
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A checked call of a plain service."""
+
+    service: Service
+    workspace: str
+    key_id: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    idempotency_key: str
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether the call may be sent more than once."""
+        return self.service.repeatable or self.method in _SAFE_METHODS
+
+    @property
+    def order(self) -> OrderRequest | None:
+        """Return the order to claim, when the caller gave a key for one."""
+        if self.is_idempotent or not self.idempotency_key:
+            return None
+        path = f'{self.service.name}{self.path}'
+        return OrderRequest(
+            self.workspace,
+            self.idempotency_key,
+            self.method,
+            path,
+            self.body,
+        )
+
+
+class ServiceSender:
+    """Choose targets for calls, and record how orders ended."""
+
+    def __init__(self, context: EntryContext) -> None:
+        """Send for one entry."""
+        self._context = context
+        self._rnd = random.Random()  # noqa: S311
+
+    async def send(
+        self,
+        call: ServiceCall,
+        opened: OpenRequest,
+    ) -> Outcome[PlainAnswer]:
+        """Send; a call that may not be repeated outlives its caller."""
+        if call.is_idempotent:
+            return await self._send_tries(call, opened)
+        return await self._context.background.run(
+            self._send_tries(call, opened)
+        )
+
+    async def send_order(
+        self,
+        call: ServiceCall,
+        claim: Claim,
+        opened: OpenRequest,
+    ) -> Outcome[PlainAnswer]:
+        ledger = self._context.ledger
+        outcome = await self._send_tries(call, opened, claim)
+        if isinstance(outcome, Done):
+            await ledger.finish(claim, _stored(outcome.value))
+        elif outcome.ran is Ran.not_run:
+            await ledger.release(claim)
+        else:
+            await ledger.lose(claim)
+        return outcome
+
+    async def _send_tries(
+        self,
+        call: ServiceCall,
+        opened: OpenRequest,
+        claim: Claim | None = None,
+    ) -> Outcome[PlainAnswer]:
+        self._context.retries.budget.note_first_try()
+        deadline = (
+            self._context.clock.monotonic()
+            + self._context.entry.request_timeout
+        )
+        tried: set[str] = set()
+        last: Failed | None = None
+        while True:
+            if claim and not claim.may_send(self._context.clock.monotonic()):
+                return last or Failed.of(ResultCode.idempotency_unavailable)
+            outcome = await self._try_target(call, tried, opened)
+            if outcome is None:
+                return last or _no_target()
+            if isinstance(outcome, Done):
+                return outcome
+            decision = self._decide(call, outcome, len(tried), deadline)
+            if isinstance(decision, Failed):
+                return decision
+            last = outcome
+            await asyncio.sleep(decision.seconds)
+
+    async def _try_target(
+        self,
+        call: ServiceCall,
+        tried: set[str],
+        opened: OpenRequest,
+    ) -> Outcome[PlainAnswer] | None:
+        targets = self._context.targets
+        route = targets.choose_plain(
+            call.service.name,
+            tried,
+            is_repeatable=call.is_idempotent,
+        )
+        if isinstance(route, Failed):
+            return None
+        target = route.value.target
+        tried.add(target)
+        client = targets.plain_client(route.value)
+        opened.note_sent()
+        targets.plain.started(target)
+        try:
+            outcome = await client.call(
+                call.method,
+                call.path,
+                call.headers,
+                call.body,
+            )
+        finally:
+            targets.plain.ended(target)
+        self._note_health(target, outcome)
+        return outcome
+
+    def _note_health(
+        self,
+        target: str,
+        outcome: Outcome[PlainAnswer],
+    ) -> None:
+        circuits = self._context.targets.plain.circuits
+        if isinstance(outcome, Done):
+            circuits.succeeded(target)
+            return
+        now = self._context.clock.monotonic()
+        circuits.failed(target, now, self._rnd)
+
+    def _decide(
+        self,
+        call: ServiceCall,
+        failure: Failed,
+        tries: int,
+        deadline: float,
+    ) -> RetryAfter | Failed:
+        progress = Progress.sent
+        if failure.ran is Ran.not_run:
+            progress = Progress.not_sent
+        attempt = Attempt(progress, call.is_idempotent, tries, deadline)
+        now = self._context.clock.monotonic()
+        return self._context.retries.decide(attempt, failure, now, self._rnd)
+
+
+def _stored(answer: PlainAnswer) -> StoredAnswer:
+    content_types = [
+        text for name, text in answer.headers if name.lower() == 'content-type'
+    ]
+    content_type = content_types[0] if content_types else ''
+    return StoredAnswer(answer.status, content_type, answer.body)
+
+
+def _no_target() -> Failed:
+    return Failed(ResultCode.no_target, retry_after=1)
--- a/mintlanding/entry/services.py
+++ b/mintlanding/entry/services.py
@@ -1,25 +1,20 @@
 """Calls of plain services: method, path, body and status passed through."""
 
-import asyncio
-import random
-from dataclasses import dataclass
-
 from mintlanding.configuration.models import Key, Service
-from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
+from mintlanding.core.results import Done, Failed, Outcome, ResultCode
 from mintlanding.engines.headers import CredentialFilter
-from mintlanding.engines.models import Headers, PlainAnswer
+from mintlanding.engines.models import PlainAnswer
 from mintlanding.entry.context import EntryContext
 from mintlanding.entry.endpoint import Endpoint, EndpointParts
 from mintlanding.entry.exchange import Exchange
 from mintlanding.entry.open_requests import OpenRequest
-from mintlanding.orders.models import Claim, OrderRequest, Replay, StoredAnswer
+from mintlanding.entry.service_calls import ServiceCall, ServiceSender
+from mintlanding.orders.models import Replay, StoredAnswer
 from mintlanding.reports.meters import RequestMeter
-from mintlanding.routing.models import Attempt, Progress, RetryAfter
 
 IDEMPOTENCY_HEADER = 'idempotency-key'
 REPLAYED_HEADER = 'idempotency-replayed'
 
-_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _DROPPED_ANSWER_HEADERS = frozenset(
     (
         'connection',
@@ -32,39 +27,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
-    """A checked call of a plain service."""
-
-    service: Service
-    workspace: str
-    key_id: str
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    idempotency_key: str
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Tell whether the call may be sent more than once."""
-        return self.service.repeatable or self.method in _SAFE_METHODS
-
-    @property
-    def order(self) -> OrderRequest | None:
-        """Return the order to claim, when the caller gave a key for one."""
-        if self.is_idempotent or not self.idempotency_key:
-            return None
-        path = f'{self.service.name}{self.path}'
-        return OrderRequest(
-            self.workspace,
-            self.idempotency_key,
-            self.method,
-            path,
-            self.body,
-        )
-
-
 class ServiceEndpoint(Endpoint):
     """`/services/{service}/{path}`."""
 
@@ -78,7 +40,7 @@
         super().__init__(shared)
         self._context = context
         self._credentials = credentials
-        self._rnd = random.Random()  # noqa: S311
+        self._sender = ServiceSender(context)
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one call."""
@@ -161,7 +123,7 @@
             call.service.name,
         )
         if order is None:
-            outcome = await self._send_detached(call, opened)
+            outcome = await self._sender.send(call, opened)
             _meter_outcome(meter, outcome)
             await self._answer(exchange, outcome)
             return
@@ -172,121 +134,11 @@
         elif isinstance(claimed.value, Replay):
             await self._replay(exchange, claimed.value.answer)
         else:
-            sending = self._send_order(call, claimed.value, opened)
+            sending = self._sender.send_order(call, claimed.value, opened)
             outcome = await self._context.background.run(sending)
             _meter_outcome(meter, outcome)
             await self._answer(exchange, outcome)
 
-    async def _send_detached(
-        self,
-        call: ServiceCall,
-        opened: OpenRequest,
-    ) -> Outcome[PlainAnswer]:
-        """Send; a call that may not be repeated outlives its caller."""
-        if call.is_idempotent:
-            return await self._send(call, opened)
-        return await self._context.background.run(self._send(call, opened))
-
-    async def _send_order(
-        self,
-        call: ServiceCall,
-        claim: Claim,
-        opened: OpenRequest,
-    ) -> Outcome[PlainAnswer]:
-        ledger = self._context.ledger
-        outcome = await self._send(call, opened, claim)
-        if isinstance(outcome, Done):
-            await ledger.finish(claim, _stored(outcome.value))
-        elif outcome.ran is Ran.not_run:
-            await ledger.release(claim)
-        else:
-            await ledger.lose(claim)
-        return outcome
-
-    async def _send(
-        self,
-        call: ServiceCall,
-        opened: OpenRequest,
-        claim: Claim | None = None,
-    ) -> Outcome[PlainAnswer]:
-        self._context.retries.budget.note_first_try()
-        deadline = (
-            self._context.clock.monotonic()
-            + self._context.entry.request_timeout
-        )
-        tried: set[str] = set()
-        last: Failed | None = None
-        while True:
-            if claim and not claim.may_send(self._context.clock.monotonic()):
-                return last or Failed.of(ResultCode.idempotency_unavailable)
-            outcome = await self._try_target(call, tried, opened)
-            if outcome is None:
-                return last or _no_target()
-            if isinstance(outcome, Done):
-                return outcome
-            decision = self._decide(call, outcome, len(tried), deadline)
-            if isinstance(decision, Failed):
-                return decision
-            last = outcome
-            await asyncio.sleep(decision.seconds)
-
-    async def _try_target(
-        self,
-        call: ServiceCall,
-        tried: set[str],
-        opened: OpenRequest,
-    ) -> Outcome[PlainAnswer] | None:
-        targets = self._context.targets
-        route = targets.choose_plain(
-            call.service.name,
-            tried,
-            is_repeatable=call.is_idempotent,
-        )
-        if isinstance(route, Failed):
-            return None
-        target = route.value.target
-        tried.add(target)
-        client = targets.plain_client(route.value)
-        opened.note_sent()
-        targets.plain.started(target)
-        try:
-            outcome = await client.call(
-                call.method,
-                call.path,
-                call.headers,
-                call.body,
-            )
-        finally:
-            targets.plain.ended(target)
-        self._note_health(target, outcome)
-        return outcome
-
-    def _note_health(
-        self,
-        target: str,
-        outcome: Outcome[PlainAnswer],
-    ) -> None:
-        circuits = self._context.targets.plain.circuits
-        if isinstance(outcome, Done):
-            circuits.succeeded(target)
-            return
-        now = self._context.clock.monotonic()
-        circuits.failed(target, now, self._rnd)
-
-    def _decide(
-        self,
-        call: ServiceCall,
-        failure: Failed,
-        tries: int,
-        deadline: float,
-    ) -> RetryAfter | Failed:
-        progress = Progress.sent
-        if failure.ran is Ran.not_run:
-            progress = Progress.not_sent
-        attempt = Attempt(progress, call.is_idempotent, tries, deadline)
-        now = self._context.clock.monotonic()
-        return self._context.retries.decide(attempt, failure, now, self._rnd)
-
     async def _answer(
         self,
         exchange: Exchange,
@@ -329,15 +181,3 @@
         meter.fail(outcome)
     else:
         meter.end()
-
-
-def _stored(answer: PlainAnswer) -> StoredAnswer:
-    content_types = [
-        text for name, text in answer.headers if name.lower() == 'content-type'
-    ]
-    content_type = content_types[0] if content_types else ''
-    return StoredAnswer(answer.status, content_type, answer.body)
-
-
-def _no_target() -> Failed:
-    return Failed(ResultCode.no_target, retry_after=1)
