--- a/mintlanding/peers/client.py
+++ b/mintlanding/peers/client.py
@@ -17,7 +17,7 @@
 
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import PeerRefused, PeerUnavailable
-from mintlanding.peers.auth import PeerKeyring
+from mintlanding.peers.auth import PeerKeyring, join_headers
 from mintlanding.peers.channels import ChannelPool, PeerChannel
 from mintlanding.peers.framing import receive_packed
 from mintlanding.peers.messages import Method, PackCodec, Packed
@@ -156,7 +156,8 @@
         if len(packed) > method.max_bytes:
             raise PeerRefused(f'a message of {len(packed)} bytes is too large')
         now = self._clock.wall()
-        return packed, self._keyring.sign(method.path, now, packed)
+        signed = self._keyring.sign(method.path, now, packed)
+        return packed, join_headers(signed)
 
     async def _receive(
         self,
--- a/mintlanding/peers/server.py
+++ b/mintlanding/peers/server.py
@@ -19,6 +19,7 @@
     NonceWindow,
     PeerKeyring,
     check_body,
+    split_headers,
 )
 from mintlanding.peers.connections import connection_settings
 from mintlanding.peers.framing import receive_packed
@@ -130,7 +131,8 @@
     ) -> tuple[Any, str]:
         if self._is_draining:
             raise GRPCError(Status.UNAVAILABLE, 'the process is stopping')
-        headers = cast(Mapping[str, str], stream.metadata)
+        metadata = cast(Mapping[str, str], stream.metadata)
+        headers = split_headers(metadata)
         try:
             sender = self._authenticate(method, headers)
         except PeerRefused as exc:
