--- a/mintlanding/peers/auth.py
+++ b/mintlanding/peers/auth.py
@@ -20,18 +20,9 @@
 NONCE_HEADER = 'mint-nonce'
 BODY_HEADER = 'mint-body'
 TOKEN_HEADER = 'mint-token'  # noqa: S105
-JOINED_HEADER = 'mint-auth'
 MAX_SKEW_SECONDS = 60
 NONCES_KEPT = 100_000
 _NONCE_BYTES = 8
-_SEPARATOR = ';'
-_JOINED = (
-    SENDER_HEADER,
-    TIME_HEADER,
-    NONCE_HEADER,
-    BODY_HEADER,
-    TOKEN_HEADER,
-)
 _BODY_DIGEST_BYTES = 16
 
 
@@ -118,19 +109,6 @@
         return sender
 
 
-def join_headers(headers: Mapping[str, str]) -> dict[str, str]:
-    """Put the five headers into one, as each costs a table look-up a call."""
-    return {JOINED_HEADER: _SEPARATOR.join(headers[name] for name in _JOINED)}
-
-
-def split_headers(metadata: Mapping[str, str]) -> Mapping[str, str]:
-    """Take the joined header apart; without one, return what there is."""
-    parts = str(metadata.get(JOINED_HEADER, '')).split(_SEPARATOR)
-    if len(parts) != len(_JOINED):
-        return metadata
-    return dict(zip(_JOINED, parts, strict=True))
-
-
 def body_digest(body: bytes) -> str:
     """Return the checksum of a message."""
     return hashlib.blake2b(body, digest_size=_BODY_DIGEST_BYTES).hexdigest()
--- a/mintlanding/peers/client.py
+++ b/mintlanding/peers/client.py
@@ -17,7 +17,7 @@
 
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import PeerRefused, PeerUnavailable
-from mintlanding.peers.auth import PeerKeyring, join_headers
+from mintlanding.peers.auth import PeerKeyring
 from mintlanding.peers.channels import ChannelPool, PeerChannel
 from mintlanding.peers.framing import receive_packed
 from mintlanding.peers.messages import Method, PackCodec, Packed
@@ -156,8 +156,7 @@
         if len(packed) > method.max_bytes:
             raise PeerRefused(f'a message of {len(packed)} bytes is too large')
         now = self._clock.wall()
-        signed = self._keyring.sign(method.path, now, packed)
-        return packed, join_headers(signed)
+        return packed, self._keyring.sign(method.path, now, packed)
 
     async def _receive(
         self,
--- a/mintlanding/peers/server.py
+++ b/mintlanding/peers/server.py
@@ -19,7 +19,6 @@
     NonceWindow,
     PeerKeyring,
     check_body,
-    split_headers,
 )
 from mintlanding.peers.connections import connection_settings
 from mintlanding.peers.framing import receive_packed
@@ -131,8 +130,7 @@
     ) -> tuple[Any, str]:
         if self._is_draining:
             raise GRPCError(Status.UNAVAILABLE, 'the process is stopping')
-        metadata = cast(Mapping[str, str], stream.metadata)
-        headers = split_headers(metadata)
+        headers = cast(Mapping[str, str], stream.metadata)
         try:
             sender = self._authenticate(method, headers)
         except PeerRefused as exc:
