--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import os
 import random
@@ -38,6 +39,7 @@
 from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.configuration.writes import Authorship, new_write_id
 from mintlanding.core.http_client import HttpCall, HttpClient
+from mintlanding.limits.terms import Terms
 from mintlanding.platform.http import HttpKeyValueService
 from mintlanding.platform.instances import InstanceRecord
 from mintlanding.standin.__main__ import build_application  # noqa: F401
@@ -113,6 +115,9 @@
     def __init__(self, agents, adapters, folder):
         self.folder = folder
         self.adapters = adapters
+        # Above some dozen instances the terms of large fleets hold.
+        is_large = agents > Terms().flat_members
+        self.limits = dataclasses.asdict(Terms.for_fleet()) if is_large else {}
         ports = free_ports(2 * agents)
         self.daemons = [
             Daemon(
@@ -240,6 +245,7 @@
                 'timeout': 10,
             },
             'entry': {'port': daemon.entry_port},
+            'agent': {'limits': self.limits},
         }
         daemon.settings_path.write_text(yaml.safe_dump(document))
 
