--- a/mintlanding/admin/application.py
+++ b/mintlanding/admin/application.py
@@ -5,7 +5,7 @@
 
 from mintlanding.admin.agent_port import AgentPort
 from mintlanding.admin.authentication import OperatorDirectory
-from mintlanding.admin.desk import AdminDesk
+from mintlanding.admin.context import AdminContext
 from mintlanding.admin.endpoint import AdminEndpoint
 from mintlanding.admin.ports import FleetPort
 from mintlanding.conf.models import AdminSettings, InstanceSettings
@@ -26,19 +26,19 @@
 
 
 class AdminApplication:
-    """Own the server, the desk and the poll that times a new revision."""
+    """Own the server, the context and the poll that times a new revision."""
 
     def __init__(
         self,
-        desk: AdminDesk,
+        context: AdminContext,
         operators: OperatorDirectory,
         host: str,
         port: int,
     ) -> None:
-        """Serve the desk on an address; port 0 takes a free one."""
-        self.desk = desk
+        """Serve the context on an address; port 0 takes a free one."""
+        self.context = context
         self.application = Application('admin')
-        endpoint = AdminEndpoint(desk, operators)
+        endpoint = AdminEndpoint(context, operators)
         self.server = HttpServer.from_config(endpoint.build(), host, port)
         self.application.on_start(self._start)
         self.application.on_drain(self._drain)
@@ -56,13 +56,13 @@
             cfg.platform.key_value_url,
             cfg.platform.timeout,
         )
-        desk = AdminDesk.from_parts(
+        context = AdminContext.from_parts(
             ConfigurationStorage(service),
             KeyHasher.from_config([cfg.key_pepper]),
             fleet=fleet or AgentPort.from_config(cfg),
         )
         operators = OperatorDirectory.from_config(admin.operators)
-        application = cls(desk, operators, admin.host, admin.port)
+        application = cls(context, operators, admin.host, admin.port)
         application.application.on_stop(service.close)
         return application
 
@@ -78,19 +78,19 @@
         """Time a new revision to the last daemon, while one is pending."""
         while True:
             await asyncio.sleep(PROGRESS_POLL_SECONDS)
-            if not self.desk.progress.is_pending:
+            if not self.context.progress.is_pending:
                 continue
-            found = await self.desk.fleet.daemons()
+            found = await self.context.fleet.daemons()
             if not isinstance(found, Failed):
-                now = self.desk.clock.monotonic()
-                self.desk.progress.observe(found.value, now)
+                now = self.context.clock.monotonic()
+                self.context.progress.observe(found.value, now)
 
     async def _collect_blobs(self) -> None:
         """Delete now and then what interrupted commits left behind."""
         while True:
             await asyncio.sleep(COLLECT_SECONDS)
             try:
-                count = await self.desk.storage.collect()
+                count = await self.context.storage.collect()
             except PlatformError as exc:
                 _logger.warning('Blobs were not collected.', reason=str(exc))
             else:
--- a/mintlanding/admin/changes.py
+++ b/mintlanding/admin/changes.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from mintlanding.admin.desk import AdminDesk
+from mintlanding.admin.context import AdminContext
 from mintlanding.admin.errors import Refusal, refuse
 from mintlanding.admin.messages import (
     ApplyRequest,
@@ -32,22 +32,22 @@
     body=ApplyRequest,
     query=DryRunQuery,
 )
-async def apply(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def apply(context: AdminContext, call: Call) -> Schema | Refusal:
     """Put and delete several objects, all or none."""
-    return await _apply(desk, call, dry_run=call.query.dry_run)
+    return await _apply(context, call, dry_run=call.query.dry_run)
 
 
 @operation('POST', '/v1/diff', ChangeAnswer, body=ApplyRequest)
-async def show_diff(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def show_diff(context: AdminContext, call: Call) -> Schema | Refusal:
     """Tell what an apply would change."""
-    return await _apply(desk, call, dry_run=True)
+    return await _apply(context, call, dry_run=True)
 
 
 @operation('GET', '/v1/history', HistoryAnswer, query=HistoryQuery)
-async def history(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def history(context: AdminContext, call: Call) -> Schema | Refusal:
     """Tell who changed what when, newest first."""
     try:
-        commits = await desk.storage.history(call.query.limit)
+        commits = await context.storage.history(call.query.limit)
     except PlatformError as exc:
         return refuse(ResultCode.platform_unavailable, str(exc))
     return HistoryAnswer(commits=tuple(_present(each) for each in commits))
@@ -60,12 +60,12 @@
     body=GrantRequest,
     status=201,
 )
-async def grant_key(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def grant_key(context: AdminContext, call: Call) -> Schema | Refusal:
     """Grant a new key; its text is in this answer only."""
     wanted: GrantRequest = call.body
-    issued = desk.hasher.issue(wanted.workspace, wanted.labels)
+    issued = context.hasher.issue(wanted.workspace, wanted.labels)
     proposal = Proposal.put(issued.key, MUST_NOT_EXIST)
-    answer = await desk.change([proposal], call.operator)
+    answer = await context.change([proposal], call.operator)
     if isinstance(answer, Refusal):
         return answer
     return GrantAnswer(
@@ -82,16 +82,16 @@
     ChangeAnswer,
     query=DryRunQuery,
 )
-async def withdraw_key(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def withdraw_key(context: AdminContext, call: Call) -> Schema | Refusal:
     """Withdraw a key; it stops working within seconds."""
-    directory = await desk.read()
+    directory = await context.read()
     if isinstance(directory, Refusal):
         return directory
     name = call.path['name']
     key = directory.find_key(name)
     if key is None:
         return refuse(ResultCode.object_unknown, f'key {name!r}')
-    return await desk.change(
+    return await context.change(
         [Proposal.put(replace(key, withdrawn=True))],
         call.operator,
         dry_run=call.query.dry_run,
@@ -100,19 +100,19 @@
 
 
 async def _apply(
-    desk: AdminDesk,
+    context: AdminContext,
     call: Call,
     *,
     dry_run: bool,
 ) -> Schema | Refusal:
-    directory = await desk.read()
+    directory = await context.read()
     if isinstance(directory, Refusal):
         return directory
     req: ApplyRequest = call.body
     proposals = _proposals(req, directory)
     if isinstance(proposals, Failed):
         return Refusal(proposals)
-    return await desk.change(
+    return await context.change(
         proposals.value,
         call.operator,
         dry_run=dry_run,
--- a/mintlanding/admin/desk.py
+++ b/mintlanding/admin/context.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class AdminDesk:
+class AdminContext:
     """State of the administration process."""
 
     storage: ConfigurationStorage
@@ -57,7 +57,7 @@
         clock: Clock | None = None,
         fleet: FleetPort | None = None,
     ) -> Self:
-        """Build a desk; without a fleet nothing is known of daemons."""
+        """Build a context; without a fleet nothing is known of daemons."""
         return cls(
             storage,
             hasher,
--- a/mintlanding/admin/endpoint.py
+++ b/mintlanding/admin/endpoint.py
@@ -13,7 +13,7 @@
 
 from mintlanding.admin import changes, fleet, objects
 from mintlanding.admin.authentication import OperatorDirectory
-from mintlanding.admin.desk import AdminDesk
+from mintlanding.admin.context import AdminContext
 from mintlanding.admin.errors import JSON, Refusal, refuse, refuse_validation
 from mintlanding.admin.openapi import describe_api
 from mintlanding.admin.operations import OPERATIONS, Call, Operation
@@ -35,9 +35,11 @@
 class AdminEndpoint:
     """Serve the registered operations to operators."""
 
-    def __init__(self, desk: AdminDesk, operators: OperatorDirectory) -> None:
-        """Serve what the desk holds to these operators."""
-        self._desk = desk
+    def __init__(
+        self, context: AdminContext, operators: OperatorDirectory
+    ) -> None:
+        """Serve what the context holds to these operators."""
+        self._desk = context
         self._operators = operators
 
     def build(self) -> Starlette:
--- a/mintlanding/admin/fleet.py
+++ b/mintlanding/admin/fleet.py
@@ -3,7 +3,7 @@
 import random
 from typing import Any
 
-from mintlanding.admin.desk import AdminDesk
+from mintlanding.admin.context import AdminContext
 from mintlanding.admin.errors import Refusal
 from mintlanding.admin.messages import (
     DaemonAnswer,
@@ -30,21 +30,21 @@
 
 
 @operation('GET', '/v1/status', StatusAnswer)
-async def status(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def status(context: AdminContext, call: Call) -> Schema | Refusal:
     """Tell at which revision each daemon is and how soon it got there."""
-    directory = await desk.read()
+    directory = await context.read()
     if isinstance(directory, Refusal):
         return directory
-    found = await desk.fleet.daemons()
+    found = await context.fleet.daemons()
     if isinstance(found, Failed):
         return Refusal(found)
-    progress = desk.progress
+    progress = context.progress
     progress.seen(directory.revision)
-    in_force = progress.observe(found.value, desk.clock.monotonic())
+    in_force = progress.observe(found.value, context.clock.monotonic())
     return StatusAnswer(
         revision=directory.revision,
-        stale=desk.is_stale,
-        in_force=in_force and not desk.is_stale,
+        stale=context.is_stale,
+        in_force=in_force and not context.is_stale,
         seconds=progress.seconds,
         daemons=tuple(
             _present(each, directory.revision)
@@ -54,9 +54,9 @@
 
 
 @operation('GET', '/v1/explain', ExplainAnswer, query=ExplainQuery)
-async def explain_model(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def explain_model(context: AdminContext, call: Call) -> Schema | Refusal:
     """Tell which rule takes a request where, and why not the others."""
-    directory = await desk.read()
+    directory = await context.read()
     if isinstance(directory, Refusal):
         return directory
     query: ExplainQuery = call.query
@@ -93,19 +93,19 @@
 
 
 @operation('POST', '/v1/drain', DrainAnswer, body=DrainRequest, status=202)
-async def drain(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def drain(context: AdminContext, call: Call) -> Schema | Refusal:
     """Ask an instance to leave; accepted work ends first."""
     wanted: DrainRequest = call.body
-    outcome = await desk.fleet.drain(wanted.instance)
+    outcome = await context.fleet.drain(wanted.instance)
     if isinstance(outcome, Failed):
         return Refusal(outcome)
     return DrainAnswer(instance=wanted.instance, state=outcome.value)
 
 
 @operation('GET', '/v1/reports/burn', BurnAnswer)
-async def burn(desk: AdminDesk, call: Call) -> Schema | Refusal:
+async def burn(context: AdminContext, call: Call) -> Schema | Refusal:
     """Return the report on service-level burn."""
-    outcome = await desk.fleet.burn()
+    outcome = await context.fleet.burn()
     if isinstance(outcome, Failed):
         return Refusal(outcome)
     return BurnAnswer(report=outcome.value)
--- a/mintlanding/admin/objects.py
+++ b/mintlanding/admin/objects.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Sequence
 
-from mintlanding.admin.desk import AdminDesk, present
+from mintlanding.admin.context import AdminContext, present
 from mintlanding.admin.errors import Refusal, refuse
 from mintlanding.admin.messages import (
     ChangeAnswer,
@@ -152,9 +152,11 @@
         ):
             add_operation(each)
 
-    async def list_all(self, desk: AdminDesk, call: Call) -> Schema | Refusal:
+    async def list_all(
+        self, context: AdminContext, call: Call
+    ) -> Schema | Refusal:
         """Return a page of the objects that the label selector matches."""
-        directory = await desk.read()
+        directory = await context.read()
         if isinstance(directory, Refusal):
             return directory
         query: ListQuery = call.query
@@ -177,12 +179,12 @@
             total=len(found),
             revision=directory.revision,
             next_cursor=next_cursor,
-            stale=desk.is_stale,
+            stale=context.is_stale,
         )
 
-    async def get(self, desk: AdminDesk, call: Call) -> Schema | Refusal:
+    async def get(self, context: AdminContext, call: Call) -> Schema | Refusal:
         """Return one object."""
-        directory = await desk.read()
+        directory = await context.read()
         if isinstance(directory, Refusal):
             return directory
         name = call.path['name']
@@ -192,7 +194,7 @@
             return refuse(ResultCode.object_unknown, detail)
         return present(body)
 
-    async def put(self, desk: AdminDesk, call: Call) -> Schema | Refusal:
+    async def put(self, context: AdminContext, call: Call) -> Schema | Refusal:
         """Create or replace one object."""
         offered: ObjectSchema = call.body
         if offered.name != call.path['name']:
@@ -204,30 +206,32 @@
         expected = expected_version(call, offered.version)
         if isinstance(expected, Failed):
             return Refusal(expected)
-        directory = await desk.read()
+        directory = await context.read()
         if isinstance(directory, Refusal):
             return directory
         proposal = propose(offered, directory, expected.value)
         if isinstance(proposal, Failed):
             return Refusal(proposal)
-        return await self._change(desk, call, proposal.value)
+        return await self._change(context, call, proposal.value)
 
-    async def delete(self, desk: AdminDesk, call: Call) -> Schema | Refusal:
+    async def delete(
+        self, context: AdminContext, call: Call
+    ) -> Schema | Refusal:
         """Delete one object."""
         expected = expected_version(call, None)
         if isinstance(expected, Failed):
             return Refusal(expected)
         name = call.path['name']
         proposal = Proposal.delete(self._kind, name, expected.value)
-        return await self._change(desk, call, proposal)
+        return await self._change(context, call, proposal)
 
     async def _change(
         self,
-        desk: AdminDesk,
+        context: AdminContext,
         call: Call,
         proposal: Proposal,
     ) -> Schema | Refusal:
-        return await desk.change(
+        return await context.change(
             [proposal],
             call.operator,
             dry_run=call.query.dry_run,
--- a/mintlanding/admin/tests/conftest.py
+++ b/mintlanding/admin/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mintlanding.admin.authentication import OperatorDirectory, hash_token
-from mintlanding.admin.desk import AdminDesk
+from mintlanding.admin.context import AdminContext
 from mintlanding.admin.endpoint import AdminEndpoint
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.storage import ConfigurationStorage
@@ -37,14 +37,14 @@
     def __init__(self, fleet=None):
         self.service = MemoryKeyValueService()
         self.clock = ManualClock(1e6)
-        self.desk = AdminDesk.from_parts(
+        self.context = AdminContext.from_parts(
             ConfigurationStorage(self.service),
             KeyHasher.from_config(['pepper-of-the-tests']),
             self.clock,
             fleet,
         )
         operators = OperatorDirectory.from_config({'ann': hash_token(TOKEN)})
-        self.app = AdminEndpoint(self.desk, operators).build()
+        self.app = AdminEndpoint(self.context, operators).build()
 
     async def call(self, method, url, body=None, token=TOKEN, **headers):
         parts = urlsplit(url)
--- a/mintlanding/admin/tests/test_api.py
+++ b/mintlanding/admin/tests/test_api.py
@@ -82,7 +82,7 @@
     gone = {'deletions': [{'kind': 'workspace', 'name': 'none'}]}
     for url in ('/v1/diff', '/v1/apply?dry_run=1', '/v1/apply'):
         assert (await admin.call('POST', url, gone)).status == 404
-    assert admin.desk.storage.directory.revision == 0
+    assert admin.context.storage.directory.revision == 0
 
 
 async def test_what_is_in_use_is_not_deleted(admin):
@@ -110,12 +110,12 @@
     listed = await admin.call('GET', '/v1/keys?workspace=north')
     secret = text.rpartition('_')[2]
     assert secret not in (shown.text + listed.text).decode()
-    key = admin.desk.storage.directory.find_key(name)
-    assert admin.desk.hasher.verify(text, lambda _: key) == Done(key)
+    key = admin.context.storage.directory.find_key(name)
+    assert admin.context.hasher.verify(text, lambda _: key) == Done(key)
     withdrawn = await admin.call('POST', f'{url}/withdraw')
     assert withdrawn.status == 200
-    key = admin.desk.storage.directory.find_key(name)
-    refused = admin.desk.hasher.verify(text, lambda _: key)
+    key = admin.context.storage.directory.find_key(name)
+    refused = admin.context.hasher.verify(text, lambda _: key)
     assert refused.code is ResultCode.key_withdrawn
     revived = await admin.call('PUT', url, shown.json | {'version': None})
     assert 'stays withdrawn' in revived.error['message']
--- a/mintlanding/agent/configuration.py
+++ b/mintlanding/agent/configuration.py
@@ -89,6 +89,8 @@
     async def _run_ticks(self) -> None:
         while True:
             self._carry_out(self.node.tick(self._context.now))
+            stale = self.stale_seconds()
+            self._context.metrics.gauge('agent.stale_seconds', stale)
             await asyncio.sleep(TICK_SECONDS)
 
     def _carry_out(self, actions: Iterable[Action]) -> None:
--- a/mintlanding/agent/desk.py
+++ b/mintlanding/agent/steward_runner.py
@@ -39,7 +39,7 @@
 _logger = Logger('placement')
 
 
-class WorkerDesk:
+class StewardRunner:
     """Carry out what the steward of one worker decides."""
 
     def __init__(
--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from mintlanding.agent.context import AgentContext
-from mintlanding.agent.desk import WorkerDesk
 from mintlanding.agent.limits import LimitsPart
 from mintlanding.agent.messages import (
     RELEASE_WORKER,
@@ -14,6 +13,7 @@
     RESERVE_WORKER,
 )
 from mintlanding.agent.permits import PermitQueue
+from mintlanding.agent.steward_runner import StewardRunner
 from mintlanding.configuration.models import Target
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
@@ -59,7 +59,7 @@
 
 
 class StewardsPart:
-    """Claim workers, run a desk for each, answer entries."""
+    """Claim workers, run a runner for each, answer entries."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         self._permits = PermitQueue(limits, context.clock)
         self._digests = digests
         self._publish = publish
-        self._desks: dict[str, WorkerDesk] = {}
+        self._runners: dict[str, StewardRunner] = {}
         self._leases = StewardLeases(
             context.own.instance,
             context.cfg.agent.steward_lease,
@@ -92,8 +92,8 @@
         """Take no more reservations, then give the workers back."""
         self._is_leaving = True
         now = self._context.now
-        for desk in self._desks.values():
-            desk.carry_out(desk.steward.drain(now))
+        for runner in self._runners.values():
+            runner.carry_out(runner.steward.drain(now))
         await self._drop_lease()
 
     def follow_members(self) -> None:
@@ -108,26 +108,26 @@
         req: ReserveRequest,
         sender: str,
     ) -> ReserveReply:
-        desk = self._desks.get(req.worker)
-        if desk is None:
+        runner = self._runners.get(req.worker)
+        if runner is None:
             code = int(ResultCode.no_target)
             return ReserveReply(
                 req.reservation_id,
                 code,
                 'not the steward of this worker',
             )
-        return await desk.reserve(req)
+        return await runner.reserve(req)
 
     async def _release(self, req: ReleaseRequest, sender: str) -> Empty:
-        desk = self._desks.get(req.worker)
-        if desk is not None:
-            desk.release(req)
+        runner = self._runners.get(req.worker)
+        if runner is not None:
+            runner.release(req)
         return Empty()
 
     async def _take_pins(self, report: PinReport, sender: str) -> Empty:
-        desk = self._desks.get(report.worker)
-        if desk is not None:
-            desk.take_pins(report)
+        runner = self._runners.get(report.worker)
+        if runner is not None:
+            runner.take_pins(report)
             self._complete_pins()
         return Empty()
 
@@ -142,10 +142,10 @@
         self._stop_removed()
         actions = self._leases.tick(self._wanted(), now)
         self._carry_out(actions)
-        for desk in self._desks.values():
-            if desk.target.name in self._leases.held:
-                desk.carry_out(
-                    desk.steward.lease_renewed(self._leases.expires_at, now),
+        for runner in self._runners.values():
+            if runner.target.name in self._leases.held:
+                runner.carry_out(
+                    runner.steward.lease_renewed(self._leases.expires_at, now),
                 )
 
     def _wanted(self) -> list[str]:
@@ -241,25 +241,25 @@
         target = self._context.directory.get('target', won.worker)
         if not isinstance(target, Target):
             return
-        desk = self._desks.get(won.worker)
-        if desk is None:
-            desk = WorkerDesk(
+        runner = self._runners.get(won.worker)
+        if runner is None:
+            runner = StewardRunner(
                 self._context,
                 target,
                 self._permits,
                 self._give_way,
                 self._publish,
             )
-            self._desks[won.worker] = desk
-            desk.start()
-        desk.pinned_entries.clear()
+            self._runners[won.worker] = runner
+            runner.start()
+        runner.pinned_entries.clear()
         _logger.info(
             'Stewardship begins.',
             worker=won.worker,
             fencing=won.fencing,
         )
-        desk.carry_out(
-            desk.steward.take_over(
+        runner.carry_out(
+            runner.steward.take_over(
                 won.fencing,
                 self._context.now,
                 self._leases.expires_at,
@@ -268,17 +268,17 @@
         self._complete_pins()
 
     def _lapse(self, worker: str) -> None:
-        desk = self._desks.get(worker)
-        if desk is not None:
+        runner = self._runners.get(worker)
+        if runner is not None:
             _logger.warning('The lease has lapsed.', worker=worker)
-            desk.carry_out(desk.steward.lease_lost(self._context.now))
+            runner.carry_out(runner.steward.lease_lost(self._context.now))
 
     def _lose(self, worker: str) -> None:
-        desk = self._desks.pop(worker, None)
-        if desk is not None:
+        runner = self._runners.pop(worker, None)
+        if runner is not None:
             _logger.warning('Another agent is steward.', worker=worker)
-            desk.carry_out(desk.steward.superseded(self._context.now))
-            self._context.application.spawn(desk.stop())
+            runner.carry_out(runner.steward.superseded(self._context.now))
+            self._context.application.spawn(runner.stop())
 
     def _give_way(self, worker: str) -> None:
         """Take an engine's word that a newer steward exists."""
@@ -288,13 +288,13 @@
 
     def _stop_removed(self) -> None:
         configured = {each.name for each in self._zone_workers()}
-        for worker in set(self._desks) - configured:
+        for worker in set(self._runners) - configured:
             self._give_way(worker)
 
     def _drop_entry(self, instance: str) -> None:
-        for desk in self._desks.values():
-            desk.carry_out(
-                desk.steward.entry_gone(instance, self._context.now),
+        for runner in self._runners.values():
+            runner.carry_out(
+                runner.steward.entry_gone(instance, self._context.now),
             )
 
     def _complete_pins(self) -> None:
@@ -304,10 +304,10 @@
             if each.state is not MemberState.gone
             and each.region == self._context.own.region
         }
-        for desk in self._desks.values():
-            if expected <= desk.pinned_entries:
-                desk.carry_out(
-                    desk.steward.pins_complete(self._context.now),
+        for runner in self._runners.values():
+            if expected <= runner.pinned_entries:
+                runner.carry_out(
+                    runner.steward.pins_complete(self._context.now),
                 )
 
     async def _drop_lease(self) -> None:
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -193,7 +193,7 @@
     shell.lost = [True]
     code, out, _ = shell.run('apply', shell.write(workspace()))
     assert (code, 'accepted before, at revision 1' in out) == (0, True)
-    assert shell.admin.desk.storage.directory.revision == 1
+    assert shell.admin.context.storage.directory.revision == 1
 
 
 def test_large_apply_is_accepted_at_once_and_summed_up(shell):
@@ -212,7 +212,7 @@
     shell.lost = [True]
     code, _, err = shell.run('keys', 'grant', 'north')
     assert (code, 'history' in err) == (ExitCode.outcome_unknown, True)
-    assert shell.admin.desk.storage.directory.count('key') == 1
+    assert shell.admin.context.storage.directory.count('key') == 1
 
 
 def test_missing_and_wrong_tokens(shell, monkeypatch, tmp_path):
@@ -226,7 +226,7 @@
 
 
 def test_status_tells_who_is_behind(shell):
-    shell.admin.desk.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 0, 0.5))
+    shell.admin.context.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 0, 0.5))
     code, out, _ = shell.run('status')
     assert (code, 'in force everywhere' in out) == (0, True)
     shell.run('apply', shell.write(workspace()))
@@ -235,7 +235,7 @@
 
 
 def test_outage_is_told_with_what_is_shown(shell):
-    shell.admin.desk.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 1))
+    shell.admin.context.fleet = Fleet(DaemonStatus('i1', 'a', 'live', 1))
     shell.run('apply', shell.write(workspace()))
     shell.admin.service.faults.down = True
     code, out, _ = shell.run('status')
--- a/mintlanding/limits/borrowing.py
+++ b/mintlanding/limits/borrowing.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import inf, nextafter
 
-from mintlanding.limits.bucket import Parcel
+from mintlanding.limits.bucket import Transfer
 from mintlanding.limits.messages import Ask, Lend, Loan, Return
 from mintlanding.limits.pools import OWN, Hold, Pool
 from mintlanding.limits.shares import Shares, loan_digest
@@ -144,29 +144,29 @@
             fresh = _extend_seats(pool, loan.seats, hold)
             if not fresh:
                 continue
-            parcel = Parcel()
+            transfer = Transfer()
             if is_new and loan.tokens:
                 part = len(fresh) / len(loan.seats)
-                parcel = Parcel(
+                transfer = Transfer(
                     loan.tokens[place] * part,
                     loan.flight[place],
                 )
             for seat in fresh:
                 pool.drop(seat, now)
-            pool.adopt(fresh, hold, parcel, now, self.shares.terms.flight)
+            pool.adopt(fresh, hold, transfer, now, self.shares.terms.flight)
             self._held.setdefault(hold.lender, set()).add(workspace)
             self._lenders[hold.lender].digest = 0
 
 
 def _give_up(pool: Pool, number: int, seats: list[int], now: float) -> Loan:
-    parcel = pool.give_up(seats, now)
+    transfer = pool.give_up(seats, now)
     return Loan(
         number,
         0,
         tuple(seats),
         (pool.workspace,),
-        (parcel.tokens,),
-        (parcel.flight,),
+        (transfer.tokens,),
+        (transfer.flight,),
     )
 
 
--- a/mintlanding/limits/bucket.py
+++ b/mintlanding/limits/bucket.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parcel:
+class Transfer:
     """Tokens, and tokens on their way, that move along with seats."""
 
     tokens: float = 0
@@ -74,26 +74,26 @@
         self.advance(now)
         self._note()
 
-    def put(self, parcel: Parcel, now: float, until: float) -> None:
+    def put(self, transfer: Transfer, now: float, until: float) -> None:
         """Add what came with seats that are already counted."""
         self.advance(now)
-        if parcel.flight > 0:
+        if transfer.flight > 0:
             self._order += 1
-            self._fly(f'seats/{self._order}', parcel.flight, until)
-        self.level += max(0, min(parcel.tokens, self.room - self.level))
+            self._fly(f'seats/{self._order}', transfer.flight, until)
+        self.level += max(0, min(transfer.tokens, self.room - self.level))
 
-    def split(self, part: float, now: float) -> Parcel:
+    def split(self, part: float, now: float) -> Transfer:
         """Take out a part of the tokens and of those on their way."""
         self.advance(now)
         self._note()
-        parcel = Parcel(max(self.level, 0) * part, self.flight * part)
-        self.level -= parcel.tokens
+        transfer = Transfer(max(self.level, 0) * part, self.flight * part)
+        self.level -= transfer.tokens
         self._flights = {
             name: (tokens * (1 - part), until)
             for name, (tokens, until) in self._flights.items()
         }
-        self.flight -= parcel.flight
-        return parcel
+        self.flight -= transfer.flight
+        return transfer
 
     def take(
         self,
--- a/mintlanding/limits/handover.py
+++ b/mintlanding/limits/handover.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from mintlanding.limits.bucket import Parcel
+from mintlanding.limits.bucket import Transfer
 from mintlanding.limits.holders import rendezvous
 from mintlanding.limits.loans import Loans
 from mintlanding.limits.messages import (
@@ -79,16 +79,16 @@
         self._taken.add(key)
         self.loans.shares.outbox.put(sender, HandedOver(message.number), now)
         self.loans.shares.owned.update(message.seats)
-        parcels = {loan.workspaces[0]: loan for loan in message.loans}
+        transfers = {loan.workspaces[0]: loan for loan in message.loans}
         for name, pool in self.loans.shares.pools.items():
             pool.expire(now)
             for seat in message.seats:
                 pool.claim(seat, now, now)
-            loan = parcels.get(name)
+            loan = transfers.get(name)
             if loan is not None:
-                parcel = Parcel(loan.tokens[0], loan.flight[0])
+                transfer = Transfer(loan.tokens[0], loan.flight[0])
                 until = now + self.loans.shares.terms.flight
-                pool.bucket.put(parcel, now, until)
+                pool.bucket.put(transfer, now, until)
         self.events.append(SeatsReceived(frozenset(message.seats)))
         self.loans.announce(now)
         self.loans.lending.push_all(now)
@@ -114,15 +114,15 @@
         moved = []
         for name, pool in shares.pools.items():
             pool.expire(now)
-            parcel = pool.give_up(list(seats), now)
+            transfer = pool.give_up(list(seats), now)
             moved.append(
                 Loan(
                     0,
                     0,
                     seats,
                     (name,),
-                    (parcel.tokens,),
-                    (parcel.flight,),
+                    (transfer.tokens,),
+                    (transfer.flight,),
                 ),
             )
         shares.owned.difference_update(seats)
--- a/mintlanding/limits/lending.py
+++ b/mintlanding/limits/lending.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from mintlanding.limits.bucket import Parcel
+from mintlanding.limits.bucket import Transfer
 from mintlanding.limits.messages import Ask, Lend, Loan, Recall, Return
 from mintlanding.limits.pools import NOBODY, Lent, Pool
 from mintlanding.limits.shares import Shares, loan_digest
@@ -72,8 +72,8 @@
             if not seats:
                 continue
             part = len(seats) / len(loan.seats)
-            parcel = Parcel(loan.tokens[0] * part, loan.flight[0])
-            pool.take_back(seats, parcel, now, self.shares.terms.flight)
+            transfer = Transfer(loan.tokens[0] * part, loan.flight[0])
+            pool.take_back(seats, transfer, now, self.shares.terms.flight)
             parents.add(self.shares.view.parent(pool.workspace))
         for parent in sorted(parents):
             self.push(parent, now)
@@ -185,7 +185,7 @@
         if self.shares.is_leaving:
             return []
         groups: Groups = {}
-        parcels: dict[str, Parcel] = {}
+        transfers: dict[str, Transfer] = {}
         self._next_number += 1
         incarnation = self.shares.outbox.incarnation_of(sender)
         for pool in self._pools_of(sender):
@@ -200,11 +200,11 @@
             if not seats:
                 continue
             lent = Lent(sender, incarnation, self._next_number, term, until)
-            parcels[pool.workspace] = pool.lend(seats, lent, now)
+            transfers[pool.workspace] = pool.lend(seats, lent, now)
             self._lent_to.setdefault(sender, set()).add(pool.workspace)
             key = (self._next_number, term, tuple(seats))
             groups.setdefault(key, []).append(pool.workspace)
-        return _loans(groups, parcels)
+        return _loans(groups, transfers)
 
     def _term(self, borrower: str) -> float:
         if (
@@ -230,12 +230,12 @@
     return (lent.borrower, lent.incarnation, lent.number) if lent else None
 
 
-def _loans(groups: Groups, parcels: dict[str, Parcel]) -> list[Loan]:
+def _loans(groups: Groups, transfers: dict[str, Transfer]) -> list[Loan]:
     loans = []
     for (number, term, seats), workspaces in groups.items():
-        each = [parcels.get(name, Parcel()) for name in workspaces]
-        tokens = tuple(one.tokens for one in each) if parcels else ()
-        flight = tuple(one.flight for one in each) if parcels else ()
+        each = [transfers.get(name, Transfer()) for name in workspaces]
+        tokens = tuple(one.tokens for one in each) if transfers else ()
+        flight = tuple(one.flight for one in each) if transfers else ()
         loans.append(
             Loan(number, term, seats, tuple(workspaces), tokens, flight),
         )
--- a/mintlanding/limits/pools.py
+++ b/mintlanding/limits/pools.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from mintlanding.limits.bucket import Bucket, Parcel
+from mintlanding.limits.bucket import Bucket, Transfer
 from mintlanding.limits.terms import Rate
 
 OWN = ''
@@ -89,7 +89,7 @@
         self,
         seats: list[int],
         hold: Hold,
-        parcel: Parcel,
+        transfer: Transfer,
         now: float,
         flight: float,
     ) -> None:
@@ -98,29 +98,29 @@
             self.holds[seat] = replace(hold)
         self.next_end = min(self.next_end, hold.until)
         self._resize(now)
-        self.bucket.put(parcel, now, now + flight)
+        self.bucket.put(transfer, now, now + flight)
 
-    def lend(self, seats: list[int], lent: Lent, now: float) -> Parcel:
+    def lend(self, seats: list[int], lent: Lent, now: float) -> Transfer:
         """Stop using seats here; return what goes along with them."""
-        parcel = self.bucket.split(self._part(len(seats)), now)
+        transfer = self.bucket.split(self._part(len(seats)), now)
         for seat in seats:
             self.lent[seat] = replace(lent)
         self.next_end = min(self.next_end, lent.until)
         self._resize(now)
-        return parcel
+        return transfer
 
-    def give_up(self, seats: list[int], now: float) -> Parcel:
+    def give_up(self, seats: list[int], now: float) -> Transfer:
         """Take usable seats out, with what belongs to them."""
-        parcel = self.bucket.split(self._part(len(seats)), now)
+        transfer = self.bucket.split(self._part(len(seats)), now)
         for seat in seats:
             self.holds.pop(seat)
         self._resize(now)
-        return parcel
+        return transfer
 
     def take_back(
         self,
         seats: list[int],
-        parcel: Parcel,
+        transfer: Transfer,
         now: float,
         flight: float,
     ) -> None:
@@ -128,7 +128,7 @@
         for seat in seats:
             self.lent.pop(seat)
         self._resize(now)
-        self.bucket.put(parcel, now, now + flight)
+        self.bucket.put(transfer, now, now + flight)
 
     def _ends(self) -> set[float]:
         ends = {hold.until for hold in self.holds.values()}
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mintlanding.core.results import Done, ResultCode
-from mintlanding.limits.bucket import Bucket, Parcel
+from mintlanding.limits.bucket import Bucket, Transfer
 from mintlanding.limits.holders import rendezvous
 from mintlanding.limits.messages import Lend, Return
 from mintlanding.limits.tests.fleets import WORKSPACE, Fleet
@@ -69,7 +69,7 @@
 
 def test_moved_tokens_above_the_capacity_are_lost():
     bucket = full_bucket()
-    bucket.put(Parcel(50, 0), 100, 101)
+    bucket.put(Transfer(50, 0), 100, 101)
     assert bucket.level == 100
 
 
--- a/mintlanding/membership/changes.py
+++ b/mintlanding/membership/changes.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Parcel:
+class Batch:
     """The changes for one peer up to the journal's `number`."""
 
     number: int
@@ -41,7 +41,7 @@
 
 
 class ChangeLog:
-    """The journal over members and digests, cut into parcels for peers."""
+    """The journal over members and digests, cut into batches for peers."""
 
     def __init__(
         self,
@@ -68,26 +68,26 @@
         self._journal.forget((Kind.frame, worker))
         self._journal.forget((Kind.load, worker))
 
-    def parcel(self, peer: Member, after: int) -> Parcel:
+    def batch(self, peer: Member, after: int) -> Batch:
         """Gather what the peer lacks, oldest first, within the bounds."""
-        parcel = Parcel(self._journal.number)
+        batch = Batch(self._journal.number)
         framed: set[str] = set()
         for entry in self._journal.since(after):
-            if self._is_full(parcel):
-                parcel.number = entry.number - 1
+            if self._is_full(batch):
+                batch.number = entry.number - 1
                 break
             if entry.source != source_of(peer):
-                self._add(parcel, entry, peer.region, framed)
-        return parcel
+                self._add(batch, entry, peer.region, framed)
+        return batch
 
-    def _is_full(self, parcel: Parcel) -> bool:
-        if len(parcel.records) >= self._terms.record_limit:
+    def _is_full(self, batch: Batch) -> bool:
+        if len(batch.records) >= self._terms.record_limit:
             return True
-        return parcel.weight >= self._terms.loads_in_message
+        return batch.weight >= self._terms.loads_in_message
 
     def _add(
         self,
-        parcel: Parcel,
+        batch: Batch,
         entry: Entry[Name],
         region: str,
         framed: set[str],
@@ -96,16 +96,16 @@
         if kind == Kind.member:
             known = self._book.get(name)
             if known is not None:
-                parcel.records.append(known.record)
+                batch.records.append(known.record)
             return
         held = self._digests.get(name)
         if held is None or self._book.region_of(held.digest.zone) != region:
             return
         if kind == Kind.frame:
             framed.add(name)
-            parcel.digests.append(held.digest)
+            batch.digests.append(held.digest)
         elif name not in framed:
-            parcel.loads.append(load_of(held.digest, held.frame))
+            batch.loads.append(load_of(held.digest, held.frame))
 
 
 def source_of(member: Member) -> str:
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -320,18 +320,18 @@
         link = self._links.get(peer.instance)
         is_same = link.incarnation == peer.incarnation
         after = link.acknowledged if is_same else 0
-        parcel = self._log.parcel(peer, after)
+        batch = self._log.batch(peer, after)
         return Heartbeat(
             sender=self._record,
             sent=now,
             echo=echo,
             journal_after=after,
-            journal=parcel.number,
+            journal=batch.number,
             acknowledged=link.received if is_same else 0,
             acknowledged_incarnation=link.incarnation if is_same else 0,
             revision=self.configuration.revision,
             confirmed_age=self.configuration.age(now),
-            records=tuple(parcel.records),
-            digests=tuple(parcel.digests),
-            loads=tuple(parcel.loads),
+            records=tuple(batch.records),
+            digests=tuple(batch.digests),
+            loads=tuple(batch.loads),
         )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import pytest_asyncio
+from openai import AsyncOpenAI, NotFoundError
 
 from mintlanding.core.results import RESULTS, ResultCode
 from mintlanding.standin.faults import Faults
@@ -228,9 +229,59 @@
     assert (reply.error['code'], reply.error['ran']) == (code, ran)
 
 
+@pytest.mark.asyncio(loop_scope='module')
+async def test_ordinary_openai_client_works(fleet):
+    node = fleet.nodes[0]
+    await eventually(lambda: fleet.serves(node))
+    client = AsyncOpenAI(
+        base_url=f'{node.url}/v1',
+        api_key=fleet.keys['red'],
+        max_retries=0,
+    )
+    listed = await client.models.list()
+    assert {each.id for each in listed.data} == {f'red-{n}' for n in range(6)}
+    whole = await client.chat.completions.create(
+        model='red-0',
+        messages=[{'role': 'user', 'content': 'hi'}],
+        max_tokens=3,
+    )
+    assert whole.model == 'red-0@1'
+    assert whole.usage.completion_tokens == 3
+    stream = await client.completions.create(
+        model='red-0@1',
+        prompt='hi',
+        max_tokens=5,
+        stream=True,
+    )
+    texts = [each.choices[0].text async for each in stream if each.choices]
+    assert len([text for text in texts if text]) == 5
+    with pytest.raises(NotFoundError) as caught:
+        await client.completions.create(model='nope', prompt='hi')
+    assert caught.value.body['code'] == Code.adapter_unknown
+    await client.close()
+
+
+@pytest.mark.asyncio(loop_scope='module')
+async def test_target_that_answers_too_late_has_its_code(fleet):
+    node, engine = fleet.nodes[0], fleet.standins['w0']
+    await eventually(lambda: fleet.serves(node))
+    timeouts = node.entry.context.targets._timeouts
+    before = timeouts.first
+    object.__setattr__(timeouts, 'first', 0.2)
+    await engine.set_faults(Faults(frozen=True))
+    try:
+        reply = await fleet.complete(node, 'red-0', stream=True)
+    finally:
+        object.__setattr__(timeouts, 'first', before)
+        await engine.set_faults(Faults())
+    assert reply.error['code'] == Code.target_timeout
+    assert reply.error['ran'] == 'unknown'
+
+
 @pytest.mark.asyncio(loop_scope='module')
 async def test_answer_given_twice_reaches_the_caller_once(fleet):
     engine = fleet.standins['w0']
+    await eventually(lambda: fleet.serves(fleet.nodes[0]))
     await engine.set_faults(Faults(answer_twice=True))
     try:
         reply = await fleet.complete(fleet.nodes[0], 'red-0', stream=True)
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -129,7 +129,7 @@
     try:
         engine = fleet.standins['w0']
         steward = next(
-            node for node in fleet.nodes if node.agent.stewards._desks
+            node for node in fleet.nodes if node.agent.stewards._runners
         )
         node = next(
             each
@@ -142,7 +142,7 @@
         )
         await eventually(lambda: engine.model.is_running('red-1@1'))
         await steward.crash()
-        await eventually(lambda: node.agent.stewards._desks)
+        await eventually(lambda: node.agent.stewards._runners)
         other = asyncio.create_task(fleet.complete(node, 'red-2'))
         assert_whole(await reading, tokens)
         await other
@@ -242,7 +242,7 @@
     await fleet.start(instances=4, workers=1, slots=2)
     try:
         steward = next(
-            node for node in fleet.nodes if node.agent.stewards._desks
+            node for node in fleet.nodes if node.agent.stewards._runners
         )
         await steward.crash()
         number = fleet.nodes.index(steward)
@@ -251,7 +251,7 @@
         await fleet.list_all()
         await again.start()
         await eventually(
-            lambda: any(node.agent.stewards._desks for node in fleet.nodes),
+            lambda: any(node.agent.stewards._runners for node in fleet.nodes),
         )
         await eventually(lambda: fleet.serves(again))
     finally:
