--- a/benchmarks/counted_agent.py
+++ b/benchmarks/counted_agent.py
@@ -48,7 +48,9 @@
 
 def write_counts(loop):
     fields = {**COUNTS, 'threads': threading.active_count()}
-    loop.counts_path.write_text(json.dumps(fields))
+    fresh = loop.counts_path.with_suffix('.new')
+    fresh.write_text(json.dumps(fields))
+    fresh.replace(loop.counts_path)
     loop.call_later(PERIOD_SECONDS, write_counts, loop)
 
 
