--- a/mintlanding/standin/__main__.py
+++ b/mintlanding/standin/__main__.py
@@ -1,5 +1,6 @@
 """Command that runs one stand-in."""
 
+import inspect
 import sys
 from pathlib import Path
 from typing import Any
@@ -50,8 +51,21 @@
     run_application(lambda: build_application(checked))
 
 
+def show_help() -> None:
+    """Print the options, which are the fields of the settings."""
+    lines = ['usage: mintlanding-standin --kind KIND [--FIELD VALUE ...]', '']
+    lines.append(inspect.cleandoc(StandinSettings.__doc__ or ''))
+    for name, field in StandinSettings.model_fields.items():
+        default = '' if field.is_required() else f' [{field.default}]'
+        lines.append(f'  --{name.replace("_", "-")}{default}')
+    sys.stdout.write('{text}\n'.format(text='\n'.join(lines)))
+
+
 def main() -> None:
     """Run the command."""
+    if {'--help', '-h'} & set(sys.argv[1:]):
+        show_help()
+        return
     fire.Fire(serve, name='mintlanding-standin')
 
 
