--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from mintlanding.agent.context import AgentContext
+from mintlanding.agent.lease_calls import LeaseCalls
 from mintlanding.agent.limits import LimitsPart
 from mintlanding.agent.messages import (
     RELEASE_WORKER,
@@ -15,9 +14,8 @@
 from mintlanding.agent.permits import PermitQueue
 from mintlanding.agent.steward_runner import StewardRunner
 from mintlanding.configuration.models import Target
-from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
-from mintlanding.core.results import Failed, ResultCode
+from mintlanding.core.results import ResultCode
 from mintlanding.membership.models import MemberState
 from mintlanding.peers.messages import Empty
 from mintlanding.placement.leases import (
@@ -39,7 +37,6 @@
     WorkerDigest,
 )
 
-STEWARDS_PREFIX = 'stewards/'
 UNREACHED_STATES = frozenset(
     (
         MemberState.gone,
@@ -51,13 +48,6 @@
 _logger = Logger('placement')
 
 
-class StewardRecord(msgspec.Struct, frozen=True):
-    """What the key-value service holds for a worker under a lease."""
-
-    instance: str
-    incarnation: int
-
-
 class StewardsPart:
     """Claim workers, run a runner for each, answer entries."""
 
@@ -78,6 +68,7 @@
             context.own.instance,
             context.cfg.agent.steward_lease,
         )
+        self._calls = LeaseCalls(context, self._leases, self._carry_out)
         self._is_leaving = False
         context.server.add(RESERVE_WORKER, self._reserve)
         context.server.add(RELEASE_WORKER, self._release)
@@ -94,7 +85,7 @@
         now = self._context.now
         for runner in self._runners.values():
             runner.carry_out(runner.steward.drain(now))
-        await self._drop_lease()
+        await self._calls.drop()
 
     def follow_members(self) -> None:
         """Tell the stewards which entries are gone."""
@@ -184,7 +175,7 @@
         for action in actions:
             match action:
                 case OpenLease() | RenewLease() | ClaimWorker():
-                    self._context.application.spawn(self._call(action))
+                    self._context.application.spawn(self._calls.call(action))
                 case StewardshipWon():
                     self._take_over(action)
                 case StewardshipLapsed(worker=worker):
@@ -192,51 +183,6 @@
                 case StewardshipLost(worker=worker):
                     self._lose(worker)
 
-    async def _call(self, action: LeaseAction) -> None:
-        match action:
-            case OpenLease(seconds=seconds):
-                await self._open_lease(seconds)
-            case RenewLease(lease=lease):
-                await self._renew_lease(lease)
-            case ClaimWorker():
-                await self._claim(action)
-
-    async def _open_lease(self, seconds: float) -> None:
-        try:
-            lease = await self._context.key_value.grant_lease(seconds)
-        except PlatformError as exc:
-            _logger.warning('No lease was granted.', reason=str(exc))
-            lease = ''
-        self._leases.lease_opened(lease, self._context.now)
-
-    async def _renew_lease(self, lease: str) -> None:
-        try:
-            is_kept = await self._context.key_value.keep_lease(lease)
-        except PlatformError as exc:
-            _logger.warning('The lease was not renewed.', reason=str(exc))
-            self._leases.renewal_unanswered()
-            return
-        self._carry_out(self._leases.lease_renewed(lease, is_kept))
-
-    async def _claim(self, action: ClaimWorker) -> None:
-        own = self._context.own
-        record = StewardRecord(own.instance, own.incarnation)
-        fencing = 0
-        try:
-            outcome = await self._context.key_value.put(
-                f'{STEWARDS_PREFIX}{action.worker}',
-                msgspec.json.encode(record),
-                0,
-                action.lease,
-            )
-            if not isinstance(outcome, Failed):
-                fencing = outcome.value
-        except PlatformError as exc:
-            _logger.warning('A worker was not claimed.', reason=str(exc))
-        self._carry_out(
-            self._leases.worker_claimed(action.worker, action.lease, fencing),
-        )
-
     def _take_over(self, won: StewardshipWon) -> None:
         target = self._context.directory.get('target', won.worker)
         if not isinstance(target, Target):
@@ -309,12 +255,3 @@
                 runner.carry_out(
                     runner.steward.pins_complete(self._context.now),
                 )
-
-    async def _drop_lease(self) -> None:
-        lease = self._leases.lease
-        if not lease:
-            return
-        try:
-            await self._context.key_value.drop_lease(lease)
-        except PlatformError as exc:
-            _logger.warning('The lease was not dropped.', reason=str(exc))
