--- a/mintlanding/engines/client.py
+++ b/mintlanding/engines/client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import Self, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -15,11 +15,11 @@
     Headers,
     HttpAnswer,
     HttpCall,
-    HttpClient,
     OpenAnswer,
 )
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
 from mintlanding.engines import failures
+from mintlanding.engines.base import TargetClient
 from mintlanding.engines.messages import (
     AnswerHead,
     CacheEvent,
@@ -28,7 +28,7 @@
     RoleOrder,
     UnloadOrder,
 )
-from mintlanding.engines.models import GenerateRequest, TargetTimeouts
+from mintlanding.engines.models import GenerateRequest
 from mintlanding.engines.stream import EngineStream
 from mintlanding.placement.messages import AdapterRef
 
@@ -63,31 +63,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineClient:
+class EngineClient(TargetClient):
     """Calls on one engine, each on a connection of its own.
 
     A failure says `not_run` only when nothing was sent or the engine says
     so. Nothing is repeated here.
     """
 
-    url: str
-    timeouts: TargetTimeouts
-    client: HttpClient
-
-    @classmethod
-    def from_config(
-        cls,
-        url: str,
-        timeouts: TargetTimeouts | None = None,
-        client: HttpClient | None = None,
-    ) -> Self:
-        """Call the engine at `url`; clients may share one HttpClient."""
-        return cls(
-            url.rstrip('/'),
-            timeouts or TargetTimeouts(),
-            client or HttpClient.from_config(),
-        )
-
     async def generate(self, req: GenerateRequest) -> Outcome[OpenedAnswer]:
         """Start a generation; adapter and request are checked before Done.
 
@@ -169,10 +151,6 @@
         outcome = await self._call('PUT', _cache_path(prefix), block)
         return outcome if isinstance(outcome, Failed) else Done(None)
 
-    async def close(self) -> None:
-        """Close what is open."""
-        await self.client.close()
-
     async def _open(
         self,
         call: HttpCall,
--- a/mintlanding/engines/plain.py
+++ b/mintlanding/engines/plain.py
@@ -1,14 +1,14 @@
 """Client of one plain service, whose calls run at most once."""
 
 from dataclasses import dataclass
-from typing import Self
 
 from mintlanding.core.exceptions import MintlandingError
-from mintlanding.core.http_client import HttpCall, HttpClient
+from mintlanding.core.http_client import HttpCall
 from mintlanding.core.results import Done, Outcome, ResultCode
 from mintlanding.engines import failures
+from mintlanding.engines.base import TargetClient
 from mintlanding.engines.headers import Headers
-from mintlanding.engines.models import PlainAnswer, TargetTimeouts
+from mintlanding.engines.models import PlainAnswer
 
 _LOST_CODES = {
     True: ResultCode.target_interrupted,
@@ -18,31 +18,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlainClient:
+class PlainClient(TargetClient):
     """Calls on one service, each on a connection of its own.
 
     A call that may not be repeated is sent once: unless no connection came
     about, a missing answer is `outcome_unknown`.
     """
 
-    url: str
-    timeouts: TargetTimeouts
-    client: HttpClient
-
-    @classmethod
-    def from_config(
-        cls,
-        url: str,
-        timeouts: TargetTimeouts | None = None,
-        client: HttpClient | None = None,
-    ) -> Self:
-        """Call the service at `url`; clients may share one HttpClient."""
-        return cls(
-            url.rstrip('/'),
-            timeouts or TargetTimeouts(),
-            client or HttpClient.from_config(),
-        )
-
     async def call(
         self,
         method: str,
--- a/mintlanding/entry/view.py
+++ b/mintlanding/entry/view.py
@@ -40,12 +40,12 @@
         self._listeners: list[ChangeListener] = []
         self._digest_listeners: list[DigestListener] = []
         self._member_listeners: list[MemberListener] = []
-        self._ready = asyncio.Event()
+        self._is_ready = False
 
     @property
     def is_ready(self) -> bool:
         """Tell whether a configuration has arrived."""
-        return self._ready.is_set()
+        return self._is_ready
 
     @property
     def stale_seconds(self) -> float:
@@ -77,10 +77,6 @@
         for digest in update.digests:
             self._take_digest(digest)
 
-    async def wait_ready(self) -> None:
-        """Return when a configuration has arrived."""
-        await self._ready.wait()
-
     def _take_digest(self, digest: WorkerDigest) -> None:
         held = self.digests.get(digest.worker)
         if held and _order(held) > _order(digest):
@@ -109,7 +105,7 @@
         applied = self.directory.apply(delta)
         if not applied.accepted:
             return
-        self._ready.set()
+        self._is_ready = True
         for listener in self._listeners:
             listener(applied.changes)
 
