--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -38,10 +38,10 @@
 from mintlanding.configuration.proposals import Proposal
 from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.configuration.writes import Authorship, new_write_id
+from mintlanding.coordination.http import HttpKeyValueService
+from mintlanding.coordination.instances import InstanceRecord
 from mintlanding.core.http_client import HttpCall, HttpClient
 from mintlanding.limits.terms import Terms
-from mintlanding.platform.http import HttpKeyValueService
-from mintlanding.platform.instances import InstanceRecord
 from mintlanding.standin.__main__ import build_application  # noqa: F401
 from mintlanding.standin.base import KINDS
 from mintlanding.standin.settings import StandinSettings
--- a/benchmarks/measure_configuration.py
+++ b/benchmarks/measure_configuration.py
@@ -28,7 +28,7 @@
     workspace,
 )
 from mintlanding.configuration.writes import Authorship, new_write_id
-from mintlanding.platform.memory import MemoryKeyValueService
+from mintlanding.coordination.memory import MemoryKeyValueService
 
 CHANGES_A_DAY = 3300
 SAMPLED_CHANGES = 660
--- a/mintlanding/admin/application.py
+++ b/mintlanding/admin/application.py
@@ -11,12 +11,12 @@
 from mintlanding.conf.models import AdminSettings, InstanceSettings
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.coordination.http import HttpKeyValueService
 from mintlanding.core.application import Application
 from mintlanding.core.exceptions import ConfigurationError, PlatformError
 from mintlanding.core.http import HttpServer
 from mintlanding.core.logs import Logger
 from mintlanding.core.results import Failed
-from mintlanding.platform.http import HttpKeyValueService
 
 DRAIN_SECONDS = 30
 PROGRESS_POLL_SECONDS = 0.2
--- a/mintlanding/admin/tests/conftest.py
+++ b/mintlanding/admin/tests/conftest.py
@@ -9,9 +9,9 @@
 from mintlanding.admin.endpoint import AdminEndpoint
 from mintlanding.configuration.keys import KeyHasher
 from mintlanding.configuration.storage import ConfigurationStorage
+from mintlanding.coordination.memory import MemoryKeyValueService
 from mintlanding.core.clock import ManualClock
 from mintlanding.core.results import Done, Failed, ResultCode
-from mintlanding.platform.memory import MemoryKeyValueService
 
 TOKEN = 'operator-token-for-tests'
 
--- a/mintlanding/agent/context.py
+++ b/mintlanding/agent/context.py
@@ -5,14 +5,14 @@
 
 from mintlanding.conf.models import InstanceSettings
 from mintlanding.configuration.directory import Directory
+from mintlanding.coordination.instances import InstanceList
+from mintlanding.coordination.keyvalue import KeyValueService
 from mintlanding.core.application import Application
 from mintlanding.core.clock import Clock
 from mintlanding.core.metrics import Metrics
 from mintlanding.membership.models import Member
 from mintlanding.peers.client import PeerClient
 from mintlanding.peers.server import PeerServer
-from mintlanding.platform.instances import InstanceList
-from mintlanding.platform.keyvalue import KeyValueService
 
 
 @dataclass(slots=True)
--- a/mintlanding/configuration/layout.py
+++ b/mintlanding/configuration/layout.py
@@ -25,7 +25,7 @@
 )
 from mintlanding.configuration.exceptions import ConfigurationTooLarge
 from mintlanding.configuration.models import AnyObject, Change, Ref
-from mintlanding.platform.keyvalue import MAX_VALUE_BYTES
+from mintlanding.coordination.keyvalue import MAX_VALUE_BYTES
 
 MAX_TAIL_CHANGES = 256
 MAX_TAIL_BYTES = 96 << 10
--- a/mintlanding/configuration/reading.py
+++ b/mintlanding/configuration/reading.py
@@ -14,7 +14,7 @@
 )
 from mintlanding.configuration.exceptions import StoredConfigurationError
 from mintlanding.configuration.models import Change, Delta
-from mintlanding.platform.keyvalue import Entry, KeyValueService
+from mintlanding.coordination.keyvalue import Entry, KeyValueService
 
 MAX_LOADS = 5
 MAX_HELD_SEGMENTS = 64
--- a/mintlanding/configuration/storage.py
+++ b/mintlanding/configuration/storage.py
@@ -42,10 +42,10 @@
     write_id_time,
 )
 from mintlanding.configuration.writing import AnswerLost, ManifestWriter
+from mintlanding.coordination.keyvalue import CREATE_ONLY, KeyValueService
 from mintlanding.core.checks import CheckMessage
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.results import Done, Failed, Outcome, Ran, ResultCode
-from mintlanding.platform.keyvalue import CREATE_ONLY, KeyValueService
 
 MAX_ATTEMPTS = 16
 RETRY_AFTER_SECONDS = 2
--- a/mintlanding/configuration/tests/test_storage.py
+++ b/mintlanding/configuration/tests/test_storage.py
@@ -33,11 +33,11 @@
 )
 from mintlanding.configuration.watching import ConfigurationWatch
 from mintlanding.configuration.writes import Authorship, new_write_id
+from mintlanding.coordination.keyvalue import Entry
+from mintlanding.coordination.memory import MemoryKeyValueService
+from mintlanding.coordination.store import KeyValueStore
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
-from mintlanding.platform.keyvalue import Entry
-from mintlanding.platform.memory import MemoryKeyValueService
-from mintlanding.platform.store import KeyValueStore
 
 SMALL = LayoutLimits(
     tail_changes=6,
--- a/mintlanding/configuration/watching.py
+++ b/mintlanding/configuration/watching.py
@@ -3,7 +3,7 @@
 from mintlanding.configuration.documents import MANIFEST_KEY
 from mintlanding.configuration.models import Delta
 from mintlanding.configuration.reading import ConfigurationReader
-from mintlanding.platform.keyvalue import KeyValueService
+from mintlanding.coordination.keyvalue import KeyValueService
 
 
 class ConfigurationWatch:
--- a/mintlanding/configuration/writing.py
+++ b/mintlanding/configuration/writing.py
@@ -5,9 +5,9 @@
 from mintlanding.configuration.documents import MANIFEST_KEY
 from mintlanding.configuration.layout import WritePlan
 from mintlanding.configuration.models import Change
+from mintlanding.coordination.keyvalue import KeyValueService
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Failed
-from mintlanding.platform.keyvalue import KeyValueService
 
 CONCURRENT_CALLS = 4
 
--- /dev/null
+++ b/mintlanding/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: key-value service, instance list, weight store."""
--- a/mintlanding/platform/http.py
+++ b/mintlanding/coordination/http.py
@@ -5,6 +5,13 @@
 
 import msgspec
 
+from mintlanding.coordination.instances import InstanceRecord
+from mintlanding.coordination.keyvalue import (
+    Entry,
+    Listing,
+    conflict,
+    too_large,
+)
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.http_client import (
     CallLost,
@@ -14,8 +21,6 @@
     HttpClient,
 )
 from mintlanding.core.results import Done, Outcome
-from mintlanding.platform.instances import InstanceRecord
-from mintlanding.platform.keyvalue import Entry, Listing, conflict, too_large
 
 ReplyT = TypeVar('ReplyT')
 
--- a/mintlanding/platform/memory.py
+++ b/mintlanding/coordination/memory.py
@@ -4,12 +4,12 @@
 import contextlib
 from dataclasses import dataclass
 
+from mintlanding.coordination.instances import InstanceRecord
+from mintlanding.coordination.keyvalue import Entry, Listing
+from mintlanding.coordination.store import KeyValueStore
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Outcome
-from mintlanding.platform.instances import InstanceRecord
-from mintlanding.platform.keyvalue import Entry, Listing
-from mintlanding.platform.store import KeyValueStore
 
 
 @dataclass(slots=True)
--- a/mintlanding/platform/tests/test_contract.py
+++ b/mintlanding/coordination/tests/test_contract.py
@@ -5,15 +5,15 @@
 
 import pytest
 
-from mintlanding.core.exceptions import PlatformUnavailable
-from mintlanding.core.results import Done, ResultCode
-from mintlanding.platform.http import HttpInstanceList, HttpKeyValueService
-from mintlanding.platform.instances import InstanceRecord, InstanceState
-from mintlanding.platform.keyvalue import CREATE_ONLY, MAX_VALUE_BYTES
-from mintlanding.platform.memory import (
+from mintlanding.coordination.http import HttpInstanceList, HttpKeyValueService
+from mintlanding.coordination.instances import InstanceRecord, InstanceState
+from mintlanding.coordination.keyvalue import CREATE_ONLY, MAX_VALUE_BYTES
+from mintlanding.coordination.memory import (
     MemoryInstanceList,
     MemoryKeyValueService,
 )
+from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.core.results import Done, ResultCode
 from mintlanding.standin.faults import Faults
 from mintlanding.standin.instances import InstancesStandin
 from mintlanding.standin.keyvalue import KeyValueStandin
--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -133,10 +133,11 @@
 def run_application(
     build: Callable[[], Application],
     read_settings: Callable[[], Any] | None = None,
+    configure: Callable[[], None] = configure_logs,
 ) -> None:
     """Run one application on one plain asyncio loop.
 
-    With `read_settings`, SIGHUP reads them again and runs the reload hooks.
+    `configure` says where the logs go. With `read_settings`, SIGHUP reads them again and runs the reload hooks.
     """
 
     async def main() -> None:
@@ -145,7 +146,7 @@
             _reload_on_hangup(application, read_settings)
         await application.run()
 
-    configure_logs()
+    configure()
     asyncio.run(main())
 
 
--- a/mintlanding/core/exceptions.py
+++ b/mintlanding/core/exceptions.py
@@ -31,6 +31,22 @@
     """The other process refused the caller or the message."""
 
 
+class CallNotSent(MintlandingError):
+    """No connection came about; the other side has seen nothing."""
+
+
+class CallLost(MintlandingError):
+    """No whole answer came; the other side may have acted."""
+
+
+class CallTimeout(CallLost):
+    """No answer came in time; the other side may have acted."""
+
+
+class AnswerInvalid(CallLost):
+    """The answer breaks HTTP or is too large."""
+
+
 class TargetError(MintlandingError):
     """A target broke its protocol or gave no answer."""
 
--- a/mintlanding/core/http_client.py
+++ b/mintlanding/core/http_client.py
@@ -15,7 +15,13 @@
 from aiosonic.exceptions import AiosonicError, HttpParsingError
 from httptools import HttpParserError
 
-from mintlanding.core.exceptions import MintlandingError
+from mintlanding.core.exceptions import (
+    AnswerInvalid,
+    CallLost,
+    CallNotSent,
+    CallTimeout,
+    MintlandingError,
+)
 from mintlanding.core.http_transport import (
     Attempt,
     ChunkedBody,
@@ -35,22 +41,6 @@
 Headers = list[tuple[str, str]]
 
 
-class CallNotSent(MintlandingError):
-    """No connection came about; the other side has seen nothing."""
-
-
-class CallLost(MintlandingError):
-    """No whole answer came; the other side may have acted."""
-
-
-class CallTimeout(CallLost):
-    """No answer came in time; the other side may have acted."""
-
-
-class AnswerInvalid(CallLost):
-    """The answer breaks HTTP or is too large."""
-
-
 @dataclass(frozen=True, slots=True)
 class HttpCall:
     """A request; times in seconds, `answer` until the headers came."""
--- a/mintlanding/core/logs.py
+++ b/mintlanding/core/logs.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import logging
+import os
 import sys
+import time
 import traceback
 from typing import Any
 
 import eliot
+import msgspec
 
 _SECRET_FIELDS = frozenset(
     (
@@ -19,6 +22,8 @@
     )
 )
 _HIDDEN = '[hidden]'
+# Lines a second that a process writes at most; some kilobytes each second.
+_LINES_PER_SECOND = 200
 
 
 def _hide_secrets(fields: dict[str, Any]) -> dict[str, Any]:
@@ -83,9 +88,79 @@
     return {'exception': type(exc).__name__, 'places': places}
 
 
+class BoundedOutput:
+    """Write lines to a descriptor without ever waiting for its reader.
+
+    More than `lines_per_second`, and lines that the reader has no room for,
+    are left out; the next line that goes out is preceded by their number.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_second: float = _LINES_PER_SECOND,
+    ) -> None:
+        """Make the descriptor non-blocking."""
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._rate = lines_per_second
+        self._allowance = lines_per_second
+        self._at = time.monotonic()
+        self._rest = b''
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Write a message of the log library."""
+        now = time.monotonic()
+        self._allowance += (now - self._at) * self._rate
+        self._allowance = min(self._allowance, self._rate)
+        self._at = now
+        if self._allowance < 1 or not self._flush():
+            self.left_out += 1
+            return
+        self._allowance -= 1
+        lines = []
+        if self.left_out:
+            note = {'message_type': 'mintlanding:logs', 'level': 'warning'}
+            lines.append({**note, 'left_out': self.left_out})
+            self.left_out = 0
+        lines.append(message)
+        text = b'\n'.join(map(_encode_line, lines))
+        self._rest = b'%b\n' % text
+        self._flush()
+
+    def _flush(self) -> bool:
+        """Write what is left of the last lines; false if some still is."""
+        while self._rest:
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # Nobody can be told that nobody reads any more.
+                self._rest = b''
+                return False
+            self._rest = self._rest[written:]
+        return True
+
+
+def _encode_line(message: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(message, enc_hook=repr)
+
+
+def configure_output() -> None:
+    """Send the logs to standard output, bounded and without waiting."""
+    eliot.add_destinations(BoundedOutput(sys.stdout.fileno()))
+    _forward_libraries()
+
+
 def configure_logs() -> None:
     """Send the logs of this process and its libraries to standard error."""
     eliot.to_file(sys.stderr)
+    _forward_libraries()
+
+
+def _forward_libraries() -> None:
     # It warns of every method of the life cycle that it finds in place.
     logging.getLogger('transitions').setLevel(logging.ERROR)
     root = logging.getLogger()
--- a/mintlanding/entry/context.py
+++ b/mintlanding/entry/context.py
@@ -4,6 +4,7 @@
 from typing import Self
 
 from mintlanding.conf.models import EntrySettings, InstanceSettings
+from mintlanding.coordination.http import HttpKeyValueService
 from mintlanding.core.clock import Clock, SystemClock
 from mintlanding.core.exceptions import ConfigurationError
 from mintlanding.core.metrics import Metrics, build_metrics
@@ -16,7 +17,6 @@
 from mintlanding.orders.ledger import OrderLedger
 from mintlanding.peers.build import build_client
 from mintlanding.peers.client import PeerClient
-from mintlanding.platform.http import HttpKeyValueService
 from mintlanding.reports.samples import SampleBuffer
 from mintlanding.routing.retries import RetryPolicy, RetryTerms
 
--- /dev/null
+++ b/mintlanding/http1/client.py
@@ -0,0 +1,319 @@
+"""Connections to servers: one exchange at a time, kept while they are clean.
+
+The library parses; what counts as a whole answer, and when a connection may
+be used again, is decided here. A request is never sent twice.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from typing import Any, cast
+
+from httptools import HttpParserError, HttpResponseParser
+
+from mintlanding.core.exceptions import (
+    AnswerInvalid,
+    CallLost,
+    CallNotSent,
+    CallTimeout,
+)
+from mintlanding.http1.models import ClientTerms, ResponseHead
+
+Address = tuple[str, int]
+
+_MILLISECONDS = 1000
+_FIRST_FINAL_STATUS = 200
+_NO_BODY_STATUSES = frozenset((204, 304))
+_KEEP_ALIVE = b'timeout='
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self, terms: ClientTerms, address: Address) -> None:
+        """Wait for the transport."""
+        self.address = address
+        self.idle_until: float = 0
+        self.is_fresh = True
+        self._terms = terms
+        self._transport: asyncio.Transport | None = None
+        self._head: ResponseHead | None = None
+        self._is_whole = False
+        self._reset_exchange()
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether bytes can be written."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether the answer ended and left a clean connection."""
+        return self._is_whole and self._may_keep and self.is_open
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange: as whole where only the close delimits it."""
+        self._end(exc)
+
+    def eof_received(self) -> bool:
+        """End the exchange; the transport closes itself."""
+        self._end(None)
+        return False
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse; what follows a whole answer belongs to no exchange."""
+        if not self._is_busy:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(chunk)
+        except HttpParserError as exc:
+            self._may_keep = False
+            if not self._is_whole:
+                self._fail(AnswerInvalid(repr(exc)))
+
+    def send(self, payload: bytes) -> None:
+        """Begin an exchange; raise CallNotSent on a closed connection."""
+        if self._transport is None or not self.is_open:
+            raise CallNotSent('the connection is closed')
+        self._reset_exchange()
+        self._is_busy = True
+        self._transport.write(payload)
+
+    async def read_head(self, seconds: float) -> ResponseHead:
+        """Return the head of the answer; raise CallLost without one."""
+        until = asyncio.get_running_loop().time() + seconds
+        while self._head is None or not self._has_head:
+            self._raise_error()
+            await self._wait(until)
+        return self._head
+
+    async def read_piece(self, seconds: float) -> bytes:
+        """Return what came of the body, empty at its end."""
+        until = asyncio.get_running_loop().time() + seconds
+        while not self._pieces:
+            self._raise_error()
+            if self._is_whole:
+                return b''
+            await self._wait(until)
+        piece = b''.join(self._pieces)
+        self._pieces.clear()
+        return piece
+
+    def finish(self, now: float) -> bool:
+        """End the exchange; tell whether the connection may be used again."""
+        transport = self._transport
+        is_clean = (
+            self.is_reusable
+            and transport is not None
+            and transport.get_write_buffer_size() == 0
+        )
+        if not is_clean:
+            self.abort()
+            return False
+        self._is_busy = False
+        self.is_fresh = False
+        self.idle_until = now + self._idle_seconds()
+        return True
+
+    def abort(self) -> None:
+        """Close at once; a server that works on the request sees it."""
+        self._may_keep = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    # The parser calls these.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a second one is not asked for."""
+        if self._is_whole:
+            self._may_keep = False
+            return
+        self._head = ResponseHead(0)
+        self._has_head = False
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Collect a header."""
+        if self._is_whole or self._head is None:
+            return
+        self._header_bytes += len(name) + len(field)
+        if self._header_bytes > self._terms.header_bytes:
+            self._fail(AnswerInvalid('the headers are too large'))
+            return
+        self._head.headers.append((name.lower(), field))
+
+    def on_headers_complete(self) -> None:
+        """Publish the head of a final answer."""
+        if self._is_whole or self._head is None:
+            return
+        head = self._head
+        head.status = self._parser.get_status_code()
+        if head.status < _FIRST_FINAL_STATUS:
+            return
+        head.is_delimited = (
+            head.status in _NO_BODY_STATUSES
+            or head.get(b'content-length') != b''
+            or b'chunked' in head.get(b'transfer-encoding').lower()
+        )
+        self._may_keep = (
+            head.is_delimited
+            and b'close' not in head.get(b'connection').lower()
+        )
+        self._has_head = True
+        self._wake()
+
+    def on_body(self, piece: bytes) -> None:
+        """Collect a part of the body."""
+        if not self._is_whole:
+            self._pieces.append(piece)
+            self._wake()
+
+    def on_message_complete(self) -> None:
+        """Note the end of a final answer."""
+        if self._has_head:
+            self._is_whole = True
+            self._wake()
+
+    def _reset_exchange(self) -> None:
+        self._parser: Any = HttpResponseParser(self)
+        self._head = None
+        self._has_head = False
+        self._header_bytes = 0
+        self._pieces: deque[bytes] = deque()
+        self._is_busy = False
+        self._is_whole = False
+        self._may_keep = False
+        self._error: CallLost | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    def _idle_seconds(self) -> float:
+        told = self._head.get(b'keep-alive') if self._head else b''
+        _, found, number = told.partition(_KEEP_ALIVE)
+        digits = number.split(b',')[0].strip()
+        seconds = self._terms.idle_timeout
+        if found and digits.isdigit():
+            seconds = min(seconds, int(digits))
+        return max(0, seconds - self._terms.idle_margin)
+
+    def _end(self, exc: Exception | None) -> None:
+        self._may_keep = False
+        if not self._is_busy or self._is_whole:
+            return
+        head = self._head
+        is_ended = self._has_head and head is not None and not head.is_delimited
+        if exc is None and is_ended and self._error is None:
+            self._is_whole = True
+            self._wake()
+            return
+        self._fail(CallLost(repr(exc) if exc else 'the connection was closed'))
+
+    def _fail(self, error: CallLost) -> None:
+        if self._error is None:
+            self._error = error
+        self._wake()
+
+    def _raise_error(self) -> None:
+        if self._error is not None and not self._is_whole:
+            raise self._error
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self, until: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        timer = loop.call_at(until, self._expire, self._waiter)
+        try:
+            await self._waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
+
+    def _expire(self, waiter: asyncio.Future[None]) -> None:
+        if not waiter.done():
+            waiter.set_exception(CallTimeout('no answer in time'))
+
+
+class ConnectionPool:
+    """Idle connections by address, newest first."""
+
+    def __init__(self, terms: ClientTerms) -> None:
+        """Start without connections."""
+        self.opened = 0
+        self._terms = terms
+        self._idle: dict[Address, list[ClientConnection]] = {}
+
+    async def acquire(
+        self,
+        address: Address,
+        *,
+        is_fresh: bool = False,
+        seconds: float | None = None,
+    ) -> ClientConnection:
+        """Return an open connection; raise CallNotSent without one."""
+        now = asyncio.get_running_loop().time()
+        idle = [] if is_fresh else self._idle.get(address, [])
+        while idle:
+            conn = idle.pop()
+            if conn.is_open and conn.idle_until > now:
+                return conn
+            conn.abort()
+        return await self._open(address, seconds or self._terms.connect_timeout)
+
+    def release(self, conn: ClientConnection) -> None:
+        """Keep a connection whose answer is whole, close any other."""
+        now = asyncio.get_running_loop().time()
+        if conn.finish(now):
+            self._idle.setdefault(conn.address, []).append(conn)
+
+    def prune(self) -> None:
+        """Close the connections that have been idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for address in list(self._idle):
+            kept: list[ClientConnection] = []
+            for conn in self._idle[address]:
+                if conn.is_open and conn.idle_until > now:
+                    kept.append(conn)
+                else:
+                    conn.abort()
+            self._idle[address] = kept
+            if not kept:
+                self._idle.pop(address)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for conn in idle:
+                conn.abort()
+        self._idle.clear()
+
+    async def _open(self, address: Address, seconds: float) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        conn = ClientConnection(self._terms, address)
+        try:
+            async with asyncio.timeout(seconds):
+                transport, _ = await loop.create_connection(
+                    lambda: conn,
+                    *address,
+                )
+        except (OSError, TimeoutError) as exc:
+            raise CallNotSent(repr(exc)) from exc
+        self.opened += 1
+        set_user_timeout(transport, self._terms.user_timeout)
+        return conn
+
+
+def set_user_timeout(transport: asyncio.BaseTransport, seconds: float) -> None:
+    """Bound how long sent bytes may stay unacknowledged; send at once."""
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(seconds * _MILLISECONDS),
+    )
--- /dev/null
+++ b/mintlanding/http1/server.py
@@ -0,0 +1,384 @@
+"""Callers' connections: parse requests, bound them, notice who has left."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Self, cast
+
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+)
+
+from mintlanding.core.logs import Logger
+from mintlanding.http1.models import Headers, MessageLimits, header_value
+
+# Requests that a caller may send ahead of their answers on one connection.
+_MAX_PIPELINED = 16
+# Bytes of an answer that wait for a slow caller before the relay pauses.
+_HIGH_WATER_BYTES = 1 << 18
+_REASONS = {
+    200: b'OK',
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+def head_bytes(status: int, headers: Headers) -> bytes:
+    """Encode the head of an answer."""
+    reason = _REASONS.get(status, b'Status')
+    lines = [b'HTTP/1.1 %d %b\r\n' % (status, reason)]
+    lines.extend(b'%b: %b\r\n' % header for header in headers)
+    lines.append(b'\r\n')
+    return b''.join(lines)
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A whole request; `arrived` is the monotonic time of its first byte."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived: float
+    conn: 'CallerConnection'
+    is_last: bool = False
+    outlives_caller: bool = False
+    is_answered: bool = field(default=False, init=False)
+    is_streaming: bool = field(default=False, init=False)
+
+    def get(self, name: bytes) -> bytes:
+        """Return a header's value, empty when it is missing."""
+        return header_value(self.headers, name)
+
+    @property
+    def is_gone(self) -> bool:
+        """Tell whether the caller has left."""
+        return self.conn.is_gone
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        full = [*headers, (b'content-length', b'%d' % len(body))]
+        self.conn.write(head_bytes(status, self._closing(full)) + body)
+        self.is_answered = True
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer that comes in pieces."""
+        full = [*headers, (b'transfer-encoding', b'chunked')]
+        self.conn.write(head_bytes(status, self._closing(full)))
+        self.is_streaming = True
+
+    def write(self, piece: bytes) -> None:
+        """Send a piece."""
+        self.conn.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+
+    def end(self) -> None:
+        """End an answer that came in pieces."""
+        self.conn.write(b'0\r\n\r\n')
+        self.is_answered = True
+
+    def abort(self) -> None:
+        """Cut the connection, so that the answer does not look whole."""
+        self.is_answered = True
+        self.conn.abort()
+
+    def _closing(self, headers: Headers) -> Headers:
+        if self.is_last or self.conn.is_draining:
+            self.is_last = True
+            return [*headers, (b'connection', b'close')]
+        return headers
+
+
+RequestHandler = Callable[[CallerRequest], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: 'CallerServer') -> None:
+        """Belong to a server."""
+        self.is_gone = False
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = HttpRequestParser(self)
+        self._pending: deque[CallerRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._current: CallerRequest | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._in_request = False
+        self._is_refused = False
+        self._reset_message()
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the server ends connections after their answer."""
+        return self._server.is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or served."""
+        return self._task is None and not self._in_request
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Expect a request in time."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
+        self._server.connections.add(self)
+        self._arm(self._server.limits.idle_timeout)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop what the caller no longer waits for."""
+        self.is_gone = True
+        self._drained.set()
+        self._server.connections.discard(self)
+        self._disarm()
+        self._pending.clear()
+        current = self._current
+        is_kept = current is not None and current.outlives_caller
+        if self._task is not None and not is_kept:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold back the relay."""
+        self._drained.clear()
+
+    def resume_writing(self) -> None:
+        """Let the relay go on."""
+        self._drained.set()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse; refuse what breaks HTTP."""
+        if self._is_refused:
+            return
+        if not self._in_request:
+            self._in_request = True
+            self._started = self._loop.time()
+            self._arm(self._server.limits.header_timeout)
+        try:
+            self._parser.feed_data(chunk)
+        except (HttpParserError, HttpParserUpgrade):
+            self._refuse(400)
+
+    def write(self, payload: bytes) -> None:
+        """Write, unless the caller has left."""
+        if self._transport is not None and not self.is_gone:
+            self._transport.write(payload)
+
+    async def drain(self) -> None:
+        """Wait until a slow caller has read enough."""
+        await self._drained.wait()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close once everything is written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # The parser calls these.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reset_message()
+
+    def on_url(self, part: bytes) -> None:
+        """Collect the target."""
+        self._target += part
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Collect a header within its bound."""
+        self._header_bytes += len(name) + len(field) + 4
+        if self._header_bytes > self._server.limits.header_bytes:
+            self._refuse(431)
+            return
+        self._headers.append((name.lower(), field))
+
+    def on_headers_complete(self) -> None:
+        """Check the announced size; ask for the body where that is awaited."""
+        if self._is_refused:
+            return
+        length = header_value(self._headers, b'content-length')
+        if length.isdigit() and int(length) > self._server.limits.body_bytes:
+            self._refuse(413)
+            return
+        expected = header_value(self._headers, b'expect').lower()
+        if expected == b'100-continue':
+            self.write(_CONTINUE)
+
+    def on_body(self, part: bytes) -> None:
+        """Collect the body within its bound."""
+        self._body_bytes += len(part)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+            return
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hand the request on."""
+        if self._is_refused:
+            return
+        self._in_request = False
+        self._disarm()
+        req = CallerRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b''.join(self._body),
+            arrived=self._started,
+            conn=self,
+            is_last=not self._parser.should_keep_alive(),
+        )
+        self._pending.append(req)
+        if len(self._pending) > _MAX_PIPELINED:
+            self.abort()
+            return
+        if self._task is None:
+            self._serve_next()
+
+    def _reset_message(self) -> None:
+        self._started = self._loop.time()
+        self._target = b''
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _serve_next(self) -> None:
+        if not self._pending or self.is_gone:
+            self._arm(self._server.limits.idle_timeout)
+            return
+        req = self._pending.popleft()
+        self._current = req
+        self._task = self._loop.create_task(self._serve(req))
+        self._task.add_done_callback(self._served)
+
+    async def _serve(self, req: CallerRequest) -> None:
+        await self._server.handler(req)
+
+    def _served(self, task: asyncio.Task[None]) -> None:
+        req, self._current, self._task = self._current, None, None
+        if not task.cancelled() and task.exception() is not None:
+            self._server.logger.error(
+                'A request failed in the relay.',
+                reason=repr(task.exception()),
+            )
+        if req is None or not req.is_answered:
+            self.abort()
+            return
+        if req.is_last:
+            self.close()
+            return
+        self._serve_next()
+
+    def _refuse(self, status: int) -> None:
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._server.refused(status)
+        if self._task is None:
+            closing: Headers = [
+                (b'content-length', b'0'),
+                (b'connection', b'close'),
+            ]
+            self.write(head_bytes(status, closing))
+        self.close()
+
+    def _arm(self, seconds: float) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(seconds, self._expire)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._timer = None
+        if self._task is not None:
+            return
+        if self._in_request:
+            self._refuse(408)
+        else:
+            self.close()
+
+
+class CallerServer:
+    """Listen for callers until drained."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        limits: MessageLimits,
+        logger: Logger,
+    ) -> None:
+        """Take what serves a request."""
+        self.handler = handler
+        self.limits = limits
+        self.logger = logger
+        self.connections: set[CallerConnection] = set()
+        self.is_draining = False
+        self.refusals: dict[int, int] = {}
+        self._listener: asyncio.Server | None = None
+
+    @classmethod
+    def from_config(cls, handler: RequestHandler, name: str) -> Self:
+        """Build a server with default limits whose logs bear a name."""
+        return cls(handler, MessageLimits(), Logger(name))
+
+    async def start(self, host: str, port: int, backlog: int = 1024) -> None:
+        """Listen; raise OSError when the address is taken."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: CallerConnection(self),
+            host,
+            port,
+            backlog=backlog,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on, 0 for none."""
+        if self._listener is None:
+            return 0
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    def refused(self, status: int) -> None:
+        """Count a request that was refused while it was read."""
+        self.refusals[status] = self.refusals.get(status, 0) + 1
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing happens."""
+        for conn in tuple(self.connections):
+            if conn.is_idle:
+                conn.close()
+
+    def close_listener(self) -> None:
+        """Accept no more connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def stop(self) -> None:
+        """Stop listening and cut what is still open."""
+        self.close_listener()
+        for conn in tuple(self.connections):
+            conn.abort()
--- /dev/null
+++ b/mintlanding/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between the instances of one fleet."""
--- /dev/null
+++ b/mintlanding/links/mesh.py
@@ -0,0 +1,276 @@
+"""Links to the other instances: framed messages over kept connections.
+
+Each instance dials every member; answers come back on the link on which the
+question went out. A link whose bytes stay unacknowledged is ended by the
+kernel, and dialled anew.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import msgspec
+
+from mintlanding.core.logs import Logger
+from mintlanding.http1.client import Address, set_user_timeout
+from mintlanding.links.messages import Hello, Message
+
+_LENGTH = struct.Struct('>I')
+_MAX_FRAME_BYTES = 1 << 20
+# Bytes that a peer has not read yet; a link that holds more is given up.
+_MAX_BUFFERED_BYTES = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTerms:
+    """Bounds of links in seconds: for connecting, unacknowledged bytes and
+    the pause before a link is dialled again.
+    """
+
+    connect_timeout: float = 0.5
+    user_timeout: float = 1
+    redial_pause: float = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is, and the key that all members know."""
+
+    instance: str
+    boot: str
+    fleet_key: bytes
+
+    def hello(self) -> Hello:
+        """Return the first word on a link."""
+        return Hello(self.instance, self.boot, self.proof(self.instance))
+
+    def proof(self, instance: str) -> str:
+        """Return what shows that an instance knows the key."""
+        digest = hmac.digest(self.fleet_key, instance.encode(), hashlib.sha256)
+        return digest.hex()
+
+
+class LinkProtocol(asyncio.Protocol):
+    """One connection, dialled or accepted."""
+
+    def __init__(self, mesh: 'Mesh', peer: str = '') -> None:
+        """Belong to a mesh; `peer` is known where we dialled."""
+        self.peer = peer
+        self.is_lost = asyncio.Event()
+        self._mesh = mesh
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        set_user_timeout(transport, self._mesh.terms.user_timeout)
+        self._mesh.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the mesh."""
+        self.is_lost.set()
+        self._mesh.closed(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take whole frames out of the buffer."""
+        self._buffer += chunk
+        while len(self._buffer) >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(self._buffer)
+            if size > _MAX_FRAME_BYTES:
+                self._mesh.logger.error(
+                    'A peer sent an oversized frame.',
+                    peer=self.peer,
+                    size=size,
+                )
+                self.abort()
+                return
+            end = _LENGTH.size + size
+            if len(self._buffer) < end:
+                return
+            frame = bytes(self._buffer[_LENGTH.size : end])
+            del self._buffer[:end]
+            self._mesh.received(self, frame)
+
+    def send(self, frame: bytes) -> bool:
+        """Write a frame; false when the link cannot take it."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
+            self.abort()
+            return False
+        transport.write(_LENGTH.pack(len(frame)) + frame)
+        return True
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+Reply = Callable[[Message], bool]
+Receiver = Callable[[str, Message, Reply], None]
+
+
+class Mesh:
+    """Links to all members, dialled anew while they are members."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        receiver: Receiver,
+        terms: LinkTerms,
+        logger: Logger,
+    ) -> None:
+        """Take what handles messages."""
+        self.terms = terms
+        self.logger = logger
+        self._identity = identity
+        self._receiver = receiver
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder: msgspec.msgpack.Decoder[Message]
+        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._listener: asyncio.Server | None = None
+        self._accepted: set[LinkProtocol] = set()
+        self._links: dict[str, LinkProtocol] = {}
+        self._dialers: dict[str, tuple[Address, asyncio.Task[None]]] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        identity: Identity,
+        receiver: Receiver,
+        terms: LinkTerms | None = None,
+    ) -> 'Mesh':
+        """Build a mesh without links."""
+        return cls(identity, receiver, terms or LinkTerms(), Logger('links'))
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for members."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: LinkProtocol(self),
+            host,
+            port,
+        )
+
+    def set_members(self, members: dict[str, Address]) -> None:
+        """Dial new members; let go of those that are no longer any."""
+        for gone in self._dialers.keys() - members.keys():
+            self._drop(gone)
+        for member, address in members.items():
+            dialer = self._dialers.get(member)
+            if dialer is not None and dialer[0] == address:
+                continue
+            self._drop(member)
+            task = asyncio.create_task(self._keep_link(member, address))
+            self._dialers[member] = (address, task)
+
+    def send(self, member: str, message: Message) -> bool:
+        """Send to a member; false when there is no link."""
+        link = self._links.get(member)
+        return link is not None and link.send(self._encoder.encode(message))
+
+    def broadcast(self, message: Message) -> None:
+        """Send to every member that is linked."""
+        frame = self._encoder.encode(message)
+        for link in tuple(self._links.values()):
+            link.send(frame)
+
+    def redial(self, member: str) -> None:
+        """Give up a link that does not answer."""
+        link = self._links.get(member)
+        if link is not None:
+            link.abort()
+
+    def stop(self) -> None:
+        """Close everything."""
+        if self._listener is not None:
+            self._listener.close()
+        for member in tuple(self._dialers):
+            self._drop(member)
+        for link in tuple(self._accepted):
+            link.abort()
+
+    # Links call these.
+
+    def opened(self, link: LinkProtocol) -> None:
+        """Introduce this instance on a link that it dialled."""
+        if link.peer:
+            link.send(self._encoder.encode(self._identity.hello()))
+        else:
+            self._accepted.add(link)
+
+    def closed(self, link: LinkProtocol) -> None:
+        """Forget a link."""
+        self._accepted.discard(link)
+        if self._links.get(link.peer) is link:
+            self._links.pop(link.peer)
+            self.logger.warning('A link was lost.', peer=link.peer)
+
+    def received(self, link: LinkProtocol, frame: bytes) -> None:
+        """Decode a frame and hand it on."""
+        try:
+            message = self._decoder.decode(frame)
+        except msgspec.DecodeError as exc:
+            self.logger.error(
+                'A peer sent what is no message.',
+                peer=link.peer,
+                reason=str(exc),
+            )
+            link.abort()
+            return
+        if isinstance(message, Hello):
+            self._welcome(link, message)
+            return
+        if not link.peer:
+            self.logger.error('A peer did not introduce itself.')
+            link.abort()
+            return
+
+        def reply(answer: Message) -> bool:
+            return link.send(self._encoder.encode(answer))
+
+        self._receiver(link.peer, message, reply)
+
+    def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
+        proof = self._identity.proof(hello.instance)
+        if not hmac.compare_digest(proof, hello.proof):
+            self.logger.error(
+                'A peer does not know the key of the fleet.',
+                peer=hello.instance,
+            )
+            link.abort()
+            return
+        link.peer = hello.instance
+
+    def _drop(self, member: str) -> None:
+        dialer = self._dialers.pop(member, None)
+        if dialer is not None:
+            dialer[1].cancel()
+        link = self._links.pop(member, None)
+        if link is not None:
+            link.abort()
+
+    async def _keep_link(self, member: str, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                async with asyncio.timeout(self.terms.connect_timeout):
+                    _, link = await loop.create_connection(
+                        lambda: LinkProtocol(self, member),
+                        *address,
+                    )
+            except (OSError, TimeoutError):
+                # Every instance is dialled on and on; a failure is no news.
+                await asyncio.sleep(self.terms.redial_pause)
+                continue
+            self._links[member] = link
+            self.logger.info('A link is up.', peer=member)
+            await link.is_lost.wait()
+            await asyncio.sleep(self.terms.redial_pause)
--- /dev/null
+++ b/mintlanding/node/__init__.py
@@ -0,0 +1,1 @@
+"""One process an instance: callers, links, stewards, without a disk."""
--- /dev/null
+++ b/mintlanding/node/admissions.py
@@ -0,0 +1,199 @@
+"""Ask the stewards of workers for places."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.membership import Membership
+from mintlanding.node.settings import NodeSettings
+from mintlanding.node.stewards import Stewards
+from mintlanding.node.view import FleetView
+from mintlanding.residency.choice import WorkerView
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    AdmissionRequest,
+    Outcome,
+    WorkerDigest,
+)
+from mintlanding.traffic.models import Target
+
+# Seconds after its patience for which a waiting request's answer is awaited.
+_REPLY_GRACE = 0.15
+# Seconds for which an old digest still tells what a worker probably holds.
+_DIGEST_LIFE = 8.0
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A request whose steward has not given the final answer."""
+
+    answer: asyncio.Future[AdmissionReply]
+    is_waiting: bool = False
+
+
+@dataclass(slots=True)
+class _Known:
+    """The last digest of a worker, and what was sent there since."""
+
+    digest: WorkerDigest
+    steward: str
+    at: float
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class Place:
+    """A place on a worker; without a steward's word it is only likely."""
+
+    worker: str
+    reservation: str
+    version: int = 0
+    is_granted: bool = True
+    waited: float = 0
+
+
+@dataclass(slots=True)
+class Admissions:
+    """Places asked for, and what stewards tell of their workers."""
+
+    cfg: NodeSettings
+    view: FleetView
+    membership: Membership
+    stewards: Stewards
+    _pending: dict[str, _Pending] = field(default_factory=dict)
+    _known: dict[str, _Known] = field(default_factory=dict)
+
+    def hear(self, steward: str, digests: tuple[WorkerDigest, ...]) -> None:
+        """Take what a steward tells of its workers."""
+        now = boot_seconds()
+        for digest in digests:
+            self._known[digest.worker] = _Known(digest, steward, now)
+
+    def views(self, targets: list[Target]) -> dict[str, WorkerView]:
+        """Return the workers as a choice among them sees them."""
+        now = boot_seconds()
+        self.hear(self.membership.instance, self.stewards.digests())
+        return {each.target: self._view_of(each, now) for each in targets}
+
+    def is_ready(self, target: Target, adapter: str) -> bool:
+        """Tell whether a worker probably holds an adapter."""
+        return not adapter or adapter in self._ready(target, boot_seconds())
+
+    def receive(self, reply: AdmissionReply) -> bool:
+        """Take an answer; false if nobody waits for it."""
+        pending = self._pending.get(reply.request_id)
+        if pending is None:
+            return False
+        if reply.is_waiting:
+            pending.is_waiting = True
+        elif not pending.answer.done():
+            pending.answer.set_result(reply)
+        return True
+
+    async def reserve(self, req: AdmissionRequest) -> AdmissionReply | None:
+        """Ask for a place; None when the steward does not answer."""
+        record = self.view.holds.get(req.worker)
+        holder = '' if record is None else record.holder
+        pending = _Pending(asyncio.get_running_loop().create_future())
+        self._pending[req.request_id] = pending
+        answered = False
+        try:
+            if not self._ask(holder, req):
+                return None
+            reply = await self._await_reply(holder, req, pending)
+            answered = reply is not None
+            return reply
+        finally:
+            self._pending.pop(req.request_id, None)
+            if not answered:
+                self.end(req.worker, req.request_id, Outcome.unused)
+
+    def end(
+        self,
+        worker: str,
+        reservation: str,
+        outcome: Outcome,
+        first_event: float = -1,
+    ) -> None:
+        """Tell the steward that a request has ended."""
+        message = AdmissionEnd(reservation, worker, outcome, first_event)
+        record = self.view.holds.get(worker)
+        if record is None or self.membership.mesh is None:
+            return
+        if record.holder == self.membership.instance:
+            self.stewards.end(message)
+        else:
+            self.membership.mesh.send(record.holder, message)
+
+    def _ask(self, holder: str, req: AdmissionRequest) -> bool:
+        known = self._known.get(req.worker)
+        if known is not None:
+            known.sent += 1
+        if holder == self.membership.instance:
+            self.stewards.reserve(req, self._take_own)
+            return True
+        mesh = self.membership.mesh
+        if mesh is None or not self.membership.is_heard(holder, boot_seconds()):
+            return False
+        return mesh.send(holder, req)
+
+    def _take_own(self, reply: AdmissionReply) -> None:
+        self.receive(reply)
+
+    async def _await_reply(
+        self,
+        holder: str,
+        req: AdmissionRequest,
+        pending: _Pending,
+    ) -> AdmissionReply | None:
+        timeout = self.cfg.relay.steward_timeout
+        done, _ = await asyncio.wait((pending.answer,), timeout=timeout)
+        if not done and not pending.is_waiting:
+            if self.membership.mesh is not None:
+                self.membership.mesh.redial(holder)
+            return None
+        left = req.patience + _REPLY_GRACE - timeout
+        while not done and left > 0:
+            step = min(left, self.cfg.fleet.silence / 2)
+            done, _ = await asyncio.wait((pending.answer,), timeout=step)
+            left -= step
+            is_own = holder == self.membership.instance
+            if is_own or self.membership.is_heard(holder, boot_seconds()):
+                continue
+            if not done:
+                return None
+        return pending.answer.result() if done else None
+
+    def _view_of(self, target: Target, now: float) -> WorkerView:
+        known = self._known.get(target.target)
+        record = self.view.holds.get(target.target)
+        holder = '' if record is None else record.holder
+        is_own = holder == self.membership.instance
+        is_heard = is_own or self.membership.is_heard(holder, now)
+        if known is None or known.digest.incarnation != target.incarnation:
+            return WorkerView(
+                target.target,
+                target.zone,
+                is_heard=is_heard,
+                ready=self._ready(target, now),
+            )
+        digest = known.digest
+        return WorkerView(
+            worker=target.target,
+            zone=target.zone,
+            wait=digest.wait,
+            running=digest.running + digest.queued,
+            sent=known.sent,
+            can_order=digest.can_order and is_heard,
+            is_heard=is_heard,
+            ready=self._ready(target, now),
+        )
+
+    def _ready(self, target: Target, now: float) -> frozenset[str]:
+        known = self._known.get(target.target)
+        if known is None or now > known.at + _DIGEST_LIFE:
+            return frozenset(name for name, _ in target.adapters)
+        if known.digest.incarnation != target.incarnation:
+            return frozenset()
+        return frozenset(known.digest.ready)
--- /dev/null
+++ b/mintlanding/node/application.py
@@ -0,0 +1,208 @@
+"""The process of one instance: parts, their order of start and stop."""
+
+import asyncio
+import random
+from typing import Self
+
+from mintlanding.coordination.transactions import TransactionalStore
+from mintlanding.core.application import Application
+from mintlanding.http1.server import CallerRequest, CallerServer
+from mintlanding.links.mesh import Reply
+from mintlanding.links.messages import Message, Status
+from mintlanding.node.admissions import Admissions
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.contracts import Codec
+from mintlanding.node.follower import Follower
+from mintlanding.node.membership import Membership
+from mintlanding.node.metrics import render_metrics
+from mintlanding.node.relay import Relay
+from mintlanding.node.settings import NodeSettings
+from mintlanding.node.stewards import Stewards
+from mintlanding.node.view import FleetView, Records
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    Outcome,
+)
+
+_UPKEEP_SECONDS = 0.25
+# Seconds after the signal for which connections are still accepted: the
+# balancer takes an instance out after two misses, a second apart.
+_ACCEPT_SECONDS = 2.6
+# Seconds of the grace that are kept for closing.
+_STOP_MARGIN = 1.2
+_POLL_SECONDS = 0.1
+# Seconds between looks for the first configuration.
+_START_SECONDS = 0.05
+
+
+class NodeApplication:
+    """Own the parts of an instance."""
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        store: TransactionalStore,
+        records: Records,
+        codec: Codec,
+    ) -> None:
+        """Build the parts; nothing runs yet."""
+        rnd = random.Random()
+        self.application = Application('node')
+        self.view = FleetView(
+            records,
+            rnd,
+            lapse_grace=cfg.fleet.lapse_grace,
+        )
+        self._cfg = cfg
+        self._store = store
+        self._follower = Follower(store, self.view, cfg.fleet, rnd)
+        self._membership = Membership(cfg, store, self.view, rnd)
+        self._stewards = Stewards(
+            cfg,
+            self.view,
+            self._membership,
+            codec,
+            rnd,
+        )
+        self._admissions = Admissions(
+            cfg,
+            self.view,
+            self._membership,
+            self._stewards,
+        )
+        self.relay = Relay(cfg, self.view, self._admissions, codec, rnd)
+        self._front = CallerServer.from_config(self.relay.handle, 'front')
+        self._ready = CallerServer.from_config(self._answer_ready, 'ready')
+        self._metrics = CallerServer.from_config(self._answer_metrics, 'metrics')
+        self._is_ready = False
+        self._connect_parts()
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: NodeSettings,
+        store: TransactionalStore,
+        records: Records,
+        codec: Codec,
+    ) -> Self:
+        """Build the process with its life-cycle hooks."""
+        node = cls(cfg, store, records, codec)
+        node.application.on_start(node.start)
+        node.application.on_drain(node.drain)
+        node.application.on_stop(node.stop)
+        return node
+
+    async def start(self) -> None:
+        """Listen, then follow the store; ready once that is known."""
+        facts = self._cfg.facts
+        await self._front.start(*facts.front)
+        await self._ready.start(*facts.ready)
+        await self._metrics.start(facts.host, facts.metrics_port)
+        spawn = self.application.spawn
+        spawn(self._follower.run())
+        spawn(self._membership.run_lease())
+        spawn(self._join())
+
+    async def drain(self) -> None:
+        """Tell everyone, let requests end, close what is idle."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._is_ready = False
+        self._front.is_draining = True
+        leaving = asyncio.ensure_future(self._membership.leave())
+        end = began + self._cfg.bounds.grace - _STOP_MARGIN
+        while loop.time() < end:
+            if loop.time() > began + _ACCEPT_SECONDS:
+                self._front.close_listener()
+                self._front.close_idle()
+                if not self._front.connections:
+                    break
+            await asyncio.sleep(_POLL_SECONDS)
+        await asyncio.gather(leaving, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._membership.deregister()
+        self._front.stop()
+        self._ready.stop()
+        self._metrics.stop()
+        self._stewards.stop()
+        self.relay.stop()
+        if self._membership.mesh is not None:
+            self._membership.mesh.stop()
+
+    def _connect_parts(self) -> None:
+        fleet = self._membership.fleet
+        fleet.digests = self._stewards.digests
+        fleet.admitted = self.relay.caps.counters
+        fleet.on_status = self._hear
+        fleet.on_message = self._receive
+        self._membership.unreachable = self._stewards.unreachable
+        self.view.listeners.append(self._changed)
+
+    async def _join(self) -> None:
+        """Take part once the store has told what there is."""
+        while not self.view.is_complete:
+            await asyncio.sleep(_START_SECONDS)
+        await self._membership.share_key()
+        facts = self._cfg.facts
+        mesh = self._membership.open_mesh()
+        await mesh.start(facts.host, facts.peer_port)
+        self._membership.update_members()
+        spawn = self.application.spawn
+        spawn(self._membership.run_words())
+        spawn(self._membership.run_claims())
+        spawn(self._stewards.run())
+        spawn(self._upkeep())
+        self._is_ready = True
+        self.application.logger.info('Ready.')
+
+    async def _upkeep(self) -> None:
+        while True:
+            now = boot_seconds()
+            self.view.drop_lapsed(now)
+            self.relay.prune()
+            heard, members = self._membership.reach(now)
+            self.relay.caps.set_reach(heard, members)
+            self.relay.budget.members = members
+            await asyncio.sleep(_UPKEEP_SECONDS)
+
+    def _changed(self, topic: str) -> None:
+        if topic == 'members':
+            self._membership.update_members()
+        elif topic == 'versions':
+            self._stewards.update_versions()
+        elif topic == 'config' and self.view.config is not None:
+            self._front.limits = self.view.config.limits
+        elif topic == 'holds':
+            self._stewards.update()
+
+    def _hear(self, status: Status, now: float) -> None:
+        self._admissions.hear(status.instance, status.digests)
+        member = f'{status.instance}/{status.boot}'
+        self.relay.caps.charge_member(
+            member,
+            status.admitted,
+            self.view.workspaces(),
+            now,
+        )
+
+    def _receive(self, peer: str, message: Message, reply: Reply) -> None:
+        if self._stewards.receive(peer, message, reply):
+            return
+        if not isinstance(message, AdmissionReply):
+            return
+        if self._admissions.receive(message) or not message.is_granted:
+            return
+        # Nobody waits for this place any more.
+        worker = message.worker
+        reply(AdmissionEnd(message.request_id, worker, Outcome.unused))
+
+    async def _answer_ready(self, req: CallerRequest) -> None:
+        req.respond(200 if self._is_ready else 503, [], b'')
+
+    async def _answer_metrics(self, req: CallerRequest) -> None:
+        lines = render_metrics(self.relay, self._stewards, self._membership)
+        text = '\n'.join((*lines, '')).encode()
+        req.respond(200, [(b'content-type', b'text/plain; version=0.0.4')], text)
--- /dev/null
+++ b/mintlanding/node/events.py
@@ -0,0 +1,36 @@
+"""Whole events of a stream, so that another target can go on after them."""
+
+_END = b'\n\n'
+_ID = b'id:'
+
+
+class EventBuffer:
+    """Hold back what is not a whole event yet; note the last event's id."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self.last_id = ''
+        self._rest = b''
+
+    @property
+    def has_rest(self) -> bool:
+        """Tell whether a part of an event is held back."""
+        return self._rest.strip() != b''
+
+    def take(self, piece: bytes) -> bytes:
+        """Return the whole events that are complete now."""
+        text = self._rest + piece
+        end = text.rfind(_END)
+        if end < 0:
+            self._rest = text
+            return b''
+        whole = text[: end + len(_END)]
+        self._rest = text[end + len(_END) :]
+        for line in whole.split(b'\n'):
+            if line.startswith(_ID):
+                self.last_id = line[len(_ID) :].strip().decode('latin-1')
+        return whole
+
+    def drop_rest(self) -> None:
+        """Forget the part of an event that will not be completed."""
+        self._rest = b''
--- /dev/null
+++ b/mintlanding/node/journal.py
@@ -0,0 +1,96 @@
+"""One line for each request and its outcome, and counts of all of them."""
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from mintlanding.core.logs import Logger
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.view import FleetView
+from mintlanding.traffic.exchange import CallerFields
+
+if TYPE_CHECKING:
+    from mintlanding.node.relay import Plan
+
+# Upper bounds of the latency histogram's buckets in seconds.
+_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class RequestLog:
+    """Log how requests ended, with what decided it."""
+
+    def __init__(self) -> None:
+        """Start with empty counts."""
+        self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.buckets: Counter[float] = Counter()
+        self.seconds: float = 0
+        self._logger = Logger('request')
+
+    def refused(
+        self,
+        fields: CallerFields,
+        status: int,
+        reason: str,
+        retry_after: float,
+        view: FleetView,
+    ) -> None:
+        """Note a request that was answered without a send."""
+        self.outcomes[('', str(status))] += 1
+        version = 0 if view.config is None else view.config.version
+        self._logger.info(
+            'Refused.',
+            request=fields.request_id,
+            status=status,
+            reason=reason,
+            retry_after=round(retry_after, 2),
+            configuration=version,
+            age=_age(view),
+        )
+
+    def ended(self, plan: 'Plan', outcome: str, now: float) -> None:
+        """Note a request that was judged fit to be sent."""
+        seconds = now - plan.req.arrived
+        self.outcomes[(plan.route.name, outcome)] += 1
+        self.seconds += seconds
+        for bound in _BUCKETS:
+            if seconds <= bound:
+                self.buckets[bound] += 1
+        self._logger.info(
+            'Ended.',
+            request=plan.fields.request_id,
+            route=plan.route.name,
+            outcome=outcome,
+            target=plan.target,
+            adapter=plan.fields.adapter.adapter,
+            sends=plan.sends,
+            runs=plan.runs,
+            waited=round(plan.waited, 3),
+            seconds=round(seconds, 3),
+            retry_after=round(plan.retry_after, 2),
+            reason='' if outcome == 'served' else plan.reason,
+        )
+
+    def render(self) -> list[str]:
+        """Write counts and histogram in the common text format."""
+        lines = ['# TYPE mintlanding_requests_total counter']
+        lines.extend(
+            'mintlanding_requests_total'
+            f'{{route="{route}",outcome="{outcome}"}} {count}'
+            for (route, outcome), count in sorted(self.outcomes.items())
+        )
+        total = sum(self.outcomes.values())
+        lines.append('# TYPE mintlanding_request_seconds histogram')
+        lines.extend(
+            f'mintlanding_request_seconds_bucket{{le="{bound}"}} '
+            f'{self.buckets[bound]}'
+            for bound in _BUCKETS
+        )
+        lines.append(
+            f'mintlanding_request_seconds_bucket{{le="+Inf"}} {total}',
+        )
+        lines.append(f'mintlanding_request_seconds_sum {self.seconds:.3f}')
+        lines.append(f'mintlanding_request_seconds_count {total}')
+        return lines
+
+
+def _age(view: FleetView) -> float:
+    return round(boot_seconds() - view.fresh_at, 2)
--- /dev/null
+++ b/mintlanding/node/metrics.py
@@ -0,0 +1,37 @@
+"""Counters and histograms of an instance in the common text format."""
+
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.membership import Membership
+from mintlanding.node.relay import Relay
+from mintlanding.node.stewards import Stewards
+
+
+def render_metrics(
+    relay: Relay,
+    stewards: Stewards,
+    membership: Membership,
+) -> list[str]:
+    """Return the lines of a scrape."""
+    lines = relay.log.render()
+    lines.append(f'mintlanding_connections_opened_total {relay.opened}')
+    heard, members = membership.reach(boot_seconds())
+    lines.append(f'mintlanding_members {members}')
+    lines.append(f'mintlanding_members_heard {heard}')
+    for worker, steward in sorted(stewards.stewards.items()):
+        label = f'{{worker="{worker}"}}'
+        tally = steward.tally
+        counts = {
+            'running': steward.running,
+            'queued': len(steward.queue),
+            'grants_total': tally.grants,
+            'refusals_total': tally.refusals,
+            'loads_total': tally.loads,
+            'unloads_total': tally.unloads,
+            'order_conflicts_total': tally.conflicts,
+            'orders_lost_total': tally.lost_orders,
+        }
+        lines.extend(
+            f'mintlanding_worker_{name}{label} {count}'
+            for name, count in counts.items()
+        )
+    return lines
--- /dev/null
+++ b/mintlanding/node/settings.py
@@ -0,0 +1,91 @@
+"""What the process of one instance is told; times in seconds."""
+
+from dataclasses import dataclass, field
+
+from mintlanding.http1.models import ClientTerms
+from mintlanding.residency.authority import AuthorityTerms
+from mintlanding.residency.choice import ChoiceTerms
+from mintlanding.residency.models import StewardTerms
+from mintlanding.traffic.retries import FleetRetryTerms
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceFacts:
+    """Who this instance is and where it listens."""
+
+    instance: str
+    zone: str
+    host: str
+    front: Address
+    ready: Address
+    peer_port: int
+    metrics_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the users hold the system to."""
+
+    contact: float = 3
+    drain: float = 2
+    grace: float = 8
+    apply: float = 2
+    turn_gap: float = 3
+    version: float = 5
+    shortest_lease: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTerms:
+    """How requests are sent on.
+
+    `patience` is the share of the objective for which a request waits for a
+    place; `late_patience` the share of its whole time, where that is less
+    than the objective. `steward_timeout`: a steward that has not answered by
+    then is passed over. `answer_margin`: an answer is given up this long
+    before the caller's deadline. `first_event_factor`: a resumable stream
+    without an event after this many objectives is begun elsewhere.
+    """
+
+    patience: float = 0.9
+    late_patience: float = 0.3
+    steward_timeout: float = 0.25
+    answer_margin: float = 0.03
+    first_event_factor: float = 1.5
+    longest_try: float = 0.75
+    retry_after: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTerms:
+    """How instances keep in touch.
+
+    `status_interval`: between two words to each member. `silence`: a member
+    not heard of for longer is taken for cut off. `watch_wait`: how long the
+    store may keep a call waiting; shorter than `contact`, so that a silent
+    connection is noticed in time. `lapse_grace`: how long a target whose
+    entry lapsed with the store is kept.
+    """
+
+    status_interval: float = 0.25
+    silence: float = 0.8
+    watch_wait: float = 2.4
+    lapse_grace: float = 2.2
+    renew_interval: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """All settings of one instance."""
+
+    facts: InstanceFacts
+    bounds: Bounds = Bounds()
+    retries: FleetRetryTerms = FleetRetryTerms()
+    relay: RelayTerms = RelayTerms()
+    fleet: FleetTerms = FleetTerms()
+    client: ClientTerms = ClientTerms()
+    steward: StewardTerms = StewardTerms()
+    choice: ChoiceTerms = ChoiceTerms()
+    authority: AuthorityTerms = field(default_factory=AuthorityTerms)
--- a/mintlanding/orders/ledger.py
+++ b/mintlanding/orders/ledger.py
@@ -7,6 +7,11 @@
 
 import msgspec
 
+from mintlanding.coordination.keyvalue import (
+    CREATE_ONLY,
+    Entry,
+    KeyValueService,
+)
 from mintlanding.core.clock import Clock
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
@@ -27,7 +32,6 @@
     Replay,
     StoredAnswer,
 )
-from mintlanding.platform.keyvalue import CREATE_ONLY, Entry, KeyValueService
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/orders/tests/service.py
+++ b/mintlanding/orders/tests/service.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mintlanding.coordination.keyvalue import Entry
+from mintlanding.coordination.store import KeyValueStore
 from mintlanding.core.exceptions import PlatformUnavailable
-from mintlanding.platform.keyvalue import Entry
-from mintlanding.platform.store import KeyValueStore
 
 
 @dataclass(eq=False)
--- a/mintlanding/orders/tests/test_ledger.py
+++ b/mintlanding/orders/tests/test_ledger.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from mintlanding.coordination.memory import MemoryKeyValueService
+from mintlanding.coordination.store import KeyValueStore
 from mintlanding.core.clock import ManualClock
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
 from mintlanding.orders.ledger import OrderLedger
@@ -12,8 +14,6 @@
     Replay,
     StoredAnswer,
 )
-from mintlanding.platform.memory import MemoryKeyValueService
-from mintlanding.platform.store import KeyValueStore
 
 REQ = OrderRequest('shop', 'k1', 'POST', '/orders', b'{"vanity": 1}')
 ANSWER = StoredAnswer(201, 'application/json', b'{"id": 7}')
--- a/mintlanding/platform/__init__.py
+++ b/mintlanding/platform/__init__.py
@@ -1,1 +1,5 @@
-"""Clients of the platform: key-value service, instance list, weight store."""
+"""The users' platform: its names, decoded once into the product's types.
+
+Nothing outside this package knows how the platform spells things, and
+nothing in it decides.
+"""
--- /dev/null
+++ b/mintlanding/platform/records.py
@@ -0,0 +1,289 @@
+"""The operator's record, versions of adapters, and targets' entries."""
+
+from typing import Any
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mintlanding.http1.models import MessageLimits
+from mintlanding.platform.settings import parse_address
+from mintlanding.residency.models import EngineReport
+from mintlanding.traffic.models import (
+    BaseModel as BaseModelSpec,
+)
+from mintlanding.traffic.models import (
+    EngineSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfig,
+    Target,
+    Workspace,
+)
+
+CONFIG_KEY = 'op/config'
+VERSIONS_PREFIX = 'op/version/'
+TARGETS_PREFIX = 'servers/'
+_MILLISECONDS = 1000
+_TOKENS = 'tokens'
+_STATES = frozenset(('ready', 'draining'))
+_JSON = msgspec.json.Decoder()
+
+
+class RecordInvalid(ValueError):
+    """A record that cannot be read; the text says where and why."""
+
+
+class _Record(BaseModel):
+    """Base of all records; fields that are not known are left out."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _Share(_Record):
+    service: str
+    weight: float
+
+
+class _Route(_Record):
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    # The latency objective, not a goal that is only wished for.
+    goal_ms: float = 0
+    priority: int = 0
+    service: str = ''
+    split: list[_Share] = Field(default_factory=list)
+    # Targets that may run one request, the first included.
+    attempts: int = 1
+    public: bool = False
+    can_resume: bool = False
+    gap_aim_ms: float = 0
+
+    def convert(self) -> Route:
+        """Return the product's route."""
+        shares = [(each.service, each.weight) for each in self.split]
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            kind=self.kind,
+            timeout=self.timeout_ms / _MILLISECONDS,
+            objective=(self.goal_ms or self.timeout_ms) / _MILLISECONDS,
+            shares=tuple(shares) or ((self.service, 1.0),),
+            attempts=max(1, self.attempts),
+            priority=self.priority,
+            event_gap=self.gap_aim_ms / _MILLISECONDS,
+            is_public=self.public,
+            is_resumable=self.can_resume,
+        )
+
+
+class _Model(_Record):
+    name: str
+    # Megabytes of the base model itself.
+    weights_mb: float
+    # A count; the adapters are named a1, a2 and so on.
+    adapters: int = 0
+    adapter_mb: float = 0
+
+
+class _Engine(_Record):
+    slots: int
+    kv_capacity: int
+    # Megabytes for the base model and its adapters together.
+    weights_mb: float = 0
+    adapter_slots: int = 0
+    models: list[_Model] = Field(default_factory=list)
+
+    def convert(self) -> EngineSpec:
+        """Return the product's engine."""
+        return EngineSpec(
+            batch_limit=self.slots,
+            token_capacity=self.kv_capacity,
+            adapter_slots=self.adapter_slots,
+            memory=self.weights_mb,
+            models=tuple(
+                BaseModelSpec(
+                    name=each.name,
+                    size=each.weights_mb,
+                    adapter_size=each.adapter_mb,
+                    adapters=each.adapters,
+                )
+                for each in self.models
+            ),
+        )
+
+
+class _Service(_Record):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+    def convert(self) -> Service:
+        """Return the product's service."""
+        engine = None if self.engine is None else self.engine.convert()
+        return Service(self.name, self.max_conns, engine)
+
+
+class _Tenant(_Record):
+    name: str
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int | None = None
+    # What rate and burst are counted in.
+    unit: str = ''
+    plain_tokens: float = 0
+    rate_per_s: float = 0
+    burst: float = 0
+
+    def convert(self) -> Workspace:
+        """Return the product's workspace."""
+        is_tokens = self.unit == _TOKENS
+        return Workspace(
+            name=self.name,
+            keys=frozenset(self.api_keys),
+            priority=self.priority,
+            rate=self.rate_per_s,
+            burst=self.burst,
+            counts_tokens=is_tokens,
+            plain_tokens=self.plain_tokens if is_tokens else 1,
+        )
+
+
+class _Limits(_Record):
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_ms: float = 3000
+    idle_ms: float = 15000
+
+    def convert(self) -> MessageLimits:
+        """Return the product's limits."""
+        return MessageLimits(
+            header_bytes=self.header_bytes,
+            body_bytes=self.body_bytes,
+            header_timeout=self.header_ms / _MILLISECONDS,
+            idle_timeout=self.idle_ms / _MILLISECONDS,
+        )
+
+
+class _Config(_Record):
+    version: int
+    routes: list[_Route] = Field(default_factory=list)
+    services: list[_Service] = Field(default_factory=list)
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = _Limits()
+
+
+class _Version(_Record):
+    model: str
+    adapter: str = ''
+    version: int
+
+
+class _HeldModel(_Record):
+    name: str
+    version: int = 0
+    # Names with versions, joined by an at sign.
+    adapters: list[str] = Field(default_factory=list)
+
+
+class _Entry(_Record):
+    service: str
+    addr: str
+    zone: str
+    state: str
+    slots: int = 0
+    # Orders taken since the start, not a number of the entry.
+    seq: int = 0
+    # Milliseconds since the epoch at which the target started.
+    born: int = 0
+    models: list[_HeldModel] = Field(default_factory=list)
+
+
+class _Report(_Record):
+    seq: int
+    born: int = 0
+    # Requests that run; those that wait are counted apart.
+    inflight: int = 0
+    queued: int = 0
+    models: list[_HeldModel] = Field(default_factory=list)
+    # Adapters in transit, as model, adapter and version in one name.
+    coming: list[str] = Field(default_factory=list)
+
+
+def decode_config(content: bytes) -> ServingConfig:
+    """Decode the operator's record; raise RecordInvalid."""
+    raw = _validate(_Config, content)
+    tenants = raw.tenants or []
+    return ServingConfig(
+        version=raw.version,
+        routes=tuple(each.convert() for each in raw.routes),
+        services={each.name: each.convert() for each in raw.services},
+        workspaces={each.name: each.convert() for each in tenants},
+        limits=raw.limits.convert(),
+    )
+
+
+def decode_version(content: bytes) -> tuple[str, str, int]:
+    """Decode a version's record into model, adapter and version."""
+    raw = _validate(_Version, content)
+    return raw.model, raw.adapter, raw.version
+
+
+def decode_target(key: str, content: bytes) -> Target:
+    """Decode a target's entry; raise RecordInvalid."""
+    raw = _validate(_Entry, content)
+    if raw.state not in _STATES:
+        raise RecordInvalid(f'state {raw.state!r} is not known')
+    try:
+        address = parse_address(raw.addr)
+    except ValueError as exc:
+        raise RecordInvalid(str(exc)) from exc
+    model = raw.models[0] if raw.models else None
+    return Target(
+        target=key.removeprefix(TARGETS_PREFIX),
+        service=raw.service,
+        address=address,
+        zone=raw.zone,
+        slots=raw.slots,
+        is_leaving=raw.state == 'draining',
+        incarnation=raw.born,
+        orders_taken=raw.seq,
+        model=model.name if model else '',
+        adapters=_versions(model.adapters) if model else (),
+    )
+
+
+def decode_report(content: bytes) -> EngineReport:
+    """Decode what an engine says of itself; raise RecordInvalid."""
+    raw = _validate(_Report, content)
+    adapters = [name for model in raw.models for name in model.adapters]
+    coming = [name.rpartition('/')[2] for name in raw.coming]
+    return EngineReport(
+        incarnation=raw.born,
+        orders_taken=raw.seq,
+        adapters=_versions(adapters),
+        coming=_versions(coming),
+        running=raw.inflight + raw.queued,
+    )
+
+
+def _versions(names: list[str]) -> tuple[tuple[str, int], ...]:
+    found = []
+    for each in names:
+        name, _, version = each.partition('@')
+        found.append((name, int(version) if version.isdigit() else 0))
+    return tuple(found)
+
+
+def _validate(model: type[Any], content: bytes) -> Any:
+    try:
+        return model.model_validate(_JSON.decode(content))
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        place = '.'.join(str(part) for part in first['loc'])
+        raise RecordInvalid(f'{place}: {first["msg"]}') from exc
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise RecordInvalid(f'the bytes are not JSON: {exc}') from exc
--- /dev/null
+++ b/mintlanding/platform/requests.py
@@ -0,0 +1,242 @@
+"""Headers of requests and answers, and orders to engines."""
+
+import msgspec
+
+from mintlanding.http1.models import Headers, ResponseHead, header_value
+from mintlanding.residency.models import Order, OrderResult
+from mintlanding.traffic.exchange import (
+    CallerFields,
+    HopFields,
+    TargetAnswer,
+)
+from mintlanding.traffic.models import AdapterName, Demand
+
+_MILLISECONDS = 1000
+_REQUEST_ID = b'x-request-id'
+_DEADLINE = b'x-deadline-ms'
+_MODEL = b'x-model'
+_TOKENS = b'x-token-counts'
+_PREFIX = b'x-prompt-prefix'
+_LAST_EVENT = b'last-event-id'
+_STAMP = b'x-response-stamp'
+_NOT_RUN = b'x-not-run'
+_LOAD = b'x-server-load'
+_SCHEME = 'Token '
+# Set by the system alone, whatever the caller sent.
+_OWN_HEADERS = frozenset(
+    (
+        b'x-tenant',
+        b'x-expect-instance',
+        b'x-expect-version',
+        b'x-request-priority',
+        b'x-hold',
+        b'x-pin-ms',
+        b'x-kv-backup',
+        b'x-not-run',
+        b'kv-from',
+        b'kv-fetch',
+        b'wait-ms',
+        b'authorization',
+        _DEADLINE,
+    ),
+)
+_HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'host',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+# Never left out, also where a caller's Connection header names them.
+_KEPT_HEADERS = frozenset(
+    (_REQUEST_ID, _MODEL, _TOKENS, _PREFIX, _LAST_EVENT, b'content-type'),
+)
+_MISDIRECTED = 421
+# The engine's scale of priorities; the middle one is its default.
+_LOWEST_PRIORITY = 9
+
+
+def read_caller(headers: Headers) -> CallerFields:
+    """Decode what a caller declares; what cannot be read counts as absent."""
+    scheme, _, key = _text(headers, b'authorization').partition(' ')
+    is_key = f'{scheme} '.lower() == _SCHEME.lower()
+    prompt, _, output = _text(headers, _TOKENS).partition(',')
+    declares = prompt.strip().isdigit() and output.strip().isdigit()
+    deadline = _text(headers, _DEADLINE)
+    return CallerFields(
+        request_id=_text(headers, _REQUEST_ID),
+        host=_text(headers, b'host'),
+        key=key.strip() if is_key else '',
+        deadline=_milliseconds(deadline),
+        adapter=AdapterName.parse(_text(headers, _MODEL)),
+        demand=Demand(int(prompt), int(output)) if declares else None,
+        parts=_parts(_text(headers, _PREFIX)),
+        last_event=_text(headers, _LAST_EVENT),
+    )
+
+
+def hop_head(
+    method: bytes,
+    target: bytes,
+    headers: Headers,
+    body_bytes: int,
+    fields: HopFields,
+) -> bytes:
+    """Encode the head of a request to a target."""
+    dropped = _HOP_HEADERS | _OWN_HEADERS | _named_hop_headers(headers)
+    if fields.last_event:
+        dropped |= {_LAST_EVENT}
+    kept = [each for each in headers if each[0] not in dropped]
+    kept.extend(_own_headers(fields))
+    if body_bytes or method not in {b'GET', b'HEAD'}:
+        kept.append((b'content-length', b'%d' % body_bytes))
+    lines = [b'%b %b HTTP/1.1\r\n' % (method, target)]
+    lines.append(b'host: %b\r\n' % header_value(headers, b'host'))
+    lines.extend(b'%b: %b\r\n' % each for each in kept)
+    lines.append(b'\r\n')
+    return b''.join(lines)
+
+
+def read_answer(head: ResponseHead, request_id: str) -> TargetAnswer:
+    """Decode what a target says of a request."""
+    echoed = head.get(_REQUEST_ID).decode('latin-1')
+    is_misdirected = head.status == _MISDIRECTED
+    return TargetAnswer(
+        status=head.status,
+        is_ours=not echoed or echoed == request_id,
+        is_stamped=head.get(_STAMP) != b'',
+        is_not_run=is_misdirected or head.get(_NOT_RUN) != b'',
+        is_misdirected=is_misdirected,
+        target=head.get(b'x-instance-id').decode('latin-1'),
+        load=_load(head.get(_LOAD)),
+    )
+
+
+def answer_headers(head: ResponseHead) -> Headers:
+    """Return the headers of an answer that go on to the caller."""
+    dropped = _HOP_HEADERS | _named_hop_headers(head.headers)
+    kept = (dropped - {_STAMP, _REQUEST_ID}) | {_NOT_RUN}
+    return [each for each in head.headers if each[0] not in kept]
+
+
+def own_answer(request_id: str, retry_after: float) -> Headers:
+    """Return the headers of an answer of our own."""
+    headers: Headers = []
+    if request_id:
+        headers.append((_REQUEST_ID, request_id.encode('latin-1')))
+    if retry_after > 0:
+        headers.append((b'retry-after', b'%.2f' % retry_after))
+    return headers
+
+
+def order_request(order: Order, target: str, holder: str, host: str) -> bytes:
+    """Encode an order to an engine.
+
+    The engines compare no fencing numbers, but want one.
+    """
+    fields = {
+        'op': order.kind.value,
+        'model': order.model,
+        'adapter': order.adapter,
+        'expected': order.expected,
+        'holder': holder,
+        'fence': 1,
+    }
+    if order.version:
+        fields['version'] = order.version
+    body = msgspec.json.encode(fields)
+    head = (
+        'POST /v1/order HTTP/1.1\r\n'
+        f'Host: {host}\r\n'
+        f'X-Expect-Instance: {target}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+def report_request(target: str, host: str) -> bytes:
+    """Encode a question for an engine's report."""
+    return (
+        'GET /v1/report HTTP/1.1\r\n'
+        f'Host: {host}\r\n'
+        f'X-Expect-Instance: {target}\r\n\r\n'
+    ).encode()
+
+
+def order_result(status: int) -> OrderResult:
+    """Decode the status of an order's answer."""
+    if status == 202:
+        return OrderResult.accepted
+    if status == 200:
+        return OrderResult.holds
+    if status == 409:
+        return OrderResult.conflict
+    return OrderResult.rejected
+
+
+def _own_headers(fields: HopFields) -> Headers:
+    left = max(1, int(fields.time_left * _MILLISECONDS))
+    headers: Headers = [
+        (_DEADLINE, b'%d' % left),
+        (b'x-expect-instance', fields.target.encode('latin-1')),
+    ]
+    if fields.workspace:
+        headers.append((b'x-tenant', fields.workspace.encode('latin-1')))
+    if fields.version:
+        headers.append((b'x-expect-version', b'%d' % fields.version))
+    if fields.priority is not None:
+        priority = min(max(0, fields.priority), _LOWEST_PRIORITY)
+        headers.append((b'x-request-priority', b'%d' % priority))
+    if fields.last_event:
+        headers.append((_LAST_EVENT, fields.last_event.encode('latin-1')))
+    return headers
+
+
+def _named_hop_headers(headers: Headers) -> frozenset[bytes]:
+    named = {
+        token.strip().lower()
+        for name, setting in headers
+        if name == b'connection'
+        for token in setting.split(b',')
+    }
+    return frozenset(named) - _KEPT_HEADERS
+
+
+def _text(headers: Headers, name: bytes) -> str:
+    return header_value(headers, name).decode('latin-1').strip()
+
+
+def _milliseconds(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number / _MILLISECONDS if number > 0 else None
+
+
+def _parts(text: str) -> tuple[tuple[str, int], ...]:
+    found: list[tuple[str, int]] = []
+    for each in text.split(','):
+        part, _, tokens = each.strip().partition(':')
+        if not part or not tokens.isdigit():
+            return tuple(found)
+        found.append((part, int(tokens)))
+    return tuple(found)
+
+
+def _load(told: bytes) -> tuple[int, int, int] | None:
+    numbers = told.split(b',')
+    if len(numbers) != 3 or not all(each.strip().isdigit() for each in numbers):
+        return None
+    running, waiting, slots = (int(each) for each in numbers)
+    return running, waiting, slots
--- /dev/null
+++ b/mintlanding/platform/settings.py
@@ -0,0 +1,157 @@
+"""The settings that the platform hands to each process."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mintlanding.conf.exceptions import SettingsError
+from mintlanding.core.checks import CheckMessage
+from mintlanding.node.settings import (
+    Bounds,
+    InstanceFacts,
+    NodeSettings,
+)
+from mintlanding.traffic.retries import FleetRetryTerms
+
+PATH_VARIABLE = 'MINTLANDING_NODE_FILE'
+_DEFAULT_PATH = '/etc/mintlanding/boot.toml'
+_MILLISECONDS = 1000
+# Where metrics are served; deploy/system.toml names the same port.
+_METRICS_PORT = 9464
+
+
+class _Section(BaseModel):
+    """Base of all sections; names that are not known are left out."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _Listen(_Section):
+    front: str
+    ready: str
+    control: str = ''
+
+
+class _Bounds(_Section):
+    contact_ms: float = 3000
+    drain_ms: float = 2000
+    grace_s: float = 8
+    apply_ms: float = 2000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 50
+    lease_ttl_ms: float = 3000
+    version_ms: float = 5000
+    quota_slack: float = 0
+    quota_window_s: float = 8
+
+
+class _Platform(_Section):
+    addr: str
+    ttl_min_ms: float = 1000
+
+
+class _Boot(_Section):
+    node: str
+    ip: str
+    zone: str
+    port_range: list[int] = Field(min_length=2)
+    listen: _Listen
+    bounds: _Bounds = _Bounds()
+    platform: _Platform
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process is told when it starts."""
+
+    node: NodeSettings
+    store_address: tuple[str, int]
+
+
+def settings_path() -> str:
+    """Return where the platform puts the settings."""
+    return os.environ.get(PATH_VARIABLE, _DEFAULT_PATH)
+
+
+def load_settings(path: str) -> PlatformSettings:
+    """Read the settings file; raise SettingsError with every mistake."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _error(path, f'the file cannot be read: {exc}') from exc
+    return parse_settings(text, path)
+
+
+def parse_settings(text: str, source: str = 'settings') -> PlatformSettings:
+    """Check the text of a settings file."""
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise _error(source, f'the file is not TOML: {exc}') from exc
+    try:
+        boot = _Boot.model_validate(document)
+        return _convert(boot)
+    except ValidationError as exc:
+        raise SettingsError(
+            [_message(source, each) for each in exc.errors()],
+        ) from exc
+    except ValueError as exc:
+        raise _error(source, str(exc)) from exc
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split `host:port`; raise ValueError naming what is wrong."""
+    host, found, port = text.rpartition(':')
+    if not found or not port.isdigit():
+        raise ValueError(f'{text!r} is not an address of the form IP:PORT')
+    return host, int(port)
+
+
+def _convert(boot: _Boot) -> PlatformSettings:
+    bounds = boot.bounds
+    node = NodeSettings(
+        facts=InstanceFacts(
+            instance=f'{boot.node}@{boot.ip}',
+            zone=boot.zone,
+            host=boot.ip,
+            front=parse_address(boot.listen.front),
+            ready=parse_address(boot.listen.ready),
+            peer_port=boot.port_range[0],
+            metrics_port=_METRICS_PORT,
+        ),
+        bounds=Bounds(
+            contact=bounds.contact_ms / _MILLISECONDS,
+            drain=bounds.drain_ms / _MILLISECONDS,
+            grace=bounds.grace_s,
+            apply=bounds.apply_ms / _MILLISECONDS,
+            turn_gap=bounds.lease_ttl_ms / _MILLISECONDS,
+            version=bounds.version_ms / _MILLISECONDS,
+            shortest_lease=boot.platform.ttl_min_ms / _MILLISECONDS,
+        ),
+        retries=FleetRetryTerms(
+            ratio=bounds.retry_ratio,
+            window=bounds.retry_window_s,
+            slack=bounds.retry_slack,
+        ),
+    )
+    return PlatformSettings(node, parse_address(boot.platform.addr))
+
+
+def _message(source: str, error: Any) -> CheckMessage:
+    place = '.'.join(str(part) for part in error['loc'])
+    return CheckMessage(
+        'platform.E002',
+        f'{source}: {place}',
+        error['msg'],
+        'The platform writes this file; compare it with its documentation.',
+    )
+
+
+def _error(source: str, message: str) -> SettingsError:
+    hint = f'Set {PATH_VARIABLE} to the path of a settings file in TOML.'
+    return SettingsError([CheckMessage('platform.E001', source, message, hint)])
--- /dev/null
+++ b/mintlanding/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters on engines that take orders in sequence, and who may order."""
--- /dev/null
+++ b/mintlanding/residency/authority.py
@@ -0,0 +1,184 @@
+"""Who may order at a worker, and until when.
+
+Engines do not compare fencing numbers, so that two instances must never
+order in turn within `turn_gap`. An instance holds a worker by a record in the
+store; the record may be taken over only once the lease of the holder's
+member entry has ended, and by an instance that has not heard of the holder
+for `silence`. The holder orders while either of two things is surely true:
+its lease has not ended, or no other member can take over yet, because each
+has told that it heard of the holder lately.
+
+Times are seconds of a clock that goes on while the machine is suspended.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import xxhash
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityTerms:
+    """How long authority lasts, in seconds.
+
+    `lease`: life of a member's lease. `silence`: how long a holder must be
+    unheard of before another takes over. `hold`: how long after its last
+    renewal, or the last word that each member has heard, a holder orders.
+    `turn_gap`: least time between orders of two holders; the users' bound.
+    `slack`: for the time that an order may spend on its way.
+    """
+
+    lease: float = 2
+    silence: float = 2
+    hold: float = 1.3
+    turn_gap: float = 3
+    slack: float = 0.4
+
+    @property
+    def takeover_wait(self) -> float:
+        """Return how long a new holder waits after a holder that is gone."""
+        unused = min(self.lease, self.silence) - self.hold
+        return max(0, self.turn_gap - unused + self.slack)
+
+    @property
+    def handover_wait(self) -> float:
+        """Return how long a new holder waits after one that let go."""
+        return self.turn_gap + self.slack
+
+
+@dataclass(slots=True)
+class OrderAuthority:
+    """Until when this instance may order at the workers that it holds."""
+
+    terms: AuthorityTerms
+    _renewed: float = float('-inf')
+    _consents: dict[str, float] = field(default_factory=dict)
+    _members: frozenset[str] = frozenset()
+
+    def renewed(self, sent_at: float) -> None:
+        """Note a renewal of the lease by when its call was sent."""
+        self._renewed = max(self._renewed, sent_at)
+
+    def lost(self) -> None:
+        """Note that the lease has ended; members may still consent."""
+        self._renewed = float('-inf')
+
+    def heard_by(self, member: str, told_at: float) -> None:
+        """Note that a member has heard what was told at a time."""
+        before = self._consents.get(member, float('-inf'))
+        self._consents[member] = max(before, told_at)
+
+    def set_members(self, others: Iterable[str]) -> None:
+        """Take everyone who could take over."""
+        self._members = frozenset(others)
+
+    def until(self) -> float:
+        """Return when the authority ends."""
+        by_lease = self._renewed + self.terms.hold
+        if not self._members:
+            return by_lease
+        never = float('-inf')
+        consent = min(self._consents.get(each, never) for each in self._members)
+        return max(by_lease, consent + self.terms.hold)
+
+
+@dataclass(frozen=True, slots=True)
+class HoldRecord:
+    """Who holds a worker; an empty holder has let go.
+
+    A settled holder has waited out the one before it.
+    """
+
+    holder: str
+    revision: int
+    is_settled: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSpot:
+    """A member and its zone."""
+
+    member: str
+    zone: str
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A worker to take, and how long to wait before the first order."""
+
+    worker: str
+    revision: int
+    previous: str
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimView:
+    """What a choice of claims depends on.
+
+    `heard` is when each member was last heard of, `unreachable` are workers
+    that this instance cannot reach.
+    """
+
+    me: str
+    zones: Mapping[str, str]
+    records: Mapping[str, HoldRecord]
+    members: Mapping[str, MemberSpot]
+    heard: Mapping[str, float]
+    unreachable: frozenset[str] = frozenset()
+
+
+def choose_claims(
+    view: ClaimView,
+    terms: AuthorityTerms,
+    now: float,
+) -> list[Claim]:
+    """Return the workers that this instance takes now."""
+    claims = []
+    for worker, zone in view.zones.items():
+        record = view.records.get(worker, HoldRecord('', 0))
+        if worker in view.unreachable or not _is_free(record, view, terms, now):
+            continue
+        if preferred_member(worker, zone, view.members.values()) != view.me:
+            continue
+        wait = terms.takeover_wait if record.holder else terms.handover_wait
+        claims.append(
+            Claim(
+                worker,
+                record.revision,
+                record.holder,
+                wait if record.revision else 0,
+            ),
+        )
+    return claims
+
+
+def preferred_member(
+    worker: str,
+    zone: str,
+    members: Iterable[MemberSpot],
+) -> str:
+    """Return the member that should hold a worker, by rendezvous hashing."""
+    staying = [each for each in members if not each.is_leaving]
+    near = [each for each in staying if each.zone == zone]
+    return max(
+        (each.member for each in near or staying),
+        key=lambda member: xxhash.xxh64_intdigest(
+            f'{worker}|{member}'.encode(),
+        ),
+        default='',
+    )
+
+
+def _is_free(
+    record: HoldRecord,
+    view: ClaimView,
+    terms: AuthorityTerms,
+    now: float,
+) -> bool:
+    if record.holder == view.me or record.holder in view.members:
+        return False
+    if not record.holder:
+        return True
+    return now >= view.heard.get(record.holder, float('-inf')) + terms.silence
--- /dev/null
+++ b/mintlanding/residency/models.py
@@ -0,0 +1,165 @@
+"""Terms and records of a steward; times in seconds, sizes in tokens."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Union
+
+from mintlanding.residency.messages import AdmissionReply, AdmissionRequest
+
+
+class OrderKind(StrEnum):
+    """What an engine is told to do with an adapter."""
+
+    load = 'load'
+    unload = 'unload'
+
+
+class OrderResult(StrEnum):
+    """How an engine answered an order.
+
+    `lost`: no answer came, the order may be carried out at any time while
+    its expected count still holds.
+    """
+
+    accepted = 'accepted'
+    holds = 'holds'
+    conflict = 'conflict'
+    rejected = 'rejected'
+    not_sent = 'not_sent'
+    lost = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order; `expected` is the count of orders the engine must have."""
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    expected: int
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AskReport:
+    """Ask the engine what it holds."""
+
+
+Action = Union[AdmissionReply, Order, AskReport]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says it holds, some hundred milliseconds ago."""
+
+    incarnation: int
+    orders_taken: int
+    adapters: tuple[tuple[str, int], ...] = ()
+    coming: tuple[tuple[str, int], ...] = ()
+    running: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StewardTerms:
+    """How a steward admits and orders.
+
+    `prompt_rate`: tokens a second that an engine reads; the users' sheet.
+    `load_time` and `reload_time`: an adapter from the weight store, and one
+    that the worker held recently; the users' sheet. `transit_limit`: loads
+    that an engine takes at a time; its protocol. `recent_limit`: adapters
+    taken for recently held. `backlog_limit`: seconds of prompts handed to an
+    engine ahead, a little more than a long prompt takes. `token_share`: part
+    of the engine's memory that running requests may fill, the rest keeps
+    prompts. `half_life` of the demand for an adapter, about that of its
+    swings. `report_pause`: how long a report lags behind.
+    """
+
+    prompt_rate: float = 38100
+    load_time: float = 0.25
+    reload_time: float = 0.03
+    transit_limit: int = 4
+    recent_limit: int = 96
+    backlog_limit: float = 0.25
+    token_share: float = 0.9
+    half_life: float = 15
+    report_pause: float = 0.25
+    order_pause: float = 0.05
+    replace_patience: float = 1
+    queue_limit: int = 256
+    priority_step: float = 0.5
+    prefix_limit: int = 4096
+
+
+class HeldState(StrEnum):
+    """What a place of the engine is used for."""
+
+    loading = 'loading'
+    ready = 'ready'
+    unloading = 'unloading'
+
+
+@dataclass(slots=True)
+class Held:
+    """An adapter in a place; `ready_at` bounds the end of its load."""
+
+    adapter: str
+    state: HeldState
+    version: int = 0
+    ready_at: float = 0
+    used: float = 0
+    pins: int = 0
+    stale_since: float | None = None
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in the queue; a lower `rank` goes first."""
+
+    req: AdmissionRequest
+    rank: float
+    expires: float
+    cost: float
+    is_told: bool = False
+
+
+@dataclass(slots=True)
+class Granted:
+    """A request on the engine."""
+
+    req: AdmissionRequest
+    since: float
+    expires: float
+
+
+@dataclass(slots=True)
+class OrderUnderWay:
+    """The one order whose effect is not known yet."""
+
+    order: Order
+    resend_at: float | None = None
+    is_lost: bool = False
+
+
+@dataclass(slots=True)
+class EngineRoom:
+    """What the engine of a worker can take."""
+
+    model: str
+    places: int
+    batch_limit: int
+    token_capacity: int
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts of what a steward did."""
+
+    loads: int = 0
+    unloads: int = 0
+    grants: int = 0
+    refusals: int = 0
+    conflicts: int = 0
+    lost_orders: int = 0
+    not_ready: int = 0
+    missing: int = 0
+    waits: list[float] = field(default_factory=list)
--- /dev/null
+++ b/mintlanding/residency/steward.py
@@ -0,0 +1,411 @@
+"""The steward of one engine: who runs, what is loaded, what gives way."""
+
+import random
+from collections.abc import Sequence
+
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    AdmissionRequest,
+    Outcome,
+    WorkerDigest,
+)
+from mintlanding.residency.models import (
+    Action,
+    AskReport,
+    EngineReport,
+    EngineRoom,
+    Granted,
+    Order,
+    OrderKind,
+    OrderResult,
+    OrderUnderWay,
+    StewardTerms,
+    Tally,
+    Waiting,
+)
+from mintlanding.residency.prefixes import PrefixMemory
+from mintlanding.residency.queue import AdmissionQueue
+from mintlanding.residency.shelf import Shelf
+
+# Share of a measured hold time in the running mean.
+_SMOOTHING = 0.05
+# Seconds that a request holds its place before any was measured.
+_FIRST_HOLD = 0.4
+# Seconds after its deadline at which a grant that nobody ended is dropped.
+_GRANT_GRACE = 0.3
+# No caller is told to come back sooner than this many seconds.
+_MIN_RETRY_AFTER = 0.1
+# Told times are spread by up to this share, so that callers come apart.
+_RETRY_SPREAD = 0.3
+
+
+class EngineSteward:
+    """Decide for one worker; each event returns the actions to carry out.
+
+    Orders go out one at a time. Without authority nothing is ordered, and
+    requests run on what is there.
+    """
+
+    def __init__(
+        self,
+        worker: str,
+        incarnation: int,
+        room: EngineRoom,
+        terms: StewardTerms,
+        rnd: random.Random,
+    ) -> None:
+        """Start without authority and without knowledge of the engine."""
+        self.worker = worker
+        self.incarnation = incarnation
+        self.tally = Tally()
+        self.is_known = False
+        self.may_order = False
+        self.is_leaving = False
+        self.shelf = Shelf(room, terms)
+        self.queue = AdmissionQueue(terms)
+        self._terms = terms
+        self._rnd = rnd
+        self._room = room
+        self._granted: dict[str, Granted] = {}
+        self._tokens = 0
+        self._prefixes = PrefixMemory(terms.prefix_limit)
+        self._read_until: float = 0
+        self._hold = _FIRST_HOLD
+        self._under_way: OrderUnderWay | None = None
+        self._report_at: float | None = None
+
+    @property
+    def running(self) -> int:
+        """Count the requests on the engine."""
+        return len(self._granted)
+
+    def begin(self, now: float) -> Sequence[Action]:
+        """Ask the engine what it holds."""
+        self._report_at = now
+        return self._proceed(now)
+
+    def reserve(self, req: AdmissionRequest, now: float) -> Sequence[Action]:
+        """Grant, queue or refuse a request."""
+        if req.request_id in self._granted or req.request_id in self.queue:
+            return []
+        self._expire_grants(now)
+        if req.adapter:
+            self.shelf.note_request(req.adapter, now)
+        reason = self._barrier(req)
+        if reason:
+            return [self._refusal(req, now, reason, elsewhere=True)]
+        cost = self._reading_seconds(req)
+        rank = now + req.objective + req.priority * self._terms.priority_step
+        wait = self.expected_wait(req.adapter, rank, now)
+        if self.queue.is_full or wait > req.patience:
+            return [self._refusal(req, now, 'overloaded', wait=wait)]
+        item = Waiting(req, rank, now + req.patience, cost)
+        self.queue.push(item)
+        actions = self._proceed(now)
+        if req.request_id in self.queue:
+            item.is_told = True
+            actions.append(AdmissionReply(req.request_id, self.worker, is_waiting=True))
+        return actions
+
+    def end(self, message: AdmissionEnd, now: float) -> Sequence[Action]:
+        """End a request, granted or waiting."""
+        if self.queue.remove(message.request_id) is not None:
+            return self._proceed(now)
+        granted = self._granted.pop(message.request_id, None)
+        if granted is None:
+            return []
+        req = granted.req
+        self._tokens -= _size(req)
+        self.shelf.unpin(req.adapter, now)
+        if message.outcome is Outcome.served:
+            held = now - granted.since
+            self._hold += _SMOOTHING * (held - self._hold)
+        if message.outcome is Outcome.not_ready:
+            self.tally.not_ready += 1
+            self.shelf.delay(req.adapter, now + self._terms.order_pause)
+        if message.outcome is Outcome.missing:
+            self.tally.missing += 1
+            self.shelf.delay(req.adapter, float('inf'))
+            self._ask_report(now)
+        return self._proceed(now)
+
+    def order_done(
+        self,
+        order: Order,
+        outcome: OrderResult,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the answer to the order under way."""
+        under_way = self._under_way
+        if under_way is None or under_way.order is not order:
+            return []
+        if outcome in {OrderResult.lost, OrderResult.not_sent}:
+            self.tally.lost_orders += 1
+            under_way.is_lost |= outcome is OrderResult.lost
+            under_way.resend_at = now + self._terms.order_pause
+            return []
+        self._under_way = None
+        if outcome is OrderResult.accepted:
+            self._note_taken(order, now)
+        elif outcome is OrderResult.holds:
+            self._note_taken(order, now)
+        else:
+            self.tally.conflicts += 1
+            self._settle_conflict(order, now)
+        return self._proceed(now)
+
+    def report(self, report: EngineReport, now: float) -> Sequence[Action]:
+        """Take a lagging report; an older incarnation's is ignored."""
+        if report.incarnation != self.incarnation or self._under_way:
+            return []
+        if self.is_known and report.orders_taken < self.shelf.orders_taken:
+            return []
+        self.shelf.adopt(report, now)
+        self.is_known = True
+        self._report_at = None
+        return self._proceed(now)
+
+    def name_version(
+        self,
+        adapter: str,
+        version: int,
+        now: float,
+    ) -> Sequence[Action]:
+        """Take the newest version of an adapter."""
+        self.shelf.name_version(adapter, version, now)
+        return self._proceed(now)
+
+    def set_authority(self, may_order: bool, now: float) -> Sequence[Action]:
+        """Begin or cease to give orders; the engine is asked anew."""
+        if may_order == self.may_order:
+            return []
+        self.may_order = may_order
+        if may_order:
+            self._report_at = now
+        return self._proceed(now)
+
+    def drain(self, now: float) -> Sequence[Action]:
+        """Take no more requests for a worker that leaves."""
+        self.is_leaving = True
+        return [
+            self._refusal(item.req, now, 'leaving', elsewhere=True)
+            for item in self.queue
+            if self.queue.remove(item.req.request_id)
+        ]
+
+    def tick(self, now: float) -> Sequence[Action]:
+        """Act on what time brings: ended loads, patience, repeats."""
+        self._expire_grants(now)
+        return self._proceed(now)
+
+    def next_event(self, now: float) -> float | None:
+        """Return when `tick` has something to do."""
+        times = [self.shelf.next_ready(now), self.queue.next_expiry()]
+        if self.queue and self._read_until > now:
+            times.append(self._read_until - self._terms.backlog_limit)
+        if self._under_way is not None:
+            times.append(self._under_way.resend_at)
+        times.append(self._report_at)
+        return min((each for each in times if each is not None), default=None)
+
+    def digest(self, now: float) -> WorkerDigest:
+        """Summarise the worker for the other instances."""
+        return WorkerDigest(
+            worker=self.worker,
+            incarnation=self.incarnation,
+            can_order=self.may_order and self.is_known,
+            running=self.running,
+            queued=len(self.queue),
+            wait=round(self.expected_wait('', float('inf'), now), 3),
+            ready=self.shelf.ready(now),
+        )
+
+    def expected_wait(self, adapter: str, rank: float, now: float) -> float:
+        """Return the seconds until a request of a rank probably starts."""
+        ahead, cost = self.queue.cost_ahead(rank)
+        backlog = max(0, self._read_until - now) + cost
+        reading = max(0, backlog - self._terms.backlog_limit)
+        places = self._room.batch_limit
+        excess = self.running + ahead + 1 - places
+        batch = max(0, excess) * self._hold / places
+        load: float = 0
+        if adapter and not self.shelf.is_ready(adapter, now):
+            load = self.shelf.load_seconds(adapter)
+        return max(reading, batch, load)
+
+    def _barrier(self, req: AdmissionRequest) -> str:
+        if self.is_leaving:
+            return 'leaving'
+        if _size(req) > self._room.token_capacity:
+            return 'too large'
+        if not req.adapter or self.shelf.get(req.adapter) is not None:
+            return ''
+        if not (self.may_order and self.is_known):
+            return 'no orders'
+        return ''
+
+    def _proceed(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for item in self.queue.expired(now):
+            self.queue.remove(item.req.request_id)
+            actions.append(self._refusal(item.req, now, 'no place in time'))
+        actions.extend(self._grant_all(now))
+        actions.extend(self._order(now))
+        return actions
+
+    def _grant_all(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for item in self.queue:
+            if self._is_full(now):
+                break
+            req = item.req
+            if req.adapter and not self.shelf.is_ready(req.adapter, now):
+                continue
+            if self._tokens + _size(req) > self._token_limit():
+                continue
+            actions.append(self._grant(item, now))
+        return actions
+
+    def _is_full(self, now: float) -> bool:
+        if self.running >= self._room.batch_limit:
+            return True
+        return self._read_until - now > self._terms.backlog_limit
+
+    def _token_limit(self) -> float:
+        if not self._granted:
+            return self._room.token_capacity
+        return self._room.token_capacity * self._terms.token_share
+
+    def _grant(self, item: Waiting, now: float) -> AdmissionReply:
+        req = item.req
+        self.queue.remove(req.request_id)
+        expires = now + req.deadline + _GRANT_GRACE
+        self._granted[req.request_id] = Granted(req, now, expires)
+        self._tokens += _size(req)
+        cost = self._reading_seconds(req)
+        self._prefixes.note(req.adapter, req.parts)
+        self._read_until = max(self._read_until, now) + cost
+        self.tally.grants += 1
+        version = 0
+        held = self.shelf.get(req.adapter)
+        if held is not None:
+            version = held.version
+            self.shelf.pin(req.adapter, now)
+        return AdmissionReply(
+            req.request_id,
+            self.worker,
+            is_granted=True,
+            version=version,
+        )
+
+    def _order(self, now: float) -> list[Action]:
+        if self._report_at is not None and now >= self._report_at:
+            self._report_at = now + self._terms.report_pause
+            return [AskReport()]
+        if not self.may_order:
+            return []
+        if self._under_way is not None:
+            return self._repeat(self._under_way, now)
+        if not self.is_known or self._report_at is not None:
+            return []
+        order = self._next_order(now)
+        if order is None:
+            return []
+        self.shelf.begin(order, now)
+        self._under_way = OrderUnderWay(order)
+        return [order]
+
+    def _repeat(self, under_way: OrderUnderWay, now: float) -> list[Action]:
+        resend_at = under_way.resend_at
+        if resend_at is None or now < resend_at:
+            return []
+        under_way.resend_at = None
+        return [under_way.order]
+
+    def _next_order(self, now: float) -> Order | None:
+        if self.shelf.in_transit(now) >= self._terms.transit_limit:
+            return None
+        for stale in self.shelf.replaceable(now):
+            return self._make(OrderKind.load, stale.adapter)
+        wanted = self.queue.adapters()
+        missing = [
+            adapter for adapter in wanted if self.shelf.get(adapter) is None
+        ]
+        if not missing:
+            return None
+        if self.shelf.has_room():
+            return self._make(OrderKind.load, missing[0])
+        victim = self.shelf.victim(wanted)
+        if victim is None:
+            return None
+        return self._make(OrderKind.unload, victim.adapter)
+
+    def _make(self, kind: OrderKind, adapter: str) -> Order:
+        return Order(
+            kind,
+            self._room.model,
+            adapter,
+            self.shelf.orders_taken,
+            self.shelf.newest(adapter) if kind is OrderKind.load else 0,
+        )
+
+    def _note_taken(self, order: Order, now: float) -> None:
+        self.shelf.taken(order, now)
+        if order.kind is OrderKind.load:
+            self.tally.loads += 1
+        else:
+            self.tally.unloads += 1
+            self._prefixes.forget(order.adapter)
+
+    def _settle_conflict(self, order: Order, now: float) -> None:
+        """Ask what holds; a load stays counted until a report tells."""
+        if order.kind is OrderKind.load:
+            self.shelf.delay(order.adapter, float('inf'))
+        self.is_known = False
+        self._ask_report(now)
+
+    def _ask_report(self, now: float) -> None:
+        if self._report_at is None:
+            self._report_at = now + self._terms.report_pause
+
+    def _expire_grants(self, now: float) -> None:
+        over = [
+            key for key, each in self._granted.items() if each.expires <= now
+        ]
+        for key in over:
+            req = self._granted.pop(key).req
+            self._tokens -= _size(req)
+            self.shelf.unpin(req.adapter, now)
+
+    def _reading_seconds(self, req: AdmissionRequest) -> float:
+        unread = self._prefixes.unread(
+            req.adapter,
+            req.parts,
+            req.prompt_tokens,
+        )
+        return unread / self._terms.prompt_rate
+
+    def _refusal(
+        self,
+        req: AdmissionRequest,
+        now: float,
+        reason: str,
+        wait: float = 0,
+        elsewhere: bool = False,
+    ) -> AdmissionReply:
+        self.tally.refusals += 1
+        expected = wait or self.expected_wait(req.adapter, float('inf'), now)
+        spread = 1 + _RETRY_SPREAD * self._rnd.random()
+        return AdmissionReply(
+            req.request_id,
+            self.worker,
+            retry_after=max(_MIN_RETRY_AFTER, expected) * spread,
+            elsewhere=elsewhere,
+            reason=reason,
+        )
+
+
+def _size(req: AdmissionRequest) -> int:
+    return req.prompt_tokens + req.output_tokens
+
--- a/mintlanding/standin/instances.py
+++ b/mintlanding/standin/instances.py
@@ -7,7 +7,7 @@
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
 
-from mintlanding.platform.instances import InstanceRecord
+from mintlanding.coordination.instances import InstanceRecord
 from mintlanding.standin.base import KINDS, Standin, pack, reply
 from mintlanding.standin.settings import StandinSettings
 
--- a/mintlanding/standin/keyvalue.py
+++ b/mintlanding/standin/keyvalue.py
@@ -7,11 +7,11 @@
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
 
+from mintlanding.coordination.http import IndexReply, LeaseReply
+from mintlanding.coordination.keyvalue import MAX_VALUE_BYTES
+from mintlanding.coordination.memory import MemoryKeyValueService
+from mintlanding.coordination.store import KeyValueStore
 from mintlanding.core.results import Done, Outcome, ResultCode
-from mintlanding.platform.http import IndexReply, LeaseReply
-from mintlanding.platform.keyvalue import MAX_VALUE_BYTES
-from mintlanding.platform.memory import MemoryKeyValueService
-from mintlanding.platform.store import KeyValueStore
 from mintlanding.standin.base import KINDS, Standin, pack
 from mintlanding.standin.settings import StandinSettings
 
--- /dev/null
+++ b/mintlanding/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, workspaces, caps and targets as an instance serves them."""
--- /dev/null
+++ b/mintlanding/traffic/models.py
@@ -0,0 +1,173 @@
+"""The serving configuration and the targets; times in seconds."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Self
+
+from mintlanding.http1.models import MessageLimits
+
+
+class RouteKind(StrEnum):
+    """What a route's requests are, which says what may be repeated."""
+
+    safe = 'safe'
+    unsafe = 'unsafe'
+    stream = 'stream'
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of a host and path prefix go, and on what terms.
+
+    `attempts` bounds the targets that may run one request. `objective` is the
+    time within which an answer, or the first event of a stream, is on time;
+    `event_gap` the longest pause between events. A lower `priority` is more
+    urgent. `shares` are services with their weights.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout: float
+    objective: float
+    shares: tuple[tuple[str, float], ...]
+    attempts: int = 1
+    priority: int = 0
+    event_gap: float = 0
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RouteKind.stream:
+            return self.is_resumable
+        return self.kind is RouteKind.safe
+
+
+@dataclass(frozen=True, slots=True)
+class BaseModel:
+    """A base model and the size of its adapters in megabytes."""
+
+    name: str
+    size: float
+    adapter_size: float = 0
+    adapters: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """What each engine of a service can hold.
+
+    `memory` is in megabytes and holds models and adapters, `token_capacity`
+    bounds the tokens of running requests and kept prompts.
+    """
+
+    batch_limit: int
+    token_capacity: int
+    adapter_slots: int
+    memory: float
+    models: tuple[BaseModel, ...] = ()
+
+    def adapter_places(self, model: str) -> int:
+        """Return how many adapters of a model fit beside it."""
+        for each in self.models:
+            if each.name == model and each.adapter_size > 0:
+                room = int((self.memory - each.size) // each.adapter_size)
+                return max(0, min(self.adapter_slots, room))
+        return self.adapter_slots
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A pool of targets; an engine runs adapters, others plain requests."""
+
+    name: str
+    connection_limit: int = 0
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A workspace with its keys and its cap over the whole fleet.
+
+    `rate` (a second) and `burst` are in tokens if `counts_tokens`, else in
+    requests; a rate of 0 means no cap. A request that declares no tokens
+    counts as `plain_tokens`.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    rate: float = 0
+    burst: float = 0
+    counts_tokens: bool = False
+    plain_tokens: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ServingConfig:
+    """One version of everything that operators set."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    limits: MessageLimits = MessageLimits()
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A target as it describes itself.
+
+    `incarnation` changes with each start. `orders_taken` counts the orders
+    of this incarnation, `adapters` are names with versions.
+    """
+
+    target: str
+    service: str
+    address: tuple[str, int]
+    zone: str
+    slots: int
+    is_leaving: bool = False
+    incarnation: int = 0
+    orders_taken: int = 0
+    model: str = ''
+    adapters: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what tells this incarnation from others."""
+        return self.target, self.incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterName:
+    """What a request runs on: a base model, or an adapter of it."""
+
+    model: str
+    adapter: str = ''
+
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Split `model/adapter`."""
+        model, _, adapter = text.partition('/')
+        return cls(model, adapter)
+
+    def __str__(self) -> str:
+        """Write it the way callers do."""
+        return f'{self.model}/{self.adapter}' if self.adapter else self.model
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request declares of its work, in tokens."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+    @property
+    def total(self) -> int:
+        """Return all tokens that the request may hold."""
+        return self.prompt_tokens + self.output_tokens
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -25,12 +25,12 @@
 from mintlanding.configuration.proposals import Proposal
 from mintlanding.configuration.storage import ConfigurationStorage
 from mintlanding.configuration.writes import Authorship, new_write_id
+from mintlanding.coordination.http import HttpKeyValueService
+from mintlanding.coordination.instances import InstanceRecord
 from mintlanding.core.exceptions import PeerUnavailable, PlatformUnavailable
 from mintlanding.core.http_client import HttpAnswer, HttpCall, HttpClient
 from mintlanding.core.results import Done
 from mintlanding.entry.application import EntryApplication
-from mintlanding.platform.http import HttpKeyValueService
-from mintlanding.platform.instances import InstanceRecord
 from mintlanding.standin.base import KINDS
 from mintlanding.standin.settings import StandinSettings
 
--- a/tests/process/test_targets.py
+++ b/tests/process/test_targets.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from mintlanding.coordination.http import HttpKeyValueService
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.core.results import Done, Ran
 from mintlanding.engines.client import EngineClient
@@ -18,7 +19,6 @@
 from mintlanding.engines.relay import StreamRelay
 from mintlanding.engines.stream import StreamBroken
 from mintlanding.placement.messages import AdapterRef
-from mintlanding.platform.http import HttpKeyValueService
 from tests.process.standins import running
 
 pytestmark = pytest.mark.process
