--- a/mintlanding/cli/client.py
+++ b/mintlanding/cli/client.py
@@ -12,13 +12,8 @@
 
 from mintlanding.cli.exceptions import CommandError, ExitCode
 from mintlanding.configuration.writes import new_write_id
-from mintlanding.core.http_client import (
-    CallLost,
-    CallNotSent,
-    HttpAnswer,
-    HttpCall,
-    HttpClient,
-)
+from mintlanding.core.exceptions import CallLost, CallNotSent
+from mintlanding.core.http_client import HttpAnswer, HttpCall, HttpClient
 from mintlanding.core.results import Ran, ResultCode
 
 URL_VARIABLE = 'MINTLANDING_ADMIN'
--- a/mintlanding/cli/tests/test_commands.py
+++ b/mintlanding/cli/tests/test_commands.py
@@ -21,8 +21,9 @@
 from mintlanding.cli.__main__ import run
 from mintlanding.cli.client import AdminClient
 from mintlanding.cli.exceptions import CommandError, ExitCode
+from mintlanding.core.exceptions import CallLost
 from mintlanding.core.http import HttpServer
-from mintlanding.core.http_client import CallLost, HttpAnswer
+from mintlanding.core.http_client import HttpAnswer
 
 OBJECTS = (workspace(), service(), adapter(labels={'app': 'x'}), version())
 DOCS = Path(__file__).parents[3] / 'docs' / 'reference' / 'commands.md'
--- a/mintlanding/coordination/http.py
+++ b/mintlanding/coordination/http.py
@@ -12,14 +12,12 @@
     conflict,
     too_large,
 )
-from mintlanding.core.exceptions import PlatformUnavailable
-from mintlanding.core.http_client import (
+from mintlanding.core.exceptions import (
     CallLost,
     CallNotSent,
-    HttpAnswer,
-    HttpCall,
-    HttpClient,
+    PlatformUnavailable,
 )
+from mintlanding.core.http_client import HttpAnswer, HttpCall, HttpClient
 from mintlanding.core.results import Done, Outcome
 
 ReplyT = TypeVar('ReplyT')
--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -137,7 +137,8 @@
 ) -> None:
     """Run one application on one plain asyncio loop.
 
-    `configure` says where the logs go. With `read_settings`, SIGHUP reads them again and runs the reload hooks.
+    `configure` says where the logs go. With `read_settings`, SIGHUP reads
+    them again and runs the reload hooks.
     """
 
     async def main() -> None:
--- a/mintlanding/core/tests/test_http_client.py
+++ b/mintlanding/core/tests/test_http_client.py
@@ -7,14 +7,13 @@
 
 import pytest
 
-from mintlanding.core.http_client import (
+from mintlanding.core.exceptions import (
     AnswerInvalid,
     CallLost,
     CallNotSent,
     CallTimeout,
-    HttpCall,
-    HttpClient,
 )
+from mintlanding.core.http_client import HttpCall, HttpClient
 
 
 @asynccontextmanager
--- a/mintlanding/engines/client.py
+++ b/mintlanding/engines/client.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
-from mintlanding.core.exceptions import MintlandingError, TargetError
-from mintlanding.core.http_client import (
+from mintlanding.core.exceptions import (
     CallLost,
     CallNotSent,
+    MintlandingError,
+    TargetError,
+)
+from mintlanding.core.http_client import (
     Headers,
     HttpAnswer,
     HttpCall,
--- a/mintlanding/engines/failures.py
+++ b/mintlanding/engines/failures.py
@@ -2,11 +2,12 @@
 
 import msgspec
 
-from mintlanding.core.exceptions import MintlandingError, TargetError
-from mintlanding.core.http_client import (
+from mintlanding.core.exceptions import (
     AnswerInvalid,
     CallNotSent,
     CallTimeout,
+    MintlandingError,
+    TargetError,
 )
 from mintlanding.core.results import Failed, Ran, ResultCode
 from mintlanding.engines.messages import ErrorBody, ErrorDetail
--- a/mintlanding/engines/stream.py
+++ b/mintlanding/engines/stream.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from mintlanding.core.exceptions import TargetError
-from mintlanding.core.http_client import CallLost, OpenAnswer
+from mintlanding.core.exceptions import CallLost, TargetError
+from mintlanding.core.http_client import OpenAnswer
 from mintlanding.engines.messages import AnswerHead
 
 _EVENT_END = b'\n\n'
--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -104,6 +104,13 @@
         self._pieces.clear()
         return piece
 
+    async def read_body(self, seconds: float) -> bytes:
+        """Return the rest of the body; each piece may take `seconds`."""
+        parts: list[bytes] = []
+        while piece := await self.read_piece(seconds):
+            parts.append(piece)
+        return b''.join(parts)
+
     def finish(self, now: float) -> bool:
         """End the exchange; tell whether the connection may be used again."""
         transport = self._transport
--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import hashlib
 import hmac
 import struct
@@ -80,7 +81,7 @@
         """Take whole frames out of the buffer."""
         self._buffer += chunk
         while len(self._buffer) >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(self._buffer)
+            size = int(_LENGTH.unpack_from(self._buffer)[0])
             if size > _MAX_FRAME_BYTES:
                 self._mesh.logger.error(
                     'A peer sent an oversized frame.',
@@ -259,13 +260,11 @@
 
     async def _keep_link(self, member: str, address: Address) -> None:
         loop = asyncio.get_running_loop()
+        factory = functools.partial(LinkProtocol, self, member)
         while True:
             try:
                 async with asyncio.timeout(self.terms.connect_timeout):
-                    _, link = await loop.create_connection(
-                        lambda: LinkProtocol(self, member),
-                        *address,
-                    )
+                    _, link = await loop.create_connection(factory, *address)
             except (OSError, TimeoutError):
                 # Every instance is dialled on and on; a failure is no news.
                 await asyncio.sleep(self.terms.redial_pause)
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -1,7 +1,7 @@
 """Ask the stewards of workers for places."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.membership import Membership
@@ -20,6 +20,8 @@
 
 # Seconds after its patience for which a waiting request's answer is awaited.
 _REPLY_GRACE = 0.15
+# Seconds between reports of a worker whose steward is not heard of.
+_OBSERVE_SECONDS = 0.5
 # Seconds for which an old digest still tells what a worker probably holds.
 _DIGEST_LIFE = 8.0
 
@@ -42,6 +44,16 @@
     sent: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Observed:
+    """What a worker's own report says, where no steward tells."""
+
+    incarnation: int
+    ready: frozenset[str]
+    has_model: bool
+    at: float
+
+
 @dataclass(slots=True)
 class Place:
     """A place on a worker; without a steward's word it is only likely."""
@@ -63,6 +75,7 @@
     stewards: Stewards
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _known: dict[str, _Known] = field(default_factory=dict)
+    _observed: dict[str, _Observed] = field(default_factory=dict)
 
     def hear(self, steward: str, digests: tuple[WorkerDigest, ...]) -> None:
         """Take what a steward tells of its workers."""
@@ -76,6 +89,27 @@
         self.hear(self.membership.instance, self.stewards.digests())
         return {each.target: self._view_of(each, now) for each in targets}
 
+    async def run(self) -> None:
+        """Ask the workers whose stewards are not heard of."""
+        while True:
+            await asyncio.sleep(_OBSERVE_SECONDS)
+            now = boot_seconds()
+            unheard = [
+                each
+                for each in self.view.engines().values()
+                if not self._is_heard(each.target, now) and not each.is_leaving
+            ]
+            await asyncio.gather(*(self._observe(each) for each in unheard))
+
+    def note_missing(self, worker: str, adapter: str) -> None:
+        """Note that a worker does not hold what it was thought to."""
+        observed = self._observed.get(worker)
+        if observed is not None:
+            self._observed[worker] = replace(
+                observed,
+                ready=observed.ready - {adapter},
+            )
+
     def is_ready(self, target: Target, adapter: str) -> bool:
         """Tell whether a worker probably holds an adapter."""
         return not adapter or adapter in self._ready(target, boot_seconds())
@@ -167,15 +201,21 @@
 
     def _view_of(self, target: Target, now: float) -> WorkerView:
         known = self._known.get(target.target)
-        record = self.view.holds.get(target.target)
-        holder = '' if record is None else record.holder
-        is_own = holder == self.membership.instance
-        is_heard = is_own or self.membership.is_heard(holder, now)
+        is_heard = self._is_heard(target.target, now)
+        if not is_heard and self._observes(target, now):
+            observed = self._observed[target.target]
+            return WorkerView(
+                target.target,
+                target.zone,
+                has_model=observed.has_model,
+                ready=observed.ready,
+            )
         if known is None or known.digest.incarnation != target.incarnation:
             return WorkerView(
                 target.target,
                 target.zone,
                 is_heard=is_heard,
+                has_model=target.model != '',
                 ready=self._ready(target, now),
             )
         digest = known.digest
@@ -187,10 +227,41 @@
             sent=known.sent,
             can_order=digest.can_order and is_heard,
             is_heard=is_heard,
+            has_model=digest.has_model,
             ready=self._ready(target, now),
         )
 
+    def _is_heard(self, worker: str, now: float) -> bool:
+        record = self.view.holds.get(worker)
+        holder = '' if record is None else record.holder
+        is_own = holder == self.membership.instance
+        return is_own or self.membership.is_heard(holder, now)
+
+    def _observes(self, target: Target, now: float) -> bool:
+        observed = self._observed.get(target.target)
+        return (
+            observed is not None
+            and observed.incarnation == target.incarnation
+            and now < observed.at + 4 * _OBSERVE_SECONDS
+        )
+
+    async def _observe(self, target: Target) -> None:
+        report = await self.stewards.fetch_report(target)
+        if report is None:
+            return
+        self._observed[target.target] = _Observed(
+            report.incarnation,
+            frozenset(name for name, _ in report.adapters),
+            bool(report.models),
+            boot_seconds(),
+        )
+
     def _ready(self, target: Target, now: float) -> frozenset[str]:
+        if not self._is_heard(target.target, now) and self._observes(
+            target,
+            now,
+        ):
+            return self._observed[target.target].ready
         known = self._known.get(target.target)
         if known is None or now > known.at + _DIGEST_LIFE:
             return frozenset(name for name, _ in target.adapters)
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -74,7 +74,9 @@
         self.relay = Relay(cfg, self.view, self._admissions, codec, rnd)
         self._front = CallerServer.from_config(self.relay.handle, 'front')
         self._ready = CallerServer.from_config(self._answer_ready, 'ready')
-        self._metrics = CallerServer.from_config(self._answer_metrics, 'metrics')
+        self._metrics = CallerServer.from_config(
+            self._answer_metrics, 'metrics'
+        )
         self._is_ready = False
         self._connect_parts()
 
@@ -154,6 +156,7 @@
         spawn(self._membership.run_words())
         spawn(self._membership.run_claims())
         spawn(self._stewards.run())
+        spawn(self._admissions.run())
         spawn(self._upkeep())
         self._is_ready = True
         self.application.logger.info('Ready.')
@@ -166,6 +169,7 @@
             heard, members = self._membership.reach(now)
             self.relay.caps.set_reach(heard, members)
             self.relay.budget.members = members
+            self.relay.is_isolated = heard * 2 <= members
             await asyncio.sleep(_UPKEEP_SECONDS)
 
     def _changed(self, topic: str) -> None:
@@ -205,4 +209,6 @@
     async def _answer_metrics(self, req: CallerRequest) -> None:
         lines = render_metrics(self.relay, self._stewards, self._membership)
         text = '\n'.join((*lines, '')).encode()
-        req.respond(200, [(b'content-type', b'text/plain; version=0.0.4')], text)
+        req.respond(
+            200, [(b'content-type', b'text/plain; version=0.0.4')], text
+        )
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -19,6 +19,7 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
+from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import Message, Status
 from mintlanding.node.clock import boot_seconds
@@ -46,6 +47,8 @@
 _KEY_BYTES = 32
 # A loop that stood still for longer has heard of nobody meanwhile.
 _STALL_SECONDS = 0.6
+# Seconds after its last word for which a member without an entry is dialled.
+_FORGET_SECONDS = 15.0
 
 
 @dataclass(slots=True)
@@ -93,7 +96,7 @@
         self._lease = 0
         self._registered = False
         self._joined_at = float('inf')
-        self._claiming: set[str] = set()
+        self._addresses: dict[str, Address] = {}
         self._logger = Logger('members')
 
     def held(self) -> set[str]:
@@ -167,6 +170,7 @@
                 continue
             if now < self._view.away_until:
                 continue
+            self.update_members()
             for claim in self._claims(now):
                 await self._claim(claim)
             for worker in sorted(self.held()):
@@ -196,14 +200,25 @@
 
     def update_members(self) -> None:
         """Dial the members that the view names."""
-        others = {
-            each.instance: (each.host, each.port)
-            for each in self._view.members.values()
-            if each.instance != self.instance
-        }
-        self.authority.set_members(others)
+        now = boot_seconds()
+        members = self._view.members
+        self.authority.set_members(members.keys() - {self.instance})
+        for each in members.values():
+            self._addresses[each.instance] = (each.host, each.port)
+        for name in tuple(self._addresses):
+            if name not in members and self._is_forgotten(name, now):
+                self._addresses.pop(name)
+        self._addresses.pop(self.instance, None)
         if self.mesh is not None:
-            self.mesh.set_members(others)
+            self.mesh.set_members(dict(self._addresses))
+
+    def _is_forgotten(self, member: str, now: float) -> bool:
+        """Tell whether a member without an entry is silent for long.
+
+        One that only the store cannot reach still needs the others' word.
+        """
+        heard = self.fleet.heard.get(member)
+        return heard is None or now > heard.at + _FORGET_SECONDS
 
     def receive(self, peer: str, message: Message, reply: Reply) -> None:
         """Take a message of a member."""
@@ -324,9 +339,13 @@
 
     def _heard_at(self, member: str) -> float:
         heard = self.fleet.heard.get(member)
-        return self._joined_at if heard is None else max(
-            heard.at,
-            self._joined_at,
+        return (
+            self._joined_at
+            if heard is None
+            else max(
+                heard.at,
+                self._joined_at,
+            )
         )
 
     async def _claim(self, claim: Claim) -> None:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -44,7 +44,8 @@
     """How one try at a target ended.
 
     `not_run`: the target says that it did not run the request. `lost`: it
-    may have run. `failed`: it ran and failed, and is tried elsewhere. `broken`: a part of the answer had gone to the caller.
+    may have run. `failed`: it ran and failed, and is tried elsewhere.
+    `broken`: a part of the answer had gone to the caller.
     """
 
     done = 'done'
@@ -126,6 +127,7 @@
         self.budget = FleetRetryBudget(cfg.retries)
         self.book = TargetBook(rnd)
         self.log = RequestLog()
+        self.is_isolated = False
         self._cfg = cfg
         self._view = view
         self._admissions = admissions
@@ -169,7 +171,9 @@
 
     # Before anything is sent.
 
-    def _judge(self, req: CallerRequest, fields: CallerFields) -> Plan | Refusal:
+    def _judge(
+        self, req: CallerRequest, fields: CallerFields
+    ) -> Plan | Refusal:
         view = self._view
         if view.config is None:
             return Refusal(503, 'no configuration', self._pause())
@@ -317,6 +321,9 @@
                 )
                 continue
             ended = await self._try_place(plan, place, target)
+            if ended is Ended.missing:
+                adapter = plan.fields.adapter.adapter
+                self._admissions.note_missing(place.worker, adapter)
             if ended in {Ended.not_run, Ended.missing}:
                 if not self.budget.take(plan.service.name, self._now()):
                     plan.reason = 'no retry budget'
@@ -611,7 +618,14 @@
         return asyncio.get_running_loop().time()
 
     def _pause(self) -> float:
-        return self._cfg.relay.retry_after * self._rnd.uniform(0.6, 1.4)
+        """Return when to come back; another instance may serve at once."""
+        terms = self._cfg.relay
+        pause = (
+            terms.isolated_retry_after
+            if self.is_isolated
+            else (terms.retry_after)
+        )
+        return pause * self._rnd.uniform(0.6, 1.4)
 
 
 def _outcome(ended: Ended, plan: Plan) -> Outcome:
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -47,6 +47,9 @@
     then is passed over. `answer_margin`: an answer is given up this long
     before the caller's deadline. `first_event_factor`: a resumable stream
     without an event after this many objectives is begun elsewhere.
+    `retry_after`: when to come back where nothing better is known;
+    `isolated_retry_after` to another instance, from one that hears at most
+    half of the members.
     """
 
     patience: float = 0.9
@@ -56,6 +59,7 @@
     first_event_factor: float = 1.5
     longest_try: float = 0.75
     retry_after: float = 0.5
+    isolated_retry_after: float = 0.06
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -23,6 +23,7 @@
 from mintlanding.residency.models import (
     Action,
     AskReport,
+    EngineReport,
     EngineRoom,
     Order,
     OrderResult,
@@ -37,6 +38,8 @@
 # Seconds for which a worker that could not be reached is left to others.
 _UNREACHABLE_SECONDS = 2.0
 
+_OK = 200
+
 Answer = Callable[[AdmissionReply], None]
 
 
@@ -168,12 +171,14 @@
         if service is None or service.engine is None:
             return
         engine = service.engine
-        model = target.model or (engine.models[0].name if engine.models else '')
+        models = {each.name: each for each in engine.models}
+        model = target.model or next(iter(models), '')
         steward = EngineSteward(
             target.target,
             target.incarnation,
             EngineRoom(
                 model=model,
+                load_time=models[model].load_time if model in models else 1,
                 places=engine.adapter_places(model),
                 batch_limit=engine.batch_limit,
                 token_capacity=engine.token_capacity,
@@ -298,8 +303,7 @@
         try:
             conn.send(payload)
             head = await conn.read_head(_ORDER_SECONDS)
-            while await conn.read_piece(_ORDER_SECONDS):
-                continue
+            await conn.read_body(_ORDER_SECONDS)
         except CallNotSent:
             return OrderResult.not_sent
         except CallLost:
@@ -309,34 +313,37 @@
         self.note_reached(target.target)
         return self._codec.order_result(head.status)
 
-    async def _ask_report(self, worker: str) -> None:
-        target = self._view.targets.get(worker)
-        if target is None:
-            return
+    async def fetch_report(self, target: Target) -> EngineReport | None:
+        """Ask an engine what it holds; None when it does not tell."""
         payload = self._codec.report_request(
-            worker,
+            target.target,
             '{0}:{1}'.format(*target.address),
         )
-        parts: list[bytes] = []
         try:
             conn = await self._pool.acquire(target.address)
         except CallNotSent as exc:
-            self.note_unreachable(worker)
-            self._logger.info('No report.', worker=worker, reason=str(exc))
-            return
+            self.note_unreachable(target.target)
+            self._note_silence(target.target, exc)
+            return None
         try:
             conn.send(payload)
             head = await conn.read_head(_ORDER_SECONDS)
-            while piece := await conn.read_piece(_ORDER_SECONDS):
-                parts.append(piece)
-            report = self._view.records.decode_report(b''.join(parts))
+            body = await conn.read_body(_ORDER_SECONDS)
+            report = self._view.records.decode_report(body)
         except (CallNotSent, CallLost, ValueError) as exc:
-            self._logger.info('No report.', worker=worker, reason=str(exc))
-            return
+            self._note_silence(target.target, exc)
+            return None
         finally:
             self._pool.release(conn)
+        return report if head.status == _OK else None
+
+    async def _ask_report(self, worker: str) -> None:
+        target = self._view.targets.get(worker)
+        if target is None:
+            return
+        report = await self.fetch_report(target)
         steward = self.stewards.get(worker)
-        if steward is None or head.status != 200:
+        if report is None or steward is None:
             return
         self._logger.info(
             'An engine reported.',
@@ -347,6 +354,9 @@
         )
         self._act(worker, steward.report(report, boot_seconds()))
 
+    def _note_silence(self, worker: str, exc: Exception) -> None:
+        self._logger.info('No report.', worker=worker, reason=str(exc))
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -13,8 +13,8 @@
 from mintlanding.residency.models import EngineReport
 from mintlanding.traffic.models import (
     Route,
-    ServingConfig,
     Service,
+    ServingConfig,
     Target,
     Workspace,
 )
@@ -158,7 +158,9 @@
         for item in snapshot.items:
             # What stood there before is not news.
             self._put(item, float('-inf'))
-        for name in [each for each in self.targets if not self._is_in(each, keys)]:
+        for name in [
+            each for each in self.targets if not self._is_in(each, keys)
+        ]:
             self._remove(self.records.TARGETS_PREFIX + name, now)
         for name in [
             each for each in self.members if MEMBERS_PREFIX + each not in keys
@@ -190,21 +192,18 @@
 
     def _put(self, item: Item, now: float) -> None:
         records = self.records
+        handlers: dict[str, Callable[[Item, float], None]] = {
+            records.CONFIG_KEY: self._put_config,
+            records.VERSIONS_PREFIX: self._put_version,
+            records.TARGETS_PREFIX: self._put_target,
+            MEMBERS_PREFIX: self._put_member,
+            HOLDS_PREFIX: self._put_hold,
+            FLEET_KEY: self._put_fleet_key,
+        }
+        found = [each for each in handlers if item.key.startswith(each)]
         try:
-            if item.key == records.CONFIG_KEY:
-                self._put_config(item)
-            elif item.key.startswith(records.VERSIONS_PREFIX):
-                self._put_version(item, now)
-            elif item.key.startswith(records.TARGETS_PREFIX):
-                self._put_target(item)
-            elif item.key.startswith(MEMBERS_PREFIX):
-                record = msgspec.json.decode(item.content, type=MemberRecord)
-                self.members[record.instance] = record
-                self._tell('members')
-            elif item.key.startswith(HOLDS_PREFIX):
-                self._put_hold(item)
-            elif item.key == FLEET_KEY:
-                self.fleet_key = item.content
+            for prefix in found:
+                handlers[prefix](item, now)
         except (ValueError, msgspec.MsgspecError) as exc:
             self.logger.warning(
                 'A record cannot be read.',
@@ -215,7 +214,7 @@
             if item.key.startswith(records.TARGETS_PREFIX):
                 self._remove(item.key, now)
 
-    def _put_config(self, item: Item) -> None:
+    def _put_config(self, item: Item, now: float) -> None:
         cfg = self.records.decode_config(item.content)
         if self.config is not None and cfg.version < self.config.version:
             return
@@ -244,7 +243,7 @@
         )
         self._tell('versions')
 
-    def _put_target(self, item: Item) -> None:
+    def _put_target(self, item: Item, now: float) -> None:
         target = self.records.decode_target(item.key, item.content)
         before = self.targets.get(target.target)
         self.lapsed.pop(target.target, None)
@@ -260,7 +259,15 @@
             self.logger.info('A target is leaving.', target=target.target)
         self._tell('targets')
 
-    def _put_hold(self, item: Item) -> None:
+    def _put_member(self, item: Item, now: float) -> None:
+        record = msgspec.json.decode(item.content, type=MemberRecord)
+        self.members[record.instance] = record
+        self._tell('members')
+
+    def _put_fleet_key(self, item: Item, now: float) -> None:
+        self.fleet_key = item.content
+
+    def _put_hold(self, item: Item, now: float) -> None:
         worker = item.key.removeprefix(HOLDS_PREFIX)
         entry = msgspec.json.decode(item.content, type=HoldEntry)
         self.holds[worker] = HoldRecord(
--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -85,6 +85,7 @@
     name: str
     # Megabytes of the base model itself.
     weights_mb: float
+    load_s: float = 1
     # A count; the adapters are named a1, a2 and so on.
     adapters: int = 0
     adapter_mb: float = 0
@@ -111,6 +112,7 @@
                     size=each.weights_mb,
                     adapter_size=each.adapter_mb,
                     adapters=each.adapters,
+                    load_time=each.load_s,
                 )
                 for each in self.models
             ),
@@ -264,6 +266,7 @@
     return EngineReport(
         incarnation=raw.born,
         orders_taken=raw.seq,
+        models=tuple(model.name for model in raw.models),
         adapters=_versions(adapters),
         coming=_versions(coming),
         running=raw.inflight + raw.queued,
--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -194,12 +194,7 @@
 ) -> tuple[int, bytes]:
     conn.send(request)
     head = await conn.read_head(seconds)
-    parts: list[bytes] = []
-    while True:
-        piece = await conn.read_piece(seconds)
-        if not piece:
-            return head.status, b''.join(parts)
-        parts.append(piece)
+    return head.status, await conn.read_body(seconds)
 
 
 def _decode_body(raw: bytes) -> dict[str, Any]:
--- a/mintlanding/residency/choice.py
+++ b/mintlanding/residency/choice.py
@@ -41,6 +41,7 @@
     sent: int = 0
     can_order: bool = False
     is_heard: bool = False
+    has_model: bool = True
     ready: frozenset[str] = frozenset()
 
 
@@ -66,12 +67,13 @@
 
     `key` places the adapter among the workers, which know it by its name.
     """
-    order = rank_workers(key, views) if adapter else list(views)
+    able = [worker for worker, view in views.items() if view.has_model]
+    order = rank_workers(key, able) if adapter else able
     costs: list[tuple[float, int, str]] = []
     for position, worker in enumerate(order):
         cost = _cost(adapter, views[worker], position, zone, terms)
         costs.append((cost, position, worker))
-    return [worker for _, _, worker in sorted(costs)[: terms.candidates]]
+    return [each[-1] for each in sorted(costs)[: terms.candidates]]
 
 
 def _cost(
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -92,4 +92,5 @@
     running: int = 0
     queued: int = 0
     wait: float = 0
+    has_model: bool = True
     ready: tuple[str, ...] = ()
--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -54,6 +54,7 @@
 
     incarnation: int
     orders_taken: int
+    models: tuple[str, ...] = ()
     adapters: tuple[tuple[str, int], ...] = ()
     coming: tuple[tuple[str, int], ...] = ()
     running: int = 0
@@ -71,7 +72,12 @@
     engine ahead, a little more than a long prompt takes. `token_share`: part
     of the engine's memory that running requests may fill, the rest keeps
     prompts. `half_life` of the demand for an adapter, about that of its
-    swings. `report_pause`: how long a report lags behind.
+    swings. `report_pause`: how long a report lags behind. `order_pause`:
+    before an order is repeated; an engine that carries out another one
+    refuses it `busy_tries` times before a report is asked for.
+    `replace_patience`: a new version waits so long for the runs on the old
+    one, half of what the users allow. `settle_time`: an adapter that was
+    just loaded is not unloaded, since its load may last a little longer.
     """
 
     prompt_rate: float = 38100
@@ -84,7 +90,9 @@
     half_life: float = 15
     report_pause: float = 0.25
     order_pause: float = 0.05
-    replace_patience: float = 1
+    busy_tries: int = 8
+    replace_patience: float = 2.5
+    settle_time: float = 0.1
     queue_limit: int = 256
     priority_step: float = 0.5
     prefix_limit: int = 4096
@@ -138,13 +146,15 @@
     order: Order
     resend_at: float | None = None
     is_lost: bool = False
+    conflicts: int = 0
 
 
 @dataclass(slots=True)
 class EngineRoom:
-    """What the engine of a worker can take."""
+    """What the engine of a worker can take; `load_time` of the model."""
 
     model: str
+    load_time: float
     places: int
     batch_limit: int
     token_capacity: int
--- a/mintlanding/residency/shelf.py
+++ b/mintlanding/residency/shelf.py
@@ -30,6 +30,8 @@
         """Start without knowledge of the engine."""
         self.room = room
         self.orders_taken = 0
+        self.has_model = False
+        self.model_until = float('-inf')
         self.popularity = DecayedPopularity.from_config(terms.half_life)
         self._terms = terms
         self._held: dict[str, Held] = {}
@@ -124,13 +126,15 @@
             )
         ]
 
-    def victim(self, wanted: Container[str]) -> Held | None:
+    def victim(self, wanted: Container[str], now: float) -> Held | None:
         """Return the adapter in least demand that nothing runs on."""
+        settled = now - self._terms.settle_time
         idle = [
             held
             for held in self._held.values()
             if held.state is HeldState.ready
             and held.pins == 0
+            and held.ready_at <= settled
             and held.adapter not in wanted
         ]
         return min(
@@ -141,6 +145,8 @@
 
     def begin(self, order: Order, now: float) -> None:
         """Take a place for a load, or mark one that is given up."""
+        if not order.adapter:
+            return
         if order.kind is OrderKind.unload:
             self._held[order.adapter].state = HeldState.unloading
             return
@@ -155,6 +161,9 @@
     def taken(self, order: Order, now: float) -> None:
         """Note that the engine has taken an order."""
         self.orders_taken = order.expected + 1
+        if not order.adapter:
+            self.model_until = now + self.room.load_time
+            return
         if order.kind is OrderKind.unload:
             self._drop(order.adapter)
             return
@@ -164,7 +173,13 @@
             self._loaded(held, now)
 
     def holds(self, order: Order, now: float) -> None:
-        """Note that the engine says an order holds already."""
+        """Note that the engine says an order holds already.
+
+        Only an unload that is carried out at once counts as taken.
+        """
+        self.orders_taken = order.expected
+        if order.kind is OrderKind.unload:
+            self.orders_taken += 1
         if order.kind is OrderKind.unload:
             self._drop(order.adapter)
             return
@@ -193,6 +208,7 @@
     def adopt(self, report: EngineReport, now: float) -> None:
         """Take a report that shows all orders given so far."""
         self.orders_taken = report.orders_taken
+        self.has_model = self.room.model in report.models
         told = dict(report.adapters)
         coming = dict(report.coming)
         for name in [each for each in self._held if each not in told]:
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -105,7 +105,9 @@
         actions = self._proceed(now)
         if req.request_id in self.queue:
             item.is_told = True
-            actions.append(AdmissionReply(req.request_id, self.worker, is_waiting=True))
+            actions.append(
+                AdmissionReply(req.request_id, self.worker, is_waiting=True)
+            )
         return actions
 
     def end(self, message: AdmissionEnd, now: float) -> Sequence[Action]:
@@ -145,13 +147,16 @@
             under_way.is_lost |= outcome is OrderResult.lost
             under_way.resend_at = now + self._terms.order_pause
             return []
+        if outcome is OrderResult.conflict and self._is_busy(under_way, now):
+            return []
         self._under_way = None
         if outcome is OrderResult.accepted:
+            self.shelf.taken(order, now)
             self._note_taken(order, now)
         elif outcome is OrderResult.holds:
+            self.shelf.holds(order, now)
             self._note_taken(order, now)
         else:
-            self.tally.conflicts += 1
             self._settle_conflict(order, now)
         return self._proceed(now)
 
@@ -162,6 +167,10 @@
         if self.is_known and report.orders_taken < self.shelf.orders_taken:
             return []
         self.shelf.adopt(report, now)
+        if not self.shelf.has_model and now < self.shelf.model_until + (
+            self._terms.report_pause
+        ):
+            return []
         self.is_known = True
         self._report_at = None
         return self._proceed(now)
@@ -218,6 +227,7 @@
             running=self.running,
             queued=len(self.queue),
             wait=round(self.expected_wait('', float('inf'), now), 3),
+            has_model=self.shelf.has_model,
             ready=self.shelf.ready(now),
         )
 
@@ -239,6 +249,8 @@
             return 'leaving'
         if _size(req) > self._room.token_capacity:
             return 'too large'
+        if not self.shelf.has_model:
+            return 'no model'
         if not req.adapter or self.shelf.get(req.adapter) is not None:
             return ''
         if not (self.may_order and self.is_known):
@@ -256,6 +268,8 @@
 
     def _grant_all(self, now: float) -> list[Action]:
         actions: list[Action] = []
+        if not self.shelf.has_model:
+            return actions
         for item in self.queue:
             if self._is_full(now):
                 break
@@ -324,10 +338,13 @@
         return [under_way.order]
 
     def _next_order(self, now: float) -> Order | None:
+        if not self.shelf.has_model:
+            return self._make(OrderKind.load, '')
         if self.shelf.in_transit(now) >= self._terms.transit_limit:
             return None
-        for stale in self.shelf.replaceable(now):
-            return self._make(OrderKind.load, stale.adapter)
+        stale = self.shelf.replaceable(now)
+        if stale:
+            return self._make(OrderKind.load, stale[0].adapter)
         wanted = self.queue.adapters()
         missing = [
             adapter for adapter in wanted if self.shelf.get(adapter) is None
@@ -336,7 +353,7 @@
             return None
         if self.shelf.has_room():
             return self._make(OrderKind.load, missing[0])
-        victim = self.shelf.victim(wanted)
+        victim = self.shelf.victim(wanted, now)
         if victim is None:
             return None
         return self._make(OrderKind.unload, victim.adapter)
@@ -350,8 +367,20 @@
             self.shelf.newest(adapter) if kind is OrderKind.load else 0,
         )
 
+    def _is_busy(self, under_way: OrderUnderWay, now: float) -> bool:
+        """Repeat a refused order, since another may be carried out still."""
+        self.tally.conflicts += 1
+        under_way.conflicts += 1
+        if under_way.is_lost or under_way.conflicts > self._terms.busy_tries:
+            return False
+        under_way.resend_at = now + self._terms.order_pause
+        return True
+
     def _note_taken(self, order: Order, now: float) -> None:
-        self.shelf.taken(order, now)
+        if not order.adapter:
+            self.is_known = False
+            self._report_at = self.shelf.model_until
+            return
         if order.kind is OrderKind.load:
             self.tally.loads += 1
         else:
@@ -360,7 +389,7 @@
 
     def _settle_conflict(self, order: Order, now: float) -> None:
         """Ask what holds; a load stays counted until a report tells."""
-        if order.kind is OrderKind.load:
+        if order.adapter and order.kind is OrderKind.load:
             self.shelf.delay(order.adapter, float('inf'))
         self.is_known = False
         self._ask_report(now)
@@ -408,4 +437,3 @@
 
 def _size(req: AdmissionRequest) -> int:
     return req.prompt_tokens + req.output_tokens
-
--- a/mintlanding/traffic/caps.py
+++ b/mintlanding/traffic/caps.py
@@ -104,4 +104,6 @@
         return account
 
     def _burst(self, workspace: Workspace) -> float:
-        return max(workspace.burst, workspace.rate * _LEAST_BURST) * _USABLE_SHARE
+        return (
+            max(workspace.burst, workspace.rate * _LEAST_BURST) * _USABLE_SHARE
+        )
--- a/mintlanding/traffic/models.py
+++ b/mintlanding/traffic/models.py
@@ -48,12 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BaseModel:
-    """A base model and the size of its adapters in megabytes."""
+    """A base model and the size of its adapters in megabytes.
+
+    `load_time` is in seconds, from the weight store.
+    """
 
     name: str
     size: float
     adapter_size: float = 0
     adapters: int = 0
+    load_time: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/traffic/retries.py
+++ b/mintlanding/traffic/retries.py
@@ -52,10 +52,9 @@
     def take(self, service: str, now: float) -> bool:
         """Take one repeat, if the budget holds one."""
         window = self._pruned(service, now)
-        allowed = (
-            self._terms.ratio * len(window.requests)
-            + self._terms.slack / max(1, self.members)
-        )
+        allowed = self._terms.ratio * len(
+            window.requests
+        ) + self._terms.slack / max(1, self.members)
         if len(window.repeats) + 1 > allowed * _USABLE_SHARE:
             return False
         window.repeats.append(now)
