--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -377,6 +377,11 @@
             self.order_from.pop(claim.worker, None)
             return
         self.order_from[claim.worker] = now + claim.wait
+        self._view.holds[claim.worker] = HoldRecord(
+            self.instance,
+            done.revision,
+            is_settled,
+        )
         self._logger.info(
             'A worker was taken.',
             worker=claim.worker,
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -269,6 +269,9 @@
 
     def _put_hold(self, item: Item, now: float) -> None:
         worker = item.key.removeprefix(HOLDS_PREFIX)
+        known = self.holds.get(worker)
+        if known is not None and known.revision > item.revision:
+            return
         entry = msgspec.json.decode(item.content, type=HoldEntry)
         self.holds[worker] = HoldRecord(
             entry.holder,
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -149,11 +149,12 @@
     fields = {
         'op': order.kind.value,
         'model': order.model,
-        'adapter': order.adapter,
         'expected': order.expected,
         'holder': holder,
         'fence': fencing,
     }
+    if order.adapter:
+        fields['adapter'] = order.adapter
     if order.version:
         fields['version'] = order.version
     body = msgspec.json.encode(fields)
