--- /dev/null
+++ b/mintlanding/http1/tests/test_client.py
@@ -0,0 +1,164 @@
+"""What counts as a whole answer, and when a connection is used again."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from mintlanding.core.exceptions import (
+    AnswerInvalid,
+    CallLost,
+    CallNotSent,
+    CallTimeout,
+)
+from mintlanding.http1.client import ConnectionPool
+from mintlanding.http1.models import ClientTerms
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Peer:
+    """A server that answers each request with the next bytes it was given."""
+
+    def __init__(self, *answers, ends=False, resets=False):
+        self.answers = list(answers)
+        self.ends = ends
+        self.resets = resets
+        self.requests = 0
+        self.connections = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.address = self.server.sockets[0].getsockname()
+        self.pool = ConnectionPool(ClientTerms())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.pool.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        while self.answers:
+            head = await reader.read(4096)
+            if not head:
+                return
+            self.requests += 1
+            writer.write(self.answers.pop(0))
+        await writer.drain()
+        if self.resets:
+            sock = writer.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        elif self.ends:
+            writer.close()
+
+    async def call(self, seconds=0.3):
+        conn = await self.pool.acquire(self.address)
+        try:
+            conn.send(REQUEST)
+            head = await conn.read_head(seconds)
+            return head.status, await conn.read_body(seconds)
+        finally:
+            self.pool.release(conn)
+
+
+async def test_connection_with_a_whole_answer_is_used_again():
+    async with Peer(WHOLE, WHOLE) as peer:
+        assert await peer.call() == (200, b'ok')
+        assert await peer.call() == (200, b'ok')
+        assert peer.connections == 1
+
+
+async def test_fresh_connection_is_opened_when_asked_for():
+    async with Peer(WHOLE) as peer:
+        await peer.call()
+        conn = await peer.pool.acquire(peer.address, is_fresh=True)
+        assert conn.is_fresh
+        conn.abort()
+        assert peer.pool.opened == 2
+
+
+async def test_answer_without_length_ends_with_its_connection():
+    async with Peer(b'HTTP/1.1 200 OK\r\n\r\nall of it', ends=True) as peer:
+        assert await peer.call() == (200, b'all of it')
+        assert not peer.pool._idle
+
+
+async def test_answer_without_length_that_is_reset_is_lost():
+    async with Peer(b'HTTP/1.1 200 OK\r\n\r\npart', resets=True) as peer:
+        with pytest.raises(CallLost):
+            await peer.call()
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Le',
+        b'',
+    ],
+)
+async def test_answer_that_breaks_off_is_lost(answer):
+    async with Peer(answer, ends=True) as peer:
+        with pytest.raises(CallLost):
+            await peer.call()
+
+
+async def test_bytes_that_are_no_answer_are_invalid():
+    async with Peer(b'220 mail.example ESMTP\r\n') as peer:
+        with pytest.raises(AnswerInvalid):
+            await peer.call()
+
+
+async def test_second_answer_belongs_to_no_request():
+    async with Peer(WHOLE + WHOLE, WHOLE) as peer:
+        assert await peer.call() == (200, b'ok')
+        assert await peer.call() == (200, b'ok')
+        assert peer.connections == 2
+
+
+async def test_extra_answer_that_comes_late_closes_the_connection():
+    async with Peer(WHOLE, WHOLE) as peer:
+        await peer.call()
+        (conn,) = peer.pool._idle[peer.address]
+        conn.data_received(WHOLE)
+        await asyncio.sleep(0)
+        assert not conn.is_open
+
+
+async def test_interim_answer_is_passed_over():
+    async with Peer(b'HTTP/1.1 100 Continue\r\n\r\n' + WHOLE) as peer:
+        assert await peer.call() == (200, b'ok')
+
+
+async def test_silence_ends_in_a_timeout():
+    async with Peer() as peer:
+        peer.answers = [b'', b'']
+        with pytest.raises(CallTimeout):
+            await peer.call(seconds=0.05)
+
+
+async def test_announced_close_is_kept():
+    answer = WHOLE.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n', 1)
+    async with Peer(answer) as peer:
+        await peer.call()
+        assert not peer.pool._idle
+
+
+async def test_keep_alive_of_the_server_bounds_idle_time():
+    answer = WHOLE.replace(b'\r\n\r\n', b'\r\nKeep-Alive: timeout=1\r\n\r\n', 1)
+    async with Peer(answer, WHOLE) as peer:
+        await peer.call()
+        await peer.call()
+        assert peer.connections == 2
+
+
+async def test_closed_port_is_not_sent_to():
+    pool = ConnectionPool(ClientTerms())
+    with pytest.raises(CallNotSent):
+        await pool.acquire(('127.0.0.1', 1))
--- /dev/null
+++ b/mintlanding/http1/tests/test_server.py
@@ -0,0 +1,175 @@
+"""What callers may send, and what happens when they leave."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from mintlanding.core.logs import Logger
+from mintlanding.http1.models import MessageLimits
+from mintlanding.http1.server import CallerServer
+
+GET = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class World:
+    """A server whose handler a test gives, and connections to it."""
+
+    def __init__(self, handler=None, **limits):
+        self.seen = []
+        self.handler = handler or self.echo
+        self.limits = replace(MessageLimits(), **limits)
+
+    async def echo(self, req):
+        self.seen.append(req)
+        req.respond(200, [], req.method + b' ' + req.target + b' ' + req.body)
+
+    async def __aenter__(self):
+        self.server = CallerServer(self.handler, self.limits, Logger('test'))
+        await self.server.start('127.0.0.1', 0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.stop()
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.server.port)
+
+    async def ask(self, raw):
+        reader, writer = await self.connect()
+        writer.write(raw)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b'\r\n\r\n')
+    status = int(head.split()[1])
+    length = 0
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            length = int(line.partition(b':')[2])
+    return status, await reader.readexactly(length)
+
+
+async def test_requests_on_one_connection_are_answered_in_order():
+    async with World() as world:
+        reader, writer = await world.connect()
+        writer.write(GET + GET.replace(b'/x', b'/y'))
+        assert await read_answer(reader) == (200, b'GET /x ')
+        assert await read_answer(reader) == (200, b'GET /y ')
+        writer.close()
+
+
+async def test_body_in_chunks_is_put_together():
+    raw = (
+        b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n'
+    )
+    async with World() as world:
+        assert await world.ask(raw) == (200, b'POST /x abc')
+
+
+@pytest.mark.parametrize(
+    ('raw', 'status'),
+    [
+        (b'NONSENSE\r\n\r\n', 400),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+        ),
+        (b'GET / HTTP/1.1\r\nX: ' + b'a' * 500 + b'\r\n\r\n', 431),
+        (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n', 413),
+    ],
+)
+async def test_what_breaks_a_bound_is_refused(raw, status):
+    async with World(header_bytes=400, body_bytes=100) as world:
+        assert (await world.ask(raw))[0] == status
+        assert world.server.refusals == {status: 1}
+        assert not world.seen
+
+
+async def test_caller_that_dawdles_gets_a_timeout():
+    async with World(header_timeout=0.05) as world:
+        assert (await world.ask(b'GET / HT'))[0] == 408
+
+
+async def test_idle_connection_is_closed():
+    async with World(idle_timeout=0.05) as world:
+        reader, _ = await world.connect()
+        assert await reader.read() == b''
+
+
+async def test_handler_is_cancelled_when_its_caller_leaves():
+    cancelled = asyncio.Event()
+
+    async def handler(req):
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async with World(handler) as world:
+        _, writer = await world.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(1):
+            await cancelled.wait()
+
+
+async def test_handler_may_outlive_its_caller():
+    ended = asyncio.Event()
+
+    async def handler(req):
+        req.outlives_caller = True
+        await asyncio.sleep(0.1)
+        req.respond(200, [], b'')
+        ended.set()
+
+    async with World(handler) as world:
+        _, writer = await world.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.03)
+        writer.close()
+        async with asyncio.timeout(1):
+            await ended.wait()
+
+
+async def test_answer_that_breaks_off_does_not_look_whole():
+    async def handler(req):
+        req.begin(200, [])
+        req.write(b'part')
+        req.abort()
+
+    async with World(handler) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        raw = await reader.read()
+        assert raw.endswith(b'part\r\n')
+        writer.close()
+
+
+async def test_failing_handler_gives_no_answer():
+    async def handler(req):
+        raise RuntimeError('a mistake')
+
+    async with World(handler) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        assert await reader.read() == b''
+        writer.close()
+
+
+async def test_draining_server_announces_the_close():
+    async with World() as world:
+        world.server.is_draining = True
+        reader, writer = await world.connect()
+        writer.write(GET)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'connection: close' in head
+        writer.close()
--- /dev/null
+++ b/mintlanding/links/tests/test_mesh.py
@@ -0,0 +1,99 @@
+"""Links: who may speak, what is no message, and links that are lost."""
+
+import asyncio
+
+import pytest
+
+from mintlanding.links.mesh import Identity, LinkTerms, Mesh
+from mintlanding.links.messages import Status
+
+TERMS = LinkTerms(redial_pause=0.02)
+
+
+class Member:
+    """One mesh that notes what it receives."""
+
+    def __init__(self, name, key=b'k'):
+        self.name = name
+        self.received = []
+        self.mesh = Mesh.from_config(
+            Identity(name, 'boot', key),
+            self.receive,
+            TERMS,
+        )
+
+    def receive(self, peer, message, reply):
+        self.received.append((peer, message))
+
+    async def start(self):
+        await self.mesh.start('127.0.0.1', 0)
+        port = self.mesh._listener.sockets[0].getsockname()[1]
+        self.address = ('127.0.0.1', port)
+        return self
+
+
+@pytest.fixture
+async def members():
+    found = [await Member(name).start() for name in ('a', 'b')]
+    yield found
+    for each in found:
+        each.mesh.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(2):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def word(name):
+    return Status(name, 'boot', 1.0, {})
+
+
+async def test_members_hear_each_other(members):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', word('a')))
+    await until(lambda: b.received)
+    assert b.received[0] == ('a', word('a'))
+
+
+async def test_lost_link_is_dialled_anew(members):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', word('a')))
+    a.mesh.redial('b')
+    await until(lambda: not a.mesh.send('b', word('a')))
+    await until(lambda: a.mesh.send('b', word('a')))
+
+
+async def test_member_that_is_gone_gets_nothing(members):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', word('a')))
+    a.mesh.set_members({})
+    assert not a.mesh.send('b', word('a'))
+
+
+async def test_stranger_without_the_key_is_not_heard(members):
+    _, b = members
+    stranger = await Member('x', key=b'other').start()
+    stranger.mesh.set_members({'b': b.address})
+    for _ in range(20):
+        stranger.mesh.send('b', word('x'))
+        await asyncio.sleep(0.01)
+    stranger.mesh.stop()
+    assert not b.received
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [b'\xff\xff\xff\xff', b'\x00\x00\x00\x03abc', b'GET / HTTP/1.1\r\n\r\n'],
+)
+async def test_bytes_that_are_no_message_end_the_link(members, raw):
+    _, b = members
+    reader, writer = await asyncio.open_connection(*b.address)
+    writer.write(raw)
+    assert await reader.read() == b''
+    writer.close()
+    assert not b.received
--- /dev/null
+++ b/mintlanding/platform/tests/standins.py
@@ -0,0 +1,328 @@
+"""The platform's store and targets, as far as our own tests need them."""
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from mintlanding.core.logs import Logger
+from mintlanding.http1.models import MessageLimits
+from mintlanding.http1.server import CallerServer
+from mintlanding.platform.tests.samples import ENTRY, encode
+
+JSON_HEADERS = [(b'content-type', b'application/json')]
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong: answers lost, calls refused, history gone."""
+
+    lose_answers: int = 0
+    refuse: bool = False
+    silent: bool = False
+    history_from: int = 0
+    cut_watches: bool = False
+
+
+class StoreStandin:
+    """Keys, leases and a history of changes over HTTP."""
+
+    def __init__(self):
+        self.faults = StoreFaults()
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.leases = {}
+        self.changed = asyncio.Event()
+        self.calls = []
+        self.server = CallerServer(
+            self.handle, MessageLimits(), Logger('store')
+        )
+
+    async def start(self):
+        await self.server.start('127.0.0.1', 0)
+        self.address = ('127.0.0.1', self.server.port)
+        return self
+
+    def stop(self):
+        self.server.stop()
+
+    def put(self, key, content, lease=0):
+        """Write like the operator or a target."""
+        self.revision += 1
+        self.items[key] = (content, self.revision, lease)
+        self.history.append((self.revision, key, content, lease))
+        self._wake()
+
+    def remove(self, key):
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append((self.revision, key, None, 0))
+            self._wake()
+
+    def end_lease(self, lease):
+        """End a lease as time does."""
+        self.leases.pop(lease, None)
+        for key in [k for k, held in self.items.items() if held[2] == lease]:
+            self.remove(key)
+
+    async def handle(self, req):
+        """Answer one call."""
+        parts = urlsplit(req.target.decode())
+        query = {key: found[0] for key, found in parse_qs(parts.query).items()}
+        self.calls.append(parts.path)
+        self._expire()
+        if self.faults.silent:
+            await asyncio.sleep(30)
+        if self.faults.refuse:
+            req.respond(503, [], b'')
+            return
+        name = parts.path.removeprefix('/v1/').partition('/')[0]
+        handler = getattr(self, '_' + name.replace('-', '_'))
+        status, answer = await handler(parts, query, req.body)
+        if self.faults.lose_answers and req.method != b'GET':
+            self.faults.lose_answers -= 1
+            req.abort()
+            return
+        req.respond(status, JSON_HEADERS, msgspec.json.encode(answer))
+
+    async def _kv_range(self, parts, query, body):
+        prefix, after = query.get('prefix', ''), query.get('after', '')
+        keys = sorted(
+            k for k in self.items if k.startswith(prefix) and k > after
+        )
+        page = [self._item(key) for key in keys[:5]]
+        more = len(keys) > 5
+        answer = {'items': page, 'truncated': more, 'as_of': self.revision}
+        return 200, answer
+
+    async def _kv_watch(self, parts, query, body):
+        after = int(query['after'])
+        if after < self.faults.history_from:
+            return 410, {}
+        wait = int(query['wait_ms']) / 1000
+        try:
+            async with asyncio.timeout(wait):
+                while self.revision <= after:
+                    await self.changed.wait()
+        except TimeoutError:
+            return 200, {'events': [], 'as_of': self.revision}
+        events = [
+            self._event(*row)
+            for row in self.history
+            if row[0] > after and row[1].startswith(query.get('prefix', ''))
+        ]
+        return 200, {'events': events, 'as_of': self.revision}
+
+    async def _kv_txn(self, parts, query, body):
+        txn = msgspec.json.decode(body)
+        for row in txn['expected']:
+            held = self.items.get(row['key'])
+            if (held[1] if held else 0) != row['rev']:
+                return 412, {'items': []}
+        for row in txn['set_keys']:
+            if row['lease'] and row['lease'] not in self.leases:
+                return 404, {}
+        for row in txn['set_keys']:
+            content = base64.b64decode(row['value'])
+            self.put(row['key'], content, row['lease'])
+        for key in txn['delete']:
+            self.remove(key)
+        return 200, {'rev': self.revision}
+
+    async def _kv_lease(self, parts, query, body):
+        seconds = msgspec.json.decode(body)['ttl_ms'] / 1000
+        lease = 1000 + len(self.calls)
+        self.leases[lease] = (seconds, self._now() + seconds)
+        return 200, {'lease': lease, 'ttl_ms': seconds * 1000}
+
+    async def _kv_keep(self, parts, query, body):
+        lease = int(parts.path.rpartition('/')[2])
+        if lease not in self.leases:
+            return 404, {}
+        seconds, _ = self.leases[lease]
+        self.leases[lease] = (seconds, self._now() + seconds)
+        return 200, {'ttl_ms': seconds * 1000}
+
+    async def _kv_lease_end(self, parts, query, body):
+        self.end_lease(int(parts.path.rpartition('/')[2]))
+        return 200, {}
+
+    def _item(self, key):
+        content, revision, lease = self.items[key]
+        return {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'rev': revision,
+            'create_rev': revision,
+            'lease': lease,
+        }
+
+    def _event(self, revision, key, content, lease):
+        if content is None:
+            return {'key': key, 'rev': revision, 'removed': True}
+        return {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'rev': revision,
+            'create_rev': revision,
+            'lease': lease,
+        }
+
+    def _expire(self):
+        now = self._now()
+        for lease in [k for k, held in self.leases.items() if held[1] <= now]:
+            self.end_lease(lease)
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+
+@dataclass
+class TargetFaults:
+    """What goes wrong at a target."""
+
+    fail: int = 0
+    lose_answers: int = 0
+    shed: int = 0
+    break_after: int = 0
+    mute: bool = False
+    conflicts: int = 0
+
+
+@dataclass
+class TargetStandin:
+    """A target: an engine when it has a model, else a plain service."""
+
+    name: str
+    service: str = 'engines'
+    zone: str = 'z1'
+    events: int = 3
+    model: str = 'daka'
+    places: int = 3
+    delay: float = 0.0
+    faults: TargetFaults = field(default_factory=TargetFaults)
+    adapters: dict = field(default_factory=dict)
+    runs: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    arrivals: int = 0
+    orders_taken: int = 0
+    left: int = 0
+
+    async def start(self):
+        self.server = CallerServer(
+            self.handle,
+            MessageLimits(),
+            Logger('target'),
+        )
+        await self.server.start('127.0.0.1', 0)
+        return self
+
+    def stop(self):
+        self.server.stop()
+
+    def entry(self, state='ready'):
+        """Return the entry that the target writes into the store."""
+        models = [{'name': self.model, 'version': 1, 'adapters': []}]
+        return encode(
+            {
+                **ENTRY,
+                'service': self.service,
+                'addr': f'127.0.0.1:{self.server.port}',
+                'zone': self.zone,
+                'state': state,
+                'seq': self.orders_taken,
+                'models': models if self.model else [],
+            },
+        )
+
+    async def handle(self, req):
+        """Answer an order, a report or a request."""
+        if req.target == b'/v1/order':
+            self._order(req)
+            return
+        if req.target == b'/v1/report':
+            self._report(req)
+            return
+        await self._run(req)
+
+    def _order(self, req):
+        body = msgspec.json.decode(req.body)
+        self.orders.append(body)
+        if self.faults.conflicts or body['expected'] != self.orders_taken:
+            self.faults.conflicts = max(0, self.faults.conflicts - 1)
+            req.respond(409, [], b'')
+            return
+        adapter = body['adapter']
+        self.orders_taken += 1
+        if body['op'] == 'unload':
+            self.adapters.pop(adapter, None)
+            req.respond(200, [], b'')
+            return
+        self.adapters[adapter] = body.get('version', 1)
+        assert len(self.adapters) <= self.places
+        req.respond(202, [], b'')
+
+    def _report(self, req):
+        names = [f'{name}@{number}' for name, number in self.adapters.items()]
+        report = {
+            'seq': self.orders_taken,
+            'born': ENTRY['born'],
+            'models': [{'name': self.model, 'version': 1, 'adapters': names}],
+            'coming': [],
+        }
+        req.respond(200, JSON_HEADERS, msgspec.json.encode(report))
+
+    async def _run(self, req):
+        self.arrivals += 1
+        faults = self.faults
+        request_id = req.get(b'x-request-id')
+        if req.get(b'x-expect-instance') != self.name.encode():
+            req.respond(421, [(b'x-instance-id', self.name.encode())], b'')
+            return
+        adapter = req.get(b'x-model').decode().partition('/')[2]
+        if self.model and adapter and adapter not in self.adapters:
+            req.respond(421, [(b'x-instance-id', self.name.encode())], b'')
+            return
+        if faults.shed:
+            faults.shed -= 1
+            req.respond(503, [(b'x-not-run', b'1')], b'')
+            return
+        self.runs.append((request_id.decode(), req.body, dict(req.headers)))
+        headers = [(b'x-request-id', request_id), (b'x-response-stamp', b's1')]
+        try:
+            await asyncio.sleep(30 if faults.mute else self.delay)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+        if faults.fail:
+            faults.fail -= 1
+            req.respond(500, headers, b'failed')
+        elif faults.lose_answers:
+            faults.lose_answers -= 1
+            req.abort()
+        elif self.service == 'engines':
+            await self._stream(req, headers)
+        else:
+            req.respond(200, headers, b'done ' + req.body)
+
+    async def _stream(self, req, headers):
+        first = int(req.get(b'last-event-id') or b'0')
+        req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
+        for number in range(first + 1, self.events + 1):
+            if self.faults.break_after and number > self.faults.break_after:
+                self.faults.break_after = 0
+                req.write(b'id: %d\nda' % number)
+                await asyncio.sleep(0.01)
+                req.abort()
+                return
+            req.write(b'id: %d\ndata: x\n\n' % number)
+            await asyncio.sleep(0.005)
+        req.end()
--- /dev/null
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -0,0 +1,244 @@
+"""Records, settings and headers; what cannot be read harms nothing."""
+
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintlanding.conf.exceptions import SettingsError
+from mintlanding.http1.models import ResponseHead
+from mintlanding.platform import records, requests
+from mintlanding.platform.settings import load_settings, parse_settings
+from mintlanding.platform.tests.samples import (
+    CONFIG,
+    ENTRY,
+    REPORT,
+    SETTINGS,
+    encode,
+)
+from mintlanding.residency.models import Order, OrderKind, OrderResult
+from mintlanding.traffic.exchange import HopFields
+from mintlanding.traffic.models import AdapterName, Demand, RouteKind
+
+CALLER = [
+    (b'host', b'ficu95.example'),
+    (b'x-request-id', b'9c41'),
+    (b'x-model', b'daka/a3'),
+    (b'x-token-counts', b'1460,80'),
+    (b'x-prompt-prefix', b'5c1e:800,91bd:410,e440:250'),
+    (b'x-deadline-ms', b'5000'),
+    (b'authorization', b'Token key-1'),
+]
+
+
+def test_config_becomes_routes_services_and_workspaces():
+    cfg = records.decode_config(encode(CONFIG))
+    batch, live, order, lookup = cfg.routes
+    assert batch.is_idempotent
+    assert batch.attempts == 2
+    assert live.shares == (('engines', 90.0),)
+    assert live.objective == 0.6
+    assert not live.is_idempotent
+    assert order.kind is RouteKind.unsafe
+    assert lookup.is_idempotent
+    assert cfg.services['engines'].engine.adapter_places('daka') == 3
+    assert cfg.services['engines'].engine.models[0].load_time == 0.3
+    workspace = cfg.workspaces['hule930']
+    assert workspace.keys == {'key-1', 'key-2'}
+    assert workspace.counts_tokens
+    assert cfg.limits.idle_timeout == 15
+
+
+def test_target_entry_tells_incarnation_and_adapters():
+    target = records.decode_target('servers/i-7f', encode(ENTRY))
+    assert target.key == ('i-7f', 1700000000000)
+    assert target.address == ('10.128.0.9', 8080)
+    assert target.adapters == (('a1', 2),)
+    assert target.orders_taken == 4
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong'),
+    [
+        ('service', None),
+        ('addr', 'nowhere'),
+        ('addr', 7),
+        ('state', 'resting'),
+        ('seq', 'many'),
+        ('born', 1.5),
+        ('models', 'none'),
+    ],
+)
+def test_strange_target_entry_is_refused_with_its_place(field, wrong):
+    entry = {**ENTRY, field: wrong}
+    with pytest.raises(records.RecordInvalid):
+        records.decode_target('servers/i-7f', encode(entry))
+
+
+def test_report_tells_what_is_there_and_what_comes():
+    report = records.decode_report(encode(REPORT))
+    assert report.adapters == (('a1', 2), ('a7', 1))
+    assert report.coming == (('a9', 1),)
+    assert report.models == ('daka',)
+    assert report.running == 13
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_record_are_refused(raw):
+    for decode in (
+        records.decode_config,
+        records.decode_version,
+        records.decode_report,
+        lambda content: records.decode_target('servers/x', content),
+    ):
+        try:
+            decode(raw)
+        except records.RecordInvalid as exc:
+            assert str(exc)
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@given(st.sampled_from(sorted(CONFIG)), json_values)
+def test_config_with_a_strange_part_is_read_or_refused(field, value):
+    broken = copy.deepcopy(CONFIG)
+    broken[field] = value
+    try:
+        records.decode_config(encode(broken))
+    except records.RecordInvalid as exc:
+        assert field in str(exc) or str(exc)
+
+
+def test_settings_become_the_settings_of_a_node():
+    cfg = parse_settings(SETTINGS)
+    assert cfg.node.facts.instance == 'front-a-1@10.1.0.25'
+    assert cfg.node.facts.peer_port == 7600
+    assert cfg.node.bounds.contact == 3
+    assert cfg.store_address == ('10.200.1.7', 8225)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'place'),
+    [
+        ('ip = "10.1.0.25"', '', 'ip'),
+        ('addr = "10.200.1.7:8225"', 'addr = "10.200.1.7"', 'IP:PORT'),
+        ('port_range = [7600,7615]', 'port_range = [7600]', 'port_range'),
+        ('grace_s = 8', 'grace_s = "long"', 'bounds.grace_s'),
+        ('zone =', 'zone', 'TOML'),
+    ],
+)
+def test_mistakes_in_settings_are_named(old, new, place):
+    with pytest.raises(SettingsError, match=place):
+        parse_settings(SETTINGS.replace(old, new))
+
+
+def test_missing_settings_file_is_named():
+    with pytest.raises(SettingsError, match='no-such-file'):
+        load_settings('no-such-file')
+
+
+def test_caller_headers_become_fields():
+    fields = requests.read_caller(CALLER)
+    assert fields.key == 'key-1'
+    assert fields.deadline == 5
+    assert fields.adapter == AdapterName('daka', 'a3')
+    assert fields.demand == Demand(1460, 80)
+    assert fields.parts[0] == ('5c1e', 800)
+
+
+@given(
+    st.dictionaries(st.sampled_from([name for name, _ in CALLER]), st.binary())
+)
+def test_strange_headers_count_as_absent(changes):
+    headers = [(name, changes.get(name, old)) for name, old in CALLER]
+    fields = requests.read_caller(headers)
+    assert fields.deadline is None or fields.deadline > 0
+
+
+def hop(headers, **changes):
+    given_fields = {
+        'target': 'i-7f',
+        'workspace': 'hule930',
+        'time_left': 1.5,
+        **changes,
+    }
+    raw = requests.hop_head(
+        b'POST',
+        b'/lohu930/2f',
+        headers,
+        0,
+        HopFields(**given_fields),
+    )
+    lines = raw.decode().split('\r\n')[1:-2]
+    return dict(line.split(': ', 1) for line in lines)
+
+
+def test_target_gets_what_the_caller_sent_and_never_its_key():
+    sent = hop([*CALLER, (b'x-note', b'kept')])
+    assert sent['x-note'] == 'kept'
+    assert sent['x-model'] == 'daka/a3'
+    assert sent['x-deadline-ms'] == '1500'
+    assert sent['x-tenant'] == 'hule930'
+    assert sent['x-expect-instance'] == 'i-7f'
+    assert 'authorization' not in sent
+
+
+@pytest.mark.parametrize(
+    'name',
+    [b'x-hold', b'x-pin-ms', b'x-kv-backup', b'kv-from', b'x-expect-version'],
+)
+def test_headers_of_the_system_are_not_taken_from_callers(name):
+    assert name.decode() not in hop([*CALLER, (name, b'1')])
+
+
+def test_caller_cannot_name_itself_a_workspace():
+    assert hop([(b'x-tenant', b'other'), *CALLER])['x-tenant'] == 'hule930'
+
+
+def test_connection_header_cannot_remove_what_a_target_needs():
+    headers = [*CALLER, (b'connection', b'x-model, x-note'), (b'x-note', b'1')]
+    sent = hop(headers)
+    assert sent['x-model'] == 'daka/a3'
+    assert 'x-note' not in sent
+
+
+def test_answer_without_a_run_is_recognised():
+    shed = ResponseHead(503, [(b'x-not-run', b'1')])
+    assert requests.read_answer(shed, '9c41').is_not_run
+    other = ResponseHead(421, [(b'x-instance-id', b'i-02')])
+    answer = requests.read_answer(other, '9c41')
+    assert answer.is_misdirected
+    assert answer.target == 'i-02'
+    assert not requests.read_answer(ResponseHead(503), '9c41').is_not_run
+
+
+def test_answer_of_another_request_is_recognised():
+    head = ResponseHead(200, [(b'x-request-id', b'other')])
+    assert not requests.read_answer(head, '9c41').is_ours
+
+
+def test_order_of_a_model_names_no_adapter():
+    order = Order(OrderKind.load, 'daka', '', 2)
+    raw = requests.order_request(order, 'i-7f', 'me', 41, '10.0.0.1:80')
+    assert b'"adapter"' not in raw
+    assert b'"fence":41' in raw
+    assert b'X-Expect-Instance: i-7f' in raw
+
+
+def test_order_answers_are_told_apart():
+    results = [requests.order_result(each) for each in (202, 200, 409, 400)]
+    assert results == [
+        OrderResult.accepted,
+        OrderResult.holds,
+        OrderResult.conflict,
+        OrderResult.rejected,
+    ]
--- /dev/null
+++ b/mintlanding/platform/tests/test_node.py
@@ -0,0 +1,336 @@
+"""Instances, store and targets in one process: the whole path and faults."""
+
+import asyncio
+import contextlib
+from dataclasses import replace
+
+import pytest
+
+from mintlanding.node.application import NodeApplication
+from mintlanding.node.settings import Bounds, InstanceFacts, NodeSettings
+from mintlanding.platform import records, requests
+from mintlanding.platform.store import PlatformStore
+from mintlanding.platform.tests.samples import CONFIG, encode
+from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
+
+HOST = '127.0.0.1'
+LIVE = b'/lohu930/x'
+BATCH = b'/pufi791/x'
+ORDER = b'/puxa403/x'
+LOOKUP = b'/cufi504/x'
+
+
+class World:
+    """A store, two engines, two plain targets and some instances."""
+
+    def __init__(self):
+        self.nodes = []
+        self.store = StoreStandin()
+        self.engines = [TargetStandin(f'e{number}') for number in (1, 2)]
+        self.plain = [
+            TargetStandin(f'p{number}', service='orders', model='')
+            for number in (1, 2)
+        ]
+        self.sent = 0
+
+    async def start(self, instances=1):
+        await self.store.start()
+        for target in (*self.engines, *self.plain):
+            await target.start()
+            self.store.put(f'servers/{target.name}', target.entry())
+        self.store.put('op/config', encode(CONFIG))
+        for number in range(instances):
+            await self.add_node(f'n{number}')
+        await self.settle()
+        return self
+
+    async def add_node(self, name):
+        # Links need a port that the members know before it is bound.
+        with contextlib.closing(
+            await asyncio.start_server(lambda *_: None, HOST, 0),
+        ) as server:
+            peer_port = server.sockets[0].getsockname()[1]
+        facts = InstanceFacts(
+            instance=name,
+            zone='z1',
+            host=HOST,
+            front=(HOST, 0),
+            ready=(HOST, 0),
+            peer_port=peer_port,
+            metrics_port=0,
+        )
+        cfg = NodeSettings(facts, bounds=replace(Bounds(), grace=4))
+        node = NodeApplication.from_config(
+            cfg,
+            PlatformStore.from_config(self.store.address),
+            records,
+            requests,
+        )
+        await node.application.start()
+        self.nodes.append(node)
+        return node
+
+    async def settle(self):
+        """Wait until every engine has a steward that may order."""
+        wanted = {engine.name for engine in self.engines}
+        async with asyncio.timeout(10):
+            while wanted - self.stewarded():
+                await asyncio.sleep(0.05)
+
+    def stewarded(self):
+        return {
+            worker
+            for node in self.nodes
+            for worker, steward in node._stewards.stewards.items()
+            if steward.may_order and steward.is_known
+        }
+
+    async def stop(self):
+        for node in self.nodes:
+            for task in tuple(node.application._tasks):
+                task.cancel()
+            await node.stop()
+        for target in (*self.engines, *self.plain):
+            target.stop()
+        self.store.stop()
+
+    async def connect(self, node=0):
+        port = self.nodes[node]._front.port
+        return await asyncio.open_connection(HOST, port)
+
+    def raw(
+        self, path, method=b'POST', key=b'key-1', body=b'hello', adapter=b'/a1'
+    ):
+        self.sent += 1
+        lines = [
+            b'%b %b HTTP/1.1' % (method, path),
+            b'Host: ficu95.example',
+            b'X-Request-Id: r%d' % self.sent,
+            b'X-Model: daka%b' % adapter,
+            b'X-Token-Counts: 100,10',
+            b'X-Deadline-Ms: 3000',
+            b'Authorization: Token %b' % key,
+            b'Content-Length: %d' % len(body),
+        ]
+        return b'\r\n'.join((*lines, b'', body))
+
+    async def ask(self, path, node=0, **changes):
+        """Send a request and read until the connection has no more."""
+        reader, writer = await self.connect(node)
+        writer.write(self.raw(path, **changes))
+        async with asyncio.timeout(8):
+            answer = await read_whole(reader)
+        writer.close()
+        return answer
+
+
+async def read_whole(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).lower()
+    status = int(head.split()[1])
+    if b'transfer-encoding: chunked' in head:
+        parts = []
+        while size := int(await reader.readuntil(b'\n'), 16):
+            parts.append(await reader.readexactly(size))
+            await reader.readline()
+        await reader.readline()
+        return status, head, b''.join(parts)
+    length = int(head.partition(b'content-length: ')[2].split(b'\r\n')[0])
+    return status, head, await reader.readexactly(length)
+
+
+@pytest.fixture
+async def world():
+    found = await World().start()
+    yield found
+    await found.stop()
+
+
+@pytest.fixture
+async def pair():
+    found = await World().start(instances=2)
+    yield found
+    await found.stop()
+
+
+def stream(first, last):
+    return b''.join(
+        b'id: %d\ndata: x\n\n' % number for number in range(first, last + 1)
+    )
+
+
+async def test_stream_runs_on_its_adapter(world):
+    status, head, body = await world.ask(LIVE)
+    assert status == 200
+    assert body == stream(1, 3)
+    assert b'x-response-stamp: s1' in head
+    ((_, sent, headers),) = [
+        run for engine in world.engines for run in engine.runs
+    ]
+    assert sent == b'hello'
+    assert headers[b'x-tenant'] == b'hule930'
+    assert b'authorization' not in headers
+
+
+async def test_answer_of_a_plain_target_is_unchanged(world):
+    status, head, body = await world.ask(ORDER)
+    assert (status, body) == (200, b'done hello')
+    assert b'x-response-stamp: s1' in head
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [(b'/nowhere/', b'key-1', 404), (LIVE, b'stranger', 401)],
+)
+async def test_what_no_configuration_allows_is_refused(
+    world, path, key, status
+):
+    assert (await world.ask(path, key=key))[0] == status
+    assert not any(engine.arrivals for engine in world.engines)
+
+
+async def test_withdrawn_key_stops_on_an_open_connection(world):
+    reader, writer = await world.connect()
+    writer.write(world.raw(ORDER))
+    assert (await read_whole(reader))[0] == 200
+    tenants = [{**CONFIG['tenants'][0], 'api_keys': ['key-2']}]
+    changed = {**CONFIG, 'version': 9, 'tenants': tenants}
+    world.store.put('op/config', encode(changed))
+    await asyncio.sleep(0.8)
+    writer.write(world.raw(ORDER))
+    assert (await read_whole(reader))[0] == 401
+    writer.close()
+
+
+async def test_unsafe_request_runs_once_though_its_answer_is_lost(world):
+    for target in world.plain:
+        target.faults.lose_answers = 1
+    status, _, _ = await world.ask(ORDER)
+    assert status == 502
+    assert sum(len(target.runs) for target in world.plain) == 1
+
+
+async def test_safe_request_is_repeated_elsewhere(world):
+    for target in world.plain:
+        target.faults.lose_answers = 1
+    world.plain[1].faults.lose_answers = 0
+    statuses = [
+        (await world.ask(LOOKUP, method=b'GET', body=b''))[0] for _ in range(6)
+    ]
+    assert set(statuses) == {200}
+
+
+async def test_failure_of_a_target_is_passed_on_with_its_signature(world):
+    for target in world.plain:
+        target.faults.fail = 5
+    status, head, body = await world.ask(ORDER)
+    assert (status, body) == (500, b'failed')
+    assert b'x-response-stamp: s1' in head
+
+
+async def test_request_that_was_not_run_is_sent_again(world):
+    for target in world.plain:
+        target.faults.shed = 1
+    world.plain[1].faults.shed = 0
+    statuses = [(await world.ask(ORDER))[0] for _ in range(4)]
+    assert statuses == [200] * 4
+
+
+async def test_resumable_stream_goes_on_at_another_engine(world):
+    for engine in world.engines:
+        engine.faults.break_after = 1
+    world.engines[1].faults.break_after = 0
+    for _ in range(3):
+        status, _, body = await world.ask(BATCH)
+        assert status == 200
+        assert body == stream(1, 3)
+
+
+async def test_other_streams_that_break_off_do_not_look_whole(world):
+    for engine in world.engines:
+        engine.faults.break_after = 1
+    with pytest.raises(asyncio.IncompleteReadError):
+        await world.ask(LIVE)
+    assert sum(len(engine.runs) for engine in world.engines) == 1
+
+
+async def test_work_stops_when_the_caller_leaves(world):
+    for engine in world.engines:
+        engine.delay = 5
+    _, writer = await world.connect()
+    writer.write(world.raw(LIVE))
+    await asyncio.sleep(0.6)
+    assert sum(len(engine.runs) for engine in world.engines) == 1
+    writer.close()
+    await asyncio.sleep(0.3)
+    assert sum(engine.left for engine in world.engines) == 1
+
+
+async def test_mute_target_ends_at_the_routes_timeout(world):
+    for target in world.plain:
+        target.faults.mute = True
+    status, _, _ = await world.ask(ORDER)
+    assert status == 504
+
+
+async def test_both_instances_serve_from_the_same_places(pair):
+    for node in (0, 1, 0, 1):
+        status, _, _ = await pair.ask(LIVE, node=node)
+        assert status == 200
+    orders = [order for engine in pair.engines for order in engine.orders]
+    assert len(orders) == 1
+    for engine in pair.engines:
+        assert len({order['holder'] for order in engine.orders}) <= 1
+
+
+async def test_resident_adapters_are_served_without_the_store(pair):
+    await pair.ask(LIVE)
+    pair.store.faults.refuse = True
+    await asyncio.sleep(1.5)
+    assert (await pair.ask(LIVE))[0] == 200
+    assert (await pair.ask(LIVE, node=1))[0] == 200
+
+
+async def test_members_that_hear_each_other_order_without_the_store(pair):
+    pair.store.faults.refuse = True
+    await asyncio.sleep(2.5)
+    status, _, _ = await pair.ask(LIVE, adapter=b'/a2')
+    assert status == 200
+
+
+async def test_lost_history_is_read_anew(world):
+    world.store.faults.history_from = world.store.revision + 5
+    changed = {**CONFIG, 'version': 9, 'routes': CONFIG['routes'][:3]}
+    world.store.put('op/config', encode(changed))
+    await asyncio.sleep(1.0)
+    assert (await world.ask(LOOKUP, method=b'GET', body=b''))[0] == 404
+
+
+async def test_strange_entries_name_no_target_and_harm_nothing(world):
+    world.store.put('servers/torn', b'{"service":')
+    world.store.put('servers/strange', encode({'service': 'engines'}))
+    await asyncio.sleep(0.6)
+    assert (await world.ask(LIVE))[0] == 200
+    assert 'torn' not in world.nodes[0].view.targets
+
+
+async def test_leaving_target_gets_nothing_new(world):
+    leaving = world.plain[0]
+    world.store.put('servers/p1', leaving.entry('draining'))
+    await asyncio.sleep(0.8)
+    for _ in range(4):
+        await world.ask(ORDER)
+    assert not leaving.runs
+
+
+async def test_planned_stop_ends_requests_and_lets_go(pair):
+    for target in pair.plain:
+        target.delay = 0.5
+    asking = asyncio.ensure_future(pair.ask(ORDER))
+    await asyncio.sleep(0.1)
+    node = pair.nodes.pop(0)
+    await node.application.stop()
+    assert (await asking)[0] == 200
+    await asyncio.sleep(0.8)
+    async with asyncio.timeout(6):
+        while pair.stewarded() != {'e1', 'e2'}:
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/mintlanding/residency/tests/engines.py
@@ -0,0 +1,67 @@
+"""A model of an engine that takes orders in sequence, for tests."""
+
+from dataclasses import dataclass, field
+
+from mintlanding.residency.models import (
+    EngineReport,
+    Order,
+    OrderKind,
+    OrderResult,
+)
+
+MODEL = 'base'
+
+
+@dataclass
+class FakeEngine:
+    """Carries out orders as the engines' protocol says, without time."""
+
+    places: int = 3
+    orders_taken: int = 0
+    has_model: bool = True
+    adapters: dict[str, int] = field(default_factory=dict)
+    newest: dict[str, int] = field(default_factory=dict)
+    late: list[Order] = field(default_factory=list)
+    most_held: int = 0
+
+    def order(self, order: Order) -> OrderResult:
+        """Take an order; raise where the engine would crash."""
+        if order.expected != self.orders_taken:
+            return OrderResult.conflict
+        if not order.adapter:
+            self.has_model = True
+            self.orders_taken += 1
+            return OrderResult.accepted
+        if not self.has_model:
+            return OrderResult.conflict
+        if order.kind is OrderKind.unload:
+            if self.adapters.pop(order.adapter, None) is not None:
+                self.orders_taken += 1
+            return OrderResult.holds
+        version = order.version or self.newest.get(order.adapter, 1)
+        if self.adapters.get(order.adapter) == version:
+            return OrderResult.holds
+        self.adapters[order.adapter] = version
+        self.orders_taken += 1
+        self.most_held = max(self.most_held, len(self.adapters))
+        return OrderResult.accepted
+
+    def lose(self, order: Order) -> OrderResult:
+        """Keep an order for later without an answer."""
+        self.late.append(order)
+        return OrderResult.lost
+
+    def carry_out_late(self) -> None:
+        """Carry out what was kept, if its count still holds."""
+        for order in self.late:
+            self.order(order)
+        self.late.clear()
+
+    def report(self) -> EngineReport:
+        """Say what the engine holds."""
+        return EngineReport(
+            incarnation=1,
+            orders_taken=self.orders_taken,
+            models=(MODEL,) if self.has_model else (),
+            adapters=tuple(self.adapters.items()),
+        )
--- /dev/null
+++ b/mintlanding/residency/tests/test_authority.py
@@ -0,0 +1,126 @@
+"""Two holders of a worker never order in turn too soon."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintlanding.residency.authority import (
+    AuthorityTerms,
+    ClaimView,
+    HoldRecord,
+    MemberSpot,
+    OrderAuthority,
+    choose_claims,
+    preferred_member,
+)
+
+TERMS = AuthorityTerms()
+A = MemberSpot('a', 'z1')
+B = MemberSpot('b', 'z1')
+C = MemberSpot('c', 'z2')
+
+
+def view(me='a', **changes):
+    given_view = {
+        'me': me,
+        'zones': {'w': 'z2'},
+        'records': {},
+        'members': {'a': A, 'b': B, 'c': C},
+        'heard': {},
+        **changes,
+    }
+    return ClaimView(**given_view)
+
+
+def test_free_worker_goes_to_a_member_of_its_zone():
+    assert not choose_claims(view('a'), TERMS, 0)
+    (claim,) = choose_claims(view('c'), TERMS, 0)
+    assert claim.wait == 0
+
+
+def test_member_that_leaves_takes_nothing():
+    members = {'a': A, 'c': MemberSpot('c', 'z2', is_leaving=True)}
+    (claim,) = choose_claims(view('a', members=members), TERMS, 0)
+    assert claim.worker == 'w'
+
+
+def test_holder_with_an_entry_keeps_its_worker():
+    records = {'w': HoldRecord('b', 7)}
+    assert not choose_claims(view('c', records=records), TERMS, 1000)
+
+
+def test_holder_that_is_heard_keeps_its_worker_without_an_entry():
+    records = {'w': HoldRecord('gone', 7)}
+    heard = {'gone': 100.0}
+    silent = view('c', records=records, heard=heard)
+    assert not choose_claims(silent, TERMS, 100 + TERMS.silence - 0.1)
+    (claim,) = choose_claims(silent, TERMS, 100 + TERMS.silence)
+    assert claim.previous == 'gone'
+    assert claim.revision == 7
+    assert claim.wait == TERMS.takeover_wait
+
+
+def test_worker_that_was_let_go_waits_for_the_whole_gap():
+    records = {'w': HoldRecord('', 9)}
+    (claim,) = choose_claims(view('c', records=records), TERMS, 0)
+    assert claim.wait > TERMS.turn_gap
+
+
+def test_unreachable_worker_is_not_taken():
+    out_of_reach = view('c', unreachable=frozenset(('w',)))
+    assert not choose_claims(out_of_reach, TERMS, 0)
+
+
+def test_preferred_member_is_the_same_for_all():
+    members = [A, B, C]
+    assert preferred_member('w', 'z1', members) == preferred_member(
+        'w',
+        'z1',
+        reversed(members),
+    )
+
+
+def test_authority_ends_with_the_lease_when_others_are_silent():
+    authority = OrderAuthority(TERMS)
+    authority.set_members(('b',))
+    authority.renewed(10)
+    assert authority.until() == 10 + TERMS.hold
+
+
+def test_word_of_all_members_replaces_the_lease():
+    authority = OrderAuthority(TERMS)
+    authority.set_members(('b', 'c'))
+    authority.renewed(10)
+    authority.heard_by('b', 20)
+    assert authority.until() == 10 + TERMS.hold
+    authority.heard_by('c', 21)
+    assert authority.until() == 20 + TERMS.hold
+
+
+times = st.floats(0, 5, allow_nan=False)
+
+
+@given(
+    renewals=st.lists(times, max_size=6),
+    words=st.lists(st.tuples(times, times), max_size=6),
+    claim_after=times,
+)
+def test_orders_of_two_holders_are_a_gap_apart(renewals, words, claim_after):
+    """Replay renewals and words that reached the other with delays.
+
+    The other member claims as early as the store and its own silence rule
+    allow; the first order after that is at least the gap after the last one
+    that the first holder could give.
+    """
+    holder = OrderAuthority(TERMS)
+    holder.set_members(('other',))
+    for sent_at in renewals:
+        holder.renewed(sent_at)
+    heard_at = 0.0
+    for sent_at, delay in words:
+        holder.heard_by('other', sent_at)
+        heard_at = max(heard_at, sent_at + delay)
+    lapses_at = max(renewals, default=0.0) + TERMS.lease
+    claimed_at = max(lapses_at, heard_at + TERMS.silence) + claim_after
+    first_order = claimed_at + TERMS.takeover_wait
+    last_order = holder.until()
+    assert first_order >= last_order + TERMS.turn_gap
--- /dev/null
+++ b/mintlanding/residency/tests/test_choice.py
@@ -0,0 +1,67 @@
+"""Which worker an adapter goes to."""
+
+from mintlanding.residency.choice import (
+    ChoiceTerms,
+    WorkerView,
+    choose_worker,
+    rank_workers,
+)
+
+TERMS = ChoiceTerms()
+WORKERS = [f'w{number}' for number in range(6)]
+
+
+def views(**changes):
+    found = {}
+    for name in WORKERS:
+        given = {'can_order': True, 'is_heard': True, **changes.get(name, {})}
+        found[name] = WorkerView(name, 'z', **given)
+    return found
+
+
+def choose(adapter, **changes):
+    return choose_worker(adapter, adapter, views(**changes), 'z', TERMS)
+
+
+def test_rare_adapter_goes_home_though_others_are_idle():
+    home = rank_workers('a7', WORKERS)[0]
+    busy = {home: {'running': 20, 'wait': 0.1}}
+    assert choose('a7', **busy)[0] == home
+
+
+def test_rare_adapter_leaves_a_home_that_is_far_behind():
+    home, second = rank_workers('a7', WORKERS)[:2]
+    assert choose('a7', **{home: {'wait': 0.9}})[0] == second
+
+
+def test_adapter_goes_where_it_is_held():
+    third = rank_workers('a7', WORKERS)[2]
+    assert choose('a7', **{third: {'ready': frozenset(('a7',))}})[0] == third
+
+
+def test_hot_adapter_spreads_over_its_holders():
+    first, second = rank_workers('a7', WORKERS)[:2]
+    held = frozenset(('a7',))
+    changes = {
+        first: {'ready': held, 'running': 30},
+        second: {'ready': held, 'running': 5},
+    }
+    assert choose('a7', **changes)[0] == second
+
+
+def test_worker_without_the_base_model_gets_nothing():
+    empty = {name: {'has_model': False} for name in WORKERS[1:]}
+    assert choose('a7', **empty) == ['w0']
+
+
+def test_worker_that_takes_no_orders_is_passed_over():
+    home, second = rank_workers('a7', WORKERS)[:2]
+    assert choose('a7', **{home: {'can_order': False}})[0] == second
+
+
+def test_home_changes_for_few_adapters_when_a_worker_goes():
+    adapters = [f'a{number}' for number in range(600)]
+    before = {each: rank_workers(each, WORKERS)[0] for each in adapters}
+    after = {each: rank_workers(each, WORKERS[:-1])[0] for each in adapters}
+    moved = [each for each in adapters if before[each] != after[each]]
+    assert all(before[each] == WORKERS[-1] for each in moved)
--- /dev/null
+++ b/mintlanding/residency/tests/test_steward.py
@@ -0,0 +1,351 @@
+"""The steward of an engine: admission, loads, evictions, missing answers."""
+
+import random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    AdmissionRequest,
+    Outcome,
+)
+from mintlanding.residency.models import (
+    AskReport,
+    EngineRoom,
+    Order,
+    OrderKind,
+    OrderResult,
+    StewardTerms,
+)
+from mintlanding.residency.steward import EngineSteward
+from mintlanding.residency.tests.engines import MODEL, FakeEngine
+
+WORKER = 'w1'
+
+
+def request(name, adapter='a1', **changes):
+    given = {
+        'prompt_tokens': 100,
+        'output_tokens': 10,
+        'priority': 0,
+        'objective': 1.0,
+        'patience': 2.0,
+        'deadline': 5.0,
+        **changes,
+    }
+    return AdmissionRequest(
+        request_id=name,
+        worker=WORKER,
+        model=MODEL,
+        adapter=adapter,
+        workspace='w',
+        **given,
+    )
+
+
+class Driver:
+    """A steward beside a fake engine; orders are carried out at once."""
+
+    def __init__(self, engine=None, places=3, batch_limit=4, **terms):
+        self.engine = engine or FakeEngine(places=places)
+        self.now = 100.0
+        self.replies = {}
+        self.orders = []
+        self.reports = 0
+        self.is_losing = False
+        room = EngineRoom(MODEL, 0.6, places, batch_limit, 10_000)
+        self.steward = EngineSteward(
+            WORKER,
+            1,
+            room,
+            StewardTerms(**terms),
+            random.Random(1),
+        )
+
+    def start(self):
+        self.act(self.steward.begin(self.now))
+        self.act(self.steward.set_authority(True, self.now))
+        return self
+
+    def reserve(self, *args, **changes):
+        req = request(*args, **changes)
+        self.act(self.steward.reserve(req, self.now))
+        return self.replies.get(req.request_id)
+
+    def end(self, name, outcome=Outcome.served):
+        message = AdmissionEnd(name, WORKER, outcome)
+        self.act(self.steward.end(message, self.now))
+
+    def wait(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.01
+            self.act(self.steward.tick(self.now))
+
+    def act(self, actions):
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, AdmissionReply):
+                self.replies[action.request_id] = action
+            elif isinstance(action, AskReport):
+                self.reports += 1
+                report = self.engine.report()
+                pending += self.steward.report(report, self.now)
+            else:
+                pending += self.carry_out(action)
+
+    def carry_out(self, order):
+        self.orders.append(order)
+        if self.is_losing:
+            result = self.engine.lose(order)
+        else:
+            result = self.engine.order(order)
+        return self.steward.order_done(order, result, self.now)
+
+
+@pytest.fixture
+def driver():
+    return Driver().start()
+
+
+def test_request_for_missing_adapter_waits_for_its_load(driver):
+    assert driver.reserve('r1').is_waiting
+    driver.wait(0.3)
+    assert driver.replies['r1'].is_granted
+    assert [each.kind for each in driver.orders] == [OrderKind.load]
+
+
+def test_request_for_held_adapter_is_granted_at_once():
+    engine = FakeEngine(adapters={'a1': 4})
+    driver = Driver(engine).start()
+    reply = driver.reserve('r1')
+    assert reply.is_granted
+    assert reply.version == 4
+    assert not driver.orders
+
+
+def test_least_wanted_adapter_gives_way():
+    driver = Driver(FakeEngine(adapters={'a1': 1, 'a2': 1, 'a3': 1})).start()
+    for adapter in ('a1', 'a3'):
+        driver.reserve(f'r-{adapter}', adapter)
+        driver.end(f'r-{adapter}')
+    driver.reserve('r4', 'a4')
+    driver.wait(0.5)
+    assert set(driver.engine.adapters) == {'a1', 'a3', 'a4'}
+    assert driver.replies['r4'].is_granted
+
+
+def test_adapter_in_use_is_never_unloaded():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), places=1).start()
+    driver.reserve('r1', 'a1')
+    driver.reserve('r2', 'a2')
+    driver.wait(0.5)
+    assert not driver.orders
+    driver.end('r1')
+    driver.wait(0.5)
+    assert driver.replies['r2'].is_granted
+
+
+def test_adapter_that_was_just_loaded_is_not_unloaded_at_once():
+    # Its load may still run, and the engine then refuses all other orders.
+    driver = Driver(places=1).start()
+    driver.reserve('r1', 'a1', patience=0.2)
+    driver.wait(0.26)
+    driver.reserve('r2', 'a2')
+    driver.wait(0.05)
+    assert [each.kind for each in driver.orders] == [OrderKind.load]
+
+
+def test_empty_engine_gets_its_base_model_before_adapters():
+    driver = Driver(FakeEngine(has_model=False)).start()
+    driver.wait(0.1)
+    assert driver.orders[0].adapter == ''
+    refused = driver.reserve('r1')
+    assert not refused.is_granted
+    assert refused.elsewhere
+    driver.wait(1.5)
+    driver.reserve('r2')
+    driver.wait(0.5)
+    assert driver.replies['r2'].is_granted
+
+
+def test_unanswered_order_is_repeated_with_the_same_count(driver):
+    driver.is_losing = True
+    driver.reserve('r1')
+    driver.is_losing = False
+    driver.wait(0.5)
+    assert len({each.expected for each in driver.orders}) == 1
+    assert driver.replies['r1'].is_granted
+    driver.engine.carry_out_late()
+    assert driver.engine.orders_taken == 1
+
+
+def test_order_carried_out_late_after_all_is_found_by_a_report(driver):
+    driver.is_losing = True
+    driver.reserve('r1')
+    driver.engine.carry_out_late()
+    driver.is_losing = False
+    driver.wait(1.0)
+    assert driver.replies['r1'].is_granted
+    assert driver.engine.adapters == {'a1': 1}
+
+
+def test_order_refused_by_a_busy_engine_is_repeated_without_a_report(driver):
+    reports = driver.reports
+    carry_out = driver.carry_out
+    driver.carry_out = lambda order: driver.steward.order_done(
+        order,
+        OrderResult.conflict,
+        driver.now,
+    )
+    driver.reserve('r1')
+    driver.carry_out = carry_out
+    driver.wait(0.5)
+    assert driver.replies['r1'].is_granted
+    assert driver.reports == reports
+
+
+def test_load_that_holds_already_does_not_raise_the_count(driver):
+    driver.engine.adapters['a1'] = 1
+    driver.reserve('r1', 'a1')
+    driver.wait(0.1)
+    driver.reserve('r2', 'a2')
+    driver.wait(0.5)
+    assert [each.expected for each in driver.orders] == [0, 0]
+    assert driver.replies['r2'].is_granted
+
+
+def test_without_authority_nothing_is_ordered_and_others_are_named():
+    driver = Driver(FakeEngine(adapters={'a1': 1}))
+    driver.act(driver.steward.begin(driver.now))
+    assert driver.reserve('r1', 'a1').is_granted
+    refused = driver.reserve('r2', 'a2')
+    assert refused.elsewhere
+    assert not driver.orders
+
+
+def test_new_version_is_loaded_once_nothing_runs_on_the_old_one():
+    driver = Driver(FakeEngine(adapters={'a1': 1})).start()
+    driver.reserve('r1', 'a1')
+    driver.act(driver.steward.name_version('a1', 2, driver.now))
+    assert driver.reserve('r2', 'a1').is_waiting
+    assert not driver.orders
+    driver.end('r1')
+    driver.wait(0.5)
+    assert driver.orders[0].version == 2
+    assert driver.replies['r2'].version == 2
+
+
+def test_request_that_cannot_start_in_time_is_refused_at_once():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
+    driver.reserve('r1', 'a1')
+    for number in range(6):
+        driver.reserve(f'q{number}', 'a1', patience=10)
+    reply = driver.reserve('r2', 'a1', patience=0.5)
+    assert not reply.is_granted
+    assert not reply.is_waiting
+    assert reply.retry_after > 1
+
+
+def test_urgent_requests_go_first():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
+    driver.reserve('r1', 'a1')
+    driver.reserve('plan', 'a1', priority=2)
+    driver.reserve('layout', 'a1', priority=0)
+    driver.end('r1')
+    assert driver.replies['layout'].is_granted
+    assert not driver.replies['plan'].is_granted
+
+
+def test_patience_that_is_over_ends_in_a_refusal(driver):
+    driver.is_losing = True
+    driver.reserve('r1', patience=0.4)
+    driver.wait(0.5)
+    reply = driver.replies['r1']
+    assert not reply.is_granted
+    assert not reply.is_waiting
+
+
+def test_grant_that_nobody_ends_is_dropped_after_its_deadline():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
+    driver.reserve('r1', 'a1', deadline=1.0)
+    driver.wait(1.5)
+    assert driver.steward.running == 0
+
+
+def test_leaving_worker_refuses_what_waits(driver):
+    driver.is_losing = True
+    driver.reserve('r1')
+    driver.act(driver.steward.drain(driver.now))
+    assert driver.replies['r1'].elsewhere
+    assert driver.reserve('r2').elsewhere
+
+
+class StewardMachine(RuleBasedStateMachine):
+    """Orders lost, late and refused never fill more places than there are."""
+
+    @initialize()
+    def begin(self):
+        self.driver = Driver(FakeEngine(places=3), places=3).start()
+        self.count = 0
+
+    @rule(adapter=st.sampled_from([f'a{number}' for number in range(8)]))
+    def ask(self, adapter):
+        self.count += 1
+        self.driver.reserve(f'r{self.count}', adapter)
+
+    @rule()
+    def end_oldest(self):
+        granted = [
+            name
+            for name, reply in self.driver.replies.items()
+            if reply.is_granted
+        ]
+        for name in granted[:1]:
+            self.driver.replies.pop(name)
+            self.driver.end(name)
+
+    @rule(seconds=st.sampled_from([0.02, 0.1, 0.4]))
+    def let_time_pass(self, seconds):
+        self.driver.wait(seconds)
+
+    @rule(is_losing=st.booleans())
+    def change_network(self, is_losing):
+        self.driver.is_losing = is_losing
+
+    @rule()
+    def late_orders_arrive(self):
+        self.driver.engine.carry_out_late()
+
+    @rule(adapter=st.sampled_from(['a0', 'a1']), version=st.integers(2, 4))
+    def name_version(self, adapter, version):
+        newest = self.driver.engine.newest
+        newest[adapter] = max(newest.get(adapter, 1), version)
+        self.driver.act(
+            self.driver.steward.name_version(
+                adapter,
+                version,
+                self.driver.now,
+            ),
+        )
+
+    @invariant()
+    def places_are_enough(self):
+        assert self.driver.engine.most_held <= 3
+
+
+TestStewardMachine = StewardMachine.TestCase
+
+
+def test_orders_name_no_adapter_for_a_model():
+    order = Order(OrderKind.load, MODEL, '', 0)
+    assert order.adapter == ''
--- /dev/null
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -0,0 +1,169 @@
+"""Routes, caps over the fleet, and the budget of repeats."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintlanding.traffic.caps import FleetCaps
+from mintlanding.traffic.models import (
+    AdapterName,
+    BaseModel,
+    EngineSpec,
+    Route,
+    RouteKind,
+    ServingConfig,
+    Workspace,
+)
+from mintlanding.traffic.retries import FleetRetryBudget, FleetRetryTerms
+from mintlanding.traffic.routes import KeyTable, RouteTable, choose_service
+
+
+def route(prefix, host='h.example', **changes):
+    given_route = {
+        'kind': RouteKind.safe,
+        'timeout': 1,
+        'objective': 0.5,
+        'shares': (('s', 1.0),),
+        **changes,
+    }
+    return Route(name=prefix, host=host, prefix=prefix, **given_route)
+
+
+def test_longest_prefix_of_the_host_wins():
+    cfg = ServingConfig(1, (route('/a/'), route('/a/b/'), route('/', 'other')))
+    table = RouteTable.from_config(cfg)
+    assert table.find('h.example', '/a/b/c').prefix == '/a/b/'
+    assert table.find('H.example:80', '/a/x').prefix == '/a/'
+    assert table.find('h.example', '/a') is None
+    assert table.find('other', '/a/b/c').prefix == '/'
+    assert table.find('third', '/a/b/c') is None
+
+
+def test_key_belongs_to_one_workspace():
+    workspace = Workspace('w', frozenset(('k1', 'k2')))
+    table = KeyTable.from_config(ServingConfig(1, workspaces={'w': workspace}))
+    assert table.find('k2') is workspace
+    assert table.find('') is None
+
+
+def test_service_is_chosen_by_weight():
+    split = route('/', shares=(('s1', 90.0), ('s2', 10.0)))
+    rnd = random.Random(1)
+    chosen = [choose_service(split, rnd) for _ in range(1000)]
+    assert 50 < chosen.count('s2') < 150
+
+
+def test_only_safe_routes_and_resumable_streams_may_repeat():
+    assert route('/').is_idempotent
+    assert not route('/', kind=RouteKind.unsafe).is_idempotent
+    assert not route('/', kind=RouteKind.stream).is_idempotent
+    resumable = route('/', kind=RouteKind.stream, is_resumable=True)
+    assert resumable.is_idempotent
+
+
+def test_adapter_places_are_bounded_by_memory_too():
+    model = BaseModel('m', size=100, adapter_size=10)
+    assert EngineSpec(1, 1, 17, 150, (model,)).adapter_places('m') == 5
+    assert EngineSpec(1, 1, 3, 150, (model,)).adapter_places('m') == 3
+
+
+def test_adapter_name_is_split_at_the_slash():
+    assert AdapterName.parse('m/a1') == AdapterName('m', 'a1')
+    assert str(AdapterName.parse('m')) == 'm'
+
+
+CAPPED = Workspace('w', frozenset(), rate=1000, burst=2000)
+
+
+class Fleet:
+    """Instances that tell each other their counters every `interval`."""
+
+    def __init__(self, members, interval=0.25):
+        self.caps = [FleetCaps() for _ in range(members)]
+        self.interval = interval
+        self.told = 0.0
+        for caps in self.caps:
+            caps.set_reach(members, members)
+
+    def tell(self, now):
+        if now < self.told + self.interval:
+            return
+        self.told = now
+        counters = [caps.counters() for caps in self.caps]
+        for index, caps in enumerate(self.caps):
+            for other, told in enumerate(counters):
+                if other != index:
+                    caps.charge_member(f'm{other}', told, {'w': CAPPED}, now)
+
+
+@pytest.mark.parametrize('members', [1, 8])
+def test_flood_over_all_instances_stays_near_the_cap(members):
+    # One workspace sends eight times its rate, evenly to all instances.
+    fleet = Fleet(members)
+    rnd = random.Random(2)
+    admitted = 0
+    for step in range(8000):
+        now = step * 0.001
+        fleet.tell(now)
+        caps = rnd.choice(fleet.caps)
+        if not caps.admit(CAPPED, 8, now):
+            admitted += 8
+    allowed = CAPPED.rate * 8 + CAPPED.burst
+    told_late = CAPPED.rate * 8 * fleet.interval
+    assert admitted <= allowed * 1.1 + told_late
+    assert admitted >= allowed * 0.9
+
+
+def test_workspace_below_its_cap_is_never_refused():
+    fleet = Fleet(8)
+    rnd = random.Random(3)
+    for step in range(8000):
+        now = step * 0.001
+        fleet.tell(now)
+        if step % 8 == 0:
+            assert not rnd.choice(fleet.caps).admit(CAPPED, 7, now)
+
+
+def test_refused_request_is_told_when_tokens_will_be_there():
+    caps = FleetCaps()
+    while not caps.admit(CAPPED, 500, 0):
+        continue
+    wait = caps.admit(CAPPED, 500, 0)
+    assert 0 < wait < 1
+    assert not caps.admit(CAPPED, 500, wait + 0.01)
+
+
+def test_instance_that_hears_nobody_uses_only_its_share():
+    caps = FleetCaps()
+    caps.set_reach(1, 8)
+    admitted = sum(
+        10 for step in range(1000) if not caps.admit(CAPPED, 10, step * 0.01)
+    )
+    assert admitted < CAPPED.burst * 1.1 + CAPPED.rate * 10 / 8 * 1.1
+
+
+def test_member_that_starts_anew_is_counted_from_its_first_word():
+    caps = FleetCaps()
+    caps.charge_member('m/1', {'w': 500}, {'w': CAPPED}, 0)
+    caps.charge_member('m/1', {'w': 900}, {'w': CAPPED}, 0)
+    caps.charge_member('m/2', {'w': 10}, {'w': CAPPED}, 0)
+    admitted = sum(10 for _ in range(400) if not caps.admit(CAPPED, 10, 0))
+    assert 1500 <= admitted <= 1700
+
+
+@given(st.lists(st.booleans(), max_size=400), st.integers(1, 8))
+def test_repeats_stay_within_the_budget_of_the_fleet(arrivals, members):
+    terms = FleetRetryTerms(ratio=0.2, window=10, slack=56)
+    budgets = [FleetRetryBudget(terms) for _ in range(members)]
+    requests = repeats = 0
+    for index, is_repeat in enumerate(arrivals):
+        budget = budgets[index % members]
+        budget.members = members
+        if is_repeat:
+            repeats += budget.take('s', 0)
+        else:
+            budget.note_request('s', 0)
+            requests += 1
+    assert repeats <= terms.ratio * requests + terms.slack
