Read the store once a zone and hand changes on; smaller words between members

Change: one reader a zone hands on what it reads; members that hear nothing for 1.3 s read for themselves. Messages are arrays; consent is asked for only while the lease is not renewed. Found by a test on the way: a worker whose steward had told nothing yet was passed over.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -12,7 +12,7 @@
 )
 
 
-class Hello(msgspec.Struct, frozen=True, tag=True):
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """The first word on a link; `proof` shows that the fleet's key is known.
 
     `boot` is drawn at each start of the process.
@@ -23,29 +23,52 @@
     proof: str
 
 
-class Status(msgspec.Struct, frozen=True, omit_defaults=True, tag=True):
+class Status(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """What an instance tells all members several times a second.
 
-    `sent_at` is a time of the sender's own clock; `heard` gives back to each
-    member the last such time that came from it. `members` are those in the
-    store at revision `members_as_of`. `admitted` counts tokens by workspace
-    since the start.
+    `sent_at` is a time of the sender's own clock; who `asks_consent` wants it
+    back, because its lease cannot be renewed. `admitted` counts tokens by
+    workspace since the start.
     """
 
     instance: str
     boot: str
     sent_at: float
-    heard: dict[str, float]
-    members: tuple[str, ...] = ()
-    members_as_of: int = 0
+    asks_consent: bool = False
     digests: tuple[WorkerDigest, ...] = ()
     admitted: dict[str, float] = {}
     is_leaving: bool = False
 
 
+class Consent(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """A member has heard what was told at a time of the asker's clock."""
+
+    told_at: float
+
+
+class StoreChange(msgspec.Struct, frozen=True, array_like=True):
+    """A key that was written, or removed."""
+
+    key: str
+    revision: int
+    content: bytes = b''
+    lease: int = 0
+    is_removed: bool = False
+
+
+class StoreNews(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Changes of the store after a revision, up to another."""
+
+    after: int
+    as_of: int
+    changes: tuple[StoreChange, ...] = ()
+
+
 Message = Union[
     Hello,
     Status,
+    Consent,
+    StoreNews,
     AdmissionRequest,
     AdmissionReply,
     AdmissionEnd,
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -47,7 +47,7 @@
 
 
 def word(name):
-    return Status(name, 'boot', 1.0, {})
+    return Status(name, 'boot', 1.0)
 
 
 async def test_members_hear_each_other(members):
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -214,6 +214,8 @@
             return WorkerView(
                 target.target,
                 target.zone,
+                # A steward that has told nothing yet is simply asked.
+                can_order=is_heard,
                 is_heard=is_heard,
                 has_model=target.model != '',
                 ready=self._ready(target, now),
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -140,6 +140,9 @@
         fleet.admitted = self.relay.caps.counters
         fleet.on_status = self._hear
         fleet.on_message = self._receive
+        fleet.on_news = self._follower.take_news
+        self._follower.is_reader = self._membership.is_reader
+        self._follower.hand_on = self._membership.hand_on
         self._membership.unreachable = self._stewards.unreachable
         self.view.listeners.append(self._changed)
 
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -21,7 +21,12 @@
 from mintlanding.core.logs import Logger
 from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
-from mintlanding.links.messages import Message, Status
+from mintlanding.links.messages import (
+    Consent,
+    Message,
+    Status,
+    StoreNews,
+)
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.view import (
@@ -38,6 +43,7 @@
     HoldRecord,
     OrderAuthority,
     choose_claims,
+    preferred_member,
 )
 from mintlanding.residency.messages import WorkerDigest
 
@@ -45,6 +51,8 @@
 # members that start together know each other.
 _SETTLE_SECONDS = 0.8
 _KEY_BYTES = 32
+# What the reader of a zone is chosen for, among the names of workers.
+_READER = 'reader'
 # A loop that stood still for longer has heard of nobody meanwhile.
 _STALL_SECONDS = 0.6
 # Seconds after its last word for which a member without an entry is dialled.
@@ -67,6 +75,7 @@
     digests: Callable[[], tuple[WorkerDigest, ...]] = tuple
     admitted: Callable[[], dict[str, float]] = dict
     on_status: Callable[[Status, float], None] | None = None
+    on_news: Callable[[StoreNews], None] | None = None
     on_message: Callable[[str, Message, Reply], None] | None = None
 
 
@@ -133,6 +142,24 @@
         self.order_from[worker] = now + wait
         self._logger.info('A hold goes on.', worker=worker, wait=wait)
 
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads the store for its zone."""
+        zone = self._cfg.facts.zone
+        near = [
+            each for each in self._view.spots().values() if each.zone == zone
+        ]
+        reader = preferred_member(_READER, zone, near)
+        return reader in {'', self.instance}
+
+    def hand_on(self, news: StoreNews) -> None:
+        """Tell the members of the zone what changed in the store."""
+        if self.mesh is None:
+            return
+        zone = self._cfg.facts.zone
+        for each in self._view.members.values():
+            if each.zone == zone and each.instance != self.instance:
+                self.mesh.send(each.instance, news)
+
     def reach(self, now: float) -> tuple[int, int]:
         """Return how many members are heard of, and how many there are."""
         others = set(self._view.members) - {self.instance}
@@ -224,6 +251,13 @@
         """Take a message of a member."""
         if isinstance(message, Status):
             self._hear(message)
+            if message.asks_consent:
+                reply(Consent(message.sent_at))
+        elif isinstance(message, Consent):
+            self.authority.heard_by(peer, message.told_at)
+        elif isinstance(message, StoreNews):
+            if self.fleet.on_news is not None:
+                self.fleet.on_news(message)
         elif self.fleet.on_message is not None:
             self.fleet.on_message(peer, message, reply)
 
@@ -250,9 +284,6 @@
     def _hear(self, status: Status) -> None:
         now = boot_seconds()
         self.fleet.heard[status.instance] = Heard(status, now)
-        told_at = status.heard.get(self.instance)
-        if told_at is not None:
-            self.authority.heard_by(status.instance, told_at)
         if self.fleet.on_status is not None:
             self.fleet.on_status(status, now)
 
@@ -264,11 +295,7 @@
                 instance=self.instance,
                 boot=self.boot,
                 sent_at=now,
-                heard={
-                    name: each.status.sent_at
-                    for name, each in self.fleet.heard.items()
-                    if self.is_heard(name, now)
-                },
+                asks_consent=self.authority.needs_consent(now),
                 digests=self.fleet.digests(),
                 admitted=self.fleet.admitted(),
                 is_leaving=self.is_leaving,
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -68,17 +68,20 @@
 
     `status_interval`: between two words to each member. `silence`: a member
     not heard of for longer is taken for cut off. `watch_wait`: how long the
-    store may keep a call waiting; shorter than `contact`, so that a silent
-    connection is noticed in time. `watch_pause`: how long changes gather
-    before the next call; well below the users' bounds on configurations and
-    leaving targets. `lapse_grace`: how long a target whose
-    entry lapsed with the store is kept.
+    store may keep a call waiting; so short that members who get the news
+    from a reader know within `news_silence`, below the users' bound on
+    configurations, that they have to read for themselves. `watch_pause`: how
+    long changes gather before the next call; well below the users' bounds on
+    configurations and leaving targets. `lapse_grace`: how long a target whose
+    entry lapsed with the store is kept; the users' bound for its return.
+    `renew_interval`: between renewals of the lease.
     """
 
     status_interval: float = 0.25
     silence: float = 0.8
-    watch_wait: float = 2.4
+    watch_wait: float = 0.5
     watch_pause: float = 0.5
+    news_silence: float = 1.3
     lapse_grace: float = 2.2
     renew_interval: float = 0.5
 
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -71,12 +71,21 @@
         return node
 
     async def settle(self):
-        """Wait until every engine has a steward that may order."""
+        """Wait until all instances know a steward of every engine."""
         wanted = {engine.name for engine in self.engines}
-        async with asyncio.timeout(10):
-            while wanted - self.stewarded():
+        async with asyncio.timeout(20):
+            while wanted - self.stewarded() or not self.agreed():
                 await asyncio.sleep(0.05)
 
+    def agreed(self):
+        return all(
+            view.can_order and view.is_heard
+            for node in self.nodes
+            for view in node._admissions.views(
+                list(node.view.engines().values()),
+            ).values()
+        )
+
     def stewarded(self):
         return {
             worker
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -72,6 +72,10 @@
         """Take everyone who could take over."""
         self._members = frozenset(others)
 
+    def needs_consent(self, now: float) -> bool:
+        """Tell whether the lease was not renewed for half of the hold."""
+        return now > self._renewed + self.terms.hold / 2
+
     def until(self) -> float:
         """Return when the authority ends."""
         by_lease = self._renewed + self.terms.hold
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -23,7 +23,7 @@
 class AdmissionRequest(
     msgspec.Struct,
     frozen=True,
-    omit_defaults=True,
+    array_like=True,
     tag=True,
 ):
     """A wish to run one request on one worker.
@@ -50,7 +50,7 @@
 class AdmissionReply(
     msgspec.Struct,
     frozen=True,
-    omit_defaults=True,
+    array_like=True,
     tag=True,
 ):
     """A grant, a refusal, or the notice that the request waits.
@@ -72,7 +72,7 @@
 class AdmissionEnd(
     msgspec.Struct,
     frozen=True,
-    omit_defaults=True,
+    array_like=True,
     tag=True,
 ):
     """The end of a request that waits or was granted."""
@@ -83,7 +83,7 @@
     first_event: float = -1
 
 
-class WorkerDigest(msgspec.Struct, frozen=True, omit_defaults=True):
+class WorkerDigest(msgspec.Struct, frozen=True, array_like=True):
     """What a steward tells of its worker; `wait` is in seconds."""
 
     worker: str
