Order under the zone's consent while the zone is cut off; know who uses adapters

(1) After a herd kill a new steward unloaded a hot adapter on which requests sent without a grant ran; the engine waited 3 s for them and refused all other orders with 409. (2) In a zone cut the two stewards of the zone stopped ordering after 1.2 s for 4.2 s, since members of other zones could not consent. Ruled out for (1): runs from before the kill; the engine drops them with their connections. Change: members tell which adapters their requests use, and a new steward unloads nothing before it can have heard that; members of other zones take a worker only after its holder's entry was gone for 12 s, as do newcomers, so the zone's own consent is enough until then. Unreachable workers are not asked.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -28,7 +28,8 @@
 
     `sent_at` is a time of the sender's own clock; who `asks_consent` wants it
     back, because its lease cannot be renewed. `admitted` counts tokens by
-    workspace since the start, `levels` are those left of its cap.
+    workspace since the start, `levels` are those left of its cap. `in_use`
+    are workers and adapters on which the sender's requests run.
     """
 
     instance: str
@@ -38,6 +39,7 @@
     digests: tuple[WorkerDigest, ...] = ()
     admitted: dict[str, float] = {}
     levels: dict[str, float] = {}
+    in_use: tuple[tuple[str, str], ...] = ()
     is_leaving: bool = False
 
 
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -138,6 +138,7 @@
         fleet = self._membership.fleet
         fleet.digests = self._stewards.digests
         fleet.admitted = self.relay.caps.counters
+        fleet.in_use = self.relay.in_use
         fleet.levels = self.relay.caps.levels
         fleet.on_status = self._hear
         fleet.on_message = self._receive
@@ -169,6 +170,10 @@
         while True:
             now = boot_seconds()
             self.view.drop_lapsed(now)
+            self._stewards.note_users(
+                self._membership.instance,
+                self.relay.in_use(),
+            )
             self.relay.prune()
             heard, members = self._membership.reach(now)
             self.relay.caps.set_reach(heard, members)
@@ -196,6 +201,7 @@
             now,
         )
         self.relay.caps.approach(status.levels)
+        self._stewards.note_users(status.instance, status.in_use)
 
     def _receive(self, peer: str, message: Message, reply: Reply) -> None:
         if self._stewards.receive(peer, message, reply):
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -19,7 +19,6 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
-from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
     Consent,
@@ -74,6 +73,7 @@
     heard: dict[str, Heard] = field(default_factory=dict)
     digests: Callable[[], tuple[WorkerDigest, ...]] = tuple
     admitted: Callable[[], dict[str, float]] = dict
+    in_use: Callable[[], tuple[tuple[str, str], ...]] = tuple
     levels: Callable[[float], dict[str, float]] | None = None
     on_status: Callable[[Status, float], None] | None = None
     on_news: Callable[[StoreNews], None] | None = None
@@ -106,7 +106,9 @@
         self._lease = 0
         self._registered = False
         self._joined_at = float('inf')
-        self._addresses: dict[str, Address] = {}
+        # Members by the store, and those that it lost sight of lately.
+        self._known: dict[str, MemberRecord] = {}
+        self._gone: dict[str, float] = {}
         self._logger = Logger('members')
 
     def held(self) -> set[str]:
@@ -227,18 +229,33 @@
         return self.mesh
 
     def update_members(self) -> None:
-        """Dial the members that the view names."""
-        now = boot_seconds()
+        """Dial the members, and those that the store lost sight of lately."""
         members = self._view.members
-        self.authority.set_members(members.keys() - {self.instance})
-        for each in members.values():
-            self._addresses[each.instance] = (each.host, each.port)
-        for name in tuple(self._addresses):
-            if name not in members and self._is_forgotten(name, now):
-                self._addresses.pop(name)
-        self._addresses.pop(self.instance, None)
+        self._known.update(members)
+        self._known.pop(self.instance, None)
+        self._forget_members(boot_seconds())
+        zone = self._cfg.facts.zone
+        near = {
+            record.instance
+            for record in self._known.values()
+            if record.zone == zone
+        }
+        self.authority.set_members(near, self._known.keys() - near)
         if self.mesh is not None:
-            self.mesh.set_members(dict(self._addresses))
+            addresses = {
+                record.instance: (record.host, record.port)
+                for record in self._known.values()
+            }
+            self.mesh.set_members(addresses)
+
+    def _forget_members(self, now: float) -> None:
+        for name in tuple(self._known):
+            if name in self._view.members:
+                self._gone.pop(name, None)
+                continue
+            self._gone.setdefault(name, now)
+            if self._is_forgotten(name, now):
+                self._known.pop(name)
 
     def _is_forgotten(self, member: str, now: float) -> bool:
         """Tell whether a member without an entry is silent for long.
@@ -246,7 +263,8 @@
         One that only the store cannot reach still needs the others' word.
         """
         heard = self.fleet.heard.get(member)
-        return heard is None or now > heard.at + _FORGET_SECONDS
+        since = self._gone[member] if heard is None else heard.at
+        return now > max(since, self._gone[member]) + _FORGET_SECONDS
 
     def receive(self, peer: str, message: Message, reply: Reply) -> None:
         """Take a message of a member."""
@@ -299,6 +317,7 @@
                 asks_consent=self.authority.needs_consent(now),
                 digests=self.fleet.digests(),
                 admitted=self.fleet.admitted(),
+                in_use=self.fleet.in_use(),
                 levels=self.fleet.levels(now) if self.fleet.levels else {},
                 is_leaving=self.is_leaving,
             ),
@@ -352,31 +371,19 @@
 
     def _claims(self, now: float) -> list[Claim]:
         view = self._view
-        heard = {
-            record.holder: self._heard_at(record.holder)
-            for record in view.holds.values()
-        }
         claim_view = ClaimView(
             me=self.instance,
+            zone=self._cfg.facts.zone,
+            joined=self._joined_at,
             zones={name: each.zone for name, each in view.engines().items()},
             records=view.holds,
             members=view.spots(),
-            heard=heard,
+            heard={name: each.at for name, each in self.fleet.heard.items()},
+            gone=self._gone,
             unreachable=self.unreachable(),
         )
         return choose_claims(claim_view, self._cfg.authority, now)
 
-    def _heard_at(self, member: str) -> float:
-        heard = self.fleet.heard.get(member)
-        return (
-            self._joined_at
-            if heard is None
-            else max(
-                heard.at,
-                self._joined_at,
-            )
-        )
-
     async def _claim(self, claim: Claim) -> None:
         key = HOLDS_PREFIX + claim.worker
         expected = {key: claim.revision}
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -128,6 +129,7 @@
         self.book = TargetBook(rnd)
         self.log = RequestLog()
         self.is_isolated = False
+        self._in_use: Counter[tuple[str, str]] = Counter()
         self._cfg = cfg
         self._view = view
         self._admissions = admissions
@@ -140,6 +142,10 @@
         """Count the connections opened to targets."""
         return self._pool.opened
 
+    def in_use(self) -> tuple[tuple[str, str], ...]:
+        """Return the workers and adapters on which requests run."""
+        return tuple(self._in_use)
+
     async def handle(self, req: CallerRequest) -> None:
         """Serve one request to its final answer."""
         fields = self._codec.read_caller(req.headers)
@@ -342,11 +348,16 @@
     ) -> Ended:
         outcome = Outcome.failed
         began = self._now()
+        using = (place.worker, plan.fields.adapter.adapter)
+        self._in_use[using] += 1
         try:
             ended = await self._try(plan, target, self._version(plan))
             outcome = _outcome(ended, plan)
             return ended
         finally:
+            self._in_use[using] -= 1
+            if not self._in_use[using]:
+                self._in_use.pop(using)
             if place.is_granted:
                 self._admissions.end(
                     place.worker,
@@ -357,10 +368,11 @@
 
     async def _admit(self, plan: Plan) -> Place | None:
         now = self._now()
+        barred = plan.tried | self._admissions.stewards.unreachable()
         workers = [
             each
             for each in self._view.targets_of(plan.service.name)
-            if each.target not in plan.tried
+            if each.target not in barred
         ]
         may_fail = plan.route.is_idempotent
         sound = [
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -125,6 +125,19 @@
                     actions = steward.name_version(adapter, named.version, now)
                     self._act(worker, actions)
 
+    def note_users(
+        self,
+        instance: str,
+        in_use: tuple[tuple[str, str], ...],
+    ) -> None:
+        """Tell the stewards which adapters an instance uses."""
+        now = boot_seconds()
+        for worker, steward in self.stewards.items():
+            adapters = frozenset(
+                adapter for name, adapter in in_use if name == worker
+            )
+            steward.note_users(instance, adapters, now)
+
     def receive(self, peer: str, message: Message, reply: Reply) -> bool:
         """Take a message about admission; false if it is none."""
         if isinstance(message, AdmissionRequest):
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -25,7 +25,10 @@
     unheard of before another takes over. `hold`: how long after its last
     renewal, or the last word that each member has heard, a holder orders.
     `turn_gap`: least time between orders of two holders; the users' bound.
-    `slack`: for the time that an order may spend on its way.
+    `slack`: for the time that an order may spend on its way. `absence`: how
+    long a holder's entry must be gone before an instance of another zone, or
+    one that has not heard of it for `memory`, takes over; a little more than
+    an outage of a zone lasts.
     """
 
     lease: float = 2
@@ -33,6 +36,13 @@
     hold: float = 1.3
     turn_gap: float = 3
     slack: float = 0.4
+    absence: float = 12
+    memory: float = 8
+
+    @property
+    def zone_hold(self) -> float:
+        """Return how long after its lease a holder needs its zone only."""
+        return self.lease + self.absence - self.turn_gap - self.slack
 
     @property
     def takeover_wait(self) -> float:
@@ -53,7 +63,8 @@
     terms: AuthorityTerms
     _renewed: float = float('-inf')
     _consents: dict[str, float] = field(default_factory=dict)
-    _members: frozenset[str] = frozenset()
+    _near: frozenset[str] = frozenset()
+    _far: frozenset[str] = frozenset()
 
     def renewed(self, sent_at: float) -> None:
         """Note a renewal of the lease by when its call was sent."""
@@ -68,9 +79,10 @@
         before = self._consents.get(member, float('-inf'))
         self._consents[member] = max(before, told_at)
 
-    def set_members(self, others: Iterable[str]) -> None:
-        """Take everyone who could take over."""
-        self._members = frozenset(others)
+    def set_members(self, near: Iterable[str], far: Iterable[str]) -> None:
+        """Take everyone who could take over, by zone: the own and others."""
+        self._near = frozenset(near)
+        self._far = frozenset(far)
 
     def needs_consent(self, now: float) -> bool:
         """Tell whether the lease was not renewed for half of the hold."""
@@ -79,11 +91,20 @@
     def until(self) -> float:
         """Return when the authority ends."""
         by_lease = self._renewed + self.terms.hold
-        if not self._members:
-            return by_lease
+        by_zone = min(
+            self._consented(self._near),
+            self._renewed + self.terms.zone_hold,
+        )
+        by_all = self._consented(self._near | self._far)
+        if not self._near | self._far:
+            by_all = by_lease
+        return max(by_lease, by_zone, by_all)
+
+    def _consented(self, members: Iterable[str]) -> float:
+        """Return until when all of some members let this one order."""
         never = float('-inf')
-        consent = min(self._consents.get(each, never) for each in self._members)
-        return max(by_lease, consent + self.terms.hold)
+        told = [self._consents.get(each, never) for each in members]
+        return min(told, default=float('inf')) + self.terms.hold
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,15 +142,19 @@
 class ClaimView:
     """What a choice of claims depends on.
 
-    `heard` is when each member was last heard of, `unreachable` are workers
-    that this instance cannot reach.
+    `heard` is when each member was last heard of, `gone` when its entry was
+    seen to be missing, `joined` when this instance began to look.
+    `unreachable` are workers that this instance cannot reach.
     """
 
     me: str
+    zone: str
+    joined: float
     zones: Mapping[str, str]
     records: Mapping[str, HoldRecord]
     members: Mapping[str, MemberSpot]
     heard: Mapping[str, float]
+    gone: Mapping[str, float]
     unreachable: frozenset[str] = frozenset()
 
 
@@ -142,7 +167,10 @@
     claims = []
     for worker, zone in view.zones.items():
         record = view.records.get(worker, HoldRecord('', 0))
-        if worker in view.unreachable or not _is_free(record, view, terms, now):
+        is_near = zone == view.zone
+        if worker in view.unreachable:
+            continue
+        if not _is_free(record, view, terms, now, is_near=is_near):
             continue
         if preferred_member(worker, zone, view.members.values()) != view.me:
             continue
@@ -180,9 +208,19 @@
     view: ClaimView,
     terms: AuthorityTerms,
     now: float,
+    *,
+    is_near: bool,
 ) -> bool:
-    if record.holder == view.me or record.holder in view.members:
+    holder = record.holder
+    if holder == view.me or holder in view.members:
+        return False
+    if not holder:
+        return True
+    heard = view.heard.get(holder, float('-inf'))
+    if now < heard + terms.silence:
         return False
-    if not record.holder:
+    # Only who was in touch with the holder lately had a say in its orders.
+    if is_near and now < heard + terms.memory:
         return True
-    return now >= view.heard.get(record.holder, float('-inf')) + terms.silence
+    gone = max(view.gone.get(holder, view.joined), view.joined)
+    return now >= gone + terms.absence
--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -78,6 +78,8 @@
     `replace_patience`: a new version waits so long for the runs on the old
     one, half of what the users allow. `settle_time`: an adapter that was
     just loaded is not unloaded, since its load may last a little longer.
+    `users_life`: how long the word of an instance about the adapters that it
+    uses holds, and how long a new steward waits for such words.
     """
 
     prompt_rate: float = 38100
@@ -93,6 +95,7 @@
     busy_tries: int = 8
     replace_patience: float = 2.5
     settle_time: float = 0.1
+    users_life: float = 0.8
     queue_limit: int = 256
     priority_step: float = 0.5
     prefix_limit: int = 4096
--- a/mintlanding/residency/shelf.py
+++ b/mintlanding/residency/shelf.py
@@ -36,6 +36,7 @@
         self._terms = terms
         self._held: dict[str, Held] = {}
         self._newest: dict[str, int] = {}
+        self._users: dict[str, tuple[frozenset[str], float]] = {}
         self._recent: OrderedDict[str, None] = OrderedDict()
 
     def get(self, adapter: str) -> Held | None:
@@ -99,6 +100,23 @@
             held.pins = max(0, held.pins - 1)
             held.used = now
 
+    def note_users(
+        self,
+        instance: str,
+        adapters: frozenset[str],
+        now: float,
+    ) -> None:
+        """Note which adapters an instance uses, whoever granted that."""
+        self._users[instance] = (adapters, now + self._terms.users_life)
+
+    def in_use(self, now: float) -> set[str]:
+        """Return the adapters that instances told to use."""
+        found: set[str] = set()
+        for adapters, until in self._users.values():
+            if now < until:
+                found |= adapters
+        return found
+
     def name_version(self, adapter: str, version: int, now: float) -> None:
         """Note the newest version of an adapter."""
         if version <= self._newest.get(adapter, 0):
@@ -129,12 +147,14 @@
     def victim(self, wanted: Container[str], now: float) -> Held | None:
         """Return the adapter in least demand that nothing runs on."""
         settled = now - self._terms.settle_time
+        used = self.in_use(now)
         idle = [
             held
             for held in self._held.values()
             if held.state is HeldState.ready
             and held.pins == 0
             and held.ready_at <= settled
+            and held.adapter not in used
             and held.adapter not in wanted
         ]
         return min(
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -74,6 +74,7 @@
         self._hold = _FIRST_HOLD
         self._under_way: OrderUnderWay | None = None
         self._report_at: float | None = None
+        self._unload_from = float('-inf')
 
     @property
     def running(self) -> int:
@@ -83,8 +84,18 @@
     def begin(self, now: float) -> Sequence[Action]:
         """Ask the engine what it holds."""
         self._report_at = now
+        self._unload_from = now + self._terms.users_life
         return self._proceed(now)
 
+    def note_users(
+        self,
+        instance: str,
+        adapters: frozenset[str],
+        now: float,
+    ) -> None:
+        """Take an instance's word on the adapters that it uses here."""
+        self.shelf.note_users(instance, adapters, now)
+
     def reserve(self, req: AdmissionRequest, now: float) -> Sequence[Action]:
         """Grant, queue or refuse a request."""
         if req.request_id in self._granted or req.request_id in self.queue:
@@ -354,7 +365,7 @@
         if self.shelf.has_room():
             return self._make(OrderKind.load, missing[0])
         victim = self.shelf.victim(wanted, now)
-        if victim is None:
+        if victim is None or now < self._unload_from:
             return None
         return self._make(OrderKind.unload, victim.adapter)
 
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -73,6 +73,7 @@
     def start(self):
         self.act(self.steward.begin(self.now))
         self.act(self.steward.set_authority(True, self.now))
+        self.wait(1.0)
         return self
 
     def reserve(self, *args, **changes):
@@ -155,6 +156,30 @@
     assert driver.replies['r2'].is_granted
 
 
+def test_adapter_that_others_use_without_a_grant_is_not_unloaded():
+    # Requests that were sent while no steward answered, or under another.
+    driver = Driver(FakeEngine(adapters={'a1': 1}), places=1).start()
+    for _ in range(10):
+        used = frozenset(('a1',))
+        driver.steward.note_users('n2', used, driver.now)
+        driver.reserve('r2', 'a2')
+        driver.wait(0.1)
+    assert not driver.orders
+    driver.wait(1.0)
+    assert driver.replies['r2'].is_granted
+
+
+def test_new_steward_unloads_nothing_before_all_told_what_they_use():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), places=1)
+    driver.act(driver.steward.begin(driver.now))
+    driver.act(driver.steward.set_authority(True, driver.now))
+    driver.reserve('r2', 'a2')
+    driver.wait(0.7)
+    assert not driver.orders
+    driver.wait(0.6)
+    assert driver.replies['r2'].is_granted
+
+
 def test_adapter_that_was_just_loaded_is_not_unloaded_at_once():
     # Its load may still run, and the engine then refuses all other orders.
     driver = Driver(places=1).start()
