--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -191,7 +191,9 @@
 
 
 def test_empty_engine_gets_its_base_model_before_adapters():
-    driver = Driver(FakeEngine(has_model=False)).start()
+    driver = Driver(FakeEngine(has_model=False))
+    driver.act(driver.steward.begin(driver.now))
+    driver.act(driver.steward.set_authority(True, driver.now))
     driver.wait(0.1)
     assert driver.orders[0].adapter == ''
     refused = driver.reserve('r1')
