--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -272,7 +272,8 @@
         actions: list[Action] = []
         for item in self.queue.expired(now):
             self.queue.remove(item.req.request_id)
-            actions.append(self._refusal(item.req, now, 'no place in time'))
+            reason = f'no place in time, {self._blocker(item.req, now)}'
+            actions.append(self._refusal(item.req, now, reason))
         actions.extend(self._grant_all(now))
         actions.extend(self._order(now))
         return actions
@@ -297,6 +298,30 @@
             return True
         return self._read_until - now > self._terms.backlog_limit
 
+    def _blocker(self, req: AdmissionRequest, now: float) -> str:
+        """Return what a request waits for, as its refusal tells."""
+        if not self.shelf.has_model:
+            return 'the model is missing'
+        if self.running >= self._room.batch_limit:
+            return 'the batch is full'
+        if self._read_until - now > self._terms.backlog_limit:
+            return 'prompts are behind'
+        if req.adapter and not self.shelf.is_ready(req.adapter, now):
+            return self._load_blocker(req.adapter)
+        return 'memory is full'
+
+    def _load_blocker(self, adapter: str) -> str:
+        held = self.shelf.get(adapter)
+        if held is not None and held.stale_since is not None:
+            return 'its new version waits'
+        if held is not None:
+            return 'its adapter loads'
+        if not (self.may_order and self.is_known):
+            return 'no orders go out'
+        if self._under_way is not None:
+            return 'an order is unanswered'
+        return 'no adapter gives way'
+
     def _token_limit(self) -> float:
         if not self._granted:
             return self._room.token_capacity
