--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -225,6 +225,7 @@
             worker=target.target,
             zone=target.zone,
             wait=digest.wait,
+            load_wait=digest.load_wait,
             running=digest.running + digest.queued,
             sent=known.sent,
             can_order=digest.can_order and is_heard,
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -31,8 +31,11 @@
 from mintlanding.residency.steward import EngineSteward
 from mintlanding.traffic.models import Target
 
-# Seconds for the answer to an order or a report, which take milliseconds.
-_ORDER_SECONDS = 0.3
+# Seconds for the answer to an order, which takes milliseconds; one that is
+# repeated for nothing costs a refusal.
+_ORDER_SECONDS = 0.1
+# Seconds for the answer to a question, which is never asked twice at a time.
+_REPORT_SECONDS = 0.3
 # Seconds between looks at what nothing else wakes a steward for.
 _TICK_SECONDS = 0.1
 # Seconds for which a worker that could not be reached is left to others.
@@ -340,8 +343,8 @@
             return None
         try:
             conn.send(payload)
-            head = await conn.read_head(_ORDER_SECONDS)
-            body = await conn.read_body(_ORDER_SECONDS)
+            head = await conn.read_head(_REPORT_SECONDS)
+            body = await conn.read_body(_REPORT_SECONDS)
             report = self._view.records.decode_report(body)
         except (CallNotSent, CallLost, ValueError) as exc:
             self._note_silence(target.target, exc)
--- a/mintlanding/residency/choice.py
+++ b/mintlanding/residency/choice.py
@@ -37,6 +37,7 @@
     worker: str
     zone: str
     wait: float = 0
+    load_wait: float = 0
     running: int = 0
     sent: int = 0
     can_order: bool = False
@@ -93,4 +94,5 @@
         return cost
     if not view.can_order:
         cost += terms.blind_cost
-    return cost + terms.home_load + position * terms.next_load
+    waiting = max(0, view.load_wait - view.wait)
+    return cost + waiting + terms.home_load + position * terms.next_load
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -84,7 +84,11 @@
 
 
 class WorkerDigest(msgspec.Struct, frozen=True, array_like=True):
-    """What a steward tells of its worker; `wait` is in seconds."""
+    """What a steward tells of its worker.
+
+    `wait` are the seconds until a request probably starts, `load_wait` those
+    until one starts whose adapter has to be loaded.
+    """
 
     worker: str
     incarnation: int
@@ -92,5 +96,6 @@
     running: int = 0
     queued: int = 0
     wait: float = 0
+    load_wait: float = 0
     has_model: bool = True
     ready: tuple[str, ...] = ()
--- a/mintlanding/residency/shelf.py
+++ b/mintlanding/residency/shelf.py
@@ -72,6 +72,11 @@
         ]
         return min(times, default=None)
 
+    def spare(self, wanted: Container[str], now: float) -> int:
+        """Count the places that are free or could be freed at once."""
+        free = self.room.places - len(self._held)
+        return max(0, free) + len(self._idle(wanted, now))
+
     def has_room(self) -> bool:
         """Tell whether a place is free."""
         return len(self._held) < self.room.places
@@ -146,9 +151,16 @@
 
     def victim(self, wanted: Container[str], now: float) -> Held | None:
         """Return the adapter in least demand that nothing runs on."""
+        return min(
+            self._idle(wanted, now),
+            key=lambda held: self.popularity.score(_ref(held.adapter)),
+            default=None,
+        )
+
+    def _idle(self, wanted: Container[str], now: float) -> list[Held]:
         settled = now - self._terms.settle_time
         used = self.in_use(now)
-        idle = [
+        return [
             held
             for held in self._held.values()
             if held.state is HeldState.ready
@@ -157,11 +169,6 @@
             and held.adapter not in used
             and held.adapter not in wanted
         ]
-        return min(
-            idle,
-            key=lambda held: self.popularity.score(_ref(held.adapter)),
-            default=None,
-        )
 
     def begin(self, order: Order, now: float) -> None:
         """Take a place for a load, or mark one that is given up."""
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -238,6 +238,7 @@
             running=self.running,
             queued=len(self.queue),
             wait=round(self.expected_wait('', float('inf'), now), 3),
+            load_wait=round(self._place_wait(now), 3),
             has_model=self.shelf.has_model,
             ready=self.shelf.ready(now),
         )
@@ -253,8 +254,24 @@
         load: float = 0
         if adapter and not self.shelf.is_ready(adapter, now):
             load = self.shelf.load_seconds(adapter)
+            if self.shelf.get(adapter) is None:
+                load += self._place_wait(now)
         return max(reading, batch, load)
 
+    def _place_wait(self, now: float) -> float:
+        """Return the seconds until a further adapter probably gets a place.
+
+        Places come free as runs end; loads pass a few at a time.
+        """
+        wanted = self.queue.adapters()
+        missing = sum(self.shelf.get(adapter) is None for adapter in wanted)
+        passing = missing + self.shelf.in_transit(now)
+        limit = self._terms.transit_limit
+        transit = max(0, passing + 1 - limit) * self._terms.load_time / limit
+        lacking = missing + 1 - self.shelf.spare(wanted, now)
+        places = max(1, self._room.places)
+        return max(transit, max(0, lacking) * self._hold / places)
+
     def _barrier(self, req: AdmissionRequest) -> str:
         if self.is_leaving:
             return 'leaving'
--- a/mintlanding/residency/tests/test_choice.py
+++ b/mintlanding/residency/tests/test_choice.py
@@ -34,6 +34,14 @@
     assert choose('a7', **{home: {'wait': 0.9}})[0] == second
 
 
+def test_rare_adapter_leaves_a_home_whose_places_are_all_in_use():
+    # A burst of rare adapters: slots, not the batch, are what is short.
+    home, second = rank_workers('a7', WORKERS)[:2]
+    assert choose('a7', **{home: {'load_wait': 0.9}})[0] == second
+    held = {'load_wait': 0.9, 'ready': frozenset(('a7',))}
+    assert choose('a7', **{home: held})[0] == home
+
+
 def test_adapter_goes_where_it_is_held():
     third = rank_workers('a7', WORKERS)[2]
     assert choose('a7', **{third: {'ready': frozenset(('a7',))}})[0] == third
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -283,6 +283,21 @@
     assert reply.retry_after > 1
 
 
+def test_burst_of_rare_adapters_is_refused_when_no_place_comes_in_time():
+    driver = Driver(batch_limit=64, places=3).start()
+    for number in range(3):
+        driver.reserve(f'run{number}', f'a{number}')
+    driver.wait(0.5)
+    replies = [
+        driver.reserve(f'r{number}', f'b{number}', patience=0.5)
+        for number in range(12)
+    ]
+    refused = [each for each in replies if not each.is_waiting]
+    assert replies[0].is_waiting
+    assert refused
+    assert all(each.retry_after > 0.5 for each in refused)
+
+
 def test_urgent_requests_go_first():
     driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
     driver.reserve('r1', 'a1')
