Speak through a hub in each zone of a large fleet; keep holds apart from members

Change: from 17 other members on, members speak to the hub of their zone; hubs exchange sums. Holders hear directly only of uses that they did not grant. Holds have their own module: a claim that is carried out late waits from when it shows, and its former holder gets no consent until then.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -24,12 +24,11 @@
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """What an instance tells all members several times a second.
+    """What an instance tells all members, or its hub, several times a second.
 
     `sent_at` is a time of the sender's own clock; who `asks_consent` wants it
     back, because its lease cannot be renewed. `admitted` counts tokens by
-    workspace since the start, `levels` are those left of its cap. `in_use`
-    are workers and adapters on which the sender's requests run.
+    workspace since the start, `levels` are those left of its cap.
     """
 
     instance: str
@@ -39,10 +38,45 @@
     digests: tuple[WorkerDigest, ...] = ()
     admitted: dict[str, float] = {}
     levels: dict[str, float] = {}
-    in_use: tuple[tuple[str, str], ...] = ()
     is_leaving: bool = False
 
 
+class MemberWord(msgspec.Struct, frozen=True, array_like=True):
+    """That a hub has heard a member, as the member's status said."""
+
+    instance: str
+    boot: str
+    sent_at: float
+    asks_consent: bool = False
+
+
+class ZoneWord(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """What the members of a zone told their hub, put together.
+
+    `admitted` is the sum over the zone, of all processes that ever were;
+    `levels` is the mean.
+    """
+
+    zone: str
+    hub: str
+    hub_boot: str
+    sent_at: float
+    members: tuple[MemberWord, ...] = ()
+    digests: tuple[tuple[str, WorkerDigest], ...] = ()
+    admitted: dict[str, float] = {}
+    levels: dict[str, float] = {}
+
+
+class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Workers and adapters on which requests of an instance run.
+
+    Only those that the holder's present process has not granted itself.
+    """
+
+    instance: str
+    in_use: tuple[tuple[str, str], ...] = ()
+
+
 class Consent(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """A member has heard what was told at a time of the asker's clock."""
 
@@ -70,6 +104,8 @@
 Message = Union[
     Hello,
     Status,
+    ZoneWord,
+    UseReport,
     Consent,
     StoreNews,
     AdmissionRequest,
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -110,6 +110,16 @@
                 ready=observed.ready - {adapter},
             )
 
+    def holder(self, worker: str) -> str:
+        """Return the instance whose steward looks after a worker."""
+        record = self.view.holds.get(worker)
+        return '' if record is None else record.holder
+
+    def granter(self, worker: str) -> str:
+        """Return the process that grants places on a worker now."""
+        holder = self.holder(worker)
+        return f'{holder}/{self.membership.words.boot_of(holder)}'
+
     def is_ready(self, target: Target, adapter: str) -> bool:
         """Tell whether a worker probably holds an adapter."""
         return not adapter or adapter in self._ready(target, boot_seconds())
@@ -127,8 +137,7 @@
 
     async def reserve(self, req: AdmissionRequest) -> AdmissionReply | None:
         """Ask for a place; None when the steward does not answer."""
-        record = self.view.holds.get(req.worker)
-        holder = '' if record is None else record.holder
+        holder = self.holder(req.worker)
         pending = _Pending(asyncio.get_running_loop().create_future())
         self._pending[req.request_id] = pending
         answered = False
@@ -152,13 +161,11 @@
     ) -> None:
         """Tell the steward that a request has ended."""
         message = AdmissionEnd(reservation, worker, outcome, first_event)
-        record = self.view.holds.get(worker)
-        if record is None or self.membership.mesh is None:
-            return
-        if record.holder == self.membership.instance:
+        holder = self.holder(worker)
+        if holder == self.membership.instance:
             self.stewards.end(message)
-        else:
-            self.membership.mesh.send(record.holder, message)
+        elif self.membership.mesh is not None:
+            self.membership.mesh.send(holder, message)
 
     def _ask(self, holder: str, req: AdmissionRequest) -> bool:
         known = self._known.get(req.worker)
@@ -235,8 +242,7 @@
         )
 
     def _is_heard(self, worker: str, now: float) -> bool:
-        record = self.view.holds.get(worker)
-        holder = '' if record is None else record.holder
+        holder = self.holder(worker)
         is_own = holder == self.membership.instance
         return is_own or self.membership.is_heard(holder, now)
 
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -8,7 +8,7 @@
 from mintlanding.core.application import Application
 from mintlanding.http1.server import CallerRequest, CallerServer
 from mintlanding.links.mesh import Reply
-from mintlanding.links.messages import Message, Status
+from mintlanding.links.messages import Message
 from mintlanding.node.admissions import Admissions
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.contracts import Codec
@@ -135,17 +135,21 @@
             self._membership.mesh.stop()
 
     def _connect_parts(self) -> None:
-        fleet = self._membership.fleet
-        fleet.digests = self._stewards.digests
-        fleet.admitted = self.relay.caps.counters
-        fleet.in_use = self.relay.in_use
-        fleet.levels = self.relay.caps.levels
-        fleet.on_status = self._hear
-        fleet.on_message = self._receive
-        fleet.on_news = self._follower.take_news
+        sources = self._membership.words.sources
+        sources.digests = self._stewards.digests
+        sources.admitted = self.relay.caps.counters
+        sources.levels = self.relay.caps.levels
+        sources.in_use = self.relay.in_use
+        listeners = self._membership.words.listeners
+        listeners.on_digests = self._admissions.hear
+        listeners.on_admitted = self._charge
+        listeners.on_levels = self.relay.caps.approach
+        listeners.on_use = self._stewards.note_users
+        self._membership.on_message = self._receive
+        self._membership.on_news = self._follower.take_news
         self._follower.is_reader = self._membership.is_reader
         self._follower.hand_on = self._membership.hand_on
-        self._membership.unreachable = self._stewards.unreachable
+        self._membership.holds.unreachable = self._stewards.unreachable
         self.view.listeners.append(self._changed)
 
     async def _join(self) -> None:
@@ -170,10 +174,6 @@
         while True:
             now = boot_seconds()
             self.view.drop_lapsed(now)
-            self._stewards.note_users(
-                self._membership.instance,
-                self.relay.in_use(),
-            )
             self.relay.prune()
             heard, members = self._membership.reach(now)
             self.relay.caps.set_reach(heard, members)
@@ -191,17 +191,14 @@
         elif topic == 'holds':
             self._stewards.update()
 
-    def _hear(self, status: Status, now: float) -> None:
-        self._admissions.hear(status.instance, status.digests)
-        member = f'{status.instance}/{status.boot}'
-        self.relay.caps.charge_member(
-            member,
-            status.admitted,
-            self.view.workspaces(),
-            now,
-        )
-        self.relay.caps.approach(status.levels)
-        self._stewards.note_users(status.instance, status.in_use)
+    def _charge(
+        self,
+        source: str,
+        counters: dict[str, float],
+        now: float,
+    ) -> None:
+        workspaces = self.view.workspaces()
+        self.relay.caps.charge_member(source, counters, workspaces, now)
 
     def _receive(self, peer: str, message: Message, reply: Reply) -> None:
         if self._stewards.receive(peer, message, reply):
--- /dev/null
+++ b/mintlanding/node/holds.py
@@ -0,0 +1,175 @@
+"""Take, keep and let go of workers through records in the store."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from mintlanding.coordination.transactions import (
+    MISSING,
+    Rejected,
+    StoreBusy,
+    Transaction,
+    TransactionalStore,
+    Write,
+)
+from mintlanding.core.exceptions import PlatformError
+from mintlanding.core.logs import Logger
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.view import (
+    HOLDS_PREFIX,
+    MEMBERS_PREFIX,
+    FleetView,
+    HoldEntry,
+)
+from mintlanding.residency.authority import (
+    AuthorityTerms,
+    Claim,
+    HoldRecord,
+    OrderAuthority,
+)
+
+# Seconds for which a write without an answer may still be carried out.
+_LATE_WRITE_SECONDS = 10.0
+
+
+class Holds:
+    """The workers of this instance, and from when on it orders at them."""
+
+    def __init__(
+        self,
+        instance: str,
+        store: TransactionalStore,
+        view: FleetView,
+        terms: AuthorityTerms,
+    ) -> None:
+        """Hold what the view says."""
+        self.authority = OrderAuthority(terms)
+        self.unreachable: Callable[[], frozenset[str]] = frozenset
+        self._instance = instance
+        self._store = store
+        self._view = view
+        self._terms = terms
+        self._order_from: dict[str, float] = {}
+        # The revision of each hold that this process knows it has.
+        self._confirmed: dict[str, int] = {}
+        # Holders from whom a worker is being taken, and until when.
+        self._contested: dict[str, float] = {}
+        self._logger = Logger('holds')
+
+    def held(self) -> set[str]:
+        """Return the workers that this instance holds."""
+        return {
+            worker
+            for worker, record in self._view.holds.items()
+            if record.holder == self._instance
+        }
+
+    def fencing(self, worker: str) -> int:
+        """Return the fencing number of a hold, the revision of its record."""
+        return self._view.holds[worker].revision
+
+    def may_order(self, worker: str, now: float) -> bool:
+        """Tell whether an order may leave for a worker now."""
+        record = self._view.holds.get(worker)
+        if record is None or record.holder != self._instance:
+            return False
+        if self._confirmed.get(worker) != record.revision:
+            self._resume(worker, record, now)
+        return self._order_from[worker] <= now < self.authority.until()
+
+    def may_consent(self, member: str) -> bool:
+        """Tell whether a member may order for this instance's part.
+
+        Not while a worker may be taken from it by a write of this process.
+        """
+        return boot_seconds() >= self._contested.get(member, float('-inf'))
+
+    async def claim(self, claim: Claim) -> None:
+        """Take a worker, unless something has changed."""
+        key = HOLDS_PREFIX + claim.worker
+        expected = {key: claim.revision}
+        if claim.previous:
+            expected[MEMBERS_PREFIX + claim.previous] = MISSING
+        is_settled = claim.wait == 0
+        self._contest(claim.previous)
+        try:
+            done = await self._write(key, expected, self._instance, is_settled)
+        except (PlatformError, StoreBusy) as exc:
+            self._logger.warning(
+                'A claim has no answer.',
+                worker=claim.worker,
+                reason=str(exc),
+            )
+            return
+        if done is None:
+            return
+        self._contest(claim.previous)
+        now = boot_seconds()
+        self._order_from[claim.worker] = now + claim.wait
+        self._confirm(claim.worker, done, is_settled=is_settled)
+        self._logger.info(
+            'A worker was taken.',
+            worker=claim.worker,
+            previous=claim.previous,
+            wait=round(claim.wait, 2),
+            revision=done,
+        )
+
+    async def settle(self, worker: str, now: float) -> None:
+        """Note in the store that the wait after a claim is over."""
+        record = self._view.holds[worker]
+        is_known = self._confirmed.get(worker) == record.revision
+        if record.is_settled or not is_known or now < self._order_from[worker]:
+            return
+        key = HOLDS_PREFIX + worker
+        expected = {key: record.revision}
+        try:
+            done = await self._write(key, expected, self._instance, True)
+        except (PlatformError, StoreBusy) as exc:
+            self._logger.info('Not settled.', worker=worker, reason=str(exc))
+            return
+        if done is not None:
+            self._confirm(worker, done, is_settled=True)
+
+    async def release(self, worker: str) -> None:
+        """Let go of a worker; nothing is ordered from here on."""
+        record = self._view.holds[worker]
+        self._order_from[worker] = float('inf')
+        key = HOLDS_PREFIX + worker
+        await self._write(key, {key: record.revision}, '', False)
+        self._logger.info('A worker was let go.', worker=worker)
+
+    async def _write(
+        self,
+        key: str,
+        expected: dict[str, int],
+        holder: str,
+        is_settled: bool,
+    ) -> int | None:
+        entry = msgspec.json.encode(HoldEntry(holder, is_settled))
+        done = await self._store.commit(
+            Transaction(expected, (Write(key, entry),)),
+        )
+        return None if isinstance(done, Rejected) else done.revision
+
+    def _resume(self, worker: str, record: HoldRecord, now: float) -> None:
+        """Go on with a hold of which this process has no answer.
+
+        It is of the last process, or of a claim that was carried out late.
+        """
+        wait = 0 if record.is_settled else self._terms.takeover_wait
+        self._confirmed[worker] = record.revision
+        self._order_from[worker] = now + wait
+        self._logger.info('A hold goes on.', worker=worker, wait=wait)
+
+    def _confirm(self, worker: str, revision: int, *, is_settled: bool) -> None:
+        self._confirmed[worker] = revision
+        self._view.holds[worker] = HoldRecord(
+            self._instance,
+            revision,
+            is_settled,
+        )
+
+    def _contest(self, holder: str) -> None:
+        if holder:
+            self._contested[holder] = boot_seconds() + _LATE_WRITE_SECONDS
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -1,10 +1,10 @@
-"""This instance among the others: its lease, its word to them, its holds."""
+"""This instance among the others: its lease, the members, its duties."""
 
 import asyncio
 import random
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -25,26 +25,25 @@
     Message,
     Status,
     StoreNews,
+    UseReport,
+    ZoneWord,
 )
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.holds import Holds
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.view import (
     FLEET_KEY,
-    HOLDS_PREFIX,
     MEMBERS_PREFIX,
     FleetView,
-    HoldEntry,
     MemberRecord,
 )
+from mintlanding.node.words import Words
 from mintlanding.residency.authority import (
     Claim,
     ClaimView,
-    HoldRecord,
-    OrderAuthority,
     choose_claims,
     preferred_member,
 )
-from mintlanding.residency.messages import WorkerDigest
 
 # Seconds after joining before holds of others are looked at, so that the
 # members that start together know each other.
@@ -58,30 +57,8 @@
 _FORGET_SECONDS = 15.0
 
 
-@dataclass(slots=True)
-class Heard:
-    """The last word of a member."""
-
-    status: Status
-    at: float
-
-
-@dataclass(slots=True)
-class Fleet:
-    """What members have told, and what is told to them."""
-
-    heard: dict[str, Heard] = field(default_factory=dict)
-    digests: Callable[[], tuple[WorkerDigest, ...]] = tuple
-    admitted: Callable[[], dict[str, float]] = dict
-    in_use: Callable[[], tuple[tuple[str, str], ...]] = tuple
-    levels: Callable[[float], dict[str, float]] | None = None
-    on_status: Callable[[Status, float], None] | None = None
-    on_news: Callable[[StoreNews], None] | None = None
-    on_message: Callable[[str, Message, Reply], None] | None = None
-
-
 class Membership:
-    """Register, renew, speak to the members, take and let go of workers."""
+    """Register, renew, know the members, look after holds."""
 
     def __init__(
         self,
@@ -91,12 +68,19 @@
         rnd: random.Random,
     ) -> None:
         """Start unregistered."""
-        self.fleet = Fleet()
         self.boot = secrets.token_hex(4)
         self.instance = cfg.facts.instance
-        self.authority = OrderAuthority(cfg.authority)
-        self.order_from: dict[str, float] = {}
-        self.unreachable: Callable[[], frozenset[str]] = frozenset
+        self.holds = Holds(self.instance, store, view, cfg.authority)
+        self.words = Words(
+            self.instance,
+            self.boot,
+            cfg.facts.zone,
+            cfg.fleet,
+        )
+        self.words.sources.asks_consent = self.holds.authority.needs_consent
+        self.words.sources.may_consent = self.holds.may_consent
+        self.on_news: Callable[[StoreNews], None] | None = None
+        self.on_message: Callable[[str, Message, Reply], None] | None = None
         self.is_leaving = False
         self.mesh: Mesh | None = None
         self._cfg = cfg
@@ -109,50 +93,25 @@
         # Members by the store, and those that it lost sight of lately.
         self._known: dict[str, MemberRecord] = {}
         self._gone: dict[str, float] = {}
-        self._logger = Logger('members')
-
-    def held(self) -> set[str]:
-        """Return the workers that this instance holds."""
-        return {
-            worker
-            for worker, record in self._view.holds.items()
-            if record.holder == self.instance
+        self._handlers: dict[type, Callable[[str, Any], None]] = {
+            Status: self._take_status,
+            ZoneWord: self._take_zone,
+            Consent: self._take_consent,
+            StoreNews: self._take_news,
+            UseReport: self._take_use,
         }
-
-    def fencing(self, worker: str) -> int:
-        """Return the fencing number of a hold, the revision of its record."""
-        return self._view.holds[worker].revision
-
-    def may_order(self, worker: str, now: float) -> bool:
-        """Tell whether an order may leave for a worker now."""
-        record = self._view.holds.get(worker)
-        if record is None or record.holder != self.instance:
-            return False
-        if worker not in self.order_from:
-            self._resume(worker, record, now)
-        if now < self.order_from[worker]:
-            return False
-        return now < self.authority.until()
+        self._logger = Logger('members')
 
     def is_heard(self, member: str, now: float) -> bool:
         """Tell whether a member was heard of lately."""
-        heard = self.fleet.heard.get(member)
-        return heard is not None and now < heard.at + self._cfg.fleet.silence
-
-    def _resume(self, worker: str, record: HoldRecord, now: float) -> None:
-        """Go on with a hold of this instance's last process."""
-        wait = 0 if record.is_settled else self._cfg.authority.takeover_wait
-        self.order_from[worker] = now + wait
-        self._logger.info('A hold goes on.', worker=worker, wait=wait)
+        return self.words.is_heard(member, now)
 
     def is_reader(self) -> bool:
         """Tell whether this instance reads the store for its zone."""
         zone = self._cfg.facts.zone
-        near = [
-            each for each in self._view.spots().values() if each.zone == zone
-        ]
-        reader = preferred_member(_READER, zone, near)
-        return reader in {'', self.instance}
+        spots = self._view.spots().values()
+        near = [each for each in spots if each.zone == zone]
+        return preferred_member(_READER, zone, near) in {'', self.instance}
 
     def hand_on(self, news: StoreNews) -> None:
         """Tell the members of the zone what changed in the store."""
@@ -187,9 +146,11 @@
             await asyncio.sleep(interval)
             now = boot_seconds()
             if now - last > interval + _STALL_SECONDS:
-                self._forgive_silence(now)
+                self._logger.warning('The process stood still.', at=now)
+                self.words.forgive_silence(now)
+                self._joined_at = now
             last = now
-            self._speak(now)
+            self.words.speak(now)
 
     async def run_claims(self) -> None:
         """Take workers that nobody holds."""
@@ -202,9 +163,9 @@
                 continue
             self.update_members()
             for claim in self._claims(now):
-                await self._claim(claim)
-            for worker in sorted(self.held()):
-                await self._settle(worker, now)
+                await self.holds.claim(claim)
+            for worker in sorted(self.holds.held()):
+                await self.holds.settle(worker, now)
 
     async def share_key(self) -> None:
         """Make sure that the fleet has a key."""
@@ -226,12 +187,12 @@
         """Build the links to the members."""
         identity = Identity(self.instance, self.boot, self._view.fleet_key)
         self.mesh = Mesh.from_config(identity, self.receive)
+        self.words.mesh = self.mesh
         return self.mesh
 
     def update_members(self) -> None:
         """Dial the members, and those that the store lost sight of lately."""
-        members = self._view.members
-        self._known.update(members)
+        self._known.update(self._view.members)
         self._known.pop(self.instance, None)
         self._forget_members(boot_seconds())
         zone = self._cfg.facts.zone
@@ -240,7 +201,8 @@
             for record in self._known.values()
             if record.zone == zone
         }
-        self.authority.set_members(near, self._known.keys() - near)
+        self.holds.authority.set_members(near, self._known.keys() - near)
+        self.words.set_members(self._known)
         if self.mesh is not None:
             addresses = {
                 record.instance: (record.host, record.port)
@@ -248,46 +210,23 @@
             }
             self.mesh.set_members(addresses)
 
-    def _forget_members(self, now: float) -> None:
-        for name in tuple(self._known):
-            if name in self._view.members:
-                self._gone.pop(name, None)
-                continue
-            self._gone.setdefault(name, now)
-            if self._is_forgotten(name, now):
-                self._known.pop(name)
-
-    def _is_forgotten(self, member: str, now: float) -> bool:
-        """Tell whether a member without an entry is silent for long.
-
-        One that only the store cannot reach still needs the others' word.
-        """
-        heard = self.fleet.heard.get(member)
-        since = self._gone[member] if heard is None else heard.at
-        return now > max(since, self._gone[member]) + _FORGET_SECONDS
-
     def receive(self, peer: str, message: Message, reply: Reply) -> None:
         """Take a message of a member."""
-        if isinstance(message, Status):
-            self._hear(message)
-            if message.asks_consent:
-                reply(Consent(message.sent_at))
-        elif isinstance(message, Consent):
-            self.authority.heard_by(peer, message.told_at)
-        elif isinstance(message, StoreNews):
-            if self.fleet.on_news is not None:
-                self.fleet.on_news(message)
-        elif self.fleet.on_message is not None:
-            self.fleet.on_message(peer, message, reply)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(peer, message)
+        elif self.on_message is not None:
+            self.on_message(peer, message, reply)
 
     async def leave(self) -> None:
         """Let go of all workers and tell everyone."""
         self.is_leaving = True
-        self._speak(boot_seconds())
+        self.words.is_leaving = True
+        self.words.speak(boot_seconds())
         try:
             await self._register()
-            for worker in sorted(self.held()):
-                await self._release(worker)
+            for worker in sorted(self.holds.held()):
+                await self.holds.release(worker)
         except (PlatformError, StoreBusy) as exc:
             self._logger.warning('Workers were kept.', reason=str(exc))
 
@@ -300,44 +239,49 @@
         except (PlatformError, StoreBusy) as exc:
             self._logger.warning('The lease was left.', reason=str(exc))
 
-    def _hear(self, status: Status) -> None:
-        now = boot_seconds()
-        self.fleet.heard[status.instance] = Heard(status, now)
-        if self.fleet.on_status is not None:
-            self.fleet.on_status(status, now)
+    def _take_status(self, peer: str, status: Status) -> None:
+        self.words.hear(status, boot_seconds())
 
-    def _speak(self, now: float) -> None:
-        if self.mesh is None:
-            return
-        self.mesh.broadcast(
-            Status(
-                instance=self.instance,
-                boot=self.boot,
-                sent_at=now,
-                asks_consent=self.authority.needs_consent(now),
-                digests=self.fleet.digests(),
-                admitted=self.fleet.admitted(),
-                in_use=self.fleet.in_use(),
-                levels=self.fleet.levels(now) if self.fleet.levels else {},
-                is_leaving=self.is_leaving,
-            ),
-        )
+    def _take_zone(self, peer: str, word: ZoneWord) -> None:
+        self.words.hear_zone(word, boot_seconds())
 
-    def _forgive_silence(self, now: float) -> None:
-        """Count nobody as silent for the time in which we did not listen."""
-        self._logger.warning('The process stood still.', at=now)
-        for heard in self.fleet.heard.values():
-            heard.at = max(heard.at, now - self._cfg.fleet.silence / 2)
-        self._joined_at = now
+    def _take_consent(self, peer: str, consent: Consent) -> None:
+        self.holds.authority.heard_by(peer, consent.told_at)
+
+    def _take_news(self, peer: str, news: StoreNews) -> None:
+        if self.on_news is not None:
+            self.on_news(news)
+
+    def _take_use(self, peer: str, report: UseReport) -> None:
+        if self.words.listeners.on_use is not None:
+            self.words.listeners.on_use(report.instance, report.in_use)
+
+    def _forget_members(self, now: float) -> None:
+        for name in tuple(self._known):
+            if name in self._view.members:
+                self._gone.pop(name, None)
+                continue
+            self._gone.setdefault(name, now)
+            if self._is_forgotten(name, now):
+                self._known.pop(name)
+
+    def _is_forgotten(self, member: str, now: float) -> bool:
+        """Tell whether a member without an entry is silent for long.
+
+        One that only the store cannot reach still needs the others' word.
+        """
+        heard = self.words.heard.get(member)
+        since = self._gone[member] if heard is None else heard.at
+        return now > max(since, self._gone[member]) + _FORGET_SECONDS
 
     async def _keep_lease(self) -> None:
         sent_at = boot_seconds()
         if self._lease and await self._store.keep_lease(self._lease):
-            self.authority.renewed(sent_at)
+            self.holds.authority.renewed(sent_at)
             if not self._registered:
                 await self._register()
             return
-        self.authority.lost()
+        self.holds.authority.lost()
         self._registered = False
         sent_at = boot_seconds()
         seconds = max(
@@ -346,7 +290,7 @@
         )
         self._lease = await self._store.grant_lease(seconds)
         await self._register()
-        self.authority.renewed(sent_at)
+        self.holds.authority.renewed(sent_at)
 
     async def _register(self) -> None:
         facts = self._cfg.facts
@@ -378,77 +322,8 @@
             zones={name: each.zone for name, each in view.engines().items()},
             records=view.holds,
             members=view.spots(),
-            heard={name: each.at for name, each in self.fleet.heard.items()},
+            heard={name: each.at for name, each in self.words.heard.items()},
             gone=self._gone,
-            unreachable=self.unreachable(),
+            unreachable=self.holds.unreachable(),
         )
         return choose_claims(claim_view, self._cfg.authority, now)
-
-    async def _claim(self, claim: Claim) -> None:
-        key = HOLDS_PREFIX + claim.worker
-        expected = {key: claim.revision}
-        if claim.previous:
-            expected[MEMBERS_PREFIX + claim.previous] = MISSING
-        is_settled = claim.wait == 0
-        entry = HoldEntry(self.instance, is_settled)
-        write = Write(key, msgspec.json.encode(entry))
-        # Until the answer is known, no order leaves under a lost claim.
-        self.order_from[claim.worker] = float('inf')
-        try:
-            done = await self._store.commit(Transaction(expected, (write,)))
-        except (PlatformError, StoreBusy) as exc:
-            self._logger.warning(
-                'A claim has no answer.',
-                worker=claim.worker,
-                reason=str(exc),
-            )
-            self.order_from[claim.worker] = (
-                boot_seconds()
-                + self._cfg.authority.handover_wait
-                + self._cfg.authority.lease
-            )
-            return
-        now = boot_seconds()
-        if isinstance(done, Rejected):
-            self.order_from.pop(claim.worker, None)
-            return
-        self.order_from[claim.worker] = now + claim.wait
-        self._view.holds[claim.worker] = HoldRecord(
-            self.instance,
-            done.revision,
-            is_settled,
-        )
-        self._logger.info(
-            'A worker was taken.',
-            worker=claim.worker,
-            previous=claim.previous,
-            wait=round(claim.wait, 2),
-            revision=done.revision,
-        )
-
-    async def _settle(self, worker: str, now: float) -> None:
-        """Note in the store that the wait after a claim is over."""
-        record = self._view.holds[worker]
-        if record.is_settled or now < self.order_from.get(worker, now + 1):
-            return
-        key = HOLDS_PREFIX + worker
-        entry = HoldEntry(self.instance, is_settled=True)
-        write = Write(key, msgspec.json.encode(entry))
-        try:
-            await self._store.commit(
-                Transaction({key: record.revision}, (write,)),
-            )
-        except (PlatformError, StoreBusy) as exc:
-            self._logger.info('Not settled.', worker=worker, reason=str(exc))
-
-    async def _release(self, worker: str) -> None:
-        record = self._view.holds.get(worker)
-        if record is None:
-            return
-        self.order_from[worker] = float('inf')
-        key = HOLDS_PREFIX + worker
-        write = Write(key, msgspec.json.encode(HoldEntry('')))
-        await self._store.commit(
-            Transaction({key: record.revision}, (write,)),
-        )
-        self._logger.info('A worker was let go.', worker=worker)
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -129,7 +129,7 @@
         self.book = TargetBook(rnd)
         self.log = RequestLog()
         self.is_isolated = False
-        self._in_use: Counter[tuple[str, str]] = Counter()
+        self._in_use: Counter[tuple[str, str, str]] = Counter()
         self._cfg = cfg
         self._view = view
         self._admissions = admissions
@@ -142,9 +142,18 @@
         """Count the connections opened to targets."""
         return self._pool.opened
 
-    def in_use(self) -> tuple[tuple[str, str], ...]:
-        """Return the workers and adapters on which requests run."""
-        return tuple(self._in_use)
+    def in_use(self) -> tuple[tuple[str, str, str], ...]:
+        """Return holder, worker and adapter of requests it may not know.
+
+        Those are the requests that run without a grant, or by a grant of an
+        earlier process or holder.
+        """
+        found = []
+        for worker, adapter, granter in self._in_use:
+            holder = self._admissions.holder(worker)
+            if holder and granter != self._admissions.granter(worker):
+                found.append((holder, worker, adapter))
+        return tuple(found)
 
     async def handle(self, req: CallerRequest) -> None:
         """Serve one request to its final answer."""
@@ -348,7 +357,11 @@
     ) -> Ended:
         outcome = Outcome.failed
         began = self._now()
-        using = (place.worker, plan.fields.adapter.adapter)
+        using = (
+            place.worker,
+            plan.fields.adapter.adapter,
+            self._admissions.granter(place.worker) if place.is_granted else '',
+        )
         self._in_use[using] += 1
         try:
             ended = await self._try(plan, target, self._version(plan))
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -74,7 +74,9 @@
     long changes gather before the next call; well below the users' bounds on
     configurations and leaving targets. `lapse_grace`: how long a target whose
     entry lapsed with the store is kept; the users' bound for its return.
-    `renew_interval`: between renewals of the lease.
+    `renew_interval`: between renewals of the lease. `hub_members`: from so
+    many other members on the fleet speaks through a hub in each zone, which
+    is replaced after `hub_silence`.
     """
 
     status_interval: float = 0.25
@@ -84,6 +86,8 @@
     news_silence: float = 1.3
     lapse_grace: float = 2.2
     renew_interval: float = 0.5
+    hub_members: int = 17
+    hub_silence: float = 1.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -103,7 +103,7 @@
         """Match the stewards to holds, targets and authority."""
         now = boot_seconds()
         engines = self._view.engines()
-        held = self._membership.held()
+        held = self._membership.holds.held()
         for worker in tuple(self.stewards):
             target = engines.get(worker)
             steward = self.stewards[worker]
@@ -228,12 +228,12 @@
         target: Target,
         now: float,
     ) -> None:
-        may_order = self._membership.may_order(worker, now)
+        may_order = self._membership.holds.may_order(worker, now)
         if may_order != steward.may_order:
             self._logger.info(
                 'Orders may go out.' if may_order else 'No orders go out.',
                 worker=worker,
-                until=round(self._membership.authority.until() - now, 2),
+                until=round(self._membership.holds.authority.until() - now, 2),
             )
         self._act(worker, steward.set_authority(may_order, now))
         if target.is_leaving and not steward.is_leaving:
@@ -306,14 +306,14 @@
             self.note_unreachable(target.target)
             return OrderResult.not_sent
         # The connection may have taken a while: authority is asked last.
-        if not self._membership.may_order(target.target, boot_seconds()):
+        if not self._membership.holds.may_order(target.target, boot_seconds()):
             self._pool.release(conn)
             return OrderResult.not_sent
         payload = self._codec.order_request(
             order,
             target.target,
             self._membership.instance,
-            self._membership.fencing(target.target),
+            self._membership.holds.fencing(target.target),
             '{0}:{1}'.format(*target.address),
         )
         try:
