Give the duties of a zone to members with wide links; hand on only what matters

Change: hubs and readers are chosen among members with at least half of the widest link; heartbeats of targets that change nothing but what these run are not handed on; large fleets speak every 0.4 s.

--- a/mintlanding/node/follower.py
+++ b/mintlanding/node/follower.py
@@ -114,12 +114,13 @@
         self._note_success()
         now = boot_seconds()
         self._note_fresh(now)
-        for change in found.changes:
-            if change.revision > view.as_of:
-                view.apply(change, now)
+        news = [
+            _news(change)
+            for change in found.changes
+            if change.revision > view.as_of and view.apply(change, now)
+        ]
         view.as_of = max(view.as_of, found.revision)
-        changes = tuple(_news(each) for each in found.changes)
-        self.hand_on(StoreNews(after, found.revision, changes))
+        self.hand_on(StoreNews(after, found.revision, tuple(news)))
         if found.changes:
             # What comes meanwhile is read by one call.
             await asyncio.sleep(self._terms.watch_pause)
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -43,6 +43,7 @@
     ClaimView,
     choose_claims,
     preferred_member,
+    strong_members,
 )
 
 # Seconds after joining before holds of others are looked at, so that the
@@ -76,6 +77,7 @@
             self.boot,
             cfg.facts.zone,
             cfg.fleet,
+            cfg.facts.link_mbps,
         )
         self.words.sources.asks_consent = self.holds.authority.needs_consent
         self.words.sources.may_consent = self.holds.may_consent
@@ -111,7 +113,8 @@
         zone = self._cfg.facts.zone
         spots = self._view.spots().values()
         near = [each for each in spots if each.zone == zone]
-        return preferred_member(_READER, zone, near) in {'', self.instance}
+        reader = preferred_member(_READER, zone, strong_members(near))
+        return reader in {'', self.instance}
 
     def hand_on(self, news: StoreNews) -> None:
         """Tell the members of the zone what changed in the store."""
@@ -140,9 +143,12 @@
 
     async def run_words(self) -> None:
         """Tell the members several times a second; notice stalls."""
-        interval = self._cfg.fleet.status_interval
+        terms = self._cfg.fleet
         last = boot_seconds()
         while True:
+            interval = terms.status_interval
+            if self.words.is_large:
+                interval = terms.hub_interval
             await asyncio.sleep(interval)
             now = boot_seconds()
             if now - last > interval + _STALL_SECONDS:
@@ -301,6 +307,7 @@
             port=facts.peer_port,
             boot=self.boot,
             is_leaving=self.is_leaving,
+            link_mbps=facts.link_mbps,
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -22,6 +22,7 @@
     ready: Address
     peer_port: int
     metrics_port: int
+    link_mbps: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,7 @@
     entry lapsed with the store is kept; the users' bound for its return.
     `renew_interval`: between renewals of the lease. `hub_members`: from so
     many other members on the fleet speaks through a hub in each zone, which
-    is replaced after `hub_silence`.
+    speaks every `hub_interval` and is replaced after `hub_silence`.
     """
 
     status_interval: float = 0.25
@@ -87,7 +88,8 @@
     lapse_grace: float = 2.2
     renew_interval: float = 0.5
     hub_members: int = 17
-    hub_silence: float = 1.2
+    hub_interval: float = 0.4
+    hub_silence: float = 1.6
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/node/tests/test_words.py
+++ b/mintlanding/node/tests/test_words.py
@@ -1,5 +1,6 @@
 """Words between members, directly and through hubs, without a network."""
 
+import msgspec
 import pytest
 
 from mintlanding.links.messages import Consent, Status, UseReport, ZoneWord
@@ -58,7 +59,8 @@
             self.add(name)
 
     def add(self, name, boot='b'):
-        words = Words(name, boot, self.records[name].zone, TERMS)
+        record = self.records[name]
+        words = Words(name, boot, record.zone, TERMS, record.link_mbps)
         words.mesh = FakeMesh(self, name)
         self.admitted[name] = 0.0
         self.charged[name] = {}
@@ -138,6 +140,20 @@
     assert fleet.heard_by(other) == set(fleet.words) - {hub, other}
 
 
+def test_hub_has_one_of_the_wide_links():
+    fleet = Fleet(40)
+    for number, name in enumerate(fleet.records):
+        mbps = 100 if number in {6, 7, 20, 21} else 5
+        record = msgspec.structs.replace(fleet.records[name], link_mbps=mbps)
+        fleet.records[name] = record
+    for name in fleet.records:
+        fleet.add(name)
+    fleet.run(4)
+    hubs = {words._hub(fleet.now) for words in fleet.words.values()}
+    assert len(hubs) == 2
+    assert hubs <= {'n6', 'n7', 'n20', 'n21'}
+
+
 def test_hub_that_comes_back_is_the_only_one_again():
     fleet = Fleet(40)
     fleet.run(4)
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import msgspec
@@ -57,6 +57,7 @@
     port: int
     boot: str
     is_leaving: bool = False
+    link_mbps: float = 0
 
 
 class HoldEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -69,6 +70,21 @@
     is_settled: bool = False
 
 
+def spot_of(record: MemberRecord) -> MemberSpot:
+    """Return a member as choices among members see it."""
+    return MemberSpot(
+        record.instance,
+        record.zone,
+        record.is_leaving,
+        record.link_mbps,
+    )
+
+
+def _standing(target: Target) -> Target:
+    """Return a target without what it runs."""
+    return replace(target, orders_taken=0, adapters=())
+
+
 @dataclass(slots=True)
 class NamedVersion:
     """The newest version of an adapter and when it was seen."""
@@ -143,10 +159,7 @@
 
     def spots(self) -> dict[str, MemberSpot]:
         """Return members as the choice of holders sees them."""
-        return {
-            each.instance: MemberSpot(each.instance, each.zone, each.is_leaving)
-            for each in self.members.values()
-        }
+        return {each.instance: spot_of(each) for each in self.members.values()}
 
     def version(self, model: str, adapter: str) -> NamedVersion | None:
         """Return the newest version that was named of an adapter."""
@@ -169,12 +182,21 @@
         self.as_of = snapshot.revision
         self.fresh_at = now
 
-    def apply(self, change: Change, now: float) -> None:
-        """Take one change."""
+    def apply(self, change: Change, now: float) -> bool:
+        """Take one change; false if nothing but what a target runs changed.
+
+        What it runs is told by its steward, or by itself when asked.
+        """
+        name = change.key.removeprefix(self.records.TARGETS_PREFIX)
+        before = self.targets.get(name)
         if change.item is None:
             self._remove(change.key, now)
         else:
             self._put(change.item, now)
+        after = self.targets.get(name)
+        if before is None or after is None:
+            return True
+        return _standing(before) != _standing(after)
 
     def drop_lapsed(self, now: float) -> None:
         """Drop targets whose entries are still missing after their grace."""
--- a/mintlanding/node/words.py
+++ b/mintlanding/node/words.py
@@ -19,8 +19,12 @@
     ZoneWord,
 )
 from mintlanding.node.settings import FleetTerms
-from mintlanding.node.view import MemberRecord
-from mintlanding.residency.authority import MemberSpot, preferred_member
+from mintlanding.node.view import MemberRecord, spot_of
+from mintlanding.residency.authority import (
+    MemberSpot,
+    preferred_member,
+    strong_members,
+)
 from mintlanding.residency.messages import WorkerDigest
 
 # What the hub of a zone is chosen for, among the names of workers.
@@ -97,6 +101,7 @@
         boot: str,
         zone: str,
         terms: FleetTerms,
+        link_mbps: float = 0,
     ) -> None:
         """Begin without having heard anyone."""
         self.heard: dict[str, Heard] = {}
@@ -108,6 +113,7 @@
         self._boot = boot
         self._zone = zone
         self._terms = terms
+        self._link_mbps = link_mbps
         self._members: dict[str, MemberRecord] = {}
         self._hub_at: dict[str, float] = {}
         self._statuses: dict[str, Status] = {}
@@ -234,12 +240,18 @@
     def _hub(self, now: float) -> str:
         """Return the hub of the zone, oneself where no better one speaks."""
         near = [
-            MemberSpot(each.instance, each.zone)
+            spot_of(each)
             for each in self._members.values()
             if each.zone == self._zone and self._may_be_hub(each, now)
         ]
-        near.append(MemberSpot(self._instance, self._zone))
-        return preferred_member(_HUB, self._zone, near)
+        own = MemberSpot(
+            self._instance,
+            self._zone,
+            self.is_leaving,
+            self._link_mbps,
+        )
+        strong = strong_members((*near, own))
+        return preferred_member(_HUB, self._zone, strong) or self._instance
 
     def _may_be_hub(self, record: MemberRecord, now: float) -> bool:
         if record.is_leaving:
@@ -272,15 +284,11 @@
         zones: dict[str, list[MemberSpot]] = {}
         for record in self._members.values():
             if record.zone != self._zone:
-                spot = MemberSpot(
-                    record.instance,
-                    record.zone,
-                    record.is_leaving,
-                )
-                zones.setdefault(record.zone, []).append(spot)
+                zones.setdefault(record.zone, []).append(spot_of(record))
         hubs = set()
         for zone, spots in zones.items():
-            hubs.add(preferred_member(_HUB, zone, spots))
+            strong = strong_members(spots)
+            hubs.add(preferred_member(_HUB, zone, strong))
             known = self._zones.get(zone)
             if known is not None:
                 hubs.add(known.hub)
--- a/mintlanding/platform/settings.py
+++ b/mintlanding/platform/settings.py
@@ -50,6 +50,10 @@
     quota_window_s: float = 8
 
 
+class _Limits(_Section):
+    link_mbps: float = 0
+
+
 class _Platform(_Section):
     addr: str
     ttl_min_ms: float = 1000
@@ -62,6 +66,7 @@
     port_range: list[int] = Field(min_length=2)
     listen: _Listen
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Platform
 
 
@@ -123,6 +128,7 @@
             ready=parse_address(boot.listen.ready),
             peer_port=boot.port_range[0],
             metrics_port=_METRICS_PORT,
+            link_mbps=boot.limits.link_mbps,
         ),
         bounds=Bounds(
             contact=bounds.contact_ms / _MILLISECONDS,
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -121,11 +121,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberSpot:
-    """A member and its zone."""
+    """A member, its zone and how much its link carries."""
 
     member: str
     zone: str
     is_leaving: bool = False
+    link_mbps: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +204,16 @@
     )
 
 
+def strong_members(members: Iterable[MemberSpot]) -> list[MemberSpot]:
+    """Return the members whose links carry half of the widest or more.
+
+    A duty for a whole zone would fill the narrowest links.
+    """
+    found = list(members)
+    widest = max((each.link_mbps for each in found), default=0)
+    return [each for each in found if each.link_mbps * 2 >= widest]
+
+
 def _is_free(
     record: HoldRecord,
     view: ClaimView,
