Spread adapters in great demand over several workers

Change: stewards name adapters that fill a quarter of their batch; for these the load at a further worker is cheap. Two holders, drawn anew, are compared, so that instances with the same digests don't crowd one. Load counts as part of a batch.

--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -214,6 +214,7 @@
             return WorkerView(
                 target.target,
                 target.zone,
+                slots=target.slots,
                 has_model=observed.has_model,
                 ready=observed.ready,
             )
@@ -221,6 +222,7 @@
             return WorkerView(
                 target.target,
                 target.zone,
+                slots=target.slots,
                 # A steward that has told nothing yet is simply asked.
                 can_order=is_heard,
                 is_heard=is_heard,
@@ -235,10 +237,12 @@
             load_wait=digest.load_wait,
             running=digest.running + digest.queued,
             sent=known.sent,
+            slots=target.slots,
             can_order=digest.can_order and is_heard,
             is_heard=is_heard,
             has_model=digest.has_model,
             ready=self._ready(target, now),
+            hot=frozenset(digest.hot),
         )
 
     def _is_heard(self, worker: str, now: float) -> bool:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -403,6 +403,7 @@
             views,
             self._cfg.facts.zone,
             self._cfg.choice,
+            self._rnd,
         )
         plan.reason = 'no target'
         for number, worker in enumerate(order):
--- a/mintlanding/residency/choice.py
+++ b/mintlanding/residency/choice.py
@@ -3,14 +3,20 @@
 Load it answers: few adapters get most requests while thousands get one now
 and then, on engines with few places. Each adapter has a home, so that it is
 fetched once and its prompts stay together; others take it only where waiting
-at home costs more than fetching it again.
+at home costs more than fetching it again. An adapter that fills much of a
+worker's batch is fetched by others for many requests, which spread over all
+that hold it.
 """
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
 
+# Holders of an adapter that are compared for a request.
+_COMPARED = 2
+
 
 @dataclass(frozen=True, slots=True)
 class ChoiceTerms:
@@ -18,15 +24,21 @@
 
     `home_load`: the adapter is loaded by its home, where it often was
     before. `next_load`: by the second, and once more for each further one.
-    `running_cost`: each request beside which another runs. `far_cost`:
-    another zone. `blind_cost`: a worker whose steward is not heard of.
+    `full_cost`: a full batch, and a part of it for a fuller or emptier one.
+    `far_cost`: another zone. `blind_cost`: a worker whose steward is not heard of.
+    `hot_load`: like `next_load`, for an adapter in great demand. Of several
+    workers that hold an adapter two are compared, drawn anew each time, and
+    `crowd_cost` keeps off the others, since all instances see the same
+    digests.
     """
 
     home_load: float = 0.1
     next_load: float = 0.4
-    running_cost: float = 0.004
+    full_cost: float = 0.25
     far_cost: float = 0.003
     blind_cost: float = 0.5
+    hot_load: float = 0.03
+    crowd_cost: float = 0.08
     candidates: int = 4
 
 
@@ -40,10 +52,12 @@
     load_wait: float = 0
     running: int = 0
     sent: int = 0
+    slots: int = 64
     can_order: bool = False
     is_heard: bool = False
     has_model: bool = True
     ready: frozenset[str] = frozenset()
+    hot: frozenset[str] = frozenset()
 
 
 def rank_workers(adapter: str, workers: Iterable[str]) -> list[str]:
@@ -63,6 +77,7 @@
     views: dict[str, WorkerView],
     zone: str,
     terms: ChoiceTerms,
+    rnd: random.Random,
 ) -> list[str]:
     """Return the workers to ask, cheapest first.
 
@@ -70,9 +85,24 @@
     """
     able = [worker for worker, view in views.items() if view.has_model]
     order = rank_workers(key, able) if adapter else able
+    holders = [
+        worker
+        for worker in able
+        if not adapter or adapter in views[worker].ready
+    ]
+    crowd = set(holders)
+    if len(holders) > _COMPARED:
+        crowd -= set(rnd.sample(holders, _COMPARED))
+    else:
+        crowd.clear()
+    step = terms.next_load
+    if any(adapter in view.hot for view in views.values()):
+        step = terms.hot_load
     costs: list[tuple[float, int, str]] = []
     for position, worker in enumerate(order):
-        cost = _cost(adapter, views[worker], position, zone, terms)
+        cost = _cost(adapter, views[worker], position * step, zone, terms)
+        if worker in crowd:
+            cost += terms.crowd_cost
         costs.append((cost, position, worker))
     return [each[-1] for each in sorted(costs)[: terms.candidates]]
 
@@ -80,12 +110,12 @@
 def _cost(
     adapter: str,
     view: WorkerView,
-    position: int,
+    load_cost: float,
     zone: str,
     terms: ChoiceTerms,
 ) -> float:
-    load = (view.running + view.sent) * terms.running_cost
-    cost = view.wait + load
+    share = (view.running + view.sent) / max(1, view.slots)
+    cost = view.wait + share * terms.full_cost
     if view.zone != zone:
         cost += terms.far_cost
     if not view.is_heard:
@@ -95,4 +125,4 @@
     if not view.can_order:
         cost += terms.blind_cost
     waiting = max(0, view.load_wait - view.wait)
-    return cost + waiting + terms.home_load + position * terms.next_load
+    return cost + waiting + terms.home_load + load_cost
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -87,7 +87,8 @@
     """What a steward tells of its worker.
 
     `wait` are the seconds until a request probably starts, `load_wait` those
-    until one starts whose adapter has to be loaded.
+    until one starts whose adapter has to be loaded. `hot` are adapters that
+    fill much of its batch.
     """
 
     worker: str
@@ -99,3 +100,4 @@
     load_wait: float = 0
     has_model: bool = True
     ready: tuple[str, ...] = ()
+    hot: tuple[str, ...] = ()
--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -80,6 +80,8 @@
     just loaded is not unloaded, since its load may last a little longer.
     `users_life`: how long the word of an instance about the adapters that it
     uses holds, and how long a new steward waits for such words.
+    `hot_share`: an adapter whose requests fill this part of the batch is one
+    for several workers.
     """
 
     prompt_rate: float = 38100
@@ -96,6 +98,7 @@
     replace_patience: float = 2.5
     settle_time: float = 0.1
     users_life: float = 0.8
+    hot_share: float = 0.25
     queue_limit: int = 256
     priority_step: float = 0.5
     prefix_limit: int = 4096
--- a/mintlanding/residency/shelf.py
+++ b/mintlanding/residency/shelf.py
@@ -91,6 +91,17 @@
         """Count a request for an adapter."""
         self.popularity.note(_ref(adapter), now)
 
+    def hot(self, busy_seconds: float, now: float) -> tuple[str, ...]:
+        """Return the adapters whose requests come too fast for one place.
+
+        That is, more than one in `busy_seconds`.
+        """
+        return tuple(
+            name
+            for name in self._held
+            if self.popularity.rate(_ref(name), now) * busy_seconds > 1
+        )
+
     def pin(self, adapter: str, now: float) -> None:
         """Keep an adapter while a request runs on it."""
         held = self._held.get(adapter)
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -241,6 +241,7 @@
             load_wait=round(self._place_wait(now), 3),
             has_model=self.shelf.has_model,
             ready=self.shelf.ready(now),
+            hot=self.shelf.hot(self._hold / self._hot_places(), now),
         )
 
     def expected_wait(self, adapter: str, rank: float, now: float) -> float:
@@ -272,6 +273,9 @@
         places = max(1, self._room.places)
         return max(transit, max(0, lacking) * self._hold / places)
 
+    def _hot_places(self) -> float:
+        return max(1, self._terms.hot_share * self._room.batch_limit)
+
     def _barrier(self, req: AdmissionRequest) -> str:
         if self.is_leaving:
             return 'leaving'
--- a/mintlanding/residency/tests/test_choice.py
+++ b/mintlanding/residency/tests/test_choice.py
@@ -1,5 +1,8 @@
 """Which worker an adapter goes to."""
 
+import random
+from collections import Counter
+
 from mintlanding.residency.choice import (
     ChoiceTerms,
     WorkerView,
@@ -20,7 +23,8 @@
 
 
 def choose(adapter, **changes):
-    return choose_worker(adapter, adapter, views(**changes), 'z', TERMS)
+    rnd = random.Random(7)
+    return choose_worker(adapter, adapter, views(**changes), 'z', TERMS, rnd)
 
 
 def test_rare_adapter_goes_home_though_others_are_idle():
@@ -57,6 +61,27 @@
     assert choose('a7', **changes)[0] == second
 
 
+def test_hot_adapter_is_fetched_by_others_when_its_home_fills_up():
+    # One adapter gets a fifth of all requests: no single batch holds them.
+    home = rank_workers('a7', WORKERS)[0]
+    full = {'ready': frozenset(('a7',)), 'running': 60}
+    assert choose('a7', **{home: full})[0] == home
+    hot = {home: {**full, 'hot': frozenset(('a7',))}}
+    assert choose('a7', **hot)[0] == rank_workers('a7', WORKERS)[1]
+
+
+def test_instances_with_the_same_digests_do_not_crowd_one_worker():
+    held = {'ready': frozenset(('a7',)), 'running': 10}
+    changes = {name: dict(held) for name in WORKERS}
+    changes['w3']['running'] = 9
+    rnd = random.Random(3)
+    found = Counter(
+        choose_worker('a7', 'a7', views(**changes), 'z', TERMS, rnd)[0]
+        for _ in range(600)
+    )
+    assert max(found.values()) < 300
+
+
 def test_worker_without_the_base_model_gets_nothing():
     empty = {name: {'has_model': False} for name in WORKERS[1:]}
     assert choose('a7', **empty) == ['w0']
