--- a/mintlanding/residency/choice.py
+++ b/mintlanding/residency/choice.py
@@ -24,8 +24,8 @@
 
     `home_load`: the adapter is loaded by its home, where it often was
     before. `next_load`: by the second, and once more for each further one.
-    `full_cost`: a full batch, and a part of it for a fuller or emptier one.
-    `far_cost`: another zone. `blind_cost`: a worker whose steward is not heard of.
+    `full_cost`: a full batch, and a part of it for any other. `far_cost`:
+    another zone. `blind_cost`: a worker whose steward is not heard of.
     `hot_load`: like `next_load`, for an adapter in great demand. Of several
     workers that hold an adapter two are compared, drawn anew each time, and
     `crowd_cost` keeps off the others, since all instances see the same
