--- a/mintlanding/cli/commands.py
+++ b/mintlanding/cli/commands.py
@@ -21,6 +21,7 @@
 )
 from mintlanding.cli.parsing import is_set, parse_collection, parse_number
 from mintlanding.cli.plans import Options, Plan
+from mintlanding.cli.stories import explain_request
 from mintlanding.cli.views import (
     STALE_NOTE,
     changed,
@@ -61,6 +62,15 @@
         """
         return self._plan(lambda: check_file(file))
 
+    def explain_request(self, request: str, *files: str) -> Plan:
+        """Join the lines of several processes into the story of a request.
+
+        Args:
+            request: Id of the request.
+            files: Paths of files with the standard output of instances.
+        """
+        return self._plan(lambda: explain_request(request, files))
+
     def apply(self, file: str, *, dry_run: bool = False) -> Plan:
         """Put and delete the objects of a file, all or none.
 
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -188,6 +188,7 @@
             self._stewards.update_versions()
         elif topic == 'config' and self.view.config is not None:
             self._front.limits = self.view.config.limits
+            self.relay.log.configuration = self.view.config.version
         elif topic == 'holds':
             self._stewards.update()
 
--- a/mintlanding/node/journal.py
+++ b/mintlanding/node/journal.py
@@ -23,6 +23,7 @@
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.buckets: Counter[float] = Counter()
         self.seconds: float = 0
+        self.configuration = 0
         self._logger = Logger('request')
 
     def refused(
@@ -46,6 +47,18 @@
             age=_age(view),
         )
 
+    def tried(self, plan: 'Plan', outcome: str, left: float) -> None:
+        """Note a try that gave no answer to pass on."""
+        self._logger.info(
+            'A try failed.',
+            request=plan.fields.request_id,
+            target=plan.target,
+            adapter=plan.fields.adapter.adapter,
+            outcome=outcome,
+            reason=plan.reason,
+            left=round(left, 3),
+        )
+
     def ended(self, plan: 'Plan', outcome: str, now: float) -> None:
         """Note a request that was judged fit to be sent."""
         seconds = now - plan.req.arrived
@@ -66,6 +79,7 @@
             waited=round(plan.waited, 3),
             seconds=round(seconds, 3),
             retry_after=round(plan.retry_after, 2),
+            configuration=self.configuration,
             reason='' if outcome == 'served' else plan.reason,
         )
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -308,6 +308,7 @@
         if ended in {Ended.done, Ended.broken, Ended.late}:
             return False
         plan.tried.add(target.target)
+        self.log.tried(plan, ended.value, self._left(plan))
         if ended in {Ended.not_sent, Ended.failed}:
             return True
         if ended is Ended.lost:
@@ -339,6 +340,7 @@
             if ended is Ended.missing:
                 adapter = plan.fields.adapter.adapter
                 self._admissions.note_missing(place.worker, adapter)
+                self.log.tried(plan, ended.value, self._left(plan))
             if ended in {Ended.not_run, Ended.missing}:
                 if not self.budget.take(plan.service.name, self._now()):
                     plan.reason = 'no retry budget'
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -255,9 +255,26 @@
             answer = self._answers.get(reply.request_id)
         else:
             answer = self._answers.pop(reply.request_id, None)
+            self._log_refusal(reply)
         if answer is not None:
             answer(reply)
 
+    def _log_refusal(self, reply: AdmissionReply) -> None:
+        steward = self.stewards.get(reply.worker)
+        if steward is None:
+            return
+        self._logger.info(
+            'A place was refused.',
+            request=reply.request_id,
+            worker=reply.worker,
+            reason=reply.reason,
+            running=steward.running,
+            queued=len(steward.queue),
+            places=len(steward.shelf.ready(boot_seconds())),
+            may_order=steward.may_order,
+            retry_after=round(reply.retry_after, 2),
+        )
+
     def _arm(self, worker: str) -> None:
         timer = self._timers.pop(worker, None)
         if timer is not None:
--- a/mintlanding/platform/__main__.py
+++ b/mintlanding/platform/__main__.py
@@ -2,6 +2,8 @@
 
 import sys
 
+import eliot
+
 from mintlanding.conf.exceptions import SettingsError
 from mintlanding.core.application import Application, run_application
 from mintlanding.core.logs import configure_output
@@ -16,6 +18,7 @@
 def build() -> Application:
     """Build the instance that the settings file describes."""
     cfg = load_settings(settings_path())
+    eliot.add_global_fields(instance=cfg.node.facts.instance)
     store = PlatformStore.from_config(cfg.store_address)
     node = NodeApplication.from_config(cfg.node, store, records, requests)
     return node.application
