Add a fault soak of the real program

make soak: several instances as processes, the store and targets as stand-ins behind a proxy that delays, resets, silences and cuts one way; instances are killed, frozen, stopped and reloaded by signals. It checks what ran twice, false refusals, wrong or joined answers, orders of two holders in turn, and that all kinds are served again in 12 s.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 DEMO_SIZE ?= full
 
-.PHONY: demo run test prove prove-mutants chaos measure bench capacity lint format clean
+.PHONY: demo run test prove prove-mutants chaos soak measure bench capacity lint format clean
 
 $(VENV): requirements-dev.txt
 	python3 -m venv .venv
@@ -28,6 +28,9 @@
 chaos: $(VENV)
 	$(PY) -m demo.chaos --seed $(SEED)
 
+soak: $(VENV)
+	$(PY) -m soak --seed $(SEED)
+
 measure: $(VENV)
 	$(PY) -m benchmarks.measure --seed $(SEED)
 
--- a/mintlanding/platform/settings.py
+++ b/mintlanding/platform/settings.py
@@ -22,6 +22,8 @@
 _MILLISECONDS = 1000
 # Where metrics are served; deploy/system.toml names the same port.
 _METRICS_PORT = 9464
+# For several instances on one machine.
+_METRICS_VARIABLE = 'MINTLANDING_METRICS_PORT'
 
 
 class _Section(BaseModel):
@@ -127,7 +129,7 @@
             front=parse_address(boot.listen.front),
             ready=parse_address(boot.listen.ready),
             peer_port=boot.port_range[0],
-            metrics_port=_METRICS_PORT,
+            metrics_port=int(os.environ.get(_METRICS_VARIABLE, _METRICS_PORT)),
             link_mbps=boot.limits.link_mbps,
         ),
         bounds=Bounds(
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,78 @@
+"""A loopback proxy that delays, resets, silences or cuts one way."""
+
+import asyncio
+from enum import StrEnum
+
+
+class Mode(StrEnum):
+    """What the proxy does to bytes and to new connections."""
+
+    passing = 'passing'
+    delaying = 'delaying'
+    refusing = 'refusing'
+    silent = 'silent'
+    one_way = 'one_way'
+
+
+class Proxy:
+    """Passes connections on to one address, as its mode says."""
+
+    DELAY_SECONDS = 0.1
+    _CHUNK_BYTES = 1 << 16
+
+    def __init__(self, address):
+        self.mode = Mode.passing
+        self._address = address
+        self._tasks = set()
+        self._writers = set()
+
+    async def start(self):
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self.address = self._server.sockets[0].getsockname()
+        return self
+
+    def reset(self):
+        """Cut all open connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def stop(self):
+        """Close everything."""
+        self._server.close()
+        self.reset()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _accept(self, reader, writer):
+        if self.mode is Mode.refusing:
+            writer.transport.abort()
+            return
+        try:
+            there = await asyncio.open_connection(*self._address)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, there[1]}
+        for source, sink, is_answer in (
+            (reader, there[1], False),
+            (there[0], writer, True),
+        ):
+            task = asyncio.create_task(self._pass(source, sink, is_answer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pass(self, source, sink, is_answer):
+        try:
+            while chunk := await source.read(self._CHUNK_BYTES):
+                if self.mode is Mode.delaying:
+                    await asyncio.sleep(self.DELAY_SECONDS)
+                is_cut = self.mode is Mode.one_way and is_answer
+                if self.mode is not Mode.silent and not is_cut:
+                    sink.write(chunk)
+        except OSError:
+            # The other side is reset as well, as by a router.
+            sink.transport.abort()
+        finally:
+            self._writers.discard(sink)
+            sink.close()
