--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -34,7 +34,7 @@
 
     connect_timeout: float = 0.5
     user_timeout: float = 1
-    redial_pause: float = 0.25
+    redial_pause: float = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +131,7 @@
         """Take what handles messages."""
         self.terms = terms
         self.logger = logger
+        self.on_up: Callable[[str], None] | None = None
         self._identity = identity
         self._receiver = receiver
         self._encoder = msgspec.msgpack.Encoder()
@@ -271,5 +272,7 @@
                 continue
             self._links[member] = link
             self.logger.info('A link is up.', peer=member)
+            if self.on_up is not None:
+                self.on_up(member)
             await link.is_lost.wait()
             await asyncio.sleep(self.terms.redial_pause)
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -194,6 +194,7 @@
         identity = Identity(self.instance, self.boot, self._view.fleet_key)
         self.mesh = Mesh.from_config(identity, self.receive)
         self.words.mesh = self.mesh
+        self.mesh.on_up = self._greet
         return self.mesh
 
     def update_members(self) -> None:
@@ -245,6 +246,9 @@
         except (PlatformError, StoreBusy) as exc:
             self._logger.warning('The lease was left.', reason=str(exc))
 
+    def _greet(self, member: str) -> None:
+        self.words.greet(member, boot_seconds())
+
     def _take_status(self, peer: str, status: Status) -> None:
         self.words.hear(status, boot_seconds())
 
--- a/mintlanding/node/tests/test_words.py
+++ b/mintlanding/node/tests/test_words.py
@@ -130,6 +130,14 @@
         assert sum(fleet.charged[name].values()) == 20 * (members - 1)
 
 
+@pytest.mark.parametrize('members', [6, 40])
+def test_member_that_is_reached_hears_at_once(members):
+    # After all were killed, requests come before the first round of words.
+    fleet = Fleet(members)
+    fleet.words['n0'].greet('n1', fleet.now)
+    assert fleet.words['n1'].is_heard('n0', fleet.now)
+
+
 def test_hub_that_falls_silent_is_replaced():
     fleet = Fleet(40)
     fleet.run(4)
--- a/mintlanding/node/words.py
+++ b/mintlanding/node/words.py
@@ -164,6 +164,11 @@
         self._statuses[self._instance] = status
         self._speak_as_hub(now)
 
+    def greet(self, member: str, now: float) -> None:
+        """Tell the own word to a member that has just been reached."""
+        if self.mesh is not None:
+            self.mesh.send(member, self._status(now))
+
     def hear(self, status: Status, now: float) -> None:
         """Take a member's own word; pass it on if this is its hub."""
         self._note(status.instance, status.boot, status.sent_at, now)
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -84,7 +84,7 @@
     def begin(self, now: float) -> Sequence[Action]:
         """Ask the engine what it holds."""
         self._report_at = now
-        self._unload_from = now + self._terms.users_life
+        self._unload_from = now + self._terms.users_wait
         return self._proceed(now)
 
     def note_users(
