--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,8 +41,7 @@
 async def reload(world, rnd):
     """Tell all instances that their settings have changed."""
     for instance in world.instances:
-        if instance.process.returncode is None:
-            instance.process.send_signal(signal.SIGHUP)
+        instance.signal(signal.SIGHUP)
 
 
 @FAULTS.register('store away')
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """The store and targets of a soak, and the processes that it starts."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -66,11 +67,16 @@
                 env=environment,
             )
 
+    def signal(self, signum):
+        """Signal this process, unless it has ended."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(signum)
+
     async def end(self, signum):
         """Signal this process and wait for its end."""
         if self.process is None or self.process.returncode is not None:
             return
-        self.process.send_signal(signum)
+        self.signal(signum)
         await self.process.wait()
 
     async def restart(self, signum, pause):
@@ -82,9 +88,10 @@
     async def freeze(self, seconds):
         """Stop the process for a while."""
         process = self.process
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        if process.returncode is None:
+        # It may end meanwhile, when faults overlap.
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
             process.send_signal(signal.SIGCONT)
 
 
