--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -50,6 +50,8 @@
 # members that start together know each other.
 _SETTLE_SECONDS = 0.8
 _KEY_BYTES = 32
+# Seconds over which the members of a large fleet spread a first call.
+_KEY_SPREAD_SECONDS = 0.5
 # What the reader of a zone is chosen for, among the names of workers.
 _READER = 'reader'
 # A loop that stood still for longer has heard of nobody meanwhile.
@@ -175,6 +177,9 @@
 
     async def share_key(self) -> None:
         """Make sure that the fleet has a key."""
+        # Whoever comes first spares the others the call.
+        spread = min(_KEY_SPREAD_SECONDS, len(self._view.members) / 100)
+        await asyncio.sleep(self._rnd.uniform(0, spread))
         while not self._view.fleet_key:
             write = Write(FLEET_KEY, secrets.token_bytes(_KEY_BYTES))
             try:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -410,7 +410,13 @@
         plan.reason = 'no target'
         for number, worker in enumerate(order):
             reservation = f'{plan.fields.request_id}.{plan.sends}.{number}'
-            place = await self._ask(plan, named[worker], reservation)
+            is_last = number + 1 == len(order)
+            place = await self._ask(
+                plan,
+                named[worker],
+                reservation,
+                is_last=is_last,
+            )
             if place is not None:
                 plan.waited += self._now() - now
                 return place
@@ -422,12 +428,14 @@
         plan: Plan,
         target: Target,
         reservation: str,
+        *,
+        is_last: bool,
     ) -> Place | None:
-        now = self._now()
-        spent = now - plan.req.arrived
+        terms = self._cfg.relay
+        spent = self._now() - plan.req.arrived
         objective = plan.route.objective
         patience = min(
-            objective * self._cfg.relay.patience - spent,
+            objective * terms.patience - spent,
             self._left(plan) - _LEAST_TIME,
         )
         if plan.sends:
@@ -448,6 +456,7 @@
                 objective=objective - spent,
                 patience=patience,
                 deadline=self._left(plan),
+                tolerance=patience * (1 if is_last else terms.tolerance),
                 parts=plan.fields.parts,
             ),
         )
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -43,8 +43,8 @@
     """How requests are sent on.
 
     `patience` is the share of the objective for which a request waits for a
-    place; `late_patience` the share of its whole time, where that is less
-    than the objective. `steward_timeout`: a steward that has not answered by
+    place; `tolerance` the share of that for which it waits while other
+    workers are left to ask. `steward_timeout`: a steward that has not answered by
     then is passed over. `answer_margin`: an answer is given up this long
     before the caller's deadline. `first_event_factor`: a resumable stream
     without an event after this many objectives is begun elsewhere.
@@ -54,11 +54,10 @@
     """
 
     patience: float = 0.9
-    late_patience: float = 0.3
+    tolerance: float = 0.5
     steward_timeout: float = 0.25
     answer_margin: float = 0.03
     first_event_factor: float = 1.5
-    longest_try: float = 0.75
     retry_after: float = 0.5
     isolated_retry_after: float = 0.06
 
@@ -86,7 +85,7 @@
     watch_pause: float = 0.5
     news_silence: float = 1.3
     lapse_grace: float = 2.2
-    renew_interval: float = 0.5
+    renew_interval: float = 0.6
     hub_members: int = 17
     hub_interval: float = 0.4
     hub_silence: float = 1.6
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -33,7 +33,7 @@
 
 # Seconds for the answer to an order, which takes milliseconds; one that is
 # repeated for nothing costs a refusal.
-_ORDER_SECONDS = 0.1
+_ORDER_SECONDS = 0.06
 # Seconds for the answer to a question, which is never asked twice at a time.
 _REPORT_SECONDS = 0.3
 # Seconds between looks at what nothing else wakes a steward for.
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -29,7 +29,8 @@
     """A wish to run one request on one worker.
 
     `objective` and `patience` are the seconds until the request is late and
-    until its caller should be told to come back. `parts` are the parts of
+    until its caller should be told to come back; a longer wait than
+    `tolerance` is better spent at another worker. `parts` are the parts of
     the prompt in order, with their tokens.
     """
 
@@ -44,6 +45,7 @@
     objective: float
     patience: float
     deadline: float
+    tolerance: float
     parts: tuple[tuple[str, int], ...] = ()
 
 
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -109,7 +109,7 @@
         cost = self._reading_seconds(req)
         rank = now + req.objective + req.priority * self._terms.priority_step
         wait = self.expected_wait(req.adapter, rank, now)
-        if self.queue.is_full or wait > req.patience:
+        if self.queue.is_full or wait > min(req.patience, req.tolerance):
             return [self._refusal(req, now, 'overloaded', wait=wait)]
         item = Waiting(req, rank, now + req.patience, cost)
         self.queue.push(item)
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -39,6 +39,7 @@
         'objective': 1.0,
         'patience': 2.0,
         'deadline': 5.0,
+        'tolerance': 10.0,
         **changes,
     }
     return AdmissionRequest(
@@ -283,6 +284,13 @@
     assert reply.retry_after > 1
 
 
+def test_long_wait_is_refused_where_another_worker_may_be_sooner():
+    driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
+    driver.reserve('r1', 'a1')
+    assert driver.reserve('r2', 'a1', tolerance=0.1).reason == 'overloaded'
+    assert driver.reserve('r3', 'a1').is_waiting
+
+
 def test_burst_of_rare_adapters_is_refused_when_no_place_comes_in_time():
     driver = Driver(batch_limit=64, places=3).start()
     for number in range(3):
