--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -442,6 +442,9 @@
             patience = max(patience, self._left(plan) / 3)
         if patience <= 0:
             return None
+        tolerance = patience
+        if not is_last:
+            tolerance *= terms.tolerance
         adapter = plan.fields.adapter
         reply = await self._admissions.reserve(
             AdmissionRequest(
@@ -456,7 +459,7 @@
                 objective=objective - spent,
                 patience=patience,
                 deadline=self._left(plan),
-                tolerance=patience * (1 if is_last else terms.tolerance),
+                tolerance=tolerance,
                 parts=plan.fields.parts,
             ),
         )
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -44,10 +44,10 @@
 
     `patience` is the share of the objective for which a request waits for a
     place; `tolerance` the share of that for which it waits while other
-    workers are left to ask. `steward_timeout`: a steward that has not answered by
-    then is passed over. `answer_margin`: an answer is given up this long
-    before the caller's deadline. `first_event_factor`: a resumable stream
-    without an event after this many objectives is begun elsewhere.
+    workers are left to ask. `steward_timeout`: a steward that has not
+    answered by then is passed over. `answer_margin`: an answer is given up
+    this long before the caller's deadline. `first_event_factor`: a resumable
+    stream without an event after this many objectives is begun elsewhere.
     `retry_after`: when to come back where nothing better is known;
     `isolated_retry_after` to another instance, from one that hears at most
     half of the members.
