--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -101,7 +101,7 @@
     users_wait: float = 0.5
     hot_share: float = 0.25
     queue_limit: int = 256
-    priority_step: float = 0.5
+    priority_step: float = 0.2
     prefix_limit: int = 4096
 
 
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -107,7 +107,9 @@
         if reason:
             return [self._refusal(req, now, reason, elsewhere=True)]
         cost = self._reading_seconds(req)
-        rank = now + req.objective + req.priority * self._terms.priority_step
+        # Least slack first: what takes long to read has to start sooner.
+        rank = now + req.objective - cost
+        rank += req.priority * self._terms.priority_step
         wait = self.expected_wait(req.adapter, rank, now)
         if self.queue.is_full or wait > min(req.patience, req.tolerance):
             return [self._refusal(req, now, 'overloaded', wait=wait)]
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -316,6 +316,17 @@
     assert not driver.replies['plan'].is_granted
 
 
+def test_long_prompt_goes_before_shorter_ones_with_more_slack():
+    # Large prompts are late when they wait behind a burst of small ones.
+    driver = Driver(FakeEngine(adapters={'a1': 1}), batch_limit=1).start()
+    driver.reserve('r1', 'a1')
+    driver.reserve('small', 'a1', prompt_tokens=100)
+    driver.reserve('large', 'a1', prompt_tokens=9000)
+    driver.end('r1')
+    assert driver.replies['large'].is_granted
+    assert not driver.replies['small'].is_granted
+
+
 def test_patience_that_is_over_ends_in_a_refusal(driver):
     driver.is_losing = True
     driver.reserve('r1', patience=0.4)
