--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -34,7 +34,6 @@
         """Wait for the transport."""
         self.address = address
         self.idle_until: float = 0
-        self.is_fresh = True
         self._terms = terms
         self._transport: asyncio.Transport | None = None
         self._head: ResponseHead | None = None
@@ -123,7 +122,6 @@
             self.abort()
             return False
         self._is_busy = False
-        self.is_fresh = False
         self.idle_until = now + self._idle_seconds()
         return True
 
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -77,7 +77,6 @@
     async with Peer(WHOLE) as peer:
         await peer.call()
         conn = await peer.pool.acquire(peer.address, is_fresh=True)
-        assert conn.is_fresh
         conn.abort()
         assert peer.pool.opened == 2
 
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -157,10 +157,9 @@
         worker: str,
         reservation: str,
         outcome: Outcome,
-        first_event: float = -1,
     ) -> None:
         """Tell the steward that a request has ended."""
-        message = AdmissionEnd(reservation, worker, outcome, first_event)
+        message = AdmissionEnd(reservation, worker, outcome)
         holder = self.holder(worker)
         if holder == self.membership.instance:
             self.stewards.end(message)
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -51,7 +51,6 @@
         self.application = Application('node')
         self.view = FleetView(
             records,
-            rnd,
             lapse_grace=cfg.fleet.lapse_grace,
         )
         self._cfg = cfg
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -358,7 +358,6 @@
         target: Target,
     ) -> Ended:
         outcome = Outcome.failed
-        began = self._now()
         using = (
             place.worker,
             plan.fields.adapter.adapter,
@@ -378,7 +377,6 @@
                     place.worker,
                     place.reservation,
                     outcome,
-                    self._now() - began,
                 )
 
     async def _admit(self, plan: Plan) -> Place | None:
--- a/mintlanding/node/targets.py
+++ b/mintlanding/node/targets.py
@@ -112,10 +112,6 @@
             return False
         return self._circuits.admits(target, now, may_fail=may_fail)
 
-    def note_trial(self, target: str, now: float) -> None:
-        """Note that a request tries out a target."""
-        self._circuits.note_trial(target, now)
-
     def keep(self, names: set[str]) -> None:
         """Forget the targets that are gone."""
         self._circuits.keep(names)
--- a/mintlanding/node/tests/test_holds.py
+++ b/mintlanding/node/tests/test_holds.py
@@ -1,7 +1,5 @@
 """Claims with lost and late answers, restarts, and consent meanwhile."""
 
-import random
-
 import msgspec
 import pytest
 
@@ -38,7 +36,7 @@
     def __init__(self, monkeypatch):
         self.now = 100.0
         monkeypatch.setattr(holds_module, 'boot_seconds', lambda: self.now)
-        self.view = FleetView(records, random.Random(1))
+        self.view = FleetView(records)
         self.store = FakeStore()
         self.restart()
 
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -1,6 +1,5 @@
 """What an instance knows from the store: one copy, one place to change it."""
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
@@ -102,7 +101,6 @@
     """
 
     records: Records
-    rnd: random.Random
     config: ServingConfig | None = None
     routes: RouteTable = field(default_factory=lambda: RouteTable({}))
     keys: KeyTable = field(default_factory=lambda: KeyTable({}))
--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -207,9 +207,6 @@
 class _Report(_Record):
     seq: int
     born: int = 0
-    # Requests that run; those that wait are counted apart.
-    inflight: int = 0
-    queued: int = 0
     models: list[_HeldModel] = Field(default_factory=list)
     # Adapters in transit, as model, adapter and version in one name.
     coming: list[str] = Field(default_factory=list)
@@ -269,7 +266,6 @@
         models=tuple(model.name for model in raw.models),
         adapters=_versions(adapters),
         coming=_versions(coming),
-        running=raw.inflight + raw.queued,
     )
 
 
--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -81,7 +81,6 @@
     assert report.adapters == (('a1', 2), ('a7', 1))
     assert report.coming == (('a9', 1),)
     assert report.models == ('daka',)
-    assert report.running == 13
 
 
 @given(st.binary(max_size=200))
--- a/mintlanding/residency/choice.py
+++ b/mintlanding/residency/choice.py
@@ -29,7 +29,7 @@
     `hot_load`: like `next_load`, for an adapter in great demand. Of several
     workers that hold an adapter two are compared, drawn anew each time, and
     `crowd_cost` keeps off the others, since all instances see the same
-    digests.
+    digests. `candidates`: workers asked for one request.
     """
 
     home_load: float = 0.1
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -82,7 +82,6 @@
     request_id: str
     worker: str
     outcome: Outcome
-    first_event: float = -1
 
 
 class WorkerDigest(msgspec.Struct, frozen=True, array_like=True):
--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -1,6 +1,6 @@
 """Terms and records of a steward; times in seconds, sizes in tokens."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Union
 
@@ -57,7 +57,6 @@
     models: tuple[str, ...] = ()
     adapters: tuple[tuple[str, int], ...] = ()
     coming: tuple[tuple[str, int], ...] = ()
-    running: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +80,9 @@
     `users_life`: how long the word of an instance about the adapters that it
     uses holds; a new steward waits `users_wait` for such words.
     `hot_share`: an adapter whose requests fill this part of the batch is one
-    for several workers.
+    for several workers. `queue_limit` and `prefix_limit` bound what is
+    remembered, in requests and prompt parts. `priority_step`: what a step of
+    priority counts in the order of those that wait.
     """
 
     prompt_rate: float = 38100
@@ -179,4 +180,3 @@
     lost_orders: int = 0
     not_ready: int = 0
     missing: int = 0
-    waits: list[float] = field(default_factory=list)
