Order under a new lease only once the view shows who took workers meanwhile

Ruled out: the takeover's wait (4.3 s after the last renewal); fencing numbers (the old holder's was lower, which these engines do not compare). Change: a renewal counts only when the view is as new as the member's entry. A member refuses its consent to one from whom it took a worker until that one has an entry again; the hold's record names whom it was taken from.

--- a/mintlanding/node/holds.py
+++ b/mintlanding/node/holds.py
@@ -80,9 +80,17 @@
     def may_consent(self, member: str) -> bool:
         """Tell whether a member may order for this instance's part.
 
-        Not while a worker may be taken from it by a write of this process.
+        Not while a worker may be taken from it by a write of this process,
+        nor after one was, until it has an entry again and thus read of that.
         """
-        return boot_seconds() >= self._contested.get(member, float('-inf'))
+        if boot_seconds() < self._contested.get(member, float('-inf')):
+            return False
+        if member in self._view.members:
+            return True
+        return not any(
+            record.previous == member and record.holder == self._instance
+            for record in self._view.holds.values()
+        )
 
     async def claim(self, claim: Claim) -> None:
         """Take a worker, unless something has changed."""
@@ -91,9 +99,10 @@
         if claim.previous:
             expected[MEMBERS_PREFIX + claim.previous] = MISSING
         is_settled = claim.wait == 0
+        entry = HoldEntry(self._instance, is_settled, claim.previous)
         self._contest(claim.previous)
         try:
-            done = await self._write(key, expected, self._instance, is_settled)
+            done = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
             self._logger.warning(
                 'A claim has no answer.',
@@ -106,7 +115,7 @@
         self._contest(claim.previous)
         now = boot_seconds()
         self._order_from[claim.worker] = now + claim.wait
-        self._confirm(claim.worker, done, is_settled=is_settled)
+        self._confirm(claim.worker, done, entry)
         self._logger.info(
             'A worker was taken.',
             worker=claim.worker,
@@ -123,33 +132,31 @@
             return
         key = HOLDS_PREFIX + worker
         expected = {key: record.revision}
+        entry = HoldEntry(self._instance, True, record.previous)
         try:
-            done = await self._write(key, expected, self._instance, True)
+            done = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
             self._logger.info('Not settled.', worker=worker, reason=str(exc))
             return
         if done is not None:
-            self._confirm(worker, done, is_settled=True)
+            self._confirm(worker, done, entry)
 
     async def release(self, worker: str) -> None:
         """Let go of a worker; nothing is ordered from here on."""
         record = self._view.holds[worker]
         self._order_from[worker] = float('inf')
         key = HOLDS_PREFIX + worker
-        await self._write(key, {key: record.revision}, '', False)
+        await self._write(key, {key: record.revision}, HoldEntry(''))
         self._logger.info('A worker was let go.', worker=worker)
 
     async def _write(
         self,
         key: str,
         expected: dict[str, int],
-        holder: str,
-        is_settled: bool,
+        entry: HoldEntry,
     ) -> int | None:
-        entry = msgspec.json.encode(HoldEntry(holder, is_settled))
-        done = await self._store.commit(
-            Transaction(expected, (Write(key, entry),)),
-        )
+        write = Write(key, msgspec.json.encode(entry))
+        done = await self._store.commit(Transaction(expected, (write,)))
         return None if isinstance(done, Rejected) else done.revision
 
     def _resume(self, worker: str, record: HoldRecord, now: float) -> None:
@@ -162,12 +169,13 @@
         self._order_from[worker] = now + wait
         self._logger.info('A hold goes on.', worker=worker, wait=wait)
 
-    def _confirm(self, worker: str, revision: int, *, is_settled: bool) -> None:
+    def _confirm(self, worker: str, revision: int, entry: HoldEntry) -> None:
         self._confirmed[worker] = revision
         self._view.holds[worker] = HoldRecord(
-            self._instance,
+            entry.holder,
             revision,
-            is_settled,
+            entry.is_settled,
+            entry.previous,
         )
 
     def _contest(self, holder: str) -> None:
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -93,6 +93,8 @@
         self._rnd = rnd
         self._lease = 0
         self._registered = False
+        # The revision at which the entry of the present lease was written.
+        self._entry_revision = 0
         self._joined_at = float('inf')
         # Members by the store, and those that it lost sight of lately.
         self._known: dict[str, MemberRecord] = {}
@@ -292,9 +294,9 @@
     async def _keep_lease(self) -> None:
         sent_at = boot_seconds()
         if self._lease and await self._store.keep_lease(self._lease):
-            self.holds.authority.renewed(sent_at)
             if not self._registered:
                 await self._register()
+            self._note_renewal(sent_at)
             return
         self.holds.authority.lost()
         self._registered = False
@@ -305,7 +307,16 @@
         )
         self._lease = await self._store.grant_lease(seconds)
         await self._register()
-        self.holds.authority.renewed(sent_at)
+        self._note_renewal(sent_at)
+
+    def _note_renewal(self, sent_at: float) -> None:
+        """Order again once the view shows who took workers meanwhile.
+
+        While the entry stands nobody takes any; before, while there was
+        none, somebody may have.
+        """
+        if self._registered and self._view.as_of >= self._entry_revision:
+            self.holds.authority.renewed(sent_at)
 
     async def _register(self) -> None:
         facts = self._cfg.facts
@@ -322,6 +333,8 @@
         write = Write(key, msgspec.json.encode(record), self._lease)
         done = await self._store.commit(Transaction(writes=(write,)))
         if isinstance(done, Committed):
+            if not self._registered:
+                self._entry_revision = done.revision
             self._registered = True
             if self._joined_at == float('inf'):
                 self._joined_at = boot_seconds()
--- a/mintlanding/node/tests/test_holds.py
+++ b/mintlanding/node/tests/test_holds.py
@@ -7,7 +7,12 @@
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.node import holds as holds_module
 from mintlanding.node.holds import Holds
-from mintlanding.node.view import HOLDS_PREFIX, FleetView, HoldEntry
+from mintlanding.node.view import (
+    HOLDS_PREFIX,
+    FleetView,
+    HoldEntry,
+    MemberRecord,
+)
 from mintlanding.platform import records
 from mintlanding.residency.authority import AuthorityTerms, Claim, HoldRecord
 
@@ -105,6 +110,17 @@
     assert world.holds.may_consent('other')
 
 
+async def test_member_that_lost_a_worker_gets_no_consent_before_it_is_back(
+    world,
+):
+    # It may have been frozen, and know of nothing.
+    world.view.holds['w'] = HoldRecord('me', 12, True, 'other')
+    assert not world.holds.may_consent('other')
+    record = MemberRecord('other', 'z', '10.0.0.2', 1, 'b')
+    world.view.members['other'] = record
+    assert world.holds.may_consent('other')
+
+
 async def test_restarted_process_goes_on_with_a_settled_hold(world):
     world.show('me', 12, is_settled=True)
     assert world.may_order()
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -62,11 +62,13 @@
 class HoldEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """Who orders at a worker; nobody when the holder is empty.
 
-    A settled holder has waited out the one before it.
+    A settled holder has waited out the one before it, from whom the worker
+    was taken.
     """
 
     holder: str
     is_settled: bool = False
+    previous: str = ''
 
 
 def spot_of(record: MemberRecord) -> MemberSpot:
@@ -297,6 +299,7 @@
             entry.holder,
             item.revision,
             entry.is_settled,
+            entry.previous,
         )
         self._tell('holds')
 
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -111,12 +111,14 @@
 class HoldRecord:
     """Who holds a worker; an empty holder has let go.
 
-    A settled holder has waited out the one before it.
+    A settled holder has waited out the one before it, from whom the worker
+    was taken.
     """
 
     holder: str
     revision: int
     is_settled: bool = False
+    previous: str = ''
 
 
 @dataclass(frozen=True, slots=True)
