--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -177,7 +177,7 @@
 
     def send(self, member: str, message: Message) -> bool:
         """Send to a member; false when there is no link."""
-        links = self._links.get(member)
+        links = self._links.get(member, [])
         return bool(links) and links[-1].send(self._encoder.encode(message))
 
     def broadcast(self, message: Message) -> None:
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -1,6 +1,7 @@
 """Routes, caps over the fleet, and the budget of repeats."""
 
 import random
+from collections import Counter
 
 import pytest
 from hypothesis import given
@@ -116,6 +117,83 @@
     assert admitted >= allowed * 0.9
 
 
+class LargeFleet:
+    """Instances that hear of the others' counters late, through hubs.
+
+    The cut ones hear of nobody; everyone notices after `silence` seconds.
+    """
+
+    interval = 0.4
+    lag = 0.8
+    silence = 1.6
+
+    def __init__(self, members, cut, cut_at):
+        self.caps = [FleetCaps() for _ in range(members)]
+        self.cut = cut
+        self.cut_at = cut_at
+        self.sums = []
+        self.heard_last = [{} for _ in range(members)]
+        for caps in self.caps:
+            caps.set_reach(members, members)
+
+    def step(self, now):
+        is_cut = now >= self.cut_at
+        own = [caps.counters() for caps in self.caps]
+        self.sums.append((now, own))
+        due = [each for each in self.sums if each[0] <= now - self.lag]
+        if due:
+            self.sums = self.sums[len(due) - 1 :]
+            self._tell(due[-1][1], now, is_cut=is_cut)
+        if now >= self.cut_at + self.silence:
+            members = len(self.caps)
+            for index, caps in enumerate(self.caps):
+                heard = 1 if index < self.cut else members - self.cut
+                caps.set_reach(heard, members)
+
+    def _tell(self, told, now, *, is_cut):
+        """Tell each the sum over all others, as far as hubs hear them."""
+        first = self.cut if is_cut else 0
+        self.heard_last[first:] = told[first:]
+        total = Counter()
+        for each in self.heard_last:
+            total.update(each)
+        for index in range(first, len(self.caps)):
+            words = {
+                name: amount - self.heard_last[index].get(name, 0)
+                for name, amount in total.items()
+            }
+            self.caps[index].charge_member('hub', words, {'w': CAPPED}, now)
+
+
+@pytest.mark.parametrize(
+    ('cut', 'cut_at'),
+    [(0, 0), (25, 3.5), (25, 5.0), (25, 6.0), (25, 8.0)],
+)
+def test_flood_while_a_third_of_the_instances_is_cut_off(cut, cut_at):
+    # One workspace sends half of its cap, and three times as much from the
+    # fourth second on, evenly to 73 instances.
+    fleet = LargeFleet(73, cut, cut_at)
+    rnd = random.Random(4)
+    amount, slack = 9.0, 0.7 * CAPPED.rate
+    admitted = []
+    for step in range(20000):
+        now = step * 0.001
+        if step % 400 == 0:
+            fleet.step(now)
+        load = 3 if now > 4 else 0.5
+        if rnd.random() < load * CAPPED.rate / 1000 / amount:
+            caps = rnd.choice(fleet.caps)
+            if not caps.admit(CAPPED, amount, now):
+                admitted.append(now)
+    windows = [
+        sum(start / 2 <= at < start / 2 + 8 for at in admitted)
+        for start in range(25)
+    ]
+    most = (CAPPED.rate * 8 + CAPPED.burst) * 1.1 + slack
+    assert max(windows) * amount <= most
+    assert windows[-1] * amount >= CAPPED.rate * 8 * 0.9
+
+
 def test_workspace_below_its_cap_is_never_refused():
     fleet = Fleet(8)
     rnd = random.Random(3)
