Send waiting requests elsewhere when an engine hangs

Change: the steward measures when a place came free last. A full batch that frees none for five usual gaps counts by that time; a waiting request that will not start in time by then, or waits for an order at an engine that left three unanswered, is told to go elsewhere. An engine on which three requests have run for 1.2 s, none served meanwhile, gets nothing more until one ends.

--- a/mintlanding/residency/models.py
+++ b/mintlanding/residency/models.py
@@ -81,14 +81,21 @@
     `report_patience`: an engine that has not said what it holds for longer
     counts as silent; three times its lag.
     `replace_patience`: a new version waits so long for the runs on the old
-    one, half of what the users allow. `settle_time`: an adapter that was
-    just loaded is not unloaded, since its load may last a little longer.
+    one, half of what the users allow. `settle_time`: an adapter that was just
+    loaded is not unloaded, since its load may last a little longer.
     `users_life`: how long the word of an instance about the adapters that it
-    uses holds; a new steward waits `users_wait` for such words.
-    `hot_share`: an adapter whose requests fill this part of the batch is one
-    for several workers. `queue_limit` and `prefix_limit` bound what is
-    remembered, in requests and prompt parts. `priority_step`: what a step of
-    priority counts in the order of those that wait.
+    uses holds; a new steward waits `users_wait` for such words. `hot_share`:
+    an adapter whose requests fill this part of the batch is one for several
+    workers. `slow_factor`: a full batch that has freed no place for so many
+    times the usual gap is slow; random gaps are hardly ever that long.
+    `certainty`: a request is sent elsewhere when its wait will exceed what is
+    left of its patience by this factor, since estimates err and moving costs
+    a load. `stall_time`: so long after `stall_requests` requests began,
+    without one being served, an engine is taken to hang; twice what a long
+    answer takes. `silent_orders`: orders in a row without an answer until an
+    engine is taken to answer none. `queue_limit` and `prefix_limit` bound
+    what is remembered, in requests and prompt parts. `priority_step`: what a
+    step of priority counts in the order of those that wait.
     """
 
     prompt_rate: float = 38100
@@ -108,6 +115,11 @@
     users_life: float = 0.8
     users_wait: float = 0.5
     hot_share: float = 0.25
+    slow_factor: float = 5
+    certainty: float = 1.25
+    stall_time: float = 1.2
+    stall_requests: int = 3
+    silent_orders: int = 3
     queue_limit: int = 256
     priority_step: float = 0.2
     prefix_limit: int = 4096
@@ -161,6 +173,7 @@
     order: Order
     resend_at: float | None = None
     is_lost: bool = False
+    failures: int = 0
     conflicts: int = 0
 
 
--- a/mintlanding/residency/shelf.py
+++ b/mintlanding/residency/shelf.py
@@ -7,6 +7,7 @@
 decided.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Container
 
@@ -56,6 +57,13 @@
             held.state = HeldState.ready
         return held.state is HeldState.ready and held.stale_since is None
 
+    def is_coming(self, adapter: str) -> bool:
+        """Tell whether the engine has the adapter or has begun to load it."""
+        held = self._held.get(adapter)
+        if held is None or held.state is HeldState.unloading:
+            return False
+        return math.isfinite(held.ready_at)
+
     def in_transit(self, now: float) -> int:
         """Count the loads that have probably not ended."""
         return sum(
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -1,5 +1,6 @@
 """The steward of one engine: who runs, what is loaded, what gives way."""
 
+import itertools
 import math
 import random
 from collections.abc import Sequence
@@ -78,6 +79,9 @@
         self._report_at: float | None = None
         self._unload_from = float('-inf')
         self._unknown_since = float('-inf')
+        # When a place came free last, and a request was served last.
+        self._freed_at = float('-inf')
+        self._served_at = float('-inf')
 
     @property
     def running(self) -> int:
@@ -136,8 +140,10 @@
             return []
         req = granted.req
         self._tokens -= _size(req)
+        self._freed_at = now
         self.shelf.unpin(req.adapter, now)
         if message.outcome is Outcome.served:
+            self._served_at = now
             held = now - granted.since
             self._hold += _SMOOTHING * (held - self._hold)
         if message.outcome is Outcome.not_ready:
@@ -162,6 +168,7 @@
         if outcome in {OrderResult.lost, OrderResult.not_sent}:
             self.tally.lost_orders += 1
             under_way.is_lost |= outcome is OrderResult.lost
+            under_way.failures += 1
             under_way.resend_at = now + self._terms.order_pause
             return []
         if outcome is OrderResult.conflict and self._is_busy(under_way, now):
@@ -266,9 +273,8 @@
         ahead, cost = self.queue.cost_ahead(rank)
         backlog = max(0, self._read_until - now) + cost
         reading = max(0, backlog - self._terms.backlog_limit)
-        places = self._room.batch_limit
-        excess = self.running + ahead + 1 - places
-        batch = max(0, excess) * self._hold / places
+        excess = self.running + ahead + 1 - self._room.batch_limit
+        batch = max(0, excess) * self._place_gap(now)
         load: float = 0
         if adapter and not self.shelf.is_ready(adapter, now):
             load = self.shelf.load_seconds(adapter)
@@ -311,6 +317,57 @@
         places = max(1, self._room.places)
         return max(transit, max(0, lacking) * self._hold / places)
 
+    def _place_gap(self, now: float) -> float:
+        """Return the seconds in which one place of the batch comes free.
+
+        Load it answers: an engine that hangs or has slowed down, whose batch
+        is full and stays so.
+        """
+        usual = self._hold / self._room.batch_limit
+        since = now - self._freed_at
+        is_slow = since > usual * self._terms.slow_factor
+        if self.running >= self._room.batch_limit and is_slow:
+            return since
+        return usual
+
+    def _is_stalled(self, now: float) -> bool:
+        """Tell whether several requests run for long and none was served."""
+        before = now - self._terms.stall_time
+        if self._served_at > before:
+            return False
+        oldest = itertools.islice(
+            self._granted.values(),
+            self._terms.stall_requests,
+        )
+        old = sum(each.since < before for each in oldest)
+        return old >= self._terms.stall_requests
+
+    def _hopeless(self, now: float) -> list[Waiting]:
+        """Return the waiting that will not start within their patience.
+
+        They have time left to be served elsewhere.
+        """
+        is_silent = self._is_silent()
+        free = self._room.batch_limit - self.running
+        gap = self._place_gap(now)
+        found: list[Waiting] = []
+        for ahead, item in enumerate(self.queue):
+            excess = max(0, ahead + 1 - len(found) - free)
+            left = item.expires - now
+            is_late = excess * gap > left * self._terms.certainty
+            adapter = item.req.adapter
+            needs_order = adapter and not self.shelf.is_coming(adapter)
+            if is_late or (needs_order and is_silent):
+                found.append(item)
+        return found
+
+    def _is_silent(self) -> bool:
+        """Tell whether the engine has left several orders unanswered."""
+        under_way = self._under_way
+        if under_way is None:
+            return False
+        return under_way.failures >= self._terms.silent_orders
+
     def _hot_places(self) -> float:
         return max(1, self._terms.hot_share * self._room.batch_limit)
 
@@ -321,8 +378,12 @@
             return 'too large'
         if not (self.shelf.has_model or self._is_asked(now)):
             return 'no model'
+        if self._is_stalled(now):
+            return 'stalled'
         if not req.adapter or self.shelf.get(req.adapter) is not None:
             return ''
+        if self._is_silent():
+            return 'orders are unanswered'
         if self._orders_wait(now) > min(req.patience, req.tolerance):
             return 'no orders'
         return ''
@@ -334,6 +395,10 @@
             reason = f'no place in time, {self._blocker(item.req, now)}'
             actions.append(self._refusal(item.req, now, reason))
         actions.extend(self._grant_all(now))
+        for item in self._hopeless(now):
+            self.queue.remove(item.req.request_id)
+            reason = f'not in time, {self._blocker(item.req, now)}'
+            actions.append(self._refusal(item.req, now, reason, elsewhere=True))
         actions.extend(self._order(now))
         return actions
 
@@ -392,6 +457,8 @@
         expires = now + req.deadline + _GRANT_GRACE
         self._granted[req.request_id] = Granted(req, now, expires)
         self._tokens += _size(req)
+        if self.running == self._room.batch_limit:
+            self._freed_at = now
         cost = self._reading_seconds(req)
         self._prefixes.note(req.adapter, req.parts)
         self._read_until = max(self._read_until, now) + cost
@@ -501,6 +568,7 @@
         ]
         for key in over:
             req = self._granted.pop(key).req
+            self._freed_at = now
             self._tokens -= _size(req)
             self.shelf.unpin(req.adapter, now)
 
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -180,6 +180,53 @@
     assert not driver.steward.digest(driver.now).has_model
 
 
+def fill(driver, count):
+    for number in range(count):
+        driver.reserve(f'f{number}')
+    driver.wait(0.3)
+
+
+def test_requests_behind_a_batch_that_hangs_are_sent_elsewhere_in_time(driver):
+    # A worker takes requests and answers none; others wait for its places.
+    fill(driver, 4)
+    for name in ('r1', 'r2'):
+        assert driver.reserve(name, patience=0.55).is_waiting
+    driver.wait(0.5)
+    for name in ('r1', 'r2'):
+        assert driver.replies[name].elsewhere
+        assert driver.replies[name].reason.startswith('not in time')
+
+
+def test_requests_behind_a_batch_that_moves_are_kept(driver):
+    fill(driver, 4)
+    assert driver.reserve('r1', patience=0.55).is_waiting
+    assert driver.reserve('r2', patience=0.55).is_waiting
+    for number in range(2):
+        driver.wait(0.1)
+        driver.end(f'f{number}')
+    assert driver.replies['r1'].is_granted
+    assert driver.replies['r2'].is_granted
+
+
+def test_engine_that_serves_nothing_for_long_gets_nothing_more(driver):
+    # Some slots are free, but a mute worker would swallow the next, too.
+    fill(driver, 3)
+    driver.wait(1.2)
+    reply = driver.reserve('r1')
+    assert reply.reason == 'stalled'
+    assert reply.elsewhere
+    driver.end('f0')
+    assert driver.reserve('r2').is_granted
+
+
+def test_requests_for_loads_leave_an_engine_that_answers_no_orders(driver):
+    driver.is_losing = True
+    assert driver.reserve('r1', 'a1').is_waiting
+    driver.wait(0.4)
+    assert driver.replies['r1'].elsewhere
+    assert driver.reserve('r2', 'a2').reason == 'orders are unanswered'
+
+
 def test_new_steward_of_an_idle_engine_need_not_wait_for_users():
     # After a kill of all processes nothing runs on the old adapters.
     driver = Driver(FakeEngine(adapters={'a1': 1, 'a2': 1, 'a3': 1}))
