Hand on every change that was read, also what came as news meanwhile

While two members of a zone read the store, a reader that is told of a change by the other one in the middle of its own call left that change out of what it handed on, but told its members that they now know everything up to a later revision. Members that the other reader did not reach never learned of it. The same could happen to a configuration.

Ruled out: claims (their answers were 'rejected', as the records stood in the store), links (all were up), a limit on log lines.

Change: everything read is handed on, whether the reader knew it or not.

Test: fails before.

--- a/mintlanding/node/follower.py
+++ b/mintlanding/node/follower.py
@@ -114,10 +114,11 @@
         self._note_success()
         now = boot_seconds()
         self._note_fresh(now)
+        # What came as news meanwhile may not have come to all members.
         news = [
             _news(change)
             for change in found.changes
-            if change.revision > view.as_of and view.apply(change, now)
+            if change.revision <= view.as_of or view.apply(change, now)
         ]
         view.as_of = max(view.as_of, found.revision)
         self.hand_on(StoreNews(after, found.revision, tuple(news)))
