Keep workers over a planned restart; leave out zones that are cut off

While a zone is cut off, each connection to its targets takes a caller half a second.

Change: a process that is told to stop keeps its workers and orders until its end; started again it goes on at once. Targets in a zone of which nobody was heard for 1 s are left out once a connection there failed. The steward's rule for hopeless waits now needs an engine that hangs: under mere load it cost more loads than it saved.

Test: restarted instance, silent zone, zone left out; the test of a released worker went with the function, the one of a leaving process took its place. Orders and connections that fail now say why.

--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -4,6 +4,7 @@
 import contextlib
 from dataclasses import dataclass, field, replace
 
+from mintlanding.core.logs import Logger
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.membership import Membership
 from mintlanding.node.settings import NodeSettings
@@ -79,6 +80,7 @@
     _observed: dict[str, _Observed] = field(default_factory=dict)
     _started: float = field(default_factory=boot_seconds)
     _met: asyncio.Event = field(default_factory=asyncio.Event)
+    _logger: Logger = field(default_factory=lambda: Logger('admissions'))
 
     def hear(self, steward: str, digests: tuple[WorkerDigest, ...]) -> None:
         """Take what a steward tells of its workers."""
@@ -102,6 +104,13 @@
                 for each in self.view.engines().values()
                 if not self._is_heard(each.target, now) and not each.is_leaving
             ]
+            if unheard:
+                self._logger.info(
+                    'Workers are asked themselves.',
+                    count=len(unheard),
+                    first=unheard[0].target,
+                    holder=self.holder(unheard[0].target),
+                )
             await asyncio.gather(*(self._observe(each) for each in unheard))
 
     def note_missing(self, worker: str, adapter: str) -> None:
@@ -118,6 +127,10 @@
         record = self.view.holds.get(worker)
         return '' if record is None else record.holder
 
+    def silent_zones(self) -> frozenset[str]:
+        """Return the zones that are probably cut off from this one."""
+        return self.membership.words.silent_zones(boot_seconds())
+
     def granter(self, worker: str) -> str:
         """Return the process that grants places on a worker now."""
         holder = self.holder(worker)
--- a/mintlanding/node/holds.py
+++ b/mintlanding/node/holds.py
@@ -150,14 +150,6 @@
         if done is not None:
             self._confirm(worker, done, entry)
 
-    async def release(self, worker: str) -> None:
-        """Let go of a worker; nothing is ordered from here on."""
-        record = self._view.holds[worker]
-        self._order_from[worker] = float('inf')
-        key = HOLDS_PREFIX + worker
-        await self._write(key, {key: record.revision}, HoldEntry(''))
-        self._logger.info('A worker was let go.', worker=worker)
-
     async def _write(
         self,
         key: str,
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -240,16 +240,19 @@
             self.on_message(peer, message, reply)
 
     async def leave(self) -> None:
-        """Let go of all workers and tell everyone."""
+        """Tell everyone, and take no more workers.
+
+        Those that it holds are kept: a process that is restarted goes on with
+        them at once, while another holder would have to wait out the turn. If
+        it stays away, they are taken like those of one that has crashed.
+        """
         self.is_leaving = True
         self.words.is_leaving = True
         self.words.speak(boot_seconds())
         try:
             await self._register()
-            for worker in sorted(self.holds.held()):
-                await self.holds.release(worker)
         except (PlatformError, StoreBusy) as exc:
-            self._logger.warning('Workers were kept.', reason=str(exc))
+            self._logger.warning('Leaving was not noted.', reason=str(exc))
 
     async def deregister(self) -> None:
         """End the lease."""
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -301,7 +301,7 @@
         ended = Ended.not_sent
         while plan.sends < _MAX_SENDS and self._left(plan) > _LEAST_TIME:
             target = self.book.choose(
-                self._view.targets_of(plan.service.name),
+                self._within_reach(self._view.targets_of(plan.service.name)),
                 plan.tried,
                 self._cfg.facts.zone,
                 self._now(),
@@ -405,7 +405,8 @@
             for each in workers
             if self.book.admits(each.target, now, may_fail=may_fail)
         ]
-        named = {each.target: each for each in sound or workers}
+        near = self._within_reach(sound or workers)
+        named = {each.target: each for each in near}
         views = self._admissions.views(list(named.values()))
         adapter = plan.fields.adapter.adapter
         key = str(plan.fields.adapter) if adapter else ''
@@ -433,6 +434,23 @@
         plan.waited += self._now() - now
         return None
 
+    def _within_reach(self, workers: list[Target]) -> list[Target]:
+        """Leave out zones that are cut off, if others have targets.
+
+        That is where nobody is heard of and a connection failed lately. Load
+        it answers: each connection there costs a caller the whole time to
+        connect.
+        """
+        silent = self._admissions.silent_zones()
+        if not silent:
+            return workers
+        targets = self._view.targets
+        failed = self._admissions.stewards.unreachable()
+        cut = silent & {
+            targets[name].zone for name in failed if name in targets
+        }
+        return [each for each in workers if each.zone not in cut] or workers
+
     async def _ask(
         self,
         plan: Plan,
@@ -545,7 +563,8 @@
         )
         try:
             conn.send(head + req.body)
-        except CallNotSent:
+        except CallNotSent as exc:
+            plan.reason = f'{target.target}: {exc}'
             return Ended.not_sent
         plan.is_sent = True
         plan.runs += 1
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -70,7 +70,9 @@
     """How instances keep in touch.
 
     `status_interval`: between two words to each member. `silence`: a member
-    not heard of for longer is taken for cut off. `watch_wait`: how long the
+    not heard of for longer is taken for cut off. `zone_silence`: a zone of
+    which nobody was heard for longer is; two rounds of hubs and a half.
+    `watch_wait`: how long the
     store may keep a call waiting; so short that members who get the news
     from a reader know within `news_silence`, below the users' bound on
     configurations, that they have to read for themselves. `watch_pause`: how
@@ -84,6 +86,7 @@
 
     status_interval: float = 0.25
     silence: float = 0.8
+    zone_silence: float = 1.0
     watch_wait: float = 0.5
     watch_pause: float = 0.5
     news_silence: float = 1.3
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -328,8 +328,9 @@
     async def _send_order(self, target: Target, order: Order) -> OrderResult:
         try:
             conn = await self._pool.acquire(target.address)
-        except CallNotSent:
+        except CallNotSent as exc:
             self.note_unreachable(target.target)
+            self._note_unsent(target.target, exc)
             return OrderResult.not_sent
         # The connection may have taken a while: authority is asked last.
         if not self._membership.holds.may_order(target.target, boot_seconds()):
@@ -346,9 +347,11 @@
             conn.send(payload)
             head = await conn.read_head(_ORDER_SECONDS)
             await conn.read_body(_ORDER_SECONDS)
-        except CallNotSent:
+        except CallNotSent as exc:
+            self._note_unsent(target.target, exc)
             return OrderResult.not_sent
-        except CallLost:
+        except CallLost as exc:
+            self._note_unsent(target.target, exc)
             return OrderResult.lost
         finally:
             self._pool.release(conn)
@@ -396,6 +399,9 @@
         )
         self._act(worker, steward.report(report, boot_seconds()))
 
+    def _note_unsent(self, worker: str, exc: Exception) -> None:
+        self._logger.info('An order failed.', worker=worker, reason=str(exc))
+
     def _note_silence(self, worker: str, exc: Exception) -> None:
         self._logger.info('No report.', worker=worker, reason=str(exc))
 
--- a/mintlanding/node/tests/test_words.py
+++ b/mintlanding/node/tests/test_words.py
@@ -112,6 +112,20 @@
         assert fleet.heard_by(name) == set(fleet.words) - {name}
 
 
+@pytest.mark.parametrize('members', [6, 40])
+def test_zone_that_falls_silent_as_a_whole_is_noticed(members):
+    fleet = Fleet(members)
+    fleet.run(4)
+    assert not fleet.words['n0'].silent_zones(fleet.now)
+    fleet.cut = {
+        name for name, each in fleet.records.items() if each.zone == 'z1'
+    }
+    fleet.run(1.5)
+    assert fleet.words['n0'].silent_zones(fleet.now) == {'z1'}
+    # Cut off alone, an instance does not know who is.
+    assert not fleet.words['n1'].silent_zones(fleet.now)
+
+
 def test_messages_of_a_large_fleet_grow_with_its_size_only():
     fleet = Fleet(60, zones=3)
     fleet.run(4)
--- a/mintlanding/node/words.py
+++ b/mintlanding/node/words.py
@@ -142,6 +142,27 @@
             silence = self._terms.hub_silence
         return now < heard.at + silence
 
+    def silent_zones(self, now: float) -> frozenset[str]:
+        """Return the other zones that nobody was heard of lately.
+
+        None while the own zone is silent as well, since then the fault is
+        likelier here or at the hub.
+        """
+        heard_at: dict[str, float] = {}
+        for name, record in self._members.items():
+            heard = self.heard.get(name)
+            if heard is not None:
+                before = heard_at.get(record.zone, heard.at)
+                heard_at[record.zone] = max(before, heard.at)
+        since = now - self._terms.zone_silence
+        if heard_at.get(self._zone, now) < since:
+            return frozenset()
+        return frozenset(
+            zone
+            for zone, at in heard_at.items()
+            if zone != self._zone and at < since
+        )
+
     def boot_of(self, member: str) -> str:
         """Return the process of a member that was heard last."""
         if member == self._instance:
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -332,6 +332,19 @@
     assert [status for status, _, _ in answers] == [200] * 6
 
 
+async def test_zone_that_is_cut_off_is_left_out_once_a_connection_failed(world):
+    node = world.nodes[0]
+    far = replace(node.view.targets['p1'], zone='z2', address=(HOST, 1))
+    node.view.targets['p1'] = far
+    words = node._membership.words
+    words.silent_zones = lambda now: frozenset(('z2',))
+    targets = list(node.view.targets.values())
+    assert far in node.relay._within_reach(targets)
+    node._stewards.note_unreachable('p1')
+    assert far not in node.relay._within_reach(targets)
+    assert node.relay._within_reach([far]) == [far]
+
+
 async def test_lost_history_is_read_anew(world):
     world.store.faults.history_from = world.store.revision + 5
     changed = {**CONFIG, 'version': 9, 'routes': CONFIG['routes'][:3]}
@@ -369,3 +382,24 @@
     async with asyncio.timeout(6):
         while pair.stewarded() != {'e1', 'e2'}:
             await asyncio.sleep(0.1)
+
+
+async def test_restarted_instance_goes_on_with_its_workers(pair):
+    # A rolling restart: nobody else has to wait out a turn at its workers.
+    before = dict(pair.nodes[0].view.holds)
+    node = pair.nodes.pop(0)
+    name = node._cfg.facts.instance
+    stopping = asyncio.ensure_future(node.application.stop())
+    await asyncio.sleep(0.5)
+    assert all(
+        steward.may_order for steward in node._stewards.stewards.values()
+    )
+    await stopping
+    await pair.add_node(name)
+    async with asyncio.timeout(2):
+        while pair.stewarded() != {'e1', 'e2'}:
+            await asyncio.sleep(0.05)
+    after = pair.nodes[0].view.holds
+    assert {worker: record.holder for worker, record in after.items()} == {
+        worker: record.holder for worker, record in before.items()
+    }
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -323,12 +323,14 @@
         Load it answers: an engine that hangs or has slowed down, whose batch
         is full and stays so.
         """
-        usual = self._hold / self._room.batch_limit
-        since = now - self._freed_at
-        is_slow = since > usual * self._terms.slow_factor
-        if self.running >= self._room.batch_limit and is_slow:
-            return since
-        return usual
+        if self._is_hung(now):
+            return now - self._freed_at
+        return self._hold / self._room.batch_limit
+
+    def _is_hung(self, now: float) -> bool:
+        """Tell whether a full batch freed no place while one usually ends."""
+        is_full = self.running >= self._room.batch_limit
+        return is_full and now - self._freed_at > self._hold
 
     def _is_stalled(self, now: float) -> bool:
         """Tell whether several requests run for long and none was served."""
@@ -345,19 +347,22 @@
     def _hopeless(self, now: float) -> list[Waiting]:
         """Return the waiting that will not start within their patience.
 
-        They have time left to be served elsewhere.
+        Only where the engine is at fault: under mere load each place that is
+        waited for elsewhere costs a load, and the wait is as long.
         """
+        is_hung = self._is_hung(now)
         is_silent = self._is_silent()
-        free = self._room.batch_limit - self.running
+        if not (is_hung or is_silent):
+            return []
         gap = self._place_gap(now)
         found: list[Waiting] = []
         for ahead, item in enumerate(self.queue):
-            excess = max(0, ahead + 1 - len(found) - free)
-            left = item.expires - now
-            is_late = excess * gap > left * self._terms.certainty
+            wait = (ahead + 1 - len(found)) * gap
             adapter = item.req.adapter
             needs_order = adapter and not self.shelf.is_coming(adapter)
-            if is_late or (needs_order and is_silent):
+            if is_hung and now + wait > item.expires:
+                found.append(item)
+            elif is_silent and needs_order:
                 found.append(item)
         return found
 
