Give up links of a peer's former process; keep the other link of a slow one

Found in reading the change to links: one that was accepted from a process which lost power stays in the list without a sign of its end, and a steward that answers late would have cost both links at once. A new introduction now replaces the former accepted link of that peer; only the link that was used is given up. Test: the first fails before.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -187,9 +187,10 @@
             links[-1].send(frame)
 
     def redial(self, member: str) -> None:
-        """Give up the links to a member that does not answer."""
-        for link in tuple(self._links.get(member, ())):
-            link.abort()
+        """Give up the link to a member that does not answer on it."""
+        links = self._links.get(member, [])
+        if links:
+            links[-1].abort()
 
     def stop(self) -> None:
         """Close everything."""
@@ -254,6 +255,10 @@
             )
             link.abort()
             return
+        # A peer dials once more when it has lost its link, or started anew.
+        for former in self._links.get(hello.instance, ()):
+            if former in self._accepted:
+                former.abort()
         link.peer = hello.instance
         self._add(link)
 
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -80,6 +80,20 @@
     assert a.mesh.send('b', word('a'))
 
 
+async def test_link_of_a_former_process_of_a_peer_is_given_up(members):
+    # A machine that lost power closes nothing.
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: b.mesh._links.get('a'))
+    former = b.mesh._links['a'][0]
+    again = await Member('a').start()
+    again.mesh.set_members({'b': b.address})
+    await until(former.is_lost.is_set)
+    await until(lambda: b.mesh.send('a', word('b')))
+    await until(lambda: again.received)
+    again.mesh.stop()
+
+
 async def test_lost_link_is_dialled_anew(members):
     a, b = members
     a.mesh.set_members({'b': b.address})
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -206,15 +206,12 @@
         Load it answers: all processes were killed, and their callers are
         back before the first words are.
         """
-        until = min(
-            self._started + self.cfg.relay.start_patience,
-            boot_seconds() + min(req.patience, req.tolerance),
-        )
+        left = self._started + self.cfg.relay.start_patience - boot_seconds()
         target = self.view.targets.get(req.worker)
-        if target is None or self.is_ready(target, req.adapter):
+        if left <= 0 or target is None or self.is_ready(target, req.adapter):
             return
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0, until - boot_seconds())):
+            async with asyncio.timeout(min(left, req.patience, req.tolerance)):
                 while not self._is_met(holder, req.worker):
                     await self._met.wait()
 
