--- /dev/null
+++ b/benchmarks/bench_residency.py
@@ -0,0 +1,112 @@
+"""Cost of the decisions on the users' platform, from today's size to the target.
+
+Run: `python -m pytest benchmarks/bench_residency.py --benchmark-enable`.
+"""
+
+import itertools
+import random
+
+import pytest
+
+from mintlanding.residency.choice import (
+    ChoiceTerms,
+    WorkerView,
+    choose_worker,
+)
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionRequest,
+    Outcome,
+)
+from mintlanding.residency.models import EngineRoom, StewardTerms
+from mintlanding.residency.steward import EngineSteward
+from mintlanding.residency.tests.engines import FakeEngine
+from mintlanding.traffic.caps import FleetCaps
+from mintlanding.traffic.models import Workspace
+
+CAPPED = Workspace('w', frozenset(), rate=100_000, burst=200_000)
+
+
+@pytest.mark.parametrize('workers', [6, 36, 600])
+def test_choose(benchmark, workers):
+    rnd = random.Random(1)
+    views = {
+        f'w{number}': WorkerView(
+            f'w{number}',
+            f'z{number % 3}',
+            running=rnd.randint(0, 16),
+            can_order=True,
+            is_heard=True,
+            ready=frozenset(f'a{rnd.randint(1, 3000)}' for _ in range(11)),
+        )
+        for number in range(workers)
+    }
+    terms = ChoiceTerms()
+    asked = itertools.cycle([f'a{rnd.randint(1, 3000)}' for _ in range(5000)])
+
+    def choose():
+        adapter = next(asked)
+        choose_worker(adapter, adapter, views, 'z0', terms, rnd)
+
+    benchmark(choose)
+
+
+@pytest.mark.parametrize('waiting', [0, 16, 128])
+def test_reserve_and_end(benchmark, waiting):
+    engine = FakeEngine(places=11, adapters={f'a{n}': 1 for n in range(11)})
+    room = EngineRoom('base', 1, 11, 16, 10_000_000)
+    steward = EngineSteward('w', 1, room, StewardTerms(), random.Random(1))
+    steward.begin(0)
+    steward.set_authority(True, 0)
+    steward.report(engine.report(), 0)
+    for number in range(16 + waiting if waiting else 0):
+        steward.reserve(request(f'r{number}'), 1)
+    names = itertools.count()
+
+    def reserve_and_end():
+        name = f'n{next(names)}'
+        steward.reserve(request(name), 1)
+        steward.end(AdmissionEnd(name, 'w', Outcome.served), 1)
+
+    benchmark(reserve_and_end)
+
+
+@pytest.mark.parametrize('members', [8, 73, 400])
+def test_admit_by_a_cap(benchmark, members):
+    caps = FleetCaps()
+    caps.set_reach(members, members)
+    clock = itertools.count()
+    for member in range(members):
+        caps.charge_member(f'm{member}', {'w': 1.0}, {'w': CAPPED}, 0)
+    benchmark(lambda: caps.admit(CAPPED, 500, next(clock) * 0.001))
+
+
+@pytest.mark.parametrize('members', [8, 73, 400])
+def test_charge_a_members_word(benchmark, members):
+    caps = FleetCaps()
+    clock = itertools.count(1)
+
+    def charge():
+        now = next(clock)
+        counters = {'w': now * 10.0, 'w\0asked': now * 20.0}
+        source = f'm{now % members}'
+        caps.charge_member(source, counters, {'w': CAPPED}, now * 0.01)
+
+    benchmark(charge)
+
+
+def request(name):
+    return AdmissionRequest(
+        request_id=name,
+        worker='w',
+        model='base',
+        adapter='a1',
+        workspace='w',
+        prompt_tokens=500,
+        output_tokens=50,
+        priority=0,
+        objective=0.6,
+        patience=50.0,
+        deadline=50.0,
+        tolerance=50.0,
+    )
