Admit small requests over a cap while a large one has to wait

A large request was admitted as soon as nothing was owed, and the small ones behind it were refused until it was paid off.

Ruled out: less given out in all (the sum over the fleet follows the bucket).

Change: a request has to fit into what its part holds; one that is larger than that goes once nothing is owed.

--- a/mintlanding/traffic/caps.py
+++ b/mintlanding/traffic/caps.py
@@ -91,7 +91,8 @@
         self.asked += amount
         self.own_demand += amount
         is_low = self.level < max(min(amount, self.burst), self.unsure)
-        excess = self.debt - self.unsure * self.share
+        # A request that is larger than the own part goes once nothing is owed.
+        excess = self.debt - max(0, self.unsure * self.share - amount)
         if is_low and excess > 0:
             least = self.rate / _MAX_RETRY_AFTER * self.share
             return max(excess / max(self.part, least), _MIN_RETRY_AFTER)
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -204,6 +204,27 @@
             assert not rnd.choice(fleet.caps).admit(CAPPED, 7, now)
 
 
+def test_large_request_does_not_hold_up_small_ones_over_a_cap():
+    # A cap far below what comes: a few requests are 15 times as large.
+    fleet = Fleet(8)
+    rnd = random.Random(5)
+    asked, refused = 0, 0
+    for step in range(16000):
+        now = step * 0.001
+        fleet.tell(now)
+        is_large = step % 200 == 0
+        if step % 4 and not is_large:
+            continue
+        amount = 120 if is_large else 8
+        is_refused = rnd.choice(fleet.caps).admit(CAPPED, amount, now)
+        if now > 8 and not is_large:
+            asked += 1
+            refused += bool(is_refused)
+    small, large = 2000, 600
+    fair = 1 - CAPPED.rate / (small + large)
+    assert refused / asked <= fair
+
+
 def test_buckets_that_drifted_apart_come_together():
     # A cap changed in one zone half a second sooner than in the others.
     early, late = FleetCaps(), FleetCaps()
