--- a/mintlanding/traffic/caps.py
+++ b/mintlanding/traffic/caps.py
@@ -34,6 +34,9 @@
 # all instances are doubled, or vanish; words reach everyone twice meanwhile.
 _CORRECTION_SECONDS = 2.0
 _MOST_CORRECTION = 2.0
+# Who is told when to come back is told by no less of the part: what is owed
+# is soon paid back.
+_LEAST_CORRECTION = 0.5
 # Part of a bucket that others may be thought to use up unheard of.
 _MOST_UNSURE = 0.5
 # What the counter of demand is called beside that of what was admitted.
@@ -94,7 +97,7 @@
         # A request that is larger than the own part goes once nothing is owed.
         excess = self.debt - max(0, self.unsure * self.share - amount)
         if is_low and excess > 0:
-            least = self.rate / _MAX_RETRY_AFTER * self.share
+            least = self.rate * self.share * _LEAST_CORRECTION
             return max(excess / max(self.part, least), _MIN_RETRY_AFTER)
         if is_low:
             self.debt += amount
