--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -210,6 +210,7 @@
         target = self.view.targets.get(req.worker)
         if left <= 0 or target is None or self.is_ready(target, req.adapter):
             return
+        # The caller logs that the steward gave no word.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(left, req.patience, req.tolerance)):
                 while not self._is_met(holder, req.worker):
