Log how a response was framed and where in an event it ended

Cause: "Request ended." said `served` for a stream that a crash had cut short, and nothing that tells a whole stream from a truncated one. Logs could not decide between a close taken for the end, a reset taken for a close, and a later step that ends the response.

Change: "Request ended." gets `framing` (length, chunked, close, none) of the last response of a target and `partial_event`, the bytes of an incomplete event at the end. All streams are parsed for event boundaries now; what is passed on does not change.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -17,7 +17,11 @@
     ResponseLost,
     ResponseTimeout,
 )
-from mintlanding.http1.models import ClientOptions, ResponseHead
+from mintlanding.http1.models import (
+    BodyFraming,
+    ClientOptions,
+    ResponseHead,
+)
 
 Address = tuple[str, int]
 
@@ -164,11 +168,7 @@
         head.status = self._parser.get_status_code()
         if head.status < _FIRST_FINAL_STATUS:
             return
-        head.is_delimited = (
-            head.status in _NO_BODY_STATUSES
-            or head.get(b'content-length') != b''
-            or b'chunked' in head.get(b'transfer-encoding').lower()
-        )
+        head.framing = _framing(head)
         self._may_reuse = (
             head.is_delimited
             and b'close' not in head.get(b'connection').lower()
@@ -324,6 +324,16 @@
         return conn
 
 
+def _framing(head: ResponseHead) -> BodyFraming:
+    if head.status in _NO_BODY_STATUSES:
+        return BodyFraming.none
+    if b'chunked' in head.get(b'transfer-encoding').lower():
+        return BodyFraming.chunked
+    if head.get(b'content-length'):
+        return BodyFraming.length
+    return BodyFraming.close
+
+
 def set_user_timeout(transport: asyncio.BaseTransport, seconds: float) -> None:
     """Limit how long sent bytes may stay unacknowledged; disable Nagle."""
     sock = transport.get_extra_info('socket')
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -1,6 +1,7 @@
 """Messages of HTTP/1.1, their limits and the options of connections."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 # Names are lower case; values are as received.
 Headers = list[tuple[bytes, bytes]]
@@ -35,16 +36,27 @@
     header_bytes: int = 65536
 
 
+class BodyFraming(StrEnum):
+    """What marks the end of a response's body; RFC 9112, section 6.3."""
+
+    none = 'none'
+    length = 'length'
+    chunked = 'chunked'
+    close = 'close'
+
+
 @dataclass(slots=True)
 class ResponseHead:
-    """Status and headers of a response.
-
-    `is_delimited` is false if the body ends with the connection.
-    """
+    """Status and headers of a response, and the framing of its body."""
 
     status: int
     headers: Headers = field(default_factory=list)
-    is_delimited: bool = True
+    framing: BodyFraming = BodyFraming.none
+
+    @property
+    def is_delimited(self) -> bool:
+        """Return whether the end of the body is known without a close."""
+        return self.framing is not BodyFraming.close
 
     def get(self, name: bytes) -> bytes:
         """Return a header's value, empty when it is missing."""
--- a/mintlanding/node/events.py
+++ b/mintlanding/node/events.py
@@ -13,9 +13,9 @@
         self._rest = b''
 
     @property
-    def has_rest(self) -> bool:
-        """Tell whether a part of an event is buffered."""
-        return self._rest.strip() != b''
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete event are buffered."""
+        return len(self._rest.strip())
 
     def take(self, piece: bytes) -> bytes:
         """Add a chunk; return the events that are complete now."""
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -82,7 +82,8 @@
     """A request to be sent, with its route and the state of its attempts.
 
     `deadline` is the monotonic time by which the final response is sent.
-    `charged` is the amount taken from the workspace's quota. `sends` counts
+    `charged` is the amount taken from the workspace's quota. `framing` is that
+    of the last response that a target began. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
     spent waiting for admissions.
     """
@@ -98,7 +99,8 @@
     sends: int = 0
     runs: int = 0
     tried: set[str] = field(default_factory=set)
-    events: EventBuffer | None = None
+    events: EventBuffer = field(default_factory=EventBuffer)
+    framing: str = ''
     last_event: str = ''
     target: str = ''
     waited: float = 0
@@ -177,8 +179,6 @@
             self._refuse(req, fields, plan)
             return
         self.budget.note_request(plan.service.name, req.arrived)
-        if plan.route.kind is RouteKind.stream and plan.route.is_resumable:
-            plan.events = EventBuffer()
         try:
             if plan.service.engine is None:
                 result = await self._serve_plain(plan)
@@ -644,6 +644,7 @@
         response: TargetResponse,
     ) -> AttemptResult:
         now = self._now()
+        plan.framing = head.framing.value
         if not response.matches_request:
             raise ResponseLost('the response belongs to another request')
         self.target_table.record_response(target.target, response, now)
@@ -698,22 +699,24 @@
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
         events = plan.events
+        is_resumable = plan.route.is_resumable
         try:
             while chunk := await conn.read_chunk(self._event_timeout(plan)):
-                whole = chunk if events is None else events.take(chunk)
-                if whole:
-                    req.write(whole)
+                whole = events.take(chunk)
+                passed = whole if is_resumable else chunk
+                if passed:
+                    req.write(passed)
                     await req.conn.drain()
-                if events is not None:
+                if is_resumable:
                     plan.last_event = events.last_id
         except ResponseLost as exc:
             plan.reason = f'{plan.target}: stream interrupted: {exc}'
             self.target_table.failed(plan.target, self._now())
-            if events is None or self._time_left(plan) <= 0:
+            if not is_resumable or self._time_left(plan) <= 0:
                 return AttemptResult.broken
             events.drop_rest()
             return AttemptResult.lost
-        if events is not None and events.has_rest:
+        if is_resumable and events.partial_bytes:
             events.drop_rest()
             return AttemptResult.lost
         req.end()
@@ -721,7 +724,8 @@
 
     def _event_timeout(self, plan: RequestPlan) -> float:
         left = max(0.001, self._time_left(plan))
-        if plan.events is None or plan.runs >= plan.route.attempts:
+        is_resumable = plan.route.is_resumable
+        if not is_resumable or plan.runs >= plan.route.attempts:
             return left
         longest = self._cfg.relay.first_event_factor * plan.route.objective
         return min(left, longest)
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -78,6 +78,8 @@
             adapter=plan.fields.adapter.adapter,
             sends=plan.sends,
             runs=plan.runs,
+            framing=plan.framing,
+            partial_event=plan.events.partial_bytes,
             waited=round(plan.waited, 3),
             seconds=round(seconds, 3),
             retry_after=round(plan.retry_after, 2),
