Reproduce streams that end as complete inside an event

Cause: on a route that may not be resumed, the relay takes the close of a connection for the end of a response without length and chunks, wherever in an event it falls. Callers got status 200 and a normal end with events missing.

Change: the stand-in engine can respond without length and chunks. Three more pin what already works: a whole stream without length, on both kinds of routes, and its resumption.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -9,7 +9,7 @@
 
 from mintlanding.core.logs import Logger
 from mintlanding.http1.models import MessageLimits
-from mintlanding.http1.server import CallerServer
+from mintlanding.http1.server import CallerServer, head_bytes
 from mintlanding.platform.tests.samples import ENTRY, encode
 
 JSON_HEADERS = [(b'content-type', b'application/json')]
@@ -193,6 +193,8 @@
     lose_answers: int = 0
     shed: int = 0
     break_after: int = 0
+    # Responses have neither length nor chunks and end with the connection.
+    unframed: bool = False
     mute: bool = False
     conflicts: int = 0
 
@@ -315,14 +317,33 @@
 
     async def _stream(self, req, headers):
         first = int(req.get(b'last-event-id') or b'0')
-        req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
+        headers = [(b'content-type', b'text/event-stream'), *headers]
+        write, end = req.write, req.end
+        if self.faults.unframed:
+            write, end = _begin_unframed(req, headers)
+        else:
+            req.begin(200, headers)
         for number in range(first + 1, self.events + 1):
             if self.faults.break_after and number > self.faults.break_after:
                 self.faults.break_after = 0
-                req.write(b'id: %d\nda' % number)
+                write(b'id: %d\nda' % number)
                 await asyncio.sleep(0.01)
-                req.abort()
+                if self.faults.unframed:
+                    end()
+                else:
+                    req.abort()
                 return
-            req.write(b'id: %d\ndata: x\n\n' % number)
+            write(b'id: %d\ndata: x\n\n' % number)
             await asyncio.sleep(0.005)
-        req.end()
+        end()
+
+
+def _begin_unframed(req, headers):
+    """Begin a response that ends with its connection; return write and end."""
+    req.conn.write(head_bytes(200, [*headers, (b'connection', b'close')]))
+
+    def end():
+        req.is_answered = True
+        req.conn.close()
+
+    return req.conn.write, end
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -278,6 +278,41 @@
     assert sum(len(engine.runs) for engine in world.engines) == 1
 
 
+async def test_unframed_stream_cut_inside_an_event_is_seen_as_incomplete(world):
+    # A plain close ends such a response, also when the engine crashed.
+    for engine in world.engines:
+        engine.faults.unframed = True
+        engine.faults.break_after = 1
+    with pytest.raises(asyncio.IncompleteReadError):
+        await world.ask(LIVE)
+    assert sum(len(engine.runs) for engine in world.engines) == 1
+
+
+async def test_unframed_stream_without_events_is_seen_as_incomplete(world):
+    for engine in world.engines:
+        engine.faults.unframed = True
+        engine.events = 0
+    with pytest.raises(asyncio.IncompleteReadError):
+        await world.ask(LIVE)
+
+
+@pytest.mark.parametrize('path', [LIVE, BATCH])
+async def test_unframed_stream_is_passed_on_in_full(world, path):
+    for engine in world.engines:
+        engine.faults.unframed = True
+    status, _, body = await world.ask(path)
+    assert (status, body) == (200, stream(1, 3))
+
+
+async def test_unframed_resumable_stream_continues_at_another_engine(world):
+    for engine in world.engines:
+        engine.faults.unframed = True
+    world.engines[0].faults.break_after = 1
+    for _ in range(3):
+        status, _, body = await world.ask(BATCH)
+        assert (status, body) == (200, stream(1, 3))
+
+
 async def test_request_is_cancelled_when_the_caller_disconnects(world):
     for engine in world.engines:
         engine.delay = 5
