Treat a stream that ends inside an event as interrupted

The engine's response had neither length nor chunks, so the close after a crash looked like its end. Only streams that may be resumed were checked for an incomplete last event; all others were ended as complete.

Change: one check at the end of every stream, whatever its route: an incomplete last event, or a close before any event where only the close marks the end, counts as an interruption. A route that may be resumed goes on at another engine, any other connection is closed without the last chunk.

Why it works: the blank line is the only mark of completeness that a stream carries itself, and all ways to the end of a stream pass the check.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -698,30 +698,34 @@
         req = plan.req
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
-        events = plan.events
-        is_resumable = plan.route.is_resumable
+        plan.events.begin_response()
         try:
-            while chunk := await conn.read_chunk(self._event_timeout(plan)):
-                whole = events.take(chunk)
-                passed = whole if is_resumable else chunk
-                if passed:
-                    req.write(passed)
-                    await req.conn.drain()
-                if is_resumable:
-                    plan.last_event = events.last_id
+            await self._pass_events(plan, conn)
+            _check_stream_end(head, plan.events)
         except ResponseLost as exc:
             plan.reason = f'{plan.target}: stream interrupted: {exc}'
             self.target_table.failed(plan.target, self._now())
-            if not is_resumable or self._time_left(plan) <= 0:
+            if not plan.route.is_resumable or self._time_left(plan) <= 0:
                 return AttemptResult.broken
-            events.drop_rest()
-            return AttemptResult.lost
-        if is_resumable and events.partial_bytes:
-            events.drop_rest()
             return AttemptResult.lost
         req.end()
         return AttemptResult.done
 
+    async def _pass_events(
+        self, plan: RequestPlan, conn: ClientConnection
+    ) -> None:
+        """Pass on a stream; only whole events if it may be resumed."""
+        req = plan.req
+        is_resumable = plan.route.is_resumable
+        while chunk := await conn.read_chunk(self._event_timeout(plan)):
+            whole = plan.events.take(chunk)
+            passed = whole if is_resumable else chunk
+            if passed:
+                req.write(passed)
+                await req.conn.drain()
+            if is_resumable:
+                plan.last_event = plan.events.last_id
+
     def _event_timeout(self, plan: RequestPlan) -> float:
         left = max(0.001, self._time_left(plan))
         is_resumable = plan.route.is_resumable
@@ -747,6 +751,20 @@
         return pause * self._rnd.uniform(0.6, 1.4)
 
 
+def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
+    """Raise ResponseLost if a stream ended before its last event.
+
+    Without length or chunks, the close of the connection looks the same after
+    the last event and after a crash of the target.
+    """
+    if events.partial_bytes:
+        raise ResponseLost(
+            f'it ended {events.partial_bytes} bytes into an event',
+        )
+    if not head.is_delimited and not events.has_events:
+        raise ResponseLost('the connection was closed before the first event')
+
+
 def _outcome(result: AttemptResult, plan: RequestPlan) -> GrantOutcome:
     if result is AttemptResult.done:
         return GrantOutcome.served
