Complete unframed responses only when the server closes

`ClientConnection` took any end of its connection without an error for the end of a body that has neither length nor chunks, also a close by this side (`abort`). No caller is known to have been hit: today no path aborts a connection during an exchange that goes on reading.

Change: only the end-of-file from the server completes such a body. A lost connection without it fails the exchange.

Measured: the new test failed before (no ResponseLost) and passes now; tests of http1 and platform passed.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -59,12 +59,28 @@
         self._transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the exchange; succeed if only the close delimits the body."""
-        self._end(exc)
+        """Fail an exchange whose response is incomplete."""
+        self._may_reuse = False
+        if not self._is_busy or self._is_complete:
+            return
+        self._fail(
+            ResponseLost(repr(exc) if exc else 'the connection was closed')
+        )
 
     def eof_received(self) -> bool:
-        """End the exchange; the transport closes itself."""
-        self._end(None)
+        """Complete a body that the server's close delimits.
+
+        The transport closes itself and reports any other body as lost. A close
+        by this side never completes a body.
+        """
+        self._may_reuse = False
+        head = self._head
+        ends_body = (
+            self._has_head and head is not None and not head.is_delimited
+        )
+        if self._is_busy and ends_body and self._error is None:
+            self._is_complete = True
+            self._wake()
         return False
 
     def data_received(self, chunk: bytes) -> None:
@@ -209,22 +225,6 @@
             seconds = min(seconds, int(digits))
         return max(0, seconds - self._options.idle_margin)
 
-    def _end(self, exc: Exception | None) -> None:
-        self._may_reuse = False
-        if not self._is_busy or self._is_complete:
-            return
-        head = self._head
-        ends_with_connection = (
-            self._has_head and head is not None and not head.is_delimited
-        )
-        if exc is None and ends_with_connection and self._error is None:
-            self._is_complete = True
-            self._wake()
-            return
-        self._fail(
-            ResponseLost(repr(exc) if exc else 'the connection was closed')
-        )
-
     def _fail(self, error: ResponseLost) -> None:
         if self._error is None:
             self._error = error
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -93,6 +93,17 @@
             await peer.call()
 
 
+async def test_response_without_length_is_lost_when_closed_by_the_client():
+    async with Peer(b'HTTP/1.1 200 OK\r\n\r\npart') as peer:
+        conn = await peer.pool.acquire(peer.address)
+        conn.send(REQUEST)
+        await conn.read_head(1)
+        assert await conn.read_chunk(1) == b'part'
+        conn.abort()
+        with pytest.raises(ResponseLost):
+            await conn.read_chunk(1)
+
+
 @pytest.mark.parametrize(
     'response',
     [
