Cut off a JSON response of the entry that fails after its start

A failure after the start, such as the request timeout while a caller reads slowly, appended an error event to a JSON body and ended the response as complete.

Change: only an event stream ends with an error event, which its format has; any other started response is cut off.

Measured: the new test failed before (the body ended with the error event and the last chunk) and passes now; tests of the entry passed.

--- a/mintlanding/entry/exchange.py
+++ b/mintlanding/entry/exchange.py
@@ -10,9 +10,11 @@
 from starlette.datastructures import Headers
 from starlette.types import Message, Receive, Scope, Send
 
+from mintlanding.core.http_server import TRANSPORT_KEY
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
 
 JSON_TYPE = 'application/json'
+EVENT_STREAM_TYPE = 'text/event-stream'
 REQUEST_ID_HEADER = 'x-request-id'
 SEND_SECONDS = 30
 
@@ -34,6 +36,8 @@
         self.request_id = uuid.uuid4().hex
         self.extra_headers = {REQUEST_ID_HEADER: self.request_id}
         self.is_started = False
+        self._is_stream = False
+        self._transport: asyncio.Transport | None = scope.get(TRANSPORT_KEY)
         self._receive = receive
         self._send = send
 
@@ -59,6 +63,8 @@
         """Send status and headers."""
         self.is_started = True
         merged = {**headers, **self.extra_headers}
+        content_type = merged.get('content-type', '')
+        self._is_stream = content_type.startswith(EVENT_STREAM_TYPE)
         pairs = [
             (name.encode('latin-1'), text.encode('latin-1'))
             for name, text in merged.items()
@@ -104,11 +110,17 @@
         await self.finish(body)
 
     async def fail(self, failure: Failed) -> None:
-        """Answer with an error in JSON, or end a started stream with one."""
-        if self.is_started:
+        """Answer with an error in JSON, or end a started stream with one.
+
+        Any other started response is cut off: it must not look complete.
+        """
+        if self.is_started and self._is_stream:
             body = msgspec.json.encode(error_payload(failure))
             await self.finish(b'data: ' + body + b'\n\n')
             return
+        if self.is_started:
+            await self._abort()
+            return
         await self.send_json(
             failure.row.status,
             error_payload(failure),
@@ -130,6 +142,13 @@
             if not message.get('more_body', False):
                 return Done(bytes(received))
 
+    async def _abort(self) -> None:
+        if self._transport is None:
+            raise CallerDisconnectedError
+        self._transport.abort()
+        # The server learns of the close before the application returns.
+        await asyncio.sleep(0)
+
     async def _transmit(self, message: Message) -> None:
         try:
             async with asyncio.timeout(SEND_SECONDS):
