Log the software version of targets and of a stream's beginning

Cause: our logs named neither the versions of the engines that served a stream nor whether a caller had taken it up, so that they could not tell a resumption inside one response from one by the caller or a stale entry.

Change: entries of targets are decoded with their software version (`build`). No decision uses them yet. The test that compares a decoded entry field by field gets the new field: it checks one more than before.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -85,7 +85,8 @@
     `charged` is the amount taken from the workspace's quota. `framing` is that
     of the last response that a target began. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
-    spent waiting for admissions.
+    spent waiting for admissions. `build` is that of the last target,
+    `began_at_build` that of the target which sent the first event of a stream.
     """
 
     req: CallerRequest
@@ -103,6 +104,8 @@
     framing: str = ''
     last_event: str = ''
     target: str = ''
+    build: str = ''
+    began_at_build: str = ''
     waited: float = 0
     is_sent: bool = False
     retry_after: float = 0
@@ -550,6 +553,7 @@
         self, plan: RequestPlan, target: Target, version: int
     ) -> AttemptResult:
         plan.target = target.target
+        plan.build = target.build
         plan.sends += 1
         now = self._now()
         is_reusable = plan.route.is_idempotent
@@ -723,6 +727,8 @@
             if passed:
                 req.write(passed)
                 await req.conn.drain()
+            if whole and not plan.began_at_build:
+                plan.began_at_build = plan.build
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -288,6 +288,7 @@
                 target=target.target,
                 service=target.service,
                 incarnation=target.incarnation,
+                build=target.build,
             )
         elif target.is_leaving and not before.is_leaving:
             self.logger.info('Target leaving.', target=target.target)
--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -197,6 +197,8 @@
     zone: str
     state: str
     slots: int = 0
+    # Version of the target's software, not of its weights.
+    version: str = ''
     # Number of orders accepted since the start, not a revision of the entry.
     seq: int = 0
     # Start of the target in milliseconds since the epoch.
@@ -254,6 +256,7 @@
         orders_taken=raw.seq,
         model=model.name if model else '',
         adapters=_versions(model.adapters) if model else (),
+        build=raw.version,
     )
 
 
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -18,6 +18,7 @@
 _TOKENS = b'x-token-counts'
 _PREFIX = b'x-prompt-prefix'
 _LAST_EVENT = b'last-event-id'
+_RESUMES = b'resumes'
 _STAMP = b'x-response-stamp'
 _NOT_RUN = b'x-not-run'
 _LOAD = b'x-server-load'
@@ -81,6 +82,7 @@
         demand=Demand(int(prompt), int(output)) if declares else None,
         parts=_parts(_text(headers, _PREFIX)),
         last_event=_text(headers, _LAST_EVENT),
+        resumes=_text(headers, _RESUMES),
     )
 
 
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -9,7 +9,9 @@
 class CallerFields:
     """Fields of a caller's request; `deadline` is in seconds from now.
 
-    `parts` are the parts of the prompt with their numbers of tokens.
+    `parts` are the parts of the prompt with their numbers of tokens. A caller
+    that resumes a stream sends the id of the last event it has in `last_event`
+    and the id of the request that brought the first one in `resumes`.
     """
 
     request_id: str
@@ -20,6 +22,7 @@
     demand: Demand | None
     parts: tuple[tuple[str, int], ...] = ()
     last_event: str = ''
+    resumes: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/traffic/models.py
+++ b/mintlanding/traffic/models.py
@@ -128,6 +128,8 @@
 
     `incarnation` changes with each start. `orders_taken` counts the orders
     that this incarnation has accepted, `adapters` are names with versions.
+    `build` is the version of the target's software: a stream may only be
+    resumed at the build that began it.
     """
 
     target: str
@@ -140,6 +142,7 @@
     orders_taken: int = 0
     model: str = ''
     adapters: tuple[tuple[str, int], ...] = ()
+    build: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -1213,6 +1213,7 @@
         orders_taken=4,
         model='daka',
         adapters=(('a1', 2),),
+        build='v1',
     )
     version = b'{"model": "daka", "adapter": "a1", "version": 3}'
     assert records.decode_version(version) == ('daka', 'a1', 3)
