Reproduce streams that are resumed at another build

Cause: the relay resumes a stream, in one response or for a caller that takes it up, at any engine of the service, whatever its software version.

Change: the stand-in engine has a version, the test fleet can change it, add an engine and kill one instance.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -206,6 +206,7 @@
     name: str
     service: str = 'engines'
     zone: str = 'z1'
+    build: str = 'v1'
     events: int = 3
     model: str = 'daka'
     places: int = 3
@@ -239,6 +240,7 @@
                 'service': self.service,
                 'addr': f'127.0.0.1:{self.server.port}',
                 'zone': self.zone,
+                'version': self.build,
                 'state': state,
                 'seq': self.orders_taken,
                 'models': models if self.model else [],
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -103,12 +103,49 @@
 
     async def kill_all(self):
         """End all instances without deregistering them."""
-        for node in self.nodes:
-            for task in tuple(node.application._tasks):
-                task.cancel()
-            node._membership.deregister = no_deregistration
-            await node.stop()
-        self.nodes.clear()
+        while self.nodes:
+            await self.kill(self.nodes[0])
+
+    async def kill(self, node):
+        """End an instance without deregistering it."""
+        for task in tuple(node.application._tasks):
+            task.cancel()
+        node._membership.deregister = no_deregistration
+        await node.stop()
+        self.nodes.remove(node)
+
+    async def add_engine(self, name, build):
+        """Register another engine and wait for its steward."""
+        engine = TargetStandin(name, build=build)
+        self.engines.append(await engine.start())
+        self.store.put(f'servers/{name}', engine.entry())
+        await self.settle()
+        return engine
+
+    async def change_build(self, engine, build):
+        """Register an engine with another software version."""
+        engine.build = build
+        self.store.put(f'servers/{engine.name}', engine.entry())
+        await asyncio.sleep(0.8)
+
+    async def begin_stream(self, node=0):
+        """Break a stream after its first event; return its id and engine."""
+        before = {each.name: len(each.runs) for each in self.engines}
+        for engine in self.engines:
+            engine.faults.break_after = 1
+        with pytest.raises(asyncio.IncompleteReadError):
+            await self.ask(BATCH, node=node)
+        for engine in self.engines:
+            engine.faults.break_after = 0
+        (began,) = [
+            each for each in self.engines if len(each.runs) > before[each.name]
+        ]
+        return b'r%d' % self.sent, began
+
+    async def resume(self, request_id, node=0):
+        """Resume a stream after its first event, as its caller does."""
+        extra = (b'Last-Event-Id: 1', b'Resumes: ' + request_id)
+        return await self.ask(BATCH, node=node, extra=extra)
 
     async def stop(self):
         for node in self.nodes:
@@ -124,7 +161,13 @@
         return await asyncio.open_connection(HOST, port)
 
     def raw(
-        self, path, method=b'POST', key=b'key-1', body=b'hello', adapter=b'/a1'
+        self,
+        path,
+        method=b'POST',
+        key=b'key-1',
+        body=b'hello',
+        adapter=b'/a1',
+        extra=(),
     ):
         self.sent += 1
         lines = [
@@ -136,6 +179,7 @@
             b'X-Deadline-Ms: 3000',
             b'Authorization: Token %b' % key,
             b'Content-Length: %d' % len(body),
+            *extra,
         ]
         return b'\r\n'.join((*lines, b'', body))
 
@@ -278,6 +322,52 @@
     assert sum(len(engine.runs) for engine in world.engines) == 1
 
 
+async def test_interrupted_stream_is_not_resumed_at_another_build(world):
+    # What two versions of an engine write does not fit together.
+    await world.change_build(world.engines[1], 'v2')
+    await world.begin_stream()
+    assert sum(len(engine.runs) for engine in world.engines) == 1
+
+
+async def test_stream_is_not_taken_up_at_another_build(pair):
+    # The caller returns at an instance that did not begin the stream.
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream(node=0)
+    pair.store.put(f'servers/{began.name}', began.entry('draining'))
+    await asyncio.sleep(0.8)
+    assert (await pair.resume(request_id, node=0))[0] == 503
+    assert (await pair.resume(request_id, node=1))[0] == 503
+    assert sum(len(engine.runs) for engine in pair.engines) == 1
+
+
+async def test_stream_of_unknown_origin_is_not_taken_up_beside_two_builds(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    assert (await pair.resume(b'unknown'))[0] == 503
+    assert not any(engine.runs for engine in pair.engines)
+
+
+async def test_stream_is_taken_up_at_another_engine_of_its_build(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream(node=0)
+    await pair.add_engine('e3', began.build)
+    pair.store.put(f'servers/{began.name}', began.entry('draining'))
+    await asyncio.sleep(0.8)
+    for node in (0, 1):
+        status, _, body = await pair.resume(request_id, node=node)
+        assert (status, body) == (200, stream(2, 3))
+    assert len(pair.engines[2].runs) == 2
+
+
+async def test_stream_of_killed_instance_is_taken_up_at_its_build(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream(node=0)
+    other = next(each for each in pair.engines if each is not began)
+    await pair.kill(pair.nodes[0])
+    status, _, body = await pair.resume(request_id, node=0)
+    assert (status, body) == (200, stream(2, 3))
+    assert not other.runs
+
+
 async def test_unframed_stream_cut_inside_an_event_is_seen_as_incomplete(world):
     # A plain close ends such a response, also when the engine crashed.
     for engine in world.engines:
