Resume streams only at the build that began them

The relay resumed a stream at any engine of the service: the version in the entries was not decoded, and an instance at which a caller took a stream up could not know which version had begun it.

Change: within a response, a stream that has passed on an event goes on only at targets of the same build. For callers that take a stream up, each instance records the service and build of the streams it begins and sends a copy to one member in each of three zones, chosen by rendezvous hashing of the request id (`mintlanding.streams`). An instance that does not know a stream asks the two best members of each zone; the caller's own id of the request selects them, so that the instance that began the stream may be gone. If nobody knows it, the build is taken as certain only if the service has had one build for longer than any stream and the view is current; otherwise the request is refused as not run. Members announce the version of the links' messages, since older processes close a link on an unknown message.

Tests that change: the sample of the member record gets the new field, the bytes of the release before stay as a further sample. The test of the killed instance repeats its request while it gets 503: the engine's steward ran on the killed instance, and a refusal keeps the promise that the test is about.

Why it works: the build is fixed at the first event, and every way to the rest of a stream selects targets through it.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -10,6 +10,16 @@
     AdmissionRequest,
     WorkerDigest,
 )
+from mintlanding.streams.messages import (
+    OriginNotice,
+    OriginQuery,
+    OriginReply,
+)
+
+# Version of the messages that this process understands. A member gets only
+# messages of its own version: it closes the link on an unknown one.
+LINK_VERSION = 1
+ORIGINS_LINK_VERSION = 1
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -127,4 +137,7 @@
     AdmissionRequest,
     AdmissionReply,
     AdmissionEnd,
+    OriginNotice,
+    OriginQuery,
+    OriginReply,
 ]
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -18,6 +18,7 @@
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stewards import Stewards
 from mintlanding.node.store_watcher import StoreWatcher
+from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.view import FleetView, Records
 from mintlanding.residency.messages import (
     AdmissionEnd,
@@ -70,7 +71,10 @@
             self._membership,
             self._stewards,
         )
-        self.relay = Relay(cfg, self.view, self._admissions, codec, rnd)
+        self._origins = StreamOrigins(cfg, self.view, self._membership)
+        self.relay = Relay(
+            cfg, self.view, self._admissions, self._origins, codec, rnd
+        )
         self._front = CallerServer.from_config(self.relay.handle, 'front')
         self._ready = CallerServer.from_config(self._answer_ready, 'ready')
         self._metrics = CallerServer.from_config(
@@ -206,6 +210,8 @@
     def _receive(self, peer: str, message: Message, reply: Reply) -> None:
         if self._stewards.receive(peer, message, reply):
             return
+        if self._origins.receive(peer, message, reply):
+            return
         if not isinstance(message, AdmissionReply):
             return
         if self._admissions.receive(message) or not message.is_granted:
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -21,6 +21,7 @@
 from mintlanding.core.logs import Logger
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
+    LINK_VERSION,
     Consent,
     Message,
     Status,
@@ -120,6 +121,10 @@
         """Tell whether a member's last status is recent enough."""
         return self.status_exchange.is_reachable(member, now)
 
+    def members(self) -> dict[str, MemberRecord]:
+        """Return the other members that are or were lately registered."""
+        return self._recent_members
+
     def is_reader(self) -> bool:
         """Tell whether this instance watches the store for its zone."""
         zone = self._cfg.facts.zone
@@ -376,6 +381,7 @@
             boot=self.incarnation,
             is_leaving=self.is_leaving,
             link_mbps=facts.link_mbps,
+            link_version=LINK_VERSION,
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -16,10 +16,12 @@
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.settings import NodeSettings
+from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
 from mintlanding.residency.worker_choice import choose_worker
+from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.header_fields import (
     CallerFields,
     HopFields,
@@ -86,7 +88,8 @@
     of the last response that a target began. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
     spent waiting for admissions. `build` is that of the last target,
-    `began_at_build` that of the target which sent the first event of a stream.
+    `began_at_build` that of the target which sent the first event of a stream,
+    the only one at which the stream may go on.
     """
 
     req: CallerRequest
@@ -105,7 +108,7 @@
     last_event: str = ''
     target: str = ''
     build: str = ''
-    began_at_build: str = ''
+    began_at_build: str | None = None
     waited: float = 0
     is_sent: bool = False
     retry_after: float = 0
@@ -137,10 +140,11 @@
         cfg: NodeSettings,
         view: FleetView,
         admissions: Admissions,
+        origins: StreamOrigins,
         codec: Codec,
         rnd: random.Random,
     ) -> None:
-        """Take the shared view and the admissions by stewards."""
+        """Take the shared view, admissions by stewards and stream origins."""
         self.quotas = FleetQuotas()
         self.budget = FleetRetryBudget(cfg.retries)
         self.target_table = TargetTable(rnd)
@@ -150,6 +154,7 @@
         self._cfg = cfg
         self._view = view
         self._admissions = admissions
+        self._origins = origins
         self._codec = codec
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
@@ -182,11 +187,10 @@
             self._refuse(req, fields, plan)
             return
         self.budget.note_request(plan.service.name, req.arrived)
+        result = AttemptResult.not_sent
         try:
-            if plan.service.engine is None:
-                result = await self._serve_plain(plan)
-            else:
-                result = await self._serve_engine(plan)
+            if await self._locate_stream(plan):
+                result = await self._serve(plan)
         except asyncio.CancelledError:
             self.log.ended(plan, 'gone', self._now())
             raise
@@ -310,6 +314,58 @@
         )
         req.respond(status, headers, b'')
 
+    async def _serve(self, plan: RequestPlan) -> AttemptResult:
+        if plan.service.engine is None:
+            return await self._serve_plain(plan)
+        return await self._serve_engine(plan)
+
+    # Streams that a caller resumes.
+
+    async def _locate_stream(self, plan: RequestPlan) -> bool:
+        """Find the build that began a stream which the caller resumes.
+
+        Return false if the stream cannot go on here; `plan.reason` says why.
+        """
+        route, fields = plan.route, plan.fields
+        if not route.is_resumable or not fields.last_event:
+            return True
+        origin = None
+        if fields.resumes:
+            origin = await self._origins.find(fields.resumes)
+        if origin is None and len(route.shares) == 1:
+            plan.began_at_build = self._origins.only_build(plan.service.name)
+        elif origin is not None:
+            service = self._view.service(origin.service)
+            if service is None or origin.service not in dict(route.shares):
+                plan.reason = f'service {origin.service} began the stream'
+                return False
+            plan.service = service
+            plan.began_at_build = origin.build
+        if plan.began_at_build is None:
+            plan.reason = f'unknown origin of stream {fields.resumes}'
+            return False
+        return True
+
+    def _candidates(self, plan: RequestPlan) -> list[Target]:
+        """Return the targets that may run the rest of a request."""
+        return [
+            each
+            for each in self._view.targets_of(plan.service.name)
+            if _fits(each, plan)
+        ]
+
+    def _announce_origin(self, plan: RequestPlan) -> None:
+        """Let other instances resume the stream if its caller goes there."""
+        if plan.route.is_resumable and plan.began_at_build is None:
+            self._origins.announce(
+                StreamOrigin(
+                    plan.fields.request_id,
+                    plan.service.name,
+                    plan.build,
+                    plan.sends,
+                ),
+            )
+
     # Plain services.
 
     async def _serve_plain(self, plan: RequestPlan) -> AttemptResult:
@@ -318,16 +374,14 @@
             plan.sends < _MAX_SENDS and self._time_left(plan) > _MIN_TIME_LEFT
         ):
             target = self.target_table.choose(
-                self._without_unreachable_zones(
-                    self._view.targets_of(plan.service.name)
-                ),
+                self._without_unreachable_zones(self._candidates(plan)),
                 plan.tried,
                 self._cfg.facts.zone,
                 self._now(),
                 may_fail=plan.route.is_idempotent,
             )
             if target is None:
-                plan.reason = plan.reason or 'no target'
+                plan.reason = plan.reason or _no_target(plan)
                 return result
             result = await self._attempt(plan, target, 0)
             if not self._can_retry(plan, result, target):
@@ -368,7 +422,8 @@
             if reservation is None:
                 return result
             target = self._view.targets.get(reservation.worker)
-            if target is None:
+            # The worker may have started anew since the reservation.
+            if target is None or not _fits(target, plan):
                 self._admissions.end(
                     reservation.worker,
                     reservation.reservation_id,
@@ -429,7 +484,7 @@
         excluded = plan.tried | self._admissions.stewards.unreachable()
         workers = [
             each
-            for each in self._view.targets_of(plan.service.name)
+            for each in self._candidates(plan)
             if each.target not in excluded
         ]
         may_fail = plan.route.is_idempotent
@@ -451,7 +506,7 @@
             self._cfg.choice,
             self._rnd,
         )
-        plan.reason = 'no target'
+        plan.reason = _no_target(plan)
         for number, worker in enumerate(order):
             reservation_id = f'{plan.fields.request_id}.{plan.sends}.{number}'
             is_last = number + 1 == len(order)
@@ -608,6 +663,7 @@
             return AttemptResult.not_sent
         plan.is_sent = True
         plan.runs += 1
+        self._announce_origin(plan)
         if plan.route.kind is RouteKind.unsafe:
             req.outlives_caller = True
         try:
@@ -727,7 +783,7 @@
             if passed:
                 req.write(passed)
                 await req.conn.drain()
-            if whole and not plan.began_at_build:
+            if whole and plan.began_at_build is None:
                 plan.began_at_build = plan.build
             if is_resumable:
                 plan.last_event = plan.events.last_id
@@ -757,6 +813,17 @@
         return pause * self._rnd.uniform(0.6, 1.4)
 
 
+def _fits(target: Target, plan: RequestPlan) -> bool:
+    """Return whether a target may run a request, or the rest of its stream."""
+    return plan.began_at_build in {None, target.build}
+
+
+def _no_target(plan: RequestPlan) -> str:
+    if plan.began_at_build is None:
+        return 'no target'
+    return f'no target of build {plan.began_at_build!r}'
+
+
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -77,7 +77,7 @@
             outcome=outcome,
             target=plan.target,
             build=plan.build,
-            began_at_build=plan.began_at_build,
+            began_at_build=plan.began_at_build or '',
             resumes=plan.fields.resumes,
             adapter=plan.fields.adapter.adapter,
             sends=plan.sends,
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -6,6 +6,7 @@
 from mintlanding.residency.authority import AuthorityOptions
 from mintlanding.residency.models import StewardOptions
 from mintlanding.residency.worker_choice import ChoiceOptions
+from mintlanding.streams.origins import StreamOptions
 from mintlanding.traffic.retries import FleetRetryOptions
 
 Address = tuple[str, int]
@@ -111,3 +112,4 @@
     steward: StewardOptions = StewardOptions()
     choice: ChoiceOptions = ChoiceOptions()
     authority: AuthorityOptions = field(default_factory=AuthorityOptions)
+    streams: StreamOptions = StreamOptions()
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -10,6 +10,7 @@
 from mintlanding.core.logs import Logger
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
 from mintlanding.residency.models import EngineReport
+from mintlanding.streams.builds import BuildHistory
 from mintlanding.traffic.models import (
     Route,
     Service,
@@ -50,7 +51,8 @@
 class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Entry that an instance registers in the store under its lease.
 
-    `boot` is the incarnation, a random id of the process.
+    `boot` is the incarnation, a random id of the process. `link_version` is
+    that of the messages it understands.
     """
 
     instance: str
@@ -60,6 +62,7 @@
     boot: str
     is_leaving: bool = False
     link_mbps: float = 0
+    link_version: int = 0
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -119,6 +122,7 @@
     fresh_at: float = float('-inf')
     lapsing_until: float = float('-inf')
     lapse_grace: float = 0
+    builds: BuildHistory = field(default_factory=BuildHistory)
     # Targets whose entry lapsed in a store outage, and when to remove them.
     lapsed: dict[str, float] = field(default_factory=dict)
     listeners: list[Callable[[str], None]] = field(default_factory=list)
@@ -153,6 +157,15 @@
             if each.service == service and not each.is_leaving
         ]
 
+    def only_build(self, service: str, since: float) -> str | None:
+        """Return the one build that a service has had since a time."""
+        present = [
+            each.build
+            for each in self.targets.values()
+            if each.service == service
+        ]
+        return self.builds.only_build(service, present, since)
+
     def engines(self) -> dict[str, Target]:
         """Return the workers, targets that run an engine, by name."""
         return {
@@ -173,6 +186,7 @@
 
     def load(self, snapshot: Snapshot, now: float) -> None:
         """Replace everything by a snapshot of the store."""
+        self.builds.restart(now)
         keys = {item.key for item in snapshot.items}
         for item in snapshot.items:
             # Versions in a snapshot may be old: they count as seen long ago.
@@ -215,7 +229,7 @@
         for name, until in tuple(self.lapsed.items()):
             if now >= until:
                 self.lapsed.pop(name)
-                self._remove_target(name, 'entry not written again')
+                self._remove_target(name, 'entry not written again', now)
 
     def _has_entry(self, target: str, keys: set[str]) -> bool:
         return self.records.TARGETS_PREFIX + target in keys
@@ -282,6 +296,8 @@
         before = self.targets.get(target.target)
         self.lapsed.pop(target.target, None)
         self.targets[target.target] = target
+        if before is not None and before.build != target.build:
+            self.builds.record_removed(before.service, before.build, now)
         if before is None or before.key != target.key:
             self.logger.info(
                 'Target registered.',
@@ -325,7 +341,7 @@
             if now < self.lapsing_until and not target.is_leaving:
                 self.lapsed.setdefault(name, now + self.lapse_grace)
                 return
-            self._remove_target(name, 'entry removed')
+            self._remove_target(name, 'entry removed', now)
         elif key.startswith(MEMBERS_PREFIX):
             name = key.removeprefix(MEMBERS_PREFIX)
             if self.members.pop(name, None) is not None:
@@ -334,8 +350,10 @@
         elif key.startswith(OWNERSHIP_PREFIX):
             self.ownership.pop(key.removeprefix(OWNERSHIP_PREFIX), None)
 
-    def _remove_target(self, name: str, reason: str) -> None:
-        if self.targets.pop(name, None) is not None:
+    def _remove_target(self, name: str, reason: str, now: float) -> None:
+        target = self.targets.pop(name, None)
+        if target is not None:
+            self.builds.record_removed(target.service, target.build, now)
             self.logger.info('Target removed.', target=name, reason=reason)
             self._notify('targets')
 
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -4,10 +4,12 @@
 import contextlib
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from mintlanding.node.application import NodeApplication
 from mintlanding.node.settings import Bounds, InstanceFacts, NodeSettings
+from mintlanding.node.view import MemberRecord
 from mintlanding.platform import records, requests
 from mintlanding.platform.store import PlatformStore
 from mintlanding.platform.tests.samples import CONFIG, encode
@@ -363,11 +365,49 @@
     request_id, began = await pair.begin_stream(node=0)
     other = next(each for each in pair.engines if each is not began)
     await pair.kill(pair.nodes[0])
-    status, _, body = await pair.resume(request_id, node=0)
+    status = 503
+    async with asyncio.timeout(6):
+        # Until the engine has a steward again.
+        while status == 503:
+            status, _, body = await pair.resume(request_id, node=0)
+            await asyncio.sleep(0.1)
     assert (status, body) == (200, stream(2, 3))
     assert not other.runs
 
 
+async def test_stream_of_unknown_origin_is_taken_up_beside_one_build(world):
+    node = world.nodes[0]
+    assert (await world.resume(b'unknown'))[0] == 503
+    # As if the instance had run for longer than any stream.
+    node.view.builds.known_since = float('-inf')
+    status, _, body = await world.resume(b'unknown')
+    assert (status, body) == (200, stream(2, 3))
+
+
+async def test_stream_of_unknown_origin_is_refused_by_an_old_view(world):
+    node = world.nodes[0]
+    await world.ask(BATCH)
+    node.view.builds.known_since = float('-inf')
+    world.store.faults.refuse = True
+    await asyncio.sleep(2.5)
+    assert (await world.resume(b'unknown'))[0] == 503
+    assert (await world.ask(BATCH))[0] == 200
+
+
+async def test_members_of_an_older_release_get_no_origins(pair):
+    # They close a link on which an unknown message arrives.
+    old = pair.nodes[1]
+    entry = msgspec.json.encode(
+        MemberRecord('n1', 'z1', HOST, old._cfg.facts.peer_port, 'old'),
+    )
+    pair.store.put('mintlanding/member/n1', entry)
+    await asyncio.sleep(0.8)
+    await pair.change_build(pair.engines[1], 'v2')
+    await pair.begin_stream(node=0)
+    assert len(pair.nodes[0]._origins._table) == 1
+    assert len(old._origins._table) == 0
+
+
 async def test_unframed_stream_cut_inside_an_event_is_seen_as_incomplete(world):
     # A plain close ends such a response, also when the engine crashed.
     for engine in world.engines:
--- /dev/null
+++ b/mintlanding/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Where streams began, so that they are resumed only where they fit."""
--- /dev/null
+++ b/mintlanding/streams/messages.py
@@ -0,0 +1,35 @@
+"""Messages between instances about the origins of streams."""
+
+import msgspec
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """Service and build of the target that a stream's request was sent to.
+
+    A later `attempt` of the same request replaces an earlier one.
+    """
+
+    request_id: str
+    service: str
+    build: str
+    attempt: int = 1
+
+
+class OriginNotice(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Origin that the receiver keeps for other instances."""
+
+    origin: StreamOrigin
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Question for the origin of a stream; `number` returns in the reply."""
+
+    number: int
+    request_id: str
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Reply to a query; without an origin the stream is not known."""
+
+    number: int
+    origin: StreamOrigin | None = None
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -27,12 +27,14 @@
 from mintlanding.residency import messages as residency
 from mintlanding.standin import faults as standin_faults
 from mintlanding.standin import records as standin_records
+from mintlanding.streams import messages as streams
 
 # Modules whose structs leave a process, with their encoding. The key is the
 # first part of the names of their samples.
 MODULES = {
     'links': (links, 'msgpack'),
     'residency': (residency, 'msgpack'),
+    'streams': (streams, 'msgpack'),
     'limits': (limits, 'msgpack'),
     'membership': (membership, 'msgpack'),
     'members': (members, 'msgpack'),
@@ -185,6 +187,21 @@
         elsewhere=True,
         reason='text-74',
     ),
+    'streams.StreamOrigin': streams.StreamOrigin(
+        request_id='text-1', service='text-2', build='text-3', attempt=4
+    ),
+    'streams.OriginNotice': streams.OriginNotice(
+        origin=streams.StreamOrigin(
+            request_id='text-1', service='text-2', build='text-3', attempt=4
+        )
+    ),
+    'streams.OriginQuery': streams.OriginQuery(number=1, request_id='text-2'),
+    'streams.OriginReply': streams.OriginReply(
+        number=5,
+        origin=streams.StreamOrigin(
+            request_id='text-1', service='text-2', build='text-3', attempt=4
+        ),
+    ),
     'residency.AdmissionEnd': residency.AdmissionEnd(
         request_id='text-75',
         worker='text-76',
@@ -831,6 +848,7 @@
         boot='text-518',
         is_leaving=True,
         link_mbps=519.5,
+        link_version=620,
     ),
     'view.HoldEntry': view.OwnershipEntry(
         holder='text-520', is_settled=True, previous='text-521'
@@ -1158,6 +1176,18 @@
     'residency.WorkerDigest, cannot order': residency.WorkerDigest(
         worker='text-1', incarnation=2, can_order=False, wait=3.5, load_wait=4.5
     ),
+    'view.MemberRecord, of a release without links of a version': (
+        view.MemberRecord(
+            instance='text-514',
+            zone='text-515',
+            host='text-516',
+            port=617,
+            boot='text-518',
+            is_leaving=True,
+            link_mbps=519.5,
+        )
+    ),
+    'streams.OriginReply, without an origin': streams.OriginReply(number=5),
     'objects.Change, deleted': objects.Change(
         revision=1, kind='adapter-version', name='text-2'
     ),
