--- a/soak/faults.py
+++ b/soak/faults.py
@@ -119,9 +119,13 @@
 
 @FAULTS.register('streams break off')
 async def break_streams(world, rnd):
-    """Break a stream of each engine in the middle of an event."""
+    """Break a stream of each engine in the middle of an event.
+
+    Responses end in turn with their last chunk and with their connection.
+    """
     for engine in world.engines:
         engine.faults.break_after = 1
+        engine.faults.unframed = not engine.faults.unframed
 
 
 @FAULTS.register('target starts anew')
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -296,6 +296,15 @@
         always(True),
         'mintlanding/routing/tests/test_retries.py',
     ),
+    Mutant(
+        'the end of a stream is not checked',
+        'whole answers',
+        'mintlanding.node.relay._check_stream_end',
+        '',
+        always(None),
+        'mintlanding/platform/tests/test_node.py::'
+        'test_unframed_stream_cut_inside_an_event_is_seen_as_incomplete',
+    ),
 ]
 
 
