Let the soak run engines of two builds and resume broken streams

Change: one of three engines has another version, and each engine writes its version into its events. Callers resume a broken stream once, at any instance, and the checks accept only streams of one version. Two mutants: a stream goes on at any build, and nobody else keeps its origin.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -208,6 +208,8 @@
     zone: str = 'z1'
     build: str = 'v1'
     events: int = 3
+    # Data of each event.
+    text: bytes = b'x'
     model: str = 'daka'
     places: int = 3
     delay: float = 0.0
@@ -335,7 +337,7 @@
                 else:
                     req.abort()
                 return
-            write(b'id: %d\ndata: x\n\n' % number)
+            write(b'id: %d\ndata: %b\n\n' % (number, self.text))
             await asyncio.sleep(0.005)
         end()
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 ROUTES = {
     'live': b'/lohu930/x',
@@ -55,10 +55,29 @@
         while not self.is_stopped:
             kind = self.rnd.choice(list(ROUTES))
             instance = self.rnd.choice(self.world.instances)
-            self.outcomes.append(await self._send_request(kind, instance))
+            outcome = await self._send_request(kind, instance)
+            if kind == 'batch' and not outcome.is_whole:
+                outcome = await self._resume(outcome)
+            self.outcomes.append(outcome)
             await asyncio.sleep(PAUSE_SECONDS)
 
-    async def _send_request(self, kind, instance):
+    async def _resume(self, broken):
+        """Resume a broken stream once, at any instance."""
+        events, separator, _ = broken.body.rpartition(b'\n\n')
+        if not separator:
+            return broken
+        received = events.count(b'id: ')
+        outcome = await self._send_request(
+            broken.kind,
+            self.rnd.choice(self.world.instances),
+            (
+                b'Last-Event-Id: %d' % received,
+                b'Resumes: ' + broken.request.encode(),
+            ),
+        )
+        return replace(outcome, body=events + separator + outcome.body)
+
+    async def _send_request(self, kind, instance, extra=()):
         self.sent += 1
         request = f'r{self.sent}'
         try:
@@ -67,7 +86,7 @@
                     '127.0.0.1',
                     instance.front,
                 )
-                writer.write(self._encode_request(kind, request))
+                writer.write(self._encode_request(kind, request, extra))
                 return await self._read(reader, writer, request, kind)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return Outcome(request, kind, 0)
@@ -90,7 +109,7 @@
             writer.close()
         return Outcome(request, kind, status, body, is_whole=True)
 
-    def _encode_request(self, kind, request):
+    def _encode_request(self, kind, request, extra):
         adapter = self.rnd.randrange(1, 8)
         method = b'GET' if kind == 'lookup' else b'POST'
         body = b'' if kind == 'lookup' else request.encode()
@@ -103,5 +122,6 @@
             b'X-Deadline-Ms: 2500',
             b'Authorization: Token key-1',
             b'Content-Length: %d' % len(body),
+            *extra,
         ]
         return b'\r\n'.join((*lines, b'', body))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from soak.callers import EVENTS, REFUSAL_STATUSES
+from soak.world import BUILDS
 
 # Time between orders of two holders of an engine that the users require.
 MIN_HANDOVER_SECONDS = 3.0
@@ -46,14 +47,24 @@
         if outcome.kind == 'lookup':
             expected = b'done '
         if outcome.kind in {'live', 'batch'}:
-            expected = b''.join(
-                b'id: %d\ndata: x\n\n' % number
-                for number in range(1, EVENTS + 1)
-            )
-        if outcome.body != expected:
+            is_right = outcome.body in _whole_streams()
+        else:
+            is_right = outcome.body == expected
+        if not is_right:
             yield f'{outcome.request} ({outcome.kind}) got {outcome.body!r}'
 
 
+def _whole_streams():
+    """Return the stream of each build; events of two do not fit together."""
+    return [
+        b''.join(
+            b'id: %d\ndata: %b\n\n' % (number, build.encode())
+            for number in range(1, EVENTS + 1)
+        )
+        for build in BUILDS
+    ]
+
+
 def _find_unexpected_exits(world):
     return [
         f'{each.name} ended by itself {each.unexpected_exits} times'
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,6 +25,8 @@
 [platform]
 addr = "127.0.0.1:{store}"
 """
+# Software versions of the engines; each writes its own into its events.
+BUILDS = ('v1', 'v1', 'v2')
 FIRST_PORT = 21_000
 START_SECONDS = 20
 
@@ -140,8 +142,13 @@
         self.folder = Path(folder)
         self.store = StoreStandin()
         self.engines = [
-            Target(f'e{number}', zone=f'z{number % 2 + 1}')
-            for number in range(3)
+            Target(
+                f'e{number}',
+                zone=f'z{number % 2 + 1}',
+                build=build,
+                text=build.encode(),
+            )
+            for number, build in enumerate(BUILDS)
         ]
         self.plain = [
             Target(f'p{number}', service='orders', model='')
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -305,6 +305,24 @@
         'mintlanding/platform/tests/test_node.py::'
         'test_unframed_stream_cut_inside_an_event_is_seen_as_incomplete',
     ),
+    Mutant(
+        'a stream goes on at any build',
+        'whole answers',
+        'mintlanding.node.relay._fits',
+        '',
+        always(True),
+        'mintlanding/platform/tests/test_node.py::'
+        'test_interrupted_stream_is_not_resumed_at_another_build',
+    ),
+    Mutant(
+        'the origin of a stream is kept by nobody else',
+        'whole answers',
+        'mintlanding.node.stream_origins.choose_keepers',
+        '',
+        always([]),
+        'mintlanding/platform/tests/test_node.py::'
+        'test_stream_of_killed_instance_is_taken_up_at_its_build',
+    ),
 ]
 
 
