Move the types of a request's plan out of the relay

Change: AttemptResult, FailedResponse, RequestPlan and Refusal are in node/request_plan.py. Finding the build of a stream is split in two, and its refusals name the stream, the service and the route.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -3,18 +3,22 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import dataclass, field
-from enum import StrEnum
 
 from mintlanding.core.exceptions import RequestNotSent, ResponseLost
 from mintlanding.http1.client import ClientConnection, ConnectionPool
-from mintlanding.http1.models import Headers, ResponseHead
+from mintlanding.http1.models import ResponseHead
 from mintlanding.http1.server import CallerRequest
 from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.codec import Codec
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.request_log import RequestLog
+from mintlanding.node.request_plan import (
+    AttemptResult,
+    FailedResponse,
+    Refusal,
+    RequestPlan,
+)
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.targets import TargetTable
@@ -27,14 +31,7 @@
     HopFields,
     TargetResponse,
 )
-from mintlanding.traffic.models import (
-    Demand,
-    Route,
-    RouteKind,
-    Service,
-    Target,
-    Workspace,
-)
+from mintlanding.traffic.models import Demand, RouteKind, Target
 from mintlanding.traffic.quotas import FleetQuotas
 from mintlanding.traffic.retries import FleetRetryBudget
 from mintlanding.traffic.routes import choose_service
@@ -51,87 +48,6 @@
 _MIN_TIME_LEFT = 0.05
 
 
-class AttemptResult(StrEnum):
-    """How one attempt at a target ended.
-
-    `not_run`: the target reports that it did not run the request. `missing`:
-    the same, for lack of the adapter. `lost`: the request may have run.
-    `failed`: it ran, failed and is retried elsewhere. `broken`: the response
-    was lost after a part of it had been sent to the caller.
-    """
-
-    done = 'done'
-    not_sent = 'not_sent'
-    not_run = 'not_run'
-    missing = 'missing'
-    failed = 'failed'
-    lost = 'lost'
-    late = 'late'
-    broken = 'broken'
-
-
-@dataclass(frozen=True, slots=True)
-class FailedResponse:
-    """Error response of a target, passed on unless a retry succeeds."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@dataclass(slots=True)
-class RequestPlan:
-    """A request to be sent, with its route and the state of its attempts.
-
-    `deadline` is the monotonic time by which the final response is sent.
-    `charged` is the amount taken from the workspace's quota. `framing` is that
-    of the last response that a target began. `sends` counts
-    all attempts, `runs` those that may have run, and `waited` the seconds
-    spent waiting for admissions. `build` is that of the last target,
-    `began_at_build` that of the target which sent the first event of a stream,
-    the only one at which the stream may go on.
-    """
-
-    req: CallerRequest
-    fields: CallerFields
-    route: Route
-    workspace: Workspace | None
-    service: Service
-    deadline: float
-    demand: Demand
-    charged: float = 0
-    sends: int = 0
-    runs: int = 0
-    tried: set[str] = field(default_factory=set)
-    events: EventBuffer = field(default_factory=EventBuffer)
-    framing: str = ''
-    last_event: str = ''
-    target: str = ''
-    build: str = ''
-    began_at_build: str | None = None
-    waited: float = 0
-    is_sent: bool = False
-    retry_after: float = 0
-    reason: str = ''
-    failure: FailedResponse | None = None
-
-    @property
-    def priority(self) -> int:
-        """Return the priority; a workspace's overrides that of the route."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A final response without an attempt."""
-
-    status: int
-    reason: str
-    retry_after: float = 0
-
-
 class Relay:
     """Reverse proxy for callers' requests."""
 
@@ -332,18 +248,26 @@
         origin = None
         if fields.resumes:
             origin = await self._origins.find(fields.resumes)
-        if origin is None and len(route.shares) == 1:
+        if origin is not None:
+            return self._continue_at(plan, origin)
+        # Several services may share the route, and any may have begun it.
+        if len(route.shares) == 1:
             plan.began_at_build = self._origins.only_build(plan.service.name)
-        elif origin is not None:
-            service = self._view.service(origin.service)
-            if service is None or origin.service not in dict(route.shares):
-                plan.reason = f'service {origin.service} began the stream'
-                return False
-            plan.service = service
-            plan.began_at_build = origin.build
         if plan.began_at_build is None:
-            plan.reason = f'unknown origin of stream {fields.resumes}'
+            plan.reason = f'unknown origin of stream {fields.resumes!r}'
+        return plan.began_at_build is not None
+
+    def _continue_at(self, plan: RequestPlan, origin: StreamOrigin) -> bool:
+        """Bind a request to the service and build that began its stream."""
+        service = self._view.service(origin.service)
+        if service is None or origin.service not in dict(plan.route.shares):
+            plan.reason = (
+                f'service {origin.service!r}, which began the stream, '
+                f'is not on route {plan.route.name!r}'
+            )
             return False
+        plan.service = service
+        plan.began_at_build = origin.build
         return True
 
     def _candidates(self, plan: RequestPlan) -> list[Target]:
@@ -422,7 +346,7 @@
             if reservation is None:
                 return result
             target = self._view.targets.get(reservation.worker)
-            # The worker may have started anew since the reservation.
+            # The worker may have restarted with another build meanwhile.
             if target is None or not _fits(target, plan):
                 self._admissions.end(
                     reservation.worker,
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -1,16 +1,13 @@
 """Log the outcome of each request and count them for metrics."""
 
 from collections import Counter
-from typing import TYPE_CHECKING
 
 from mintlanding.core.logs import Logger
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.request_plan import RequestPlan
 from mintlanding.node.view import FleetView
 from mintlanding.traffic.header_fields import CallerFields
 
-if TYPE_CHECKING:
-    from mintlanding.node.relay import RequestPlan
-
 # Upper bounds of the latency histogram's buckets in seconds.
 _BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
@@ -48,7 +45,7 @@
         )
 
     def log_failed_attempt(
-        self, plan: 'RequestPlan', outcome: str, left: float
+        self, plan: RequestPlan, outcome: str, left: float
     ) -> None:
         """Log an attempt that gave no response to pass on."""
         self._logger.info(
@@ -62,7 +59,7 @@
             left=round(left, 3),
         )
 
-    def ended(self, plan: 'RequestPlan', outcome: str, now: float) -> None:
+    def ended(self, plan: RequestPlan, outcome: str, now: float) -> None:
         """Log the end of a request that was accepted for routing."""
         seconds = now - plan.req.arrived
         self.outcomes[(plan.route.name, outcome)] += 1
--- /dev/null
+++ b/mintlanding/node/request_plan.py
@@ -0,0 +1,91 @@
+"""A request on its way through the relay, and how its attempts end."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from mintlanding.http1.models import Headers
+from mintlanding.http1.server import CallerRequest
+from mintlanding.node.events import EventBuffer
+from mintlanding.traffic.header_fields import CallerFields
+from mintlanding.traffic.models import Demand, Route, Service, Workspace
+
+
+class AttemptResult(StrEnum):
+    """How one attempt at a target ended.
+
+    `not_run`: the target reports that it did not run the request. `missing`:
+    the same, for lack of the adapter. `lost`: the request may have run.
+    `failed`: it ran, failed and is retried elsewhere. `broken`: the response
+    was lost after a part of it had been sent to the caller.
+    """
+
+    done = 'done'
+    not_sent = 'not_sent'
+    not_run = 'not_run'
+    missing = 'missing'
+    failed = 'failed'
+    lost = 'lost'
+    late = 'late'
+    broken = 'broken'
+
+
+@dataclass(frozen=True, slots=True)
+class FailedResponse:
+    """Error response of a target, passed on unless a retry succeeds."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class RequestPlan:
+    """A request to be sent, with its route and the state of its attempts.
+
+    `deadline` is the monotonic time by which the final response is sent.
+    `charged` is the amount taken from the workspace's quota. `framing` is that
+    of the last response that a target began. `sends` counts
+    all attempts, `runs` those that may have run, and `waited` the seconds
+    spent waiting for admissions. `build` is that of the last target,
+    `began_at_build` that of the target which sent the first event of a stream,
+    the only one at which the stream may go on.
+    """
+
+    req: CallerRequest
+    fields: CallerFields
+    route: Route
+    workspace: Workspace | None
+    service: Service
+    deadline: float
+    demand: Demand
+    charged: float = 0
+    sends: int = 0
+    runs: int = 0
+    tried: set[str] = field(default_factory=set)
+    events: EventBuffer = field(default_factory=EventBuffer)
+    framing: str = ''
+    last_event: str = ''
+    target: str = ''
+    build: str = ''
+    began_at_build: str | None = None
+    waited: float = 0
+    is_sent: bool = False
+    retry_after: float = 0
+    reason: str = ''
+    failure: FailedResponse | None = None
+
+    @property
+    def priority(self) -> int:
+        """Return the priority; a workspace's overrides that of the route."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final response without an attempt."""
+
+    status: int
+    reason: str
+    retry_after: float = 0
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -54,8 +54,8 @@
 from mintlanding.node import status_exchange
 from mintlanding.node import view as node_view
 from mintlanding.node.metrics import render_metrics
-from mintlanding.node.relay import AttemptResult
 from mintlanding.node.request_log import RequestLog
+from mintlanding.node.request_plan import AttemptResult
 from mintlanding.node.settings import (
     Bounds,
     InstanceFacts,
