--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -16,9 +16,10 @@
     OriginReply,
 )
 
-# Version of the messages that this process understands. A member gets only
-# messages of its own version: it closes the link on an unknown one.
+# Version of the messages that this process understands. A member of a lower
+# version closes its link when it receives a type that it does not know.
 LINK_VERSION = 1
+# First version with the messages about origins of streams.
 ORIGINS_LINK_VERSION = 1
 
 
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -43,12 +43,11 @@
     """A request to be sent, with its route and the state of its attempts.
 
     `deadline` is the monotonic time by which the final response is sent.
-    `charged` is the amount taken from the workspace's quota. `framing` is that
-    of the last response that a target began. `sends` counts
+    `charged` is the amount taken from the workspace's quota. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
-    spent waiting for admissions. `build` is that of the last target,
-    `began_at_build` that of the target which sent the first event of a stream,
-    the only one at which the stream may go on.
+    spent waiting for admissions. `framing` is that of the last response that a
+    target began, `build` that of the last target. Once a stream has begun, it
+    may go on only at `began_at_build`.
     """
 
     req: CallerRequest
--- a/mintlanding/node/stream_origins.py
+++ b/mintlanding/node/stream_origins.py
@@ -19,8 +19,8 @@
 )
 from mintlanding.streams.origins import (
     OriginTable,
-    choose_asked,
     choose_keepers,
+    choose_members_to_query,
 )
 
 
@@ -110,10 +110,10 @@
             return None
         self._last_number += 1
         number = self._last_number
-        asked = choose_asked(
+        asked = choose_members_to_query(
             request_id,
             [member_info(each) for each in self._keeping_members()],
-            self._cfg.streams.asked_per_zone,
+            self._cfg.streams.queries_per_zone,
         )
         query = _Query(asyncio.get_running_loop().create_future())
         query.waiting = {
--- a/mintlanding/streams/origins.py
+++ b/mintlanding/streams/origins.py
@@ -16,8 +16,8 @@
 
     `lifetime`: time for which an origin is kept, above the longest stream and
     the attempts of its caller to resume it. `max_origins`: origins that one
-    instance keeps; the oldest are dropped. `copies`: zones in which an instance
-    keeps a copy. `asked_per_zone`: members of each zone that are asked, more
+    instance keeps; the oldest are dropped. `copies`: zones in which one member
+    keeps a copy. `queries_per_zone`: members of each zone that are asked, more
     than one since members come and go between notice and query.
     `lookup_timeout`: time to wait for replies. `max_view_age`: age of the view
     up to which it still counts as complete.
@@ -26,7 +26,7 @@
     lifetime: float = 30
     max_origins: int = 50_000
     copies: int = 3
-    asked_per_zone: int = 2
+    queries_per_zone: int = 2
     lookup_timeout: float = 0.15
     max_view_age: float = 2
 
@@ -87,7 +87,7 @@
     return [by_zone[each][0] for each in zones[:copies]]
 
 
-def choose_asked(
+def choose_members_to_query(
     request_id: str,
     members: Iterable[MemberInfo],
     per_zone: int,
--- a/mintlanding/streams/tests/test_origins.py
+++ b/mintlanding/streams/tests/test_origins.py
@@ -8,8 +8,8 @@
 from mintlanding.streams.origins import (
     OriginTable,
     StreamOptions,
-    choose_asked,
     choose_keepers,
+    choose_members_to_query,
 )
 
 OPTIONS = StreamOptions()
@@ -38,10 +38,10 @@
         str(request_id), began.zone, others, OPTIONS.copies
     )
     # The killed instance that began the stream is still listed as a member.
-    asked = choose_asked(
+    asked = choose_members_to_query(
         str(request_id),
         without(infos, resumes.member),
-        OPTIONS.asked_per_zone,
+        OPTIONS.queries_per_zone,
     )
     assert set(keepers) <= {*asked, resumes.member}
 
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -1176,7 +1176,7 @@
     'residency.WorkerDigest, cannot order': residency.WorkerDigest(
         worker='text-1', incarnation=2, can_order=False, wait=3.5, load_wait=4.5
     ),
-    'view.MemberRecord, of a release without links of a version': (
+    'view.MemberRecord, without a link version': (
         view.MemberRecord(
             instance='text-514',
             zone='text-515',
