Name five tests after what callers see

Cause: "taken up" is the wording of the users' pages; the code says resume.

Their bodies stay as they are.

--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -331,7 +331,7 @@
     assert sum(len(engine.runs) for engine in world.engines) == 1
 
 
-async def test_stream_is_not_taken_up_at_another_build(pair):
+async def test_caller_cannot_resume_a_stream_at_another_build(pair):
     # The caller returns at an instance that did not begin the stream.
     await pair.change_build(pair.engines[1], 'v2')
     request_id, began = await pair.begin_stream(node=0)
@@ -342,13 +342,13 @@
     assert sum(len(engine.runs) for engine in pair.engines) == 1
 
 
-async def test_stream_of_unknown_origin_is_not_taken_up_beside_two_builds(pair):
+async def test_stream_of_unknown_origin_is_refused_beside_two_builds(pair):
     await pair.change_build(pair.engines[1], 'v2')
     assert (await pair.resume(b'unknown'))[0] == 503
     assert not any(engine.runs for engine in pair.engines)
 
 
-async def test_stream_is_taken_up_at_another_engine_of_its_build(pair):
+async def test_stream_is_resumed_at_another_engine_of_its_build(pair):
     await pair.change_build(pair.engines[1], 'v2')
     request_id, began = await pair.begin_stream(node=0)
     await pair.add_engine('e3', began.build)
@@ -360,7 +360,7 @@
     assert len(pair.engines[2].runs) == 2
 
 
-async def test_stream_of_killed_instance_is_taken_up_at_its_build(pair):
+async def test_stream_of_killed_instance_is_resumed_at_its_build(pair):
     await pair.change_build(pair.engines[1], 'v2')
     request_id, began = await pair.begin_stream(node=0)
     other = next(each for each in pair.engines if each is not began)
@@ -375,7 +375,7 @@
     assert not other.runs
 
 
-async def test_stream_of_unknown_origin_is_taken_up_beside_one_build(world):
+async def test_stream_of_unknown_origin_is_resumed_beside_one_build(world):
     node = world.nodes[0]
     assert (await world.resume(b'unknown'))[0] == 503
     # As if the instance had run for longer than any stream.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -321,7 +321,7 @@
         '',
         always([]),
         'mintlanding/platform/tests/test_node.py::'
-        'test_stream_of_killed_instance_is_taken_up_at_its_build',
+        'test_stream_of_killed_instance_is_resumed_at_its_build',
     ),
 ]
 
