Log how long a target without an entry is kept and how requests saw it

Cause: "entry not written again" did not tell why a target had been kept, nor which view a request that reached it was routed by.

Change: a line when a target is kept without its entry, with the grace period and the time for which the store had been out of reach; `entry` and `view_age` in the line that ends a request. No logic changes.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -587,6 +587,8 @@
             return AttemptResult.not_sent
         plan.is_sent = True
         plan.runs += 1
+        plan.entry = self._view.entry_state(target.target)
+        plan.view_age = boot_seconds() - self._view.fresh_at
         self._announce_origin(plan)
         if plan.route.kind is RouteKind.unsafe:
             req.outlives_caller = True
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -74,6 +74,8 @@
             outcome=outcome,
             target=plan.target,
             build=plan.build,
+            entry=plan.entry,
+            view_age=round(plan.view_age, 2),
             began_at_build=plan.began_at_build or '',
             resumes=plan.fields.resumes,
             adapter=plan.fields.adapter.adapter,
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -66,6 +66,8 @@
     last_event: str = ''
     target: str = ''
     build: str = ''
+    entry: str = ''
+    view_age: float = 0
     began_at_build: str | None = None
     waited: float = 0
     is_sent: bool = False
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -154,7 +155,9 @@
 
     def _mark_fresh(self, now: float) -> None:
         """Record that the view is current; allow for lapses after an outage."""
-        if now > self._view.fresh_at + _OUTAGE_SECONDS:
+        gap = now - self._view.fresh_at
+        if gap > _OUTAGE_SECONDS:
+            self._view.store_gap = gap if math.isfinite(gap) else 0
             self._view.lapsing_until = now + _LAPSING_SECONDS
         self._view.fresh_at = now
 
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -121,6 +121,8 @@
     as_of: int = 0
     fresh_at: float = float('-inf')
     lapsing_until: float = float('-inf')
+    # Seconds for which the store was last out of reach.
+    store_gap: float = 0
     lapse_grace: float = 0
     builds: BuildHistory = field(default_factory=BuildHistory)
     # Targets whose entry lapsed in a store outage, and when to remove them.
@@ -224,6 +226,15 @@
             return True
         return _without_adapters(before) != _without_adapters(after)
 
+    def entry_state(self, name: str) -> str:
+        """Return the state of a target's entry, as requests are routed by."""
+        target = self.targets.get(name)
+        if target is None:
+            return 'none'
+        if name in self.lapsed:
+            return 'lapsed'
+        return 'leaving' if target.is_leaving else 'ready'
+
     def remove_lapsed(self, now: float) -> None:
         """Remove targets whose entries are missing after the grace period."""
         for name, until in tuple(self.lapsed.items()):
@@ -339,7 +350,7 @@
             if target is None:
                 return
             if now < self.lapsing_until and not target.is_leaving:
-                self.lapsed.setdefault(name, now + self.lapse_grace)
+                self._keep_lapsed(name, now)
                 return
             self._remove_target(name, 'entry removed', now)
         elif key.startswith(MEMBERS_PREFIX):
@@ -350,6 +361,17 @@
         elif key.startswith(OWNERSHIP_PREFIX):
             self.ownership.pop(key.removeprefix(OWNERSHIP_PREFIX), None)
 
+    def _keep_lapsed(self, name: str, now: float) -> None:
+        if name in self.lapsed:
+            return
+        self.lapsed[name] = now + self.lapse_grace
+        self.logger.info(
+            'Target kept without an entry.',
+            target=name,
+            seconds=round(self.lapse_grace, 2),
+            store_gap=round(self.store_gap, 2),
+        )
+
     def _remove_target(self, name: str, reason: str, now: float) -> None:
         target = self.targets.pop(name, None)
         if target is not None:
