Use a secret in the log tests that no random id contains

Change: the secret has letters that no hexadecimal id has, so that the check is as strict and does not depend on the id.

--- a/mintlanding/core/tests/test_logs.py
+++ b/mintlanding/core/tests/test_logs.py
@@ -18,20 +18,24 @@
 
 
 def test_secret_fields_are_hidden(memory):
-    Logger('entry').info('Request refused.', authorization='Bearer abc')
+    Logger('entry').info(
+        'Request refused.', authorization='Bearer k3y-of-caller'
+    )
     (message,) = memory.messages
     assert message['message'] == 'entry: Request refused.'
-    assert 'abc' not in str(message)
+    assert 'k3y-of-caller' not in str(message)
 
 
 def test_library_exception_is_logged_without_its_message(memory):
     library = logging.Logger('uvicorn.error')
     library.addHandler(ForwardHandler(logging.WARNING))
     try:
-        raise ValueError('Bearer abc')
+        raise ValueError('Bearer k3y-of-caller')
     except ValueError as exc:
         library.error(
-            'Exception in %s\nfuture: <Bearer abc>', 'application', exc_info=exc
+            'Exception in %s\nfuture: <Bearer k3y-of-caller>',
+            'application',
+            exc_info=exc,
         )
     library.error('Cancelled', exc_info=asyncio.CancelledError())
     library.info('Started.')
@@ -39,4 +43,4 @@
     assert message['message'].startswith('uvicorn: Exception')
     assert message['exception'] == 'ValueError'
     assert __file__ in message['places'][0]
-    assert 'abc' not in str(message)
+    assert 'k3y-of-caller' not in str(message)
