Reproduce requests to a target that left during a partition

Cause: an instance that returns from its own partition keeps targets whose entries are gone, as after an outage of the store.

--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from mintlanding.coordination.transactional_store import Change, Changes, Item
+from mintlanding.coordination.transactional_store import (
+    Change,
+    Changes,
+    Item,
+    Snapshot,
+)
 from mintlanding.node.settings import FleetOptions
 from mintlanding.node.store_watcher import StoreWatcher
 from mintlanding.node.view import OWNERSHIP_PREFIX, FleetView, OwnershipEntry
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -130,6 +130,18 @@
         self.store.put(f'servers/{engine.name}', engine.entry())
         await asyncio.sleep(0.8)
 
+    @contextlib.contextmanager
+    def cut_off_from_store(self, *nodes):
+        """Let the calls of some instances to the store fail."""
+        stores = [node._store for node in nodes]
+        addresses = [each._address for each in stores]
+        for each in stores:
+            each.close()
+            each._address = (HOST, 1)
+        yield
+        for store, address in zip(stores, addresses, strict=True):
+            store._address = address
+
     async def begin_stream(self, node=0):
         """Break a stream after its first event; return its id and engine."""
         before = {each.name: len(each.runs) for each in self.engines}
@@ -538,6 +550,37 @@
     assert not leaving.runs
 
 
+async def test_target_that_left_during_a_partition_gets_no_requests(pair):
+    # Only n0 loses the store. Without an entry of its own it gets no changes
+    # from n1 either, and it returns when the target's entry is long gone.
+    with pair.cut_off_from_store(pair.nodes[0]):
+        await asyncio.sleep(3)
+        pair.store.remove('servers/p1')
+        await asyncio.sleep(1)
+    pair.store.faults.oldest_revision = pair.store.revision
+    async with asyncio.timeout(3):
+        while not pair.nodes[0]._store_watcher.is_store_reachable:
+            await asyncio.sleep(0.01)
+    # Statuses take a quarter of a second.
+    await asyncio.sleep(0.3)
+    arrivals = pair.plain[0].arrivals
+    for _ in range(6):
+        await pair.ask(ORDER)
+    assert pair.plain[0].arrivals == arrivals
+
+
+async def test_targets_that_lapse_in_a_store_outage_are_kept(pair):
+    with pair.cut_off_from_store(*pair.nodes):
+        for target in pair.plain:
+            pair.store.remove(f'servers/{target.name}')
+        await asyncio.sleep(3)
+    async with asyncio.timeout(3):
+        while not pair.nodes[0]._store_watcher.is_store_reachable:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0.3)
+    assert (await pair.ask(ORDER))[0] == 200
+
+
 async def test_planned_stop_finishes_requests_and_frees_workers(pair):
     for target in pair.plain:
         target.delay = 0.5
