Tell an outage of the store from a partition of the own instance

Cause: callers' requests reached a target for up to 12 s after it had left. Targets whose entries lapse in an outage of the store are kept for 2.2 s, since they write them again.

Evidence: `Target removed.` with `reason=entry not written again` 2.2 s after `Store reachable.` at both instances, while a third one had removed the target 10 s before with `reason=entry removed`.

Change: statuses say for how long their sender has reached the store without interruption; a hub sends the longest of its zone. `StoreContact` takes the earliest of these times as the return of the store, and the grace period counts from there. If a member kept contact, there was no outage and the target is removed at once. Requests check the end of the period, not only a timer.

Why it works: the decision no longer rests on what one instance could not reach, but on whether anyone could. Without a member that can tell, the period is as long as before and ends on time.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -41,7 +41,8 @@
     lease sets `asks_consent`, to request the consent of the others to keeping
     its authority over workers. A `Consent` returns `sent_at`.
     `admitted` counts the tokens by workspace since the start, `levels` are the
-    tokens left in the buckets of the quotas.
+    tokens left in the buckets of the quotas. `store_contact` is for how many
+    seconds the sender has reached the store without interruption.
     """
 
     instance: str
@@ -52,6 +53,7 @@
     admitted: dict[str, float] = {}
     levels: dict[str, float] = {}
     is_leaving: bool = False
+    store_contact: float = 0.0
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -72,7 +74,7 @@
     """Statuses of the members of a zone, aggregated by their hub.
 
     `admitted` is the sum over all processes that the zone ever had, `levels`
-    the mean of the members.
+    the mean of the members, `store_contact` the longest of them.
     """
 
     zone: str
@@ -83,6 +85,7 @@
     digests: tuple[tuple[str, WorkerDigest], ...] = ()
     admitted: dict[str, float] = {}
     levels: dict[str, float] = {}
+    store_contact: float = 0.0
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -143,11 +143,13 @@
         sources.admitted = self.relay.quotas.counters
         sources.levels = self.relay.quotas.levels
         sources.in_use = self.relay.in_use
+        sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
         listeners.on_admitted = self._charge
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
+        listeners.on_store_contact = self._record_store_contact
         listeners.on_new_incarnation = self._admissions.notify_waiters
         self._stewards.on_steward_start = self._admissions.notify_waiters
         self._membership.on_message = self._receive
@@ -187,6 +189,10 @@
             self.relay.is_isolated = reachable * 2 <= members
             await asyncio.sleep(_UPKEEP_SECONDS)
 
+    def _record_store_contact(self, seconds: float, now: float) -> None:
+        self.view.store_contact.record_member(seconds, now)
+        self.view.remove_lapsed(now)
+
     def _changed(self, topic: str) -> None:
         if topic == 'members':
             self._membership.update_members()
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -57,6 +57,8 @@
 # Key that selects the reader of a zone by rendezvous hashing, as the names of
 # workers select their holders.
 _READER = 'reader'
+# Seconds after a loss of the store in which no workers are claimed.
+_LAPSING_SECONDS = 2.0
 # A loop that stalled for longer has received no statuses meanwhile.
 _STALL_SECONDS = 0.6
 # Seconds after its last status for which a member without an entry is dialled.
@@ -182,7 +184,8 @@
             now = boot_seconds()
             if self.is_leaving or now < self._joined_at + _SETTLE_SECONDS:
                 continue
-            if now < self._view.lapsing_until:
+            # Entries of members may have lapsed in an outage of the store.
+            if now < self._view.store_contact.since + _LAPSING_SECONDS:
                 continue
             self.update_members()
             for claim in self._claims(now):
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -272,6 +272,7 @@
 
     def _candidates(self, plan: RequestPlan) -> list[Target]:
         """Return the targets that may run the rest of a request."""
+        self._view.remove_lapsed(boot_seconds())
         return [
             each
             for each in self._view.targets_of(plan.service.name)
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -79,11 +79,11 @@
     that is below the users' bound on configurations.
     `watch_pause`: time in which changes are collected before the next watch
     call, well below the users' bounds on configurations and leaving targets.
-    `lapse_grace`: time for which a target is kept after its entry lapsed in a
-    store outage, the users' bound for its return. `renew_interval`: time
-    between renewals of the lease. `hub_threshold`: number of other members
-    from which statuses go through a hub in each zone. A hub sends every
-    `hub_interval` and is replaced after `hub_timeout`.
+    `lapse_grace`: time after the return of the store for which targets are
+    kept whose entries lapsed in its outage, the users' bound for their return.
+    `renew_interval`: time between renewals of the lease. `hub_threshold`:
+    number of other members from which statuses go through a hub in each zone.
+    A hub sends every `hub_interval` and is replaced after `hub_timeout`.
     """
 
     status_interval: float = 0.25
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -54,6 +54,7 @@
     admitted: Callable[[], Counters] = dict
     levels: Callable[[float], Counters] = lambda now: {}
     in_use: Callable[[], tuple[tuple[str, str, str], ...]] = tuple
+    store_contact: Callable[[float], float] = lambda now: 0
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
 
@@ -65,6 +66,7 @@
     on_digests: Callable[[str, tuple[WorkerDigest, ...]], None] | None = None
     on_admitted: Callable[[str, Counters, float], None] | None = None
     on_levels: Callable[[Counters], None] | None = None
+    on_store_contact: Callable[[float, float], None] = lambda seconds, now: None
     on_adapter_use: (
         Callable[[str, tuple[tuple[str, str], ...]], None] | None
     ) = None
@@ -206,6 +208,7 @@
             self._send_consent(status.instance, status.sent_at)
         self._statuses[status.instance] = status
         self._notify_digests(status.instance, status.digests)
+        self.listeners.on_store_contact(status.store_contact, now)
         if not self.uses_hubs:
             member = f'{status.instance}/{status.incarnation}'
             self._notify_admitted(member, status.admitted, now)
@@ -234,6 +237,7 @@
             )
             if is_newer and member.asks_consent:
                 self._send_consent(member.instance, member.sent_at)
+        self.listeners.on_store_contact(zone_status.store_contact, now)
         for instance, digest in zone_status.digests:
             if instance != self._instance:
                 self._notify_digests(instance, (digest,))
@@ -263,6 +267,7 @@
             admitted=admitted,
             levels=self.sources.levels(now),
             is_leaving=self.is_leaving,
+            store_contact=self.sources.store_contact(now),
         )
 
     def _send_use_reports(self) -> None:
@@ -370,6 +375,7 @@
             ),
             admitted=self._zone_counters.total(),
             levels=_mean([each.levels for each in live.values()]),
+            store_contact=max(each.store_contact for each in live.values()),
         )
 
     def _is_reachable_in_zone(self, member: str, now: float) -> bool:
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 
@@ -30,10 +29,6 @@
 _MAX_BACKOFF = 0.8
 # Consecutive failures after which the store counts as unreachable.
 _MAX_FAILURES = 2
-# Seconds without a change or reply after which an outage is assumed.
-_OUTAGE_SECONDS = 2.0
-# Seconds after an outage in which entries may still lapse because of it.
-_LAPSING_SECONDS = 2.0
 # Prefix of all keys: one watch call returns changes of every kind.
 _ALL_KEYS = ''
 
@@ -154,11 +149,8 @@
         self.is_store_reachable = True
 
     def _mark_fresh(self, now: float) -> None:
-        """Record that the view is current; allow for lapses after an outage."""
-        gap = now - self._view.fresh_at
-        if gap > _OUTAGE_SECONDS:
-            self._view.store_gap = gap if math.isfinite(gap) else 0
-            self._view.lapsing_until = now + _LAPSING_SECONDS
+        """Record that the view is as new as the store."""
+        self._view.store_contact.record(now)
         self._view.fresh_at = now
 
 
--- a/mintlanding/node/tests/test_status_exchange.py
+++ b/mintlanding/node/tests/test_status_exchange.py
@@ -110,6 +110,19 @@
         }
 
 
+@pytest.mark.parametrize('members', [6, 40])
+def test_contact_of_one_member_with_the_store_is_known_to_all(members):
+    fleet = Fleet(members)
+    known = {}
+    for name, exchange in fleet.exchanges.items():
+        exchange.listeners.on_store_contact = lambda seconds, now, name=name: (
+            known.update({name: max(seconds, known.get(name, 0))})
+        )
+    fleet.exchanges['n1'].sources.store_contact = lambda now: 7
+    fleet.run(4)
+    assert {known.get(name) for name in fleet.exchanges if name != 'n1'} == {7}
+
+
 @pytest.mark.parametrize('members', [6, 40])
 def test_every_member_is_reachable_for_every_other(members):
     fleet = Fleet(members)
--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -14,6 +14,7 @@
 from mintlanding.node.store_watcher import StoreWatcher
 from mintlanding.node.view import OWNERSHIP_PREFIX, FleetView, OwnershipEntry
 from mintlanding.platform import records
+from mintlanding.platform.tests.samples import ENTRY, encode
 
 
 def ownership_change(worker, revision):
@@ -64,3 +65,42 @@
     await reader._read_changes()
     assert third._view.as_of == 5
     assert not third._view.ownership
+
+
+def target_item(name, revision):
+    key = records.TARGETS_PREFIX + name
+    return Item(key, encode(ENTRY), revision)
+
+
+def view_after_an_outage(returned_at):
+    """Return a view whose snapshot at that time lacks one target."""
+    view = FleetView(records, lapse_grace=2)
+    view.store_contact.record(returned_at - 20)
+    items = (target_item('w1', 6), target_item('w2', 7))
+    view.load(Snapshot(items, 7), returned_at - 20)
+    view.store_contact.record(returned_at)
+    view.load(Snapshot(items[:1], 9), returned_at)
+    return view
+
+
+def test_lapsed_target_is_kept_until_its_time_to_return_is_over():
+    view = view_after_an_outage(100)
+    view.remove_lapsed(101.9)
+    assert set(view.targets) == {'w1', 'w2'}
+    view.remove_lapsed(102)
+    assert set(view.targets) == {'w1'}
+
+
+def test_entry_that_lapses_later_gets_no_longer_grace():
+    view = view_after_an_outage(100)
+    view.apply(Change(records.TARGETS_PREFIX + 'w1', 10), 101.9)
+    assert 'w1' in view.targets
+    view.remove_lapsed(102)
+    assert not view.targets
+
+
+def test_member_that_kept_contact_ends_the_grace():
+    view = view_after_an_outage(100)
+    view.store_contact.record_member(300, 100.2)
+    view.remove_lapsed(100.2)
+    assert set(view.targets) == {'w1'}
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mintlanding.coordination.store_contact import StoreContact
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
 from mintlanding.core.logs import Logger
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
@@ -105,8 +106,8 @@
     """Configuration, targets, versions, members and ownership records.
 
     All of it is at least as new as the revision `as_of`; `fresh_at` is when
-    that was last known to be the newest one. Until `lapsing_until` entries may
-    lapse because of a store outage.
+    that was last known to be the newest one. Targets whose entries lapsed in
+    an outage of the store are kept for `lapse_grace` seconds after its return.
     """
 
     records: Records
@@ -120,13 +121,11 @@
     fleet_key: bytes = b''
     as_of: int = 0
     fresh_at: float = float('-inf')
-    lapsing_until: float = float('-inf')
-    # Seconds for which the store was last out of reach.
-    store_gap: float = 0
+    store_contact: StoreContact = field(default_factory=StoreContact)
     lapse_grace: float = 0
     builds: BuildHistory = field(default_factory=BuildHistory)
-    # Targets whose entry lapsed in a store outage, and when to remove them.
-    lapsed: dict[str, float] = field(default_factory=dict)
+    # Targets whose entry may have lapsed in an outage of the store.
+    lapsed: set[str] = field(default_factory=set)
     listeners: list[Callable[[str], None]] = field(default_factory=list)
     logger: Logger = field(default_factory=lambda: Logger('view'))
 
@@ -236,11 +235,16 @@
         return 'leaving' if target.is_leaving else 'ready'
 
     def remove_lapsed(self, now: float) -> None:
-        """Remove targets whose entries are missing after the grace period."""
-        for name, until in tuple(self.lapsed.items()):
-            if now >= until:
-                self.lapsed.pop(name)
-                self._remove_target(name, 'entry not written again', now)
+        """Remove targets whose entries are missing after the grace period.
+
+        The period ends at once when another member reports that it has reached
+        the store all the time, so that the entries did not lapse in an outage.
+        """
+        if not self.lapsed or self._may_lapse(now):
+            return
+        for name in tuple(self.lapsed):
+            self._remove_target(name, 'entry not written again', now)
+        self.lapsed.clear()
 
     def _has_entry(self, target: str, keys: set[str]) -> bool:
         return self.records.TARGETS_PREFIX + target in keys
@@ -305,7 +309,7 @@
     def _put_target(self, item: Item, now: float) -> None:
         target = self.records.decode_target(item.key, item.content)
         before = self.targets.get(target.target)
-        self.lapsed.pop(target.target, None)
+        self.lapsed.discard(target.target)
         self.targets[target.target] = target
         if before is not None and before.build != target.build:
             self.builds.record_removed(before.service, before.build, now)
@@ -349,8 +353,8 @@
             target = self.targets.get(name)
             if target is None:
                 return
-            if now < self.lapsing_until and not target.is_leaving:
-                self._keep_lapsed(name, now)
+            if self._may_lapse(now) and not target.is_leaving:
+                self._keep_lapsed(name)
                 return
             self._remove_target(name, 'entry removed', now)
         elif key.startswith(MEMBERS_PREFIX):
@@ -361,15 +365,19 @@
         elif key.startswith(OWNERSHIP_PREFIX):
             self.ownership.pop(key.removeprefix(OWNERSHIP_PREFIX), None)
 
-    def _keep_lapsed(self, name: str, now: float) -> None:
+    def _may_lapse(self, now: float) -> bool:
+        """Tell whether a missing entry may have lapsed in an outage."""
+        return now < self.store_contact.returned_at + self.lapse_grace
+
+    def _keep_lapsed(self, name: str) -> None:
         if name in self.lapsed:
             return
-        self.lapsed[name] = now + self.lapse_grace
+        self.lapsed.add(name)
         self.logger.info(
             'Target kept without an entry.',
             target=name,
-            seconds=round(self.lapse_grace, 2),
-            store_gap=round(self.store_gap, 2),
+            seconds=self.lapse_grace,
+            store_gap=round(self.store_contact.gap, 2),
         )
 
     def _remove_target(self, name: str, reason: str, now: float) -> None:
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -83,6 +83,10 @@
 
 STORED = json.loads(Path(__file__).with_name('wire_samples.json').read_text())
 EVERY_SAMPLE = {**SAMPLES, **VARIANTS}
+# Bytes of messages that have more fields since, as an earlier release sends.
+EARLIER = json.loads(
+    Path(__file__).with_name('wire_samples_earlier.json').read_text()
+)
 
 
 def _encode(name, sample):
@@ -130,6 +134,16 @@
         assert _encode(name, decoded) == STORED[name]
 
 
+@pytest.mark.parametrize('name', EARLIER)
+def test_fields_of_an_earlier_release_keep_their_places(name):
+    # An instance of that release reads a longer array up to its own fields.
+    packed = base64.b64decode(EARLIER[name])
+    before = msgspec.msgpack.decode(packed)
+    decoded = msgspec.msgpack.decode(packed, type=type(EVERY_SAMPLE[name]))
+    after = msgspec.msgpack.decode(msgspec.msgpack.encode(decoded))
+    assert after[: len(before)] == before
+
+
 @pytest.mark.parametrize('name', SAMPLES)
 def test_a_sample_has_no_field_at_its_default(name):
     sample = SAMPLES[name]
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -87,6 +87,7 @@
         admitted={'text-15': 16.5},
         levels={'text-17': 18.5},
         is_leaving=True,
+        store_contact=18.75,
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -126,6 +127,7 @@
         ),
         admitted={'text-38': 39.5},
         levels={'text-40': 41.5},
+        store_contact=41.75,
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
