Look at a target's entry again just before a request is sent

Cause: a request is bound to a target when it is admitted, and then waits in the queue of a steward, for a connection or between attempts. A steward without contact to the store grants requests for a target that has left meanwhile, and nothing looked at the entry again.

Change: after the connection is open, an attempt ends as not sent if the target has left or has restarted; the request goes on at another target. One check serves engines and plain services, first attempts, retries and resumptions.

Measured: the test fails without the check, for an engine and for a plain target, and passes with it.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -550,6 +550,10 @@
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
+        if not self._is_current(target):
+            self._pool.release(conn)
+            plan.reason = f'{target.target} left before the request was sent'
+            return AttemptResult.not_sent
         number = self.target_table.begin(target.target, now)
         try:
             return await self._exchange(plan, target, version, conn, number)
@@ -557,6 +561,15 @@
             self._pool.release(conn)
             self.target_table.end(target.target, number)
 
+    def _is_current(self, target: Target) -> bool:
+        """Tell whether a target that was chosen a while ago may still serve."""
+        current = self._view.targets.get(target.target)
+        return (
+            current is not None
+            and current.key == target.key
+            and not current.is_leaving
+        )
+
     async def _exchange(
         self,
         plan: RequestPlan,
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -569,6 +569,36 @@
     assert pair.plain[0].arrivals == arrivals
 
 
+@pytest.mark.parametrize(
+    ('path', 'targets'), [(LIVE, 'engines'), (LOOKUP, 'plain')]
+)
+async def test_target_that_leaves_while_a_request_waits_does_not_get_it(
+    world, path, targets
+):
+    # A queue, a slow connection or a steward without the store takes time.
+    node = world.nodes[0]
+    left = []
+    acquire = node.relay._pool.acquire
+
+    async def leave_and_acquire(address, **options):
+        conn = await acquire(address, **options)
+        if not left:
+            (target,) = [
+                each
+                for each in node.view.targets.values()
+                if each.address == address
+            ]
+            leaving = replace(target, is_leaving=True)
+            node.view.targets[target.target] = leaving
+            left.append(target.target)
+        return conn
+
+    node.relay._pool.acquire = leave_and_acquire
+    assert (await world.ask(path))[0] == 200
+    ran = [each.name for each in getattr(world, targets) if each.arrivals]
+    assert left and not set(ran) & set(left)
+
+
 async def test_targets_that_lapse_in_a_store_outage_are_kept(pair):
     with pair.cut_off_from_store(*pair.nodes):
         for target in pair.plain:
