Send no request to a worker that began to leave while it was being reserved

Cause: the entry looked for a removed worker after the reservation, but not for one that an operator had marked as leaving meanwhile.

Change: such a reservation ends as "no target" and is released.

--- a/mintlanding/entry/dispatch.py
+++ b/mintlanding/entry/dispatch.py
@@ -168,6 +168,9 @@
         engine = self._targets.engine(route.worker)
         if engine is None:
             return Failed.of(ResultCode.no_target, 'the worker was removed')
+        target = self._targets.find(route.worker)
+        if target is not None and target.leaving:
+            return Failed.of(ResultCode.no_target, 'the worker is leaving')
         generate = replace(job.generate, request_id=req.reservation_id)
         job.note_sent()
         opened = await engine.generate(generate)
