Log the shared parts of a prompt and whether an attempt brought events

Cause: lines of requests that were lost with an engine did not tell which parts their prompts have, nor whether the engine had begun to answer them.

Change: `parts` (without the last, which no other request shares) and `has_events` in the lines of attempts and requests. No logic changes.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -600,6 +600,7 @@
             plan.reason = f'{target.target}: {exc}'
             return AttemptResult.not_sent
         plan.is_sent = True
+        plan.is_stream_begun = False
         plan.runs += 1
         plan.entry = self._view.entry_state(target.target)
         plan.view_age = boot_seconds() - self._view.fresh_at
@@ -698,6 +699,7 @@
         req = plan.req
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
+        plan.is_stream_begun = True
         plan.events.begin_response()
         try:
             await self._pass_events(plan, conn)
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -46,8 +46,10 @@
     `charged` is the amount taken from the workspace's quota. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
     spent waiting for admissions. `framing` is that of the last response that a
-    target began, `build` that of the last target. Once a stream has begun, it
-    may go on only at `began_at_build`.
+    target began, `is_stream_begun` tells whether it was a stream. `build` is
+    that of the last target, `entry` the state of its entry and `view_age` the
+    age of the view when the request was sent. Once a stream has begun, it may
+    go on only at `began_at_build`.
     """
 
     req: CallerRequest
@@ -63,6 +65,7 @@
     tried: set[str] = field(default_factory=set)
     events: EventBuffer = field(default_factory=EventBuffer)
     framing: str = ''
+    is_stream_begun: bool = False
     last_event: str = ''
     target: str = ''
     build: str = ''
@@ -75,6 +78,19 @@
     reason: str = ''
     failure: FailedResponse | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may share.
+
+        The last part belongs to the request or its session alone.
+        """
+        return tuple(part for part, _ in self.fields.parts[:-1])
+
+    @property
+    def has_events(self) -> bool:
+        """Tell whether the last attempt has brought a whole event."""
+        return self.is_stream_begun and self.events.has_events
+
     @property
     def priority(self) -> int:
         """Return the priority; a workspace's overrides that of the route."""
