--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -197,6 +198,10 @@
     unframed: bool = False
     mute: bool = False
     conflicts: int = 0
+    # Part of a prompt under which the target crashes as it begins to write.
+    crash_part: bytes = b''
+    # Seconds until it runs again, as a new incarnation under its id.
+    restart_after: float = 0.3
 
 
 @dataclass
@@ -220,6 +225,10 @@
     arrivals: int = 0
     orders_taken: int = 0
     left: int = 0
+    crashes: int = 0
+    # Requests with `crash_part` that arrived.
+    crash_requests: int = 0
+    on_restart: Callable[['TargetStandin'], None] = lambda target: None
 
     async def start(self):
         self.server = CallerServer(
@@ -233,6 +242,22 @@
     def stop(self):
         self.server.stop()
 
+    async def crash(self):
+        """Close everything and lose all state; start again a while later."""
+        port = self.server.port
+        self.server.stop()
+        self.crashes += 1
+        await asyncio.sleep(self.faults.restart_after)
+        self.adapters.clear()
+        self.orders_taken = 0
+        await self.server.start('127.0.0.1', port)
+        self.on_restart(self)
+
+    @property
+    def born(self):
+        """Return the incarnation, which changes with each start."""
+        return ENTRY['born'] + self.crashes
+
     def entry(self, state='ready'):
         """Return the entry that the target writes into the store."""
         models = [{'name': self.model, 'version': 1, 'adapters': []}]
@@ -245,6 +270,7 @@
                 'version': self.build,
                 'state': state,
                 'seq': self.orders_taken,
+                'born': self.born,
                 'models': models if self.model else [],
             },
         )
@@ -280,7 +306,7 @@
         names = [f'{name}@{number}' for name, number in self.adapters.items()]
         report = {
             'seq': self.orders_taken,
-            'born': ENTRY['born'],
+            'born': self.born,
             'models': [{'name': self.model, 'version': 1, 'adapters': names}],
             'coming': [],
         }
@@ -289,6 +315,9 @@
     async def _run(self, req):
         self.arrivals += 1
         faults = self.faults
+        parts = req.get(b'x-prompt-prefix')
+        is_crashing = faults.crash_part and faults.crash_part in parts
+        self.crash_requests += bool(is_crashing)
         request_id = req.get(b'x-request-id')
         if req.get(b'x-expect-instance') != self.name.encode():
             req.respond(421, [(b'x-instance-id', self.name.encode())], b'')
@@ -314,6 +343,10 @@
         elif faults.lose_answers:
             faults.lose_answers -= 1
             req.abort()
+        elif is_crashing:
+            req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
+            await asyncio.sleep(0.01)
+            self.crashing = asyncio.ensure_future(self.crash())
         elif self.service == 'engines':
             await self._stream(req, headers)
         else:
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -533,6 +533,57 @@
     assert (await world.ask(LOOKUP, method=b'GET', body=b''))[0] == 404
 
 
+CRASHING = b'X-Prompt-Prefix: aa01:60,bad1:30,%x:10'
+SOUND = b'X-Prompt-Prefix: aa01:60,cc02:30,%x:10'
+
+
+@pytest.fixture
+async def crashing():
+    """Two instances before engines that crash under one part of a prompt."""
+    found = await World().start(instances=2)
+    for number in (3, 4):
+        await found.add_engine(f'e{number}', 'v1')
+    for engine in found.engines:
+        engine.faults.crash_part = b'bad1'
+        engine.on_restart = lambda target: found.store.put(
+            f'servers/{target.name}', target.entry()
+        )
+    yield found
+    await found.stop()
+
+
+async def ask_with_parts(world, parts, number):
+    """Send a request with a prompt; return its status, 0 if it breaks."""
+    try:
+        found = await world.ask(
+            LIVE,
+            node=number % 2,
+            extra=(parts % number,),
+            adapter=b'/a%d' % (number % 4),
+        )
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0
+    return found[0]
+
+
+def crash_requests(world):
+    return sum(each.crash_requests for each in world.engines)
+
+
+async def test_requests_with_a_part_that_crashes_engines_are_refused(crashing):
+    statuses = []
+    for number in range(30):
+        statuses.append(await ask_with_parts(crashing, CRASHING, number))
+        # Other requests with the same caller and first part.
+        for _ in range(3):
+            await ask_with_parts(crashing, SOUND, number)
+        await crashing.settle()
+    # Up to three more are allowed after five crashes.
+    assert crash_requests(crashing) <= 8
+    assert set(statuses[15:]) == {503}
+    assert await ask_with_parts(crashing, SOUND, 40) == 200
+
+
 async def test_invalid_entries_add_no_target(world):
     world.store.put('servers/torn', b'{"service":')
     world.store.put('servers/strange', encode({'service': 'engines'}))
