Quarantine parts of prompts that crash engines

Cause: requests with one part in their prompts crashed each engine that began to answer them; callers lost 20 other responses with each crash. No instance counted crashes by what the lost requests have in common, none told the others, and requests kept being sent: 18 engines ended in 17 s.

Evidence: at each crash one request without an event (`has_events`, `parts`) among many that had brought some; the engine refuses connections right after.

Change: package `mintlanding.quarantine`. Each instance records the parts of the unanswered prompts under the incarnation that crashed, and statuses carry them to all members. A complete response clears the parts of its prompt. A part that recurs in three crashes at different times, with no answer between, is quarantined, the one that explains most crashes first. Requests with it are refused as not run, at arrival and again just before they are sent. After a pause that doubles with each crash one elected instance lets one request through; a complete response ends the quarantine.

Why it works: parts that sound requests share are answered elsewhere between two crashes, so that only a part without answers can recur.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mintlanding.quarantine.messages import SuspectPart
 from mintlanding.residency.messages import (
     AdmissionEnd,
     AdmissionReply,
@@ -42,7 +43,8 @@
     its authority over workers. A `Consent` returns `sent_at`.
     `admitted` counts the tokens by workspace since the start, `levels` are the
     tokens left in the buckets of the quotas. `store_contact` is for how many
-    seconds the sender has reached the store without interruption.
+    seconds the sender has reached the store without interruption. `suspects`
+    are parts of prompts under which engines crashed.
     """
 
     instance: str
@@ -54,6 +56,7 @@
     levels: dict[str, float] = {}
     is_leaving: bool = False
     store_contact: float = 0.0
+    suspects: tuple[SuspectPart, ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -74,7 +77,8 @@
     """Statuses of the members of a zone, aggregated by their hub.
 
     `admitted` is the sum over all processes that the zone ever had, `levels`
-    the mean of the members, `store_contact` the longest of them.
+    the mean of the members, `store_contact` the longest of them, `suspects`
+    what they report together.
     """
 
     zone: str
@@ -86,6 +90,7 @@
     admitted: dict[str, float] = {}
     levels: dict[str, float] = {}
     store_contact: float = 0.0
+    suspects: tuple[SuspectPart, ...] = ()
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -143,12 +143,15 @@
         sources.admitted = self.relay.quotas.counters
         sources.levels = self.relay.quotas.levels
         sources.in_use = self.relay.in_use
+        sources.suspects = self.relay.crashes.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
         listeners.on_admitted = self._charge
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
+        listeners.on_suspects = self.relay.crashes.merge
+        self.relay.crashes.is_elected = self._membership.is_elected
         listeners.on_store_contact = self._record_store_contact
         listeners.on_new_incarnation = self._admissions.notify_waiters
         self._stewards.on_steward_start = self._admissions.notify_waiters
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from mintlanding.coordination.transactional_store import (
     NO_REVISION,
@@ -135,6 +136,22 @@
         reader = preferred_member(_READER, zone, well_connected_members(near))
         return reader in {'', self.instance}
 
+    def is_elected(self, name: str) -> bool:
+        """Tell whether this instance is the one of the reachable members.
+
+        The choice is by rendezvous hashing of a name that all of them know.
+        """
+        now = boot_seconds()
+        candidates = [self.instance]
+        candidates.extend(
+            each for each in self._view.members if self.is_reachable(each, now)
+        )
+        elected = max(
+            candidates,
+            key=lambda each: xxhash.xxh64_intdigest(f'{name}|{each}'.encode()),
+        )
+        return elected == self.instance
+
     def forward(self, update: StoreUpdate) -> None:
         """Forward changes of the store to the members of the zone."""
         if self.mesh is None:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -11,6 +11,7 @@
 from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.codec import Codec
+from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import (
@@ -23,6 +24,7 @@
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
+from mintlanding.quarantine.ledger import CrashLedger
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
@@ -74,6 +76,8 @@
         self._codec = codec
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
+        self.crashes = CrashLedger(cfg.quarantine)
+        self._crash_watch = CrashWatch(self.crashes, self._pool)
 
     @property
     def opened(self) -> int:
@@ -119,6 +123,7 @@
 
     def stop(self) -> None:
         """Close idle connections."""
+        self._crash_watch.stop()
         self._pool.close()
 
     # Routing, authentication and quotas.
@@ -162,7 +167,14 @@
             deadline,
             fields.demand or Demand(),
         )
-        return self._charge_quota(plan)
+        return self._check_parts(plan) or self._charge_quota(plan)
+
+    def _check_parts(self, plan: RequestPlan) -> Refusal | None:
+        """Refuse a request whose prompt would crash the engine."""
+        part, wait = self.crashes.refusal(plan.shared_parts, boot_seconds())
+        if not part:
+            return None
+        return Refusal(503, f'part {part} of the prompt crashes engines', wait)
 
     def _refuse_unknown(self, reason: str, status: int) -> Refusal:
         """Refuse as unknown, or as retryable by an old configuration."""
@@ -321,6 +333,7 @@
             AttemptResult.done,
             AttemptResult.broken,
             AttemptResult.late,
+            AttemptResult.quarantined,
         }:
             return False
         plan.tried.add(target.target)
@@ -554,6 +567,9 @@
             self._pool.release(conn)
             plan.reason = f'{target.target} left before the request was sent'
             return AttemptResult.not_sent
+        if not self._may_send_parts(plan):
+            self._pool.release(conn)
+            return AttemptResult.quarantined
         number = self.target_table.begin(target.target, now)
         try:
             return await self._exchange(plan, target, version, conn, number)
@@ -561,6 +577,19 @@
             self._pool.release(conn)
             self.target_table.end(target.target, number)
 
+    def _may_send_parts(self, plan: RequestPlan) -> bool:
+        """Check again what other instances may have learned meanwhile."""
+        now = boot_seconds()
+        part, wait = self.crashes.refusal(
+            plan.shared_parts, now, is_repeat=plan.runs > 0
+        )
+        if part:
+            plan.reason = f'part {part} of the prompt crashes engines'
+            plan.retry_after = wait
+            return False
+        self.crashes.begin_trial(plan.shared_parts, now)
+        return True
+
     def _is_current(self, target: Target) -> bool:
         """Tell whether a target that was chosen a while ago may still serve."""
         current = self._view.targets.get(target.target)
@@ -621,6 +650,7 @@
             )
         except ResponseLost as exc:
             plan.reason = f'{target.target}: {exc}'
+            self._crash_watch.record_loss(target, plan.shared_parts, exc)
             self.target_table.failed(target.target, self._now())
             is_late = self._time_left(plan) <= 0
             return AttemptResult.late if is_late else AttemptResult.lost
@@ -664,7 +694,7 @@
             )
         is_stream = plan.route.kind is RouteKind.stream and response.is_success
         if is_stream and response.is_signed:
-            return await self._pass_stream(plan, conn, head)
+            return await self._pass_stream(plan, target, conn, head)
         body = await self._read_body(conn, plan)
         is_repeatable = plan.route.is_idempotent and not response.is_success
         if is_repeatable and plan.runs < plan.route.attempts:
@@ -679,6 +709,8 @@
                 return AttemptResult.failed
         if response.is_success and not response.is_signed:
             raise ResponseLost('the response has no signature')
+        if response.is_success:
+            self.crashes.record_answer(plan.shared_parts, boot_seconds())
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
@@ -693,6 +725,7 @@
     async def _pass_stream(
         self,
         plan: RequestPlan,
+        target: Target,
         conn: ClientConnection,
         head: ResponseHead,
     ) -> AttemptResult:
@@ -706,10 +739,13 @@
             _check_stream_end(head, plan.events)
         except ResponseLost as exc:
             plan.reason = f'{plan.target}: stream interrupted: {exc}'
+            if not plan.has_events:
+                self._crash_watch.record_loss(target, plan.shared_parts, exc)
             self.target_table.failed(plan.target, self._now())
             if not plan.route.is_resumable or self._time_left(plan) <= 0:
                 return AttemptResult.broken
             return AttemptResult.lost
+        self.crashes.record_answer(plan.shared_parts, boot_seconds())
         req.end()
         return AttemptResult.done
 
@@ -783,6 +819,8 @@
 def _outcome(result: AttemptResult, plan: RequestPlan) -> GrantOutcome:
     if result is AttemptResult.done:
         return GrantOutcome.served
+    if result is AttemptResult.quarantined:
+        return GrantOutcome.unused
     if result is AttemptResult.missing:
         return GrantOutcome.missing
     if result is AttemptResult.not_run:
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -16,7 +16,8 @@
     `not_run`: the target reports that it did not run the request. `missing`:
     the same, for lack of the adapter. `lost`: the request may have run.
     `failed`: it ran, failed and is retried elsewhere. `broken`: the response
-    was lost after a part of it had been sent to the caller.
+    was lost after a part of it had been sent to the caller. `quarantined`: a
+    part of the prompt crashes engines, so that the request was not sent.
     """
 
     done = 'done'
@@ -27,6 +28,7 @@
     lost = 'lost'
     late = 'late'
     broken = 'broken'
+    quarantined = 'quarantined'
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from mintlanding.http1.models import ClientOptions
+from mintlanding.quarantine.ledger import QuarantineOptions
 from mintlanding.residency.authority import AuthorityOptions
 from mintlanding.residency.models import StewardOptions
 from mintlanding.residency.worker_choice import ChoiceOptions
@@ -113,3 +114,4 @@
     choice: ChoiceOptions = ChoiceOptions()
     authority: AuthorityOptions = field(default_factory=AuthorityOptions)
     streams: StreamOptions = StreamOptions()
+    quarantine: QuarantineOptions = QuarantineOptions()
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -21,6 +21,8 @@
 )
 from mintlanding.node.settings import FleetOptions
 from mintlanding.node.view import MemberRecord, member_info
+from mintlanding.quarantine.messages import SuspectPart
+from mintlanding.quarantine.reports import combine_reports
 from mintlanding.residency.authority import (
     MemberInfo,
     preferred_member,
@@ -31,6 +33,8 @@
 # Key that selects the hub of a zone by rendezvous hashing, as the names of
 # workers select their holders.
 _HUB = 'hub'
+# Suspect parts in the status of a zone.
+_MAX_SUSPECTS = 50
 # Own counters that are remembered, to subtract them from the sum of the zone.
 _MAX_OWN_COUNTERS = 32
 
@@ -55,6 +59,7 @@
     levels: Callable[[float], Counters] = lambda now: {}
     in_use: Callable[[], tuple[tuple[str, str, str], ...]] = tuple
     store_contact: Callable[[float], float] = lambda now: 0
+    suspects: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
 
@@ -67,6 +72,9 @@
     on_admitted: Callable[[str, Counters, float], None] | None = None
     on_levels: Callable[[Counters], None] | None = None
     on_store_contact: Callable[[float, float], None] = lambda seconds, now: None
+    on_suspects: Callable[[tuple[SuspectPart, ...], float], None] = (
+        lambda suspects, now: None
+    )
     on_adapter_use: (
         Callable[[str, tuple[tuple[str, str], ...]], None] | None
     ) = None
@@ -209,6 +217,7 @@
         self._statuses[status.instance] = status
         self._notify_digests(status.instance, status.digests)
         self.listeners.on_store_contact(status.store_contact, now)
+        self.listeners.on_suspects(status.suspects, now)
         if not self.uses_hubs:
             member = f'{status.instance}/{status.incarnation}'
             self._notify_admitted(member, status.admitted, now)
@@ -238,6 +247,7 @@
             if is_newer and member.asks_consent:
                 self._send_consent(member.instance, member.sent_at)
         self.listeners.on_store_contact(zone_status.store_contact, now)
+        self.listeners.on_suspects(zone_status.suspects, now)
         for instance, digest in zone_status.digests:
             if instance != self._instance:
                 self._notify_digests(instance, (digest,))
@@ -268,6 +278,7 @@
             levels=self.sources.levels(now),
             is_leaving=self.is_leaving,
             store_contact=self.sources.store_contact(now),
+            suspects=self.sources.suspects(now),
         )
 
     def _send_use_reports(self) -> None:
@@ -376,8 +387,21 @@
             admitted=self._zone_counters.total(),
             levels=_mean([each.levels for each in live.values()]),
             store_contact=max(each.store_contact for each in live.values()),
+            suspects=combine_reports(
+                (
+                    (report, self._delay(each.instance, now))
+                    for each in live.values()
+                    for report in each.suspects
+                ),
+                _MAX_SUSPECTS,
+            ),
         )
 
+    def _delay(self, member: str, now: float) -> float:
+        """Return the seconds since the last status of a member arrived."""
+        received = self.received.get(member)
+        return 0 if received is None else max(0, now - received.at)
+
     def _is_reachable_in_zone(self, member: str, now: float) -> bool:
         record = self._members.get(member)
         is_in_zone = record is not None and record.zone == self._zone
--- /dev/null
+++ b/mintlanding/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keep requests that crash engines away from them, by parts of the prompt."""
--- /dev/null
+++ b/mintlanding/quarantine/ledger.py
@@ -0,0 +1,316 @@
+"""Decide which part of a prompt crashes engines.
+
+A crash ends all requests on its engine, so that each crash alone has many
+suspects. The part that causes crashes is the one that recurs in them while no
+request with it is answered. Parts that other requests share are answered
+elsewhere meanwhile, which clears them.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from mintlanding.core.logs import Logger
+from mintlanding.quarantine.messages import EngineCrash, SuspectPart
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineOptions:
+    """When a part is quarantined and tried again; times in seconds.
+
+    `min_crashes`: crashes at different times that put a part into quarantine.
+    `min_answers`: responses without the part that this instance must have
+    passed on meanwhile, so that an outage of all engines is blamed on none.
+    `burst`: crashes within this time have a common cause and count as one.
+    `repeat_crashes`: crashes from which a request that was lost in one of them
+    is not repeated. `first_pause`: time after the last crash before one request
+    with a quarantined part is tried; each further crash doubles it, up to
+    `max_pause`. `trial_timeout`: time after which a trial without an outcome is
+    repeated. `memory`: time after which crashes without a quarantine are
+    forgotten; a quarantined part is forgotten after `forget_pauses` pauses
+    without a trial. `share_time`: time for which news about a part are sent.
+    """
+
+    min_crashes: int = 3
+    min_answers: int = 3
+    burst: float = 0.1
+    repeat_crashes: int = 2
+    first_pause: float = 20
+    max_pause: float = 3600
+    trial_timeout: float = 5
+    memory: float = 60
+    forget_pauses: int = 4
+    share_time: float = 5
+    max_parts: int = 500
+    max_shared_parts: int = 50
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """A part with the times of crashes, by the engine that crashed.
+
+    `answered_at` is the last complete response that any instance reports,
+    `own_answered_at` that of this instance.
+    """
+
+    position: int
+    answers_before: int
+    crashes: dict[str, float] = field(default_factory=dict)
+    answered_at: float = -math.inf
+    own_answered_at: float = -math.inf
+    is_quarantined: bool = False
+    trial_at: float = -math.inf
+
+    @property
+    def last_crash(self) -> float:
+        return max(self.crashes.values(), default=-math.inf)
+
+    @property
+    def last_news(self) -> float:
+        return max(self.last_crash, self.own_answered_at)
+
+    def unexplained(
+        self, explained: set[str], count: Callable[[Iterable[float]], int]
+    ) -> int:
+        """Return the number of crashes that no quarantined part explains."""
+        return count(
+            at for engine, at in self.crashes.items() if engine not in explained
+        )
+
+    def discard_answered(self) -> None:
+        """Drop the crashes after which a request with the part was answered."""
+        self.crashes = {
+            engine: at
+            for engine, at in self.crashes.items()
+            if at > self.answered_at
+        }
+
+
+class CrashLedger:
+    """Crashes by part of the prompt, and the parts in quarantine."""
+
+    def __init__(self, options: QuarantineOptions) -> None:
+        """Start without crashes."""
+        self.is_elected: Callable[[str], bool] = lambda part: True
+        self._options = options
+        self._suspects: dict[str, _Suspect] = {}
+        self._answers = 0
+        self._logger = Logger('quarantine')
+
+    def quarantined(self) -> tuple[str, ...]:
+        """Return the parts in quarantine."""
+        return tuple(
+            part
+            for part, suspect in self._suspects.items()
+            if suspect.is_quarantined
+        )
+
+    def record_crash(
+        self, engine: str, parts: Sequence[str], now: float
+    ) -> None:
+        """Record a crash under requests that were not answered yet.
+
+        `parts` are those of one prompt in their order, without the last.
+        """
+        for position, part in enumerate(parts):
+            suspect = self._suspect(part, position)
+            suspect.crashes.setdefault(engine, now)
+            suspect.discard_answered()
+        self._evaluate(now)
+
+    def record_answer(self, parts: Iterable[str], now: float) -> None:
+        """Record a complete response, which clears the parts of its prompt."""
+        self._answers += 1
+        for part in parts:
+            suspect = self._suspects.get(part)
+            if suspect is not None:
+                suspect.own_answered_at = now
+                self._clear(part, suspect, now)
+
+    def merge(self, reports: Iterable[SuspectPart], now: float) -> None:
+        """Add what another instance knows."""
+        for report in reports:
+            self._merge_part(report, now)
+        self._evaluate(now)
+
+    def reports(self, now: float) -> tuple[SuspectPart, ...]:
+        """Return quarantined parts and recent news for other instances."""
+        self._forget(now)
+        options = self._options
+        shared = [
+            (part, suspect)
+            for part, suspect in self._suspects.items()
+            if suspect.is_quarantined
+            or now < suspect.last_news + options.share_time
+        ]
+        shared.sort(
+            key=lambda each: (each[1].is_quarantined, len(each[1].crashes)),
+            reverse=True,
+        )
+        return tuple(
+            SuspectPart(
+                part,
+                suspect.position,
+                tuple(
+                    EngineCrash(engine, now - at)
+                    for engine, at in suspect.crashes.items()
+                ),
+                -1.0
+                if math.isinf(suspect.own_answered_at)
+                else now - suspect.own_answered_at,
+                suspect.is_quarantined,
+            )
+            for part, suspect in shared[: options.max_shared_parts]
+        )
+
+    def refusal(
+        self, parts: Iterable[str], now: float, *, is_repeat: bool = False
+    ) -> tuple[str, float]:
+        """Return the part for which a request is refused, and for how long.
+
+        The part is empty if the request may be sent. A repeat of a request
+        that was lost in a crash is refused earlier.
+        """
+        for part in parts:
+            suspect = self._suspects.get(part)
+            if suspect is None:
+                continue
+            crashes = self._count(suspect.crashes.values())
+            if suspect.is_quarantined and not self._may_try(part, suspect, now):
+                left = suspect.last_crash + self._pause(suspect) - now
+                return part, max(left, self._options.trial_timeout)
+            if is_repeat and crashes >= self._options.repeat_crashes:
+                return part, self._options.first_pause
+        return '', 0
+
+    def begin_trial(self, parts: Iterable[str], now: float) -> None:
+        """Record that a request is sent, maybe as the trial of a part."""
+        for part in parts:
+            suspect = self._suspects.get(part)
+            if suspect is not None and suspect.is_quarantined:
+                suspect.trial_at = now
+                self._logger.info('Part in quarantine tried.', part=part)
+
+    def _suspect(self, part: str, position: int) -> _Suspect:
+        suspect = self._suspects.get(part)
+        if suspect is None:
+            suspect = _Suspect(position, self._answers)
+            self._suspects[part] = suspect
+        return suspect
+
+    def _merge_part(self, report: SuspectPart, now: float) -> None:
+        if not report.crashes and report.part not in self._suspects:
+            return
+        suspect = self._suspect(report.part, report.position)
+        for crash in report.crashes:
+            # The shortest way of a report gives the time closest to the crash.
+            at = now - crash.age
+            suspect.crashes[crash.engine] = min(
+                at, suspect.crashes.get(crash.engine, at)
+            )
+        if report.answered_age >= 0:
+            self._clear(report.part, suspect, now - report.answered_age)
+        else:
+            suspect.discard_answered()
+        has_crashes = self._count(suspect.crashes.values())
+        if report.is_quarantined and has_crashes >= self._options.min_crashes:
+            self._quarantine(report.part, suspect)
+
+    def _clear(self, part: str, suspect: _Suspect, answered_at: float) -> None:
+        suspect.answered_at = max(suspect.answered_at, answered_at)
+        suspect.discard_answered()
+        if suspect.is_quarantined and not suspect.crashes:
+            suspect.is_quarantined = False
+            self._logger.info('Part released from quarantine.', part=part)
+
+    def _evaluate(self, now: float) -> None:
+        """Quarantine the parts that explain most crashes, one after another.
+
+        Of parts that explain the same crashes, the later one in the prompt is
+        taken, which fewer requests share.
+        """
+        explained = {
+            engine
+            for suspect in self._suspects.values()
+            if suspect.is_quarantined
+            for engine in suspect.crashes
+        }
+        while True:
+            ranked = [
+                (suspect.unexplained(explained, self._count), position, part)
+                for part, position, suspect in self._candidates()
+            ]
+            crashes, _, worst = max(ranked, default=(0, 0, ''))
+            if crashes < self._options.min_crashes:
+                return
+            self._quarantine(worst, self._suspects[worst])
+            explained |= self._suspects[worst].crashes.keys()
+
+    def _candidates(self) -> list[tuple[str, int, _Suspect]]:
+        return [
+            (part, suspect.position, suspect)
+            for part, suspect in self._suspects.items()
+            if self._may_be_blamed(suspect)
+        ]
+
+    def _may_be_blamed(self, suspect: _Suspect) -> bool:
+        answers = self._answers - suspect.answers_before
+        return (
+            not suspect.is_quarantined and answers >= self._options.min_answers
+        )
+
+    def _quarantine(self, part: str, suspect: _Suspect) -> None:
+        if suspect.is_quarantined:
+            return
+        suspect.is_quarantined = True
+        self._logger.warning(
+            'Part put into quarantine.',
+            part=part,
+            position=suspect.position,
+            crashes=len(suspect.crashes),
+            engines=sorted(suspect.crashes),
+            pause=self._pause(suspect),
+        )
+
+    def _count(self, times: Iterable[float]) -> int:
+        """Return the number of crashes, of which those of a burst are one."""
+        count = 0
+        last = -math.inf
+        for at in sorted(times):
+            if at > last + self._options.burst:
+                count += 1
+            last = at
+        return count
+
+    def _pause(self, suspect: _Suspect) -> float:
+        options = self._options
+        further = max(0, len(suspect.crashes) - options.min_crashes)
+        doubled = options.first_pause * 2.0 ** min(further, options.max_parts)
+        return min(options.max_pause, doubled)
+
+    def _may_try(self, part: str, suspect: _Suspect, now: float) -> bool:
+        return (
+            now >= suspect.last_crash + self._pause(suspect)
+            and now >= suspect.trial_at + self._options.trial_timeout
+            and self.is_elected(part)
+        )
+
+    def _forget(self, now: float) -> None:
+        for part, suspect in tuple(self._suspects.items()):
+            if now >= suspect.last_news + self._lifetime(suspect):
+                self._suspects.pop(part)
+                if suspect.is_quarantined:
+                    self._logger.info('Quarantine forgotten.', part=part)
+        by_age = sorted(
+            self._suspects, key=lambda name: self._suspects[name].last_news
+        )
+        for oldest in by_age[: -self._options.max_parts]:
+            self._suspects.pop(oldest)
+
+    def _lifetime(self, suspect: _Suspect) -> float:
+        options = self._options
+        if suspect.is_quarantined:
+            return max(
+                options.memory, options.forget_pauses * self._pause(suspect)
+            )
+        return options.memory if suspect.crashes else options.share_time
--- /dev/null
+++ b/mintlanding/quarantine/messages.py
@@ -0,0 +1,27 @@
+"""What instances tell each other about parts of prompts and crashes."""
+
+import msgspec
+
+
+class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of an engine, `age` seconds ago.
+
+    `engine` names the engine and its incarnation, which ends with the crash.
+    """
+
+    engine: str
+    age: float
+
+
+class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes under a part of a prompt, as known to the sender.
+
+    `answered_age` is for how many seconds the sender has had no complete
+    response to a request with the part, negative if it never had one.
+    """
+
+    part: str
+    position: int = 0
+    crashes: tuple[EngineCrash, ...] = ()
+    answered_age: float = -1.0
+    is_quarantined: bool = False
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -364,6 +364,7 @@
     (AttemptResult.lost, 'lost'),
     (AttemptResult.late, 'late'),
     (AttemptResult.broken, 'broken'),
+    (AttemptResult.quarantined, 'quarantined'),
     (traffic.RouteKind.safe, 'safe'),
     (traffic.RouteKind.unsafe, 'unsafe'),
     (traffic.RouteKind.stream, 'stream'),
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -22,6 +22,7 @@
 from mintlanding.node import view
 from mintlanding.peers import messages as peers
 from mintlanding.placement import messages as placement
+from mintlanding.quarantine import messages as quarantine
 from mintlanding.reports import burn
 from mintlanding.reports import messages as reports
 from mintlanding.residency import messages as residency
@@ -35,6 +36,7 @@
     'links': (links, 'msgpack'),
     'residency': (residency, 'msgpack'),
     'streams': (streams, 'msgpack'),
+    'quarantine': (quarantine, 'msgpack'),
     'limits': (limits, 'msgpack'),
     'membership': (membership, 'msgpack'),
     'members': (members, 'msgpack'),
@@ -88,6 +90,15 @@
         levels={'text-17': 18.5},
         is_leaving=True,
         store_contact=18.75,
+        suspects=(
+            quarantine.SuspectPart(
+                part='text-18',
+                position=119,
+                crashes=(quarantine.EngineCrash(engine='text-19', age=20.5),),
+                answered_age=21.5,
+                is_quarantined=True,
+            ),
+        ),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -128,6 +139,15 @@
         admitted={'text-38': 39.5},
         levels={'text-40': 41.5},
         store_contact=41.75,
+        suspects=(
+            quarantine.SuspectPart(
+                part='text-41',
+                position=142,
+                crashes=(quarantine.EngineCrash(engine='text-42', age=43.5),),
+                answered_age=44.5,
+                is_quarantined=True,
+            ),
+        ),
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
@@ -189,6 +209,14 @@
         elsewhere=True,
         reason='text-74',
     ),
+    'quarantine.EngineCrash': quarantine.EngineCrash(engine='text-1', age=2.5),
+    'quarantine.SuspectPart': quarantine.SuspectPart(
+        part='text-1',
+        position=2,
+        crashes=(quarantine.EngineCrash(engine='text-3', age=4.5),),
+        answered_age=5.5,
+        is_quarantined=True,
+    ),
     'streams.StreamOrigin': streams.StreamOrigin(
         request_id='text-1', service='text-2', build='text-3', attempt=4
     ),
