Keep quarantined parts in the store for instances that restart

Cause: members tell each other which parts crash engines, but if all of them are killed at once the next requests crash engines again before they have learned.

Change: the elected instance of a part writes a record with its crashes to the store and removes it when the quarantine ends. An instance that starts restores quarantines from the records.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -14,6 +14,7 @@
 from mintlanding.node.codec import Codec
 from mintlanding.node.membership import Membership
 from mintlanding.node.metrics import render_metrics
+from mintlanding.node.quarantine_records import QuarantineRecords
 from mintlanding.node.relay import Relay
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stewards import Stewards
@@ -75,6 +76,9 @@
         self.relay = Relay(
             cfg, self.view, self._admissions, self._origins, codec, rnd
         )
+        self._quarantine_records = QuarantineRecords(
+            store, self.view, self._membership, self.relay.crashes
+        )
         self._front = CallerServer.from_config(self.relay.handle, 'front')
         self._ready = CallerServer.from_config(self._answer_ready, 'ready')
         self._metrics = CallerServer.from_config(
@@ -177,6 +181,7 @@
         spawn(self._membership.run_claims())
         spawn(self._stewards.run())
         spawn(self._admissions.run())
+        spawn(self._quarantine_records.run())
         spawn(self._upkeep())
         self._is_ready = True
         self.application.logger.info('Ready.')
@@ -197,15 +202,22 @@
         self.view.remove_lapsed(now)
 
     def _changed(self, topic: str) -> None:
-        if topic == 'members':
-            self._membership.update_members()
-        elif topic == 'versions':
-            self._stewards.update_versions()
-        elif topic == 'config' and self.view.config is not None:
-            self._front.limits = self.view.config.limits
-            self.relay.log.configuration = self.view.config.version
-        elif topic == 'ownership':
-            self._stewards.update()
+        handlers = {
+            'config': self._apply_config,
+            'members': self._membership.update_members,
+            'ownership': self._stewards.update,
+            'quarantines': self._quarantine_records.restore,
+            'versions': self._stewards.update_versions,
+        }
+        handler = handlers.get(topic)
+        if handler is not None:
+            handler()
+
+    def _apply_config(self) -> None:
+        cfg = self.view.config
+        if cfg is not None:
+            self._front.limits = cfg.limits
+            self.relay.log.configuration = cfg.version
 
     def _charge(
         self,
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -9,6 +9,7 @@
 from mintlanding.coordination.store_contact import StoreContact
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
 from mintlanding.core.logs import Logger
+from mintlanding.quarantine.records import QuarantineRecord
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
 from mintlanding.residency.models import EngineReport
 from mintlanding.streams.builds import BuildHistory
@@ -24,6 +25,7 @@
 MEMBERS_PREFIX = 'mintlanding/member/'
 OWNERSHIP_PREFIX = 'mintlanding/hold/'
 FLEET_KEY = 'mintlanding/fleet-key'
+QUARANTINE_PREFIX = 'mintlanding/quarantine/'
 
 
 class Records(Protocol):
@@ -118,6 +120,8 @@
     versions: dict[tuple[str, str], NewestVersion] = field(default_factory=dict)
     members: dict[str, MemberRecord] = field(default_factory=dict)
     ownership: dict[str, OwnershipRecord] = field(default_factory=dict)
+    # Records of parts of prompts in quarantine.
+    quarantines: dict[str, QuarantineRecord] = field(default_factory=dict)
     fleet_key: bytes = b''
     as_of: int = 0
     fresh_at: float = float('-inf')
@@ -200,6 +204,12 @@
             each for each in self.members if MEMBERS_PREFIX + each not in keys
         ]:
             self._remove(MEMBERS_PREFIX + name, now)
+        for part in [
+            each
+            for each in self.quarantines
+            if QUARANTINE_PREFIX + each not in keys
+        ]:
+            self._remove(QUARANTINE_PREFIX + part, now)
         self.as_of = snapshot.revision
         self.fresh_at = now
 
@@ -262,6 +272,7 @@
             MEMBERS_PREFIX: self._put_member,
             OWNERSHIP_PREFIX: self._put_ownership,
             FLEET_KEY: self._put_fleet_key,
+            QUARANTINE_PREFIX: self._put_quarantine,
         }
         found = [each for each in handlers if item.key.startswith(each)]
         try:
@@ -333,6 +344,13 @@
     def _put_fleet_key(self, item: Item, now: float) -> None:
         self.fleet_key = item.content
 
+    def _put_quarantine(self, item: Item, now: float) -> None:
+        part = item.key.removeprefix(QUARANTINE_PREFIX)
+        self.quarantines[part] = msgspec.json.decode(
+            item.content, type=QuarantineRecord
+        )
+        self._notify('quarantines')
+
     def _put_ownership(self, item: Item, now: float) -> None:
         worker = item.key.removeprefix(OWNERSHIP_PREFIX)
         known = self.ownership.get(worker)
@@ -362,6 +380,8 @@
             if self.members.pop(name, None) is not None:
                 self.logger.info('Member removed.', member=name)
                 self._notify('members')
+        elif key.startswith(QUARANTINE_PREFIX):
+            self.quarantines.pop(key.removeprefix(QUARANTINE_PREFIX), None)
         elif key.startswith(OWNERSHIP_PREFIX):
             self.ownership.pop(key.removeprefix(OWNERSHIP_PREFIX), None)
 
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -584,6 +584,24 @@
     assert await ask_with_parts(crashing, SOUND, 40) == 200
 
 
+async def test_quarantine_outlasts_a_kill_of_all_instances(crashing):
+    for number in range(30):
+        if await ask_with_parts(crashing, CRASHING, number) == 503:
+            break
+        await ask_with_parts(crashing, SOUND, number)
+        await crashing.settle()
+    await asyncio.sleep(0.6)
+    before = crash_requests(crashing)
+    await crashing.kill_all()
+    for number in range(2):
+        await crashing.add_node(f'n{number}')
+    await crashing.settle()
+    for number in range(6):
+        assert await ask_with_parts(crashing, CRASHING, number) == 503
+    assert crash_requests(crashing) == before
+    assert await ask_with_parts(crashing, SOUND, 40) == 200
+
+
 async def test_invalid_entries_add_no_target(world):
     world.store.put('servers/torn', b'{"service":')
     world.store.put('servers/strange', encode({'service': 'engines'}))
--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -12,6 +12,10 @@
 
 from mintlanding.core.logs import Logger
 from mintlanding.quarantine.messages import EngineCrash, SuspectPart
+from mintlanding.quarantine.records import QuarantineRecord
+
+# Begins the names of engines whose crashes are only known by their number.
+_RECORDED = 'recorded/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +109,25 @@
             if suspect.is_quarantined
         )
 
+    def records(self) -> dict[str, QuarantineRecord]:
+        """Return a record of each part in quarantine, with own times."""
+        return {
+            part: QuarantineRecord(
+                suspect.position, len(suspect.crashes), suspect.last_crash
+            )
+            for part, suspect in self._suspects.items()
+            if suspect.is_quarantined
+        }
+
+    def restore(self, part: str, record: QuarantineRecord, at: float) -> None:
+        """Quarantine a part by its stored record; `at` is the last crash."""
+        suspect = self._suspect(part, record.position)
+        if at <= suspect.answered_at or suspect.is_quarantined:
+            return
+        for number in range(record.crashes - len(suspect.crashes)):
+            suspect.crashes[f'{_RECORDED}{number}'] = at
+        self._quarantine(part, suspect)
+
     def record_crash(
         self, engine: str, parts: Sequence[str], now: float
     ) -> None:
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -23,6 +23,7 @@
 from mintlanding.peers import messages as peers
 from mintlanding.placement import messages as placement
 from mintlanding.quarantine import messages as quarantine
+from mintlanding.quarantine import records as quarantine_records
 from mintlanding.reports import burn
 from mintlanding.reports import messages as reports
 from mintlanding.residency import messages as residency
@@ -37,6 +38,7 @@
     'residency': (residency, 'msgpack'),
     'streams': (streams, 'msgpack'),
     'quarantine': (quarantine, 'msgpack'),
+    'quarantine_records': (quarantine_records, 'json'),
     'limits': (limits, 'msgpack'),
     'membership': (membership, 'msgpack'),
     'members': (members, 'msgpack'),
@@ -217,6 +219,9 @@
         answered_age=5.5,
         is_quarantined=True,
     ),
+    'quarantine_records.QuarantineRecord': quarantine_records.QuarantineRecord(
+        position=1, crashes=2, last_crash=3.5
+    ),
     'streams.StreamOrigin': streams.StreamOrigin(
         request_id='text-1', service='text-2', build='text-3', attempt=4
     ),
