Bound what a server that never ends its response can make an instance hold

A target in trouble could end the process that all its callers use.

Change: a connection fails and closes after 64 KiB without any part of a body, after a body of 32 MiB that is read as a whole, and when a body takes four times the timeout of a chunk. Reading pauses while 256 KiB wait. The relay holds responses up to 1 MiB, so that a retry can replace them, and passes on the rest as it arrives, no faster than its caller reads and until the deadline.

Measured: the tests of endless heads and bodies fail or hang before and pass; those of http1, platform and node passed.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -28,6 +28,8 @@
 _MILLISECONDS = 1000
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = frozenset((204, 304))
+# Times the timeout of one chunk that a whole body may take.
+_BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
 
 
@@ -88,12 +90,16 @@
         if not self._is_busy:
             self.abort()
             return
+        self._unparsed += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except HttpParserError as exc:
             self._may_reuse = False
             if not self._is_complete:
                 self._fail(InvalidResponse(repr(exc)))
+        limit = self._options.header_bytes
+        if self._unparsed > limit and not self._is_complete:
+            self._reject(f'more than {limit} bytes contain no part of a body')
 
     def send(self, payload: bytes) -> None:
         """Start an exchange; raise RequestNotSent on a closed connection."""
@@ -121,14 +127,28 @@
             await self._wait(deadline)
         chunk = b''.join(self._chunks)
         self._chunks.clear()
+        self._buffered = 0
+        self._resume_reading()
         return chunk
 
     async def read_body(self, seconds: float) -> bytes:
-        """Return the rest of the body; each chunk may take `seconds`."""
-        parts: list[bytes] = []
-        while chunk := await self.read_chunk(seconds):
-            parts.append(chunk)
-        return b''.join(parts)
+        """Return the rest of the body; each chunk may take `seconds`.
+
+        Raise InvalidResponse for a body over the limit, and ResponseTimeout
+        for one that takes several times as long.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + _BODY_TIMEOUTS * seconds
+        body = bytearray()
+        while chunk := await self.read_chunk(min(seconds, end - loop.time())):
+            if loop.time() >= end:
+                raise ResponseTimeout('the body did not end in time')
+            body += chunk
+            if len(body) > self._options.body_bytes:
+                limit = self._options.body_bytes
+                self._reject(f'the body exceeds {limit} bytes')
+                self._raise_error()
+        return bytes(body)
 
     def finish(self, now: float) -> bool:
         """End the exchange; return whether the connection may be reused."""
@@ -142,6 +162,7 @@
             self.abort()
             return False
         self._is_busy = False
+        self._resume_reading()
         self.idle_until = now + self._idle_seconds()
         return True
 
@@ -166,13 +187,9 @@
         if self._is_complete or self._head is None:
             return
         self._header_bytes += len(name) + len(field)
-        if self._header_bytes > self._options.header_bytes:
-            self._fail(
-                InvalidResponse(
-                    'the response headers exceed '
-                    f'{self._options.header_bytes} bytes',
-                ),
-            )
+        limit = self._options.header_bytes
+        if self._header_bytes > limit:
+            self._reject(f'the response headers exceed {limit} bytes')
             return
         self._head.headers.append((name.lower(), field))
 
@@ -190,13 +207,19 @@
             and b'close' not in head.get(b'connection').lower()
         )
         self._has_head = True
+        self._unparsed = 0
         self._wake()
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        if not self._is_complete:
-            self._chunks.append(chunk)
-            self._wake()
+        if self._is_complete:
+            return
+        self._unparsed = 0
+        self._chunks.append(chunk)
+        self._buffered += len(chunk)
+        if self._buffered > self._options.buffer_bytes:
+            self._pause_reading()
+        self._wake()
 
     def on_message_complete(self) -> None:
         """Record the end of a final response."""
@@ -209,6 +232,9 @@
         self._head = None
         self._has_head = False
         self._header_bytes = 0
+        # Bytes received since the last part of a body.
+        self._unparsed = 0
+        self._buffered = 0
         self._chunks: deque[bytes] = deque()
         self._is_busy = False
         self._is_complete = False
@@ -225,6 +251,19 @@
             seconds = min(seconds, int(digits))
         return max(0, seconds - self._options.idle_margin)
 
+    def _reject(self, reason: str) -> None:
+        """Fail the exchange and close, since the server may never end."""
+        self._fail(InvalidResponse(reason))
+        self.abort()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and self._transport.is_reading():
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.is_open and self._transport is not None:
+            self._transport.resume_reading()
+
     def _fail(self, error: ResponseLost) -> None:
         if self._error is None:
             self._error = error
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -27,6 +27,9 @@
     `idle_timeout` applies unless the server declares one; a connection is
     closed `idle_margin` before the server would close it. `user_timeout`
     bounds how long sent bytes may stay unacknowledged by the peer's kernel.
+    `header_bytes` also bounds what is received without any part of a body,
+    `body_bytes` a body that is read as a whole. The server is slowed down while
+    `buffer_bytes` of a body wait to be read.
     """
 
     connect_timeout: float = 0.5
@@ -34,6 +37,8 @@
     idle_margin: float = 1
     user_timeout: float = 1.5
     header_bytes: int = 65536
+    body_bytes: int = 32 << 20
+    buffer_bytes: int = 256 << 10
 
 
 class BodyFraming(StrEnum):
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -176,3 +176,114 @@
     pool = ConnectionPool(ClientOptions())
     with pytest.raises(RequestNotSent):
         await pool.acquire(('127.0.0.1', 1))
+
+
+class EndlessPeer:
+    """A server that sends the same bytes again until the client closes."""
+
+    def __init__(self, start, repeated):
+        self.start = start
+        self.repeated = repeated
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.address = self.server.sockets[0].getsockname()
+        options = ClientOptions(header_bytes=4096, body_bytes=1 << 20)
+        self.pool = ConnectionPool(options)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.pool.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        await reader.read(4096)
+        writer.write(self.start)
+        try:
+            while True:
+                writer.write(self.repeated)
+                self.sent += len(self.repeated)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.closed.set()
+
+    async def send(self):
+        conn = await self.pool.acquire(self.address)
+        conn.send(REQUEST)
+        return conn
+
+
+OK = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 ', b'O' * 1000),
+        (OK + b'X-Long: ', b'x' * 1000),
+        (OK, b'X-Many: 1\r\n' * 100),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 50),
+    ],
+    ids=['status line', 'header', 'headers', 'interim responses'],
+)
+async def test_endless_head_is_cut_off(start, repeated):
+    async with EndlessPeer(start, repeated) as peer:
+        conn = await peer.send()
+        with pytest.raises(InvalidResponse):
+            await conn.read_head(5)
+        await asyncio.wait_for(peer.closed.wait(), 5)
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (CHUNKED + b'5;', b'x' * 1000),
+        (CHUNKED, b'3e8\r\n' + b'x' * 1000 + b'\r\n'),
+        (CHUNKED + b'fffffffffff\r\n', b'x' * 1000),
+        (OK + b'\r\n', b'x' * 1000),
+    ],
+    ids=['chunk extension', 'chunks', 'chunk', 'body until close'],
+)
+async def test_endless_body_is_cut_off(start, repeated):
+    async with EndlessPeer(start, repeated) as peer:
+        conn = await peer.send()
+        await conn.read_head(5)
+        with pytest.raises(InvalidResponse):
+            await conn.read_body(5)
+        await asyncio.wait_for(peer.closed.wait(), 5)
+
+
+async def test_server_is_slowed_down_while_received_bytes_wait():
+    async with EndlessPeer(OK + b'\r\n', b'x' * 65536) as peer:
+        conn = await peer.send()
+        await conn.read_head(5)
+        sent = -1
+        # The buffers of the kernel take several megabytes on loopback.
+        while sent != peer.sent:
+            sent = peer.sent
+            await asyncio.sleep(0.2)
+        assert len(await conn.read_chunk(5)) < 1 << 20
+        assert await conn.read_chunk(5)
+        conn.abort()
+
+
+async def test_body_that_trickles_in_ends_in_a_timeout():
+    async with EndlessPeer(OK + b'\r\n', b'x') as peer:
+        conn = await peer.send()
+        await conn.read_head(5)
+        with pytest.raises((ResponseTimeout, InvalidResponse)):
+            async with asyncio.timeout(5):
+                await conn.read_body(0.1)
+
+
+async def test_connection_is_reused_after_a_paused_body():
+    large = b'x' * (1 << 20)
+    response = OK + b'Content-Length: %d\r\n\r\n' % len(large) + large
+    async with Peer(response, COMPLETE) as peer:
+        assert await peer.call(seconds=5) == (200, large)
+        assert await peer.call() == (200, b'ok')
+        assert peer.connections == 1
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -4,7 +4,11 @@
 import random
 from collections import Counter
 
-from mintlanding.core.exceptions import RequestNotSent, ResponseLost
+from mintlanding.core.exceptions import (
+    RequestNotSent,
+    ResponseLost,
+    ResponseTimeout,
+)
 from mintlanding.http1.client import ClientConnection, ConnectionPool
 from mintlanding.http1.models import ResponseHead
 from mintlanding.http1.server import CallerRequest
@@ -683,7 +687,7 @@
             plan.runs -= 1
             plan.is_sent = plan.runs > 0
             plan.reason = f'{target.target}: not run, {response.status}'
-            await self._read_body(conn, plan)
+            await self._hold_body(conn, plan)
             is_other = response.target not in {'', target.target}
             if is_other:
                 return AttemptResult.not_sent
@@ -695,7 +699,11 @@
         is_stream = plan.route.kind is RouteKind.stream and response.is_success
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
-        body = await self._read_body(conn, plan)
+        if response.is_success and not response.is_signed:
+            raise ResponseLost('the response has no signature')
+        body, is_whole = await self._hold_body(conn, plan)
+        if not is_whole:
+            return await self._pass_body(plan, conn, head, body)
         is_repeatable = plan.route.is_idempotent and not response.is_success
         if is_repeatable and plan.runs < plan.route.attempts:
             if self.budget.take(plan.service.name, now):
@@ -707,20 +715,50 @@
                     body,
                 )
                 return AttemptResult.failed
-        if response.is_success and not response.is_signed:
-            raise ResponseLost('the response has no signature')
         if response.is_success:
             self.crashes.record_answer(plan.shared_parts, boot_seconds())
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
-    async def _read_body(
+    async def _hold_body(
         self, conn: ClientConnection, plan: RequestPlan
-    ) -> bytes:
-        parts: list[bytes] = []
+    ) -> tuple[bytes, bool]:
+        """Return the body and true, or the start of one too large to hold."""
+        body = bytearray()
         while chunk := await conn.read_chunk(max(0.001, self._time_left(plan))):
-            parts.append(chunk)
-        return b''.join(parts)
+            body += chunk
+            self._check_time(plan)
+            if len(body) > self._cfg.relay.held_bytes:
+                return bytes(body), False
+        return bytes(body), True
+
+    async def _pass_body(
+        self,
+        plan: RequestPlan,
+        conn: ClientConnection,
+        head: ResponseHead,
+        start: bytes,
+    ) -> AttemptResult:
+        """Pass on a large body, whose start has been read, as it arrives."""
+        req = plan.req
+        req.begin(head.status, self._codec.response_headers(head))
+        try:
+            chunk = start
+            while chunk:
+                req.write(chunk)
+                await req.conn.drain()
+                self._check_time(plan)
+                chunk = await conn.read_chunk(self._time_left(plan))
+        except ResponseLost as exc:
+            plan.reason = f'{plan.target}: body interrupted: {exc}'
+            self.target_table.failed(plan.target, self._now())
+            return AttemptResult.broken
+        req.end()
+        return AttemptResult.done
+
+    def _check_time(self, plan: RequestPlan) -> None:
+        if self._time_left(plan) <= 0:
+            raise ResponseTimeout('the body did not end before the deadline')
 
     async def _pass_stream(
         self,
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -54,7 +54,9 @@
     without an event for this many objectives is restarted at another target.
     `retry_after`: default delay after which a caller should retry;
     `isolated_retry_after`: the same from an instance that reaches at most half
-    of the members, since another instance can serve at once.
+    of the members, since another instance can serve at once. `held_bytes`: a
+    response is held up to this size, so that it can still be replaced by that
+    of a retry; the rest is passed on as it arrives.
     """
 
     max_wait_share: float = 0.9
@@ -65,6 +67,7 @@
     first_event_factor: float = 1.5
     retry_after: float = 0.5
     isolated_retry_after: float = 0.06
+    held_bytes: int = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -197,6 +197,8 @@
     # Responses have neither length nor chunks and end with the connection.
     unframed: bool = False
     mute: bool = False
+    # Bodies of plain responses and reports never end.
+    endless: bool = False
     conflicts: int = 0
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
@@ -225,6 +227,8 @@
     arrivals: int = 0
     orders_taken: int = 0
     left: int = 0
+    # Bytes of endless bodies that were sent.
+    endless_bytes: int = 0
     crashes: int = 0
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
@@ -281,6 +285,8 @@
             self._order(req)
             return
         if req.target == b'/v1/report':
+            if self.faults.endless:
+                await self._send_endless(req, [])
             self._report(req)
             return
         await self._run(req)
@@ -337,12 +343,18 @@
         except asyncio.CancelledError:
             self.left += 1
             raise
+        await self._respond(req, headers, is_crashing)
+
+    async def _respond(self, req, headers, is_crashing):
+        faults = self.faults
         if faults.fail:
             faults.fail -= 1
             req.respond(500, headers, b'failed')
         elif faults.lose_answers:
             faults.lose_answers -= 1
             req.abort()
+        elif faults.endless:
+            await self._send_endless(req, headers)
         elif is_crashing:
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
@@ -352,6 +364,14 @@
         else:
             req.respond(200, headers, b'done ' + req.body)
 
+    async def _send_endless(self, req, headers):
+        req.begin(200, headers)
+        while True:
+            req.write(b'x' * 65536)
+            self.endless_bytes += 65536
+            await req.conn.drain()
+            await asyncio.sleep(0)
+
     async def _stream(self, req, headers):
         first = int(req.get(b'last-event-id') or b'0')
         headers = [(b'content-type', b'text/event-stream'), *headers]
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -533,6 +533,43 @@
     assert (await world.ask(LOOKUP, method=b'GET', body=b''))[0] == 404
 
 
+async def test_endless_body_is_neither_held_nor_complete(world):
+    for target in world.plain:
+        target.faults.endless = True
+    reader, writer = await world.connect()
+    writer.write(world.raw(ORDER))
+    # The caller does not read, and the body is passed on no faster.
+    await asyncio.sleep(1)
+    sent = sum(each.endless_bytes for each in world.plain)
+    assert sent < 40 << 20
+    received = await asyncio.wait_for(reader.read(), 5)
+    assert b'200' in received[:20]
+    assert not received.endswith(b'\r\n0\r\n\r\n')
+    writer.close()
+    await asyncio.sleep(0.3)
+    sent = sum(each.endless_bytes for each in world.plain)
+    await asyncio.sleep(0.3)
+    assert sum(each.endless_bytes for each in world.plain) == sent
+
+
+async def test_large_body_is_passed_on_whole(world):
+    large = b'x' * (3 << 20)
+    status, _, body = await world.ask(ORDER, body=large)
+    assert status == 200
+    assert body == b'done ' + large
+
+
+async def test_engine_whose_report_never_ends_is_still_served(world):
+    for engine in world.engines:
+        engine.faults.endless = True
+    node = world.nodes[0]
+    (target,) = [t for n, t in node.view.targets.items() if n == 'e1']
+    assert await node._stewards.fetch_report(target) is None
+    for engine in world.engines:
+        engine.faults.endless = False
+    assert (await world.ask(LIVE))[0] == 200
+
+
 CRASHING = b'X-Prompt-Prefix: aa01:60,bad1:30,%x:10'
 SOUND = b'X-Prompt-Prefix: aa01:60,cc02:30,%x:10'
 
