Repeat lost requests whose crashes a quarantined part explains

Cause: a request that was lost in a crash is not repeated when one of its parts has been in two. Crashes that a part in quarantine explains were counted as well, so that sound requests would not be repeated after it. A failed write of a quarantine's record was tried again four times a second.

Change: only unexplained crashes count; failed writes wait for 2 s; a gauge counts quarantined parts.

--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -17,6 +17,8 @@
     reachable, members = membership.reach(boot_seconds())
     lines.append(f'mintlanding_members {members}')
     lines.append(f'mintlanding_members_heard {reachable}')
+    quarantined = len(relay.crashes.quarantined())
+    lines.append(f'mintlanding_quarantined_parts {quarantined}')
     for worker, steward in sorted(stewards.stewards.items()):
         label = f'{{worker="{worker}"}}'
         counters = steward.counters
--- a/mintlanding/node/quarantine_records.py
+++ b/mintlanding/node/quarantine_records.py
@@ -24,6 +24,8 @@
 
 # Seconds between comparisons of the ledger with the records.
 _INTERVAL_SECONDS = 0.25
+# Seconds after a failed write, while members know of the quarantine anyway.
+_BACKOFF_SECONDS = 2
 
 
 class QuarantineRecords:
@@ -64,6 +66,7 @@
                 self._logger.warning(
                     'Quarantine not recorded.', reason=str(exc)
                 )
+                await asyncio.sleep(_BACKOFF_SECONDS)
 
     def _changes(self) -> Transaction | None:
         """Return the writes and deletions that are due, None for none."""
--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -198,11 +198,10 @@
             suspect = self._suspects.get(part)
             if suspect is None:
                 continue
-            crashes = self._count(suspect.crashes.values())
             if suspect.is_quarantined and not self._may_try(part, suspect, now):
                 left = suspect.last_crash + self._pause(suspect) - now
                 return part, max(left, self._options.trial_timeout)
-            if is_repeat and crashes >= self._options.repeat_crashes:
+            if is_repeat and self._is_suspicious(suspect):
                 return part, self._options.first_pause
         return '', 0
 
@@ -252,12 +251,7 @@
         Of parts that explain the same crashes, the later one in the prompt is
         taken, which fewer requests share.
         """
-        explained = {
-            engine
-            for suspect in self._suspects.values()
-            if suspect.is_quarantined
-            for engine in suspect.crashes
-        }
+        explained = self._explained()
         while True:
             ranked = [
                 (suspect.unexplained(explained, self._count), position, part)
@@ -269,6 +263,19 @@
             self._quarantine(worst, self._suspects[worst])
             explained |= self._suspects[worst].crashes.keys()
 
+    def _explained(self) -> set[str]:
+        """Return the crashes for which a part is in quarantine."""
+        return {
+            engine
+            for suspect in self._suspects.values()
+            if suspect.is_quarantined
+            for engine in suspect.crashes
+        }
+
+    def _is_suspicious(self, suspect: _Suspect) -> bool:
+        crashes = suspect.unexplained(self._explained(), self._count)
+        return crashes >= self._options.repeat_crashes
+
     def _candidates(self) -> list[tuple[str, int, _Suspect]]:
         return [
             (part, suspect.position, suspect)
--- a/mintlanding/quarantine/tests/test_ledger.py
+++ b/mintlanding/quarantine/tests/test_ledger.py
@@ -131,6 +131,15 @@
     assert ledger.refusal(('bad',), 2.5) == ('', 0)
 
 
+def test_crashes_by_a_quarantined_part_let_others_be_repeated():
+    ledger = CrashLedger(OPTIONS)
+    crashed(ledger, (1,), ('bad',))
+    answered(ledger, ('other',), 1.5)
+    crashed(ledger, (2, 3), ('bad',), ('rare',), first=1)
+    assert ledger.quarantined() == ('bad',)
+    assert ledger.refusal(('rare',), 3.5, is_repeat=True) == ('', 0)
+
+
 def test_instance_without_traffic_adopts_a_quarantine():
     ledger = quarantine_of_bad()
     other = CrashLedger(OPTIONS)
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -926,6 +926,7 @@
     'mintlanding_connections_opened_total 9',
     'mintlanding_members 11',
     'mintlanding_members_heard 10',
+    'mintlanding_quarantined_parts 1',
     'mintlanding_worker_running{worker="i-7f"} 7',
     'mintlanding_worker_queued{worker="i-7f"} 8',
     'mintlanding_worker_grants_total{worker="i-7f"} 3',
@@ -953,7 +954,11 @@
     # A stub with the attributes of a running instance that are read.
     steward = types.SimpleNamespace(running=7, queue=[1] * 8, counters=counters)
     return render_metrics(
-        types.SimpleNamespace(log=log, opened=9),
+        types.SimpleNamespace(
+            log=log,
+            opened=9,
+            crashes=types.SimpleNamespace(quarantined=lambda: ('part',)),
+        ),
         types.SimpleNamespace(stewards={'i-7f': steward}),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
     )
