Forward the removal of a target that the reader keeps for a while

Cause: requests reached targets that had left for as long as they ran. A reader forwards changes to its zone except those of a target's adapters only. After an outage it keeps targets whose entries are missing; the target was the same before and after, so that the removal was not forwarded, and the other members of the zone kept the target for good.

Change: a removal always counts as a change.

--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -10,6 +10,7 @@
     Item,
     Snapshot,
 )
+from mintlanding.node.clock import boot_seconds
 from mintlanding.node.settings import FleetOptions
 from mintlanding.node.store_watcher import StoreWatcher
 from mintlanding.node.view import OWNERSHIP_PREFIX, FleetView, OwnershipEntry
@@ -104,3 +105,20 @@
     view.store_contact.record_member(300, 100.2)
     view.remove_lapsed(100.2)
     assert set(view.targets) == {'w1'}
+
+
+async def test_removal_is_forwarded_while_the_target_is_kept():
+    # The reader returns from an outage and keeps the target for a while; the
+    # other member was in contact and must not keep it for good.
+    removal = Change(records.TARGETS_PREFIX + 'w1', 6)
+    reader, other = watcher(FakeStore(removal)), watcher(FakeStore())
+    for each in (reader, other):
+        each._view.lapse_grace = 60
+        each._view.apply(
+            Change(records.TARGETS_PREFIX + 'w1', 5, target_item('w1', 5)),
+            boot_seconds(),
+        )
+    reader.forward = other.apply_update
+    await reader._read_changes()
+    assert reader._view.lapsed == {'w1'}
+    assert other._view.lapsed == {'w1'}
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -222,7 +222,8 @@
         """Apply a change; return false if only a target's adapters changed.
 
         Those are reported by the target's steward, or by the target itself on
-        request.
+        request. A removal counts as a change also where the target is kept for
+        a while, since other members need not keep it.
         """
         name = change.key.removeprefix(self.records.TARGETS_PREFIX)
         before = self.targets.get(name)
@@ -231,7 +232,7 @@
         else:
             self._put(change.item, now)
         after = self.targets.get(name)
-        if before is None or after is None:
+        if change.item is None or before is None or after is None:
             return True
         return _without_adapters(before) != _without_adapters(after)
 
