Let the soak play leaving targets in partitions and crashing prompts

Change: a store proxy for each instance; faults "store away for one" (a plain target leaves meanwhile), "part crashes engines" and "report without end"; the leaving target stays away longer. Two checks with the users' bounds: no request reaches a target later than 2 s after it has left, and at most three with a part reach engines 3 s after five crashes, each by instances that nothing disrupted for 3 s. A target that has left is no longer registered by another fault.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -197,8 +197,9 @@
     # Responses have neither length nor chunks and end with the connection.
     unframed: bool = False
     mute: bool = False
-    # Bodies of plain responses and reports never end.
+    # Bodies of plain responses, or those of reports, never end.
     endless: bool = False
+    endless_reports: bool = False
     conflicts: int = 0
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
@@ -230,6 +231,7 @@
     # Bytes of endless bodies that were sent.
     endless_bytes: int = 0
     crashes: int = 0
+    is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
     on_restart: Callable[['TargetStandin'], None] = lambda target: None
@@ -248,6 +250,9 @@
 
     async def crash(self):
         """Close everything and lose all state; start again a while later."""
+        if self.is_down:
+            return
+        self.is_down = True
         port = self.server.port
         self.server.stop()
         self.crashes += 1
@@ -255,6 +260,7 @@
         self.adapters.clear()
         self.orders_taken = 0
         await self.server.start('127.0.0.1', port)
+        self.is_down = False
         self.on_restart(self)
 
     @property
@@ -285,7 +291,7 @@
             self._order(req)
             return
         if req.target == b'/v1/report':
-            if self.faults.endless:
+            if self.faults.endless_reports:
                 await self._send_endless(req, [])
             self._report(req)
             return
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -561,12 +561,12 @@
 
 async def test_engine_whose_report_never_ends_is_still_served(world):
     for engine in world.engines:
-        engine.faults.endless = True
+        engine.faults.endless_reports = True
     node = world.nodes[0]
     (target,) = [t for n, t in node.view.targets.items() if n == 'e1']
     assert await node._stewards.fetch_report(target) is None
     for engine in world.engines:
-        engine.faults.endless = False
+        engine.faults.endless_reports = False
     assert (await world.ask(LIVE))[0] == 200
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,8 @@
 }
 EVENTS = 3
 PAUSE_SECONDS = 0.03
+# Share of requests that crash engines, while there are any.
+CRASHING_SHARE = 0.15
 RESPONSE_SECONDS = 8
 # Statuses that state that the request has not run and never will.
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
@@ -35,6 +37,8 @@
     world: object
     rnd: random.Random
     outcomes: list = field(default_factory=list)
+    # Instance that each request was sent to.
+    sent_to: dict = field(default_factory=dict)
     sent: int = 0
     is_stopped: bool = False
 
@@ -53,6 +57,9 @@
 
     async def _send_until_stopped(self):
         while not self.is_stopped:
+            if self.world.crash_part and self.rnd.random() < CRASHING_SHARE:
+                await self._send_crashing()
+                continue
             kind = self.rnd.choice(list(ROUTES))
             instance = self.rnd.choice(self.world.instances)
             outcome = await self._send_request(kind, instance)
@@ -61,6 +68,19 @@
             self.outcomes.append(outcome)
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _send_crashing(self):
+        """Send a request that crashes engines; its outcome is not judged."""
+        prefix = b'X-Prompt-Prefix: aa01:60,%b:30,%x:10' % (
+            self.world.crash_part,
+            self.sent,
+        )
+        await self._send_request(
+            self.rnd.choice(('live', 'batch')),
+            self.rnd.choice(self.world.instances),
+            (prefix,),
+        )
+        await asyncio.sleep(PAUSE_SECONDS)
+
     async def _resume(self, broken):
         """Resume a broken stream once, at any instance."""
         events, separator, _ = broken.body.rpartition(b'\n\n')
@@ -80,6 +100,11 @@
     async def _send_request(self, kind, instance, extra=()):
         self.sent += 1
         request = f'r{self.sent}'
+        self.sent_to[request] = instance
+        if not any(line.startswith(b'X-Prompt-Prefix') for line in extra):
+            part = self.rnd.randrange(20)
+            prefix = b'X-Prompt-Prefix: aa01:60,cc%02d:30,%x:10'
+            extra = (*extra, prefix % (part, self.sent))
         try:
             async with asyncio.timeout(RESPONSE_SECONDS):
                 reader, writer = await asyncio.open_connection(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,10 +3,16 @@
 from collections import Counter
 
 from soak.callers import EVENTS, REFUSAL_STATUSES
-from soak.world import BUILDS
+from soak.world import BUILDS, CONTACT_SECONDS
 
 # Time between orders of two holders of an engine that the users require.
 MIN_HANDOVER_SECONDS = 3.0
+# Time after leaving in which requests may still reach a target.
+DRAIN_SECONDS = 2.0
+# Crashes under a part of a prompt after which requests with it must end, and
+# how many may still reach engines.
+KNOWN_CRASHES = 5
+MAX_LATE_REQUESTS = 3
 
 
 def find_broken_promises(world, callers):
@@ -17,6 +23,8 @@
         *_find_false_refusals(callers, runs),
         *_find_wrong_responses(callers),
         *_find_overlapping_orders(world),
+        *_find_requests_after_leaving(world, callers),
+        *_find_requests_that_crash_engines(world, callers),
         *_find_unexpected_exits(world),
     ]
 
@@ -82,3 +90,42 @@
                 gap = at - max(others)
                 yield f'{engine.name}: {holder} ordered {gap:.2f} s after another'
             last[holder] = at
+
+
+def _find_requests_after_leaving(world, callers):
+    for target in world.targets:
+        ran = {run[0] for run in target.runs}
+        for at, request, _ in target.requests:
+            instance = callers.sent_to.get(request)
+            for left, returned in target.absences:
+                is_late = left + DRAIN_SECONDS < at < returned
+                if (
+                    is_late
+                    and request in ran
+                    and world.is_in_touch(instance, at)
+                ):
+                    yield (
+                        f'{request} reached {target.name} {at - left:.2f} s '
+                        f'after it had left, from {instance.name}'
+                    )
+
+
+def _find_requests_that_crash_engines(world, callers):
+    crashes = {}
+    for engine in world.engines:
+        for at, part in engine.crash_times:
+            crashes.setdefault(part, []).append(at)
+    for part, times in crashes.items():
+        if len(times) < KNOWN_CRASHES:
+            continue
+        known_at = sorted(times)[KNOWN_CRASHES - 1] + CONTACT_SECONDS
+        late = [
+            request
+            for engine in world.engines
+            for at, request, parts in engine.requests
+            if part in parts
+            and at > known_at
+            and world.is_in_touch(callers.sent_to.get(request), at)
+        ]
+        if len(late) > MAX_LATE_REQUESTS:
+            yield f'{len(late)} requests with {part} after {len(times)} crashes'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,28 +17,34 @@
 @FAULTS.register('kill')
 async def kill(world, rnd):
     """Kill an instance and start it again."""
-    await rnd.choice(world.instances).restart(signal.SIGKILL, rnd.random() * 3)
+    instance = rnd.choice(world.instances)
+    with world.disruption(instance):
+        await instance.restart(signal.SIGKILL, rnd.random() * 3)
 
 
 @FAULTS.register('kill all')
 async def kill_all(world, rnd):
     """Kill all instances at once and start them again."""
-    await asyncio.gather(
-        *(each.restart(signal.SIGKILL, 0.3) for each in world.instances),
-    )
+    with world.disruption():
+        await asyncio.gather(
+            *(each.restart(signal.SIGKILL, 0.3) for each in world.instances),
+        )
 
 
 @FAULTS.register('replace in turn')
 async def replace(world, rnd):
     """Restart two instances one after the other, as in planned maintenance."""
     for instance in rnd.sample(world.instances, 2):
-        await instance.restart(signal.SIGTERM, 0.1)
+        with world.disruption(instance):
+            await instance.restart(signal.SIGTERM, 0.1)
 
 
 @FAULTS.register('freeze')
 async def freeze(world, rnd):
     """Suspend an instance, sometimes for longer than its lease."""
-    await rnd.choice(world.instances).freeze(rnd.uniform(0.5, 6))
+    instance = rnd.choice(world.instances)
+    with world.disruption(instance):
+        await instance.freeze(rnd.uniform(0.5, 6))
 
 
 @FAULTS.register('reload')
@@ -54,26 +60,45 @@
 async def disrupt_store(world, rnd):
     """Refuse, drop or delay all calls to the store, or drop its responses."""
     modes = (Mode.refusing, Mode.silent, Mode.delaying, Mode.one_way)
-    world.store_proxy.mode = rnd.choice(modes)
-    world.store_proxy.reset()
-    await asyncio.sleep(rnd.uniform(1, 6))
-    world.store_proxy.mode = Mode.passing
-    world.store_proxy.reset()
+    with world.disruption():
+        await _disrupt(
+            [each.store_proxy for each in world.instances],
+            rnd.choice(modes),
+            rnd.uniform(1, 6),
+        )
+
+
+@FAULTS.register('store away for one')
+async def cut_off_from_store(world, rnd):
+    """Partition an instance from the store while a plain target leaves."""
+    instance = rnd.choice(world.instances)
+    target = rnd.choice(world.plain)
+    mode = rnd.choice((Mode.refusing, Mode.silent))
+    with world.disruption(instance):
+        cut = asyncio.create_task(_disrupt([instance.store_proxy], mode, 4))
+        await asyncio.sleep(2.5)
+        begin_absence(world, target)
+        world.store.remove(f'servers/{target.name}')
+        await cut
+    await asyncio.sleep(5)
+    end_absence(world, target)
 
 
 @FAULTS.register('answers of the store lost')
 async def lose_store_responses(world, rnd):
     """Apply some writes and drop their responses."""
-    world.store.faults.lose_answers = rnd.randrange(1, 6)
+    with world.disruption():
+        world.store.faults.lose_answers = rnd.randrange(1, 6)
 
 
 @FAULTS.register('history lost')
 async def lose_history(world, rnd):
     """Change the configuration and compact the history of the store."""
-    world.configure()
-    world.store.faults.oldest_revision = world.store.revision
-    await asyncio.sleep(2)
-    world.store.faults.oldest_revision = 0
+    with world.disruption():
+        world.configure()
+        world.store.faults.oldest_revision = world.store.revision
+        await asyncio.sleep(2)
+        world.store.faults.oldest_revision = 0
 
 
 @FAULTS.register('configurations')
@@ -88,18 +113,17 @@
 async def disrupt_target(world, rnd):
     """Refuse or drop all traffic of a target, or drop its responses."""
     proxy = rnd.choice(world.targets).proxy
-    proxy.mode = rnd.choice((Mode.refusing, Mode.silent, Mode.one_way))
-    proxy.reset()
-    await asyncio.sleep(rnd.uniform(0.5, 4))
-    proxy.mode = Mode.passing
-    proxy.reset()
+    mode = rnd.choice((Mode.refusing, Mode.silent, Mode.one_way))
+    with world.disruption():
+        await _disrupt([proxy], mode, rnd.uniform(0.5, 4))
 
 
 @FAULTS.register('connections reset')
 async def reset_connections(world, rnd):
     """Reset the open connections of all targets."""
-    for target in world.targets:
-        target.proxy.reset()
+    with world.disruption():
+        for target in world.targets:
+            target.proxy.reset()
 
 
 @FAULTS.register('answers of targets lost')
@@ -139,8 +163,52 @@
     """Drain a target, remove its entry and bring it back."""
     target = rnd.choice(world.targets)
     key = f'servers/{target.name}'
+    begin_absence(world, target)
     world.store.put(key, target.entry('draining'))
     await asyncio.sleep(1)
     world.store.remove(key)
-    await asyncio.sleep(1)
-    world.store.put(key, target.entry())
+    await asyncio.sleep(2.5)
+    end_absence(world, target)
+
+
+@FAULTS.register('part crashes engines')
+async def crash_engines(world, rnd):
+    """Let engines crash under a part of a prompt for a while."""
+    if world.crash_part:
+        return
+    world.crash_part = b'bad%x' % rnd.getrandbits(32)
+    for engine in world.engines:
+        engine.faults.crash_part = world.crash_part
+    await asyncio.sleep(rnd.uniform(6, 12))
+    world.crash_part = b''
+
+
+@FAULTS.register('report without end')
+async def send_endless_reports(world, rnd):
+    """Answer requests for an engine's report with a body without end."""
+    engine = rnd.choice(world.engines)
+    engine.faults.endless_reports = True
+    await asyncio.sleep(rnd.uniform(1, 3))
+    engine.faults.endless_reports = False
+
+
+async def _disrupt(proxies, mode, seconds):
+    for proxy in proxies:
+        proxy.mode = mode
+        proxy.reset()
+    await asyncio.sleep(seconds)
+    for proxy in proxies:
+        proxy.mode = Mode.passing
+        proxy.reset()
+
+
+def begin_absence(world, target):
+    """Record that a target leaves; several faults may overlap."""
+    target.absences.append([time.monotonic(), float('inf')])
+
+
+def end_absence(world, target):
+    """Register a target again and end all its absences."""
+    for absence in target.absences:
+        absence[1] = min(absence[1], time.monotonic())
+    world.register(target)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -31,10 +31,21 @@
 
     async def start(self):
         """Listen on a free port of the loopback interface."""
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        await self.listen(0)
         self.address = self._server.sockets[0].getsockname()
         return self
 
+    async def listen(self, port):
+        """Accept connections on a port, 0 for a free one."""
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', port
+        )
+
+    def refuse(self):
+        """Refuse connections, as after the end of a process."""
+        self._server.close()
+        self.reset()
+
     def reset(self):
         """Abort all open connections."""
         for writer in tuple(self._writers):
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from mintlanding.platform.tests.samples import CONFIG, ENTRY, encode
+from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
 from soak.proxy import Proxy
 
@@ -29,6 +29,8 @@
 BUILDS = ('v1', 'v1', 'v2')
 FIRST_PORT = 21_000
 START_SECONDS = 20
+# Time after a disruption in which an instance need not know what others do.
+CONTACT_SECONDS = 3
 
 
 class Instance:
@@ -108,15 +110,37 @@
 
 
 class Target(TargetStandin):
-    """A target behind a proxy that records the time and holder of orders."""
+    """A target behind a proxy; it records when orders and requests arrive.
+
+    `left` and `returned` are the times at which its entry said so.
+    """
 
     async def start(self):
         """Start the target and its proxy."""
         await super().start()
         self.proxy = await Proxy(('127.0.0.1', self.server.port)).start()
         self.order_times = []
+        # Time, request and parts of the prompt of each request.
+        self.requests = []
+        self.crash_times = []
+        self.absences = []
         return self
 
+    async def crash(self):
+        """End under a request and start again as a new incarnation."""
+        if self.is_down:
+            return
+        self.crash_times.append((time.monotonic(), self.faults.crash_part))
+        self.proxy.refuse()
+        await super().crash()
+        await self.proxy.listen(self.proxy.address[1])
+
+    async def _run(self, req):
+        parts = req.get(b'x-prompt-prefix')
+        request = req.get(b'x-request-id').decode()
+        self.requests.append((time.monotonic(), request, parts))
+        await super()._run(req)
+
     def entry(self, state='ready'):
         """Return the store entry, with the address of the proxy."""
         own = encode(f'127.0.0.1:{self.server.port}')
@@ -156,6 +180,10 @@
         ]
         self.count = instances
         self.instances = []
+        # Part of a prompt that crashes engines, while there is one.
+        self.crash_part = b''
+        # Start, end and instance of each disruption; None for all instances.
+        self.disruptions = []
         self.version = CONFIG['version']
 
     @property
@@ -166,19 +194,44 @@
     async def start(self):
         """Start everything and wait until all instances are ready."""
         await self.store.start()
-        self.store_proxy = await Proxy(self.store.address).start()
         for target in self.targets:
             await target.start()
-            self.store.put(f'servers/{target.name}', target.entry())
+            target.on_restart = self.register
+            self.register(target)
         self.store.put('op/config', encode(CONFIG))
-        port = self.store_proxy.address[1]
         for number in range(self.count):
-            instance = Instance(number, self.folder, port)
+            proxy = await Proxy(self.store.address).start()
+            instance = Instance(number, self.folder, proxy.address[1])
+            instance.store_proxy = proxy
             self.instances.append(instance)
             await instance.start()
         await self.wait_ready()
         return self
 
+    def register(self, target):
+        """Write the entry of a target, unless it has left."""
+        if any(returned == float('inf') for _, returned in target.absences):
+            return
+        self.store.put(f'servers/{target.name}', target.entry())
+
+    @contextlib.contextmanager
+    def disruption(self, instance=None):
+        """Record a disruption of an instance, or of all of them."""
+        row = [time.monotonic(), float('inf'), instance]
+        self.disruptions.append(row)
+        try:
+            yield
+        finally:
+            row[1] = time.monotonic()
+
+    def is_in_touch(self, instance, at):
+        """Tell whether nothing disrupted an instance shortly before."""
+        return not any(
+            start <= at and end >= at - CONTACT_SECONDS
+            for start, end, disrupted in self.disruptions
+            if disrupted in {None, instance}
+        )
+
     async def wait_ready(self):
         """Wait until every instance reports that it is ready.
 
@@ -201,9 +254,8 @@
         target.adapters.clear()
         target.orders_taken = 0
         target.order_times.clear()
-        ENTRY['born'] += 1
-        for each in self.targets:
-            self.store.put(f'servers/{each.name}', each.entry())
+        target.crashes += 1
+        self.register(target)
 
     async def stop(self):
         """Kill the instances and stop the targets and the store."""
@@ -211,7 +263,8 @@
             await instance.terminate(signal.SIGKILL)
         for target in self.targets:
             target.stop()
-        self.store_proxy.stop()
+        for instance in self.instances:
+            instance.store_proxy.stop()
         self.store.stop()
 
 
