Show log fields with lists in the timeline of a request

Cause: the command that joins the logs of a request failed with a TypeError on the field `parts`, which is a list; three tests of docs/OPERATIONS.md failed since that field was added.

Change: a field is left out if it is missing, an empty text or an empty list.

Measured: the three tests and a line with a list in the command's own test pass.

--- a/mintlanding/cli/request_timeline.py
+++ b/mintlanding/cli/request_timeline.py
@@ -171,10 +171,15 @@
     return {
         name: field_value
         for name, field_value in line.fields.items()
-        if name not in _HIDDEN_FIELDS and field_value not in {'', None}
+        if name not in _HIDDEN_FIELDS and not _is_empty(field_value)
     }
 
 
+def _is_empty(field_value: Any) -> bool:
+    """Return whether a field says nothing; numbers and flags always do."""
+    return field_value is None or field_value in ('', [])
+
+
 def _format_fields(line: Line) -> str:
     return ' '.join(
         f'{name}={each}' for name, each in _event_fields(line).items()
--- a/mintlanding/cli/tests/test_request_timeline.py
+++ b/mintlanding/cli/tests/test_request_timeline.py
@@ -24,6 +24,7 @@
         target='w1',
         adapter='a1',
         outcome='not_sent',
+        parts=['p1', 'p2'],
         seconds=0.3,
     ),
     line(
@@ -80,6 +81,7 @@
         'request: Request ended.',
     ]
     assert found['lines'][2]['reason'] == 'no orders'
+    assert found['lines'][3]['parts'] == ['p1', 'p2']
 
 
 def test_lines_that_cannot_be_read_are_counted(files):
