Treat an unframed stream as interrupted if its engine is gone at the end

The response had neither length nor chunks, and its engine crashed between two events; the kernel closed the connection as after the last one.

Change: after the end of such a stream one connection tells whether the engine still listens. If it refuses, the stream is interrupted: it is resumed where that is allowed, else the caller's connection is closed.

--- a/mintlanding/node/crash_watch.py
+++ b/mintlanding/node/crash_watch.py
@@ -50,6 +50,17 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Tell whether an engine is gone, by one connection to it."""
+        try:
+            conn = await self._pool.acquire(
+                target.address, is_fresh=True, seconds=_CONNECT_SECONDS
+            )
+        except RequestNotSent as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        self._pool.release(conn)
+        return False
+
     def stop(self) -> None:
         """Cancel the checks in progress."""
         for task in tuple(self._tasks):
@@ -57,7 +68,7 @@
 
     async def _check(self, target: Target, engine: str, at: float) -> None:
         try:
-            is_crashed = await self._refuses_connections(target)
+            is_crashed = await self.refuses_connections(target)
         finally:
             prompts = self._lost.pop(engine)
         if not is_crashed:
@@ -69,13 +80,3 @@
         )
         for parts in prompts:
             self._ledger.record_crash(engine, parts, at)
-
-    async def _refuses_connections(self, target: Target) -> bool:
-        try:
-            conn = await self._pool.acquire(
-                target.address, is_fresh=True, seconds=_CONNECT_SECONDS
-            )
-        except RequestNotSent as exc:
-            return isinstance(exc.__cause__, ConnectionRefusedError)
-        self._pool.release(conn)
-        return False
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -775,6 +775,7 @@
         try:
             await self._pass_events(plan, conn)
             _check_stream_end(head, plan.events)
+            await self._check_engine(head, target)
         except ResponseLost as exc:
             plan.reason = f'{plan.target}: stream interrupted: {exc}'
             if not plan.has_events:
@@ -787,6 +788,17 @@
         req.end()
         return AttemptResult.done
 
+    async def _check_engine(self, head: ResponseHead, target: Target) -> None:
+        """Raise ResponseLost if an engine ended together with its stream.
+
+        Without length or chunks, a crash between two events looks like the end
+        of the stream.
+        """
+        if head.is_delimited:
+            return
+        if await self._crash_watch.refuses_connections(target):
+            raise ResponseLost('the engine crashed at the end of the stream')
+
     async def _pass_events(
         self, plan: RequestPlan, conn: ClientConnection
     ) -> None:
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -196,6 +196,8 @@
     break_after: int = 0
     # Responses have neither length nor chunks and end with the connection.
     unframed: bool = False
+    # Event after which the target crashes, without a reset of its connections.
+    crash_after: int = 0
     mute: bool = False
     # Bodies of plain responses, or those of reports, never end.
     endless: bool = False
@@ -398,6 +400,9 @@
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
             await asyncio.sleep(0.005)
+            if number == self.faults.crash_after:
+                self.crashing = asyncio.ensure_future(self.crash())
+                await asyncio.sleep(1)
         end()
 
 
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -455,6 +455,15 @@
         assert (status, body) == (200, stream(1, 3))
 
 
+async def test_unframed_stream_of_a_crashed_engine_is_seen_as_incomplete(world):
+    # The engine closes its connections between two events and is gone.
+    for engine in world.engines:
+        engine.faults.unframed = True
+        engine.faults.crash_after = 2
+    with pytest.raises(asyncio.IncompleteReadError):
+        await world.ask(LIVE)
+
+
 async def test_request_is_cancelled_when_the_caller_disconnects(world):
     for engine in world.engines:
         engine.delay = 5
