Wait for the first report of each engine before reading its refusals

Cause: test_logs_explain_refusal_below_limit_by_failed_orders failed once on beside load, and 3 times in 14 runs beside twelve busy processes. Trace: the request came 7 ms after the first "Orders allowed" and 1 ms before the report of that engine, whose steward refused it as "overloaded", which is true while nothing is known of the engine. The test waited for any one steward.

Change: the test waits until every engine has reported after its steward was allowed to order. What it checks of the refusals is the same.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,6 +1,7 @@
 """Test that logs alone explain the three failures of docs/OPERATIONS.md."""
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -26,7 +27,7 @@
     callers = Callers(world, random.Random(1))
     (instance,) = world.instances
     async with asyncio.timeout(15):
-        while 'Orders allowed' not in instance.log.read_text():
+        while not _are_stewards_ready(world, instance):
             await asyncio.sleep(0.05)
     outcome = await callers._send_request(kind, instance)
     await asyncio.sleep(0.3)
@@ -35,6 +36,20 @@
     return outcome, result.data['lines']
 
 
+def _are_stewards_ready(world, instance):
+    """Tell whether each engine has reported since its steward may order."""
+    ready = set()
+    allowed = set()
+    for text in instance.log.read_text().splitlines():
+        fields = json.loads(text) if text.startswith('{') else {}
+        message = fields.get('message', '')
+        if message.endswith('Orders allowed.'):
+            allowed.add(fields['worker'])
+        elif message.endswith('Engine report received.'):
+            ready |= allowed & {fields['worker']}
+    return ready == {engine.name for engine in world.engines}
+
+
 async def test_logs_explain_refusal_below_limit_by_failed_orders(world):
     for engine in world.engines:
         engine.faults.conflicts = 1000
