Measure the memory that endless heads and bodies take

Cause: the tests of responses without end showed that they are cut off, but not how much was held until then.

--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -1,8 +1,10 @@
 """When a response is complete, and when a connection is reused."""
 
 import asyncio
+import contextlib
 import socket
 import struct
+import tracemalloc
 
 import pytest
 
@@ -216,6 +218,17 @@
         return conn
 
 
+@contextlib.contextmanager
+def bounded_memory():
+    """Fail if the peak of both ends exceeds a few limits of a body."""
+    tracemalloc.start()
+    try:
+        yield
+        assert tracemalloc.get_traced_memory()[1] < 8 << 20
+    finally:
+        tracemalloc.stop()
+
+
 OK = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
 
@@ -233,7 +246,7 @@
 async def test_endless_head_is_cut_off(start, repeated):
     async with EndlessPeer(start, repeated) as peer:
         conn = await peer.send()
-        with pytest.raises(InvalidResponse):
+        with bounded_memory(), pytest.raises(InvalidResponse):
             await conn.read_head(5)
         await asyncio.wait_for(peer.closed.wait(), 5)
 
@@ -252,7 +265,7 @@
     async with EndlessPeer(start, repeated) as peer:
         conn = await peer.send()
         await conn.read_head(5)
-        with pytest.raises(InvalidResponse):
+        with bounded_memory(), pytest.raises(InvalidResponse):
             await conn.read_body(5)
         await asyncio.wait_for(peer.closed.wait(), 5)
 
