--- a/mintlanding/coordination/store_contact.py
+++ b/mintlanding/coordination/store_contact.py
@@ -7,8 +7,7 @@
 
 import math
 
-# Seconds without contact after which it counts as interrupted. Entries are
-# renewed more often than they lapse, so that none lapses in a shorter outage.
+# Seconds without contact that count as an interruption; no entry lapses sooner.
 _INTERRUPTED_SECONDS = 2.0
 
 
--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -108,8 +108,7 @@
 
 
 async def test_removal_is_forwarded_while_the_target_is_kept():
-    # The reader returns from an outage and keeps the target for a while; the
-    # other member was in contact and must not keep it for good.
+    # The other member would keep the target for good.
     removal = Change(records.TARGETS_PREFIX + 'w1', 6)
     reader, other = watcher(FakeStore(removal)), watcher(FakeStore())
     for each in (reader, other):
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -689,8 +689,7 @@
 
 
 async def test_target_that_left_during_a_partition_gets_no_requests(pair):
-    # Only n0 loses the store. Without an entry of its own it gets no changes
-    # from n1 either, and it returns when the target's entry is long gone.
+    # Only n0 loses the store; without an entry it gets no changes from n1.
     with pair.cut_off_from_store(pair.nodes[0]):
         await asyncio.sleep(3)
         pair.store.remove('servers/p1')
