Name the soak's windows after disruptions

Cause: "in touch" is the wording of the users' pages, and two names of target records were explained where they are not defined.

Change: `is_undisrupted`; each attribute has its own comment. The checks are the same.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,9 +9,9 @@
 MIN_HANDOVER_SECONDS = 3.0
 # Time after leaving in which requests may still reach a target.
 DRAIN_SECONDS = 2.0
-# Crashes under a part of a prompt after which requests with it must end, and
-# how many may still reach engines.
+# Crashes under a part of a prompt after which requests with it must end.
 KNOWN_CRASHES = 5
+# Requests with the part that may still reach engines after that.
 MAX_LATE_REQUESTS = 3
 
 
@@ -102,7 +102,7 @@
                 if (
                     is_late
                     and request in ran
-                    and world.is_in_touch(instance, at)
+                    and world.is_undisrupted(instance, at)
                 ):
                     yield (
                         f'{request} reached {target.name} {at - left:.2f} s '
@@ -125,7 +125,7 @@
             for at, request, parts in engine.requests
             if part in parts
             and at > known_at
-            and world.is_in_touch(callers.sent_to.get(request), at)
+            and world.is_undisrupted(callers.sent_to.get(request), at)
         ]
         if len(late) > MAX_LATE_REQUESTS:
             yield f'{len(late)} requests with {part} after {len(times)} crashes'
--- a/soak/world.py
+++ b/soak/world.py
@@ -110,10 +110,7 @@
 
 
 class Target(TargetStandin):
-    """A target behind a proxy; it records when orders and requests arrive.
-
-    `left` and `returned` are the times at which its entry said so.
-    """
+    """A target behind a proxy; it records when orders and requests arrive."""
 
     async def start(self):
         """Start the target and its proxy."""
@@ -122,7 +119,9 @@
         self.order_times = []
         # Time, request and parts of the prompt of each request.
         self.requests = []
+        # Time and part of the prompt of each crash.
         self.crash_times = []
+        # Times from which and until which its entry says that it has left.
         self.absences = []
         return self
 
@@ -224,7 +223,7 @@
         finally:
             row[1] = time.monotonic()
 
-    def is_in_touch(self, instance, at):
+    def is_undisrupted(self, instance, at):
         """Tell whether nothing disrupted an instance shortly before."""
         return not any(
             start <= at and end >= at - CONTACT_SECONDS
