Log the limit that a target names with each answer

The logs could not tell whether the limit was not read, kept by each instance alone, or passed over by some attempts. The header is now decoded and logged with each attempt that failed and each request that ended. Nothing decides by it yet.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -634,6 +634,7 @@
             return AttemptResult.not_sent
         plan.is_sent = True
         plan.is_stream_begun = False
+        plan.limit = None
         plan.runs += 1
         plan.entry = self._view.entry_state(target.target)
         plan.view_age = boot_seconds() - self._view.fresh_at
@@ -680,6 +681,7 @@
     ) -> AttemptResult:
         now = self._now()
         plan.framing = head.framing.value
+        plan.limit = response.limit
         if not response.matches_request:
             raise ResponseLost('the response belongs to another request')
         self.target_table.record_response(target.target, response, now)
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -48,10 +48,11 @@
     `charged` is the amount taken from the workspace's quota. `sends` counts
     all attempts, `runs` those that may have run, and `waited` the seconds
     spent waiting for admissions. `framing` is that of the last response that a
-    target began, `is_stream_begun` tells whether it was a stream. `build` is
-    that of the last target, `entry` the state of its entry and `view_age` the
-    age of the view when the request was sent. Once a stream has begun, it may
-    go on only at `began_at_build`.
+    target began, `limit` the rate in requests per second that it named, and
+    `is_stream_begun` tells whether it was a stream. `build` is that of the last
+    target, `entry` the state of its entry and `view_age` the age of the view
+    when the request was sent. Once a stream has begun, it may go on only at
+    `began_at_build`.
     """
 
     req: CallerRequest
@@ -67,6 +68,7 @@
     tried: set[str] = field(default_factory=set)
     events: EventBuffer = field(default_factory=EventBuffer)
     framing: str = ''
+    limit: float | None = None
     is_stream_begun: bool = False
     last_event: str = ''
     target: str = ''
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -1,5 +1,7 @@
 """Codec of request and response headers, and of orders to engines."""
 
+import math
+
 import msgspec
 
 from mintlanding.http1.models import Headers, ResponseHead, header_value
@@ -22,6 +24,7 @@
 _STAMP = b'x-response-stamp'
 _NOT_RUN = b'x-not-run'
 _LOAD = b'x-server-load'
+_LIMIT = b'server-limit'
 _SCHEME = 'Token '
 # Set only by the relay; a caller's values are dropped.
 _OWN_HEADERS = frozenset(
@@ -112,6 +115,8 @@
     """Decode the head of a target's response to a request."""
     echoed = head.get(_REQUEST_ID).decode('latin-1')
     is_misdirected = head.status == _MISDIRECTED
+    named_limit = head.get(_LIMIT)
+    limit = _limit(named_limit)
     return TargetResponse(
         status=head.status,
         matches_request=not echoed or echoed == request_id,
@@ -120,6 +125,8 @@
         is_misdirected=is_misdirected,
         target=head.get(b'x-instance-id').decode('latin-1'),
         load=_load(head.get(_LOAD)),
+        limit=limit,
+        has_invalid_limit=named_limit != b'' and limit is None,
     )
 
 
@@ -246,3 +253,11 @@
         return None
     running, waiting, slots = (int(each) for each in numbers)
     return running, waiting, slots
+
+
+def _limit(named: bytes) -> float | None:
+    try:
+        limit = float(named)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -220,6 +220,25 @@
     assert not requests.read_response(ResponseHead(503), '9c41').is_not_run
 
 
+@pytest.mark.parametrize(
+    ('named', 'limit', 'is_invalid'),
+    [
+        (b'3.6', 3.6, False),
+        (b'0', 0, False),
+        (b'', None, False),
+        (b'-1', None, True),
+        (b'inf', None, True),
+        (b'nan', None, True),
+        (b'four', None, True),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+def test_limit_is_read_from_every_response(status, named, limit, is_invalid):
+    head = ResponseHead(status, [(b'server-limit', named)])
+    response = requests.read_response(head, '9c41')
+    assert (response.limit, response.has_invalid_limit) == (limit, is_invalid)
+
+
 def test_response_to_another_request_is_recognised():
     head = ResponseHead(200, [(b'x-request-id', b'other')])
     assert not requests.read_response(head, '9c41').matches_request
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -42,7 +42,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetResponse:
-    """Fields of a target's response; `load` is running, waiting, slots."""
+    """Fields of a target's response; `load` is running, waiting, slots.
+
+    `limit` is the number of requests per second that the target accepts from
+    all instances together, None if it names no limit. With `has_invalid_limit`
+    it names one that could not be read.
+    """
 
     status: int
     matches_request: bool
@@ -51,6 +56,8 @@
     is_misdirected: bool
     target: str = ''
     load: tuple[int, int, int] | None = None
+    limit: float | None = None
+    has_invalid_limit: bool = False
 
     @property
     def is_success(self) -> bool:
