--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -203,6 +204,8 @@
     endless: bool = False
     endless_reports: bool = False
     conflicts: int = 0
+    # Requests per second that its responses name as its limit.
+    limit: float | None = None
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
     # Seconds until it runs again, as a new incarnation under its id.
@@ -228,6 +231,8 @@
     runs: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     arrivals: int = 0
+    # Times at which requests arrived, on the monotonic clock.
+    arrived_at: list = field(default_factory=list)
     orders_taken: int = 0
     left: int = 0
     # Bytes of endless bodies that were sent.
@@ -328,24 +333,29 @@
 
     async def _run(self, req):
         self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         faults = self.faults
         parts = req.get(b'x-prompt-prefix')
         is_crashing = faults.crash_part and faults.crash_part in parts
         self.crash_requests += bool(is_crashing)
         request_id = req.get(b'x-request-id')
         if req.get(b'x-expect-instance') != self.name.encode():
-            req.respond(421, [(b'x-instance-id', self.name.encode())], b'')
+            self._refuse(req)
             return
         adapter = req.get(b'x-model').decode().partition('/')[2]
         if self.model and adapter and adapter not in self.adapters:
-            req.respond(421, [(b'x-instance-id', self.name.encode())], b'')
+            self._refuse(req)
             return
         if faults.shed:
             faults.shed -= 1
-            req.respond(503, [(b'x-not-run', b'1')], b'')
+            req.respond(503, [(b'x-not-run', b'1'), *self._limit()], b'')
             return
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
-        headers = [(b'x-request-id', request_id), (b'x-response-stamp', b's1')]
+        headers = [
+            (b'x-request-id', request_id),
+            (b'x-response-stamp', b's1'),
+            *self._limit(),
+        ]
         try:
             await asyncio.sleep(30 if faults.mute else self.delay)
         except asyncio.CancelledError:
@@ -353,6 +363,15 @@
             raise
         await self._respond(req, headers, is_crashing)
 
+    def _limit(self):
+        if self.faults.limit is None:
+            return []
+        return [(b'server-limit', b'%g' % self.faults.limit)]
+
+    def _refuse(self, req):
+        headers = [(b'x-instance-id', self.name.encode()), *self._limit()]
+        req.respond(421, headers, b'')
+
     async def _respond(self, req, headers, is_crashing):
         faults = self.faults
         if faults.fail:
