Decide in one place whether a request may be sent to a target

The checks for the entry of a target, the build of a stream and quarantined parts stood in several methods of the relay. A limit of a target must hold on every path, so that they move to a gate which each attempt passes once its connection is open.

--- /dev/null
+++ b/mintlanding/node/limit_keeper.py
@@ -0,0 +1,258 @@
+"""Keep the limits that targets name, together with the other instances.
+
+Of an engine the holder keeps the limit, of a plain target the instance that is
+elected among those that reach each other. It lets pass as large a part of the
+limit as it reaches members. An instance that cannot reach the holder keeps its
+own part, so that all parts of a divided fleet together stay within the limit.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from mintlanding.core.logs import Logger
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.membership import Membership
+from mintlanding.node.settings import NodeSettings
+from mintlanding.node.view import FleetView
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    AdmissionRequest,
+)
+from mintlanding.target_limits.desk import LimitDesk
+from mintlanding.target_limits.messages import LimitReport
+from mintlanding.target_limits.pacer import Pacer
+from mintlanding.target_limits.table import LimitTable, TargetKey
+from mintlanding.traffic.header_fields import TargetResponse
+from mintlanding.traffic.models import Target
+
+# Seconds without a request after which a desk is closed.
+_IDLE_SECONDS = 3.0
+
+ReplyCallback = Callable[[AdmissionReply], None]
+
+
+class _OpenDesk:
+    """A desk with the callbacks of its requests and its timer."""
+
+    def __init__(self, desk: LimitDesk, key: TargetKey) -> None:
+        self.desk = desk
+        self.key = key
+        self.used_at = boot_seconds()
+        self.callbacks: dict[str, ReplyCallback] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+class LimitKeeper:
+    """The limits in force and the desks that this instance runs."""
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        view: FleetView,
+        membership: Membership,
+        rnd: random.Random,
+    ) -> None:
+        """Start without limits."""
+        self.table = LimitTable()
+        self._cfg = cfg
+        self._view = view
+        self._membership = membership
+        self._rnd = rnd
+        # Desks of plain targets for all instances, by target.
+        self._desks: dict[str, _OpenDesk] = {}
+        # Desks for the own requests to targets whose holder is unreachable.
+        self._own_desks: dict[str, _OpenDesk] = {}
+        self._logger = Logger('limits')
+
+    def is_limited(self, target: Target) -> bool:
+        """Tell whether a target has a limit."""
+        return self.table.limit(target.key) is not None
+
+    def holder(self, target: str) -> str:
+        """Return the instance that keeps the limit of a plain target."""
+        return self._membership.elected(target)
+
+    def record_response(
+        self, target: Target, response: TargetResponse, sent_at: float
+    ) -> None:
+        """Record what a response to a request sent at a time says."""
+        if response.has_invalid_limit:
+            self._logger.warning(
+                'Limit unreadable; the last one stays in force.',
+                target=target.target,
+            )
+            return
+        now = boot_seconds()
+        if self.table.record(target.key, response.limit, sent_at, now):
+            self._logger.info(
+                'Limit changed.',
+                target=target.target,
+                incarnation=target.incarnation,
+                limit=response.limit,
+            )
+            self.update()
+
+    def merge(self, reports: Sequence[LimitReport], now: float) -> None:
+        """Apply what another instance reports."""
+        if reports:
+            self.table.merge(reports, now)
+            self.update()
+
+    def engine_limit(self, target: TargetKey) -> float | None:
+        """Return the rate at which the holder of an engine grants requests.
+
+        It is in requests per second, None without a limit.
+        """
+        limit = self.table.limit(target)
+        if limit is None:
+            return None
+        reachable, members = self._membership.reach(boot_seconds())
+        return limit * reachable / members
+
+    def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
+        """Request a turn at a plain target for any instance."""
+        self._reserve(self._desks, req, on_reply, self.engine_limit)
+
+    async def reserve_own(self, req: AdmissionRequest) -> AdmissionReply:
+        """Wait for a turn within the own part of a limit."""
+        reply: asyncio.Future[AdmissionReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def receive(admission: AdmissionReply) -> None:
+            if not admission.is_waiting and not reply.done():
+                reply.set_result(admission)
+
+        self._reserve(self._own_desks, req, receive, self._own_limit)
+        try:
+            return await reply
+        finally:
+            opened = self._own_desks.get(req.worker)
+            if opened is not None:
+                opened.desk.queue.remove(req.request_id)
+                opened.callbacks.pop(req.request_id, None)
+
+    def holder_replied(self, target: str) -> None:
+        """Give up the own part of a limit, since its holder is reachable."""
+        opened = self._own_desks.get(target)
+        if opened is not None and not opened.desk.queue:
+            opened.close()
+            self._own_desks.pop(target)
+
+    def end(self, message: AdmissionEnd) -> None:
+        """Process the end of a request to a plain target."""
+        opened = self._desks.get(message.worker)
+        if opened is not None:
+            opened.callbacks.pop(message.request_id, None)
+            opened.desk.end(message, boot_seconds())
+            self._proceed(opened)
+
+    def update(self) -> None:
+        """Adapt the desks to limits, members and targets."""
+        now = boot_seconds()
+        targets = self._view.targets
+        self.table.retain({each.key for each in targets.values()}, now)
+        for desks, rate in (
+            (self._desks, self.engine_limit),
+            (self._own_desks, self._own_limit),
+        ):
+            for name, opened in tuple(desks.items()):
+                is_idle = now > opened.used_at + _IDLE_SECONDS
+                if is_idle and not opened.desk.queue:
+                    opened.close()
+                    desks.pop(name)
+                    continue
+                _set_rate(opened.desk, rate(opened.key), now)
+                self._proceed(opened)
+
+    def stop(self) -> None:
+        """Cancel all timers."""
+        for opened in (*self._desks.values(), *self._own_desks.values()):
+            opened.close()
+
+    def _own_limit(self, target: TargetKey) -> float | None:
+        limit = self.table.limit(target)
+        if limit is None:
+            return None
+        _, members = self._membership.reach(boot_seconds())
+        return limit / members
+
+    def _reserve(
+        self,
+        desks: dict[str, _OpenDesk],
+        req: AdmissionRequest,
+        on_reply: ReplyCallback,
+        rate: Callable[[TargetKey], float | None],
+    ) -> None:
+        now = boot_seconds()
+        target = self._view.targets.get(req.worker)
+        if target is None:
+            on_reply(
+                AdmissionReply(
+                    req.request_id,
+                    req.worker,
+                    elsewhere=True,
+                    reason='unknown target',
+                )
+            )
+            return
+        opened = desks.get(req.worker)
+        if opened is None or opened.key != target.key:
+            if opened is not None:
+                opened.close()
+            opened = self._open(target, is_own=desks is self._own_desks)
+            desks[req.worker] = opened
+            _set_rate(opened.desk, rate(target.key), now)
+        opened.used_at = now
+        opened.callbacks[req.request_id] = on_reply
+        self._deliver(opened, opened.desk.reserve(req, now))
+        self._set_timer(opened)
+
+    def _open(self, target: Target, *, is_own: bool) -> _OpenDesk:
+        pacer = None
+        if self.is_limited(target):
+            # Instances that lose their holder together must not all begin at
+            # the same moment.
+            level = self._rnd.random() if is_own else 0
+            pacer = Pacer(0, boot_seconds(), level)
+        desk = LimitDesk(target.target, pacer, self._cfg.steward, self._rnd)
+        return _OpenDesk(desk, target.key)
+
+    def _proceed(self, opened: _OpenDesk) -> None:
+        self._deliver(opened, opened.desk.tick(boot_seconds()))
+        self._set_timer(opened)
+
+    def _deliver(
+        self, opened: _OpenDesk, replies: Sequence[AdmissionReply]
+    ) -> None:
+        for reply in replies:
+            if reply.is_waiting:
+                on_reply = opened.callbacks.get(reply.request_id)
+            else:
+                on_reply = opened.callbacks.pop(reply.request_id, None)
+            if on_reply is not None:
+                on_reply(reply)
+
+    def _set_timer(self, opened: _OpenDesk) -> None:
+        opened.close()
+        now = boot_seconds()
+        at = opened.desk.next_event(now)
+        if at is not None:
+            opened.timer = asyncio.get_running_loop().call_later(
+                max(0.001, at - now), self._proceed, opened
+            )
+
+
+def _set_rate(desk: LimitDesk, limit: float | None, now: float) -> None:
+    if limit is None:
+        desk.pacer = None
+    elif desk.pacer is None:
+        desk.pacer = Pacer(limit, now)
+    else:
+        desk.pacer.set_limit(limit, now)
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -24,6 +24,11 @@
     Refusal,
     RequestPlan,
 )
+from mintlanding.node.send_gate import (
+    SendGate,
+    may_continue,
+    no_target_reason,
+)
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.targets import TargetTable
@@ -82,6 +87,7 @@
         self._pool = ConnectionPool(cfg.client)
         self.crashes = CrashLedger(cfg.quarantine)
         self._crash_watch = CrashWatch(self.crashes, self._pool)
+        self._gate = SendGate(view, self.crashes)
 
     @property
     def opened(self) -> int:
@@ -171,14 +177,10 @@
             deadline,
             fields.demand or Demand(),
         )
-        return self._check_parts(plan) or self._charge_quota(plan)
-
-    def _check_parts(self, plan: RequestPlan) -> Refusal | None:
-        """Refuse a request whose prompt would crash the engine."""
-        part, wait = self.crashes.refusal(plan.shared_parts, boot_seconds())
-        if not part:
-            return None
-        return Refusal(503, f'part {part} of the prompt crashes engines', wait)
+        barrier = self._gate.refusal(plan)
+        if barrier is not None:
+            return Refusal(503, barrier.reason, barrier.retry_after)
+        return self._charge_quota(plan)
 
     def _refuse_unknown(self, reason: str, status: int) -> Refusal:
         """Refuse as unknown, or as retryable by an old configuration."""
@@ -286,15 +288,6 @@
         plan.began_at_build = origin.build
         return True
 
-    def _candidates(self, plan: RequestPlan) -> list[Target]:
-        """Return the targets that may run the rest of a request."""
-        self._view.remove_lapsed(boot_seconds())
-        return [
-            each
-            for each in self._view.targets_of(plan.service.name)
-            if _fits(each, plan)
-        ]
-
     def _announce_origin(self, plan: RequestPlan) -> None:
         """Let other instances resume the stream if its caller goes there."""
         if plan.route.is_resumable and plan.began_at_build is None:
@@ -315,14 +308,14 @@
             plan.sends < _MAX_SENDS and self._time_left(plan) > _MIN_TIME_LEFT
         ):
             target = self.target_table.choose(
-                self._without_unreachable_zones(self._candidates(plan)),
+                self._without_unreachable_zones(self._gate.candidates(plan)),
                 plan.tried,
                 self._cfg.facts.zone,
                 self._now(),
                 may_fail=plan.route.is_idempotent,
             )
             if target is None:
-                plan.reason = plan.reason or _no_target(plan)
+                plan.reason = plan.reason or no_target_reason(plan)
                 return result
             result = await self._attempt(plan, target, 0)
             if not self._can_retry(plan, result, target):
@@ -365,7 +358,7 @@
                 return result
             target = self._view.targets.get(reservation.worker)
             # The worker may have restarted with another build meanwhile.
-            if target is None or not _fits(target, plan):
+            if target is None or not may_continue(target, plan):
                 self._admissions.end(
                     reservation.worker,
                     reservation.reservation_id,
@@ -426,7 +419,7 @@
         excluded = plan.tried | self._admissions.stewards.unreachable()
         workers = [
             each
-            for each in self._candidates(plan)
+            for each in self._gate.candidates(plan)
             if each.target not in excluded
         ]
         may_fail = plan.route.is_idempotent
@@ -448,7 +441,7 @@
             self._cfg.choice,
             self._rnd,
         )
-        plan.reason = _no_target(plan)
+        plan.reason = no_target_reason(plan)
         for number, worker in enumerate(order):
             reservation_id = f'{plan.fields.request_id}.{plan.sends}.{number}'
             is_last = number + 1 == len(order)
@@ -567,13 +560,12 @@
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
-        if not self._is_current(target):
-            self._pool.release(conn)
-            plan.reason = f'{target.target} left before the request was sent'
-            return AttemptResult.not_sent
-        if not self._may_send_parts(plan):
+        barrier = self._gate.check(plan, target)
+        if barrier is not None:
             self._pool.release(conn)
-            return AttemptResult.quarantined
+            plan.reason = barrier.reason
+            plan.retry_after = barrier.retry_after or plan.retry_after
+            return barrier.result
         number = self.target_table.begin(target.target, now)
         try:
             return await self._exchange(plan, target, version, conn, number)
@@ -581,28 +573,6 @@
             self._pool.release(conn)
             self.target_table.end(target.target, number)
 
-    def _may_send_parts(self, plan: RequestPlan) -> bool:
-        """Check again what other instances may have learned meanwhile."""
-        now = boot_seconds()
-        part, wait = self.crashes.refusal(
-            plan.shared_parts, now, is_repeat=plan.runs > 0
-        )
-        if part:
-            plan.reason = f'part {part} of the prompt crashes engines'
-            plan.retry_after = wait
-            return False
-        self.crashes.begin_trial(plan.shared_parts, now)
-        return True
-
-    def _is_current(self, target: Target) -> bool:
-        """Tell whether a target that was chosen a while ago may still serve."""
-        current = self._view.targets.get(target.target)
-        return (
-            current is not None
-            and current.key == target.key
-            and not current.is_leaving
-        )
-
     async def _exchange(
         self,
         plan: RequestPlan,
@@ -843,17 +813,6 @@
         return pause * self._rnd.uniform(0.6, 1.4)
 
 
-def _fits(target: Target, plan: RequestPlan) -> bool:
-    """Return whether a target may run a request, or the rest of its stream."""
-    return plan.began_at_build in {None, target.build}
-
-
-def _no_target(plan: RequestPlan) -> str:
-    if plan.began_at_build is None:
-        return 'no target'
-    return f'no target of build {plan.began_at_build!r}'
-
-
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
--- /dev/null
+++ b/mintlanding/node/send_gate.py
@@ -0,0 +1,103 @@
+"""The one place that decides whether a request may go to a target now.
+
+Every way to a target passes here: first attempts, retries, resumed streams,
+requests that waited in a queue, and plain services as well as engines. What
+was true when a target was chosen may have changed by the time its connection
+is open, so the checks run again right before the request is sent.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mintlanding.core.registry import Registry
+from mintlanding.node.clock import boot_seconds
+from mintlanding.node.request_plan import AttemptResult, RequestPlan
+from mintlanding.node.view import FleetView
+from mintlanding.quarantine.ledger import CrashLedger
+from mintlanding.traffic.models import Target
+
+
+@dataclass(frozen=True, slots=True)
+class Barrier:
+    """Why a request may not be sent; `retry_after` is in seconds."""
+
+    result: AttemptResult
+    reason: str
+    retry_after: float = 0
+
+
+SendCheck = Callable[['SendGate', RequestPlan, Target], Barrier | None]
+SEND_CHECKS: Registry[SendCheck] = Registry('send check')
+
+
+@dataclass(slots=True)
+class SendGate:
+    """What the checks depend on."""
+
+    view: FleetView
+    crashes: CrashLedger
+
+    def candidates(self, plan: RequestPlan) -> list[Target]:
+        """Return the targets that may run the rest of a request."""
+        self.view.remove_lapsed(boot_seconds())
+        return [
+            each
+            for each in self.view.targets_of(plan.service.name)
+            if may_continue(each, plan)
+        ]
+
+    def refusal(self, plan: RequestPlan) -> Barrier | None:
+        """Return why a request may not be sent to any target."""
+        now = boot_seconds()
+        part, wait = self.crashes.refusal(
+            plan.shared_parts, now, is_repeat=plan.runs > 0
+        )
+        if not part:
+            return None
+        reason = f'part {part} of the prompt crashes engines'
+        return Barrier(AttemptResult.quarantined, reason, wait)
+
+    def check(self, plan: RequestPlan, target: Target) -> Barrier | None:
+        """Return why a request may not be sent to a target right now."""
+        for _, check in SEND_CHECKS:
+            barrier = check(self, plan, target)
+            if barrier is not None:
+                return barrier
+        self.crashes.begin_trial(plan.shared_parts, boot_seconds())
+        return None
+
+
+def may_continue(target: Target, plan: RequestPlan) -> bool:
+    """Tell whether a target may run a request, or the rest of its stream."""
+    return plan.began_at_build in {None, target.build}
+
+
+def no_target_reason(plan: RequestPlan) -> str:
+    """Return the reason of a refusal for lack of a target."""
+    if plan.began_at_build is None:
+        return 'no target'
+    return f'no target of build {plan.began_at_build!r}'
+
+
+@SEND_CHECKS.register('entry')
+def check_entry(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that the target has not left or restarted since it was chosen."""
+    current = gate.view.targets.get(target.target)
+    if (
+        current is not None
+        and current.key == target.key
+        and not current.is_leaving
+    ):
+        return None
+    reason = f'{target.target} left before the request was sent'
+    return Barrier(AttemptResult.not_sent, reason)
+
+
+@SEND_CHECKS.register('quarantine')
+def check_quarantine(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check again what other instances may have learned meanwhile."""
+    return gate.refusal(plan)
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -1,19 +1,13 @@
 """Instances, store and targets in one process, with and without faults."""
 
 import asyncio
-import contextlib
 from dataclasses import replace
 
 import msgspec
 import pytest
 
-from mintlanding.node.application import NodeApplication
-from mintlanding.node.settings import Bounds, InstanceFacts, NodeSettings
 from mintlanding.node.view import MemberRecord
-from mintlanding.platform import records, requests
-from mintlanding.platform.store import PlatformStore
 from mintlanding.platform.tests.samples import CONFIG, encode
-from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
 from mintlanding.platform.tests.world import (
     BATCH,
     HOST,
