Keep the limit that a target names, with all instances together

Cause: callers of two engines were refused and slowed, since no instance acted on the limit that a target names on its responses; 156 requests in 4 s arrived where 29 were allowed (four instances, limit 4 a second).

Change: responses name the limit, statuses and requests for admission carry it, the holder of an engine or the elected member of a plain target grants turns at its rate, most urgent first; what has no turn in time goes elsewhere or is refused at once. The send gate lets nothing to a limited target without a turn. A divided fleet shares the limit by members.

Why it works: the rate is decided at one place for each target, and what cannot reach that place has a part of its own; all parts add up to the limit.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -16,6 +16,7 @@
     OriginQuery,
     OriginReply,
 )
+from mintlanding.target_limits.messages import LimitReport
 
 # Version of the messages that this process understands. A member of a lower
 # version closes its link when it receives a type that it does not know.
@@ -44,7 +45,8 @@
     `admitted` counts the tokens by workspace since the start, `levels` are the
     tokens left in the buckets of the quotas. `store_contact` is for how many
     seconds the sender has reached the store without interruption. `suspects`
-    are parts of prompts under which engines crashed.
+    are parts of prompts under which engines crashed, `limits` what targets
+    named as their limits to the sender.
     """
 
     instance: str
@@ -57,6 +59,7 @@
     is_leaving: bool = False
     store_contact: float = 0.0
     suspects: tuple[SuspectPart, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -78,7 +81,7 @@
 
     `admitted` is the sum over all processes that the zone ever had, `levels`
     the mean of the members, `store_contact` the longest of them, `suspects`
-    what they report together.
+    and `limits` what they report together.
     """
 
     zone: str
@@ -91,6 +94,7 @@
     levels: dict[str, float] = {}
     store_contact: float = 0.0
     suspects: tuple[SuspectPart, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -6,6 +6,7 @@
 
 from mintlanding.core.logs import Logger
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stewards import Stewards
@@ -78,6 +79,7 @@
     view: FleetView
     membership: Membership
     stewards: Stewards
+    limits: LimitKeeper
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _digests: dict[str, _LastDigest] = field(default_factory=dict)
     _observed: dict[str, _ObservedWorker] = field(default_factory=dict)
@@ -129,7 +131,10 @@
             )
 
     def holder(self, worker: str) -> str:
-        """Return the instance that holds a worker, empty for none."""
+        """Return the instance that admits requests, empty for none."""
+        target = self.view.targets.get(worker)
+        if target is not None and not self.view.is_engine(target):
+            return self.limits.holder(worker)
         record = self.view.ownership.get(worker)
         return '' if record is None else record.holder
 
@@ -181,6 +186,17 @@
             if not is_replied:
                 self.end(req.worker, req.request_id, GrantOutcome.unused)
 
+    async def take_turn(self, req: AdmissionRequest) -> AdmissionReply:
+        """Request a turn within the limit of a plain target.
+
+        Without a reply of the holder the own part of the limit counts.
+        """
+        reply = await self.reserve(req)
+        if reply is None:
+            return await self.limits.reserve_own(req)
+        self.limits.holder_replied(req.worker)
+        return reply
+
     def end(
         self,
         worker: str,
@@ -220,7 +236,9 @@
         """
         left = self._started + self.cfg.relay.start_window - boot_seconds()
         target = self.view.targets.get(req.worker)
-        if left <= 0 or target is None or self.is_ready(target, req.adapter):
+        if left <= 0 or target is None or not self.view.is_engine(target):
+            return
+        if self.is_ready(target, req.adapter):
             return
         # The caller logs that the steward did not reply.
         with contextlib.suppress(TimeoutError):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -12,6 +12,7 @@
 from mintlanding.node.admissions import Admissions
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.codec import Codec
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.metrics import render_metrics
 from mintlanding.node.quarantine_records import QuarantineRecords
@@ -59,11 +60,13 @@
         self._store = store
         self._store_watcher = StoreWatcher(store, self.view, cfg.fleet, rnd)
         self._membership = Membership(cfg, store, self.view, rnd)
+        self._limits = LimitKeeper(cfg, self.view, self._membership, rnd)
         self._stewards = Stewards(
             cfg,
             self.view,
             self._membership,
             codec,
+            self._limits,
             rnd,
         )
         self._admissions = Admissions(
@@ -71,10 +74,17 @@
             self.view,
             self._membership,
             self._stewards,
+            self._limits,
         )
         self._origins = StreamOrigins(cfg, self.view, self._membership)
         self.relay = Relay(
-            cfg, self.view, self._admissions, self._origins, codec, rnd
+            cfg,
+            self.view,
+            self._admissions,
+            self._origins,
+            self._limits,
+            codec,
+            rnd,
         )
         self._quarantine_records = QuarantineRecords(
             store, self.view, self._membership, self.relay.crashes
@@ -137,6 +147,7 @@
         self._ready.stop()
         self._metrics.stop()
         self._stewards.stop()
+        self._limits.stop()
         self.relay.stop()
         if self._membership.mesh is not None:
             self._membership.mesh.stop()
@@ -148,12 +159,15 @@
         sources.levels = self.relay.quotas.levels
         sources.in_use = self.relay.in_use
         sources.suspects = self.relay.crashes.reports
+        sources.limits = self._limits.table.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
         listeners.on_admitted = self._charge
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
+        listeners.on_limits = self._limits.merge
+        self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.crashes.merge
         self.relay.crashes.is_elected = self._membership.is_elected
         listeners.on_store_contact = self._record_store_contact
@@ -191,6 +205,7 @@
             now = boot_seconds()
             self.view.remove_lapsed(now)
             self.relay.prune()
+            self._limits.update()
             reachable, members = self._membership.reach(now)
             self.relay.quotas.set_reachable(reachable, members)
             self.relay.budget.members = members
@@ -245,7 +260,9 @@
         req.respond(200 if self._is_ready else 503, [], b'')
 
     async def _answer_metrics(self, req: CallerRequest) -> None:
-        lines = render_metrics(self.relay, self._stewards, self._membership)
+        lines = render_metrics(
+            self.relay, self._stewards, self._membership, self._limits
+        )
         text = '\n'.join((*lines, '')).encode()
         req.respond(
             200, [(b'content-type', b'text/plain; version=0.0.4')], text
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -28,7 +28,7 @@
 from mintlanding.traffic.models import Target
 
 # Seconds without a request after which a desk is closed.
-_IDLE_SECONDS = 3.0
+_IDLE_SECONDS = 15.0
 
 ReplyCallback = Callable[[AdmissionReply], None]
 
@@ -43,10 +43,25 @@
         self.callbacks: dict[str, ReplyCallback] = {}
         self.timer: asyncio.TimerHandle | None = None
 
-    def close(self) -> None:
+    def stop_timer(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
 
+    def close(self) -> None:
+        """Stop, and send the requests that wait here elsewhere."""
+        self.stop_timer()
+        for item in self.desk.queue:
+            on_reply = self.callbacks.pop(item.req.request_id, None)
+            if on_reply is not None:
+                on_reply(
+                    AdmissionReply(
+                        item.req.request_id,
+                        self.desk.target,
+                        elsewhere=True,
+                        reason='its limit is kept elsewhere now',
+                    )
+                )
+
 
 class LimitKeeper:
     """The limits in force and the desks that this instance runs."""
@@ -68,20 +83,37 @@
         self._desks: dict[str, _OpenDesk] = {}
         # Desks for the own requests to targets whose holder is unreachable.
         self._own_desks: dict[str, _OpenDesk] = {}
+        # Until when no turn is expected, by target.
+        self._waits: dict[TargetKey, float] = {}
+        self.on_change: Callable[[], None] = lambda: None
         self._logger = Logger('limits')
 
     def is_limited(self, target: Target) -> bool:
         """Tell whether a target has a limit."""
         return self.table.limit(target.key) is not None
 
+    def count(self) -> int:
+        """Return the number of targets that have a limit."""
+        return len(self.table.limited())
+
     def holder(self, target: str) -> str:
         """Return the instance that keeps the limit of a plain target."""
         return self._membership.elected(target)
 
+    def wait(self, target: Target, now: float) -> float:
+        """Return the seconds until a turn at a target can be expected."""
+        return max(0, self._waits.get(target.key, 0) - now)
+
+    def record_refusal(self, target: Target, retry_after: float) -> None:
+        """Record that a target has no turn for a number of seconds."""
+        self._waits[target.key] = boot_seconds() + retry_after
+
     def record_response(
         self, target: Target, response: TargetResponse, sent_at: float
     ) -> None:
         """Record what a response to a request sent at a time says."""
+        if response.target not in {'', target.target}:
+            return
         if response.has_invalid_limit:
             self._logger.warning(
                 'Limit unreadable; the last one stays in force.',
@@ -100,12 +132,11 @@
 
     def merge(self, reports: Sequence[LimitReport], now: float) -> None:
         """Apply what another instance reports."""
-        if reports:
-            self.table.merge(reports, now)
+        if reports and self.table.merge(reports, now):
             self.update()
 
-    def engine_limit(self, target: TargetKey) -> float | None:
-        """Return the rate at which the holder of an engine grants requests.
+    def holder_limit(self, target: TargetKey) -> float | None:
+        """Return the rate at which this instance grants requests as holder.
 
         It is in requests per second, None without a limit.
         """
@@ -117,7 +148,7 @@
 
     def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
         """Request a turn at a plain target for any instance."""
-        self._reserve(self._desks, req, on_reply, self.engine_limit)
+        self._reserve(self._desks, req, on_reply, self.holder_limit)
 
     async def reserve_own(self, req: AdmissionRequest) -> AdmissionReply:
         """Wait for a turn within the own part of a limit."""
@@ -158,23 +189,38 @@
         now = boot_seconds()
         targets = self._view.targets
         self.table.retain({each.key for each in targets.values()}, now)
+        self._waits = {
+            target: until
+            for target, until in self._waits.items()
+            if now < until and self.table.limit(target) is not None
+        }
         for desks, rate in (
-            (self._desks, self.engine_limit),
+            (self._desks, self.holder_limit),
             (self._own_desks, self._own_limit),
         ):
             for name, opened in tuple(desks.items()):
-                is_idle = now > opened.used_at + _IDLE_SECONDS
-                if is_idle and not opened.desk.queue:
-                    opened.close()
-                    desks.pop(name)
+                if self._is_outdated(name, opened, now):
+                    desks.pop(name).close()
                     continue
                 _set_rate(opened.desk, rate(opened.key), now)
                 self._proceed(opened)
+        self.on_change()
 
     def stop(self) -> None:
         """Cancel all timers."""
         for opened in (*self._desks.values(), *self._own_desks.values()):
-            opened.close()
+            opened.stop_timer()
+
+    def _is_outdated(self, name: str, opened: _OpenDesk, now: float) -> bool:
+        """Tell whether a desk should be closed."""
+        target = self._view.targets.get(name)
+        if target is None or target.key != opened.key:
+            return True
+        is_moved = self._desks.get(name) is opened and (
+            self.holder(name) != self._membership.instance
+        )
+        is_idle = now > opened.used_at + _IDLE_SECONDS
+        return is_moved or (is_idle and not opened.desk.queue)
 
     def _own_limit(self, target: TargetKey) -> float | None:
         limit = self.table.limit(target)
@@ -240,7 +286,7 @@
                 on_reply(reply)
 
     def _set_timer(self, opened: _OpenDesk) -> None:
-        opened.close()
+        opened.stop_timer()
         now = boot_seconds()
         at = opened.desk.next_event(now)
         if at is not None:
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -137,7 +137,11 @@
         return reader in {'', self.instance}
 
     def is_elected(self, name: str) -> bool:
-        """Tell whether this instance is the one of the reachable members.
+        """Tell whether this instance is the elected one."""
+        return self.elected(name) == self.instance
+
+    def elected(self, name: str) -> str:
+        """Return the one of the reachable members that acts for all of them.
 
         The choice is by rendezvous hashing of a name that all of them know.
         """
@@ -146,11 +150,10 @@
         candidates.extend(
             each for each in self._view.members if self.is_reachable(each, now)
         )
-        elected = max(
+        return max(
             candidates,
             key=lambda each: xxhash.xxh64_intdigest(f'{name}|{each}'.encode()),
         )
-        return elected == self.instance
 
     def forward(self, update: StoreUpdate) -> None:
         """Forward changes of the store to the members of the zone."""
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of an instance in the Prometheus text format."""
 
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.relay import Relay
 from mintlanding.node.stewards import Stewards
@@ -10,6 +11,7 @@
     relay: Relay,
     stewards: Stewards,
     membership: Membership,
+    limits: LimitKeeper,
 ) -> list[str]:
     """Return the lines of the metrics page."""
     lines = relay.log.render()
@@ -19,6 +21,7 @@
     lines.append(f'mintlanding_members_heard {reachable}')
     quarantined = len(relay.crashes.quarantined())
     lines.append(f'mintlanding_quarantined_parts {quarantined}')
+    lines.append(f'mintlanding_limited_targets {limits.count()}')
     for worker, steward in sorted(stewards.stewards.items()):
         label = f'{{worker="{worker}"}}'
         counters = steward.counters
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -17,6 +17,7 @@
 from mintlanding.node.codec import Codec
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.events import EventBuffer
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import (
     AttemptResult,
@@ -68,6 +69,7 @@
         view: FleetView,
         admissions: Admissions,
         origins: StreamOrigins,
+        limits: LimitKeeper,
         codec: Codec,
         rnd: random.Random,
     ) -> None:
@@ -82,12 +84,13 @@
         self._view = view
         self._admissions = admissions
         self._origins = origins
+        self._limits = limits
         self._codec = codec
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
         self.crashes = CrashLedger(cfg.quarantine)
         self._crash_watch = CrashWatch(self.crashes, self._pool)
-        self._gate = SendGate(view, self.crashes)
+        self._gate = SendGate(view, self.crashes, limits)
 
     @property
     def opened(self) -> int:
@@ -307,13 +310,7 @@
         while (
             plan.sends < _MAX_SENDS and self._time_left(plan) > _MIN_TIME_LEFT
         ):
-            target = self.target_table.choose(
-                self._without_unreachable_zones(self._gate.candidates(plan)),
-                plan.tried,
-                self._cfg.facts.zone,
-                self._now(),
-                may_fail=plan.route.is_idempotent,
-            )
+            target = await self._choose_plain(plan)
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
@@ -322,6 +319,87 @@
                 return result
         return result
 
+    async def _choose_plain(self, plan: RequestPlan) -> Target | None:
+        """Return a plain target to which the request may be sent now.
+
+        Targets with a limit are asked for a turn at once. If all have one, and
+        none a turn, the request waits for that which is expected first.
+        """
+        targets = [
+            each
+            for each in self._without_unreachable_zones(
+                self._gate.candidates(plan)
+            )
+            if each.target not in plan.tried
+        ]
+        now = boot_seconds()
+        full = {
+            each.target for each in targets if self._limits.wait(each, now) > 0
+        }
+        while target := self.target_table.choose(
+            targets,
+            full,
+            self._cfg.facts.zone,
+            self._now(),
+            may_fail=plan.route.is_idempotent,
+        ):
+            if not self._limits.is_limited(target):
+                return target
+            if await self._take_turn(plan, target, 0):
+                return target
+            full.add(target.target)
+        now = boot_seconds()
+        limited = [each for each in targets if self._limits.is_limited(each)]
+        if not limited:
+            return None
+        first = min(limited, key=lambda each: self._limits.wait(each, now))
+        if await self._take_turn(plan, first, self._longest_turn(plan)):
+            return first
+        return None
+
+    def _longest_turn(self, plan: RequestPlan) -> float:
+        """Return how many seconds a request may wait for a limited target."""
+        left = self._time_left(plan)
+        spent = self._now() - plan.req.arrived
+        objective = plan.route.objective * self._cfg.relay.max_wait_share
+        return max(
+            0, min(left - _MIN_TIME_LEFT, max(objective - spent, left / 3))
+        )
+
+    async def _take_turn(
+        self, plan: RequestPlan, target: Target, max_wait: float
+    ) -> bool:
+        """Wait for a turn within the limit of a plain target."""
+        begin = self._now()
+        plan.turns += 1
+        reply = await self._admissions.take_turn(
+            AdmissionRequest(
+                request_id=f'{plan.fields.request_id}.t{plan.turns}',
+                worker=target.target,
+                model='',
+                adapter='',
+                workspace='',
+                prompt_tokens=0,
+                output_tokens=0,
+                priority=plan.priority,
+                objective=plan.route.objective - (begin - plan.req.arrived),
+                max_wait=max_wait,
+                deadline=self._time_left(plan),
+                reroute_wait=max_wait,
+                limits=self._limits.table.report(target.key, boot_seconds()),
+            ),
+        )
+        plan.waited += self._now() - begin
+        if reply.is_granted:
+            plan.turn = target.key
+            return True
+        plan.reason = f'{target.target}: {reply.reason}'
+        plan.retry_after = min(
+            plan.retry_after or reply.retry_after, reply.retry_after
+        )
+        self._limits.record_refusal(target, reply.retry_after)
+        return False
+
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -333,6 +411,8 @@
             AttemptResult.quarantined,
         }:
             return False
+        if result is AttemptResult.no_turn:
+            return True
         plan.tried.add(target.target)
         self.log.log_failed_attempt(plan, result.value, self._time_left(plan))
         if result in {AttemptResult.not_sent, AttemptResult.failed}:
@@ -497,31 +577,38 @@
         if not is_last:
             reroute_wait *= options.reroute_wait_share
         adapter = plan.fields.adapter
-        reply = await self._admissions.reserve(
-            AdmissionRequest(
-                request_id=reservation_id,
-                worker=target.target,
-                model=adapter.model,
-                adapter=adapter.adapter,
-                workspace=plan.workspace.name if plan.workspace else '',
-                prompt_tokens=plan.demand.prompt_tokens,
-                output_tokens=plan.demand.output_tokens,
-                priority=plan.priority,
-                objective=objective - spent,
-                max_wait=max_wait,
-                deadline=self._time_left(plan),
-                reroute_wait=reroute_wait,
-                parts=plan.fields.parts,
-            ),
+        admission = AdmissionRequest(
+            request_id=reservation_id,
+            worker=target.target,
+            model=adapter.model,
+            adapter=adapter.adapter,
+            workspace=plan.workspace.name if plan.workspace else '',
+            prompt_tokens=plan.demand.prompt_tokens,
+            output_tokens=plan.demand.output_tokens,
+            priority=plan.priority,
+            objective=objective - spent,
+            max_wait=max_wait,
+            deadline=self._time_left(plan),
+            reroute_wait=reroute_wait,
+            parts=plan.fields.parts,
+            limits=self._limits.table.report(target.key, boot_seconds()),
         )
+        reply = await self._admissions.reserve(admission)
         if reply is None:
             plan.reason = f'no reply from the steward of {target.target}'
+            if self._limits.is_limited(target):
+                own = await self._limits.reserve_own(admission)
+                if not own.is_granted:
+                    plan.retry_after = own.retry_after
+                    return None
+                plan.turn = target.key
             if self._admissions.is_ready(target, adapter.adapter):
                 return Reservation(
                     target.target, reservation_id, is_granted=False
                 )
             return None
         if reply.is_granted:
+            plan.turn = target.key
             return Reservation(target.target, reservation_id, reply.version)
         plan.reason = f'{target.target}: {reply.reason}'
         if not reply.elsewhere:
@@ -602,6 +689,8 @@
         except RequestNotSent as exc:
             plan.reason = f'{target.target}: {exc}'
             return AttemptResult.not_sent
+        plan.turn = None
+        plan.sent_at = boot_seconds()
         plan.is_sent = True
         plan.is_stream_begun = False
         plan.limit = None
@@ -655,6 +744,7 @@
         if not response.matches_request:
             raise ResponseLost('the response belongs to another request')
         self.target_table.record_response(target.target, response, now)
+        self._limits.record_response(target, response, plan.sent_at)
         if response.is_not_run:
             plan.runs -= 1
             plan.is_sent = plan.runs > 0
@@ -830,7 +920,7 @@
 def _outcome(result: AttemptResult, plan: RequestPlan) -> GrantOutcome:
     if result is AttemptResult.done:
         return GrantOutcome.served
-    if result is AttemptResult.quarantined:
+    if result in {AttemptResult.quarantined, AttemptResult.no_turn}:
         return GrantOutcome.unused
     if result is AttemptResult.missing:
         return GrantOutcome.missing
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -18,6 +18,7 @@
     `failed`: it ran, failed and is retried elsewhere. `broken`: the response
     was lost after a part of it had been sent to the caller. `quarantined`: a
     part of the prompt crashes engines, so that the request was not sent.
+    `no_turn`: the target has a limit, and the request has no turn within it.
     """
 
     done = 'done'
@@ -29,6 +30,7 @@
     late = 'late'
     broken = 'broken'
     quarantined = 'quarantined'
+    no_turn = 'no_turn'
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +54,9 @@
     `is_stream_begun` tells whether it was a stream. `build` is that of the last
     target, `entry` the state of its entry and `view_age` the age of the view
     when the request was sent. Once a stream has begun, it may go on only at
-    `began_at_build`.
+    `began_at_build`. `turn` is the target at which the request
+    may take one place within the limit that the target named, `turns` how often
+    it asked for one; `sent_at` is when the last attempt was sent.
     """
 
     req: CallerRequest
@@ -69,6 +73,9 @@
     events: EventBuffer = field(default_factory=EventBuffer)
     framing: str = ''
     limit: float | None = None
+    turn: tuple[str, int] | None = None
+    turns: int = 0
+    sent_at: float = 0
     is_stream_begun: bool = False
     last_event: str = ''
     target: str = ''
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -11,6 +11,7 @@
 
 from mintlanding.core.registry import Registry
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.request_plan import AttemptResult, RequestPlan
 from mintlanding.node.view import FleetView
 from mintlanding.quarantine.ledger import CrashLedger
@@ -36,6 +37,7 @@
 
     view: FleetView
     crashes: CrashLedger
+    limits: LimitKeeper
 
     def candidates(self, plan: RequestPlan) -> list[Target]:
         """Return the targets that may run the rest of a request."""
@@ -101,3 +103,14 @@
 ) -> Barrier | None:
     """Check again what other instances may have learned meanwhile."""
     return gate.refusal(plan)
+
+
+@SEND_CHECKS.register('limit')
+def check_limit(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that a request has a turn at a target that named a limit."""
+    if plan.turn == target.key or not gate.limits.is_limited(target):
+        return None
+    reason = f'{target.target}: no turn within its limit'
+    return Barrier(AttemptResult.no_turn, reason)
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -29,6 +29,8 @@
     well_connected_members,
 )
 from mintlanding.residency.messages import WorkerDigest
+from mintlanding.target_limits.messages import LimitReport
+from mintlanding.target_limits.table import combine_limits
 
 # Key that selects the hub of a zone by rendezvous hashing, as the names of
 # workers select their holders.
@@ -60,6 +62,7 @@
     in_use: Callable[[], tuple[tuple[str, str, str], ...]] = tuple
     store_contact: Callable[[float], float] = lambda now: 0
     suspects: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
+    limits: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
 
@@ -75,6 +78,9 @@
     on_suspects: Callable[[tuple[SuspectPart, ...], float], None] = (
         lambda suspects, now: None
     )
+    on_limits: Callable[[tuple[LimitReport, ...], float], None] = (
+        lambda limits, now: None
+    )
     on_adapter_use: (
         Callable[[str, tuple[tuple[str, str], ...]], None] | None
     ) = None
@@ -218,6 +224,7 @@
         self._notify_digests(status.instance, status.digests)
         self.listeners.on_store_contact(status.store_contact, now)
         self.listeners.on_suspects(status.suspects, now)
+        self.listeners.on_limits(status.limits, now)
         if not self.uses_hubs:
             member = f'{status.instance}/{status.incarnation}'
             self._notify_admitted(member, status.admitted, now)
@@ -248,6 +255,7 @@
                 self._send_consent(member.instance, member.sent_at)
         self.listeners.on_store_contact(zone_status.store_contact, now)
         self.listeners.on_suspects(zone_status.suspects, now)
+        self.listeners.on_limits(zone_status.limits, now)
         for instance, digest in zone_status.digests:
             if instance != self._instance:
                 self._notify_digests(instance, (digest,))
@@ -279,6 +287,7 @@
             is_leaving=self.is_leaving,
             store_contact=self.sources.store_contact(now),
             suspects=self.sources.suspects(now),
+            limits=self.sources.limits(now),
         )
 
     def _send_use_reports(self) -> None:
@@ -395,6 +404,11 @@
                 ),
                 _MAX_SUSPECTS,
             ),
+            limits=combine_limits(
+                (report, self._delay(each.instance, now))
+                for each in live.values()
+                for report in each.limits
+            ),
         )
 
     def _delay(self, member: str, now: float) -> float:
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -10,10 +10,12 @@
 from mintlanding.core.exceptions import RequestNotSent, ResponseLost
 from mintlanding.core.logs import Logger
 from mintlanding.http1.client import ConnectionPool
+from mintlanding.http1.models import ResponseHead
 from mintlanding.links.mesh import Reply
 from mintlanding.links.messages import Message
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.codec import Codec
+from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.view import FleetView
@@ -61,6 +63,7 @@
         view: FleetView,
         membership: Membership,
         codec: Codec,
+        limits: LimitKeeper,
         rnd: random.Random,
     ) -> None:
         """Start without stewards."""
@@ -70,6 +73,7 @@
         self._view = view
         self._membership = membership
         self._codec = codec
+        self._limits = limits
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
         self._reply_callbacks: dict[str, ReplyCallback] = {}
@@ -138,6 +142,14 @@
                     )
                     self._execute(worker, actions)
 
+    def update_limits(self) -> None:
+        """Pass the limits that engines named to the stewards."""
+        now = boot_seconds()
+        for worker, steward in tuple(self.stewards.items()):
+            target = self._view.targets.get(worker)
+            if target is not None and target.incarnation == steward.incarnation:
+                self._set_limit(steward, target, now)
+
     def record_adapter_use(
         self,
         instance: str,
@@ -163,6 +175,11 @@
 
     def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
         """Request an admission; `on_reply` may be called later and twice."""
+        self._limits.merge(req.limits, boot_seconds())
+        target = self._view.targets.get(req.worker)
+        if target is not None and not self._view.is_engine(target):
+            self._limits.reserve(req, on_reply)
+            return
         steward = self.stewards.get(req.worker)
         if steward is None:
             on_reply(
@@ -180,6 +197,7 @@
     def end(self, message: AdmissionEnd) -> None:
         """Report the end of a request to the steward of its worker."""
         self._reply_callbacks.pop(message.request_id, None)
+        self._limits.end(message)
         steward = self.stewards.get(message.worker)
         if steward is not None:
             self._execute(message.worker, steward.end(message, boot_seconds()))
@@ -256,10 +274,19 @@
         self._execute(
             worker, steward.set_authority(may_order, now, orders_from)
         )
+        self._set_limit(steward, target, now)
         if target.is_leaving and not steward.is_leaving:
             self._execute(worker, steward.drain(now))
         self._execute(worker, steward.tick(now))
 
+    def _set_limit(
+        self, steward: EngineSteward, target: Target, now: float
+    ) -> None:
+        limit = self._limits.holder_limit(target.key)
+        if limit is None and steward.pacer is None:
+            return
+        self._execute(target.target, steward.set_limit(limit, now))
+
     def _execute(self, worker: str, actions: Sequence[Action]) -> None:
         for action in actions:
             if isinstance(action, AdmissionReply):
@@ -369,6 +396,7 @@
         finally:
             self._pool.release(conn)
         self.mark_reachable(target.target)
+        self._record_limit(target, head)
         return self._codec.order_result(head.status)
 
     async def fetch_report(self, target: Target) -> EngineReport | None:
@@ -393,8 +421,19 @@
             return None
         finally:
             self._pool.release(conn)
+        self._record_limit(target, head)
         return report if head.status == _OK else None
 
+    def _record_limit(self, target: Target, head: ResponseHead) -> None:
+        """Record a limit that the response to an order or report names.
+
+        One without a limit is no response to a caller's request, and says
+        nothing about them.
+        """
+        response = self._codec.read_response(head, '')
+        if response.limit is not None:
+            self._limits.record_response(target, response, boot_seconds())
+
     async def _request_report(self, worker: str) -> None:
         target = self._view.targets.get(worker)
         if target is None:
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -171,6 +171,10 @@
         ]
         return self.builds.only_build(service, present, since)
 
+    def is_engine(self, target: Target) -> bool:
+        """Tell whether a target runs an engine."""
+        return self._is_engine(target.service)
+
     def engines(self) -> dict[str, Target]:
         """Return the workers, targets that run an engine, by name."""
         return {
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from mintlanding.target_limits.messages import LimitReport
+
 
 class GrantOutcome(StrEnum):
     """How a granted request ended at its engine.
@@ -33,7 +35,8 @@
     run misses its latency objective, until its caller should be refused, and
     until it must end. With an expected wait above `reroute_wait` another worker
     is the better choice. `parts` are the parts of the prompt in order, each
-    with its number of tokens.
+    with its number of tokens. `limits` is what the sender knows of a limit
+    that the worker named.
     """
 
     request_id: str
@@ -49,6 +52,7 @@
     deadline: float
     reroute_wait: float
     parts: tuple[tuple[str, int], ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class AdmissionReply(
--- a/mintlanding/residency/queue.py
+++ b/mintlanding/residency/queue.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 
 from mintlanding.residency.models import QueuedRequest, StewardOptions
+from mintlanding.target_limits.pacer import Pacer
 
 
 class AdmissionQueue:
@@ -76,3 +77,18 @@
 
 def _rank(item: QueuedRequest) -> float:
     return item.rank
+
+
+def missed_turns(
+    queue: AdmissionQueue, pacer: Pacer, now: float
+) -> list[QueuedRequest]:
+    """Return the queued requests that a limit does not let pass in time.
+
+    Those that were queued in time miss their turn when more urgent ones come.
+    """
+    missed: list[QueuedRequest] = []
+    for place, item in enumerate(queue):
+        wait = pacer.wait(now, place - len(missed))
+        if now + wait > item.expires:
+            missed.append(item)
+    return missed
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -28,7 +28,8 @@
     StewardOptions,
 )
 from mintlanding.residency.prefix_cache import PrefixCacheModel
-from mintlanding.residency.queue import AdmissionQueue
+from mintlanding.residency.queue import AdmissionQueue, missed_turns
+from mintlanding.target_limits.pacer import Pacer
 
 # Weight of a new service time in the exponential moving average.
 _SMOOTHING = 0.05
@@ -38,6 +39,8 @@
 _GRANT_GRACE = 0.3
 # Least retry time in seconds that a refusal gives.
 _MIN_RETRY_AFTER = 0.1
+# Reason of a refusal because of a limit that the engine named.
+_LIMIT_REASON = 'its limit is used up'
 # Retry times get up to this share of jitter, to spread the retries.
 _RETRY_JITTER = 0.3
 
@@ -67,6 +70,8 @@
         self.is_leaving = False
         self.adapter_slots = AdapterSlots(capacity, options)
         self.queue = AdmissionQueue(options)
+        # Set while the engine names a limit of requests per second.
+        self.pacer: Pacer | None = None
         self._options = options
         self._rnd = rnd
         self._capacity = capacity
@@ -139,6 +144,9 @@
         if granted is None:
             return []
         req = granted.req
+        is_unused = message.outcome is GrantOutcome.unused
+        if is_unused and self.pacer is not None:
+            self.pacer.give_back(now)
         self._tokens -= _total_tokens(req)
         self._slot_freed_at = now
         self.adapter_slots.unpin(req.adapter, now)
@@ -222,6 +230,16 @@
         self.adapter_slots.set_newest_version(adapter, version, now)
         return self._proceed(now)
 
+    def set_limit(self, limit: float | None, now: float) -> Sequence[Action]:
+        """Grant at most `limit` requests per second from now on."""
+        if limit is None:
+            self.pacer = None
+        elif self.pacer is None:
+            self.pacer = Pacer(limit, now)
+        else:
+            self.pacer.set_limit(limit, now)
+        return self._proceed(now)
+
     def set_authority(
         self,
         may_order: bool,
@@ -261,6 +279,8 @@
             times.append(
                 self._prefill_until - self._options.max_prefill_backlog
             )
+        if self.queue and self.pacer is not None:
+            times.append(now + self.pacer.wait(now))
         if self._pending_order is not None:
             times.append(self._pending_order.resend_at)
         times.append(self._report_at)
@@ -295,7 +315,10 @@
             load = self.adapter_slots.load_seconds(adapter)
             if self.adapter_slots.get(adapter) is None:
                 load += self._load_wait(now)
-        return max(prefill, batch, load)
+        turn: float = 0
+        if self.pacer is not None:
+            turn = self.pacer.wait(now, ahead)
+        return max(prefill, batch, load, turn)
 
     def _orders_wait(self, now: float) -> float:
         """Return the seconds until orders can be sent, inf if unknown."""
@@ -430,6 +453,10 @@
             self.queue.remove(item.req.request_id)
             reason = f'not in time, {self._wait_reason(item.req, now)}'
             actions.append(self._refusal(item.req, now, reason, elsewhere=True))
+        if self.pacer is not None:
+            for item in missed_turns(self.queue, self.pacer, now):
+                self.queue.remove(item.req.request_id)
+                actions.append(self._refusal(item.req, now, _LIMIT_REASON))
         actions.extend(self._issue_orders(now))
         return actions
 
@@ -453,6 +480,8 @@
     def _is_full(self, now: float) -> bool:
         if self.running >= self._capacity.batch_limit:
             return True
+        if self.pacer is not None and self.pacer.wait(now) > 0:
+            return True
         return self._prefill_until - now > self._options.max_prefill_backlog
 
     def _wait_reason(self, req: AdmissionRequest, now: float) -> str:
@@ -461,6 +490,8 @@
             return 'the model is missing'
         if self.running >= self._capacity.batch_limit:
             return 'the batch is full'
+        if self.pacer is not None and self.pacer.wait(now) > 0:
+            return _LIMIT_REASON
         if self._prefill_until - now > self._options.max_prefill_backlog:
             return 'prompts are behind'
         if req.adapter and not self.adapter_slots.is_ready(req.adapter, now):
@@ -489,6 +520,8 @@
         self.queue.remove(req.request_id)
         expires = now + req.deadline + _GRANT_GRACE
         self._granted[req.request_id] = GrantedRequest(req, now, expires)
+        if self.pacer is not None:
+            self.pacer.take(now)
         self._tokens += _total_tokens(req)
         if self.running == self._capacity.batch_limit:
             self._slot_freed_at = now
--- /dev/null
+++ b/mintlanding/target_limits/messages.py
@@ -0,0 +1,19 @@
+"""What instances tell each other about the limits of targets."""
+
+import msgspec
+
+# Value of a report that the target no longer names a limit.
+NO_LIMIT = -1.0
+
+
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a target last named to the sender, `age` seconds ago.
+
+    `limit` is in requests per second for all instances together, `NO_LIMIT` if
+    the target's last response named none.
+    """
+
+    target: str
+    incarnation: int
+    limit: float
+    age: float = 0
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -83,7 +83,7 @@
 
 STORED = json.loads(Path(__file__).with_name('wire_samples.json').read_text())
 EVERY_SAMPLE = {**SAMPLES, **VARIANTS}
-# Bytes of messages that have more fields since, as an earlier release sends.
+# Bytes of messages that have more fields since, as earlier releases send them.
 EARLIER = json.loads(
     Path(__file__).with_name('wire_samples_earlier.json').read_text()
 )
@@ -134,10 +134,13 @@
         assert _encode(name, decoded) == STORED[name]
 
 
-@pytest.mark.parametrize('name', EARLIER)
-def test_fields_of_an_earlier_release_keep_their_places(name):
+@pytest.mark.parametrize(
+    ('name', 'sent'),
+    [(name, sent) for name, releases in EARLIER.items() for sent in releases],
+)
+def test_fields_of_an_earlier_release_keep_their_places(name, sent):
     # An instance of that release reads a longer array up to its own fields.
-    packed = base64.b64decode(EARLIER[name])
+    packed = base64.b64decode(sent)
     before = msgspec.msgpack.decode(packed)
     decoded = msgspec.msgpack.decode(packed, type=type(EVERY_SAMPLE[name]))
     after = msgspec.msgpack.decode(msgspec.msgpack.encode(decoded))
@@ -365,6 +368,7 @@
     (AttemptResult.late, 'late'),
     (AttemptResult.broken, 'broken'),
     (AttemptResult.quarantined, 'quarantined'),
+    (AttemptResult.no_turn, 'no_turn'),
     (traffic.RouteKind.safe, 'safe'),
     (traffic.RouteKind.unsafe, 'unsafe'),
     (traffic.RouteKind.stream, 'stream'),
@@ -927,6 +931,7 @@
     'mintlanding_members 11',
     'mintlanding_members_heard 10',
     'mintlanding_quarantined_parts 1',
+    'mintlanding_limited_targets 2',
     'mintlanding_worker_running{worker="i-7f"} 7',
     'mintlanding_worker_queued{worker="i-7f"} 8',
     'mintlanding_worker_grants_total{worker="i-7f"} 3',
@@ -961,6 +966,7 @@
         ),
         types.SimpleNamespace(stewards={'i-7f': steward}),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
+        types.SimpleNamespace(count=lambda: 2),
     )
 
 
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -30,6 +30,7 @@
 from mintlanding.standin import faults as standin_faults
 from mintlanding.standin import records as standin_records
 from mintlanding.streams import messages as streams
+from mintlanding.target_limits import messages as target_limits
 
 # Modules whose structs leave a process, with their encoding. The key is the
 # first part of the names of their samples.
@@ -38,6 +39,7 @@
     'residency': (residency, 'msgpack'),
     'streams': (streams, 'msgpack'),
     'quarantine': (quarantine, 'msgpack'),
+    'target_limits': (target_limits, 'msgpack'),
     'quarantine_records': (quarantine_records, 'json'),
     'limits': (limits, 'msgpack'),
     'membership': (membership, 'msgpack'),
@@ -101,6 +103,11 @@
                 is_quarantined=True,
             ),
         ),
+        limits=(
+            target_limits.LimitReport(
+                target='text-22', incarnation=23, limit=24.5, age=25.5
+            ),
+        ),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -150,6 +157,11 @@
                 is_quarantined=True,
             ),
         ),
+        limits=(
+            target_limits.LimitReport(
+                target='text-45', incarnation=46, limit=47.5, age=48.5
+            ),
+        ),
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
@@ -200,6 +212,11 @@
                 169,
             ),
         ),
+        limits=(
+            target_limits.LimitReport(
+                target='text-70', incarnation=71, limit=72.5, age=73.5
+            ),
+        ),
     ),
     'residency.AdmissionReply': residency.AdmissionReply(
         request_id='text-70',
@@ -219,6 +236,9 @@
         answered_age=5.5,
         is_quarantined=True,
     ),
+    'target_limits.LimitReport': target_limits.LimitReport(
+        target='text-1', incarnation=2, limit=3.5, age=4.5
+    ),
     'quarantine_records.QuarantineRecord': quarantine_records.QuarantineRecord(
         position=1, crashes=2, last_crash=3.5
     ),
