--- a/mintlanding/platform/tests/test_target_limits.py
+++ b/mintlanding/platform/tests/test_target_limits.py
@@ -63,3 +63,80 @@
         largest_window(each.arrived_at, since=begin + 3) for each in targets
     ]
     assert max(counts) <= allowed(LIMIT)
+
+
+async def send_while(world, path, change):
+    """Send steadily; make a change half-way; return the largest counts."""
+    for target in world.plain + world.engines:
+        target.faults.limit = LIMIT
+    begin = time.monotonic()
+    sending = asyncio.create_task(
+        send_steadily(world, path, seconds=10, rate=40)
+    )
+    await asyncio.sleep(5)
+    change()
+    await sending
+    return [
+        largest_window(each.arrived_at, since=begin + 2)
+        for each in (*world.plain, *world.engines)
+    ]
+
+
+@pytest.mark.parametrize('path', [LOOKUP, LIVE])
+async def test_limit_holds_while_instances_are_cut_off_from_each_other(
+    four, path
+):
+    counts = await send_while(
+        four, path, lambda: four.cut_links(four.nodes[:2], four.nodes[2:])
+    )
+    assert max(counts) <= allowed(LIMIT)
+
+
+@pytest.mark.parametrize(('path', 'target'), [(LOOKUP, 'p1'), (LIVE, 'e1')])
+async def test_limit_holds_when_its_holder_is_cut_off(four, path, target):
+    def cut():
+        holder = four.nodes[0]._admissions.holder(target)
+        (alone,) = [
+            each for each in four.nodes if each._membership.instance == holder
+        ]
+        others = [each for each in four.nodes if each is not alone]
+        four.cut_links([alone], others)
+
+    assert max(await send_while(four, path, cut)) <= allowed(LIMIT)
+
+
+async def test_requests_go_to_the_target_without_a_limit(four):
+    four.plain[0].faults.limit = 0.5
+    responses = await send_steadily(four, LOOKUP, seconds=3, rate=20)
+    assert {status for status, _, _ in responses} == {200}
+
+
+async def test_unreadable_limit_is_none(four):
+    for target in four.plain:
+        target.faults.limit = float('nan')
+    responses = await send_steadily(four, LOOKUP, seconds=1, rate=20)
+    assert {status for status, _, _ in responses} == {200}
+    assert not any(each._limits.count() for each in four.nodes)
+
+
+async def test_request_beyond_the_limit_of_all_targets_is_refused_at_once(
+    four,
+):
+    for target in four.plain:
+        target.faults.limit = 0.0
+    responses = await send_steadily(four, LOOKUP, seconds=3, rate=20)
+    refusals = [head for status, head, _ in responses if status == 503]
+    assert refusals
+    assert all(b'retry-after: ' in head for head in refusals)
+
+
+async def test_limit_ends_with_the_first_response_without_one(four):
+    for target in four.plain:
+        target.faults.limit = LIMIT
+    await send_steadily(four, LOOKUP, seconds=2, rate=40)
+    for target in four.plain:
+        target.faults.limit = None
+    await send_steadily(four, LOOKUP, seconds=2, rate=20)
+    responses = await send_steadily(four, LOOKUP, seconds=1, rate=40)
+    assert {status for status, _, _ in responses} == {200}
+    assert not any(each._limits.count() for each in four.nodes)
--- a/mintlanding/platform/tests/world.py
+++ b/mintlanding/platform/tests/world.py
@@ -140,6 +140,13 @@
         for store, address in zip(stores, addresses, strict=True):
             store._address = address
 
+    def cut_links(self, *groups):
+        """Drop all messages between groups of instances."""
+        for group in groups:
+            near = {each._membership.instance for each in group}
+            for node in group:
+                _drop_messages(node._membership.mesh, near)
+
     async def begin_stream(self, node=0):
         """Break a stream after its first event; return its id and engine."""
         before = {each.name: len(each.runs) for each in self.engines}
@@ -205,6 +212,22 @@
         return response
 
 
+def _drop_messages(mesh, kept):
+    """Send messages to the kept members only."""
+    send = mesh.send
+
+    def send_near(member, message):
+        # A message to a member that is cut off is lost without notice.
+        return send(member, message) if member in kept else True
+
+    def broadcast_near(message):
+        for member in kept:
+            send(member, message)
+
+    mesh.send = send_near
+    mesh.broadcast = broadcast_near
+
+
 async def read_response(reader):
     head = (await reader.readuntil(b'\r\n\r\n')).lower()
     status = int(head.split()[1])
