Log which requests are the same

The logs could not tell that two requests are the same. A keyed digest of path, caller and body stands beside each request that ended and each attempt that failed; neither body nor key does.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -34,6 +34,7 @@
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
+from mintlanding.quarantine.fingerprints import request_digest
 from mintlanding.quarantine.ledger import CrashLedger
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
 from mintlanding.residency.worker_choice import choose_worker
@@ -179,6 +180,13 @@
             service,
             deadline,
             fields.demand or Demand(),
+            request_digest(
+                view.fleet_key,
+                fields.host.encode(),
+                req.target,
+                fields.key.encode(),
+                req.body,
+            ),
         )
         barrier = self._gate.refusal(plan)
         if barrier is not None:
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -51,6 +51,7 @@
         self._logger.info(
             'Attempt failed.',
             request=plan.fields.request_id,
+            digest=plan.digest,
             target=plan.target,
             build=plan.build,
             adapter=plan.fields.adapter.adapter,
@@ -73,6 +74,7 @@
         self._logger.info(
             'Request ended.',
             request=plan.fields.request_id,
+            digest=plan.digest,
             route=plan.route.name,
             outcome=outcome,
             target=plan.target,
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -47,14 +47,15 @@
     """A request to be sent, with its route and the state of its attempts.
 
     `deadline` is the monotonic time by which the final response is sent.
-    `charged` is the amount taken from the workspace's quota. `sends` counts
-    all attempts, `runs` those that may have run, and `waited` the seconds
-    spent waiting for admissions. `framing` is that of the last response that a
-    target began, `limit` the rate in requests per second that it named, and
-    `is_stream_begun` tells whether it was a stream. `build` is that of the last
-    target, `entry` the state of its entry and `view_age` the age of the view
-    when the request was sent. Once a stream has begun, it may go on only at
-    `began_at_build`. `turn` is the target at which the request
+    `digest` is equal for requests with the same path, caller and body; it is
+    empty if unknown. `charged` is the amount taken from the workspace's quota.
+    `sends` counts all attempts, `runs` those that may have run, and `waited`
+    the seconds spent waiting for admissions. `framing` is that of the last
+    response that a target began, `limit` the rate in requests per second that
+    it named, and `is_stream_begun` tells whether it was a stream. `build` is
+    that of the last target, `entry` the state of its entry and `view_age` the
+    age of the view when the request was sent. Once a stream has begun, it may
+    go on only at `began_at_build`. `turn` is the target at which the request
     may take one place within the limit that the target named, `turns` how often
     it asked for one; `sent_at` is when the last attempt was sent.
     """
@@ -66,6 +67,7 @@
     service: Service
     deadline: float
     demand: Demand
+    digest: str = ''
     charged: float = 0
     sends: int = 0
     runs: int = 0
