--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -208,6 +208,8 @@
     limit: float | None = None
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
+    # Body of a request under which the target crashes.
+    crash_body: bytes = b''
     # Seconds until it runs again, as a new incarnation under its id.
     restart_after: float = 0.3
 
@@ -241,6 +243,8 @@
     is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
+    # Times at which requests with `crash_body` arrived.
+    crashed_at: list = field(default_factory=list)
     on_restart: Callable[['TargetStandin'], None] = lambda target: None
 
     async def start(self):
@@ -361,6 +365,10 @@
         except asyncio.CancelledError:
             self.left += 1
             raise
+        if faults.crash_body and req.body == faults.crash_body:
+            self.crashed_at.append(time.monotonic())
+            self.crashing = asyncio.ensure_future(self.crash())
+            return
         await self._respond(req, headers, is_crashing)
 
     def _limit(self):
