Count crashes in close succession as several

Cause: each crash within 0.1 s of the one before joined its burst, so that a chain of any length counted as one: 12 crashes 0.09 s apart under the same part of a prompt quarantined nothing, and callers lost engine after engine.

Change: a burst ends 0.1 s after its first crash. The test of such a chain failed before and passes; the crashes of one moment still count as one.

--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -25,7 +25,8 @@
     `min_crashes`: crashes at different times that put a part into quarantine.
     `min_answers`: responses without the part that this instance must have
     passed on meanwhile, so that an outage of all engines is blamed on none.
-    `burst`: crashes within this time have a common cause and count as one.
+    `burst`: crashes within this time from the first of them have a common
+    cause and count as one.
     `repeat_crashes`: crashes from which a request that was lost in one of them
     is not repeated. `first_pause`: time after the last crash before one request
     with a quarantined part is tried; each further crash doubles it, up to
@@ -307,11 +308,11 @@
     def _count(self, times: Iterable[float]) -> int:
         """Return the number of crashes, of which those of a burst are one."""
         count = 0
-        last = -math.inf
+        begin = -math.inf
         for at in sorted(times):
-            if at > last + self._options.burst:
+            if at > begin + self._options.burst:
                 count += 1
-            last = at
+                begin = at
         return count
 
     def _pause(self, suspect: _Suspect) -> float:
--- a/mintlanding/quarantine/tests/test_ledger.py
+++ b/mintlanding/quarantine/tests/test_ledger.py
@@ -46,6 +46,15 @@
     assert not ledger.quarantined()
 
 
+def test_crashes_in_close_succession_are_not_one():
+    ledger = CrashLedger(OPTIONS)
+    ledger.record_crash('e0/1', [('top', 'bad')], 1)
+    answered(ledger, ('top', 'good'), 1.01)
+    times = [1 + 0.09 * number for number in range(1, 12)]
+    crashed(ledger, times, ('bad',), first=1)
+    assert ledger.quarantined() == ('bad',)
+
+
 def test_crashes_of_one_engine_run_count_once():
     ledger = CrashLedger(OPTIONS)
     answered(ledger, ('other',), 0.5)
