Limit the trials of a quarantined part to two in all

The users allow three more sends in all.

Change: trials of parts are claimed in the store like those of whole requests, two in all, 20 s and 300 s after the last crash; a quarantine is kept until a response releases it.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -176,7 +176,6 @@
         listeners.on_limits = self._limits.merge
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
-        self.relay.quarantines.parts.is_elected = self._membership.is_elected
         listeners.on_store_contact = self._record_store_contact
         listeners.on_new_incarnation = self._admissions.notify_waiters
         self._stewards.on_steward_start = self._admissions.notify_waiters
--- a/mintlanding/node/quarantine_records.py
+++ b/mintlanding/node/quarantine_records.py
@@ -29,6 +29,7 @@
 from mintlanding.quarantine.ledger import CrashLedger
 from mintlanding.quarantine.records import QuarantineRecord, RequestRecord
 from mintlanding.quarantine.request_ledger import RequestLedger
+from mintlanding.quarantine.trials import Trials
 
 # Seconds between comparisons of the ledgers with the records.
 _INTERVAL_SECONDS = 0.25
@@ -63,7 +64,7 @@
         """Add the quarantines of the records to the ledgers."""
         now = boot_seconds()
         for part, record in self._view.quarantines.items():
-            self._parts.restore(part, record, _boot_time(record))
+            self._parts.restore(part, record, _boot_time(record), now)
         recorded = self._view.request_records
         for digest, request_record in recorded.items():
             at = _boot_time(request_record)
@@ -102,20 +103,32 @@
         await self._store.commit(Transaction(expected, writes, deletes))
 
     async def _claim_trials(self) -> None:
-        trials = self._requests.trials
-        for digest in tuple(trials.wanted):
-            trials.wanted.discard(digest)
-            key = REQUEST_QUARANTINE_PREFIX + digest
-            record = self._view.request_records.get(digest)
-            if record is None:
-                continue
-            claimed = msgspec.structs.replace(record, trials=record.trials + 1)
-            write = Write(key, msgspec.json.encode(claimed))
-            reply = await self._store.commit(
-                Transaction({key: self._revision(key)}, (write,))
-            )
-            if isinstance(reply, Committed):
-                trials.claim(digest, claimed.trials, boot_seconds())
+        for prefix, ledger, known in (
+            (QUARANTINE_PREFIX, self._parts, self._view.quarantines),
+            (
+                REQUEST_QUARANTINE_PREFIX,
+                self._requests,
+                self._view.request_records,
+            ),
+        ):
+            trials = ledger.trials
+            for name in tuple(trials.wanted):
+                trials.wanted.discard(name)
+                record = known.get(name)
+                if record is not None:
+                    await self._claim_trial(trials, name, prefix, record)
+
+    async def _claim_trial(
+        self, trials: Trials, name: str, prefix: str, record: Record
+    ) -> None:
+        key = prefix + name
+        claimed = msgspec.structs.replace(record, trials=record.trials + 1)
+        write = Write(key, msgspec.json.encode(claimed))
+        reply = await self._store.commit(
+            Transaction({key: self._revision(key)}, (write,))
+        )
+        if isinstance(reply, Committed):
+            trials.claim(name, claimed.trials, boot_seconds())
 
     def _changes(self) -> Iterator[tuple[str, Record | None]]:
         """Yield the keys that differ, with their records, None to delete."""
--- a/mintlanding/node/quarantines.py
+++ b/mintlanding/node/quarantines.py
@@ -45,7 +45,7 @@
     def begin_trial(self, plan: RequestPlan) -> None:
         """Record that a request is sent, maybe as a trial."""
         self.requests.begin_trial(plan.digest)
-        self.parts.begin_trial(plan.shared_parts, boot_seconds())
+        self.parts.begin_trial(plan.shared_parts)
 
     def record_answer(self, plan: RequestPlan, *, is_success: bool) -> None:
         """Record a complete response: its target has not crashed under it."""
--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -13,6 +13,7 @@
 from mintlanding.core.logs import Logger
 from mintlanding.quarantine.messages import EngineCrash, SuspectPart
 from mintlanding.quarantine.records import QuarantineRecord
+from mintlanding.quarantine.trials import Trials
 
 # Begins the names of engines whose crashes are only known by their number.
 _RECORDED = 'recorded/'
@@ -28,23 +29,18 @@
     `burst`: crashes within this time from the first of them have a common
     cause and count as one.
     `repeat_crashes`: crashes from which a request that was lost in one of them
-    is not repeated. `first_pause`: time after the last crash before one request
-    with a quarantined part is tried; each further crash doubles it, up to
-    `max_pause`. `trial_timeout`: time after which a trial without an outcome is
-    repeated. `memory`: time after which crashes without a quarantine are
-    forgotten; a quarantined part is forgotten after `forget_pauses` pauses
-    without a trial. `share_time`: time for which news about a part are sent.
+    is not repeated. `trial_pauses`: time before each trial of a quarantined
+    part, as for whole requests. `memory`: time after which crashes without a
+    quarantine are forgotten. `share_time`: time for which news about a part
+    are sent.
     """
 
     min_crashes: int = 3
     min_answers: int = 3
     burst: float = 0.1
     repeat_crashes: int = 2
-    first_pause: float = 20
-    max_pause: float = 3600
-    trial_timeout: float = 5
+    trial_pauses: tuple[float, ...] = (20, 300)
     memory: float = 60
-    forget_pauses: int = 4
     share_time: float = 5
     max_parts: int = 500
     max_shared_parts: int = 50
@@ -64,7 +60,6 @@
     answered_at: float = -math.inf
     own_answered_at: float = -math.inf
     is_quarantined: bool = False
-    trial_at: float = -math.inf
 
     @property
     def last_crash(self) -> float:
@@ -74,6 +69,10 @@
     def last_news(self) -> float:
         return max(self.last_crash, self.own_answered_at)
 
+    @property
+    def importance(self) -> tuple[bool, float]:
+        return self.is_quarantined, self.last_news
+
     def unexplained(
         self, explained: set[str], count: Callable[[Iterable[float]], int]
     ) -> int:
@@ -96,7 +95,7 @@
 
     def __init__(self, options: QuarantineOptions) -> None:
         """Start without crashes."""
-        self.is_elected: Callable[[str], bool] = lambda part: True
+        self.trials = Trials(options.trial_pauses)
         self._options = options
         self._suspects: dict[str, _Suspect] = {}
         self._answers = 0
@@ -114,14 +113,20 @@
         """Return a record of each part in quarantine, with own times."""
         return {
             part: QuarantineRecord(
-                suspect.position, len(suspect.crashes), suspect.last_crash
+                suspect.position,
+                len(suspect.crashes),
+                suspect.last_crash,
+                self.trials.made(part),
             )
             for part, suspect in self._suspects.items()
             if suspect.is_quarantined
         }
 
-    def restore(self, part: str, record: QuarantineRecord, at: float) -> None:
+    def restore(
+        self, part: str, record: QuarantineRecord, at: float, now: float
+    ) -> None:
         """Quarantine a part by its stored record; `at` is the last crash."""
+        self.trials.learn(part, record.trials, now)
         suspect = self._suspect(part, record.position)
         if at <= suspect.answered_at or suspect.is_quarantined:
             return
@@ -201,20 +206,24 @@
             suspect = self._suspects.get(part)
             if suspect is None:
                 continue
-            if suspect.is_quarantined and not self._may_try(part, suspect, now):
-                left = suspect.last_crash + self._pause(suspect) - now
-                return part, max(left, self._options.trial_timeout)
+            last_crash = suspect.last_crash
+            if suspect.is_quarantined and not self.trials.may_send(
+                part, last_crash, now
+            ):
+                return part, max(1, self.trials.wait(part, last_crash, now))
             if is_repeat and self._is_suspicious(suspect):
-                return part, self._options.first_pause
+                return part, self._options.trial_pauses[0]
         return '', 0
 
-    def begin_trial(self, parts: Iterable[str], now: float) -> None:
+    def begin_trial(self, parts: Iterable[str]) -> None:
         """Record that a request is sent, maybe as the trial of a part."""
         for part in parts:
-            suspect = self._suspects.get(part)
-            if suspect is not None and suspect.is_quarantined:
-                suspect.trial_at = now
-                self._logger.info('Part in quarantine tried.', part=part)
+            if self.trials.begin(part):
+                self._logger.info(
+                    'Part in quarantine tried.',
+                    part=part,
+                    trials=self.trials.made(part),
+                )
 
     def _suspect(self, part: str, position: int) -> _Suspect:
         suspect = self._suspects.get(part)
@@ -246,6 +255,7 @@
         suspect.discard_answered()
         if suspect.is_quarantined and not suspect.crashes:
             suspect.is_quarantined = False
+            self.trials.forget(part)
             self._logger.info('Part released from quarantine.', part=part)
 
     def _evaluate(self) -> None:
@@ -302,7 +312,7 @@
             position=suspect.position,
             crashes=len(suspect.crashes),
             engines=sorted(suspect.crashes),
-            pause=self._pause(suspect),
+            trials=self.trials.made(part),
         )
 
     def _count(self, times: Iterable[float]) -> int:
@@ -315,35 +325,22 @@
                 begin = at
         return count
 
-    def _pause(self, suspect: _Suspect) -> float:
-        options = self._options
-        further = max(0, len(suspect.crashes) - options.min_crashes)
-        doubled = options.first_pause * 2.0 ** min(further, options.max_parts)
-        return min(options.max_pause, doubled)
-
-    def _may_try(self, part: str, suspect: _Suspect, now: float) -> bool:
-        return (
-            now >= suspect.last_crash + self._pause(suspect)
-            and now >= suspect.trial_at + self._options.trial_timeout
-            and self.is_elected(part)
-        )
-
     def _forget(self, now: float) -> None:
         for part, suspect in tuple(self._suspects.items()):
+            if suspect.is_quarantined:
+                continue
             if now >= suspect.last_news + self._lifetime(suspect):
                 self._suspects.pop(part)
-                if suspect.is_quarantined:
-                    self._logger.info('Quarantine forgotten.', part=part)
-        by_age = sorted(
-            self._suspects, key=lambda name: self._suspects[name].last_news
+        excess = len(self._suspects) - self._options.max_parts
+        if excess <= 0:
+            return
+        ranked = sorted(
+            self._suspects, key=lambda name: self._suspects[name].importance
         )
-        for oldest in by_age[: -self._options.max_parts]:
-            self._suspects.pop(oldest)
+        for part in ranked[:excess]:
+            self._suspects.pop(part)
+            self.trials.forget(part)
 
     def _lifetime(self, suspect: _Suspect) -> float:
         options = self._options
-        if suspect.is_quarantined:
-            return max(
-                options.memory, options.forget_pauses * self._pause(suspect)
-            )
         return options.memory if suspect.crashes else options.share_time
--- a/mintlanding/quarantine/records.py
+++ b/mintlanding/quarantine/records.py
@@ -6,12 +6,14 @@
 class QuarantineRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Stored record of a part in quarantine.
 
-    `last_crash` is the time of the last crash in seconds since the epoch.
+    `last_crash` is the time of the last crash in seconds since the epoch,
+    `trials` how many trials were claimed.
     """
 
     position: int
     crashes: int
     last_crash: float
+    trials: int = 0
 
 
 class RequestRecord(msgspec.Struct, frozen=True, omit_defaults=True):
