Blame no part of a prompt for crashes by a whole request

Change: crashes that a quarantined request explains count for no part, and a part all of whose crashes are explained is released.

--- a/mintlanding/node/quarantines.py
+++ b/mintlanding/node/quarantines.py
@@ -20,9 +20,10 @@
     @classmethod
     def from_config(cls, cfg: NodeSettings) -> Self:
         """Create empty ledgers."""
-        return cls(
-            CrashLedger(cfg.quarantine), RequestLedger(cfg.request_quarantine)
-        )
+        parts = CrashLedger(cfg.quarantine)
+        requests = RequestLedger(cfg.request_quarantine)
+        parts.explained_elsewhere = requests.explained
+        return cls(parts, requests)
 
     def refusal(self, plan: RequestPlan) -> tuple[str, float]:
         """Return why a request is refused, and for how many seconds.
--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -96,6 +96,8 @@
     def __init__(self, options: QuarantineOptions) -> None:
         """Start without crashes."""
         self.trials = Trials(options.trial_pauses)
+        # Crashes for which something other than a part is to blame.
+        self.explained_elsewhere: Callable[[], set[str]] = set
         self._options = options
         self._suspects: dict[str, _Suspect] = {}
         self._answers = 0
@@ -246,7 +248,9 @@
             self._clear(report.part, suspect, now - report.answered_age)
         else:
             suspect.discard_answered()
-        has_crashes = self._count(suspect.crashes.values())
+        has_crashes = suspect.unexplained(
+            self.explained_elsewhere(), self._count
+        )
         if report.is_quarantined and has_crashes >= self._options.min_crashes:
             self._quarantine(report.part, suspect)
 
@@ -254,16 +258,20 @@
         suspect.answered_at = max(suspect.answered_at, answered_at)
         suspect.discard_answered()
         if suspect.is_quarantined and not suspect.crashes:
-            suspect.is_quarantined = False
-            self.trials.forget(part)
-            self._logger.info('Part released from quarantine.', part=part)
+            self._release(part, suspect)
+
+    def _release(self, part: str, suspect: _Suspect) -> None:
+        suspect.is_quarantined = False
+        self.trials.forget(part)
+        self._logger.info('Part released from quarantine.', part=part)
 
     def _evaluate(self) -> None:
-        """Quarantine the parts that explain most crashes, one after another.
+        """Release parts without blame; quarantine those that explain most.
 
         Of parts that explain the same crashes, the later one in the prompt is
         taken, which fewer requests share.
         """
+        self._release_explained()
         explained = self._explained()
         while True:
             ranked = [
@@ -276,14 +284,23 @@
             self._quarantine(worst, self._suspects[worst])
             explained |= self._suspects[worst].crashes.keys()
 
+    def _release_explained(self) -> None:
+        """Release the parts all whose crashes have another cause."""
+        elsewhere = self.explained_elsewhere()
+        for part, suspect in self._suspects.items():
+            is_blamed = suspect.crashes.keys() - elsewhere
+            if suspect.is_quarantined and not is_blamed:
+                self._release(part, suspect)
+
     def _explained(self) -> set[str]:
-        """Return the crashes for which a part is in quarantine."""
-        return {
-            engine
-            for suspect in self._suspects.values()
-            if suspect.is_quarantined
-            for engine in suspect.crashes
-        }
+        """Return the crashes for which a cause is in quarantine."""
+        return self.explained_elsewhere().union(
+            *(
+                suspect.crashes
+                for suspect in self._suspects.values()
+                if suspect.is_quarantined
+            )
+        )
 
     def _is_suspicious(self, suspect: _Suspect) -> bool:
         crashes = suspect.unexplained(self._explained(), self._count)
--- a/mintlanding/quarantine/tests/test_ledger.py
+++ b/mintlanding/quarantine/tests/test_ledger.py
@@ -5,6 +5,10 @@
 from mintlanding.quarantine.ledger import CrashLedger, QuarantineOptions
 from mintlanding.quarantine.messages import EngineCrash, SuspectPart
 from mintlanding.quarantine.reports import combine_reports
+from mintlanding.quarantine.request_ledger import (
+    RequestLedger,
+    RequestQuarantineOptions,
+)
 
 OPTIONS = QuarantineOptions()
 PAUSE = OPTIONS.trial_pauses[0]
@@ -253,3 +257,41 @@
     assert {each.engine for each in found.crashes} == {'e0/1', 'e1/1'}
     assert {each.age for each in found.crashes} == {2.5}
     assert found.answered_age == 3.5
+
+
+def test_part_is_not_blamed_for_crashes_by_a_whole_request():
+    requests = RequestLedger(RequestQuarantineOptions())
+    ledger = CrashLedger(OPTIONS)
+    ledger.explained_elsewhere = requests.explained
+    for number in range(6):
+        requests.record_crash(f'e{number}/1', ['bad request'], number)
+        crashed(ledger, (number,), ('top', 'shared'), first=number)
+        answered(ledger, ('other',), number + 0.5)
+    assert requests.quarantined() == ('bad request',)
+    assert not ledger.quarantined()
+
+
+def test_part_is_released_once_a_whole_request_explains_its_crashes():
+    requests = RequestLedger(RequestQuarantineOptions())
+    ledger = quarantine_of_bad()
+    ledger.explained_elsewhere = requests.explained
+    reports = ledger.reports(4)
+    for number, at in enumerate((1, 2, 3)):
+        requests.record_crash(f'e{number}/1', ['bad request'], at)
+    ledger.merge((), 4)
+    assert not ledger.quarantined()
+    # Others that do not know yet must not put it back.
+    ledger.merge(reports, 4.1)
+    assert not ledger.quarantined()
+
+
+def test_part_is_blamed_for_crashes_under_different_requests():
+    requests = RequestLedger(RequestQuarantineOptions())
+    ledger = CrashLedger(OPTIONS)
+    ledger.explained_elsewhere = requests.explained
+    answered(ledger, ('other',), 0.5)
+    for number in range(3):
+        requests.record_crash(f'e{number}/1', [f'request {number}'], number)
+        crashed(ledger, (number,), ('top', 'bad'), first=number)
+        answered(ledger, ('other',), number + 0.5)
+    assert ledger.quarantined() == ('bad',)
