Let targets of the soak name limits

No stand-in named a limit, which is why no soak has found that nobody kept them. Some targets now name 0 to 8 requests a second for a while, beside all other faults, and a check counts what reaches them in 4 s from instances that are not disrupted.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,8 @@
 KNOWN_CRASHES = 5
 # Requests with the part that may still reach engines after that.
 MAX_LATE_REQUESTS = 3
+# Seconds over which the requests to a target with a limit are counted.
+LIMIT_WINDOW_SECONDS = 4.0
 
 
 def find_broken_promises(world, callers):
@@ -25,6 +27,7 @@
         *_find_overlapping_orders(world),
         *_find_requests_after_leaving(world, callers),
         *_find_requests_that_crash_engines(world, callers),
+        *_find_exceeded_limits(world, callers),
         *_find_unexpected_exits(world),
     ]
 
@@ -129,3 +132,34 @@
         ]
         if len(late) > MAX_LATE_REQUESTS:
             yield f'{len(late)} requests with {part} after {len(times)} crashes'
+
+
+def _find_exceeded_limits(world, callers):
+    for target in world.targets:
+        for begin, end, limit in target.limits:
+            named = [at for at, *_ in target.requests if at >= begin]
+            if not named:
+                continue
+            known_at = min(named) + CONTACT_SECONDS
+            times = [
+                at
+                for at, request, _ in target.requests
+                if known_at <= at < end
+                and world.is_undisrupted(callers.sent_to.get(request), at)
+            ]
+            allowed = limit * LIMIT_WINDOW_SECONDS * 1.5 + 5
+            most = max(
+                (
+                    sum(
+                        first <= at < first + LIMIT_WINDOW_SECONDS
+                        for at in times
+                    )
+                    for first in times
+                ),
+                default=0,
+            )
+            if most > allowed:
+                yield (
+                    f'{target.name} with a limit of {limit} got {most} '
+                    f'requests in {LIMIT_WINDOW_SECONDS} s, {allowed} allowed'
+                )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -183,6 +183,17 @@
     world.crash_part = b''
 
 
+@FAULTS.register('targets name limits')
+async def name_limits(world, rnd):
+    """Let some targets name a limit for a while."""
+    targets = rnd.sample(world.targets, rnd.randint(1, 3))
+    for target in targets:
+        target.name_limit(rnd.choice((0.0, 1.5, 4.0, 8.0)))
+    await asyncio.sleep(rnd.uniform(5, 12))
+    for target in targets:
+        target.name_limit(None)
+
+
 @FAULTS.register('report without end')
 async def send_endless_reports(world, rnd):
     """Answer requests for an engine's report with a body without end."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -121,17 +121,22 @@
         self.requests = []
         # Time and part of the prompt of each crash.
         self.crash_times = []
+        # Start, end and limit of the times in which one incarnation names it.
+        self.limits = []
         # Times from which and until which its entry says that it has left.
         self.absences = []
         return self
 
-    async def crash(self):
+    async def crash(self, after=0):
         """End under a request and start again as a new incarnation."""
         if self.is_down:
             return
-        self.crash_times.append((time.monotonic(), self.faults.crash_part))
+        await asyncio.sleep(after)
+        if self.faults.crash_part:
+            self.crash_times.append((time.monotonic(), self.faults.crash_part))
         self.proxy.refuse()
         await super().crash()
+        self.name_limit(self.faults.limit)
         await self.proxy.listen(self.proxy.address[1])
 
     async def _run(self, req):
@@ -140,6 +145,15 @@
         self.requests.append((time.monotonic(), request, parts))
         await super()._run(req)
 
+    def name_limit(self, limit):
+        """Name a limit from now on, as the current incarnation."""
+        now = time.monotonic()
+        if self.limits:
+            self.limits[-1][1] = min(self.limits[-1][1], now)
+        if limit is not None:
+            self.limits.append([now, float('inf'), limit])
+        self.faults.limit = limit
+
     def entry(self, state='ready'):
         """Return the store entry, with the address of the proxy."""
         own = encode(f'127.0.0.1:{self.server.port}')
@@ -254,6 +268,7 @@
         target.orders_taken = 0
         target.order_times.clear()
         target.crashes += 1
+        target.name_limit(target.faults.limit)
         self.register(target)
 
     async def stop(self):
