--- a/soak/callers.py
+++ b/soak/callers.py
@@ -60,6 +60,9 @@
             if self.world.crash_part and self.rnd.random() < CRASHING_SHARE:
                 await self._send_crashing()
                 continue
+            if self.world.crash_body and self.rnd.random() < CRASHING_SHARE:
+                await self._send_deadly()
+                continue
             kind = self.rnd.choice(list(ROUTES))
             instance = self.rnd.choice(self.world.instances)
             outcome = await self._send_request(kind, instance)
@@ -81,6 +84,15 @@
         )
         await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _send_deadly(self):
+        """Send the request that crashes targets; its outcome is not judged."""
+        await self._send_request(
+            self.world.crash_kind,
+            self.rnd.choice(self.world.instances),
+            body=self.world.crash_body,
+        )
+        await asyncio.sleep(PAUSE_SECONDS)
+
     async def _resume(self, broken):
         """Resume a broken stream once, at any instance."""
         events, separator, _ = broken.body.rpartition(b'\n\n')
@@ -97,7 +109,7 @@
         )
         return replace(outcome, body=events + separator + outcome.body)
 
-    async def _send_request(self, kind, instance, extra=()):
+    async def _send_request(self, kind, instance, extra=(), body=b''):
         self.sent += 1
         request = f'r{self.sent}'
         self.sent_to[request] = instance
@@ -111,7 +123,7 @@
                     '127.0.0.1',
                     instance.front,
                 )
-                writer.write(self._encode_request(kind, request, extra))
+                writer.write(self._encode_request(kind, request, extra, body))
                 return await self._read(reader, writer, request, kind)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return Outcome(request, kind, 0)
@@ -134,10 +146,11 @@
             writer.close()
         return Outcome(request, kind, status, body, is_whole=True)
 
-    def _encode_request(self, kind, request, extra):
+    def _encode_request(self, kind, request, extra, body):
         adapter = self.rnd.randrange(1, 8)
         method = b'GET' if kind == 'lookup' else b'POST'
-        body = b'' if kind == 'lookup' else request.encode()
+        if kind != 'lookup':
+            body = body or request.encode()
         lines = [
             b'%b %b HTTP/1.1' % (method, ROUTES[kind]),
             b'Host: ficu95.example',
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,8 @@
 KNOWN_CRASHES = 5
 # Requests with the part that may still reach engines after that.
 MAX_LATE_REQUESTS = 3
+# Targets that one request may crash before it must not be sent any more.
+DEADLY_CRASHES = 3
 # Seconds over which the requests to a target with a limit are counted.
 LIMIT_WINDOW_SECONDS = 4.0
 
@@ -27,6 +29,7 @@
         *_find_overlapping_orders(world),
         *_find_requests_after_leaving(world, callers),
         *_find_requests_that_crash_engines(world, callers),
+        *_find_deadly_requests(world, callers),
         *_find_exceeded_limits(world, callers),
         *_find_unexpected_exits(world),
     ]
@@ -134,6 +137,26 @@
             yield f'{len(late)} requests with {part} after {len(times)} crashes'
 
 
+def _find_deadly_requests(world, callers):
+    runs = {}
+    for target in world.targets:
+        for at, request, body in target.deadly_runs:
+            runs.setdefault(body, []).append((at, request))
+    for body, each in runs.items():
+        each.sort()
+        if len(each) < DEADLY_CRASHES:
+            continue
+        known_at = each[DEADLY_CRASHES - 1][0] + CONTACT_SECONDS
+        late = [
+            request
+            for at, request in each
+            if at > known_at
+            and world.is_undisrupted(callers.sent_to.get(request), at)
+        ]
+        if len(late) > MAX_LATE_REQUESTS:
+            yield f'{len(late)} runs of {body} after it had crashed three targets'
+
+
 def _find_exceeded_limits(world, callers):
     for target in world.targets:
         for begin, end, limit in target.limits:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -183,6 +183,22 @@
     world.crash_part = b''
 
 
+@FAULTS.register('request crashes targets')
+async def crash_targets(world, rnd):
+    """Let engines or plain targets crash under one request for a while."""
+    if world.crash_body:
+        return
+    world.crash_kind = rnd.choice(('live', 'batch', 'order'))
+    world.crash_body = b'deadly%x' % rnd.getrandbits(32)
+    is_plain = world.crash_kind == 'order'
+    targets = world.plain if is_plain else world.engines
+    for target in targets:
+        target.faults.crash_body = world.crash_body
+        target.faults.restart_after = rnd.uniform(1, 2)
+    await asyncio.sleep(rnd.uniform(6, 12))
+    world.crash_body = b''
+
+
 @FAULTS.register('targets name limits')
 async def name_limits(world, rnd):
     """Let some targets name a limit for a while."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -121,6 +121,8 @@
         self.requests = []
         # Time and part of the prompt of each crash.
         self.crash_times = []
+        # Time and request of each run under `crash_body`, with the body.
+        self.deadly_runs = []
         # Start, end and limit of the times in which one incarnation names it.
         self.limits = []
         # Times from which and until which its entry says that it has left.
@@ -143,6 +145,8 @@
         parts = req.get(b'x-prompt-prefix')
         request = req.get(b'x-request-id').decode()
         self.requests.append((time.monotonic(), request, parts))
+        if self.faults.crash_body and req.body == self.faults.crash_body:
+            self.deadly_runs.append((time.monotonic(), request, req.body))
         await super()._run(req)
 
     def name_limit(self, limit):
@@ -195,6 +199,9 @@
         self.instances = []
         # Part of a prompt that crashes engines, while there is one.
         self.crash_part = b''
+        # Body and kind of requests that crash targets, while there are any.
+        self.crash_body = b''
+        self.crash_kind = ''
         # Start, end and instance of each disruption; None for all instances.
         self.disruptions = []
         self.version = CONFIG['version']
