--- a/soak/world.py
+++ b/soak/world.py
@@ -131,9 +131,9 @@
 
     async def crash(self, after=0):
         """End under a request and start again as a new incarnation."""
+        await asyncio.sleep(after)
         if self.is_down:
             return
-        await asyncio.sleep(after)
         if self.faults.crash_part:
             self.crash_times.append((time.monotonic(), self.faults.crash_part))
         self.proxy.refuse()
