Send nothing more to a target that says it leaves

Cause: a target that leaves also says so in its responses, but only its entry was read: an instance that is cut off from the store, or reads an entry written before, went on sending to it.

Change: the response marks the target as leaving for its incarnation, whatever its entry says; statuses tell the others. Choice, stewards, queues and the send gate already keep away from targets that leave.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -62,6 +62,7 @@
     suspects: tuple[SuspectPart, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -83,7 +84,7 @@
 
     `admitted` is the sum over all processes that the zone ever had, `levels`
     the mean of the members, `store_contact` the longest of them, `suspects`,
-    `limits` and `requests` what they report together.
+    `limits`, `requests` and `leaving` what they report together.
     """
 
     zone: str
@@ -98,6 +99,7 @@
     suspects: tuple[SuspectPart, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -164,6 +164,7 @@
         sources.in_use = self.relay.in_use
         sources.suspects = self.relay.quarantines.parts.reports
         sources.requests = self.relay.quarantines.requests.reports
+        sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
@@ -173,6 +174,7 @@
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
         self.relay.crash_watch.on_crash = self._share_crash
+        listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -112,7 +112,7 @@
         self, target: Target, response: TargetResponse, sent_at: float
     ) -> None:
         """Record what a response to a request sent at a time says."""
-        if response.target not in {'', target.target}:
+        if not response.is_from(target.target):
             return
         if response.has_invalid_limit:
             self._logger.warning(
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -769,6 +769,8 @@
             raise ResponseLost('the response belongs to another request')
         self.target_table.record_response(target.target, response, now)
         self._limits.record_response(target, response, plan.sent_at)
+        if response.is_leaving and response.is_from(target.target):
+            self._view.mark_leaving(target.key)
         if response.is_not_run:
             plan.runs -= 1
             plan.is_sent = plan.runs > 0
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -64,6 +64,7 @@
     suspects: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     requests: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     limits: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
+    leaving: Callable[[], tuple[tuple[str, int], ...]] = tuple
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
 
@@ -82,6 +83,7 @@
     on_requests: Callable[[tuple[SuspectPart, ...], float], None] = (
         lambda requests, now: None
     )
+    on_leaving: Callable[[tuple[str, int]], None] = lambda target: None
     on_limits: Callable[[tuple[LimitReport, ...], float], None] = (
         lambda limits, now: None
     )
@@ -230,6 +232,7 @@
         self.listeners.on_suspects(status.suspects, now)
         self.listeners.on_limits(status.limits, now)
         self.listeners.on_requests(status.requests, now)
+        self._notify_leaving(status.leaving)
         if not self.uses_hubs:
             member = f'{status.instance}/{status.incarnation}'
             self._notify_admitted(member, status.admitted, now)
@@ -262,6 +265,7 @@
         self.listeners.on_suspects(zone_status.suspects, now)
         self.listeners.on_limits(zone_status.limits, now)
         self.listeners.on_requests(zone_status.requests, now)
+        self._notify_leaving(zone_status.leaving)
         for instance, digest in zone_status.digests:
             if instance != self._instance:
                 self._notify_digests(instance, (digest,))
@@ -295,6 +299,7 @@
             suspects=self.sources.suspects(now),
             limits=self.sources.limits(now),
             requests=self.sources.requests(now),
+            leaving=self.sources.leaving(),
         )
 
     def _send_use_reports(self) -> None:
@@ -424,6 +429,9 @@
                 ),
                 _MAX_SUSPECTS,
             ),
+            leaving=tuple(
+                sorted({key for each in live.values() for key in each.leaving})
+            ),
         )
 
     def _delay(self, member: str, now: float) -> float:
@@ -472,6 +480,10 @@
         if self.mesh is not None and self.sources.may_consent(member):
             self.mesh.send(member, Consent(status_sent_at))
 
+    def _notify_leaving(self, targets: tuple[tuple[str, int], ...]) -> None:
+        for target in targets:
+            self.listeners.on_leaving(target)
+
     def _notify_digests(
         self,
         instance: str,
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -396,7 +396,7 @@
         finally:
             self._pool.release(conn)
         self.mark_reachable(target.target)
-        self._record_limit(target, head)
+        self._record_response(target, head)
         return self._codec.order_result(head.status)
 
     async def fetch_report(self, target: Target) -> EngineReport | None:
@@ -421,16 +421,18 @@
             return None
         finally:
             self._pool.release(conn)
-        self._record_limit(target, head)
+        self._record_response(target, head)
         return report if head.status == _OK else None
 
-    def _record_limit(self, target: Target, head: ResponseHead) -> None:
-        """Record a limit that the response to an order or report names.
+    def _record_response(self, target: Target, head: ResponseHead) -> None:
+        """Record what the response to an order or report says of a target.
 
-        One without a limit is no response to a caller's request, and says
-        nothing about them.
+        One without a limit is no response to a caller's request, and does not
+        end a limit that such a response has named.
         """
         response = self._codec.read_response(head, '')
+        if response.is_leaving:
+            self._view.mark_leaving(target.key)
         if response.limit is not None:
             self._limits.record_response(target, response, boot_seconds())
 
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -135,6 +135,8 @@
     builds: BuildHistory = field(default_factory=BuildHistory)
     # Targets whose entry may have lapsed in an outage of the store.
     lapsed: set[str] = field(default_factory=set)
+    # Runs of targets that have said in a response that they leave.
+    leaving: set[tuple[str, int]] = field(default_factory=set)
     listeners: list[Callable[[str], None]] = field(default_factory=list)
     logger: Logger = field(default_factory=lambda: Logger('view'))
 
@@ -324,8 +326,28 @@
         )
         self._notify('versions')
 
+    def mark_leaving(self, key: tuple[str, int]) -> None:
+        """Send nothing more to one run of a target, whatever its entry says."""
+        if key in self.leaving:
+            return
+        self.leaving.add(key)
+        target = self.targets.get(key[0])
+        if target is None or target.key != key or target.is_leaving:
+            return
+        self.targets[key[0]] = replace(target, is_leaving=True)
+        self.logger.info('Target leaving.', target=target.target)
+        self._notify('targets')
+
+    def leaving_targets(self) -> tuple[tuple[str, int], ...]:
+        """Return the known targets that have said that they leave."""
+        current = {each.key for each in self.targets.values()}
+        self.leaving &= current
+        return tuple(sorted(self.leaving))
+
     def _put_target(self, item: Item, now: float) -> None:
         target = self.records.decode_target(item.key, item.content)
+        if target.key in self.leaving:
+            target = replace(target, is_leaving=True)
         before = self.targets.get(target.target)
         self.lapsed.discard(target.target)
         self.targets[target.target] = target
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -25,6 +25,7 @@
 _NOT_RUN = b'x-not-run'
 _LOAD = b'x-server-load'
 _LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
 _SCHEME = 'Token '
 # Set only by the relay; a caller's values are dropped.
 _OWN_HEADERS = frozenset(
@@ -127,6 +128,7 @@
         load=_load(head.get(_LOAD)),
         limit=limit,
         has_invalid_limit=named_limit != b'' and limit is None,
+        is_leaving=head.get(_LEAVING) == b'1',
     )
 
 
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -206,6 +206,8 @@
     conflicts: int = 0
     # Requests per second that its responses name as its limit.
     limit: float | None = None
+    # Its responses say that it leaves.
+    leaving: bool = False
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
     # Body of a request under which the target crashes.
@@ -355,13 +357,13 @@
             return
         if faults.shed:
             faults.shed -= 1
-            req.respond(503, [(b'x-not-run', b'1'), *self._limit()], b'')
+            req.respond(503, [(b'x-not-run', b'1'), *self._own_headers()], b'')
             return
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
         headers = [
             (b'x-request-id', request_id),
             (b'x-response-stamp', b's1'),
-            *self._limit(),
+            *self._own_headers(),
         ]
         try:
             await asyncio.sleep(30 if faults.mute else self.delay)
@@ -377,13 +379,16 @@
             return
         await self._respond(req, headers, is_crashing)
 
-    def _limit(self):
-        if self.faults.limit is None:
-            return []
-        return [(b'server-limit', b'%g' % self.faults.limit)]
+    def _own_headers(self):
+        headers = []
+        if self.faults.limit is not None:
+            headers.append((b'server-limit', b'%g' % self.faults.limit))
+        if self.faults.leaving:
+            headers.append((b'server-leaving', b'1'))
+        return headers
 
     def _refuse(self, req):
-        headers = [(b'x-instance-id', self.name.encode()), *self._limit()]
+        headers = [(b'x-instance-id', self.name.encode()), *self._own_headers()]
         req.respond(421, headers, b'')
 
     async def _respond(self, req, headers, is_crashing):
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -46,7 +46,8 @@
 
     `limit` is the number of requests per second that the target accepts from
     all instances together, None if it names no limit. With `has_invalid_limit`
-    it names one that could not be read.
+    it names one that could not be read. `is_leaving` says that the target ends
+    soon and wants no further requests.
     """
 
     status: int
@@ -58,6 +59,11 @@
     load: tuple[int, int, int] | None = None
     limit: float | None = None
     has_invalid_limit: bool = False
+    is_leaving: bool = False
+
+    def is_from(self, target: str) -> bool:
+        """Return whether a target sent it, as far as the response tells."""
+        return self.target in {'', target}
 
     @property
     def is_success(self) -> bool:
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -117,6 +117,7 @@
                 is_quarantined=True,
             ),
         ),
+        leaving=(('text-31', 32),),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -180,6 +181,7 @@
                 is_quarantined=True,
             ),
         ),
+        leaving=(('text-54', 55),),
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
