Send nothing to a target that asks for a pause until it ends

Cause: a target that turned a request away with 503 and Retry-After got the next requests of the same instance at once: only the failure counted against it.

Change: the pause belongs to this instance and to one run of the target. The send gate keeps it, the choice of targets knows it before admission. If all targets pause, a request waits for the first that comes back in time, one after another, or is refused at once with a Retry-After that spreads the returns.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -135,9 +135,9 @@
     def prune(self) -> None:
         """Close idle connections; forget targets that were removed."""
         self._pool.prune()
-        self.crash_watch.retain(
-            {each.key for each in self._view.targets.values()}
-        )
+        runs = {each.key for each in self._view.targets.values()}
+        self.crash_watch.retain(runs)
+        self._gate.pauses.retain(runs)
         self.target_table.retain(set(self._view.targets))
 
     def stop(self) -> None:
@@ -345,6 +345,7 @@
             )
             if each.target not in plan.tried
         ]
+        targets = await self._outlast_pauses(plan, targets)
         now = boot_seconds()
         full = {
             each.target for each in targets if self._limits.wait(each, now) > 0
@@ -370,6 +371,32 @@
             return first
         return None
 
+    async def _outlast_pauses(
+        self, plan: RequestPlan, targets: list[Target]
+    ) -> list[Target]:
+        """Return the targets that have not asked for a pause.
+
+        If all have, wait for the first one that accepts requests again. Return
+        none if that is too late.
+        """
+        now = boot_seconds()
+        pauses = self._gate.pauses
+        ready = [each for each in targets if not pauses.wait(each.key, now)]
+        if ready or not targets:
+            return ready
+        first = min(targets, key=lambda each: pauses.wait(each.key, now))
+        wait = pauses.wait(first.key, now)
+        left = self._time_left(plan)
+        # The response takes its time after the pause.
+        if wait > left - min(plan.route.objective, left / 3):
+            plan.reason = f'{first.target}: it asked for a pause'
+            plan.retry_after = wait * self._rnd.uniform(1, 1.4)
+            return []
+        wait = pauses.join(first.key, now)
+        plan.waited += wait
+        await asyncio.sleep(wait)
+        return [first]
+
     def _longest_turn(self, plan: RequestPlan) -> float:
         """Return how many seconds a request may wait for a limited target."""
         left = self._time_left(plan)
@@ -426,7 +453,8 @@
             return False
         if result is AttemptResult.no_turn:
             return True
-        plan.tried.add(target.target)
+        if not self._gate.pauses.wait(target.key, boot_seconds()):
+            plan.tried.add(target.target)
         self.log.log_failed_attempt(plan, result.value, self._time_left(plan))
         if result in {AttemptResult.not_sent, AttemptResult.failed}:
             return True
@@ -515,6 +543,8 @@
             for each in self._gate.candidates(plan)
             if each.target not in excluded
         ]
+        plan.reason = no_target_reason(plan)
+        workers = await self._outlast_pauses(plan, workers)
         may_fail = plan.route.is_idempotent
         healthy = [
             each
@@ -534,7 +564,6 @@
             self._cfg.choice,
             self._rnd,
         )
-        plan.reason = no_target_reason(plan)
         for number, worker in enumerate(order):
             reservation_id = f'{plan.fields.request_id}.{plan.sends}.{number}'
             is_last = number + 1 == len(order)
@@ -582,7 +611,7 @@
             objective * options.max_wait_share - spent,
             self._time_left(plan) - _MIN_TIME_LEFT,
         )
-        if plan.sends:
+        if plan.sends or plan.waited:
             max_wait = max(max_wait, self._time_left(plan) / 3)
         if max_wait <= 0:
             return None
@@ -767,10 +796,7 @@
         plan.limit = response.limit
         if not response.matches_request:
             raise ResponseLost('the response belongs to another request')
-        self.target_table.record_response(target.target, response, now)
-        self._limits.record_response(target, response, plan.sent_at)
-        if response.is_leaving and response.is_from(target.target):
-            self._view.mark_leaving(target.key)
+        self._record_response(plan, target, response)
         if response.is_not_run:
             plan.runs -= 1
             plan.is_sent = plan.runs > 0
@@ -807,6 +833,20 @@
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
+    def _record_response(
+        self, plan: RequestPlan, target: Target, response: TargetResponse
+    ) -> None:
+        """Record what a response says about its target."""
+        self.target_table.record_response(target.target, response, self._now())
+        self._limits.record_response(target, response, plan.sent_at)
+        if not response.is_from(target.target):
+            return
+        if response.is_leaving:
+            self._view.mark_leaving(target.key)
+        if response.pause:
+            self._gate.pauses.record(target.key, response.pause, boot_seconds())
+            self.log.log_pause(plan, response.pause)
+
     async def _hold_body(
         self, conn: ClientConnection, plan: RequestPlan
     ) -> tuple[bytes, bool]:
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -63,6 +63,15 @@
             left=round(left, 3),
         )
 
+    def log_pause(self, plan: RequestPlan, seconds: float) -> None:
+        """Log that a target wants no requests for a number of seconds."""
+        self._logger.info(
+            'Target asked for a pause.',
+            request=plan.fields.request_id,
+            target=plan.target,
+            seconds=round(seconds, 2),
+        )
+
     def ended(self, plan: RequestPlan, outcome: str, now: float) -> None:
         """Log the end of a request that was accepted for routing."""
         seconds = now - plan.req.arrived
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -19,7 +19,8 @@
     `failed`: it ran, failed and is retried elsewhere. `broken`: the response
     was lost after a part of it had been sent to the caller. `quarantined`: a
     part of the prompt crashes engines, so that the request was not sent.
-    `no_turn`: the target has a limit, and the request has no turn within it.
+    `no_turn`: the target has a limit, and the request has no turn within it, or
+    it has asked for a pause.
     """
 
     done = 'done'
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mintlanding.core.registry import Registry
 from mintlanding.node.clock import boot_seconds
@@ -16,6 +16,7 @@
 from mintlanding.node.request_plan import AttemptResult, RequestPlan
 from mintlanding.node.view import FleetView
 from mintlanding.traffic.models import Target
+from mintlanding.traffic.pauses import TargetPauses
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     view: FleetView
     quarantines: Quarantines
     limits: LimitKeeper
+    pauses: TargetPauses = field(default_factory=TargetPauses)
 
     def candidates(self, plan: RequestPlan) -> list[Target]:
         """Return the targets that may run the rest of a request."""
@@ -110,3 +112,15 @@
         return None
     reason = f'{target.target}: no turn within its limit'
     return Barrier(AttemptResult.no_turn, reason)
+
+
+@SEND_CHECKS.register('pause')
+def check_pause(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that the target has not asked this instance for a pause."""
+    wait = gate.pauses.wait(target.key, boot_seconds())
+    if not wait:
+        return None
+    reason = f'{target.target}: it asked for a pause'
+    return Barrier(AttemptResult.no_turn, reason, wait)
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -26,6 +26,7 @@
 _LOAD = b'x-server-load'
 _LIMIT = b'server-limit'
 _LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _SCHEME = 'Token '
 # Set only by the relay; a caller's values are dropped.
 _OWN_HEADERS = frozenset(
@@ -66,6 +67,7 @@
     (_REQUEST_ID, _MODEL, _TOKENS, _PREFIX, _LAST_EVENT, b'content-type'),
 )
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 # Engines' priorities range from 0 to this; the middle one is their default.
 _LOWEST_PRIORITY = 9
 
@@ -117,7 +119,7 @@
     echoed = head.get(_REQUEST_ID).decode('latin-1')
     is_misdirected = head.status == _MISDIRECTED
     named_limit = head.get(_LIMIT)
-    limit = _limit(named_limit)
+    limit = _number(named_limit)
     return TargetResponse(
         status=head.status,
         matches_request=not echoed or echoed == request_id,
@@ -129,6 +131,7 @@
         limit=limit,
         has_invalid_limit=named_limit != b'' and limit is None,
         is_leaving=head.get(_LEAVING) == b'1',
+        pause=_pause(head),
     )
 
 
@@ -257,9 +260,16 @@
     return running, waiting, slots
 
 
-def _limit(named: bytes) -> float | None:
+def _pause(head: ResponseHead) -> float:
+    if head.status != _UNAVAILABLE:
+        return 0
+    return _number(head.get(_RETRY_AFTER)) or 0
+
+
+def _number(text: bytes) -> float | None:
+    """Return a number that is neither negative nor infinite."""
     try:
-        limit = float(named)
+        number = float(text)
     except ValueError:
         return None
-    return limit if 0 <= limit < math.inf else None
+    return number if 0 <= number < math.inf else None
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -206,6 +206,8 @@
     conflicts: int = 0
     # Requests per second that its responses name as its limit.
     limit: float | None = None
+    # Seconds of the pause that it asks for when it turns a request away.
+    pause: float = 0
     # Its responses say that it leaves.
     leaving: bool = False
     # Part of a prompt under which the target crashes as it begins to write.
@@ -356,8 +358,9 @@
             self._refuse(req)
             return
         if faults.shed:
+            headers = [(b'x-not-run', b'1'), *self._own_headers()]
             faults.shed -= 1
-            req.respond(503, [(b'x-not-run', b'1'), *self._own_headers()], b'')
+            req.respond(503, headers, b'')
             return
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
         headers = [
@@ -385,6 +388,8 @@
             headers.append((b'server-limit', b'%g' % self.faults.limit))
         if self.faults.leaving:
             headers.append((b'server-leaving', b'1'))
+        if self.faults.shed and self.faults.pause:
+            headers.append((b'retry-after', b'%g' % self.faults.pause))
         return headers
 
     def _refuse(self, req):
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -47,7 +47,8 @@
     `limit` is the number of requests per second that the target accepts from
     all instances together, None if it names no limit. With `has_invalid_limit`
     it names one that could not be read. `is_leaving` says that the target ends
-    soon and wants no further requests.
+    soon and wants no further requests. A target that turned the request away
+    wants none for `pause` seconds.
     """
 
     status: int
@@ -60,6 +61,7 @@
     limit: float | None = None
     has_invalid_limit: bool = False
     is_leaving: bool = False
+    pause: float = 0
 
     def is_from(self, target: str) -> bool:
         """Return whether a target sent it, as far as the response tells."""
--- /dev/null
+++ b/mintlanding/traffic/tests/test_pauses.py
@@ -0,0 +1,41 @@
+"""Test the pauses that targets ask for."""
+
+from mintlanding.traffic.pauses import TargetPauses
+
+TARGET = ('p1', 7)
+
+
+def test_pause_ends_after_its_time():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 2, 10)
+    assert pauses.wait(TARGET, 11) == 1
+    assert pauses.wait(TARGET, 12) == 0
+
+
+def test_later_pause_does_not_shorten_an_earlier_one():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 5, 10)
+    pauses.record(TARGET, 1, 11)
+    assert pauses.wait(TARGET, 11) == 4
+
+
+def test_new_incarnation_has_not_asked_for_a_pause():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 5, 10)
+    assert pauses.wait(('p1', 8), 11) == 0
+    pauses.retain({('p1', 8)})
+    assert pauses.wait(TARGET, 11) == 0
+
+
+def test_pause_without_end_is_bounded():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 1e300, 10)
+    assert pauses.wait(TARGET, 10) == 600
+
+
+def test_requests_that_wait_are_sent_one_after_another():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 2, 10)
+    waits = [pauses.join(TARGET, 11) for _ in range(4)]
+    assert waits[0] == 1
+    assert waits == sorted(set(waits))
