--- a/mintlanding/node/quarantines.py
+++ b/mintlanding/node/quarantines.py
@@ -3,11 +3,14 @@
 from dataclasses import dataclass
 from typing import Self
 
+from mintlanding.http1.server import CallerRequest
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.request_plan import RequestPlan
 from mintlanding.node.settings import NodeSettings
+from mintlanding.quarantine.fingerprints import request_digest
 from mintlanding.quarantine.ledger import CrashLedger
 from mintlanding.quarantine.request_ledger import RequestLedger
+from mintlanding.traffic.header_fields import CallerFields
 
 
 @dataclass(slots=True)
@@ -25,6 +28,18 @@
         parts.explained_elsewhere = requests.explained
         return cls(parts, requests)
 
+    def digest(
+        self, secret: bytes, fields: CallerFields, req: CallerRequest
+    ) -> str:
+        """Return what is equal for requests that are the same."""
+        return request_digest(
+            secret,
+            fields.host.encode(),
+            req.target,
+            fields.key.encode(),
+            req.body,
+        )
+
     def refusal(self, plan: RequestPlan) -> tuple[str, float]:
         """Return why a request is refused, and for how many seconds.
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -33,9 +33,9 @@
 )
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
+from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.quarantine.fingerprints import request_digest
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
@@ -57,8 +57,6 @@
 # takes a fraction of that.
 _CONFIG_TIMEOUT = 0.15
 _CONFIG_POLL_SECONDS = 0.01
-# Least seconds before the deadline with which a request is still sent.
-_MIN_TIME_LEFT = 0.05
 
 
 class Relay:
@@ -94,6 +92,9 @@
             self.quarantines.parts, self.quarantines.requests, self._pool
         )
         self._gate = SendGate(view, self.quarantines, limits)
+        self._choice = TargetChoice(
+            cfg, view, admissions, limits, self._gate, self.target_table, rnd
+        )
 
     @property
     def opened(self) -> int:
@@ -185,13 +186,7 @@
             service,
             deadline,
             fields.demand or Demand(),
-            request_digest(
-                view.fleet_key,
-                fields.host.encode(),
-                req.target,
-                fields.key.encode(),
-                req.body,
-            ),
+            self.quarantines.digest(view.fleet_key, fields, req),
         )
         barrier = self._gate.refusal(plan)
         if barrier is not None:
@@ -320,10 +315,8 @@
 
     async def _serve_plain(self, plan: RequestPlan) -> AttemptResult:
         result = AttemptResult.not_sent
-        while (
-            plan.sends < _MAX_SENDS and self._time_left(plan) > _MIN_TIME_LEFT
-        ):
-            target = await self._choose_plain(plan)
+        while plan.sends < _MAX_SENDS and self._time_left(plan) > MIN_TIME_LEFT:
+            target = await self._choice.plain_target(plan)
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
@@ -332,114 +325,6 @@
                 return result
         return result
 
-    async def _choose_plain(self, plan: RequestPlan) -> Target | None:
-        """Return a plain target to which the request may be sent now.
-
-        Targets with a limit are asked for a turn at once. If all have one, and
-        none a turn, the request waits for that which is expected first.
-        """
-        targets = [
-            each
-            for each in self._without_unreachable_zones(
-                self._gate.candidates(plan)
-            )
-            if each.target not in plan.tried
-        ]
-        targets = await self._outlast_pauses(plan, targets)
-        now = boot_seconds()
-        full = {
-            each.target for each in targets if self._limits.wait(each, now) > 0
-        }
-        while target := self.target_table.choose(
-            targets,
-            full,
-            self._cfg.facts.zone,
-            self._now(),
-            may_fail=plan.route.is_idempotent,
-        ):
-            if not self._limits.is_limited(target):
-                return target
-            if await self._take_turn(plan, target, 0):
-                return target
-            full.add(target.target)
-        now = boot_seconds()
-        limited = [each for each in targets if self._limits.is_limited(each)]
-        if not limited:
-            return None
-        first = min(limited, key=lambda each: self._limits.wait(each, now))
-        if await self._take_turn(plan, first, self._longest_turn(plan)):
-            return first
-        return None
-
-    async def _outlast_pauses(
-        self, plan: RequestPlan, targets: list[Target]
-    ) -> list[Target]:
-        """Return the targets that have not asked for a pause.
-
-        If all have, wait for the first one that accepts requests again. Return
-        none if that is too late.
-        """
-        now = boot_seconds()
-        pauses = self._gate.pauses
-        ready = [each for each in targets if not pauses.wait(each.key, now)]
-        if ready or not targets:
-            return ready
-        first = min(targets, key=lambda each: pauses.wait(each.key, now))
-        wait = pauses.wait(first.key, now)
-        left = self._time_left(plan)
-        # The response takes its time after the pause.
-        if wait > left - min(plan.route.objective, left / 3):
-            plan.reason = f'{first.target}: it asked for a pause'
-            plan.retry_after = wait * self._rnd.uniform(1, 1.4)
-            return []
-        wait = pauses.join(first.key, now)
-        plan.waited += wait
-        await asyncio.sleep(wait)
-        return [first]
-
-    def _longest_turn(self, plan: RequestPlan) -> float:
-        """Return how many seconds a request may wait for a limited target."""
-        left = self._time_left(plan)
-        spent = self._now() - plan.req.arrived
-        objective = plan.route.objective * self._cfg.relay.max_wait_share
-        return max(
-            0, min(left - _MIN_TIME_LEFT, max(objective - spent, left / 3))
-        )
-
-    async def _take_turn(
-        self, plan: RequestPlan, target: Target, max_wait: float
-    ) -> bool:
-        """Wait for a turn within the limit of a plain target."""
-        begin = self._now()
-        plan.turns += 1
-        reply = await self._admissions.take_turn(
-            AdmissionRequest(
-                request_id=f'{plan.fields.request_id}.t{plan.turns}',
-                worker=target.target,
-                model='',
-                adapter='',
-                workspace='',
-                prompt_tokens=0,
-                output_tokens=0,
-                priority=plan.priority,
-                objective=plan.route.objective - (begin - plan.req.arrived),
-                max_wait=max_wait,
-                deadline=self._time_left(plan),
-                reroute_wait=max_wait,
-                limits=self._limits.table.report(target.key, boot_seconds()),
-            ),
-        )
-        plan.waited += self._now() - begin
-        if reply.is_granted:
-            plan.turn = target.key
-            return True
-        plan.reason = f'{target.target}: {reply.reason}'
-        plan.retry_after = min(
-            plan.retry_after or reply.retry_after, reply.retry_after
-        )
-        self._limits.record_refusal(target, reply.retry_after)
-        return False
-
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -471,9 +356,7 @@
 
     async def _serve_engine(self, plan: RequestPlan) -> AttemptResult:
         result = AttemptResult.not_sent
-        while (
-            plan.sends < _MAX_SENDS and self._time_left(plan) > _MIN_TIME_LEFT
-        ):
+        while plan.sends < _MAX_SENDS and self._time_left(plan) > MIN_TIME_LEFT:
             reservation = await self._reserve(plan)
             if reservation is None:
                 return result
@@ -544,14 +427,14 @@
             if each.target not in excluded
         ]
         plan.reason = no_target_reason(plan)
-        workers = await self._outlast_pauses(plan, workers)
+        workers = await self._choice.outlast_pauses(plan, workers)
         may_fail = plan.route.is_idempotent
         healthy = [
             each
             for each in workers
             if self.target_table.admits(each.target, now, may_fail=may_fail)
         ]
-        reachable = self._without_unreachable_zones(healthy or workers)
+        reachable = self._choice.without_unreachable_zones(healthy or workers)
         by_name = {each.target: each for each in reachable}
         views = self._admissions.views(list(by_name.values()))
         adapter = plan.fields.adapter.adapter
@@ -579,23 +462,6 @@
         plan.waited += self._now() - now
         return None
 
-    def _without_unreachable_zones(self, workers: list[Target]) -> list[Target]:
-        """Leave out zones that are cut off, if others have targets.
-
-        A zone counts as cut off if none of its members is reachable and a
-        connection to one of its targets failed recently. Each connection there
-        would cost a caller the whole connect timeout.
-        """
-        unreachable = self._admissions.unreachable_zones()
-        if not unreachable:
-            return workers
-        targets = self._view.targets
-        failed = self._admissions.stewards.unreachable()
-        cut_off = unreachable & {
-            targets[name].zone for name in failed if name in targets
-        }
-        return [each for each in workers if each.zone not in cut_off] or workers
-
     async def _request_admission(
         self,
         plan: RequestPlan,
@@ -609,7 +475,7 @@
         objective = plan.route.objective
         max_wait = min(
             objective * options.max_wait_share - spent,
-            self._time_left(plan) - _MIN_TIME_LEFT,
+            self._time_left(plan) - MIN_TIME_LEFT,
         )
         if plan.sends or plan.waited:
             max_wait = max(max_wait, self._time_left(plan) / 3)
