Let targets of the soak ask for pauses and say that they leave

Both stand beside all other faults, with a check each: what an instance sends to a target that told it that it leaves, and to one that turned it away for a while.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,9 @@
 MAX_LATE_REQUESTS = 3
 # Targets that one request may crash before it must not be sent any more.
 DEADLY_CRASHES = 3
+# Requests that may reach a target in a pause, and when the pause begins.
+MAX_PAUSED_REQUESTS = 2
+PAUSE_BEGIN_SECONDS = 0.5
 # Seconds over which the requests to a target with a limit are counted.
 LIMIT_WINDOW_SECONDS = 4.0
 
@@ -31,6 +34,8 @@
         *_find_requests_that_crash_engines(world, callers),
         *_find_deadly_requests(world, callers),
         *_find_exceeded_limits(world, callers),
+        *_find_requests_after_announced_leaving(world, callers),
+        *_find_requests_in_pauses(world, callers),
         *_find_unexpected_exits(world),
     ]
 
@@ -186,3 +191,40 @@
                     f'{target.name} with a limit of {limit} got {most} '
                     f'requests in {LIMIT_WINDOW_SECONDS} s, {allowed} allowed'
                 )
+
+
+def _find_requests_after_announced_leaving(world, callers):
+    for target in world.targets:
+        ran = {run[0] for run in target.runs}
+        for begin, end in target.announced:
+            first = {}
+            for at, request, _ in target.requests:
+                instance = callers.sent_to.get(request)
+                if not begin <= at < end or request not in ran:
+                    continue
+                told_at = first.setdefault(instance, at)
+                if at > told_at + DRAIN_SECONDS and world.is_undisrupted_since(
+                    instance, told_at, at
+                ):
+                    yield (
+                        f'{request} reached {target.name} {at - told_at:.2f} s '
+                        f'after it had told {instance.name} that it leaves'
+                    )
+
+
+def _find_requests_in_pauses(world, callers):
+    for target in world.targets:
+        for begin, turned_away, seconds in target.pauses:
+            instance = callers.sent_to.get(turned_away)
+            late = [
+                request
+                for at, request, _ in target.requests
+                if begin + PAUSE_BEGIN_SECONDS < at < begin + seconds
+                and callers.sent_to.get(request) is instance
+                and world.is_undisrupted_since(instance, begin, at)
+            ]
+            if len(late) > MAX_PAUSED_REQUESTS:
+                yield (
+                    f'{len(late)} requests of {instance.name} reached '
+                    f'{target.name}, which had asked for {seconds} s of pause'
+                )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -210,6 +210,24 @@
         target.name_limit(None)
 
 
+@FAULTS.register('targets say they leave')
+async def announce_leaving(world, rnd):
+    """Let a target say in its responses alone that it leaves, then restart."""
+    target = rnd.choice(world.targets)
+    target.announce_leaving()
+    await asyncio.sleep(rnd.uniform(3, 7))
+    target.stop_leaving()
+    world.begin_new_incarnation(target)
+
+
+@FAULTS.register('targets ask for pauses')
+async def ask_for_pauses(world, rnd):
+    """Turn requests away with the time until which no more are wanted."""
+    for target in rnd.sample(world.targets, rnd.randint(1, 3)):
+        target.faults.pause = rnd.choice((0.6, 2.0, 4.0))
+        target.faults.shed = 2
+
+
 @FAULTS.register('report without end')
 async def send_endless_reports(world, rnd):
     """Answer requests for an engine's report with a body without end."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -125,6 +125,10 @@
         self.deadly_runs = []
         # Start, end and limit of the times in which one incarnation names it.
         self.limits = []
+        # Start and end of the times in which its responses say it leaves.
+        self.announced = []
+        # Time, request and seconds of each pause that it asked for.
+        self.pauses = []
         # Times from which and until which its entry says that it has left.
         self.absences = []
         return self
@@ -147,8 +151,20 @@
         self.requests.append((time.monotonic(), request, parts))
         if self.faults.crash_body and req.body == self.faults.crash_body:
             self.deadly_runs.append((time.monotonic(), request, req.body))
+        if self.faults.shed and self.faults.pause:
+            self.pauses.append((time.monotonic(), request, self.faults.pause))
         await super()._run(req)
 
+    def announce_leaving(self):
+        """Say in responses from now on that the target leaves."""
+        self.announced.append([time.monotonic(), float('inf')])
+        self.faults.leaving = True
+
+    def stop_leaving(self):
+        """Say no longer that the target leaves."""
+        self.announced[-1][1] = time.monotonic()
+        self.faults.leaving = False
+
     def name_limit(self, limit):
         """Name a limit from now on, as the current incarnation."""
         now = time.monotonic()
@@ -252,6 +268,14 @@
             if disrupted in {None, instance}
         )
 
+    def is_undisrupted_since(self, instance, begin, at):
+        """Tell whether nothing disrupted an instance between two times."""
+        return not any(
+            start <= at and end >= begin
+            for start, end, disrupted in self.disruptions
+            if disrupted in {None, instance}
+        )
+
     async def wait_ready(self):
         """Wait until every instance reports that it is ready.
 
