Suspect a silent member that is no neighbour any more

Cause: of a ring whose gateways have died, the replacement calls a member alone in its zone. Once that falls silent it is no neighbour in the same view, was never suspected, and its failed calls were cleared, so that it was live again: 40 s after three of five members were killed a survivor still listed one of them.

Change: members called in the last round are suspected before the call set changes.

--- a/mintlanding/membership/member_table.py
+++ b/mintlanding/membership/member_table.py
@@ -101,6 +101,14 @@
             elif known.monitored_since is None:
                 known.monitored_since = now
 
+    def monitored(self) -> list[str]:
+        """Return the members that were called in the last round."""
+        return [
+            name
+            for name, known in self._known.items()
+            if known.monitored_since is not None
+        ]
+
     def is_due(self, instance: str, now: float) -> bool:
         """Return whether to call a member in this round; record the call.
 
--- a/mintlanding/membership/node.py
+++ b/mintlanding/membership/node.py
@@ -269,7 +269,9 @@
     def _start_round(self, now: float) -> list[MembershipAction]:
         view = self.members(now)
         called = self._current_neighbours(view)
-        for name in self._table.suspect(called, now):
+        # One that falls silent may not be a neighbour any more in this view.
+        watched = {*called, *self._table.monitored()}
+        for name in self._table.suspect(watched, now):
             self._log.record(ChangeKind.member, name)
         unreachable = [
             each
