Reset connections in the soak instead of closing them

Traced: three instances saw unframed streams of one engine end within 3 ms, no engine crashed; the fault that resets connections closed them without a reset, and such a close ends a response without length by its protocol. The fault now does what its name says; the end of a process still closes without a reset.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,8 @@
 """A loopback proxy that delays, drops, refuses or resets connections."""
 
 import asyncio
+import socket
+import struct
 from enum import StrEnum
 
 
@@ -44,17 +46,24 @@
     def refuse(self):
         """Refuse connections, as after the end of a process."""
         self._server.close()
-        self.reset()
+        self._close_connections()
 
     def reset(self):
-        """Abort all open connections."""
+        """Reset all open connections.
+
+        A plain close would look like the end of a response without length.
+        """
+        for writer in tuple(self._writers):
+            _close_with_reset(writer)
+
+    def _close_connections(self):
         for writer in tuple(self._writers):
             writer.transport.abort()
 
     def stop(self):
         """Close the listener and all connections."""
         self._server.close()
-        self.reset()
+        self._close_connections()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -90,3 +99,11 @@
         finally:
             self._writers.discard(sink)
             sink.close()
+
+
+def _close_with_reset(writer):
+    connection = writer.get_extra_info('socket')
+    if connection is not None and connection.fileno() >= 0:
+        no_linger = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
