--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -266,10 +266,13 @@
         self.server.stop()
 
     async def crash(self, after=0):
-        """Close everything and lose all state; start again a while later."""
+        """Crash after some seconds, unless something else crashes it first."""
         await asyncio.sleep(after)
-        if self.is_down:
-            return
+        if not self.is_down:
+            await self.crash_now()
+
+    async def crash_now(self):
+        """Close everything and lose all state; start again a while later."""
         self.is_down = True
         port = self.server.port
         self.server.stop()
--- a/soak/world.py
+++ b/soak/world.py
@@ -133,15 +133,12 @@
         self.absences = []
         return self
 
-    async def crash(self, after=0):
+    async def crash_now(self):
         """End under a request and start again as a new incarnation."""
-        await asyncio.sleep(after)
-        if self.is_down:
-            return
         if self.faults.crash_part:
             self.crash_times.append((time.monotonic(), self.faults.crash_part))
         self.proxy.refuse()
-        await super().crash()
+        await super().crash_now()
         self.name_limit(self.faults.limit)
         await self.proxy.listen(self.proxy.address[1])
 
