Take no turn within a limit for a request that cannot be sent

Without a reply of the steward a request took a turn in this instance's own part of an engine's limit, and was then given up because its adapter is not resident: part of the limit was not used.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -504,17 +504,11 @@
         reply = await self._admissions.reserve(admission)
         if reply is None:
             plan.reason = f'no reply from the steward of {target.target}'
-            if self._limits.is_limited(target):
-                own = await self._limits.reserve_own(admission)
-                if not own.is_granted:
-                    plan.retry_after = own.retry_after
-                    return None
-                plan.turn = target.key
-            if self._admissions.is_ready(target, adapter.adapter):
-                return Reservation(
-                    target.target, reservation_id, is_granted=False
-                )
-            return None
+            if not self._admissions.is_ready(target, adapter.adapter):
+                return None
+            if not await self._take_own_turn(plan, target, admission):
+                return None
+            return Reservation(target.target, reservation_id, is_granted=False)
         if reply.is_granted:
             plan.turn = target.key
             return Reservation(target.target, reservation_id, reply.version)
@@ -523,6 +517,20 @@
             plan.retry_after = max(plan.retry_after, reply.retry_after)
         return None
 
+    async def _take_own_turn(
+        self, plan: RequestPlan, target: Target, admission: AdmissionRequest
+    ) -> bool:
+        """Wait for a turn in this instance's own part of an engine's limit."""
+        if not self._limits.is_limited(target):
+            return True
+        reply = await self._limits.reserve_own(admission)
+        if not reply.is_granted:
+            plan.reason = f'{target.target}: {reply.reason}'
+            plan.retry_after = reply.retry_after
+            return False
+        plan.turn = target.key
+        return True
+
     def _required_version(self, plan: RequestPlan) -> int:
         """Return the version that must run, 0 while it may still be loading."""
         adapter = plan.fields.adapter
