Do not wake a steward for a turn that is already there

With a limit in force, a request that waited for its adapter and not for its turn asked for the next event at once, again and again: a thousand timers a second at the holder until the adapter was loaded. The new test failed before; further ones cover limits at stewards.

--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -279,8 +279,9 @@
             times.append(
                 self._prefill_until - self._options.max_prefill_backlog
             )
-        if self.queue and self.pacer is not None:
-            times.append(now + self.pacer.wait(now))
+        turn = 0 if self.pacer is None else self.pacer.wait(now)
+        if self.queue and turn > 0:
+            times.append(now + turn)
         if self._pending_order is not None:
             times.append(self._pending_order.resend_at)
         times.append(self._report_at)
