Tell others of a crash at once only if its request recurs

Every crash made each instance that saw it send its status to all. When many targets end together, as with a rack, that is a status for each of them from each instance, and from a hub to its whole zone, while the requests lost there were lost once each. Only a request that was lost in several crashes is urgent, and at most five times a second.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -35,6 +35,8 @@
 # Seconds of the grace period that are reserved for closing.
 _STOP_MARGIN = 1.2
 _POLL_SECONDS = 0.1
+# Least seconds between statuses sent because of crashes.
+_SHARE_SECONDS = 0.2
 # Seconds between checks for the first configuration.
 _START_SECONDS = 0.05
 
@@ -99,6 +101,8 @@
             self._answer_metrics, 'metrics'
         )
         self._is_ready = False
+        # When a status was last sent because of a crash.
+        self._shared_at = float('-inf')
         self._connect_components()
 
     @classmethod
@@ -173,7 +177,7 @@
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
-        self.relay.crash_watch.on_crash = self._share_crash
+        self.relay.crash_watch.on_recurrence = self._share_crash
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
         self._limits.on_change = self._stewards.update_limits
@@ -222,7 +226,11 @@
 
     def _share_crash(self) -> None:
         """Tell the others at once, before the request comes to them."""
-        self._membership.status_exchange.send_status(boot_seconds())
+        now = boot_seconds()
+        if now < self._shared_at + _SHARE_SECONDS:
+            return
+        self._shared_at = now
+        self._membership.status_exchange.send_status(now)
 
     def _record_store_contact(self, seconds: float, now: float) -> None:
         self.view.store_contact.record_member(seconds, now)
--- a/mintlanding/node/crash_watch.py
+++ b/mintlanding/node/crash_watch.py
@@ -60,7 +60,8 @@
         pool: ConnectionPool,
     ) -> None:
         """Take the ledgers of crashes and the connections to targets."""
-        self.on_crash: Callable[[], None] = lambda: None
+        # Called when a request was lost in more than one crash.
+        self.on_recurrence: Callable[[], None] = lambda: None
         self._parts = parts
         self._requests = requests
         self._pool = pool
@@ -159,7 +160,8 @@
         # A request that is to blame clears the parts of its prompt.
         self._requests.record_crash(run, digests, at)
         self._parts.record_crash(run, prompts, at)
-        self.on_crash()
+        if any(self._requests.recurs(each) for each in digests):
+            self.on_recurrence()
 
 
 def _run_of(target: Target) -> str:
--- a/mintlanding/quarantine/request_ledger.py
+++ b/mintlanding/quarantine/request_ledger.py
@@ -105,6 +105,11 @@
         suspect = self._suspects.get(digest)
         return suspect is not None and bool(suspect.crashes)
 
+    def recurs(self, digest: str) -> bool:
+        """Tell whether a request was lost in several crashes."""
+        suspect = self._suspects.get(digest)
+        return suspect is not None and len(suspect.crashes) > 1
+
     def record_crash(
         self, target: str, digests: Iterable[str], now: float
     ) -> None:
