--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -26,11 +26,7 @@
     Refusal,
     RequestPlan,
 )
-from mintlanding.node.send_gate import (
-    SendGate,
-    may_continue,
-    no_target_reason,
-)
+from mintlanding.node.send_gate import SendGate, no_target_reason
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
@@ -362,7 +358,7 @@
                 return result
             target = self._view.targets.get(reservation.worker)
             # The worker may have restarted with another build meanwhile.
-            if target is None or not may_continue(target, plan):
+            if target is None or not self._gate.is_candidate(target, plan):
                 self._admissions.end(
                     reservation.worker,
                     reservation.reservation_id,
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -50,6 +50,10 @@
             if may_continue(each, plan)
         ]
 
+    def is_candidate(self, target: Target, plan: RequestPlan) -> bool:
+        """Tell whether a target that was chosen may still run a request."""
+        return may_continue(target, plan)
+
     def refusal(self, plan: RequestPlan) -> Barrier | None:
         """Return why a request may not be sent to any target."""
         reason, wait = self.quarantines.refusal(plan)
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -326,10 +326,10 @@
     exchange = node._membership.status_exchange
     exchange.unreachable_zones = lambda now: frozenset(('z2',))
     targets = list(node.view.targets.values())
-    assert far in node.relay._without_unreachable_zones(targets)
+    assert far in node.relay._choice.without_unreachable_zones(targets)
     node._stewards.mark_unreachable('p1')
-    assert far not in node.relay._without_unreachable_zones(targets)
-    assert node.relay._without_unreachable_zones([far]) == [far]
+    assert far not in node.relay._choice.without_unreachable_zones(targets)
+    assert node.relay._choice.without_unreachable_zones([far]) == [far]
 
 
 async def test_snapshot_is_loaded_after_lost_history(world):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -37,8 +37,10 @@
 from mintlanding.placement.eviction import EvictionChooser
 from mintlanding.placement.index import WorkerIndex
 from mintlanding.placement.models import SlotState
+from mintlanding.quarantine.request_ledger import RequestLedger
 from mintlanding.routing.plain import PlainRouter
 from mintlanding.routing.retries import RetryBudget
+from mintlanding.target_limits.pacer import Pacer
 
 PROFILE = 'mutants'
 
@@ -296,6 +298,24 @@
         always(True),
         'mintlanding/routing/tests/test_retries.py',
     ),
+    Mutant(
+        'a limit of a target lets all pass',
+        'limits of targets',
+        Pacer,
+        'wait',
+        always(0),
+        'mintlanding/target_limits/tests/test_limits.py::'
+        'test_limit_is_kept_and_used',
+    ),
+    Mutant(
+        'a request that crashes targets is never refused',
+        'requests that crash targets',
+        RequestLedger,
+        'refusal',
+        always(0),
+        'mintlanding/quarantine/tests/test_request_ledger.py::'
+        'test_request_is_blamed_although_nothing_else_is_answered',
+    ),
     Mutant(
         'the end of a stream is not checked',
         'whole answers',
@@ -308,7 +328,7 @@
     Mutant(
         'a stream goes on at any build',
         'whole answers',
-        'mintlanding.node.relay._fits',
+        'mintlanding.node.send_gate.may_continue',
         '',
         always(True),
         'mintlanding/platform/tests/test_node.py::'
