Leave out of the soak's check of pauses what no caller sent

Traced: instances left over from a test run that was stopped renewed their leases at the port of their old store, which a target of this run had got; the log of one has 24 renewals answered with the target's 421 in those seconds, and refused connections before and after.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -216,6 +216,9 @@
     for target in world.targets:
         for begin, turned_away, seconds in target.pauses:
             instance = callers.sent_to.get(turned_away)
+            # Processes of another run may call a port that is used again.
+            if instance is None:
+                continue
             late = [
                 request
                 for at, request, _ in target.requests
