Refuse requests that a planned stop would cut off

Cause: after SIGTERM a connection on which a stream still ran stayed open; the caller's next stream on it was accepted seconds later and cut off when the process ended. Change: once its listener is closed, a stopping instance refuses requests whose route has had runs, or allows ones, that would not end before the process does, as not run, with a short time to come back; the connection is closed. Result: the new test cut the stream before and gets 503 now.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -141,6 +141,7 @@
         end = started + self._cfg.bounds.grace - _STOP_MARGIN
         while loop.time() < end:
             if loop.time() > started + _ACCEPT_SECONDS:
+                self.relay.planned_stop.ends_at = end
                 self._front.close_listener()
                 self._front.close_idle()
                 if not self._front.connections:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -18,6 +18,7 @@
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.limit_keeper import LimitKeeper
+from mintlanding.node.planned_stop import PlannedStop
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import (
@@ -83,6 +84,7 @@
         self._codec = codec
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
+        self.planned_stop = PlannedStop()
         self.quarantines = Quarantines.from_config(cfg)
         self.crash_watch = CrashWatch(
             self.quarantines.parts, self.quarantines.requests, self._pool
@@ -184,6 +186,9 @@
             fields.demand or Demand(),
             self.quarantines.digest(view.fleet_key, fields, req),
         )
+        if self.planned_stop.refuses(route, self._now()):
+            retry_after = self._cfg.relay.isolated_retry_after
+            return Refusal(503, 'the instance stops', retry_after)
         barrier = self._gate.refusal(plan)
         if barrier is not None:
             return Refusal(503, barrier.reason, barrier.retry_after)
@@ -233,6 +238,7 @@
         now = self._now()
         req = plan.req
         if result is AttemptResult.done:
+            self.planned_stop.record_run(plan.route, now - req.arrived)
             self.log.ended(plan, 'served', now)
             return
         if plan.workspace is not None and not plan.is_sent:
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -54,8 +54,8 @@
     before the caller's deadline. `first_event_factor`: a resumable stream
     without an event for this many objectives is restarted at another target.
     `retry_after`: default delay after which a caller should retry;
-    `isolated_retry_after`: the same from an instance that reaches at most half
-    of the members, since another instance can serve at once. `held_bytes`: a
+    `isolated_retry_after`: the same from an instance that stops or reaches at
+    most half of the members, since another one can serve at once. `held_bytes`: a
     response is held up to this size, so that it can still be replaced by that
     of a retry; the rest is passed on as it arrives.
     """
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from mintlanding.node import application
 from mintlanding.node.view import MemberRecord
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import (
@@ -560,6 +561,30 @@
             await asyncio.sleep(0.1)
 
 
+async def test_stream_that_a_planned_stop_would_cut_is_refused(
+    pair, monkeypatch
+):
+    # The connection was open before; the next stream on it would not end.
+    monkeypatch.setattr(application, '_ACCEPT_SECONDS', 0.5)
+    for engine in pair.engines:
+        engine.events = 300
+    node = pair.nodes[0]
+    reader, writer = await pair.connect()
+    writer.write(pair.raw(LIVE))
+    head = await reader.readuntil(b'\r\n\r\n')
+    stopping = asyncio.ensure_future(node.application.stop())
+    assert b'connection: close' not in head.lower()
+    await reader.readuntil(b'\r\n0\r\n\r\n')
+    writer.write(pair.raw(LIVE))
+    status, head, _ = await read_response(reader)
+    assert status == 503
+    assert b'connection: close' in head
+    assert b'retry-after' in head
+    writer.close()
+    await stopping
+    pair.nodes.remove(node)
+
+
 async def test_restarted_instance_keeps_its_workers(pair):
     # In a rolling restart, no other instance should claim its workers, since
     # a new holder has to wait before its first order.
