Keep the planned stop in the send gate

Cause: the relay had more imports than the linter allows. Change: the send gate holds what decides whether a request may be sent. Result: lint and the tests of node and platform pass.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -18,7 +18,6 @@
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.limit_keeper import LimitKeeper
-from mintlanding.node.planned_stop import PlannedStop
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import (
@@ -84,12 +83,12 @@
         self._codec = codec
         self._rnd = rnd
         self._pool = ConnectionPool(cfg.client)
-        self.planned_stop = PlannedStop()
         self.quarantines = Quarantines.from_config(cfg)
         self.crash_watch = CrashWatch(
             self.quarantines.parts, self.quarantines.requests, self._pool
         )
         self._gate = SendGate(view, self.quarantines, limits)
+        self.planned_stop = self._gate.planned_stop
         self._choice = TargetChoice(
             cfg, view, admissions, limits, self._gate, self.target_table, rnd
         )
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -12,6 +12,7 @@
 from mintlanding.core.registry import Registry
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.limit_keeper import LimitKeeper
+from mintlanding.node.planned_stop import PlannedStop
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_plan import AttemptResult, RequestPlan
 from mintlanding.node.view import FleetView
@@ -40,6 +41,7 @@
     quarantines: Quarantines
     limits: LimitKeeper
     pauses: TargetPauses = field(default_factory=TargetPauses)
+    planned_stop: PlannedStop = field(default_factory=PlannedStop)
 
     def candidates(self, plan: RequestPlan) -> list[Target]:
         """Return the targets that may run the rest of a request."""
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -55,9 +55,9 @@
     without an event for this many objectives is restarted at another target.
     `retry_after`: default delay after which a caller should retry;
     `isolated_retry_after`: the same from an instance that stops or reaches at
-    most half of the members, since another one can serve at once. `held_bytes`: a
-    response is held up to this size, so that it can still be replaced by that
-    of a retry; the rest is passed on as it arrives.
+    most half of the members, since another one can serve at once.
+    `held_bytes`: a response is held up to this size, so that it can still be
+    replaced by that of a retry; the rest is passed on as it arrives.
     """
 
     max_wait_share: float = 0.9
