Leave to silent members their share of the quotas at once

Cause: an instance that was cut off, and the part of the fleet that lost it, went on with the whole quota until the silence was detected, and the bucket filled up meanwhile since nothing was charged for the others. Once the record of a member had ended, its share went to the others though it still served its callers.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -27,6 +27,7 @@
     AdmissionReply,
     GrantOutcome,
 )
+from mintlanding.traffic.reach import FleetReach
 
 _UPKEEP_SECONDS = 0.25
 # Seconds after the signal for which connections are still accepted: the load
@@ -101,6 +102,7 @@
             self._answer_metrics, 'metrics'
         )
         self._is_ready = False
+        self._reach = FleetReach()
         # When a status was last sent because of a crash.
         self._shared_at = float('-inf')
         self._connect_components()
@@ -220,7 +222,13 @@
             self.relay.prune()
             self._limits.update()
             reachable, members = self._membership.reach(now)
-            self.relay.quotas.set_reachable(reachable, members)
+            self.relay.quotas.set_reachable(
+                *self._reach.update(
+                    self._membership.contacts(now),
+                    self._membership.status_exchange.interval,
+                    now,
+                )
+            )
             self.relay.budget.members = members
             self.relay.is_isolated = reachable * 2 <= members
             await asyncio.sleep(_UPKEEP_SECONDS)
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -48,6 +48,7 @@
     preferred_member,
     well_connected_members,
 )
+from mintlanding.traffic.reach import MemberContact
 
 # Seconds after joining before workers of others are claimed, so that members
 # which start together know each other by then.
@@ -170,6 +171,18 @@
         reachable = sum(self.is_reachable(each, now) for each in others)
         return reachable + 1, len(others) + 1
 
+    def contacts(self, now: float) -> dict[str, MemberContact]:
+        """Return when the other members were heard last."""
+        received = self.status_exchange.received
+        found = {}
+        for name, record in self._view.members.items():
+            if name == self.instance:
+                continue
+            last = received.get(name)
+            age = float('inf') if last is None else now - last.at
+            found[name] = MemberContact(age, record.is_leaving)
+        return found
+
     async def run_lease(self) -> None:
         """Register and renew the lease until cancelled."""
         while True:
@@ -182,12 +195,9 @@
 
     async def run_status_exchange(self) -> None:
         """Send statuses several times a second and detect stalls."""
-        options = self._cfg.fleet
         last = boot_seconds()
         while True:
-            interval = options.status_interval
-            if self.status_exchange.uses_hubs:
-                interval = options.hub_interval
+            interval = self.status_exchange.interval
             await asyncio.sleep(interval)
             now = boot_seconds()
             if now - last > interval + _STALL_SECONDS:
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -158,6 +158,13 @@
         """Tell whether statuses are exchanged through hubs."""
         return len(self._members) >= self._options.hub_threshold
 
+    @property
+    def interval(self) -> float:
+        """Return the seconds between two statuses of a member."""
+        if self.uses_hubs:
+            return self._options.hub_interval
+        return self._options.status_interval
+
     def set_members(self, members: dict[str, MemberRecord]) -> None:
         """Replace the other members."""
         self._members = dict(members)
--- a/mintlanding/traffic/quotas.py
+++ b/mintlanding/traffic/quotas.py
@@ -12,6 +12,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Self
 
 from mintlanding.traffic.models import Workspace
 
@@ -41,29 +42,84 @@
 _MIN_CORRECTION = 0.5
 # Largest share of a burst that others are assumed to use up unreported.
 _MAX_UNREPORTED_SHARE = 0.5
+# Seconds after its last report for which a counter is assumed to grow on;
+# members that are unreachable for longer are left out of the shares.
+_ASSUMED_SECONDS = 2.0
+# Least seconds between the reports from which a rate is measured: after a pause
+# of this process, several come at once.
+_SAMPLE_SECONDS = 0.1
+# Weight of a new sample of the rate at which a counter grows.
+_RATE_SMOOTHING = 0.5
 # Suffix of the counter of requested tokens, beside that of admitted ones.
 _REQUESTED = '\0asked'
 
 
+@dataclass(slots=True)
+class _RemoteCounter:
+    """A counter of another member as of its last report, at time `at`.
+
+    Until the next report the counter is assumed to grow at `rate`; `assumed`
+    and `assumed_reserve` were charged to level and reserve for that. So a
+    member that is cut off does not take the silence of the others for tokens
+    that they leave to it. `sampled_at` and `sampled_total` are of the report
+    from which the rate is measured.
+    """
+
+    total: float
+    at: float
+    sampled_at: float
+    sampled_total: float
+    rate: float = 0
+    assumed: float = 0
+    assumed_reserve: float = 0
+
+    @classmethod
+    def first(cls, total: float, now: float) -> Self:
+        """Create the counter of a member at its first report."""
+        return cls(total, now, sampled_at=now, sampled_total=total)
+
+    def assume(self, now: float, seconds: float) -> float:
+        """Return what the counter has probably grown in the last seconds."""
+        return self.rate * seconds if now < self.at + _ASSUMED_SECONDS else 0
+
+    def report(self, total: float, now: float) -> float:
+        """Return what the counter has grown."""
+        more = total - self.total
+        self.total, self.at = total, now
+        self.assumed = self.assumed_reserve = 0
+        elapsed = now - self.sampled_at
+        if elapsed >= _SAMPLE_SECONDS:
+            sample = max(0, total - self.sampled_total) / elapsed
+            self.rate += _RATE_SMOOTHING * (sample - self.rate)
+            self.sampled_at, self.sampled_total = now, total
+        return more
+
+
 @dataclass(slots=True)
 class _Bucket:
     """Token bucket of one workspace and the counters charged to it.
 
-    `local_demand` and `remote_demand` are the tokens requested here and
-    elsewhere in about the last `_DEMAND_SECONDS`. `debt` is what was admitted
-    here beyond the local rate. `counters` are the last ones of other members.
+    `share` is the part of the quota of the members that this instance hears;
+    `reserve` are the tokens of the others, which are not in `level`. `rate` and
+    `burst` are those of all members. `local_demand` and `remote_demand` are the
+    tokens requested here and elsewhere in about the last `_DEMAND_SECONDS`.
+    `debt` is what was admitted here beyond the local rate. `remotes` are the
+    counters of other members, `requested_remotes` those of what was requested.
     """
 
     level: float
     at: float
     rate: float = 0
     burst: float = 0
+    share: float = 1
+    reserve: float = 0
     admitted: float = 0
     requested: float = 0
     local_demand: float = 0
     remote_demand: float = 0
     debt: float = 0
-    counters: dict[str, float] = field(default_factory=dict)
+    remotes: dict[str, _RemoteCounter] = field(default_factory=dict)
+    requested_remotes: dict[str, _RemoteCounter] = field(default_factory=dict)
 
     @property
     def demand_share(self) -> float:
@@ -74,9 +130,10 @@
     @property
     def local_rate(self) -> float:
         """Return the share of the rate that this instance admits."""
-        correction = self.level / (self.rate * _CORRECTION_SECONDS)
+        rate = self.rate * self.share
+        correction = self.level / (rate * _CORRECTION_SECONDS)
         return (
-            self.rate
+            rate
             * self.demand_share
             * max(0, min(1 + correction, _MAX_CORRECTION))
         )
@@ -85,27 +142,81 @@
     def unreported(self) -> float:
         """Return what others may have admitted but not reported yet."""
         remote = self.remote_demand / _DEMAND_SECONDS * _PROPAGATION_SECONDS
-        return min(remote, self.burst * _MAX_UNREPORTED_SHARE)
+        return min(remote, self.burst * self.share * _MAX_UNREPORTED_SHARE)
+
+    def set_share(self, share: float) -> None:
+        """Set the part of the quota that the members in reach have.
 
-    def advance(self, seconds: float) -> None:
+        Those that fall silent take their part of the tokens and debts along.
+        Those that are heard again bring along what they have not used.
+        """
+        moved: float = 0
+        if share < self.share:
+            moved = self.level * (1 - share / self.share)
+        elif self.share < 1:
+            moved = self.reserve * (share - self.share) / (self.share - 1)
+        self.level -= moved
+        self.reserve += moved
+        self.share = share
+
+    def advance(self, now: float) -> None:
         """Refill the bucket, pay back debt and decay the demand."""
+        seconds = max(0, now - self.at)
+        self.at = now
         self.debt = max(0, self.debt - self.local_rate * seconds)
         kept = math.exp(-seconds / _DEMAND_SECONDS)
         self.local_demand *= kept
         self.remote_demand *= kept
-        self.level = min(self.level + self.rate * seconds, self.burst)
+        others = 1 - self.share
+        self.level += self.rate * self.share * seconds
+        self.reserve += self.rate * others * seconds
+        self.level = min(self.level, self.burst * self.share)
+        self.reserve = min(self.reserve, self.burst * others)
+        for remote in self.remotes.values():
+            grown = remote.assume(now, seconds)
+            remote.assumed += grown * self.share
+            remote.assumed_reserve += grown * others
+            self.level -= grown * self.share
+            self.reserve -= grown * others
+        for remote in self.requested_remotes.values():
+            grown = remote.assume(now, seconds)
+            remote.assumed = remote.assumed * kept + grown
+            self.remote_demand += grown
+
+    def report(self, member: str, total: float, now: float) -> None:
+        """Charge what a member has admitted, instead of what was assumed.
+
+        What it admitted before its first report is not charged.
+        """
+        known = self.remotes.setdefault(
+            member, _RemoteCounter.first(total, now)
+        )
+        self.level += known.assumed
+        self.reserve += known.assumed_reserve
+        self.level -= known.report(total, now)
+
+    def report_requested(self, member: str, total: float, now: float) -> None:
+        """Add what was requested at a member to the remote demand."""
+        known = self.requested_remotes.setdefault(
+            member, _RemoteCounter.first(total, now)
+        )
+        assumed = known.assumed
+        requested = max(0, known.report(total, now))
+        self.remote_demand = max(0, self.remote_demand - assumed) + requested
 
     def admit(self, amount: float) -> float:
         """Admit an amount; return 0, or the seconds after which to retry."""
         self.requested += amount
         self.local_demand += amount
-        is_low = self.level < max(min(amount, self.burst), self.unreported)
+        burst = self.burst * self.share
+        is_low = self.level < max(min(amount, burst), self.unreported)
         # A request larger than the local share passes once there is no debt.
         excess = self.debt - max(
             0, self.unreported * self.demand_share - amount
         )
         if is_low and excess > 0:
-            least = self.rate * self.demand_share * _MIN_CORRECTION
+            least = self.rate * self.share * self.demand_share
+            least *= _MIN_CORRECTION
             return max(excess / max(self.local_rate, least), _MIN_RETRY_AFTER)
         if is_low:
             self.debt += amount
@@ -117,8 +228,8 @@
 class FleetQuotas:
     """Buckets of all workspaces, as this instance sees the fleet.
 
-    While some members are unreachable, rate and burst are reduced to the share
-    of those that are reachable.
+    While some members are silent, rate and burst are reduced to the share of
+    those that are heard.
     """
 
     def __init__(self) -> None:
@@ -126,14 +237,14 @@
         self._buckets: dict[str, _Bucket] = {}
         self._share = 1.0
 
-    def set_reachable(self, reachable: int, members: int) -> None:
-        """Set the numbers of reachable and of all members, self included."""
-        before = self._share
+    def set_reachable(self, reachable: float, members: int) -> None:
+        """Set the numbers of reachable and of all members, self included.
+
+        A member whose last status is late may count in part.
+        """
         self._share = min(1, reachable / members) if members else 1
-        if self._share < before:
-            # Unreachable members keep their share of tokens and debts.
-            for bucket in self._buckets.values():
-                bucket.level *= self._share / before
+        for bucket in self._buckets.values():
+            bucket.set_share(self._share)
 
     def admit(self, workspace: Workspace, amount: float, now: float) -> float:
         """Charge a request; return 0, or the seconds after which to retry."""
@@ -160,7 +271,8 @@
     def levels(self, now: float) -> dict[str, float]:
         """Return the tokens left in the buckets, negative if overdrawn."""
         return {
-            name: bucket.level + bucket.rate * max(0, now - bucket.at)
+            name: bucket.level
+            + bucket.rate * bucket.share * max(0, now - bucket.at)
             for name, bucket in self._buckets.items()
         }
 
@@ -191,26 +303,20 @@
             if workspace is None or workspace.rate <= 0:
                 continue
             bucket = self._advance(workspace, now)
-            source = member + name.removeprefix(workspace.name)
-            more = total - bucket.counters.get(source, total)
-            bucket.counters[source] = total
             if name.endswith(_REQUESTED):
-                bucket.remote_demand += max(0, more)
+                bucket.report_requested(member, total, now)
             else:
-                bucket.level -= more
+                bucket.report(member, total, now)
 
     def _advance(self, workspace: Workspace, now: float) -> _Bucket:
-        burst = self._burst(workspace)
+        burst = max(workspace.burst, workspace.rate * _MIN_BURST_SECONDS)
+        burst *= _USABLE_SHARE
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = _Bucket(level=burst, at=now)
+            bucket.set_share(self._share)
             self._buckets[workspace.name] = bucket
-        bucket.rate = workspace.rate * self._share * _USABLE_SHARE
+        bucket.rate = workspace.rate * _USABLE_SHARE
         bucket.burst = burst
-        bucket.advance(max(0, now - bucket.at))
-        bucket.at = now
+        bucket.advance(now)
         return bucket
-
-    def _burst(self, workspace: Workspace) -> float:
-        burst = max(workspace.burst, workspace.rate * _MIN_BURST_SECONDS)
-        return burst * self._share * _USABLE_SHARE
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -17,6 +17,7 @@
     Workspace,
 )
 from mintlanding.traffic.quotas import FleetQuotas
+from mintlanding.traffic.reach import FleetReach, MemberContact
 from mintlanding.traffic.retries import FleetRetryBudget, FleetRetryOptions
 from mintlanding.traffic.routes import KeyTable, RouteTable, choose_service
 
@@ -122,16 +123,17 @@
 class LargeFleet:
     """Instances that receive the others' counters late, through hubs.
 
-    From `cut_at` on, the first `cut` of them receive nothing; all instances
-    detect that after `silence` seconds.
+    From `cut_at` on, the first `cut` of them receive nothing, and the others
+    nothing from them.
     """
 
     interval = 0.4
     lag = 0.8
-    silence = 1.6
 
     def __init__(self, members, cut, cut_at):
         self.quotas = [FleetQuotas() for _ in range(members)]
+        self.reaches = [FleetReach() for _ in range(members)]
+        self.heard_at = 0
         self.cut = cut
         self.cut_at = cut_at
         self.sums = []
@@ -147,11 +149,21 @@
         if due:
             self.sums = self.sums[len(due) - 1 :]
             self._exchange(due[-1][1], now, is_cut=is_cut)
-        if now >= self.cut_at + self.silence:
-            members = len(self.quotas)
-            for index, quotas in enumerate(self.quotas):
-                reachable = 1 if index < self.cut else members - self.cut
-                quotas.set_reachable(reachable, members)
+        if not is_cut:
+            self.heard_at = now
+        for index, quotas in enumerate(self.quotas):
+            contacts = {
+                str(other): MemberContact(
+                    now - self.heard_at
+                    if index < self.cut or other < self.cut
+                    else 0
+                )
+                for other in range(len(self.quotas))
+                if other != index
+            }
+            quotas.set_reachable(
+                *self.reaches[index].update(contacts, self.interval, now)
+            )
 
     def _exchange(self, sent, now, *, is_cut):
         """Send each the sum over all others that the hubs can reach."""
@@ -199,6 +211,58 @@
     assert windows[-1] * amount >= LIMITED.rate * 8 * 0.9
 
 
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['admit', 'report', 'refund', 'silence']),
+        st.floats(0, 5),
+        st.integers(0, 4000),
+    ),
+    max_size=60,
+)
+
+
+@given(_STEPS)
+def test_quota_is_enforced_in_any_order_of_reports_and_silence(steps):
+    quotas, now, total = FleetQuotas(), 0.0, 0
+    quotas.set_reachable(4, 4)
+    for step, seconds, amount in steps:
+        now += seconds
+        if step == 'admit':
+            assert 0 <= quotas.admit(LIMITED, amount, now) <= 2
+        elif step == 'refund':
+            quotas.refund('w', amount)
+        elif step == 'silence':
+            quotas.set_reachable(1 + amount % 4, 4)
+        else:
+            total += amount
+            counters = {'w': total, 'w\0asked': total}
+            quotas.add_remote_counters('m', counters, {'w': LIMITED}, now)
+
+
+def test_remote_demand_that_decayed_is_not_taken_back_twice():
+    # Reports come every half second and stop; then one comes with nothing new.
+    quotas = FleetQuotas()
+    for step in range(20):
+        counters = {'w\0asked': 900.0 * step}
+        quotas.add_remote_counters('m', counters, {'w': LIMITED}, step / 2)
+    for step in range(8):
+        quotas.admit(LIMITED, 1, 9.5 + step / 4)
+    counters = {'w\0asked': 900.0 * 19}
+    quotas.add_remote_counters('m', counters, {'w': LIMITED}, 11.5)
+    assert quotas._buckets['w'].remote_demand >= 0
+
+
+def test_reports_that_come_at_once_after_a_pause_are_no_rate():
+    quotas = FleetQuotas()
+    for step in range(8):
+        counters = {'w': 100.0 * step, 'w\0asked': 100.0 * step}
+        now = 6 + step * 1e-6
+        quotas.add_remote_counters('m', counters, {'w': LIMITED}, now)
+    quotas.admit(LIMITED, 1, 6.1)
+    quotas.admit(LIMITED, 1, 7)
+    assert quotas.levels(7)['w'] > 0
+
+
 def test_workspace_below_its_quota_is_never_refused():
     fleet = Fleet(8)
     rnd = random.Random(3)
