Make fewer calls while nothing needs them

Change: reports are requested only while requests choose among workers; an instance without workers renews its lease every 0.9 s instead of 0.6 s, twice within the lease, and asks nobody for consent.

--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -26,6 +26,8 @@
 _REPLY_GRACE = 0.15
 # Seconds between reports of a worker whose steward is unreachable.
 _OBSERVE_SECONDS = 0.5
+# Seconds after the last choice of a worker from which no reports are requested.
+_IDLE_SECONDS = 3.0
 # Seconds for which the adapters in an old digest are taken for resident.
 _DIGEST_LIFETIME = 8.0
 
@@ -85,6 +87,7 @@
     _digests: dict[str, _LastDigest] = field(default_factory=dict)
     _observed: dict[str, _ObservedWorker] = field(default_factory=dict)
     _started: float = field(default_factory=boot_seconds)
+    _chosen_at: float = float('-inf')
     _steward_changed: asyncio.Event = field(default_factory=asyncio.Event)
     _logger: Logger = field(default_factory=lambda: Logger('admissions'))
 
@@ -99,14 +102,21 @@
     def views(self, targets: list[Target]) -> dict[str, WorkerView]:
         """Return what the choice among workers depends on."""
         now = boot_seconds()
+        self._chosen_at = now
         self.record_digests(self.membership.instance, self.stewards.digests())
         return {each.target: self._view_of(each, now) for each in targets}
 
     async def run(self) -> None:
-        """Fetch reports of workers whose stewards are unreachable."""
+        """Fetch reports of workers whose stewards are unreachable.
+
+        None are needed while no request chooses among workers, as before the
+        first traffic, when no worker of the fleet has a steward yet.
+        """
         while True:
             await asyncio.sleep(_OBSERVE_SECONDS)
             now = boot_seconds()
+            if now > self._chosen_at + _IDLE_SECONDS:
+                continue
             unreachable = [
                 each
                 for each in self.view.engines().values()
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -90,9 +90,7 @@
             cfg.fleet,
             cfg.facts.link_mbps,
         )
-        self.status_exchange.sources.asks_consent = (
-            self.ownership.authority.needs_member_acks
-        )
+        self.status_exchange.sources.asks_consent = self._asks_consent
         self.status_exchange.sources.may_consent = self.ownership.may_consent
         self.on_store_update: Callable[[StoreUpdate], None] | None = None
         self.on_message: Callable[[str, Message, Reply], None] | None = None
@@ -186,13 +184,30 @@
     async def run_lease(self) -> None:
         """Register and renew the lease until cancelled."""
         while True:
+            interval = self._cfg.fleet.renew_interval
             try:
                 await self._keep_lease()
             except (PlatformError, StoreBusy) as exc:
                 self._logger.warning('Lease renewal failed.', reason=str(exc))
-            interval = self._cfg.fleet.renew_interval
+            else:
+                interval = self._renew_interval()
             await asyncio.sleep(interval * self._rnd.uniform(0.9, 1.1))
 
+    def _asks_consent(self, now: float) -> bool:
+        """Tell whether members have to consent to orders, since a lease ends.
+
+        An instance without workers sends none.
+        """
+        if not self.ownership.held_workers():
+            return False
+        return self.ownership.authority.needs_member_acks(now)
+
+    def _renew_interval(self) -> float:
+        """Return the seconds until the next renewal of a lease that is kept."""
+        if self.ownership.held_workers():
+            return self._cfg.fleet.renew_interval
+        return self._cfg.fleet.idle_renew_interval
+
     async def run_status_exchange(self) -> None:
         """Send statuses several times a second and detect stalls."""
         last = boot_seconds()
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -86,7 +86,9 @@
     call, well below the users' bounds on configurations and leaving targets.
     `lapse_grace`: time after the return of the store for which targets are
     kept whose entries lapsed in its outage, the users' bound for their return.
-    `renew_interval`: time between renewals of the lease. `hub_threshold`:
+    `renew_interval`: time between renewals of the lease, which bound the
+    authority of a holder; `idle_renew_interval`: the same for an instance
+    without workers, a little less than half the lease. `hub_threshold`:
     number of other members from which statuses go through a hub in each zone.
     A hub sends every `hub_interval` and is replaced after `hub_timeout`.
     """
@@ -99,6 +101,7 @@
     reader_timeout: float = 1.3
     lapse_grace: float = 2.2
     renew_interval: float = 0.6
+    idle_renew_interval: float = 0.9
     hub_threshold: int = 17
     hub_interval: float = 0.4
     hub_timeout: float = 1.6
--- /dev/null
+++ b/mintlanding/node/tests/test_admissions.py
@@ -0,0 +1,65 @@
+"""Workers whose stewards are unreachable are asked only if it is needed."""
+
+import asyncio
+import contextlib
+from types import SimpleNamespace
+
+from mintlanding.node import admissions as module
+from mintlanding.node.admissions import Admissions
+from mintlanding.traffic.models import Target
+
+ENGINES = {
+    name: Target(name, 'engines', ('127.0.0.1', 1), 'z1', 8, model='base')
+    for name in ('e1', 'e2')
+}
+
+
+class Stewards:
+    """Counts the reports that are requested."""
+
+    def __init__(self):
+        self.requested = []
+
+    async def fetch_report(self, target):
+        self.requested.append(target.target)
+
+    def digests(self):
+        return ()
+
+
+def make_admissions():
+    view = SimpleNamespace(
+        engines=lambda: ENGINES,
+        targets=ENGINES,
+        ownership={},
+        is_engine=lambda target: True,
+    )
+    membership = SimpleNamespace(
+        instance='me', is_reachable=lambda member, now: False
+    )
+    return Admissions(None, view, membership, Stewards(), None)
+
+
+async def observe(admissions, seconds):
+    task = asyncio.ensure_future(admissions.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def test_workers_are_not_asked_before_the_first_request(monkeypatch):
+    monkeypatch.setattr(module, '_OBSERVE_SECONDS', 0.02)
+    admissions = make_admissions()
+    await observe(admissions, 0.1)
+    assert not admissions.stewards.requested
+
+
+async def test_workers_without_a_steward_are_asked_once_requests_come(
+    monkeypatch,
+):
+    monkeypatch.setattr(module, '_OBSERVE_SECONDS', 0.02)
+    admissions = make_admissions()
+    admissions.views(list(ENGINES.values()))
+    await observe(admissions, 0.1)
+    assert set(admissions.stewards.requested) == set(ENGINES)
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -150,3 +150,18 @@
     assert not may_order(membership)
     membership.receive('newcomer', Consent(now), lambda message: True)
     assert may_order(membership)
+
+
+@pytest.mark.parametrize(
+    ('held', 'interval'), [(frozenset(), 0.9), (frozenset(('w1',)), 0.6)]
+)
+def test_lease_is_renewed_less_often_without_workers(
+    monkeypatch, held, interval
+):
+    cfg = NodeSettings(FACTS)
+    view = FleetView(records)
+    membership = Membership(cfg, FakeStore(), view, random.Random(1))
+    monkeypatch.setattr(membership.ownership, 'held_workers', lambda: held)
+    assert membership._renew_interval() == interval
+    # Two renewals fit into a lease, so that one may be lost.
+    assert 2 * 1.1 * interval < cfg.authority.lease
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -186,6 +186,44 @@
     assert not other.runs
 
 
+@pytest.mark.parametrize('has_old_build', [True, False])
+async def test_streams_from_before_a_kill_of_all_are_not_joined(
+    pair, has_old_build
+):
+    # No instance remembers the build; the old one may just have left.
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream()
+    await pair.kill_all()
+    if not has_old_build:
+        began.stop()
+        pair.store.remove(f'servers/{began.name}')
+        pair.engines.remove(began)
+    before = sum(len(engine.runs) for engine in pair.engines)
+    await pair.add_node('n0')
+    await pair.add_node('n1')
+    await pair.settle()
+    for node in (0, 1, 0):
+        status, head, _ = await pair.resume(request_id, node=node)
+        assert status == 503
+        assert b'retry-after' in head
+    assert sum(len(engine.runs) for engine in pair.engines) == before
+
+
+async def test_stream_is_resumed_several_times_at_its_build(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream(node=0)
+    other = next(each for each in pair.engines if each is not began)
+    before = len(other.runs)
+    for node in (1, 0, 1):
+        began.faults.break_after = 2
+        with pytest.raises(asyncio.IncompleteReadError):
+            await pair.resume(request_id, node=node)
+        began.faults.break_after = 0
+    status, _, body = await pair.resume(request_id, node=0)
+    assert (status, body) == (200, stream(2, 3))
+    assert len(other.runs) == before
+
+
 async def test_stream_of_unknown_origin_is_resumed_beside_one_build(world):
     node = world.nodes[0]
     assert (await world.resume(b'unknown'))[0] == 503
