Record origins of streams in the store beside several builds

Cause: which build began a stream was known to instances only. What is in no record is refused as before. A stream that was recorded goes on at its build, one that was not is refused, beside two builds and after the old one left (tests).

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -15,6 +15,7 @@
 from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.metrics import render_metrics
+from mintlanding.node.origin_records import OriginRecords
 from mintlanding.node.quarantine_records import QuarantineRecords
 from mintlanding.node.relay import Relay
 from mintlanding.node.settings import NodeSettings
@@ -96,6 +97,9 @@
             self.relay.quarantines.parts,
             self.relay.quarantines.requests,
         )
+        self._origin_records = OriginRecords(
+            cfg, store, self.view, self._origins
+        )
         self._front = CallerServer.from_config(self.relay.handle, 'front')
         self._ready = CallerServer.from_config(self._answer_ready, 'ready')
         self._metrics = CallerServer.from_config(
@@ -211,6 +215,7 @@
         spawn(self._stewards.run())
         spawn(self._admissions.run())
         spawn(self._quarantine_records.run())
+        spawn(self._origin_records.run())
         spawn(self._upkeep())
         self._is_ready = True
         self.application.logger.info('Ready.')
@@ -251,6 +256,7 @@
             'members': self._membership.update_members,
             'ownership': self._stewards.update,
             'quarantines': self._quarantine_records.restore,
+            'streams': self._origin_records.restore,
             'versions': self._stewards.update_versions,
         }
         handler = handlers.get(topic)
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -139,15 +139,19 @@
         """Tell whether this instance is the elected one."""
         return self.elected(name) == self.instance
 
-    def elected(self, name: str) -> str:
+    def elected(self, name: str, least_link_version: int = 0) -> str:
         """Return the one of the reachable members that acts for all of them.
 
-        The choice is by rendezvous hashing of a name that all of them know.
+        The choice is by rendezvous hashing of a name that all of them know,
+        among the members whose messages are not older than a version.
         """
         now = boot_seconds()
         candidates = [self.instance]
         candidates.extend(
-            each for each in self._view.members if self.is_reachable(each, now)
+            each
+            for each, record in self._view.members.items()
+            if record.link_version >= least_link_version
+            and self.is_reachable(each, now)
         )
         return max(
             candidates,
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -36,6 +36,8 @@
             'unloads_total': counters.unloads,
             'order_conflicts_total': counters.conflicts,
             'orders_lost_total': counters.lost_orders,
+            'prefill_tokens_per_second': round(steward.pace.prefill_rate),
+            'prefill_pause_share': round(steward.pauses.share, 2),
         }
         lines.extend(
             f'mintlanding_worker_{name}{label} {count}'
--- a/mintlanding/node/stream_origins.py
+++ b/mintlanding/node/stream_origins.py
@@ -1,7 +1,7 @@
 """Keep the origins of streams at other instances, and ask them for one."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from mintlanding.core.logs import Logger
@@ -23,6 +23,9 @@
     choose_members_to_query,
 )
 
+# Name by which the instance is elected that records origins in the store.
+_RECORDER = 'stream origins'
+
 
 @dataclass(slots=True)
 class _Query:
@@ -66,9 +69,30 @@
             reachable,
             self._cfg.streams.copies,
         )
-        for keeper in keepers:
+        if self._has_several_builds(origin.service, now):
+            keepers.append(self.recorder())
+        for keeper in set(keepers):
             mesh.send(keeper, OriginNotice(origin))
 
+    def recorder(self) -> str:
+        """Return the instance that records origins in the store."""
+        return self._membership.elected(_RECORDER, ORIGINS_LINK_VERSION)
+
+    def to_record(self, now: float) -> tuple[StreamOrigin, ...]:
+        """Return the known origins at services with several builds."""
+        cfg = self._view.config
+        services = set() if cfg is None else set(cfg.services)
+        return self._table.of_services(
+            {each for each in services if self._has_several_builds(each, now)},
+            now,
+        )
+
+    def restore(self, origins: Iterable[StreamOrigin]) -> None:
+        """Add origins that were recorded in the store."""
+        now = boot_seconds()
+        for origin in origins:
+            self._table.record(origin, now)
+
     async def find(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream that any instance began."""
         known = self._table.find(request_id, boot_seconds())
@@ -95,6 +119,10 @@
             return False
         return True
 
+    def _has_several_builds(self, service: str, now: float) -> bool:
+        since = now - self._cfg.streams.lifetime
+        return self._view.has_several_builds(service, since)
+
     def _keeping_members(self) -> Iterator[MemberRecord]:
         """Yield the members that know messages about origins.
 
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -13,6 +13,7 @@
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
 from mintlanding.residency.models import EngineReport
 from mintlanding.streams.builds import BuildHistory
+from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.models import (
     Route,
     Service,
@@ -27,6 +28,7 @@
 FLEET_KEY = 'mintlanding/fleet-key'
 QUARANTINE_PREFIX = 'mintlanding/quarantine/'
 REQUEST_QUARANTINE_PREFIX = 'mintlanding/request-quarantine/'
+ORIGINS_PREFIX = 'mintlanding/streams/'
 
 
 class Records(Protocol):
@@ -127,6 +129,10 @@
     request_records: dict[str, RequestRecord] = field(default_factory=dict)
     # Revisions of both kinds of records, by key.
     quarantine_revisions: dict[str, int] = field(default_factory=dict)
+    # Origins of streams, by the key of their record.
+    stream_origins: dict[str, tuple[StreamOrigin, ...]] = field(
+        default_factory=dict
+    )
     fleet_key: bytes = b''
     as_of: int = 0
     fresh_at: float = float('-inf')
@@ -178,6 +184,15 @@
         ]
         return self.builds.only_build(service, present, since)
 
+    def has_several_builds(self, service: str, since: float) -> bool:
+        """Tell whether a service is known to have had several builds."""
+        present = [
+            each.build
+            for each in self.targets.values()
+            if each.service == service
+        ]
+        return len(self.builds.recent(service, present, since)) > 1
+
     def is_engine(self, target: Target) -> bool:
         """Tell whether a target runs an engine."""
         return self._is_engine(target.service)
@@ -226,11 +241,12 @@
             self._put(item, self.fresh_at)
 
     def apply(self, change: Change, now: float) -> bool:
-        """Apply a change; return false if only a target's adapters changed.
+        """Apply a change; return false if other members need not hear of it.
 
-        Those are reported by the target's steward, or by the target itself on
-        request. A removal counts as a change also where the target is kept for
-        a while, since other members need not keep it.
+        The adapters of a target are reported by its steward, or by the target
+        itself on request; origins of streams by members. A removal counts as a
+        change also where the target is kept for a while, since other members
+        need not keep it.
         """
         name = change.key.removeprefix(self.records.TARGETS_PREFIX)
         before = self.targets.get(name)
@@ -239,6 +255,8 @@
         else:
             self._put(change.item, now)
         after = self.targets.get(name)
+        if change.key.startswith(ORIGINS_PREFIX):
+            return False
         if change.item is None or before is None or after is None:
             return True
         return _without_adapters(before) != _without_adapters(after)
@@ -282,6 +300,7 @@
             FLEET_KEY: self._put_fleet_key,
             QUARANTINE_PREFIX: self._put_quarantine,
             REQUEST_QUARANTINE_PREFIX: self._put_request_quarantine,
+            ORIGINS_PREFIX: self._put_origins,
         }
         found = [each for each in handlers if item.key.startswith(each)]
         try:
@@ -389,6 +408,12 @@
         self.quarantine_revisions[item.key] = item.revision
         self._notify('quarantines')
 
+    def _put_origins(self, item: Item, now: float) -> None:
+        self.stream_origins[item.key] = msgspec.msgpack.decode(
+            item.content, type=tuple[StreamOrigin, ...]
+        )
+        self._notify('streams')
+
     def _put_ownership(self, item: Item, now: float) -> None:
         worker = item.key.removeprefix(OWNERSHIP_PREFIX)
         known = self.ownership.get(worker)
@@ -404,6 +429,7 @@
         self._notify('ownership')
 
     def _remove(self, key: str, now: float) -> None:
+        self.stream_origins.pop(key, None)
         if key.startswith(self.records.TARGETS_PREFIX):
             name = key.removeprefix(self.records.TARGETS_PREFIX)
             target = self.targets.get(name)
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from mintlanding.node import application
+from mintlanding.node import application, origin_records
 from mintlanding.node.view import MemberRecord
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import (
@@ -188,9 +188,11 @@
 
 @pytest.mark.parametrize('has_old_build', [True, False])
 async def test_streams_from_before_a_kill_of_all_are_not_joined(
-    pair, has_old_build
+    pair, has_old_build, monkeypatch
 ):
-    # No instance remembers the build; the old one may just have left.
+    # All are killed before the origin is recorded, so that nothing is left
+    # that tells the build; the old one may just have left.
+    monkeypatch.setattr(origin_records, '_INTERVAL_SECONDS', 60)
     await pair.change_build(pair.engines[1], 'v2')
     request_id, began = await pair.begin_stream()
     await pair.kill_all()
@@ -209,6 +211,28 @@
     assert sum(len(engine.runs) for engine in pair.engines) == before
 
 
+async def test_recorded_stream_goes_on_at_its_build_after_a_kill_of_all(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    request_id, began = await pair.begin_stream()
+    other = next(each for each in pair.engines if each is not began)
+    before = len(other.runs)
+    await asyncio.sleep(1.2)
+    await pair.kill_all()
+    await pair.add_node('n0')
+    await pair.add_node('n1')
+    await pair.settle()
+    for node in (0, 1):
+        status, _, body = await pair.resume(request_id, node=node)
+        assert (status, body) == (200, stream(2, 3))
+    assert len(other.runs) == before
+
+
+async def test_origins_are_not_recorded_beside_one_build(world):
+    await world.ask(BATCH)
+    await asyncio.sleep(1.2)
+    assert not any('/streams/' in key for key in world.store.items)
+
+
 async def test_stream_is_resumed_several_times_at_its_build(pair):
     await pair.change_build(pair.engines[1], 'v2')
     request_id, began = await pair.begin_stream(node=0)
--- a/mintlanding/streams/builds.py
+++ b/mintlanding/streams/builds.py
@@ -34,8 +34,15 @@
         """
         if since < self.known_since:
             return None
+        recent = self.recent(service, present, since)
+        return recent.pop() if len(recent) == 1 else None
+
+    def recent(
+        self, service: str, present: Iterable[str], since: float
+    ) -> set[str]:
+        """Return the builds that a service has had since a time, as known."""
         recent = set(present)
         for (name, build), removed_at in self._removed_at.items():
             if name == service and removed_at >= since:
                 recent.add(build)
-        return recent.pop() if len(recent) == 1 else None
+        return recent
--- a/mintlanding/streams/origins.py
+++ b/mintlanding/streams/origins.py
@@ -1,7 +1,7 @@
 """Origins of streams, and which instances keep a copy of each."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -54,6 +54,17 @@
         recorded_at, origin = self._origins.get(request_id, (now, None))
         return origin if now < recorded_at + self.options.lifetime else None
 
+    def of_services(
+        self, services: Container[str], now: float
+    ) -> tuple[StreamOrigin, ...]:
+        """Return the known origins at some services, the oldest first."""
+        since = now - self.options.lifetime
+        return tuple(
+            origin
+            for recorded_at, origin in self._origins.values()
+            if recorded_at > since and origin.service in services
+        )
+
     def __len__(self) -> int:
         """Return the number of origins, including expired ones."""
         return len(self._origins)
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -941,6 +941,8 @@
     'mintlanding_worker_unloads_total{worker="i-7f"} 2',
     'mintlanding_worker_order_conflicts_total{worker="i-7f"} 5',
     'mintlanding_worker_orders_lost_total{worker="i-7f"} 6',
+    'mintlanding_worker_prefill_tokens_per_second{worker="i-7f"} 25800',
+    'mintlanding_worker_prefill_pause_share{worker="i-7f"} 0.65',
 ]
 
 
@@ -958,7 +960,13 @@
         lost_orders=6,
     )
     # A stub with the attributes of a running instance that are read.
-    steward = types.SimpleNamespace(running=7, queue=[1] * 8, counters=counters)
+    steward = types.SimpleNamespace(
+        running=7,
+        queue=[1] * 8,
+        counters=counters,
+        pace=types.SimpleNamespace(prefill_rate=25800.2),
+        pauses=types.SimpleNamespace(share=0.65),
+    )
     return render_metrics(
         types.SimpleNamespace(
             log=log,
