Restart streams that bring bytes but no events

Cause: the time-out between events of a resumable stream began anew with each byte. A stalled engine that sent a byte now and then held its caller until the deadline, though another engine could have gone on. Change: the time counts from the last whole event. Also: counters of processes that have ended are dropped from the quotas, since each request goes through them. Result: the new test, with a stream of single bytes after its first event, ended incomplete at the deadline before; it continues at the other engine now.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -807,7 +807,10 @@
         """Pass on a stream; only whole events if it may be resumed."""
         req = plan.req
         is_resumable = plan.route.is_resumable
-        while chunk := await conn.read_chunk(self._event_timeout(plan)):
+        event_at = self._now()
+        while chunk := await conn.read_chunk(
+            self._event_timeout(plan, event_at)
+        ):
             whole = plan.events.take(chunk)
             passed = whole if is_resumable else chunk
             if whole:
@@ -817,18 +820,23 @@
                 await req.conn.drain()
             if whole:
                 plan.times.record_passed(boot_seconds())
+                event_at = self._now()
             if whole and plan.began_at_build is None:
                 plan.began_at_build = plan.build
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
-    def _event_timeout(self, plan: RequestPlan) -> float:
+    def _event_timeout(self, plan: RequestPlan, event_at: float) -> float:
+        """Return how long to wait for bytes after the last whole event.
+
+        A stalled target may send bytes now and then without ending an event.
+        """
         left = max(0.001, self._time_left(plan))
         is_resumable = plan.route.is_resumable
         if not is_resumable or plan.runs >= plan.route.attempts:
             return left
         longest = self._cfg.relay.first_event_factor * plan.route.objective
-        return min(left, longest)
+        return min(left, max(0.001, event_at + longest - self._now()))
 
     def _time_left(self, plan: RequestPlan) -> float:
         return plan.deadline - self._now()
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -199,6 +199,8 @@
     unframed: bool = False
     # Event after which the target crashes, without a reset of its connections.
     crash_after: int = 0
+    # Event after which a stream brings single bytes and no further event.
+    drip_after: int = 0
     mute: bool = False
     # Bodies of plain responses, or those of reports, never end.
     endless: bool = False
@@ -446,12 +448,20 @@
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
             await asyncio.sleep(0.005)
+            if number == self.faults.drip_after:
+                await _drip_bytes(req)
             if number == self.faults.crash_after:
                 self.crashing = asyncio.ensure_future(self.crash())
                 await asyncio.sleep(1)
         end()
 
 
+async def _drip_bytes(req):
+    while not req.is_disconnected:
+        req.write(b':')
+        await asyncio.sleep(0.05)
+
+
 def _begin_unframed(req, headers):
     """Begin a response that ends with its connection; return write and end."""
     req.conn.write(head_bytes(200, [*headers, (b'connection', b'close')]))
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -127,6 +127,23 @@
         assert body == stream(1, 3)
 
 
+async def test_stream_that_brings_bytes_but_no_events_continues_elsewhere(
+    world,
+):
+    for engine in world.engines:
+        engine.faults.drip_after = 1
+    asking = asyncio.ensure_future(world.ask(BATCH))
+    async with asyncio.timeout(2):
+        while not any(engine.runs for engine in world.engines):
+            await asyncio.sleep(0.01)
+    for engine in world.engines:
+        if not engine.runs:
+            engine.faults.drip_after = 0
+    status, _, body = await asking
+    assert status == 200
+    assert body == stream(1, 3)
+
+
 async def test_other_interrupted_streams_are_seen_as_incomplete(world):
     for engine in world.engines:
         engine.faults.break_after = 1
--- a/mintlanding/traffic/quotas.py
+++ b/mintlanding/traffic/quotas.py
@@ -48,6 +48,8 @@
 # Least seconds between the reports from which a rate is measured: after a pause
 # of this process, several come at once.
 _SAMPLE_SECONDS = 0.1
+# Seconds after its last report at which the counter of a process is dropped.
+_FORGET_SECONDS = 600.0
 # Weight of a new sample of the rate at which a counter grows.
 _RATE_SMOOTHING = 0.5
 # Suffix of the counter of requested tokens, beside that of admitted ones.
@@ -188,18 +190,14 @@
 
         What it admitted before its first report is not charged.
         """
-        known = self.remotes.setdefault(
-            member, _RemoteCounter.first(total, now)
-        )
+        known = _find_counter(self.remotes, member, total, now)
         self.level += known.assumed
         self.reserve += known.assumed_reserve
         self.level -= known.report(total, now)
 
     def report_requested(self, member: str, total: float, now: float) -> None:
         """Add what was requested at a member to the remote demand."""
-        known = self.requested_remotes.setdefault(
-            member, _RemoteCounter.first(total, now)
-        )
+        known = _find_counter(self.requested_remotes, member, total, now)
         assumed = known.assumed
         requested = max(0, known.report(total, now))
         self.remote_demand = max(0, self.remote_demand - assumed) + requested
@@ -320,3 +318,17 @@
         bucket.burst = burst
         bucket.advance(now)
         return bucket
+
+
+def _find_counter(
+    counters: dict[str, _RemoteCounter], member: str, total: float, now: float
+) -> _RemoteCounter:
+    """Return the counter of a member, which begins with its first report."""
+    known = counters.get(member)
+    if known is not None:
+        return known
+    for ended, each in tuple(counters.items()):
+        if now > each.at + _FORGET_SECONDS:
+            counters.pop(ended)
+    counters[member] = _RemoteCounter.first(total, now)
+    return counters[member]
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -263,6 +263,19 @@
     assert quotas.levels(7)['w'] > 0
 
 
+def test_counters_of_processes_that_ended_are_dropped():
+    quotas = FleetQuotas()
+    for restart in range(100):
+        quotas.add_remote_counters(
+            f'm/{restart}',
+            {'w': 1, 'w\0asked': 1},
+            {'w': LIMITED},
+            restart * 60,
+        )
+    assert len(quotas._buckets['w'].remotes) < 20
+    assert len(quotas._buckets['w'].requested_remotes) < 20
+
+
 def test_workspace_below_its_quota_is_never_refused():
     fleet = Fleet(8)
     rnd = random.Random(3)
