Record an origin only once its stream has begun

Cause: the origin of a stream was recorded when its request was sent. A later attempt of the same request could begin it at another build within the half second until the next write; after a kill of all at that moment the stream would have gone on at the build of the earlier attempt. Found by reading; also, a restarted process left the record of the one before it. Change: the recorder gets a notice at the first event; records of an earlier process are deleted.

--- a/mintlanding/node/origin_records.py
+++ b/mintlanding/node/origin_records.py
@@ -42,6 +42,7 @@
         self._view = view
         self._origins = origins
         self._instance = cfg.facts.instance
+        self._key = ORIGINS_PREFIX + self._instance
         # What the store has under the key, by this process.
         self._written = b''
         self._logger = Logger('streams')
@@ -65,14 +66,19 @@
 
     async def _write(self) -> None:
         origins = self._origins.to_record(boot_seconds())
-        key = ORIGINS_PREFIX + self._instance
-        is_recorder = self._origins.recorder() == self._instance
         content = msgspec.msgpack.encode(origins) if origins else b''
-        if content == self._written or (content and not is_recorder):
+        if not content:
+            await self._delete()
             return
-        if content:
-            change = Transaction({}, (Write(key, content),))
-        else:
-            change = Transaction({}, (), (key,))
-        await self._store.commit(change)
-        self._written = content
+        is_recorder = self._origins.recorder() == self._instance
+        if is_recorder and content != self._written:
+            write = Write(self._key, content)
+            await self._store.commit(Transaction({}, (write,)))
+            self._written = content
+
+    async def _delete(self) -> None:
+        """Delete the record of this process or of one before it."""
+        if self._written or self._key in self._view.stream_origins:
+            await self._store.commit(Transaction({}, (), (self._key,)))
+            self._written = b''
+            self._view.stream_origins.pop(self._key, None)
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -303,14 +303,7 @@
     def _announce_origin(self, plan: RequestPlan) -> None:
         """Let other instances resume the stream if its caller goes there."""
         if plan.route.is_resumable and plan.began_at_build is None:
-            self._origins.announce(
-                StreamOrigin(
-                    plan.fields.request_id,
-                    plan.service.name,
-                    plan.build,
-                    plan.sends,
-                ),
-            )
+            self._origins.announce(_origin(plan))
 
     # Plain services.
 
@@ -823,6 +816,8 @@
                 event_at = self._now()
             if whole and plan.began_at_build is None:
                 plan.began_at_build = plan.build
+                if is_resumable:
+                    self._origins.confirm(_origin(plan))
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
@@ -855,6 +850,12 @@
         return pause * self._rnd.uniform(0.6, 1.4)
 
 
+def _origin(plan: RequestPlan) -> StreamOrigin:
+    return StreamOrigin(
+        plan.fields.request_id, plan.service.name, plan.build, plan.sends
+    )
+
+
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
--- a/mintlanding/node/stream_origins.py
+++ b/mintlanding/node/stream_origins.py
@@ -46,6 +46,8 @@
         self._view = view
         self._membership = membership
         self._table = OriginTable(cfg.streams)
+        # Origins of streams that have begun, to be recorded in the store.
+        self._begun = OriginTable(cfg.streams)
         self._queries: dict[int, _Query] = {}
         self._last_number = 0
         self._logger = Logger('streams')
@@ -69,20 +71,33 @@
             reachable,
             self._cfg.streams.copies,
         )
-        if self._has_several_builds(origin.service, now):
-            keepers.append(self.recorder())
-        for keeper in set(keepers):
+        for keeper in keepers:
             mesh.send(keeper, OriginNotice(origin))
 
+    def confirm(self, origin: StreamOrigin) -> None:
+        """Let the origin of a stream that has begun be recorded.
+
+        Before its first event, another attempt may replace the origin.
+        """
+        now = boot_seconds()
+        if not self._has_several_builds(origin.service, now):
+            return
+        recorder = self.recorder()
+        mesh = self._membership.mesh
+        if recorder == self._cfg.facts.instance:
+            self._begun.record(origin, now)
+        elif mesh is not None:
+            mesh.send(recorder, OriginNotice(origin, has_begun=True))
+
     def recorder(self) -> str:
         """Return the instance that records origins in the store."""
         return self._membership.elected(_RECORDER, ORIGINS_LINK_VERSION)
 
     def to_record(self, now: float) -> tuple[StreamOrigin, ...]:
-        """Return the known origins at services with several builds."""
+        """Return the origins of begun streams at services of several builds."""
         cfg = self._view.config
         services = set() if cfg is None else set(cfg.services)
-        return self._table.of_services(
+        return self._begun.of_services(
             {each for each in services if self._has_several_builds(each, now)},
             now,
         )
@@ -92,6 +107,7 @@
         now = boot_seconds()
         for origin in origins:
             self._table.record(origin, now)
+            self._begun.record(origin, now)
 
     async def find(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream that any instance began."""
@@ -109,7 +125,10 @@
     def receive(self, peer: str, message: Message, reply: Reply) -> bool:
         """Process a message about origins; return false for any other."""
         if isinstance(message, OriginNotice):
-            self._table.record(message.origin, boot_seconds())
+            now = boot_seconds()
+            self._table.record(message.origin, now)
+            if message.has_begun:
+                self._begun.record(message.origin, now)
         elif isinstance(message, OriginQuery):
             known = self._table.find(message.request_id, boot_seconds())
             reply(OriginReply(message.number, known))
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mintlanding.node import application, origin_records
+from mintlanding.node.clock import boot_seconds
 from mintlanding.node.view import MemberRecord
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import (
@@ -18,6 +19,7 @@
     World,
     read_response,
 )
+from mintlanding.streams.messages import StreamOrigin
 
 
 @pytest.fixture
@@ -244,6 +246,31 @@
     assert len(other.runs) == before
 
 
+async def test_origin_is_recorded_only_once_its_stream_has_begun(pair):
+    # Another attempt, at another build, may still replace it.
+    await pair.change_build(pair.engines[1], 'v2')
+    node = pair.nodes[0]
+    node._origins.announce(StreamOrigin('r1', 'engines', 'v1'))
+    await asyncio.sleep(0.3)
+    now = boot_seconds()
+    assert not any(each._origins.to_record(now) for each in pair.nodes)
+    begun = StreamOrigin('r1', 'engines', 'v2', 2)
+    node._origins.confirm(begun)
+    await asyncio.sleep(0.3)
+    recorded = [each._origins.to_record(boot_seconds()) for each in pair.nodes]
+    assert sorted(recorded) == [(), (begun,)]
+
+
+async def test_record_of_an_earlier_process_is_deleted(pair):
+    key = 'mintlanding/streams/n0'
+    pair.store.put(key, msgspec.msgpack.encode([]))
+    await pair.kill(pair.nodes[0])
+    await pair.add_node('n0')
+    async with asyncio.timeout(5):
+        while key in pair.store.items:
+            await asyncio.sleep(0.05)
+
+
 async def test_origins_are_not_recorded_beside_one_build(world):
     await world.ask(BATCH)
     await asyncio.sleep(1.2)
--- a/mintlanding/streams/messages.py
+++ b/mintlanding/streams/messages.py
@@ -16,9 +16,13 @@
 
 
 class OriginNotice(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Origin that the receiver keeps for other instances."""
+    """Origin that the receiver keeps for other instances.
+
+    Once the stream `has_begun`, no further attempt can replace the origin.
+    """
 
     origin: StreamOrigin
+    has_begun: bool = False
 
 
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -272,7 +272,8 @@
     'streams.OriginNotice': streams.OriginNotice(
         origin=streams.StreamOrigin(
             request_id='text-1', service='text-2', build='text-3', attempt=4
-        )
+        ),
+        has_begun=True,
     ),
     'streams.OriginQuery': streams.OriginQuery(number=1, request_id='text-2'),
     'streams.OriginReply': streams.OriginReply(
