--- a/mintlanding/traffic/quotas.py
+++ b/mintlanding/traffic/quotas.py
@@ -45,8 +45,8 @@
 # Seconds after its last report for which a counter is assumed to grow on;
 # members that are unreachable for longer are left out of the shares.
 _ASSUMED_SECONDS = 2.0
-# Least seconds between the reports from which a rate is measured: after a pause
-# of this process, several come at once.
+# Shortest time in seconds that gives a rate: after this process has stalled,
+# several reports arrive at once.
 _SAMPLE_SECONDS = 0.1
 # Seconds after its last report at which the counter of a process is dropped.
 _FORGET_SECONDS = 600.0
