Look for silent members ten times a second, and replay that exactly

Cause: the flood replay let all instances notice a cut at the next exchange. In the product the last status of a member that is cut off comes through two hubs, one round after the cut, and silence was looked for four times a second. Silence is looked for every 0.1 s.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -31,6 +31,8 @@
 from mintlanding.traffic.reach import FleetReach
 
 _UPKEEP_SECONDS = 0.25
+# Seconds between looks at which members are silent.
+REACH_SECONDS = 0.1
 # Seconds after the signal for which connections are still accepted: the load
 # balancer removes an instance after two failed checks, a second apart.
 _ACCEPT_SECONDS = 2.6
@@ -217,6 +219,7 @@
         spawn(self._quarantine_records.run())
         spawn(self._origin_records.run())
         spawn(self._upkeep())
+        spawn(self._share_quotas())
         self._is_ready = True
         self.application.logger.info('Ready.')
 
@@ -227,6 +230,14 @@
             self.relay.prune()
             self._limits.update()
             reachable, members = self._membership.reach(now)
+            self.relay.budget.members = members
+            self.relay.is_isolated = reachable * 2 <= members
+            await asyncio.sleep(_UPKEEP_SECONDS)
+
+    async def _share_quotas(self) -> None:
+        """Leave to silent members their share of the quotas."""
+        while True:
+            now = boot_seconds()
             self.relay.quotas.set_reachable(
                 *self._reach.update(
                     self._membership.contacts(now),
@@ -234,9 +245,7 @@
                     now,
                 )
             )
-            self.relay.budget.members = members
-            self.relay.is_isolated = reachable * 2 <= members
-            await asyncio.sleep(_UPKEEP_SECONDS)
+            await asyncio.sleep(REACH_SECONDS)
 
     def _share_crash(self) -> None:
         """Tell the others at once, before the request comes to them."""
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mintlanding.node.application import REACH_SECONDS
 from mintlanding.traffic.models import (
     AdapterName,
     BaseModel,
@@ -134,6 +135,7 @@
         self.quotas = [FleetQuotas() for _ in range(members)]
         self.reaches = [FleetReach() for _ in range(members)]
         self.heard_at = 0
+        self.exchanged_at = 0
         self.cut = cut
         self.cut_at = cut_at
         self.sums = []
@@ -149,15 +151,19 @@
         if due:
             self.sums = self.sums[len(due) - 1 :]
             self._exchange(due[-1][1], now, is_cut=is_cut)
+        self.exchanged_at = now
         if not is_cut:
             self.heard_at = now
+
+    def follow_reach(self, now):
+        """Tell all instances which members they have heard.
+
+        The last status of a member that is cut off arrives through two hubs,
+        one interval after the cut.
+        """
         for index, quotas in enumerate(self.quotas):
             contacts = {
-                str(other): MemberContact(
-                    now - self.heard_at
-                    if index < self.cut or other < self.cut
-                    else 0
-                )
+                str(other): MemberContact(now - self._heard_at(index, other))
                 for other in range(len(self.quotas))
                 if other != index
             }
@@ -165,6 +171,13 @@
                 *self.reaches[index].update(contacts, self.interval, now)
             )
 
+    def _heard_at(self, index, other):
+        if index < self.cut:
+            return self.heard_at
+        if other < self.cut:
+            return min(self.exchanged_at, self.heard_at + self.interval)
+        return self.exchanged_at
+
     def _exchange(self, sent, now, *, is_cut):
         """Send each the sum over all others that the hubs can reach."""
         first = self.cut if is_cut else 0
@@ -197,6 +210,8 @@
         now = step * 0.001
         if step % 400 == 0:
             fleet.step(now)
+        if step % int(REACH_SECONDS * 1000) == 0:
+            fleet.follow_reach(now)
         load = 3 if now > 4 else 0.5
         if rnd.random() < load * LIMITED.rate / 1000 / amount:
             quotas = rnd.choice(fleet.quotas)
