Keep a pause while the entry of its target is missing

Cause: an instance forgot the pause that a target had asked for as soon as the entry of the target was missing, also if it came back before the end: after an outage of the store or a listing. Change: a pause is kept until its end unless another run of the target is there.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -135,7 +135,7 @@
         self._pool.prune()
         runs = {each.key for each in self._view.targets.values()}
         self.crash_watch.retain(runs)
-        self._gate.pauses.retain(runs)
+        self._gate.pauses.retain(runs, boot_seconds())
         self.target_table.retain(set(self._view.targets))
 
     def stop(self) -> None:
--- a/mintlanding/traffic/pauses.py
+++ b/mintlanding/traffic/pauses.py
@@ -37,8 +37,13 @@
         self._next[target] = at + _GAP_SECONDS
         return at - now
 
-    def retain(self, targets: set[TargetKey]) -> None:
-        """Forget other runs of targets."""
+    def retain(self, targets: set[TargetKey], now: float) -> None:
+        """Forget other runs of these targets, and pauses that have ended.
+
+        A target whose entry is missing may be back before its pause ends.
+        """
+        names = {name for name, _ in targets}
         for known in (self._until, self._next):
-            for gone in known.keys() - targets:
-                known.pop(gone)
+            for key, until in tuple(known.items()):
+                if key not in targets and (key[0] in names or until <= now):
+                    known.pop(key)
--- a/mintlanding/traffic/tests/test_pauses.py
+++ b/mintlanding/traffic/tests/test_pauses.py
@@ -23,10 +23,22 @@
     pauses = TargetPauses()
     pauses.record(TARGET, 5, 10)
     assert pauses.wait(('p1', 8), 11) == 0
-    pauses.retain({('p1', 8)})
+    pauses.retain({('p1', 8)}, 11)
     assert pauses.wait(TARGET, 11) == 0
 
 
+def test_pause_outlasts_an_entry_that_is_missing_for_a_moment():
+    pauses = TargetPauses()
+    pauses.record(TARGET, 5, 10)
+    pauses.join(TARGET, 10)
+    pauses.retain(set(), 11)
+    assert pauses.wait(TARGET, 11) == 4
+    assert pauses.join(TARGET, 11) > 4
+    pauses.retain(set(), 16)
+    assert not pauses._until
+    assert not pauses._next
+
+
 def test_pause_without_end_is_bounded():
     pauses = TargetPauses()
     pauses.record(TARGET, 1e300, 10)
