--- a/mintlanding/traffic/quotas.py
+++ b/mintlanding/traffic/quotas.py
@@ -45,6 +45,8 @@
 # Seconds after its last report for which a counter is assumed to grow on;
 # members that are unreachable for longer are left out of the shares.
 _ASSUMED_SECONDS = 2.0
+# Seconds between assumptions, since each one goes through all counters.
+_ASSUMED_STEP_SECONDS = 0.05
 # Shortest time in seconds that gives a rate: after this process has stalled,
 # several reports arrive at once.
 _SAMPLE_SECONDS = 0.1
@@ -106,7 +108,8 @@
     `burst` are those of all members. `local_demand` and `remote_demand` are the
     tokens requested here and elsewhere in about the last `_DEMAND_SECONDS`.
     `debt` is what was admitted here beyond the local rate. `remotes` are the
-    counters of other members, `requested_remotes` those of what was requested.
+    counters of other members, `requested_remotes` those of what was requested;
+    their growth is assumed up to `assumed_at`.
     """
 
     level: float
@@ -120,6 +123,7 @@
     local_demand: float = 0
     remote_demand: float = 0
     debt: float = 0
+    assumed_at: float = 0
     remotes: dict[str, _RemoteCounter] = field(default_factory=dict)
     requested_remotes: dict[str, _RemoteCounter] = field(default_factory=dict)
 
@@ -146,6 +150,23 @@
         remote = self.remote_demand / _DEMAND_SECONDS * _PROPAGATION_SECONDS
         return min(remote, self.burst * self.share * _MAX_UNREPORTED_SHARE)
 
+    def _assume_growth(self, now: float) -> None:
+        """Charge what the other members have probably admitted."""
+        seconds = now - self.assumed_at
+        self.assumed_at = now
+        others = 1 - self.share
+        for remote in self.remotes.values():
+            grown = remote.assume(now, seconds)
+            remote.assumed += grown * self.share
+            remote.assumed_reserve += grown * others
+            self.level -= grown * self.share
+            self.reserve -= grown * others
+        kept = math.exp(-seconds / _DEMAND_SECONDS)
+        for remote in self.requested_remotes.values():
+            grown = remote.assume(now, seconds)
+            remote.assumed = remote.assumed * kept + grown
+            self.remote_demand += grown
+
     def set_share(self, share: float) -> None:
         """Set the part of the quota that the members in reach have.
 
@@ -174,16 +195,8 @@
         self.reserve += self.rate * others * seconds
         self.level = min(self.level, self.burst * self.share)
         self.reserve = min(self.reserve, self.burst * others)
-        for remote in self.remotes.values():
-            grown = remote.assume(now, seconds)
-            remote.assumed += grown * self.share
-            remote.assumed_reserve += grown * others
-            self.level -= grown * self.share
-            self.reserve -= grown * others
-        for remote in self.requested_remotes.values():
-            grown = remote.assume(now, seconds)
-            remote.assumed = remote.assumed * kept + grown
-            self.remote_demand += grown
+        if now >= self.assumed_at + _ASSUMED_STEP_SECONDS:
+            self._assume_growth(now)
 
     def report(self, member: str, total: float, now: float) -> None:
         """Charge what a member has admitted, instead of what was assumed.
@@ -311,7 +324,7 @@
         burst *= _USABLE_SHARE
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(level=burst, at=now)
+            bucket = _Bucket(level=burst, at=now, assumed_at=now)
             bucket.set_share(self._share)
             self._buckets[workspace.name] = bucket
         bucket.rate = workspace.rate * _USABLE_SHARE
