Silence a stream in its test only once its response has begun

Cause: test_stream_on_silent_connection_is_resumed_without_gap[0] could silence the engine before the head of its response was out; then the timeout to the first data applies, 30 s, at which the client of the test gives up as well. Change: the gate of stand-ins counts open responses by path, and the test waits for one. What it asserts stays.

--- a/mintlanding/standin/faults.py
+++ b/mintlanding/standin/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import weakref
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -45,6 +46,8 @@
         self._unfrozen = asyncio.Event()
         self._unfrozen.set()
         self._silenced: weakref.WeakSet[Any] = weakref.WeakSet()
+        # Responses that have begun and not ended, by path.
+        self.open_responses: Counter[str] = Counter()
 
     def set_faults(self, faults: Faults) -> None:
         """Replace all faults; counts decrease on a copy."""
@@ -67,10 +70,16 @@
     ) -> None:
         """Serve one call with the current faults."""
         transport = scope.get(TRANSPORT_KEY)
+        path = scope['path']
+        begun = 0
 
         async def gated_send(message: Message) -> None:
+            nonlocal begun
             await self._wait_while_hung(transport)
             await send(message)
+            if message['type'] == 'http.response.start':
+                begun = 1
+                self.open_responses[path] += 1
 
         await self._wait_while_hung(transport)
         if self.faults.delay_seconds:
@@ -79,7 +88,10 @@
             await self._app(scope, receive, _discard)
             _abort(transport)
             return
-        await self._app(scope, receive, gated_send)
+        try:
+            await self._app(scope, receive, gated_send)
+        finally:
+            self.open_responses[path] -= begun
 
     def _take_lost_answer(self, method: str) -> bool:
         if method in _SAFE_METHODS:
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -176,6 +176,10 @@
                 for run in engine.model.runs.values()
             ),
         )
+        # Only then does the timeout between bytes apply.
+        await eventually(
+            lambda: engine.gate.open_responses['/v1/completions'] > 0,
+        )
         engine.gate.silence(engine.server.transports)
         assert_whole(await reading, tokens)
     finally:
