Send nothing whose time has run out

Cause: between the choice of a target and the send nothing looked at the time again. A process that was suspended there went on with a request whose caller had given up, and orders were run for callers that might have repeated them. Change: the send gate, which every attempt passes, checks the deadline first; the request is refused as not run, which is true. Also: a test of a caller that left while the process was suspended; it passed before.

--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -6,6 +6,7 @@
 is open, so the checks run again right before the request is sent.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -85,6 +86,21 @@
     return f'no target of build {plan.began_at_build!r}'
 
 
+@SEND_CHECKS.register('time')
+def check_time(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that the caller still waits.
+
+    A process that was suspended since the target was chosen goes on here.
+    """
+    late = asyncio.get_running_loop().time() - plan.deadline
+    if late < 0:
+        return None
+    reason = f'its time had run out {late:.2f} s before it could be sent'
+    return Barrier(AttemptResult.not_sent, reason)
+
+
 @SEND_CHECKS.register('entry')
 def check_entry(
     gate: SendGate, plan: RequestPlan, target: Target
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -1,6 +1,8 @@
 """Instances, store and targets in one process, with and without faults."""
 
 import asyncio
+import socket
+import time
 from dataclasses import replace
 
 import msgspec
@@ -381,6 +383,34 @@
     assert sum(engine.left for engine in world.engines) == 1
 
 
+@pytest.mark.parametrize('path', [ORDER, LOOKUP, LIVE])
+async def test_request_whose_time_ran_out_in_a_pause_is_not_sent(world, path):
+    assert (await world.ask(path))[0] == 200
+    runs = [len(each.runs) for each in (*world.engines, *world.plain)]
+    (node,) = world.nodes
+    acquire = node.relay._pool.acquire
+
+    async def acquire_and_pause(*args, **options):
+        conn = await acquire(*args, **options)
+        # As if the process was suspended: nothing else runs meanwhile.
+        time.sleep(0.4)
+        return conn
+
+    node.relay._pool.acquire = acquire_and_pause
+    status, _, _ = await world.ask(path, deadline_ms=300)
+    assert status == 503
+    assert runs == [len(each.runs) for each in (*world.engines, *world.plain)]
+
+
+async def test_request_of_a_caller_that_left_in_a_pause_is_not_run(world):
+    with socket.create_connection((HOST, world.nodes[0]._front.port)) as caller:
+        await asyncio.sleep(0.1)
+        # Until the next `await` the loop sees neither the bytes nor the end.
+        caller.sendall(world.raw(ORDER))
+    await asyncio.sleep(0.5)
+    assert not any(target.runs for target in world.plain)
+
+
 async def test_unresponsive_target_ends_in_a_timeout_of_the_route(world):
     for target in world.plain:
         target.faults.mute = True
--- a/mintlanding/platform/tests/world.py
+++ b/mintlanding/platform/tests/world.py
@@ -186,6 +186,7 @@
         key=b'key-1',
         body=b'hello',
         adapter=b'/a1',
+        deadline_ms=3000,
         extra=(),
     ):
         self.sent += 1
@@ -195,7 +196,7 @@
             b'X-Request-Id: r%d' % self.sent,
             b'X-Model: daka%b' % adapter,
             b'X-Token-Counts: 100,10',
-            b'X-Deadline-Ms: 3000',
+            b'X-Deadline-Ms: %d' % deadline_ms,
             b'Authorization: Token %b' % key,
             b'Content-Length: %d' % len(body),
             *extra,
