Kill all instances of the soak amid slow streams

Cause: streams of the soak end within 15 ms, so that hardly any was under way when all instances were killed, and callers took a broken stream up once only. Change: a fault that slows the streams of all engines, kills all instances, sometimes as a build leaves; callers take a stream up to four times.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -202,6 +202,8 @@
     # Event after which a stream brings single bytes and no further event.
     drip_after: int = 0
     mute: bool = False
+    # Seconds after each event of a stream.
+    event_pause: float = 0.005
     # Bodies of plain responses, or those of reports, never end.
     endless: bool = False
     endless_reports: bool = False
@@ -447,7 +449,7 @@
                     req.abort()
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(self.faults.event_pause)
             if number == self.faults.drip_after:
                 await _drip_bytes(req)
             if number == self.faults.crash_after:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,9 @@
 # Share of requests that crash engines, while there are any.
 CRASHING_SHARE = 0.15
 RESPONSE_SECONDS = 8
+# How often a caller takes a broken stream up again, and after which pause.
+MAX_RESUMPTIONS = 4
+RESUMPTION_PAUSE_SECONDS = 0.4
 # Statuses that state that the request has not run and never will.
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -94,20 +97,28 @@
         await asyncio.sleep(PAUSE_SECONDS)
 
     async def _resume(self, broken):
-        """Resume a broken stream once, at any instance."""
-        events, separator, _ = broken.body.rpartition(b'\n\n')
-        if not separator:
-            return broken
-        received = events.count(b'id: ')
-        outcome = await self._send_request(
-            broken.kind,
-            self.rnd.choice(self.world.instances),
-            (
-                b'Last-Event-Id: %d' % received,
-                b'Resumes: ' + broken.request.encode(),
-            ),
-        )
-        return replace(outcome, body=events + separator + outcome.body)
+        """Resume a broken stream at any instance, several times if needed."""
+        outcome = broken
+        for _ in range(MAX_RESUMPTIONS):
+            events, separator, _ = outcome.body.rpartition(b'\n\n')
+            if not separator:
+                return outcome
+            received = events + separator
+            resumed = await self._send_request(
+                broken.kind,
+                self.rnd.choice(self.world.instances),
+                (
+                    b'Last-Event-Id: %d' % received.count(b'id: '),
+                    b'Resumes: ' + broken.request.encode(),
+                ),
+            )
+            if resumed.status != 200:
+                received, resumed = outcome.body, replace(resumed, body=b'')
+            outcome = replace(resumed, body=received + resumed.body)
+            if outcome.status == 200 and outcome.is_whole:
+                return outcome
+            await asyncio.sleep(RESUMPTION_PAUSE_SECONDS)
+        return outcome
 
     async def _send_request(self, kind, instance, extra=(), body=b''):
         self.sent += 1
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,28 @@
         )
 
 
+@FAULTS.register('kill all amid streams')
+async def kill_all_amid_streams(world, rnd):
+    """Kill all instances while slow streams run, sometimes as a build leaves.
+
+    Clients take the streams up again; those of a build that has left must not
+    go on at another one.
+    """
+    for engine in world.engines:
+        engine.faults.event_pause = rnd.uniform(0.3, 1)
+    await asyncio.sleep(rnd.uniform(0.5, 2))
+    leaving = rnd.choice((None, world.engines[-1]))
+    if leaving is not None:
+        begin_absence(world, leaving)
+        world.store.remove(f'servers/{leaving.name}')
+    await kill_all(world, rnd)
+    for engine in world.engines:
+        engine.faults.event_pause = 0.005
+    await asyncio.sleep(3)
+    if leaving is not None:
+        end_absence(world, leaving)
+
+
 @FAULTS.register('replace in turn')
 async def replace(world, rnd):
     """Restart two instances one after the other, as in planned maintenance."""
