Test late copies of answers on connections in use again

Cause: operators of another system saw a second copy of an answer, late, reach the next caller. Here the id of the request decides; that was tested for decoding only. Change: a fault of the target stand-in and a test through the relay.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -193,6 +193,8 @@
 
     fail: int = 0
     lose_answers: int = 0
+    # An answer is sent again on its connection before the one to the next call.
+    repeat_answers: bool = False
     shed: int = 0
     break_after: int = 0
     # Responses have neither length nor chunks and end with the connection.
@@ -250,6 +252,7 @@
     # Bytes of endless bodies that were sent.
     endless_bytes: int = 0
     crashes: int = 0
+    last_answer: bytes = b''
     is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
@@ -420,7 +423,15 @@
         elif self.service == 'engines':
             await self._stream(req, headers)
         else:
-            req.respond(200, headers, b'done ' + req.body)
+            self._answer(req, headers)
+
+    def _answer(self, req, headers):
+        body = b'done ' + req.body
+        if self.faults.repeat_answers:
+            req.conn.write(self.last_answer)
+        length = (b'content-length', b'%d' % len(body))
+        self.last_answer = head_bytes(200, [*headers, length]) + body
+        req.respond(200, headers, body)
 
     async def _send_endless(self, req, headers):
         req.begin(200, headers)
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -411,6 +411,17 @@
     assert not any(target.runs for target in world.plain)
 
 
+async def test_late_copy_of_an_answer_reaches_no_other_caller(world):
+    for target in world.plain:
+        target.faults.repeat_answers = True
+    for number in range(6):
+        body = b'%d' % number
+        status, _, answer = await world.ask(LOOKUP, body=body)
+        assert status != 200 or answer == b'done ' + body
+    # Each target has sent the copy of an answer at least once.
+    assert sum(len(target.runs) for target in world.plain) > 6
+
+
 async def test_unresponsive_target_ends_in_a_timeout_of_the_route(world):
     for target in world.plain:
         target.faults.mute = True
