Take the ports of tests from below those of outgoing connections

Cause: the world of the platform tests asked for a free port, closed it and bound it again for the links of an instance; it came from the range of outgoing connections, so that any connection could take it between. A candidate for the fixture that timed out once; not seen. Change: one function for all tests instead of four, with ports below that range.

--- a/mintlanding/peers/tests/test_calls.py
+++ b/mintlanding/peers/tests/test_calls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 import msgspec
 import pytest
@@ -13,6 +12,7 @@
     PeerRefused,
     PeerUnavailable,
 )
+from mintlanding.core.tests.ports import free_port
 from mintlanding.peers.auth import NonceWindow, PeerKeyring
 from mintlanding.peers.client import PeerClient
 from mintlanding.peers.messages import Method
@@ -91,12 +91,6 @@
         return await client.call(self.address, method, req, timeout)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def keyring(sender, *secrets):
     return PeerKeyring.from_config(sender, list(secrets))
 
--- a/mintlanding/peers/tests/test_tls.py
+++ b/mintlanding/peers/tests/test_tls.py
@@ -5,13 +5,13 @@
 import pytest
 
 from mintlanding.core.exceptions import ConfigurationError, PeerUnavailable
+from mintlanding.core.tests.ports import free_port
 from mintlanding.peers.client import PeerClient
 from mintlanding.peers.server import PeerServer
 from mintlanding.peers.tests.test_calls import (
     ECHO,
     Reply,
     Request,
-    free_port,
     keyring,
 )
 from mintlanding.peers.tls import TlsFiles
--- a/mintlanding/platform/tests/world.py
+++ b/mintlanding/platform/tests/world.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mintlanding.core.tests.ports import free_port
 from mintlanding.node.application import NodeApplication
 from mintlanding.node.settings import Bounds, InstanceFacts, NodeSettings
 from mintlanding.platform import records, requests
@@ -50,10 +51,7 @@
 
     async def add_node(self, name):
         # The members must know the port of the links before it is bound.
-        with contextlib.closing(
-            await asyncio.start_server(lambda *_: None, HOST, 0),
-        ) as server:
-            peer_port = server.sockets[0].getsockname()[1]
+        peer_port = free_port()
         facts = InstanceFacts(
             instance=name,
             zone='z1',
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import random
-import socket
 import time
 from dataclasses import dataclass, field
 
@@ -30,6 +28,7 @@
 from mintlanding.core.exceptions import PeerUnavailable, PlatformUnavailable
 from mintlanding.core.http_client import HttpClient, HttpRequest, HttpResponse
 from mintlanding.core.results import Done
+from mintlanding.core.tests.ports import free_port
 from mintlanding.entry.application import EntryApplication
 from mintlanding.standin.base import KINDS
 from mintlanding.standin.settings import StandinSettings
@@ -42,15 +41,6 @@
 WAIT_SECONDS = 30
 
 
-def free_port():
-    """Return a free port outside the range of outgoing connections."""
-    while True:
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return port
-
-
 async def eventually(condition, timeout=WAIT_SECONDS):
     """Poll a condition until it is true and return its value.
 
--- a/tests/process/standins.py
+++ b/tests/process/standins.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import contextlib
-import random
 import signal
-import socket
 import sys
 from pathlib import Path
 
@@ -12,21 +10,13 @@
 
 from mintlanding.core.exceptions import MintlandingError
 from mintlanding.core.http_client import HttpClient, HttpRequest
+from mintlanding.core.tests.ports import free_port
 from mintlanding.standin.records import Record
 
 _START_POLLS = 1500
 _POLL_SECONDS = 0.02
 
 
-def free_port():
-    """Return a free port outside the range of outgoing connections."""
-    while True:
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return port
-
-
 class StandinProcess:
     """A stand-in in a separate process."""
 
--- a/tests/test_tutorial.py
+++ b/tests/test_tutorial.py
@@ -11,7 +11,8 @@
 
 from mintlanding.admin.application import AdminApplication
 from mintlanding.conf.models import AdminSettings
-from tests.fleet import Fleet, eventually, free_port
+from mintlanding.core.tests.ports import free_port
+from tests.fleet import Fleet, eventually
 
 PAGE = Path(__file__).parent.parent / 'docs/tutorial/first-ten-minutes.md'
 TOKEN = 'demo-operator-token'
