Start quotas after a restart with what the others report

A new process began each bucket with a whole burst; it charged nothing of what others admitted before their first report, and until their second it took all demand for its own, so that each of 195 admitted the rate of all. Change: until the first counters have come through hubs a bucket holds what the others report to have, none if nobody knows; until demand is measured each member admits an equal part of the rate.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -69,7 +69,7 @@
         rnd: random.Random,
     ) -> None:
         """Take the shared view, admissions by stewards and stream origins."""
-        self.quotas = FleetQuotas()
+        self.quotas = FleetQuotas(boot_seconds())
         self.budget = FleetRetryBudget(cfg.retries)
         self.target_table = TargetTable(rnd)
         self.log = RequestLog()
--- a/mintlanding/traffic/quotas.py
+++ b/mintlanding/traffic/quotas.py
@@ -54,6 +54,10 @@
 _FORGET_SECONDS = 600.0
 # Weight of a new sample of the rate at which a counter grows.
 _RATE_SMOOTHING = 0.5
+# Seconds after the start of a process until the first counters of the others
+# have come through hubs, and until the demand there is measured.
+_SETTLE_SECONDS = 2.0
+_MEASURE_SECONDS = 2 * _DEMAND_SECONDS
 # Suffix of the counter of requested tokens, beside that of admitted ones.
 _REQUESTED = '\0asked'
 
@@ -107,13 +111,19 @@
     `reserve` are the tokens of the others, which are not in `level`. `rate` and
     `burst` are those of all members. `local_demand` and `remote_demand` are the
     tokens requested here and elsewhere in about the last `_DEMAND_SECONDS`.
-    `debt` is what was admitted here beyond the local rate. `remotes` are the
-    counters of other members, `requested_remotes` those of what was requested;
-    their growth is assumed up to `assumed_at`.
+    `debt` is what was admitted here beyond the local rate. Until `settled_at`
+    the process does not know what was admitted before it started: the bucket
+    holds what the others report to have. Until `is_measured` it does not know
+    the demand at the other `members`: each admits an equal part of the rate.
+    `remotes` are the counters of other members, `requested_remotes` those of
+    what was requested; their growth is assumed up to `assumed_at`.
     """
 
     level: float
     at: float
+    settled_at: float = -math.inf
+    is_measured: bool = True
+    members: int = 1
     rate: float = 0
     burst: float = 0
     share: float = 1
@@ -130,6 +140,8 @@
     @property
     def demand_share(self) -> float:
         """Return the share of the demand that arrives here."""
+        if not self.is_measured:
+            return 1 / (self.members * self.share)
         total = self.local_demand + self.remote_demand
         return self.local_demand / total if total else 1
 
@@ -147,8 +159,9 @@
     @property
     def unreported(self) -> float:
         """Return what others may have admitted but not reported yet."""
+        most = self.burst * self.share * _MAX_UNREPORTED_SHARE
         remote = self.remote_demand / _DEMAND_SECONDS * _PROPAGATION_SECONDS
-        return min(remote, self.burst * self.share * _MAX_UNREPORTED_SHARE)
+        return min(remote, most) if self.is_measured else most
 
     def _assume_growth(self, now: float) -> None:
         """Charge what the other members have probably admitted."""
@@ -191,6 +204,9 @@
         self.local_demand *= kept
         self.remote_demand *= kept
         others = 1 - self.share
+        measured_at = self.settled_at + _MEASURE_SECONDS - _SETTLE_SECONDS
+        self.is_measured = now >= measured_at
+        seconds = min(seconds, max(0, now - self.settled_at))
         self.level += self.rate * self.share * seconds
         self.reserve += self.rate * others * seconds
         self.level = min(self.level, self.burst * self.share)
@@ -243,8 +259,10 @@
     those that are heard.
     """
 
-    def __init__(self) -> None:
-        """Start without workspaces."""
+    def __init__(self, started_at: float = -math.inf) -> None:
+        """Start without workspaces, in a process that started at a time."""
+        self._settled_at = started_at + _SETTLE_SECONDS
+        self._members = 1
         self._buckets: dict[str, _Bucket] = {}
         self._share = 1.0
 
@@ -253,7 +271,8 @@
 
         A member whose last status is late may count in part.
         """
-        self._share = min(1, reachable / members) if members else 1
+        self._members = max(1, members)
+        self._share = min(1, reachable / self._members)
         for bucket in self._buckets.values():
             bucket.set_share(self._share)
 
@@ -296,7 +315,9 @@
         for name, level in levels.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.level += _CONVERGENCE_SHARE * (level - bucket.level)
+                is_settled = bucket.at >= bucket.settled_at
+                part = _CONVERGENCE_SHARE if is_settled else 1
+                bucket.level += part * (level - bucket.level)
 
     def add_remote_counters(
         self,
@@ -324,11 +345,15 @@
         burst *= _USABLE_SHARE
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(level=burst, at=now, assumed_at=now)
+            refilled = workspace.rate * max(0, now - self._settled_at)
+            bucket = _Bucket(
+                min(burst, refilled), now, self._settled_at, assumed_at=now
+            )
             bucket.set_share(self._share)
             self._buckets[workspace.name] = bucket
         bucket.rate = workspace.rate * _USABLE_SHARE
         bucket.burst = burst
+        bucket.members = self._members
         bucket.advance(now)
         return bucket
 
--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -1,5 +1,6 @@
 """Routes, quotas over the fleet, and the retry budget."""
 
+import math
 import random
 from collections import Counter
 
@@ -134,6 +135,7 @@
     def __init__(self, members, cut, cut_at):
         self.quotas = [FleetQuotas() for _ in range(members)]
         self.reaches = [FleetReach() for _ in range(members)]
+        self.hub = 'hub'
         self.heard_at = 0
         self.exchanged_at = 0
         self.cut = cut
@@ -148,9 +150,10 @@
         own = [quotas.counters() for quotas in self.quotas]
         self.sums.append((now, own))
         due = [each for each in self.sums if each[0] <= now - self.lag]
-        if due:
-            self.sums = self.sums[len(due) - 1 :]
-            self._exchange(due[-1][1], now, is_cut=is_cut)
+        if not due:
+            return
+        self.sums = self.sums[len(due) - 1 :]
+        self._exchange(due[-1][1], now, is_cut=is_cut)
         self.exchanged_at = now
         if not is_cut:
             self.heard_at = now
@@ -171,6 +174,16 @@
                 *self.reaches[index].update(contacts, self.interval, now)
             )
 
+    def kill_all(self, now):
+        """Replace all instances by new ones, which know nothing."""
+        members = range(len(self.quotas))
+        self.quotas = [FleetQuotas(now) for _ in members]
+        self.reaches = [FleetReach() for _ in members]
+        self.last_counters = [{} for _ in members]
+        self.sums = []
+        self.heard_at = self.exchanged_at = -math.inf
+        self.hub = f'hub of {now}'
+
     def _heard_at(self, index, other):
         if index < self.cut:
             return self.heard_at
@@ -191,7 +204,7 @@
                 for name, amount in total.items()
             }
             self.quotas[index].add_remote_counters(
-                'hub', counters, {'w': LIMITED}, now
+                self.hub, counters, {'w': LIMITED}, now
             )
 
 
@@ -226,6 +239,36 @@
     assert windows[-1] * amount >= LIMITED.rate * 8 * 0.9
 
 
+@pytest.mark.parametrize('killed_at', [9.5, 11.0, 13.0])
+def test_flood_while_all_instances_are_killed(killed_at):
+    # One workspace sends five times its quota over 73 instances, which are
+    # all killed and know nothing of it afterwards.
+    fleet = LargeFleet(73, 0, math.inf)
+    rnd = random.Random(4)
+    amount, slack = 9.0, 0.7 * LIMITED.rate
+    admitted = []
+    for step in range(20000):
+        now = step * 0.001
+        if now == killed_at:
+            fleet.kill_all(now)
+        if step % 400 == 0:
+            fleet.step(now)
+        if step % int(REACH_SECONDS * 1000) == 0:
+            fleet.follow_reach(now)
+        load = 5 if now > 4 else 0.5
+        if rnd.random() < load * LIMITED.rate / 1000 / amount:
+            quotas = rnd.choice(fleet.quotas)
+            if not quotas.admit(LIMITED, amount, now):
+                admitted.append(now)
+    windows = [
+        sum(start / 2 <= at < start / 2 + 8 for at in admitted)
+        for start in range(25)
+    ]
+    most = (LIMITED.rate * 8 + LIMITED.burst) * 1.1 + slack
+    assert max(windows) * amount <= most
+    assert windows[-1] * amount >= LIMITED.rate * 8 * 0.9
+
+
 _STEPS = st.lists(
     st.tuples(
         st.sampled_from(['admit', 'report', 'refund', 'silence']),
@@ -353,6 +396,15 @@
     assert admitted < LIMITED.burst * 1.1 + LIMITED.rate * 10 / 8 * 1.1
 
 
+def test_process_that_starts_beside_others_takes_over_their_bucket():
+    quotas = FleetQuotas(0)
+    quotas.set_reachable(8, 8)
+    quotas.add_remote_counters('m/1', {'w': 500}, {'w': LIMITED}, 0.3)
+    quotas.converge({'w': 1500})
+    admitted = sum(10 for _ in range(100) if not quotas.admit(LIMITED, 10, 0.3))
+    assert 500 <= admitted <= 700
+
+
 def test_restarted_member_is_charged_from_its_first_counters():
     quotas = FleetQuotas()
     quotas.add_remote_counters('m/1', {'w': 500}, {'w': LIMITED}, 0)
