--- a/mintlanding/traffic/tests/test_traffic.py
+++ b/mintlanding/traffic/tests/test_traffic.py
@@ -239,7 +239,7 @@
     assert windows[-1] * amount >= LIMITED.rate * 8 * 0.9
 
 
-@pytest.mark.parametrize('killed_at', [9.5, 11.0, 13.0])
+@pytest.mark.parametrize('killed_at', [6.0, 9.5, 11.0, 13.0])
 def test_flood_while_all_instances_are_killed(killed_at):
     # One workspace sends five times its quota over 73 instances, which are
     # all killed and know nothing of it afterwards.
