--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -173,3 +173,27 @@
         head = await reader.readuntil(b'\r\n\r\n')
         assert b'connection: close' in head
         writer.close()
+
+
+async def test_invalid_second_request_does_not_cost_the_first_its_response():
+    async def slow(req):
+        await asyncio.sleep(0.2)
+        req.respond(200, [], b'first')
+
+    async with World(slow) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.write(b'no HTTP\r\n\r\n')
+        assert await read_response(reader) == (200, b'first')
+        assert (await read_response(reader))[0] == 400
+        assert await reader.read() == b''
+        writer.close()
+
+
+async def test_handler_that_raises_is_answered_as_an_internal_error():
+    async def fail(req):
+        raise LookupError('unforeseen')
+
+    async with World(fail) as world:
+        assert (await world.request(GET))[0] == 500
--- /dev/null
+++ b/mintlanding/platform/tests/test_unforeseen_errors.py
@@ -0,0 +1,159 @@
+"""Errors that no code expects: each costs at most the request or record."""
+
+import asyncio
+
+import pytest
+
+from mintlanding.platform.tests.samples import CONFIG, ENTRY, encode
+from mintlanding.platform.tests.world import (
+    LIVE,
+    LOOKUP,
+    ORDER,
+    World,
+)
+
+NESTED = b'{"service":' + b'[' * 100_000
+
+
+@pytest.fixture
+async def world():
+    found = await World().start()
+    yield found
+    await found.stop()
+
+
+def fail(*args, **kwargs):
+    raise LookupError('unforeseen')
+
+
+async def test_request_whose_handler_raises_before_sending_is_refused(
+    world, monkeypatch
+):
+    relay = world.nodes[0].relay
+    monkeypatch.setattr(relay._choice, 'plain_target', fail)
+    status, head, _ = await world.ask(ORDER)
+    assert status == 503
+    assert b'retry-after' in head
+    monkeypatch.undo()
+    status, _, _ = await world.ask(ORDER)
+    assert status == 200
+    assert [len(target.runs) for target in world.plain].count(0) == 1
+
+
+async def test_quota_of_a_request_whose_handler_raises_is_refunded(
+    world, monkeypatch
+):
+    relay = world.nodes[0].relay
+    monkeypatch.setattr(relay._choice, 'plain_target', fail)
+    await world.ask(ORDER)
+    assert sum(relay.quotas.counters().values()) == 0
+
+
+async def test_request_whose_handler_raises_after_sending_gets_bad_gateway(
+    world, monkeypatch
+):
+    relay = world.nodes[0].relay
+    monkeypatch.setattr(relay, '_handle_response', fail)
+    status, _, _ = await world.ask(ORDER)
+    assert status == 502
+
+
+async def test_stream_whose_handler_raises_is_cut_short(world, monkeypatch):
+    relay = world.nodes[0].relay
+    monkeypatch.setattr(relay._limits, 'record_response', lambda *args: None)
+    monkeypatch.setattr(relay, '_check_engine', fail)
+    with pytest.raises(asyncio.IncompleteReadError):
+        await world.ask(LIVE)
+
+
+async def test_request_with_header_of_odd_digits_is_answered(world):
+    extra = (b'X-Token-Counts: \xb2,\xb2',)
+    raw = world.raw(ORDER).replace(b'X-Token-Counts: 100,10', extra[0])
+    reader, writer = await world.connect()
+    writer.write(raw)
+    async with asyncio.timeout(5):
+        head = await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    assert head.startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1:70000',
+        '127.0.0.1:99999999999999999999',
+        'a\x00b:80',
+        '..:80',
+        'x' * 300 + ':80',
+        '[::1:80',
+    ],
+)
+async def test_entry_with_odd_address_costs_no_request(world, address):
+    entry = encode(
+        {**ENTRY, 'service': 'orders', 'addr': address, 'models': []},
+    )
+    world.store.put('servers/odd', entry)
+    await asyncio.sleep(1)
+    for _ in range(8):
+        for path in (ORDER, LOOKUP):
+            status, _, _ = await world.ask(path)
+            assert status == 200
+
+
+@pytest.mark.parametrize(
+    'key',
+    [
+        'servers/odd',
+        'op/config',
+        'op/version/daka.a1',
+        'mintlanding/member/odd',
+        'mintlanding/hold/odd',
+        'mintlanding/streams/odd',
+        'mintlanding/quarantine/odd',
+        'mintlanding/request-quarantine/odd',
+    ],
+)
+async def test_deeply_nested_record_does_not_end_the_watch(world, key):
+    world.store.put(key, NESTED)
+    await asyncio.sleep(0.8)
+    world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+    view = world.nodes[0].view
+    async with asyncio.timeout(4):
+        while view.config.version < 8:
+            await asyncio.sleep(0.05)
+    status, _, _ = await world.ask(ORDER)
+    assert status == 200
+
+
+async def test_instance_starts_beside_a_deeply_nested_record(world):
+    world.store.put('servers/odd', NESTED)
+    async with asyncio.timeout(4):
+        node = await world.add_node('late')
+        while not node._is_ready:
+            await asyncio.sleep(0.05)
+        world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+        while node.view.config.version < 8:
+            await asyncio.sleep(0.05)
+
+
+async def test_listener_that_raises_does_not_end_the_watch(world):
+    node = world.nodes[0]
+    node.view.listeners.append(fail)
+    world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+    await asyncio.sleep(1)
+    node.view.listeners.remove(fail)
+    world.store.put('op/config', encode({**CONFIG, 'version': 9}))
+    async with asyncio.timeout(4):
+        while node.view.config.version < 9:
+            await asyncio.sleep(0.05)
+
+
+async def test_long_running_task_that_raises_goes_on(world, monkeypatch):
+    node = world.nodes[0]
+    monkeypatch.setattr(node.relay, 'prune', fail)
+    await asyncio.sleep(0.6)
+    monkeypatch.undo()
+    pruned = asyncio.Event()
+    monkeypatch.setattr(node.relay, 'prune', pruned.set)
+    async with asyncio.timeout(4):
+        await pruned.wait()
