Answer a request whose handling raises

Callers saw their connection end without an answer: the server aborted it when a handler raised, also when nothing had been sent to a target. Any unforeseen exception on a request's way was a lost request. Change: the relay answers 503 with its quota refunded if nothing was sent, 502 if something was, and cuts a response that has begun; the server answers 500 for any other handler.

--- a/mintlanding/core/logs.py
+++ b/mintlanding/core/logs.py
@@ -76,13 +76,14 @@
         component = record.name.partition('.')[0]
         log = Logger(component)
         write = log.error if record.levelno >= logging.ERROR else log.warning
-        fields = {} if exc is None else _describe_exception(exc)
+        fields = {} if exc is None else describe_exception(exc)
         # Further lines may contain data sent by callers.
         sentence = str(record.msg).strip().partition('\n')[0]
         write(sentence, **fields)
 
 
-def _describe_exception(exc: BaseException) -> dict[str, Any]:
+def describe_exception(exc: BaseException) -> dict[str, Any]:
+    """Return the log fields of an exception, without data in its message."""
     frames = traceback.extract_tb(exc.__traceback__)
     places = [f'{each.filename}:{each.lineno}' for each in frames]
     return {'exception': type(exc).__name__, 'places': places}
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -12,7 +12,7 @@
     HttpRequestParser,
 )
 
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.models import Headers, MessageLimits, header_value
 
 # Requests that a caller may pipeline on one connection.
@@ -282,11 +282,13 @@
 
     def _task_done(self, task: asyncio.Task[None]) -> None:
         req, self._current, self._task = self._current, None, None
-        if not task.cancelled() and task.exception() is not None:
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
             self._server.logger.error(
-                'Request handler failed.',
-                reason=repr(task.exception()),
+                'Request handler failed.', **describe_exception(exc)
             )
+            if req is not None and not (req.is_answered or req.is_streaming):
+                req.respond(500, [], b'')
         if req is None or not req.is_answered:
             self.abort()
             return
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -113,22 +113,20 @@
 
     async def handle(self, req: CallerRequest) -> None:
         """Serve one request up to its final response."""
-        fields = self._codec.read_caller(req.headers)
-        if self._view.config is None:
-            await self._wait_for_config()
-        plan = self._plan(req, fields)
-        if isinstance(plan, Refusal):
-            self._refuse(req, fields, plan)
+        try:
+            plan = await self._accept(req)
+        except Exception as exc:
+            self._fail_unplanned(req, exc)
+            return
+        if plan is None:
             return
-        self.budget.note_request(plan.service.name, req.arrived)
-        result = AttemptResult.not_sent
         try:
-            if await self._locate_stream(plan):
-                result = await self._serve(plan)
+            self._finish(plan, await self._run(plan))
         except asyncio.CancelledError:
             self.log.ended(plan, 'gone', self._now())
             raise
-        self._finish(plan, result)
+        except Exception as exc:
+            self._fail(plan, exc)
 
     def prune(self) -> None:
         """Close idle connections; forget targets that were removed."""
@@ -143,6 +141,44 @@
         self.crash_watch.stop()
         self._pool.close()
 
+    async def _accept(self, req: CallerRequest) -> RequestPlan | None:
+        """Return the plan of a request, None if it was refused."""
+        fields = self._codec.read_caller(req.headers)
+        if self._view.config is None:
+            await self._wait_for_config()
+        plan = self._plan(req, fields)
+        if isinstance(plan, Refusal):
+            self._refuse(req, fields, plan)
+            return None
+        self.budget.note_request(plan.service.name, req.arrived)
+        return plan
+
+    async def _run(self, plan: RequestPlan) -> AttemptResult:
+        if await self._locate_stream(plan):
+            return await self._serve(plan)
+        return AttemptResult.not_sent
+
+    # Errors that no code expects.
+
+    def _fail_unplanned(self, req: CallerRequest, exc: Exception) -> None:
+        """Refuse a request whose routing raised: nothing has been sent."""
+        self.log.log_unforeseen_error(req.get(b'x-request-id'), '', exc)
+        if not req.is_answered:
+            headers = self._codec.own_response_headers('', self._retry_after())
+            req.respond(503, headers, b'')
+
+    def _fail(self, plan: RequestPlan, exc: Exception) -> None:
+        """Answer a request whose handling raised, by what was sent of it."""
+        self.log.log_unforeseen_error(
+            plan.fields.request_id.encode(), plan.target, exc
+        )
+        if plan.req.is_answered:
+            return
+        plan.reason = f'unforeseen {type(exc).__name__}'
+        plan.failure = None
+        result = AttemptResult.lost if plan.is_sent else AttemptResult.not_sent
+        self._finish(plan, result)
+
     # Routing, authentication and quotas.
 
     async def _wait_for_config(self) -> None:
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.request_plan import RequestPlan
 from mintlanding.node.view import FleetView
@@ -20,6 +20,7 @@
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.buckets: Counter[float] = Counter()
         self.seconds: float = 0
+        self.unforeseen_errors = 0
         self.configuration = 0
         self._logger = Logger('request')
 
@@ -63,6 +64,21 @@
             left=round(left, 3),
         )
 
+    def log_unforeseen_error(
+        self, request_id: bytes, target: str, exc: Exception
+    ) -> None:
+        """Log and count an exception that no code on a request's way expects.
+
+        `target` is empty if the request was not sent.
+        """
+        self.unforeseen_errors += 1
+        self._logger.error(
+            'Request handling failed.',
+            request=request_id.decode('latin-1'),
+            target=target,
+            **describe_exception(exc),
+        )
+
     def log_pause(self, plan: RequestPlan, seconds: float) -> None:
         """Log that a target wants no requests for a number of seconds."""
         self._logger.info(
@@ -115,6 +131,10 @@
             f'{{route="{route}",outcome="{outcome}"}} {count}'
             for (route, outcome), count in sorted(self.outcomes.items())
         )
+        lines.append('# TYPE mintlanding_unforeseen_errors_total counter')
+        lines.append(
+            f'mintlanding_unforeseen_errors_total {self.unforeseen_errors}'
+        )
         total = sum(self.outcomes.values())
         lines.append('# TYPE mintlanding_request_seconds histogram')
         lines.extend(
