Reject addresses that cannot exist, and survive them when connecting

An entry with port 70000 was accepted; connecting raised OverflowError, which the connection pool did not catch, so that a part of the requests of its service ended without an answer. Odd hosts did the same by ValueError and UnicodeError. Change: an address is an IP address and a port of 1 to 65535, else the record is invalid; pool and mesh take what an impossible address raises for a connection that failed.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -356,7 +356,8 @@
                     lambda: conn,
                     *address,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, OverflowError, ValueError) as exc:
+            # Addresses that cannot exist raise the last two.
             raise RequestNotSent(repr(exc)) from exc
         self.opened += 1
         set_user_timeout(transport, self._options.user_timeout)
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -83,6 +83,15 @@
         assert peer.pool.opened == 2
 
 
+@pytest.mark.parametrize(
+    'address',
+    [('127.0.0.1', 70000), ('127.0.0.1', -1), ('a\x00b', 80), ('..', 80)],
+)
+async def test_impossible_address_is_a_request_that_was_not_sent(address):
+    with pytest.raises(RequestNotSent):
+        await ConnectionPool(ClientOptions()).acquire(address)
+
+
 async def test_response_without_length_ends_with_its_connection():
     async with Peer(b'HTTP/1.1 200 OK\r\n\r\nall of it', ends=True) as peer:
         assert await peer.call() == (200, b'all of it')
--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -291,7 +291,8 @@
             try:
                 async with asyncio.timeout(self.options.connect_timeout):
                     _, link = await loop.create_connection(factory, *address)
-            except (OSError, TimeoutError):
+            except (OSError, OverflowError, ValueError):
+                # Addresses that cannot exist raise the last two.
                 # Not logged: unreachable members are dialled over and over.
                 await asyncio.sleep(self.options.redial_pause)
                 continue
--- a/mintlanding/platform/settings.py
+++ b/mintlanding/platform/settings.py
@@ -1,6 +1,8 @@
 """Settings file that the platform writes for each process."""
 
+import ipaddress
 import os
+import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,6 +22,10 @@
 PATH_VARIABLE = 'MINTLANDING_NODE_FILE'
 _DEFAULT_PATH = '/etc/mintlanding/boot.toml'
 _MILLISECONDS = 1000
+_PORT = re.compile('[0-9]{1,5}')
+_MAX_PORT = 65535
+# Characters of an invalid address that its error shows.
+_SHOWN_CHARACTERS = 80
 # Default port of the metrics, the same as in deploy/system.toml.
 _METRICS_PORT = 9464
 # Overrides the port, for several instances on one machine.
@@ -112,13 +118,24 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Split `host:port`; raise ValueError for anything else."""
-    host, found, port = text.rpartition(':')
-    if not found or not port.isdigit():
-        raise ValueError(f'{text!r} is not an address of the form IP:PORT')
+    """Split `IP:PORT`; raise ValueError for anything else."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as exc:
+        raise _invalid_address(text) from exc
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+        raise _invalid_address(text)
     return host, int(port)
 
 
+def _invalid_address(text: str) -> ValueError:
+    return ValueError(
+        f'{text[:_SHOWN_CHARACTERS]!r} is not an address of the form IP:PORT '
+        f'with a port of 1 to {_MAX_PORT}'
+    )
+
+
 def _convert(boot: _Boot) -> PlatformSettings:
     bounds = boot.bounds
     node = NodeSettings(
