Let one record or listener cost only itself when the store is followed

One deeply nested entry of any writer raised RecursionError in the decoder, which nothing caught; a listener that raised did the same. The task that follows the store ended, and the instance served on with an old configuration and old targets: callers were misrouted, or waited for targets that were gone. Change: a record nested too deeply is an invalid record; any other exception of a record or listener is logged with its places and costs that record or listener.

--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -8,7 +8,7 @@
 
 from mintlanding.coordination.store_contact import StoreContact
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.quarantine.records import QuarantineRecord, RequestRecord
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
 from mintlanding.residency.models import EngineReport
@@ -306,7 +306,7 @@
         try:
             for prefix in found:
                 handlers[prefix](item, now)
-        except (ValueError, msgspec.MsgspecError) as exc:
+        except (ValueError, RecursionError, msgspec.MsgspecError) as exc:
             self.logger.warning(
                 'Invalid record.',
                 record=item.key,
@@ -315,6 +315,8 @@
             )
             if item.key.startswith(records.TARGETS_PREFIX):
                 self._remove(item.key, now)
+        except Exception as exc:
+            self._log_unforeseen_error(item.key, exc)
 
     def _put_config(self, item: Item, now: float) -> None:
         cfg = self.records.decode_config(item.content)
@@ -477,4 +479,13 @@
 
     def _notify(self, topic: str) -> None:
         for listener in self.listeners:
-            listener(topic)
+            try:
+                listener(topic)
+            except Exception as exc:
+                self._log_unforeseen_error(topic, exc)
+
+    def _log_unforeseen_error(self, place: str, exc: Exception) -> None:
+        """Log an exception that costs one record or one listener its turn."""
+        self.logger.error(
+            'Applying a change failed.', place=place, **describe_exception(exc)
+        )
--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -292,3 +292,5 @@
         raise RecordInvalid(f'{place}: {first["msg"]}') from exc
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise RecordInvalid(f'the record is not JSON: {exc}') from exc
+    except RecursionError as exc:
+        raise RecordInvalid('the record is nested too deeply') from exc
