Keep a link when the handling of one of its messages raises

Change: the message is logged with its type and dropped, the link stays; a message that cannot be decoded closes its link as an invalid one does. Measured: the test of a handler that raises fails before and passes here; that of the nested message passed before, too, for the loop closes the link then.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import Address, set_user_timeout
 from mintlanding.links.messages import Hello, Message
 
@@ -227,7 +227,7 @@
         """Decode a frame and pass the message to the receiver."""
         try:
             message = self._decoder.decode(frame)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self.logger.error(
                 'Invalid message received.',
                 peer=link.peer,
@@ -246,7 +246,15 @@
         def reply(own_message: Message) -> bool:
             return link.send(self._encoder.encode(own_message))
 
-        self._receiver(link.peer, message, reply)
+        try:
+            self._receiver(link.peer, message, reply)
+        except Exception as exc:
+            self.logger.error(
+                'Processing a message failed.',
+                peer=link.peer,
+                type=type(message).__name__,
+                **describe_exception(exc),
+            )
 
     def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
         proof = self._identity.proof(hello.instance)
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -133,3 +133,32 @@
     assert await reader.read() == b''
     writer.close()
     assert not b.received
+
+
+async def test_message_whose_handler_raises_does_not_cost_the_link(members):
+    a, b = members
+    receive = b.mesh._receiver
+
+    def fail_once(peer, message, reply):
+        b.mesh._receiver = receive
+        raise LookupError('unforeseen')
+
+    b.mesh._receiver = fail_once
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: b.mesh._receiver is receive)
+    assert a.mesh.send('b', status('a'))
+    await until(lambda: b.received)
+
+
+async def test_deeply_nested_message_costs_only_its_link(members):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: b.received)
+    nested = b'\x9f\xa5Hello\xa1a\xa1b\xa1c' + b'\x91' * 100_000
+    link = a.mesh._links['b'][-1]
+    link.send(nested)
+    await link.is_lost.wait()
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: len(b.received) >= 2)
