Start long-running tasks again when they fail

A long-running task that raised was logged and forgotten: the process went on without its store, leases, statuses or stewards, as a member that looks sound and hears nothing. Change: the tasks of an instance are supervised: the exception is logged with task and places, and the task starts again after 0.1 to 2 s. An instance one of whose tasks fails three times in succession says that it is not ready until the task has run for 5 s.

--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -8,9 +8,22 @@
 from transitions import Machine
 
 from mintlanding.core.exceptions import ConfigurationError
-from mintlanding.core.logs import Logger, configure_logs
+from mintlanding.core.logs import (
+    Logger,
+    configure_logs,
+    describe_exception,
+)
+
+# Seconds before a task that failed is started again, and their bound.
+_FIRST_RESTART = 0.1
+_MAX_RESTART = 2.0
+# Seconds for which a task must run to count as sound again.
+_SOUND_SECONDS = 5.0
+# Failures in succession after which a task counts as failing.
+_MAX_FAILURES = 3
 
 Hook = Callable[[], Awaitable[None]]
+Work = Callable[[], Coroutine[Any, Any, None]]
 ReloadHook = Callable[[Any], Awaitable[None]]
 
 _STATES = ('created', 'starting', 'serving', 'draining', 'stopped')
@@ -45,6 +58,8 @@
         self._on_stop: list[Hook] = []
         self._on_reload: list[ReloadHook] = []
         self._tasks: set[asyncio.Task[Any]] = set()
+        # Names of the supervised tasks that fail again and again.
+        self._failing: set[str] = set()
         self._stop_requested = asyncio.Event()
         self._machine = Machine(
             self,
@@ -83,6 +98,15 @@
         task.add_done_callback(self._forget_task)
         return task
 
+    def supervise(self, name: str, work: Work) -> asyncio.Task[Any]:
+        """Run a long-running task, started again after an exception."""
+        return self.spawn(self._keep_running(name, work))
+
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether no supervised task fails again and again."""
+        return not self._failing
+
     def request_stop(self) -> None:
         """Request a graceful shutdown."""
         self._stop_requested.set()
@@ -122,13 +146,41 @@
         """Trigger a lifecycle transition; raise if it is not allowed now."""
         self._machine.events[name].trigger(self)
 
+    async def _keep_running(self, name: str, work: Work) -> None:
+        loop = asyncio.get_running_loop()
+        failures = 0
+        while True:
+            sound = loop.call_later(_SOUND_SECONDS, self._failing.discard, name)
+            started = loop.time()
+            try:
+                return await work()
+            except Exception as exc:
+                fields = describe_exception(exc)
+            finally:
+                sound.cancel()
+            if loop.time() > started + _SOUND_SECONDS:
+                failures = 0
+            pause = min(_MAX_RESTART, _FIRST_RESTART * 2**failures)
+            failures += 1
+            if failures >= _MAX_FAILURES:
+                self._failing.add(name)
+            self.logger.error(
+                'Background task failed; starting it again.',
+                task=name,
+                pause=pause,
+                **fields,
+            )
+            await asyncio.sleep(pause)
+
     def _forget_task(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
             return
         exc = task.exception()
         if exc is not None:
-            self.logger.error('Background task failed.', reason=repr(exc))
+            self.logger.error(
+                'Background task failed.', **describe_exception(exc)
+            )
 
 
 def run_application(
--- a/mintlanding/core/tests/test_application.py
+++ b/mintlanding/core/tests/test_application.py
@@ -1,9 +1,11 @@
 """The lifecycle of an application."""
 
+import asyncio
 import logging
 
 import pytest
 
+from mintlanding.core import application as application_module
 from mintlanding.core.application import Application
 
 
@@ -45,3 +47,33 @@
     await application.start()
     with pytest.raises(Exception, match='begin'):
         await application.start()
+
+
+async def test_supervised_task_that_fails_is_started_again(monkeypatch):
+    monkeypatch.setattr(application_module, '_SOUND_SECONDS', 0.05)
+    application = Application('test')
+    runs = []
+
+    async def work():
+        runs.append(application.is_sound)
+        if len(runs) < 4:
+            raise LookupError('unforeseen')
+        await asyncio.Event().wait()
+
+    application.supervise('work', work)
+    async with asyncio.timeout(2):
+        while len(runs) < 4:
+            await asyncio.sleep(0.01)
+        while not application.is_sound:
+            await asyncio.sleep(0.01)
+    assert runs == [True, True, True, False]
+    await application.start()
+    await application.stop()
+
+
+async def test_supervised_task_ends_with_its_application():
+    application = Application('test')
+    task = application.supervise('work', asyncio.Event().wait)
+    await application.start()
+    await application.stop()
+    assert task.cancelled()
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -134,10 +134,10 @@
         await self._front.start(*facts.front)
         await self._ready.start(*facts.ready)
         await self._metrics.start(facts.host, facts.metrics_port)
-        spawn = self.application.spawn
-        spawn(self._store_watcher.run())
-        spawn(self._membership.run_lease())
-        spawn(self._join())
+        supervise = self.application.supervise
+        supervise('store', self._store_watcher.run)
+        supervise('lease', self._membership.run_lease)
+        supervise('join', self._join)
 
     async def drain(self) -> None:
         """Announce the stop, finish requests and close idle connections."""
@@ -211,15 +211,15 @@
         mesh = self._membership.open_mesh()
         await mesh.start(facts.host, facts.peer_port)
         self._membership.update_members()
-        spawn = self.application.spawn
-        spawn(self._membership.run_status_exchange())
-        spawn(self._membership.run_claims())
-        spawn(self._stewards.run())
-        spawn(self._admissions.run())
-        spawn(self._quarantine_records.run())
-        spawn(self._origin_records.run())
-        spawn(self._upkeep())
-        spawn(self._share_quotas())
+        supervise = self.application.supervise
+        supervise('statuses', self._membership.run_status_exchange)
+        supervise('claims', self._membership.run_claims)
+        supervise('stewards', self._stewards.run)
+        supervise('admissions', self._admissions.run)
+        supervise('quarantines', self._quarantine_records.run)
+        supervise('origins', self._origin_records.run)
+        supervise('upkeep', self._upkeep)
+        supervise('quotas', self._share_quotas)
         self._is_ready = True
         self.application.logger.info('Ready.')
 
@@ -301,7 +301,8 @@
         reply(AdmissionEnd(message.request_id, worker, GrantOutcome.unused))
 
     async def _answer_ready(self, req: CallerRequest) -> None:
-        req.respond(200 if self._is_ready else 503, [], b'')
+        is_ready = self._is_ready and self.application.is_sound
+        req.respond(200 if is_ready else 503, [], b'')
 
     async def _answer_metrics(self, req: CallerRequest) -> None:
         lines = render_metrics(
