Answer the requests before an invalid one on their connection

Invalid bytes, or a request over a limit, closed the connection at once, also while an earlier request on it was under way: that was cancelled without an answer.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -128,7 +128,8 @@
         self._drained = asyncio.Event()
         self._drained.set()
         self._in_request = False
-        self._is_refused = False
+        # Status with which what follows is refused, 0 while nothing is.
+        self._refused_status = 0
         self._reset_message()
 
     @property
@@ -136,6 +137,10 @@
         """Tell whether the server closes connections after a response."""
         return self._server.is_draining
 
+    @property
+    def _is_refused(self) -> bool:
+        return self._refused_status != 0
+
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is being read or served."""
@@ -254,11 +259,10 @@
             is_last=not self._parser.should_keep_alive(),
         )
         self._pending.append(req)
-        if len(self._pending) > _MAX_PIPELINED:
-            self.abort()
-            return
         if self._task is None:
             self._serve_next()
+        elif len(self._pending) >= _MAX_PIPELINED:
+            self._refuse(503)
 
     def _reset_message(self) -> None:
         self._started = self._loop.time()
@@ -269,6 +273,9 @@
         self._body_bytes = 0
 
     def _serve_next(self) -> None:
+        if not self._pending and self._is_refused:
+            self._send_refusal()
+            return
         if not self._pending or self.is_disconnected:
             self._start_timer(self._server.limits.idle_timeout)
             return
@@ -298,16 +305,21 @@
         self._serve_next()
 
     def _refuse(self, status: int) -> None:
+        """Refuse what follows, after the responses to earlier requests."""
         if self._is_refused:
             return
-        self._is_refused = True
+        self._refused_status = status
         self._server.refused(status)
+        self._cancel_timer()
         if self._task is None:
-            closing: Headers = [
-                (b'content-length', b'0'),
-                (b'connection', b'close'),
-            ]
-            self.write(head_bytes(status, closing))
+            self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        closing: Headers = [
+            (b'content-length', b'0'),
+            (b'connection', b'close'),
+        ]
+        self.write(head_bytes(self._refused_status, closing))
         self.close()
 
     def _start_timer(self, seconds: float) -> None:
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -205,3 +205,19 @@
         assert (await read_response(reader))[0] == 400
         assert await reader.read() == b''
         writer.close()
+
+
+async def test_requests_beyond_the_pipelined_ones_are_refused_in_turn():
+    async def slow(req):
+        await asyncio.sleep(0.01)
+        req.respond(200, [], b'')
+
+    async with World(slow) as world:
+        reader, writer = await world.connect()
+        writer.write(GET * 40)
+        statuses = []
+        while not statuses or statuses[-1] == 200:
+            statuses.append((await read_response(reader))[0])
+        assert statuses == [200] * (len(statuses) - 1) + [503]
+        assert len(statuses) > 10
+        writer.close()
