Read numbers of other writers without raising

Change: one function reads such numbers, up to 15 ASCII digits; all other text counts as absent, as other invalid fields do.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -17,6 +17,7 @@
     ResponseLost,
     ResponseTimeout,
 )
+from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
     BodyFraming,
     ClientOptions,
@@ -245,10 +246,12 @@
     def _idle_seconds(self) -> float:
         declared = self._head.get(b'keep-alive') if self._head else b''
         _, separator, number = declared.partition(_KEEP_ALIVE)
-        digits = number.split(b',')[0].strip()
+        declared_seconds = parse_count(
+            number.split(b',')[0].strip().decode('latin-1')
+        )
         seconds = self._options.idle_timeout
-        if separator and digits.isdigit():
-            seconds = min(seconds, int(digits))
+        if separator and declared_seconds is not None:
+            seconds = min(seconds, declared_seconds)
         return max(0, seconds - self._options.idle_margin)
 
     def _reject(self, reason: str) -> None:
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -13,6 +13,7 @@
 )
 
 from mintlanding.core.logs import Logger, describe_exception
+from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import Headers, MessageLimits, header_value
 
 # Requests that a caller may pipeline on one connection.
@@ -228,7 +229,8 @@
         if self._is_refused:
             return
         length = header_value(self._headers, b'content-length')
-        if length.isdigit() and int(length) > self._server.limits.body_bytes:
+        declared = parse_count(length.decode('latin-1'))
+        if (declared or 0) > self._server.limits.body_bytes:
             self._refuse(413)
             return
         expected = header_value(self._headers, b'expect').lower()
--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -5,6 +5,7 @@
 import msgspec
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import MessageLimits
 from mintlanding.platform.settings import parse_address
 from mintlanding.residency.models import EngineReport
@@ -279,7 +280,7 @@
     found = []
     for each in names:
         name, _, version = each.partition('@')
-        found.append((name, int(version) if version.isdigit() else 0))
+        found.append((name, parse_count(version) or 0))
     return tuple(found)
 
 
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import Headers, ResponseHead, header_value
 from mintlanding.residency.models import Order, OrderResult
 from mintlanding.traffic.header_fields import (
@@ -77,7 +78,6 @@
     scheme, _, key = _text(headers, b'authorization').partition(' ')
     is_key = f'{scheme} '.lower() == _SCHEME.lower()
     prompt, _, output = _text(headers, _TOKENS).partition(',')
-    declares = prompt.strip().isdigit() and output.strip().isdigit()
     deadline = _text(headers, _DEADLINE)
     return CallerFields(
         request_id=_text(headers, _REQUEST_ID),
@@ -85,7 +85,7 @@
         key=key.strip() if is_key else '',
         deadline=_milliseconds(deadline),
         adapter=AdapterName.parse(_text(headers, _MODEL)),
-        demand=Demand(int(prompt), int(output)) if declares else None,
+        demand=_demand(prompt, output),
         parts=_parts(_text(headers, _PREFIX)),
         last_event=_text(headers, _LAST_EVENT),
         resumes=_text(headers, _RESUMES),
@@ -242,22 +242,35 @@
     return number / _MILLISECONDS if number > 0 else None
 
 
+def _demand(prompt: str, output: str) -> Demand | None:
+    prompt_tokens = parse_count(prompt.strip())
+    output_tokens = parse_count(output.strip())
+    if prompt_tokens is None or output_tokens is None:
+        return None
+    return Demand(prompt_tokens, output_tokens)
+
+
 def _parts(text: str) -> tuple[tuple[str, int], ...]:
     found: list[tuple[str, int]] = []
     for each in text.split(','):
         part, _, tokens = each.strip().partition(':')
-        if not part or not tokens.isdigit():
+        count = parse_count(tokens)
+        if not part or count is None:
             return tuple(found)
-        found.append((part, int(tokens)))
+        found.append((part, count))
     return tuple(found)
 
 
 def _load(reported: bytes) -> tuple[int, int, int] | None:
-    numbers = reported.split(b',')
-    if len(numbers) != 3 or not all(each.strip().isdigit() for each in numbers):
-        return None
-    running, waiting, slots = (int(each) for each in numbers)
-    return running, waiting, slots
+    numbers = [
+        parse_count(each.strip())
+        for each in reported.decode('latin-1').split(',')
+    ]
+    match numbers:
+        case [int(running), int(waiting), int(slots)]:
+            return running, waiting, slots
+        case _:
+            return None
 
 
 def _pause(head: ResponseHead) -> float:
--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -267,3 +267,18 @@
         OrderResult.conflict,
         OrderResult.rejected,
     ]
+
+
+@pytest.mark.parametrize('digits', [b'\xb2', b'9' * 5000, b'-1', b'1e3', b''])
+def test_odd_numbers_in_headers_are_treated_as_absent(digits):
+    fields = requests.read_caller(
+        [
+            (b'x-request-id', b'9c41'),
+            (b'x-token-counts', digits + b',' + digits),
+            (b'x-prompt-prefix', b'5c1e:' + digits),
+        ]
+    )
+    assert fields.demand is None
+    assert fields.parts == ()
+    head = ResponseHead(200, [(b'x-server-load', b','.join([digits] * 3))])
+    assert requests.read_response(head, '9c41').load is None
