--- /dev/null
+++ b/mintlanding/platform/tests/partition.py
@@ -0,0 +1,49 @@
+"""Cut the paths between an instance and all targets."""
+
+import asyncio
+
+from mintlanding.core.exceptions import RequestNotSent
+
+
+class TargetPartition:
+    """An instance without targets; the store and the members are reached.
+
+    `refuses`: new connections are refused, else they hang. Old connections end
+    (`dead`), go on (`alive`), or bring no bytes any more (`silent`).
+    """
+
+    def __init__(self, world, node, *, refuses, old='dead'):
+        self._world = world
+        self._pools = (node.relay._pool, node._stewards._pool)
+        self._refuses = refuses
+        self._old = old
+
+    def __enter__(self):
+        addresses = {each.address for each in self._world.targets}
+        for pool in self._pools:
+            for address in addresses & pool._idle.keys():
+                for conn in pool._idle[address]:
+                    self._cut(conn)
+            pool._open = self._wrap(pool._open, addresses)
+        return self
+
+    def __exit__(self, *exc_info):
+        for pool in self._pools:
+            del pool._open
+
+    def _cut(self, conn):
+        if self._old == 'dead':
+            conn.abort()
+        elif self._old == 'silent':
+            conn.data_received = lambda chunk: None
+
+    def _wrap(self, connect, addresses):
+        async def connect_unless_cut(address, seconds):
+            if address not in addresses:
+                return await connect(address, seconds)
+            if self._refuses:
+                raise RequestNotSent('refused') from ConnectionRefusedError()
+            await asyncio.sleep(seconds)
+            raise RequestNotSent('no connection in time') from TimeoutError()
+
+        return connect_unless_cut
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -269,6 +269,10 @@
         await self.server.start('127.0.0.1', 0)
         return self
 
+    @property
+    def address(self):
+        return ('127.0.0.1', self.server.port)
+
     def stop(self):
         self.server.stop()
 
--- a/mintlanding/platform/tests/world.py
+++ b/mintlanding/platform/tests/world.py
@@ -38,6 +38,10 @@
         ]
         self.sent = 0
 
+    @property
+    def targets(self):
+        return (*self.engines, *self.plain)
+
     async def start(self, instances=1):
         await self.store.start()
         for target in (*self.engines, *self.plain):
