Reach targets through other members where the own path is cut

Callers of an instance that had lost its paths to the targets were refused, though all other members reached the targets: its own connection was the only way. If only the member reaches the target, the path is at fault, and is probed until it is back; if neither does, the target is. A refused connection counts as a crash only if members are refused, too. Everything that is decided about a request stays at the instance that accepted it; orders never take such a path.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -312,16 +312,23 @@
         seconds: float | None = None,
     ) -> ClientConnection:
         """Return an idle or new connection; raise RequestNotSent on failure."""
+        conn = None if is_fresh else self.take_idle(address)
+        if conn is not None:
+            return conn
+        return await self._open(
+            address, seconds or self._options.connect_timeout
+        )
+
+    def take_idle(self, address: Address) -> ClientConnection | None:
+        """Return an idle connection, None without one."""
         now = asyncio.get_running_loop().time()
-        idle = [] if is_fresh else self._idle.get(address, [])
+        idle = self._idle.get(address, [])
         while idle:
             conn = idle.pop()
             if conn.is_open and conn.idle_until > now:
                 return conn
             conn.abort()
-        return await self._open(
-            address, seconds or self._options.connect_timeout
-        )
+        return None
 
     def release(self, conn: ClientConnection) -> None:
         """Keep a reusable connection and close any other."""
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -6,6 +6,8 @@
 
 from mintlanding.coordination.transactional_store import TransactionalStore
 from mintlanding.core.application import Application
+from mintlanding.http1.client import Address
+from mintlanding.http1.models import ResponseHead
 from mintlanding.http1.server import CallerRequest, CallerServer
 from mintlanding.links.mesh import Reply
 from mintlanding.links.messages import Message
@@ -16,6 +18,7 @@
 from mintlanding.node.membership import Membership
 from mintlanding.node.metrics import render_metrics
 from mintlanding.node.origin_records import OriginRecords
+from mintlanding.node.path_server import PathServer
 from mintlanding.node.quarantine_records import QuarantineRecords
 from mintlanding.node.relay import Relay
 from mintlanding.node.settings import NodeSettings
@@ -107,6 +110,10 @@
         self._metrics = CallerServer.from_config(
             self._answer_metrics, 'metrics'
         )
+        self._paths = PathServer(
+            self._resolve_target, self._learn_from_head, cfg.client
+        )
+        self._codec = codec
         self._is_ready = False
         self._reach = FleetReach()
         # When a status was last sent because of a crash.
@@ -165,6 +172,7 @@
         self._metrics.stop()
         self._stewards.stop()
         self._limits.stop()
+        self._paths.stop()
         self.relay.stop()
         if self._membership.mesh is not None:
             self._membership.mesh.stop()
@@ -199,7 +207,7 @@
         self._membership.on_authority = self._stewards.update
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
-        self._membership.ownership.unreachable = self._stewards.unreachable
+        self._membership.ownership.unreachable = self._unreachable
         self.view.listeners.append(self._changed)
 
     async def _join(self) -> None:
@@ -219,10 +227,49 @@
         supervise('quarantines', self._quarantine_records.run)
         supervise('origins', self._origin_records.run)
         supervise('upkeep', self._upkeep)
+        supervise('paths', self._open_paths)
+        supervise('probes', self.relay.connector.run)
         supervise('quotas', self._share_quotas)
         self._is_ready = True
         self.application.logger.info('Ready.')
 
+    async def _open_paths(self) -> None:
+        """Listen for members that do not reach a target."""
+        facts = self._cfg.facts
+        if facts.path_port:
+            await self._paths.start(
+                facts.host, facts.path_port, self.view.fleet_key
+            )
+
+    def _resolve_target(self, name: str, incarnation: int) -> Address | str:
+        """Return the address of a target, or why members get no path to it."""
+        target = self.view.targets.get(name)
+        if target is None or target.incarnation != incarnation:
+            return f'{name}/{incarnation} is not a target'
+        if target.is_leaving:
+            return f'{name} leaves'
+        if self.relay.pauses.wait(target.key, boot_seconds()):
+            return f'{name} asked for a pause'
+        return target.address
+
+    def _learn_from_head(
+        self, name: str, incarnation: int, head: ResponseHead
+    ) -> None:
+        """Learn from a response to a request that a member has sent."""
+        response = self._codec.read_response(head, '')
+        if not response.is_from(name):
+            return
+        key = (name, incarnation)
+        if response.is_leaving:
+            self.view.mark_leaving(key)
+        if response.pause:
+            self.relay.pauses.record(key, response.pause, boot_seconds())
+
+    def _unreachable(self) -> frozenset[str]:
+        """Return the workers that this instance does not reach itself."""
+        cut = self.relay.connector.cut_targets()
+        return self._stewards.unreachable() | cut
+
     async def _upkeep(self) -> None:
         while True:
             now = boot_seconds()
--- a/mintlanding/node/crash_watch.py
+++ b/mintlanding/node/crash_watch.py
@@ -6,13 +6,12 @@
 
 from mintlanding.core.exceptions import (
     InvalidResponse,
-    RequestNotSent,
     ResponseLost,
     ResponseTimeout,
 )
 from mintlanding.core.logs import Logger
-from mintlanding.http1.client import ConnectionPool
 from mintlanding.node.clock import boot_seconds
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.quarantine.ledger import CrashLedger
 from mintlanding.quarantine.request_ledger import RequestLedger
 from mintlanding.traffic.models import Target
@@ -57,14 +56,14 @@
         self,
         parts: CrashLedger,
         requests: RequestLedger,
-        pool: ConnectionPool,
+        connector: TargetConnector,
     ) -> None:
         """Take the ledgers of crashes and the connections to targets."""
         # Called when a request was lost in more than one crash.
         self.on_recurrence: Callable[[], None] = lambda: None
         self._parts = parts
         self._requests = requests
-        self._pool = pool
+        self._connector = connector
         self._checks: dict[str, _Check] = {}
         # Requests whose callers left, with the time, by target.
         self._departed: dict[str, dict[LostRequest, float]] = {}
@@ -98,14 +97,7 @@
 
     async def refuses_connections(self, target: Target) -> bool:
         """Tell whether a target is gone, by one connection to it."""
-        try:
-            conn = await self._pool.acquire(
-                target.address, is_fresh=True, seconds=_CONNECT_SECONDS
-            )
-        except RequestNotSent as exc:
-            return isinstance(exc.__cause__, ConnectionRefusedError)
-        self._pool.release(conn)
-        return False
+        return await self._connector.is_refused(target, _CONNECT_SECONDS)
 
     def retain(self, targets: set[tuple[str, int]]) -> None:
         """Forget the callers that left other targets."""
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -20,6 +20,7 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
+from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
     LINK_VERSION,
@@ -63,6 +64,8 @@
 _LAPSING_SECONDS = 2.0
 # A loop that stalled for longer has received no statuses meanwhile.
 _STALL_SECONDS = 0.6
+# Members that are asked for a path before a target counts as unreachable.
+_MAX_HELPERS = 2
 # Seconds after its last status for which a member without an entry is dialled.
 _FORGET_SECONDS = 15.0
 
@@ -308,6 +311,28 @@
         elif self.on_message is not None:
             self.on_message(peer, message, reply)
 
+    def path_helpers(self) -> list[Address]:
+        """Return where to ask for paths to targets, the best member first.
+
+        Members of the own zone come first, since bytes between zones cost; the
+        second member is in another zone if there is one.
+        """
+        now = boot_seconds()
+        members = [
+            each
+            for each in self._view.members.values()
+            if each.path_port
+            and not each.is_leaving
+            and each.instance != self.instance
+            and self.is_reachable(each.instance, now)
+        ]
+        self._rnd.shuffle(members)
+        zone = self._cfg.facts.zone
+        near = [each for each in members if each.zone == zone]
+        far = [each for each in members if each.zone != zone]
+        chosen = (near[:1] + far + near[1:])[:_MAX_HELPERS]
+        return [(each.host, each.path_port) for each in chosen]
+
     async def leave(self) -> None:
         """Announce that this instance is leaving, and claim no more workers.
 
@@ -434,6 +459,7 @@
             is_leaving=self.is_leaving,
             link_mbps=facts.link_mbps,
             link_version=LINK_VERSION,
+            path_port=facts.path_port,
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
--- /dev/null
+++ b/mintlanding/node/path_client.py
@@ -0,0 +1,157 @@
+"""Open paths to targets through other members."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from mintlanding.core.exceptions import RequestNotSent, ResponseLost
+from mintlanding.http1.client import (
+    Address,
+    ClientConnection,
+    set_user_timeout,
+)
+from mintlanding.http1.models import ClientOptions
+from mintlanding.paths.frames import FrameBuffer, frame
+from mintlanding.paths.messages import OpenPath, PathReply, path_proof
+from mintlanding.traffic.models import Target
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PathReply)
+
+
+@dataclass(frozen=True, slots=True)
+class PathIdentity:
+    """Name of this instance, and the key shared by members."""
+
+    instance: str
+    fleet_key: bytes
+
+
+class IndirectConnection(ClientConnection):
+    """A connection to a target whose bytes a member passes on.
+
+    It carries one request.
+    """
+
+    def __init__(self, options: ClientOptions, address: Address) -> None:
+        """Take the address of the member."""
+        super().__init__(options, address)
+        self._frames = FrameBuffer()
+        self._reply: asyncio.Future[PathReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell that the path ends with its request."""
+        return False
+
+    async def opened(self, request: OpenPath) -> None:
+        """Ask for the path; raise RequestNotSent if the member has none."""
+        if self._transport is None or not self.is_open:
+            raise RequestNotSent('the member closed the connection')
+        self._transport.write(frame(_ENCODER.encode(request)))
+        reply = await self._reply
+        if reply.reason:
+            raise RequestNotSent(reply.reason)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take the reply of the member, then the bytes of the target."""
+        self._frames.feed(chunk)
+        try:
+            self._receive_frames()
+        except (ValueError, RecursionError, msgspec.MsgspecError) as exc:
+            self._lose(f'invalid bytes from the member: {exc}')
+
+    def eof_received(self) -> bool:
+        """Lose a response whose end the member has not confirmed."""
+        self._lose('the member closed the path')
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Lose a response whose end the member has not confirmed."""
+        self._lose(repr(exc) if exc else 'the path was closed')
+        super().connection_lost(exc)
+
+    def _receive_frames(self) -> None:
+        payload = self._frames.take()
+        while payload is not None:
+            if not self._reply.done():
+                self._reply.set_result(_DECODER.decode(payload))
+            elif payload:
+                ClientConnection.data_received(self, payload)
+            else:
+                ClientConnection.eof_received(self)
+            payload = self._frames.take()
+
+    def _lose(self, reason: str) -> None:
+        if not self._reply.done():
+            self._reply.set_result(PathReply(reason))
+        if self._is_busy and not self._is_complete:
+            self._fail(ResponseLost(reason))
+        self.abort()
+
+
+class PathClient:
+    """Opens paths through the members that a callable offers."""
+
+    def __init__(
+        self,
+        identity: Callable[[], PathIdentity],
+        helpers: Callable[[], list[Address]],
+        options: ClientOptions,
+    ) -> None:
+        """Take what names this instance and its possible helpers in order."""
+        self.opened = 0
+        self._identity = identity
+        self._helpers = helpers
+        self._options = options
+
+    async def open(
+        self, target: Target, seconds: float, lifetime: float
+    ) -> ClientConnection:
+        """Return a path to a target within `seconds`.
+
+        The member closes it after `lifetime` seconds. Raise RequestNotSent if
+        none of the helpers has a path.
+        """
+        reason = 'no member to ask for a path'
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        for address in self._helpers():
+            left = end - loop.time()
+            if left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    return await self._open_through(address, target, lifetime)
+            except (RequestNotSent, OSError, ValueError) as exc:
+                reason = str(exc) or repr(exc)
+        raise RequestNotSent(f'no path through a member: {reason}')
+
+    async def _open_through(
+        self, address: Address, target: Target, lifetime: float
+    ) -> ClientConnection:
+        identity = self._identity()
+        conn = IndirectConnection(self._options, address)
+        transport, _ = await asyncio.get_running_loop().create_connection(
+            lambda: conn, *address
+        )
+        set_user_timeout(transport, self._options.user_timeout)
+        try:
+            await conn.opened(
+                OpenPath(
+                    identity.instance,
+                    path_proof(identity.fleet_key, identity.instance),
+                    target.target,
+                    target.incarnation,
+                    lifetime,
+                )
+            )
+        except BaseException:
+            conn.abort()
+            raise
+        self.opened += 1
+        return conn
--- /dev/null
+++ b/mintlanding/node/path_server.py
@@ -0,0 +1,308 @@
+"""Pass the bytes of other members on to targets, and back."""
+
+import asyncio
+import functools
+import hmac
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+from httptools import HttpParserError, HttpResponseParser
+
+from mintlanding.core.logs import Logger, describe_exception
+from mintlanding.http1.client import Address, set_user_timeout
+from mintlanding.http1.models import ClientOptions, ResponseHead
+from mintlanding.paths.frames import END, FrameBuffer, FrameTooLarge, frame
+from mintlanding.paths.messages import OpenPath, PathReply, path_proof
+
+# Paths that members may have open here at the same time; each takes two
+# descriptors of this process.
+_MAX_PATHS = 1000
+# Seconds in which a member must have asked for a path after connecting.
+_OPEN_SECONDS = 1.0
+# Bytes that wait for a slow reader before the sender is slowed down.
+_HIGH_WATER_BYTES = 1 << 18
+# Closing such a socket resets its connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(OpenPath)
+
+_FIRST_FINAL_STATUS = 200
+
+# Returns the address of a target, or the reason why there is no path to it.
+Resolver = Callable[[str, int], Address | str]
+# Takes name and incarnation of a target, and the head of its response.
+HeadListener = Callable[[str, int, ResponseHead], None]
+
+
+class _Side(asyncio.Protocol):
+    """One of the two connections of a path, with the other as its peer."""
+
+    def __init__(self) -> None:
+        self.peer: _Side | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
+
+    def pause_writing(self) -> None:
+        """Stop reading from the other side."""
+        if self.peer is not None and self.peer.transport is not None:
+            self.peer.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Go on reading from the other side."""
+        if self.peer is not None and self.peer.transport is not None:
+            self.peer.transport.resume_reading()
+
+    def write(self, payload: bytes) -> None:
+        """Write, unless the connection is closed."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(payload)
+
+    def close(self) -> None:
+        """Close once all bytes are written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def reset(self) -> None:
+        """Close at once, so that the other end sees a reset."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info('socket')
+        if not self.transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.abort()
+
+
+class _HeadReader:
+    """Reads the head of the response that passes by."""
+
+    def __init__(self, on_head: Callable[[ResponseHead], None]) -> None:
+        self._on_head = on_head
+        self._head = ResponseHead(0)
+        self._parser: Any = HttpResponseParser(self)
+
+    def feed(self, chunk: bytes) -> None:
+        """Parse bytes up to the end of the head of the final response."""
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(chunk)
+        except HttpParserError:
+            # The member judges the response; here only its head counts.
+            self._parser = None
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Collect a header."""
+        self._head.headers.append((name.lower(), field))
+
+    def on_headers_complete(self) -> None:
+        """Report the head of a final response."""
+        head = ResponseHead(self._parser.get_status_code(), self._head.headers)
+        self._head = ResponseHead(0)
+        if head.status >= _FIRST_FINAL_STATUS:
+            self._on_head(head)
+
+    def on_message_begin(self) -> None:
+        """Collect the headers of the next response."""
+        self._head = ResponseHead(0)
+
+
+class _TargetSide(_Side):
+    """The connection to the target."""
+
+    def __init__(self, on_head: Callable[[ResponseHead], None]) -> None:
+        super().__init__()
+        self._reader = _HeadReader(on_head)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Pass bytes on to the member."""
+        if self.peer is not None:
+            self.peer.write(frame(chunk))
+            self._reader.feed(chunk)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the member of an end in order; a reset ends the path."""
+        if self.peer is None:
+            return
+        if exc is None:
+            self.peer.write(END)
+            self.peer.close()
+        else:
+            self.peer.reset()
+
+
+class _MemberSide(_Side):
+    """The connection of a member that asks for a path."""
+
+    def __init__(self, server: 'PathServer') -> None:
+        super().__init__()
+        self._server = server
+        self._frames: FrameBuffer | None = FrameBuffer()
+        self._expires_at = float('inf')
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register with the server."""
+        super().connection_made(transport)
+        self._server.sides.add(self)
+        set_user_timeout(transport, self._server.options.user_timeout)
+        self._expire_after(_OPEN_SECONDS)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Read the request for a path, then pass bytes on to the target."""
+        if self._frames is not None:
+            self._read_request(chunk)
+        elif asyncio.get_running_loop().time() >= self._expires_at:
+            # The process may have been suspended meanwhile.
+            self.reset()
+        elif self.peer is not None:
+            self.peer.write(chunk)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Let the target see that nobody waits for its response."""
+        self._server.sides.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        if self.peer is not None:
+            self.peer.peer = None
+            self.peer.abort()
+
+    def _read_request(self, chunk: bytes) -> None:
+        frames = cast(FrameBuffer, self._frames)
+        frames.feed(chunk)
+        try:
+            payload = frames.take()
+            if payload is None:
+                return
+            request = _DECODER.decode(payload)
+        except (FrameTooLarge, msgspec.MsgspecError, RecursionError) as exc:
+            self._server.logger.error(
+                'Invalid request for a path.', reason=str(exc)
+            )
+            self.reset()
+            return
+        if frames.drain():
+            # Nothing may be sent before the path is open.
+            self.reset()
+            return
+        self._frames = None
+        if self._task is None:
+            self._task = asyncio.create_task(self._open(request))
+
+    async def _open(self, request: OpenPath) -> None:
+        address = self._server.resolve(request)
+        if isinstance(address, str):
+            self._reply(address)
+            return
+        self._expire_after(request.seconds)
+        loop = asyncio.get_running_loop()
+        side = _TargetSide(functools.partial(self._server.on_head, request))
+        seconds = min(request.seconds, self._server.options.connect_timeout)
+        try:
+            async with asyncio.timeout(seconds):
+                transport, _ = await loop.create_connection(
+                    lambda: side, *address
+                )
+        except (OSError, OverflowError, ValueError) as exc:
+            self._reply(f'no connection to {request.target}: {exc!r}')
+            return
+        set_user_timeout(transport, self._server.options.user_timeout)
+        side.peer, self.peer = self, side
+        self._server.opened += 1
+        self._reply('')
+
+    def _reply(self, reason: str) -> None:
+        self.write(frame(_ENCODER.encode(PathReply(reason))))
+        if reason:
+            self.close()
+
+    def _expire_after(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._expires_at = loop.time() + seconds
+        self._timer = loop.call_at(self._expires_at, self.reset)
+
+
+class PathServer:
+    """Accepts members that do not reach a target themselves."""
+
+    def __init__(
+        self,
+        resolver: Resolver,
+        head_listener: HeadListener,
+        options: ClientOptions,
+    ) -> None:
+        """Take what finds targets and what learns from their responses."""
+        self._head_listener = head_listener
+        self.options = options
+        self.logger = Logger('paths')
+        self.opened = 0
+        self.sides: set[asyncio.Protocol] = set()
+        self._resolver = resolver
+        self._fleet_key = b''
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int, fleet_key: bytes) -> None:
+        """Listen; raise OSError if the address is in use."""
+        self._fleet_key = fleet_key
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: _MemberSide(self), host, port
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port of the listener, 0 without one."""
+        if self._listener is None:
+            return 0
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    def resolve(self, request: OpenPath) -> Address | str:
+        """Return the address of a target, or why there is no path to it."""
+        proof = path_proof(self._fleet_key, request.instance)
+        if not hmac.compare_digest(proof, request.proof):
+            self.logger.error(
+                'Path refused for an invalid proof of the fleet key.',
+                peer=request.instance,
+            )
+            return 'invalid proof of the fleet key'
+        if len(self.sides) > _MAX_PATHS:
+            return f'more than {_MAX_PATHS} paths are open'
+        if not request.seconds > 0:
+            return 'no time left'
+        return self._resolver(request.target, request.incarnation)
+
+    def on_head(self, request: OpenPath, head: ResponseHead) -> None:
+        """Learn what a target says about itself."""
+        try:
+            self._head_listener(request.target, request.incarnation, head)
+        except Exception as exc:
+            self.logger.error(
+                'Reading a response on a path failed.',
+                target=request.target,
+                **describe_exception(exc),
+            )
+
+    def stop(self) -> None:
+        """Stop listening and close all paths."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for side in tuple(self.sides):
+            cast(_MemberSide, side).reset()
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -9,7 +9,7 @@
     ResponseLost,
     ResponseTimeout,
 )
-from mintlanding.http1.client import ClientConnection, ConnectionPool
+from mintlanding.http1.client import ClientConnection
 from mintlanding.http1.models import ResponseHead
 from mintlanding.http1.server import CallerRequest
 from mintlanding.node.admissions import Admissions, Reservation
@@ -30,6 +30,7 @@
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
@@ -43,7 +44,6 @@
 from mintlanding.traffic.models import Demand, RouteKind, Target
 from mintlanding.traffic.quotas import FleetQuotas
 from mintlanding.traffic.retries import FleetRetryBudget
-from mintlanding.traffic.routes import choose_service
 
 # Attempts of one request, including those that targets refused.
 _MAX_SENDS = 4
@@ -82,13 +82,17 @@
         self._limits = limits
         self._codec = codec
         self._rnd = rnd
-        self._pool = ConnectionPool(cfg.client)
+        self.connector = TargetConnector.from_config(
+            cfg, view, admissions.membership
+        )
+        self._pool = self.connector.pool
         self.quarantines = Quarantines.from_config(cfg)
         self.crash_watch = CrashWatch(
-            self.quarantines.parts, self.quarantines.requests, self._pool
+            self.quarantines.parts, self.quarantines.requests, self.connector
         )
         self._gate = SendGate(view, self.quarantines, limits)
         self.planned_stop = self._gate.planned_stop
+        self.pauses = self._gate.pauses
         self._choice = TargetChoice(
             cfg, view, admissions, limits, self._gate, self.target_table, rnd
         )
@@ -139,7 +143,7 @@
     def stop(self) -> None:
         """Close idle connections."""
         self.crash_watch.stop()
-        self._pool.close()
+        self.connector.stop()
 
     async def _accept(self, req: CallerRequest) -> RequestPlan | None:
         """Return the plan of a request, None if it was refused."""
@@ -204,7 +208,7 @@
             workspace = view.workspace(fields.key)
             if workspace is None:
                 return self._refuse_unknown('no such key', 401)
-        service = view.service(choose_service(route, self._rnd))
+        service = view.choose_service(route, self._rnd)
         if service is None:
             return Refusal(503, 'no service', self._retry_after())
         wanted = route.timeout
@@ -451,7 +455,9 @@
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
-        excluded = plan.tried | self._admissions.stewards.unreachable()
+        # Members reach the targets to which only the own path is cut.
+        unreachable = self._admissions.stewards.unreachable()
+        excluded = plan.tried | (unreachable - self.connector.cut_targets())
         workers = [
             each
             for each in self._gate.candidates(plan)
@@ -583,12 +589,10 @@
         now = self._now()
         is_reusable = plan.route.is_idempotent
         try:
-            conn = await self._pool.acquire(
-                target.address,
+            conn = await self.connector.acquire(
+                target,
                 is_fresh=not is_reusable,
-                seconds=min(
-                    self._cfg.client.connect_timeout, self._time_left(plan)
-                ),
+                seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
             )
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
@@ -674,6 +678,8 @@
     ) -> None:
         """Record a lost response; of a suspect, wait for what it means."""
         self.target_table.failed(target.target, self._now())
+        if isinstance(exc, ResponseTimeout):
+            self.connector.paths.record_silence(target.key)
         self.crash_watch.record_loss(target, plan.as_lost(), exc)
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
--- a/mintlanding/node/settings.py
+++ b/mintlanding/node/settings.py
@@ -16,7 +16,11 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceFacts:
-    """Name, zone and addresses of this instance."""
+    """Name, zone and addresses of this instance.
+
+    Members that do not reach a target ask for a path at `path_port`; 0 for
+    none.
+    """
 
     instance: str
     zone: str
@@ -26,6 +30,7 @@
     peer_port: int
     metrics_port: int
     link_mbps: float = 0
+    path_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/mintlanding/node/tests/test_paths.py
@@ -0,0 +1,243 @@
+"""Paths to targets through a member: what it passes on, refuses and ends."""
+
+import asyncio
+import struct
+
+import pytest
+
+from mintlanding.core.exceptions import RequestNotSent, ResponseLost
+from mintlanding.http1.client import ConnectionPool
+from mintlanding.http1.models import ClientOptions
+from mintlanding.node.path_client import PathClient, PathIdentity
+from mintlanding.node.path_server import PathServer
+from mintlanding.platform.records import decode_target
+from mintlanding.platform.tests.samples import ENTRY, encode
+
+KEY = b'k' * 32
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nok'
+RESET = struct.pack('ii', 1, 0)
+
+
+class Target:
+    """Answers each request with given bytes, then ends as told."""
+
+    def __init__(self):
+        self.response = WHOLE
+        self.ending = 'stay'
+        self.received = b''
+        self.is_closed = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.address = self.server.sockets[0].getsockname()
+        return self
+
+    async def serve(self, reader, writer):
+        while chunk := await reader.read(65536):
+            self.received += chunk
+            writer.write(self.response)
+            if self.ending == 'close':
+                writer.close()
+                return
+            if self.ending == 'reset':
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(1, 13, RESET)
+                writer.transport.abort()
+                return
+        self.is_closed.set()
+        writer.close()
+
+
+class World:
+    """A target, a member that reaches it, and one that does not."""
+
+    async def __aenter__(self):
+        self.target = await Target().start()
+        self.heads = []
+        self.refusal = ''
+        self.server = PathServer(self.resolve, self.learn, ClientOptions())
+        await self.server.start('127.0.0.1', 0, KEY)
+        self.helpers = [('127.0.0.1', self.server.port)]
+        self.key = KEY
+        self.client = PathClient(
+            lambda: PathIdentity('n1', self.key),
+            lambda: self.helpers,
+            ClientOptions(),
+        )
+        self.pool = ConnectionPool(ClientOptions())
+        address = '{0}:{1}'.format(*self.target.address)
+        entry = encode({**ENTRY, 'addr': address})
+        self.entry = decode_target('servers/t1', entry)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.stop()
+        self.target.server.close()
+
+    def resolve(self, name, incarnation):
+        known = (name, incarnation) == self.entry.key
+        if self.refusal or not known:
+            return self.refusal or 'unknown'
+        return self.entry.address
+
+    def learn(self, name, incarnation, head):
+        self.heads.append((name, head.status, head.get(b'retry-after')))
+
+    async def open(self, lifetime=2):
+        return await self.client.open(self.entry, 1, lifetime)
+
+    async def exchange(self):
+        conn = await self.open()
+        conn.send(REQUEST)
+        head = await conn.read_head(1)
+        body = await conn.read_body(1)
+        self.pool.release(conn)
+        return head, body
+
+
+async def test_response_comes_unchanged():
+    async with World() as world:
+        head, body = await world.exchange()
+        assert (head.status, body) == (200, b'ok')
+        assert world.target.received == REQUEST
+
+
+async def test_response_without_length_ends_with_its_target():
+    async with World() as world:
+        world.target.response, world.target.ending = UNFRAMED, 'close'
+        _, body = await world.exchange()
+        assert body == b'ok'
+
+
+async def test_response_without_length_that_is_reset_is_lost():
+    async with World() as world:
+        world.target.response, world.target.ending = UNFRAMED, 'reset'
+        with pytest.raises(ResponseLost):
+            await world.exchange()
+
+
+async def test_response_without_length_that_loses_its_member_is_lost():
+    async with World() as world:
+        world.target.response = UNFRAMED
+        conn = await world.open()
+        conn.send(REQUEST)
+        await conn.read_head(1)
+        assert await conn.read_chunk(1) == b'ok'
+        # The kernel of a killed process closes its connections in order.
+        for side in tuple(world.server.sides):
+            side.transport.close()
+        with pytest.raises(ResponseLost):
+            await conn.read_chunk(1)
+
+
+async def test_path_carries_one_request():
+    async with World() as world:
+        await world.exchange()
+        await asyncio.wait_for(world.target.is_closed.wait(), 1)
+        assert not world.pool._idle
+
+
+async def test_target_sees_that_the_caller_has_left():
+    async with World() as world:
+        world.target.response = b''
+        conn = await world.open()
+        conn.send(REQUEST)
+        await asyncio.sleep(0.05)
+        conn.abort()
+        await asyncio.wait_for(world.target.is_closed.wait(), 1)
+
+
+async def test_refused_path_is_a_request_that_was_not_sent():
+    async with World() as world:
+        world.refusal = 't1 leaves'
+        with pytest.raises(RequestNotSent, match='t1 leaves'):
+            await world.open()
+        assert not world.target.received
+
+
+async def test_member_without_the_key_gets_no_path():
+    async with World() as world:
+        world.key = b'other'
+        with pytest.raises(RequestNotSent, match='proof'):
+            await world.open()
+
+
+async def test_second_member_is_asked_when_the_first_is_gone():
+    async with World() as world:
+        world.helpers.insert(0, ('127.0.0.1', 1))
+        await world.open()
+
+
+async def test_member_that_reaches_no_target_says_so():
+    async with World() as world:
+        world.target.server.close()
+        with pytest.raises(RequestNotSent, match='no connection'):
+            await world.open()
+
+
+async def test_nothing_is_passed_on_after_the_time_of_the_request():
+    async with World() as world:
+        conn = await world.open(lifetime=0.2)
+        # A suspended process reads what arrived meanwhile before its timers.
+        (side,) = world.server.sides
+        side._timer.cancel()
+        await asyncio.sleep(0.3)
+        conn.send(REQUEST)
+        with pytest.raises(ResponseLost):
+            await conn.read_head(1)
+        assert not world.target.received
+
+
+async def test_path_ends_with_the_time_of_its_request():
+    async with World() as world:
+        world.target.response = b''
+        conn = await world.open(lifetime=0.2)
+        conn.send(REQUEST)
+        with pytest.raises(ResponseLost):
+            await conn.read_head(1)
+
+
+async def test_large_response_is_not_held_by_the_member():
+    async with World() as world:
+        size = 32 << 20
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+        world.target.response = head + b'x' * size
+        conn = await world.open(lifetime=20)
+        conn.send(REQUEST)
+        await conn.read_head(1)
+        await asyncio.sleep(0.3)
+        (side,) = world.server.sides
+        assert side.transport.get_write_buffer_size() < 2 << 20
+        received = 0
+        while chunk := await conn.read_chunk(5):
+            received += len(chunk)
+        assert received == size
+
+
+async def test_member_learns_from_the_head_of_a_response():
+    async with World() as world:
+        world.target.response = (
+            b'HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n'
+        )
+        await world.exchange()
+        assert world.heads == [('t1', 503, b'2')]
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [b'\xff' * 8, b'\x00\x00\x00\x02\x91\x91', b'GET / HTTP/1.1\r\n\r\n'],
+)
+async def test_invalid_request_for_a_path_costs_its_connection(sent):
+    async with World() as world:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', world.server.port
+        )
+        writer.write(sent)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+        writer.close()
+        await world.exchange()
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from random import Random
 from typing import Protocol
 
 import msgspec
@@ -21,7 +22,11 @@
     Target,
     Workspace,
 )
-from mintlanding.traffic.routes import KeyTable, RouteTable
+from mintlanding.traffic.routes import (
+    KeyTable,
+    RouteTable,
+    choose_service,
+)
 
 MEMBERS_PREFIX = 'mintlanding/member/'
 OWNERSHIP_PREFIX = 'mintlanding/hold/'
@@ -58,7 +63,8 @@
     """Entry that an instance registers in the store under its lease.
 
     `boot` is the incarnation, a random id of the process. `link_version` is
-    that of the messages it understands.
+    that of the messages it understands. At `path_port` it opens paths to
+    targets for members that do not reach them, 0 for none.
     """
 
     instance: str
@@ -69,6 +75,7 @@
     is_leaving: bool = False
     link_mbps: float = 0
     link_version: int = 0
+    path_port: int = 0
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,6 +166,10 @@
         """Return the route for a host and path."""
         return self.routes.find(host, path)
 
+    def choose_service(self, route: Route, rnd: Random) -> Service | None:
+        """Return one of a route's services, by their weights."""
+        return self.service(choose_service(route, rnd))
+
     def workspace(self, key: str) -> Workspace | None:
         """Return the workspace that an API key belongs to."""
         return self.keys.find(key)
--- /dev/null
+++ b/mintlanding/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets an instance reaches directly, and which through members."""
--- a/mintlanding/platform/settings.py
+++ b/mintlanding/platform/settings.py
@@ -148,6 +148,7 @@
             peer_port=boot.port_range[0],
             metrics_port=int(os.environ.get(_METRICS_VARIABLE, _METRICS_PORT)),
             link_mbps=boot.limits.link_mbps,
+            path_port=_second_port(boot.port_range),
         ),
         bounds=Bounds(
             contact=bounds.contact_ms / _MILLISECONDS,
@@ -167,6 +168,12 @@
     return PlatformSettings(node, parse_address(boot.platform.addr))
 
 
+def _second_port(port_range: list[int]) -> int:
+    """Return the port for paths of members, 0 if there is none left."""
+    first, last = port_range[:2]
+    return first + 1 if first < last else 0
+
+
 def _message(source: str, error: Any) -> CheckMessage:
     place = '.'.join(str(part) for part in error['loc'])
     return CheckMessage(
--- a/mintlanding/platform/tests/world.py
+++ b/mintlanding/platform/tests/world.py
@@ -64,6 +64,7 @@
             ready=(HOST, 0),
             peer_port=peer_port,
             metrics_port=0,
+            path_port=free_port(),
         )
         cfg = NodeSettings(facts, bounds=replace(Bounds(), grace=4))
         node = NodeApplication.from_config(
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,7 +16,7 @@
 node = "n{number}"
 ip = "127.0.0.1"
 zone = "z{zone}"
-port_range = [{peer},{peer}]
+port_range = [{peer},{paths}]
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
@@ -37,8 +37,10 @@
     """One instance, run as a process of the program."""
 
     def __init__(self, number, folder, store):
-        base = FIRST_PORT + number * 4 + os.getpid() % 500 * 20
-        self.front, self.ready, self.peer, self.metrics = range(base, base + 4)
+        base = FIRST_PORT + number * 5 + os.getpid() % 500 * 20
+        self.front, self.ready, self.metrics, self.peer, paths = range(
+            base, base + 5
+        )
         self.name = f'n{number}'
         self.log = folder / f'{self.name}.log'
         self.settings = folder / f'{self.name}.toml'
@@ -47,6 +49,7 @@
                 number=number,
                 zone=number % 2 + 1,
                 peer=self.peer,
+                paths=paths,
                 front=self.front,
                 ready=self.ready,
                 store=store,
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -913,6 +913,8 @@
     '# TYPE mintlanding_requests_total counter',
     'mintlanding_requests_total{route="",outcome="429"} 2',
     'mintlanding_requests_total{route="batch",outcome="served"} 3',
+    '# TYPE mintlanding_unforeseen_errors_total counter',
+    'mintlanding_unforeseen_errors_total 0',
     '# TYPE mintlanding_request_seconds histogram',
     'mintlanding_request_seconds_bucket{le="0.01"} 0',
     'mintlanding_request_seconds_bucket{le="0.025"} 0',
@@ -1288,6 +1290,7 @@
                 peer_port=7600,
                 metrics_port=9470,
                 link_mbps=12.5,
+                path_port=7601,
             ),
             bounds=Bounds(
                 contact=3.1,
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -931,6 +931,7 @@
         is_leaving=True,
         link_mbps=519.5,
         link_version=620,
+        path_port=621,
     ),
     'view.HoldEntry': view.OwnershipEntry(
         holder='text-520', is_settled=True, previous='text-521'
@@ -1258,6 +1259,18 @@
     'residency.WorkerDigest, cannot order': residency.WorkerDigest(
         worker='text-1', incarnation=2, can_order=False, wait=3.5, load_wait=4.5
     ),
+    'view.MemberRecord, without a path port': (
+        view.MemberRecord(
+            instance='text-514',
+            zone='text-515',
+            host='text-516',
+            port=617,
+            boot='text-518',
+            is_leaving=True,
+            link_mbps=519.5,
+            link_version=620,
+        )
+    ),
     'view.MemberRecord, without a link version': (
         view.MemberRecord(
             instance='text-514',
