Ask several members for a path, the one that had the last one first

With most instances cut off, a member that was asked for a path was often cut off itself: callers waited until it had tried to connect for half a second, and two such members ended the attempt. The new test fails before (0.5 s) and passes here.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -250,6 +250,8 @@
             return f'{name} leaves'
         if self.relay.pauses.wait(target.key, boot_seconds()):
             return f'{name} asked for a pause'
+        if self.relay.connector.paths.is_cut(target.key):
+            return f'{name} is reached through other members only'
         return target.address
 
     def _learn_from_head(
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -64,8 +64,6 @@
 _LAPSING_SECONDS = 2.0
 # A loop that stalled for longer has received no statuses meanwhile.
 _STALL_SECONDS = 0.6
-# Members that are asked for a path before a target counts as unreachable.
-_MAX_HELPERS = 2
 # Seconds after its last status for which a member without an entry is dialled.
 _FORGET_SECONDS = 15.0
 
@@ -312,10 +310,9 @@
             self.on_message(peer, message, reply)
 
     def path_helpers(self) -> list[Address]:
-        """Return where to ask for paths to targets, the best member first.
+        """Return where to ask for paths to targets, members of the zone first.
 
-        Members of the own zone come first, since bytes between zones cost; the
-        second member is in another zone if there is one.
+        Bytes between zones cost. The order is random otherwise.
         """
         now = boot_seconds()
         members = [
@@ -328,10 +325,8 @@
         ]
         self._rnd.shuffle(members)
         zone = self._cfg.facts.zone
-        near = [each for each in members if each.zone == zone]
-        far = [each for each in members if each.zone != zone]
-        chosen = (near[:1] + far + near[1:])[:_MAX_HELPERS]
-        return [(each.host, each.path_port) for each in chosen]
+        members.sort(key=lambda each: each.zone != zone)
+        return [(each.host, each.path_port) for each in members]
 
     async def leave(self) -> None:
         """Announce that this instance is leaving, and claim no more workers.
--- a/mintlanding/node/path_client.py
+++ b/mintlanding/node/path_client.py
@@ -1,7 +1,7 @@
 """Open paths to targets through other members."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -15,8 +15,16 @@
 from mintlanding.http1.models import ClientOptions
 from mintlanding.paths.frames import FrameBuffer, frame
 from mintlanding.paths.messages import OpenPath, PathReply, path_proof
+from mintlanding.paths.path_table import TargetKey
 from mintlanding.traffic.models import Target
 
+# Seconds in which a member must have opened a path or refused it.
+_MEMBER_SECONDS = 0.12
+# Members that are asked before a target counts as unreachable.
+_MAX_MEMBERS = 4
+# Seconds for which a member that had no path to a target is asked last.
+_FAILURE_SECONDS = 1.0
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PathReply)
 
@@ -105,6 +113,10 @@
     ) -> None:
         """Take what names this instance and its possible helpers in order."""
         self.opened = 0
+        # The member that opened the last path to each target.
+        self._helper_of: dict[TargetKey, Address] = {}
+        # When a member last had no path to a target.
+        self._failed: dict[tuple[Address, TargetKey], float] = {}
         self._identity = identity
         self._helpers = helpers
         self._options = options
@@ -120,17 +132,44 @@
         reason = 'no member to ask for a path'
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        for address in self._helpers():
-            left = end - loop.time()
+        for address in self._in_order(target, loop.time()):
+            left = min(end - loop.time(), _MEMBER_SECONDS)
             if left <= 0:
                 break
             try:
                 async with asyncio.timeout(left):
-                    return await self._open_through(address, target, lifetime)
+                    conn = await self._open_through(address, target, lifetime)
             except (RequestNotSent, OSError, ValueError) as exc:
                 reason = str(exc) or repr(exc)
+                self._failed[(address, target.key)] = loop.time()
+                continue
+            self._helper_of[target.key] = address
+            return conn
         raise RequestNotSent(f'no path through a member: {reason}')
 
+    def retain(self, targets: Collection[TargetKey]) -> None:
+        """Forget what was learned about all targets except those given."""
+        for key in self._helper_of.keys() - targets:
+            self._helper_of.pop(key)
+        now = asyncio.get_running_loop().time()
+        self._failed = {
+            pair: at
+            for pair, at in self._failed.items()
+            if now < at + _FAILURE_SECONDS
+        }
+
+    def _in_order(self, target: Target, now: float) -> list[Address]:
+        """Return the members to ask: the last helper, then untried ones."""
+        last = self._helper_of.get(target.key)
+
+        def rank(address: Address) -> int:
+            failed_at = self._failed.get((address, target.key), float('-inf'))
+            if now < failed_at + _FAILURE_SECONDS:
+                return 2
+            return 0 if address == last else 1
+
+        return sorted(self._helpers(), key=rank)[:_MAX_MEMBERS]
+
     async def _open_through(
         self, address: Address, target: Target, lifetime: float
     ) -> ClientConnection:
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -37,15 +37,15 @@
     indirect: _Attempt | None = None
     chosen: _Attempt | None = None
 
-    def all(self) -> set[_Attempt]:
-        """Return the attempts that were begun."""
+    def in_order(self) -> list[_Attempt]:
+        """Return the attempts that were begun, the direct one first."""
         if self.indirect is None:
-            return {self.direct}
-        return {self.direct, self.indirect}
+            return [self.direct]
+        return [self.direct, self.indirect]
 
-    def unused(self) -> set[_Attempt]:
+    def unused(self) -> list[_Attempt]:
         """Return the attempts that are not used."""
-        return {each for each in self.all() if each is not self.chosen}
+        return [each for each in self.in_order() if each is not self.chosen]
 
 
 class TargetConnector:
@@ -128,6 +128,7 @@
             await asyncio.sleep(_PROBE_INTERVAL)
             targets = {each.key: each for each in self._view.targets.values()}
             self.paths.retain(targets)
+            self._client.retain(targets.keys())
             due = self.paths.due_probes(_now(), _MAX_PROBES)
             await asyncio.gather(*(self._probe(targets[key]) for key in due))
 
@@ -152,12 +153,13 @@
                 attempts.indirect = asyncio.create_task(
                     self._client.open(target, timeout, seconds)
                 )
-            attempts.chosen = await _first_success(attempts.all())
+            attempts.chosen = await _first_success(attempts.in_order())
         finally:
             self._spawn(self._settle(target, attempts))
         if attempts.chosen is None:
             self.paths.record_unreachable(target.key)
-            raise RequestNotSent(_reason(direct)) from _cause(direct)
+            reasons = [_reason(each) for each in attempts.in_order()]
+            raise RequestNotSent('; '.join(reasons)) from _cause(direct)
         return attempts.chosen.result()
 
     async def _settle(self, target: Target, attempts: '_Attempts') -> None:
@@ -243,10 +245,10 @@
 
 
 async def _first_success(
-    attempts: set[_Attempt],
+    attempts: list[_Attempt],
 ) -> _Attempt | None:
     """Return the first attempt that connects, None if all fail."""
-    pending = attempts
+    pending = set(attempts)
     while True:
         for each in attempts:
             if _succeeded(each):
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -172,6 +172,19 @@
         await world.open()
 
 
+async def test_member_that_stays_silent_costs_little_and_is_asked_last():
+    async with World() as world:
+        silent = await asyncio.start_server(
+            lambda *streams: asyncio.sleep(5), '127.0.0.1', 0
+        )
+        world.helpers.insert(0, silent.sockets[0].getsockname())
+        await world.open()
+        begin = asyncio.get_running_loop().time()
+        await world.open()
+        assert asyncio.get_running_loop().time() < begin + 0.1
+        silent.close()
+
+
 async def test_member_that_reaches_no_target_says_so():
     async with World() as world:
         world.target.server.close()
