Write nothing but its events after a stream has begun

A resumable stream that breaks off is continued at another target. Where that target answered with an error, a redirect, 204 or a success of another media type, callers found its body, for a small one with a second response head, in the middle of their stream, and 204 ended the stream as if it were complete. The relay treated the answer as the first one to the request.

Once a stream has begun, only a signed success of the same media type is passed on. Anything else counts as a lost attempt: another target continues within the route's attempts and the retry budget, or the connection is closed, so that the stream is seen as incomplete.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -10,7 +10,7 @@
     ResponseTimeout,
 )
 from mintlanding.http1.client import ClientConnection, ConnectionPool
-from mintlanding.http1.models import ResponseHead
+from mintlanding.http1.models import BodyFraming, ResponseHead
 from mintlanding.http1.server import CallerRequest
 from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
@@ -716,6 +716,14 @@
                 if response.is_misdirected
                 else AttemptResult.not_run
             )
+        if plan.req.is_streaming and not _continues(plan, head, response):
+            # Whatever else it is, the caller would take it for events.
+            plan.reason = (
+                f'{target.target}: status {head.status} and '
+                f'{_media_type(head)!r} do not continue a stream'
+            )
+            self.target_table.failed(target.target, now)
+            return AttemptResult.lost
         is_stream = plan.route.kind is RouteKind.stream and response.is_success
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
@@ -803,6 +811,7 @@
         req = plan.req
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
+            plan.media_type = _media_type(head)
         plan.is_stream_begun = True
         plan.events.begin_response()
         try:
@@ -892,6 +901,23 @@
     )
 
 
+def _media_type(head: ResponseHead) -> str:
+    media_type, _, _ = head.get(b'content-type').partition(b';')
+    return media_type.strip().lower().decode('latin-1')
+
+
+def _continues(
+    plan: RequestPlan, head: ResponseHead, response: TargetResponse
+) -> bool:
+    """Tell whether a response may go on with the stream that has begun."""
+    return (
+        response.is_success
+        and response.is_signed
+        and head.framing is not BodyFraming.none
+        and _media_type(head) == plan.media_type
+    )
+
+
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -58,10 +58,10 @@
     it named, and `is_stream_begun` tells whether it was a stream. `build` is
     that of the last target, `entry` the state of its entry and `view_age` the
     age of the view when the request was sent. Once a stream has begun, it may
-    go on only at `began_at_build`. `turn` is the target at which the request
-    may take one place within the limit that the target named, `turns` how often
-    it asked for one; `sent_at` is when the last attempt was sent, `times` are
-    those of its events.
+    go on only at `began_at_build` and with events of its `media_type`. `turn`
+    is the target at which the request may take one place within the limit that
+    the target named, `turns` how often it asked for one; `sent_at` is when the
+    last attempt was sent, `times` are those of its events.
     """
 
     req: CallerRequest
@@ -90,6 +90,7 @@
     entry: str = ''
     view_age: float = 0
     began_at_build: str | None = None
+    media_type: str = ''
     waited: float = 0
     is_sent: bool = False
     retry_after: float = 0
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -15,6 +15,7 @@
 from mintlanding.platform.tests.samples import ENTRY, encode
 
 JSON_HEADERS = [(b'content-type', b'application/json')]
+STAMP = b'x-response-stamp'
 
 
 @dataclass
@@ -187,6 +188,34 @@
         return asyncio.get_running_loop().time()
 
 
+@dataclass(frozen=True)
+class OddAnswer:
+    """A response to a request that goes on with a stream."""
+
+    status: int = 200
+    media_type: bytes = b'text/event-stream'
+    body: bytes = b''
+    # 'length', 'chunked', or 'close' with the end of its connection.
+    framing: str = 'length'
+    signed: bool = True
+
+    def send(self, req, headers):
+        headers = [(b'content-type', self.media_type), *headers]
+        if not self.signed:
+            headers = [each for each in headers if each[0] != STAMP]
+        if self.framing == 'chunked':
+            req.begin(self.status, headers)
+            if self.body:
+                req.write(self.body)
+            req.end()
+        elif self.framing == 'close':
+            write, end = _begin_unframed(req, headers, self.status)
+            write(self.body)
+            end()
+        else:
+            req.respond(self.status, headers, self.body)
+
+
 @dataclass
 class TargetFaults:
     """Faults of a target."""
@@ -210,6 +239,8 @@
     endless: bool = False
     endless_reports: bool = False
     conflicts: int = 0
+    # Response to a request that goes on with a stream.
+    on_resume: OddAnswer | None = None
     # Requests per second that its responses name as its limit.
     limit: float | None = None
     # Seconds of the pause that it asks for when it turns a request away.
@@ -379,7 +410,7 @@
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
         headers = [
             (b'x-request-id', request_id),
-            (b'x-response-stamp', b's1'),
+            (STAMP, b's1'),
             *self._own_headers(),
         ]
         try:
@@ -424,6 +455,8 @@
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
             self.crashing = asyncio.ensure_future(self.crash())
+        elif faults.on_resume and req.get(b'last-event-id'):
+            faults.on_resume.send(req, headers)
         elif self.service == 'engines':
             await self._stream(req, headers)
         else:
@@ -479,9 +512,9 @@
         await asyncio.sleep(0.05)
 
 
-def _begin_unframed(req, headers):
+def _begin_unframed(req, headers, status=200):
     """Begin a response that ends with its connection; return write and end."""
-    req.conn.write(head_bytes(200, [*headers, (b'connection', b'close')]))
+    req.conn.write(head_bytes(status, [*headers, (b'connection', b'close')]))
 
     def end():
         req.is_answered = True
