Suspend the process of a test where connections come from now

Cause: test_request_whose_time_ran_out_in_a_pause_is_not_sent paused after the pool had returned a connection; since paths through members exist the connector returns it, and takes an idle one without that call, so that no pause took place. Change: the test pauses after the connector has returned a connection; what it asserts stays.

--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -388,7 +388,7 @@
     assert (await world.ask(path))[0] == 200
     runs = [len(each.runs) for each in (*world.engines, *world.plain)]
     (node,) = world.nodes
-    acquire = node.relay._pool.acquire
+    acquire = node.relay.connector.acquire
 
     async def acquire_and_pause(*args, **options):
         conn = await acquire(*args, **options)
@@ -396,7 +396,7 @@
         time.sleep(0.4)
         return conn
 
-    node.relay._pool.acquire = acquire_and_pause
+    node.relay.connector.acquire = acquire_and_pause
     status, _, _ = await world.ask(path, deadline_ms=300)
     assert status == 503
     assert runs == [len(each.runs) for each in (*world.engines, *world.plain)]
