Refuse a change of the protocol, and pipelined requests beyond the bound only

Since a refusal waits for earlier requests, a request with Upgrade was handled before it was refused: the parser reports it as complete without its body, so that a target ran it with an empty one. The seventeenth pipelined request was both handled and refused. Change: a request that asks for another protocol is refused where it is completed, as before; one beyond the bound is refused instead of being handled.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -251,6 +251,13 @@
             return
         self._in_request = False
         self._cancel_timer()
+        if self._parser.should_upgrade():
+            # The parser takes the body for bytes of another protocol.
+            self._refuse(400)
+            return
+        if len(self._pending) >= _MAX_PIPELINED:
+            self._refuse(503)
+            return
         req = CallerRequest(
             method=self._parser.get_method(),
             target=self._target,
@@ -263,8 +270,6 @@
         self._pending.append(req)
         if self._task is None:
             self._serve_next()
-        elif len(self._pending) >= _MAX_PIPELINED:
-            self._refuse(503)
 
     def _reset_message(self) -> None:
         self._started = self._loop.time()
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -218,6 +218,39 @@
         statuses = []
         while not statuses or statuses[-1] == 200:
             statuses.append((await read_response(reader))[0])
-        assert statuses == [200] * (len(statuses) - 1) + [503]
-        assert len(statuses) > 10
+        assert statuses == [200] * 17 + [503]
+        assert await reader.read() == b''
+        writer.close()
+
+
+async def test_as_many_pipelined_requests_as_allowed_are_answered_in_turn():
+    async def slow(req):
+        await asyncio.sleep(0.01)
+        req.respond(200, [], b'')
+
+    async with World(slow) as world:
+        reader, writer = await world.connect()
+        writer.write(GET * 17)
+        for _ in range(17):
+            assert (await read_response(reader))[0] == 200
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'POST /x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n'
+        b'Upgrade: h2c\r\nContent-Length: 5\r\n\r\nhello',
+        b'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n',
+    ],
+)
+async def test_change_of_the_protocol_is_refused_and_not_handled(raw):
+    async with World() as world:
+        reader, writer = await world.connect()
+        writer.write(raw)
+        assert (await read_response(reader))[0] == 400
+        assert await reader.read() == b''
+        assert not world.seen
         writer.close()
