Say in the digest that orders to an engine are unanswered

A steward whose orders are unanswered refuses requests that need a load, but its digest went on saying that it can order, so that all instances went on choosing its engine for loads. Change: the digest says that it cannot, so that engines whose stewards can order are preferred for loads. Adapters that are resident are served as before. Measured: the new test fails before and passes here; the other tests of mintlanding/residency pass.

--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -326,7 +326,7 @@
         return WorkerDigest(
             worker=self.worker,
             incarnation=self.incarnation,
-            can_order=math.isfinite(self._orders_wait(now)),
+            can_order=self._can_order(now),
             running=self.running,
             queued=len(self.queue),
             wait=round(self.expected_wait('', float('inf'), now), 3),
@@ -359,6 +359,12 @@
             turn = self.pacer.wait(now, ahead)
         return max(prefill, batch, load, turn)
 
+    def _can_order(self, now: float) -> bool:
+        """Return whether a load can be expected to begin."""
+        if self._is_unresponsive():
+            return False
+        return math.isfinite(self._orders_wait(now))
+
     def _orders_wait(self, now: float) -> float:
         """Return the seconds until orders can be sent, inf if unknown."""
         authority = 0 if self.may_order else max(0, self.orders_at - now)
--- a/mintlanding/residency/tests/test_steward.py
+++ b/mintlanding/residency/tests/test_steward.py
@@ -228,6 +228,22 @@
     assert driver.reserve('r2', 'a2').reason == 'orders are unanswered'
 
 
+def test_steward_of_an_engine_unresponsive_to_orders_reports_that_it_cannot(
+    driver,
+):
+    # Other instances then prefer engines that can load.
+    driver.reserve('r0', 'a0')
+    driver.wait(0.5)
+    driver.is_losing = True
+    driver.reserve('r1', 'a1')
+    driver.wait(0.4)
+    assert not driver.steward.digest(driver.now).can_order
+    assert driver.reserve('r2', 'a0').is_granted
+    driver.is_losing = False
+    driver.wait(0.4)
+    assert driver.steward.digest(driver.now).can_order
+
+
 def test_new_steward_of_an_idle_engine_does_not_wait_for_reports():
     # After a restart of all processes nothing runs on the old adapters.
     driver = Driver(FakeEngine(adapters={'a1': 1, 'a2': 1, 'a3': 1}))
