Claim free workers in turn, without members that are cut off

Only the preferred member claimed a worker. Where it reached neither this nor other targets, or had released the worker itself, the worker stayed without a holder. Change: after a pause each, the next members in rendezvous order claim it: those of the worker's zone, then of other zones, at last members whose record says that they are cut off, and the one that released it. The waits before the first order stay as they are, and the claims go on comparing the record's revision. MemberRecord gets is_cut_off, as its last field; nothing writes it yet. Measured: six new tests of mintlanding/residency pass; by reading, a worker whose preferred member does not claim was never claimed before.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -45,6 +46,7 @@
     ClaimContext,
     WorkerClaim,
     choose_claims,
+    free_workers,
     preferred_member,
     well_connected_members,
 )
@@ -110,6 +112,8 @@
         # Registered members and those whose entry went missing lately.
         self._recent_members: dict[str, MemberRecord] = {}
         self._missing_since: dict[str, float] = {}
+        # When workers without a holder were first found to be free.
+        self._free_since: dict[str, float] = {}
         self._handlers: dict[type, Callable[[str, Any], None]] = {
             Status: self._receive_status,
             ZoneStatus: self._receive_zone_status,
@@ -464,4 +468,11 @@
             absent_since=self._missing_since,
             unreachable=self.ownership.unreachable(),
         )
-        return choose_claims(context, self._cfg.authority, now)
+        free = free_workers(context, self._cfg.authority, now)
+        known = self._free_since
+        self._free_since = {each: known.get(each, now) for each in free}
+        return choose_claims(
+            replace(context, free_since=self._free_since),
+            self._cfg.authority,
+            now,
+        )
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -58,7 +58,8 @@
     """Entry that an instance registers in the store under its lease.
 
     `boot` is the incarnation, a random id of the process. `link_version` is
-    that of the messages it understands.
+    that of the messages it understands. One that is cut off reaches less than
+    half of the targets.
     """
 
     instance: str
@@ -69,12 +70,14 @@
     is_leaving: bool = False
     link_mbps: float = 0
     link_version: int = 0
+    is_cut_off: bool = False
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Stored record of the holder of a worker; empty when it was released.
+    """Stored record of the holder of a worker.
 
-    The record is settled once the holder has waited long enough for orders of
+    The holder is empty when the previous one has released the worker. The
+    record is settled once the holder has waited long enough for orders of
     the previous holder, from whom it took the worker, to have ended.
     """
 
@@ -90,6 +93,7 @@
         record.zone,
         record.is_leaving,
         record.link_mbps,
+        record.is_cut_off,
     )
 
 
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -11,11 +11,17 @@
 Times are seconds of a clock that goes on while the machine is suspended.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
+# Seconds for which a member that should claim a worker may take to do so before
+# the next one does, more than a record needs to reach all members.
+_CLAIM_PAUSE = 1.5
+# Members of one zone, or of the other ones, that are waited for.
+_MAX_CLAIMANTS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class AuthorityOptions:
@@ -112,7 +118,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipRecord:
-    """The holder of a worker; an empty holder has released it.
+    """The holder of a worker; with an empty one, `previous` has released it.
 
     A settled holder has waited as long as it must after the previous holder,
     from which it took the worker.
@@ -126,12 +132,16 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberInfo:
-    """A member, its zone and the bandwidth of its link."""
+    """A member, its zone and the bandwidth of its link.
+
+    One that is cut off reaches less than half of the targets.
+    """
 
     member: str
     zone: str
     is_leaving: bool = False
     link_mbps: float = 0
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +161,8 @@
     `last_received`: when something was last received from each member.
     `absent_since`: when its membership record was found to be missing.
     `joined`: when this instance started to watch. `unreachable`: workers that
-    this instance cannot reach.
+    this instance cannot reach. `free_since`: when workers were first found to
+    be free to claim.
     """
 
     me: str
@@ -163,6 +174,26 @@
     last_received: Mapping[str, float]
     absent_since: Mapping[str, float]
     unreachable: frozenset[str] = frozenset()
+    free_since: Mapping[str, float] = field(default_factory=dict)
+
+
+def free_workers(
+    view: ClaimContext,
+    options: AuthorityOptions,
+    now: float,
+) -> list[str]:
+    """Return the workers that any member may claim now."""
+    return [
+        worker
+        for worker, zone in view.zones.items()
+        if _is_free(
+            _record(view, worker),
+            view,
+            options,
+            now,
+            is_near=zone == view.zone,
+        )
+    ]
 
 
 def choose_claims(
@@ -170,16 +201,22 @@
     options: AuthorityOptions,
     now: float,
 ) -> list[WorkerClaim]:
-    """Return the workers that this instance should claim now."""
+    """Return the workers that this instance should claim now.
+
+    The preferred member of a worker claims it at once. It may be unable to,
+    since it does not reach the worker; the next ones do after a pause each.
+    """
     claims = []
-    for worker, zone in view.zones.items():
-        record = view.records.get(worker, OwnershipRecord('', 0))
-        is_near = zone == view.zone
+    claimants = _Claimants.from_members(view.members.values())
+    for worker in free_workers(view, options, now):
         if worker in view.unreachable:
             continue
-        if not _is_free(record, view, options, now, is_near=is_near):
-            continue
-        if preferred_member(worker, zone, view.members.values()) != view.me:
+        record = _record(view, worker)
+        released_by = '' if record.holder else record.previous
+        free_for = now - view.free_since.get(worker, now)
+        if not claimants.is_turn(
+            view.me, worker, view.zones[worker], released_by, free_for
+        ):
             continue
         wait = (
             options.takeover_delay if record.holder else options.handover_delay
@@ -195,6 +232,69 @@
     return claims
 
 
+def _record(view: ClaimContext, worker: str) -> OwnershipRecord:
+    return view.records.get(worker, OwnershipRecord('', 0))
+
+
+@dataclass(frozen=True, slots=True)
+class _Claimants:
+    """The members that may claim workers, in the order in which they should.
+
+    Those of the worker's zone come first, then those of other zones, at last
+    those that are cut off and the one that has released the worker.
+    """
+
+    by_zone: dict[str, list[str]]
+    cut_off: list[str]
+
+    @classmethod
+    def from_members(cls, members: Iterable[MemberInfo]) -> '_Claimants':
+        """Leave out the members that are leaving."""
+        found = cls({}, [])
+        for each in members:
+            if each.is_cut_off and not each.is_leaving:
+                found.cut_off.append(each.member)
+            elif not each.is_leaving:
+                found.by_zone.setdefault(each.zone, []).append(each.member)
+        return found
+
+    def is_turn(
+        self,
+        member: str,
+        worker: str,
+        zone: str,
+        released_by: str,
+        free_for: float,
+    ) -> bool:
+        """Tell whether those before a member had time to claim a worker."""
+        ahead = 0
+        for tier in self._tiers(zone, released_by):
+            if ahead * _CLAIM_PAUSE > free_for:
+                return False
+            if member in tier:
+                weight = _rendezvous_weight(worker, member)
+                ahead += sum(
+                    _rendezvous_weight(worker, each) > weight for each in tier
+                )
+                return ahead * _CLAIM_PAUSE <= free_for
+            ahead += min(len(tier), _MAX_CLAIMANTS)
+        return False
+
+    def _tiers(self, zone: str, released_by: str) -> Iterator[list[str]]:
+        """Yield the members of each rank; the later ones are rarely needed."""
+        near = self.by_zone.get(zone, [])
+        yield [each for each in near if each != released_by]
+        far = [
+            member
+            for name, members in self.by_zone.items()
+            for member in members
+            if name != zone
+        ]
+        yield [each for each in far if each != released_by]
+        sound = {*near, *far}
+        yield [*self.cut_off, *sound.intersection((released_by,))]
+
+
 def preferred_member(
     worker: str,
     zone: str,
@@ -205,13 +305,15 @@
     near = [each for each in staying if each.zone == zone]
     return max(
         (each.member for each in near or staying),
-        key=lambda member: xxhash.xxh64_intdigest(
-            f'{worker}|{member}'.encode(),
-        ),
+        key=lambda member: _rendezvous_weight(worker, member),
         default='',
     )
 
 
+def _rendezvous_weight(worker: str, member: str) -> int:
+    return xxhash.xxh64_intdigest(f'{worker}|{member}'.encode())
+
+
 def well_connected_members(members: Iterable[MemberInfo]) -> list[MemberInfo]:
     """Return the members with at least half of the widest link's bandwidth.
 
--- a/mintlanding/residency/tests/test_authority.py
+++ b/mintlanding/residency/tests/test_authority.py
@@ -1,5 +1,8 @@
 """Two holders of a worker never send orders too shortly after each other."""
 
+from dataclasses import replace
+from itertools import pairwise
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -75,6 +78,81 @@
     assert not choose_claims(out_of_reach, OPTIONS, 0)
 
 
+MANY = {
+    **{f'n{number}': MemberInfo(f'n{number}', 'z2') for number in range(6)},
+    'far': MemberInfo('far', 'z1'),
+}
+RELEASED = {'w': OwnershipRecord('', 9, previous='gone')}
+
+
+def first_claims(members, records, unreachable=()):
+    """Return when each member claims a worker that is free since 0."""
+    found = {}
+    for step in range(100):
+        now = step / 10
+        for name in members.keys() - found.keys() - set(unreachable):
+            given = view(
+                members=members,
+                records=records,
+                free_since={'w': 0},
+            )
+            given = replace(given, me=name, zone=members[name].zone)
+            if choose_claims(given, OPTIONS, now):
+                found[name] = now
+    return found
+
+
+def test_members_claim_a_released_worker_one_after_another():
+    claims = first_claims(MANY, RELEASED)
+    at = sorted(claims.values())
+    preferred = preferred_member('w', 'z2', MANY.values())
+    assert claims[preferred] == 0
+    assert at[1] >= 1
+    # Only the last of the zone's members and those of other ones may coincide.
+    assert all(after - before > 1 for before, after in pairwise(at[:3]))
+    assert claims['far'] >= at[2]
+
+
+def test_released_worker_is_claimed_soon_though_the_preferred_member_cannot():
+    preferred = preferred_member('w', 'z2', MANY.values())
+    claims = first_claims(MANY, RELEASED, unreachable=(preferred,))
+    assert 1 <= min(claims.values()) <= 2
+
+
+def test_member_that_released_a_worker_claims_it_last():
+    preferred = preferred_member('w', 'z2', MANY.values())
+    records = {'w': OwnershipRecord('', 9, previous=preferred)}
+    claims = first_claims(MANY, records)
+    assert min(claims.values()) == 0
+    assert claims[preferred] > 5
+
+
+def test_only_member_claims_the_worker_that_it_released():
+    records = {'w': OwnershipRecord('', 9, previous='a')}
+    (claim,) = choose_claims(
+        view('a', members={'a': A}, records=records), OPTIONS, 0
+    )
+    assert claim.wait == OPTIONS.handover_delay
+
+
+def test_claims_do_not_wait_for_members_that_are_cut_off():
+    members = {
+        name: replace(each, is_cut_off=each.zone == 'z2')
+        for name, each in MANY.items()
+    }
+    claims = first_claims(members, RELEASED)
+    assert claims['far'] == 0
+    assert min(claims[name] for name in claims if name != 'far') >= 1
+
+
+def test_leaving_member_never_claims():
+    members = {
+        name: replace(each, is_leaving=name == 'n0')
+        for name, each in MANY.items()
+    }
+    assert 'n0' not in first_claims(members, RELEASED)
+
+
 def test_preferred_member_is_the_same_for_all():
     members = [A, B, C]
     assert preferred_member('w', 'z1', members) == preferred_member(
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -931,6 +931,7 @@
         is_leaving=True,
         link_mbps=519.5,
         link_version=620,
+        is_cut_off=True,
     ),
     'view.HoldEntry': view.OwnershipEntry(
         holder='text-520', is_settled=True, previous='text-521'
@@ -1269,6 +1270,21 @@
             link_mbps=519.5,
         )
     ),
+    'view.MemberRecord, not cut off': (
+        view.MemberRecord(
+            instance='text-514',
+            zone='text-515',
+            host='text-516',
+            port=617,
+            boot='text-518',
+            is_leaving=True,
+            link_mbps=519.5,
+            link_version=620,
+        )
+    ),
+    'view.HoldEntry, released': view.OwnershipEntry(
+        holder='', previous='text-521'
+    ),
     'streams.OriginReply, without an origin': streams.OriginReply(number=5),
     'objects.Change, deleted': objects.Change(
         revision=1, kind='adapter-version', name='text-2'
