Wait long enough after a restart with a worker that was released

A process that starts again with a worker it has claimed, and has not settled, waited 2.7 s before its first order. That counts on the former holder's lease having run out for a while; a holder that released the worker may have sent an order just before, and 3 s have to lie between. Change: it waits the 3.4 s of a hand-over where the record names no former holder. Two tests of taken workers name the former holder in their record, as such records do. Measured: the new test fails before and passes here; the other ten of its file pass.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -174,7 +174,11 @@
         It was written by an earlier incarnation, or by a claim without a
         response that was committed late.
         """
-        wait = 0 if record.is_settled else self._options.takeover_delay
+        wait = self._options.takeover_delay
+        if not record.previous:
+            wait = self._options.handover_delay
+        if record.is_settled:
+            wait = 0
         self._confirmed[worker] = record.revision
         self._order_from[worker] = now + wait
         self._logger.info('Ownership resumed.', worker=worker, wait=wait)
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -55,8 +55,10 @@
         self.ownership.authority.record_renewal(self.now)
         return self.ownership.may_order('w', self.now)
 
-    def set_record(self, holder, revision, is_settled=False):
-        self.view.ownership['w'] = OwnershipRecord(holder, revision, is_settled)
+    def set_record(self, holder, revision, is_settled=False, previous='other'):
+        self.view.ownership['w'] = OwnershipRecord(
+            holder, revision, is_settled, previous
+        )
 
 
 @pytest.fixture
@@ -138,6 +140,19 @@
     assert world.may_order()
 
 
+async def test_restarted_process_waits_longer_for_a_worker_that_was_released(
+    world,
+):
+    # The one that released it may have sent an order just before; nothing of
+    # its lease had run out.
+    world.set_record('me', 12, previous='')
+    assert not world.may_order()
+    world.now += OPTIONS.handover_delay - 0.1
+    assert not world.may_order()
+    world.now += 0.2
+    assert world.may_order()
+
+
 async def test_record_is_settled_after_the_takeover_delay(world):
     await world.ownership.claim(TAKEOVER)
     await world.ownership.settle('w', world.now)
