Release workers that only other members reach

A holder that is partitioned from its engines cannot load or evict adapters there, but stayed their holder for as long as its lease lasted, so that requests of all instances that needed a load were refused. Change: a worker that for more than a second is reached by other members only gets no more orders, and its holder releases it with a compare-and-swap on its record and on the entry of this process. Interruptions of up to half a second do not end a cut; a worker that was cut lately is not claimed. The entry says once that the instance reaches few targets, and once that it does again after five seconds. Connections that only fail are no reason. The evidence is taken from cut_targets and is_cut_off, which nothing sets yet outside of tests.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -199,7 +199,9 @@
         self._membership.on_authority = self._stewards.update
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
-        self._membership.ownership.unreachable = self._stewards.unreachable
+        ownership = self._membership.ownership
+        ownership.unreachable = self._stewards.unreachable
+        ownership.has_order_under_way = self._stewards.has_order_under_way
         self.view.listeners.append(self._changed)
 
     async def _join(self) -> None:
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -65,6 +65,10 @@
 _LAPSING_SECONDS = 2.0
 # A loop that stalled for longer has received no statuses meanwhile.
 _STALL_SECONDS = 0.6
+# Workers released in one round of claims.
+_MAX_RELEASES = 10
+# Seconds until an entry that could not be written is tried again.
+_ENTRY_RETRY_SECONDS = 1.0
 # Seconds after its last status for which a member without an entry is dialled.
 _FORGET_SECONDS = 15.0
 
@@ -97,16 +101,23 @@
         self.on_store_update: Callable[[StoreUpdate], None] | None = None
         self.on_message: Callable[[str, Message, Reply], None] | None = None
         self.on_authority: Callable[[], None] | None = None
+        self.is_cut_off: Callable[[], bool] = bool
         self.is_leaving = False
         self.mesh: Mesh | None = None
         self._cfg = cfg
         self._store = store
         self._view = view
         self._rnd = rnd
+        self.ownership.cuts.share = rnd.random()
         self._lease = 0
         self._registered = False
         # Revision at which the entry of the current lease was written.
         self._entry_revision = 0
+        # Last entry that is known to be stored, its revision, and when it may
+        # be written again.
+        self._entry: MemberRecord | None = None
+        self._stored_revision = 0
+        self._entry_retry_at = float('-inf')
         self._ownership_as_of = 0
         self._joined_at = float('inf')
         # Registered members and those whose entry went missing lately.
@@ -241,10 +252,15 @@
             if now < self._view.store_contact.since + _LAPSING_SECONDS:
                 continue
             self.update_members()
+            self._observe_cuts(now)
+            await self._update_entry(now)
+            for worker in self.ownership.releasable(now)[:_MAX_RELEASES]:
+                await self.ownership.release(worker, self._stored_revision)
             for claim in self._claims(now):
                 await self.ownership.claim(claim)
             for worker in sorted(self.ownership.held_workers()):
-                await self.ownership.settle(worker, now)
+                if not self.ownership.is_releasing(worker):
+                    await self.ownership.settle(worker, now)
 
     async def ensure_fleet_key(self) -> None:
         """Write a random key of the fleet unless the store has one."""
@@ -438,6 +454,7 @@
             is_leaving=self.is_leaving,
             link_mbps=facts.link_mbps,
             link_version=LINK_VERSION,
+            is_cut_off=self.ownership.cuts.is_cut_off,
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
@@ -445,6 +462,8 @@
         if isinstance(reply, Committed):
             if not self._registered:
                 self._entry_revision = reply.revision
+            self._entry = record
+            self._stored_revision = max(self._stored_revision, reply.revision)
             self._registered = True
             if self._joined_at == float('inf'):
                 self._joined_at = boot_seconds()
@@ -452,6 +471,33 @@
         elif reply.lease_ended:
             self._lease = 0
 
+    def _observe_cuts(self, now: float) -> None:
+        self.ownership.cuts.observe(
+            self.ownership.cut_targets(),
+            now,
+            is_cut_off=self.is_cut_off(),
+            members=len(self._view.members),
+        )
+
+    async def _update_entry(self, now: float) -> None:
+        """Write the entry again once it is wrong about this instance's cuts."""
+        is_cut_off = self.ownership.cuts.is_cut_off
+        if not self._registered or now < self._entry_retry_at:
+            return
+        if self._entry is None or self._entry.is_cut_off == is_cut_off:
+            return
+        self._entry_retry_at = now + _ENTRY_RETRY_SECONDS
+        try:
+            await self._register()
+        except (PlatformError, StoreBusy) as exc:
+            self._logger.warning('Entry not written.', reason=str(exc))
+            return
+        self._logger.info(
+            'Most targets cut off.' if is_cut_off else 'Targets reached again.',
+            cut=len(self.ownership.cut_targets()),
+            targets=len(self._view.targets),
+        )
+
     def _claims(self, now: float) -> list[WorkerClaim]:
         view = self._view
         context = ClaimContext(
@@ -466,7 +512,7 @@
                 for name, each in self.status_exchange.received.items()
             },
             absent_since=self._missing_since,
-            unreachable=self.ownership.unreachable(),
+            unreachable=self.ownership.avoided(),
         )
         free = free_workers(context, self._cfg.authority, now)
         known = self._free_since
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -30,9 +30,13 @@
     OwnershipRecord,
     WorkerClaim,
 )
+from mintlanding.residency.cuts import CutHistory
+from mintlanding.traffic.models import Target
 
 # Seconds for which a write without a response may still be committed.
 _LATE_WRITE_SECONDS = 10.0
+# Seconds until a release that was not confirmed is tried again.
+_RELEASE_RETRY_SECONDS = 1.0
 
 
 class WorkerOwnership:
@@ -48,6 +52,10 @@
         """Take the view, which has the ownership records."""
         self.authority = OrderAuthority(options)
         self.unreachable: Callable[[], frozenset[str]] = frozenset
+        # Targets that only other members reach.
+        self.cut_targets: Callable[[], frozenset[str]] = frozenset
+        self.has_order_under_way: Callable[[str], bool] = lambda worker: False
+        self.cuts = CutHistory()
         self._instance = instance
         self._store = store
         self._view = view
@@ -57,6 +65,9 @@
         self._confirmed: dict[str, int] = {}
         # Holders from whom this process may be taking a worker, and until when.
         self._contested: dict[str, float] = {}
+        # Revisions of the records for which a release may have been committed.
+        self._releasing: dict[str, int] = {}
+        self._release_at = float('-inf')
         self._logger = Logger('holds')
 
     def held_workers(self) -> set[str]:
@@ -78,6 +89,8 @@
             return False
         if self._confirmed.get(worker) != record.revision:
             self._resume(worker, record, now)
+        if self._is_given_up(worker, record):
+            return False
         return self._order_from[worker] <= now < self.authority.until()
 
     def orders_from(self, worker: str, now: float) -> float:
@@ -85,7 +98,7 @@
         record = self._view.ownership.get(worker)
         if record is None or record.holder != self._instance:
             return float('inf')
-        if now >= self.authority.until():
+        if now >= self.authority.until() or self._is_given_up(worker, record):
             return float('inf')
         return max(now, self._order_from.get(worker, float('inf')))
 
@@ -137,6 +150,67 @@
             revision=revision,
         )
 
+    def avoided(self) -> frozenset[str]:
+        """Return the workers that this instance does not claim now."""
+        return self.unreachable() | self.cuts.recent()
+
+    def releasable(self, now: float) -> list[str]:
+        """Return the workers to release, which only other members reach.
+
+        A release without a response is repeated until the record has changed.
+        """
+        if now < self._release_at:
+            return []
+        engines = self._view.engines()
+        return [
+            worker
+            for worker in sorted(self.held_workers() & engines.keys())
+            if not self.has_order_under_way(worker)
+            and (
+                self.is_releasing(worker) or self._may_release(engines[worker])
+            )
+        ]
+
+    def is_releasing(self, worker: str) -> bool:
+        """Tell whether a release of a worker may have been committed."""
+        record = self._view.ownership.get(worker)
+        if record is None:
+            return False
+        return self._releasing.get(worker) == record.revision
+
+    async def release(self, worker: str, entry_revision: int) -> None:
+        """Release a worker, unless its record or this instance's entry changed.
+
+        No order is sent once the release may have been committed. It fails
+        after a restart of this process, which has written its entry anew.
+        """
+        record = self._view.ownership[worker]
+        self._releasing[worker] = record.revision
+        key = OWNERSHIP_PREFIX + worker
+        expected = {
+            key: record.revision,
+            MEMBERS_PREFIX + self._instance: entry_revision,
+        }
+        entry = OwnershipEntry('', previous=self._instance)
+        revision, reason = None, 'a record it depends on has changed'
+        try:
+            revision = await self._write(key, expected, entry)
+        except (PlatformError, StoreBusy) as exc:
+            reason = str(exc)
+        if revision is None:
+            self._release_at = boot_seconds() + _RELEASE_RETRY_SECONDS
+            self._logger.warning(
+                'Release not confirmed.', worker=worker, reason=reason
+            )
+            return
+        self._record_release(worker, revision)
+        self._logger.info(
+            'Worker released.',
+            worker=worker,
+            revision=revision,
+            reason='only other members reach it',
+        )
+
     async def settle(self, worker: str, now: float) -> None:
         """Mark a claimed worker's record as settled once the wait is over."""
         record = self._view.ownership[worker]
@@ -183,6 +257,28 @@
         self._order_from[worker] = now + wait
         self._logger.info('Ownership resumed.', worker=worker, wait=wait)
 
+    def _is_given_up(self, worker: str, record: OwnershipRecord) -> bool:
+        """Tell whether a held worker is cut, or may have been released."""
+        if self._releasing.get(worker) == record.revision:
+            return True
+        return self.cuts.is_cut(worker)
+
+    def _may_release(self, target: Target) -> bool:
+        """Tell whether a worker was cut for long, while its entry is kept."""
+        if target.is_leaving or target.target in self._view.lapsed:
+            return False
+        return self.cuts.is_due(target.target)
+
+    def _record_release(self, worker: str, revision: int) -> None:
+        self._confirmed.pop(worker, None)
+        self._order_from.pop(worker, None)
+        record = self._view.ownership.get(worker)
+        # A member may have claimed it before the response was processed.
+        if record is None or record.revision < revision:
+            self._view.ownership[worker] = OwnershipRecord(
+                '', revision, previous=self._instance
+            )
+
     def _confirm(
         self, worker: str, revision: int, entry: OwnershipEntry
     ) -> None:
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 
 from mintlanding.core.exceptions import RequestNotSent, ResponseLost
@@ -81,6 +82,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._unreachable: dict[str, float] = {}
+        self._orders_under_way: Counter[str] = Counter()
         # Pace of the engine of each service whose steward was started last.
         self._paces: dict[str, EnginePace] = {}
         self._started = boot_seconds()
@@ -103,6 +105,10 @@
         """Record that a connection to a worker succeeded."""
         self._unreachable.pop(worker, None)
 
+    def has_order_under_way(self, worker: str) -> bool:
+        """Tell whether an order is being sent to a worker."""
+        return self._orders_under_way[worker] > 0
+
     def digests(self) -> tuple[WorkerDigest, ...]:
         """Return the digests of all held workers."""
         now = boot_seconds()
@@ -361,7 +367,12 @@
             return
         result = OrderResult.not_sent
         if target is not None and target.incarnation == steward.incarnation:
-            result = await self._send_order(target, order)
+            self._orders_under_way[worker] += 1
+            try:
+                result = await self._send_order(target, order)
+            finally:
+                self._orders_under_way.subtract((worker,))
+                self._orders_under_way += Counter()
         self._logger.info(
             'Order answered.',
             worker=worker,
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -165,3 +165,40 @@
     assert membership._renew_interval() == interval
     # Two renewals fit into a lease, so that one may be lost.
     assert 2 * 1.1 * interval < cfg.authority.lease
+
+
+async def test_entry_says_once_that_the_instance_is_cut_off():
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    before = store.revision
+    membership.is_cut_off = lambda: True
+    now = boot_seconds()
+    for step in range(100):
+        if step == 40:
+            membership.is_cut_off = lambda: False
+        membership._observe_cuts(now + step / 10)
+        await membership._update_entry(now + step / 10)
+        if step == 30:
+            assert store.revision == before + 1
+            assert membership._entry.is_cut_off
+    assert store.revision == before + 2
+    assert not membership._entry.is_cut_off
+
+
+async def test_entry_that_could_not_be_written_is_not_repeated_at_once():
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    calls = []
+
+    async def refuse(transaction):
+        calls.append(transaction)
+        raise PlatformUnavailable('no response')
+
+    store.commit = refuse
+    membership.ownership.cuts.is_cut_off = True
+    now = boot_seconds()
+    for step in range(30):
+        await membership._update_entry(now + step / 10)
+    assert 2 <= len(calls) <= 3
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -1,5 +1,7 @@
 """Claims with lost or late responses, restarts, and consent meanwhile."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 
@@ -168,3 +170,101 @@
     first = world.ownership.fencing_token('w')
     await world.ownership.claim(TAKEOVER)
     assert world.ownership.fencing_token('w') > first
+
+
+def cut(world, seconds=2.0):
+    """Let only other members reach the worker for some seconds."""
+    for step in range(int(seconds * 10) + 1):
+        world.ownership.cuts.observe(('w',), world.now + step / 10)
+    world.now += seconds
+
+
+def add_engine(world, monkeypatch, is_leaving=False):
+    engine = SimpleNamespace(target='w', is_leaving=is_leaving)
+    monkeypatch.setattr(FleetView, 'engines', lambda view: {'w': engine})
+
+
+async def test_cut_worker_is_released_and_gets_no_more_orders(
+    world, monkeypatch
+):
+    add_engine(world, monkeypatch)
+    await world.ownership.claim(FIRST_CLAIM)
+    assert not world.ownership.releasable(world.now)
+    cut(world, seconds=1.0)
+    assert not world.ownership.releasable(world.now)
+    assert world.may_order()
+    cut(world)
+    assert not world.may_order()
+    assert world.ownership.orders_from('w', world.now) == float('inf')
+    assert world.ownership.releasable(world.now) == ['w']
+    await world.ownership.release('w', entry_revision=3)
+    transaction = world.store.writes[-1]
+    assert transaction.expected['mintlanding/member/me'] == 3
+    assert transaction.expected['mintlanding/hold/w'] == 11
+    assert world.view.ownership['w'] == OwnershipRecord('', 12, previous='me')
+    assert not world.ownership.held_workers()
+    assert not world.ownership.releasable(world.now)
+    assert 'w' in world.ownership.avoided()
+
+
+@pytest.mark.parametrize('state', ['leaving', 'lapsed', 'gone', 'ordering'])
+async def test_worker_that_may_be_at_fault_itself_is_not_released(
+    world, monkeypatch, state
+):
+    await world.ownership.claim(FIRST_CLAIM)
+    if state != 'gone':
+        add_engine(world, monkeypatch, is_leaving=state == 'leaving')
+    if state == 'lapsed':
+        world.view.lapsed.add('w')
+    if state == 'ordering':
+        world.ownership.has_order_under_way = lambda worker: True
+    cut(world)
+    assert not world.ownership.releasable(world.now)
+
+
+@pytest.mark.parametrize('outcome', ['lose', 'reject'])
+async def test_no_order_follows_a_release_that_may_have_been_committed(
+    world, monkeypatch, outcome
+):
+    add_engine(world, monkeypatch)
+    await world.ownership.claim(FIRST_CLAIM)
+    cut(world)
+    world.store.outcome = outcome
+    await world.ownership.release('w', entry_revision=3)
+    # The paths are back, but a member may have claimed the worker.
+    world.now += 6
+    world.ownership.cuts.observe((), world.now)
+    assert not world.may_order()
+    assert world.ownership.releasable(world.now) == ['w']
+    world.store.outcome = 'commit'
+    await world.ownership.release('w', entry_revision=3)
+    assert not world.ownership.held_workers()
+
+
+async def test_release_that_was_not_confirmed_is_not_repeated_at_once(
+    world, monkeypatch
+):
+    add_engine(world, monkeypatch)
+    await world.ownership.claim(FIRST_CLAIM)
+    cut(world)
+    world.store.outcome = 'lose'
+    await world.ownership.release('w', entry_revision=3)
+    assert not world.ownership.releasable(world.now + 0.5)
+    assert world.ownership.releasable(world.now + 1.5)
+
+
+async def test_claim_seen_before_the_response_to_a_release_stays(
+    world, monkeypatch
+):
+    await world.ownership.claim(FIRST_CLAIM)
+    commit = world.store.commit
+
+    async def commit_and_see_a_claim(transaction):
+        reply = await commit(transaction)
+        world.set_record('other', reply.revision + 1)
+        return reply
+
+    monkeypatch.setattr(world.store, 'commit', commit_and_see_a_claim)
+    await world.ownership.release('w', entry_revision=3)
+    assert world.view.ownership['w'].holder == 'other'
+    assert not world.may_order()
--- a/mintlanding/platform/tests/test_cut_off_holders.py
+++ b/mintlanding/platform/tests/test_cut_off_holders.py
@@ -1,9 +1,12 @@
 """Holders that do not reach their engines, while other members do."""
 
 import asyncio
+import contextlib
 
+import msgspec
 import pytest
 
+from mintlanding.node.view import MEMBERS_PREFIX, OWNERSHIP_PREFIX
 from mintlanding.platform.tests.partition import TargetPartition
 from mintlanding.platform.tests.world import BATCH, World
 
@@ -27,12 +30,26 @@
     }
 
 
+@contextlib.contextmanager
 def cut_off(world, node, refuses):
     """Cut an instance off from all targets, which it finds out."""
+    membership = node._membership
     names = frozenset(each.name for each in world.targets)
-    ownership = node._membership.ownership
-    ownership.cut_targets = lambda: names
-    return TargetPartition(world, node, refuses=refuses)
+    with TargetPartition(world, node, refuses=refuses):
+        membership.ownership.cut_targets = lambda: names
+        membership.is_cut_off = lambda: True
+        yield
+    membership.ownership.cut_targets = frozenset
+    membership.is_cut_off = lambda: False
+
+
+def writes(world, since, prefix):
+    """Return the writes of keys with a prefix since a revision."""
+    return [
+        msgspec.json.decode(content)
+        for revision, key, content, _ in world.store.history
+        if revision > since and key.startswith(prefix)
+    ]
 
 
 async def ask_for_loads(world, nodes, count, first):
@@ -55,8 +72,41 @@
 ):
     assert set(holders(world).values()) == {'n0'}
     assert await ask_for_loads(world, (1, 2), 2, first=0) == 2
+    before = world.store.revision
     with cut_off(world, world.nodes[0], refuses):
         await ask_for_loads(world, (1, 2), 2 * RECOVERY_SECONDS, first=100)
         served = await ask_for_loads(world, (1, 2), REQUESTS, first=200)
     assert served >= REQUESTS - 1
     assert not set(holders(world).values()) & {'n0', ''}
+    entries = writes(world, before, MEMBERS_PREFIX)
+    assert [each['is_cut_off'] for each in entries] == [True]
+
+
+async def test_end_of_a_partition_moves_no_worker(world):
+    with cut_off(world, world.nodes[0], refuses=True):
+        await asyncio.sleep(RECOVERY_SECONDS)
+    before, found = world.store.revision, holders(world)
+    assert not set(found.values()) & {'n0', ''}
+    served = await ask_for_loads(world, (0, 1), 16, first=100)
+    assert served >= 15
+    assert holders(world) == found
+    assert not writes(world, before, OWNERSHIP_PREFIX)
+    # The instance says once that it reaches the targets again.
+    (entry,) = writes(world, before, MEMBERS_PREFIX)
+    assert 'is_cut_off' not in entry
+
+
+async def test_holder_keeps_workers_whose_paths_flap_or_that_nobody_reaches(
+    world,
+):
+    before, found = world.store.revision, holders(world)
+    for _ in range(4):
+        with cut_off(world, world.nodes[0], refuses=True):
+            await asyncio.sleep(0.9)
+        await asyncio.sleep(0.9)
+    # Without evidence of other members, silence alone is no reason.
+    with TargetPartition(world, world.nodes[0], refuses=False):
+        await ask_for_loads(world, (1, 2), 6, first=100)
+    assert holders(world) == found
+    assert not writes(world, before, OWNERSHIP_PREFIX)
+    assert not writes(world, before, MEMBERS_PREFIX)
