--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -65,6 +65,7 @@
     `boot` is the incarnation, a random id of the process. `link_version` is
     that of the messages it understands. At `path_port` it opens paths to
     targets for members that do not reach them, 0 for none.
+    One that is cut off reaches less than half of the targets itself.
     """
 
     instance: str
@@ -76,12 +77,14 @@
     link_mbps: float = 0
     link_version: int = 0
     path_port: int = 0
+    is_cut_off: bool = False
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Stored record of the holder of a worker; empty when it was released.
+    """Stored record of the holder of a worker.
 
-    The record is settled once the holder has waited long enough for orders of
+    The holder is empty when the previous one has released the worker. The
+    record is settled once the holder has waited long enough for orders of
     the previous holder, from whom it took the worker, to have ended.
     """
 
@@ -97,6 +100,7 @@
         record.zone,
         record.is_leaving,
         record.link_mbps,
+        record.is_cut_off,
     )
 
 
