Reject records with values out of bounds

Numbers and names in records of other writers had no bounds. An entry of a target with born = 2**70 was taken; the status of the member that holds the target then could not be encoded, and the others heard nothing from it any more. A target whose id is no Latin-1 text raised whenever a request was routed there: callers got 503. An empty API key admitted callers without one. Change: numbers, names and times have bounds, checked where the record is decoded; entries, versions and reports whose fields have another type are invalid. An invalid entry names no target, an invalid configuration leaves the one before it in force.

--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -1,10 +1,24 @@
 """Decoders of configurations, adapter versions, target entries and reports."""
 
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
+from mintlanding.core.bounds import (
+    MAX_AMOUNT,
+    MAX_COUNT,
+    MAX_NAME_CHARACTERS,
+    MAX_WHOLE,
+    NAME_PATTERN,
+)
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import MessageLimits
 from mintlanding.platform.settings import parse_address
@@ -29,39 +43,76 @@
 _TOKENS = 'tokens'
 _STATES = frozenset(('ready', 'draining'))
 _JSON = msgspec.json.Decoder()
+# Milliseconds of a timeout, a day.
+_MAX_MILLISECONDS = 86_400_000
+# Bytes of the head or body of a request.
+_MAX_BYTES = 1 << 30
+# Characters of an API key.
+_MAX_KEY = 1000
+_NAME = re.compile(NAME_PATTERN)
 
 
 class RecordInvalid(ValueError):
     """Raised for an invalid record; the message says where and why."""
 
 
+def _check_name(text: str) -> str:
+    if len(text) > MAX_NAME_CHARACTERS:
+        raise ValueError(
+            f'a name has {len(text)} characters, more than '
+            f'{MAX_NAME_CHARACTERS}'
+        )
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            f'{text!r} has characters that no header field may have'
+        )
+    return text
+
+
+_Text = Annotated[str, AfterValidator(_check_name)]
+_Name = Annotated[_Text, Field(min_length=1)]
+_Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+_Whole = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
+_Amount = Annotated[float, Field(ge=0, le=MAX_AMOUNT)]
+_Milliseconds = Annotated[float, Field(ge=0, le=_MAX_MILLISECONDS)]
+_Timeout = Annotated[float, Field(gt=0, le=_MAX_MILLISECONDS)]
+_Bytes = Annotated[int, Field(gt=0, le=_MAX_BYTES)]
+_Key = Annotated[str, Field(min_length=1, max_length=_MAX_KEY)]
+
+
 class _Record(BaseModel):
     """Base class of all records; unknown fields are ignored."""
 
     model_config = ConfigDict(extra='ignore', frozen=True)
 
 
+class _StrictRecord(BaseModel):
+    """Base class of records in which a value of another type is invalid."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True, strict=True)
+
+
 class _Share(_Record):
-    service: str
-    weight: float
+    service: _Name
+    weight: _Amount
 
 
 class _Route(_Record):
-    name: str
-    host: str
-    prefix: str
+    name: _Name
+    host: _Text
+    prefix: _Text
     kind: RouteKind
-    timeout_ms: float
+    timeout_ms: _Timeout
     # The required bound of the latency.
-    goal_ms: float = 0
-    priority: int = 0
-    service: str = ''
+    goal_ms: _Milliseconds = 0
+    priority: _Count = 0
+    service: _Text = ''
     split: list[_Share] = Field(default_factory=list)
     # Number of targets that may run one request, including the first.
-    attempts: int = 1
+    attempts: _Count = 1
     public: bool = False
     can_resume: bool = False
-    gap_aim_ms: float = 0
+    gap_aim_ms: _Milliseconds = 0
 
     def convert(self) -> Route:
         """Return the route as the internal type."""
@@ -83,21 +134,21 @@
 
 
 class _Model(_Record):
-    name: str
+    name: _Name
     # Megabytes of the base model without adapters.
-    weights_mb: float
-    load_s: float = 1
+    weights_mb: _Amount
+    load_s: _Amount = 1
     # Number of adapters, which are named a1, a2 and so on.
-    adapters: int = 0
-    adapter_mb: float = 0
+    adapters: _Count = 0
+    adapter_mb: _Amount = 0
 
 
 class _Engine(_Record):
-    slots: int
-    kv_capacity: int
+    slots: Annotated[_Count, Field(ge=1)]
+    kv_capacity: _Count
     # Megabytes for the base model and its adapters together.
-    weights_mb: float = 0
-    adapter_slots: int = 0
+    weights_mb: _Amount = 0
+    adapter_slots: _Count = 0
     models: list[_Model] = Field(default_factory=list)
 
     def convert(self) -> EngineSpec:
@@ -121,8 +172,8 @@
 
 
 class _Service(_Record):
-    name: str
-    max_conns: int = 0
+    name: _Name
+    max_conns: _Count = 0
     engine: _Engine | None = None
 
     def convert(self) -> Service:
@@ -132,14 +183,14 @@
 
 
 class _Tenant(_Record):
-    name: str
-    api_keys: list[str] = Field(default_factory=list)
-    priority: int | None = None
+    name: _Name
+    api_keys: list[_Key] = Field(default_factory=list)
+    priority: _Count | None = None
     # Unit of rate and burst.
     unit: str = ''
-    plain_tokens: float = 0
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: _Amount = 0
+    rate_per_s: _Amount = 0
+    burst: _Amount = 0
 
     def convert(self) -> Workspace:
         """Return the workspace as the internal type."""
@@ -156,10 +207,10 @@
 
 
 class _Limits(_Record):
-    header_bytes: int = 16384
-    body_bytes: int = 4 << 20
-    header_ms: float = 3000
-    idle_ms: float = 15000
+    header_bytes: _Bytes = 16384
+    body_bytes: _Bytes = 4 << 20
+    header_ms: _Timeout = 3000
+    idle_ms: _Timeout = 15000
 
     def convert(self) -> MessageLimits:
         """Return the limits as the internal type."""
@@ -172,49 +223,49 @@
 
 
 class _Config(_Record):
-    version: int
+    version: _Whole
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
     tenants: list[_Tenant] | None = None
     limits: _Limits = _Limits()
 
 
-class _Version(_Record):
-    model: str
-    adapter: str = ''
-    version: int
+class _Version(_StrictRecord):
+    model: _Name
+    adapter: _Text = ''
+    version: _Whole
 
 
-class _HeldModel(_Record):
-    name: str
-    version: int = 0
+class _HeldModel(_StrictRecord):
+    name: _Name
+    version: _Whole = 0
     # Adapters as name@version.
-    adapters: list[str] = Field(default_factory=list)
+    adapters: list[_Text] = Field(default_factory=list)
 
 
-class _Entry(_Record):
-    service: str
+class _Entry(_StrictRecord):
+    service: _Name
     addr: str
-    zone: str
+    zone: _Text
     state: str
-    slots: int = 0
+    slots: _Count = 0
     # Version of the target's software, not of its weights.
-    version: str = ''
+    version: _Text = ''
     # Number of orders accepted since the start, not a revision of the entry.
-    seq: int = 0
+    seq: _Whole = 0
     # Start of the target in milliseconds since the epoch.
-    born: int = 0
+    born: _Whole = 0
     models: list[_HeldModel] = Field(default_factory=list)
 
 
-class _Report(_Record):
-    seq: int
-    born: int = 0
+class _Report(_StrictRecord):
+    seq: _Whole
+    born: _Whole = 0
     models: list[_HeldModel] = Field(default_factory=list)
     # Adapters being loaded, as model/adapter@version.
-    coming: list[str] = Field(default_factory=list)
-    inflight: int | None = None
-    queued: int = 0
+    coming: list[_Text] = Field(default_factory=list)
+    inflight: _Count | None = None
+    queued: _Count = 0
 
 
 def decode_config(content: bytes) -> ServingConfig:
@@ -241,13 +292,17 @@
     raw = _validate(_Entry, content)
     if raw.state not in _STATES:
         raise RecordInvalid(f'state: unknown value {raw.state!r}')
+    name = key.removeprefix(TARGETS_PREFIX)
+    if not name:
+        raise RecordInvalid('the key names no target')
     try:
+        _check_name(name)
         address = parse_address(raw.addr)
     except ValueError as exc:
         raise RecordInvalid(str(exc)) from exc
     model = raw.models[0] if raw.models else None
     return Target(
-        target=key.removeprefix(TARGETS_PREFIX),
+        target=name,
         service=raw.service,
         address=address,
         zone=raw.zone,
--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -1,6 +1,7 @@
 """Decoding of records, settings and headers, valid and invalid."""
 
 import copy
+import json
 
 import pytest
 from hypothesis import given
@@ -83,6 +84,126 @@
         records.decode_target('servers/i-7f', encode(entry))
 
 
+def short_id(value):
+    """Return the start of a value that may have thousands of digits."""
+    if isinstance(value, tuple):
+        return '.'.join(map(str, value))
+    return ascii(value)[:20]
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong'),
+    [
+        ('slots', 10**400),
+        ('slots', 10**18),
+        ('slots', -1),
+        ('slots', '64'),
+        ('slots', True),
+        ('seq', 2**70),
+        ('seq', -1),
+        ('born', 2**70),
+        ('born', -1),
+        ('service', ''),
+        ('service', 'x' * 10_000),
+        ('service', 'orders\r\nx-tenant: other'),
+        ('models', [{'name': 'daka', 'adapters': ['a1\u3042@1']}]),
+        ('models', [{'name': 'daka', 'version': 10**400}]),
+    ],
+    ids=short_id,
+)
+def test_target_entry_with_a_value_out_of_bounds_is_rejected(field, wrong):
+    entry = {**ENTRY, field: wrong}
+    # msgspec does not encode integers beyond 64 bits.
+    raw = json.dumps(entry).encode()
+    with pytest.raises(records.RecordInvalid):
+        records.decode_target('servers/i-7f', raw)
+
+
+@pytest.mark.parametrize(
+    'name', ['', 'i-\u3042', 'i\r\n', 'x' * 201], ids=short_id
+)
+def test_target_whose_name_fits_no_header_is_rejected(name):
+    with pytest.raises(records.RecordInvalid):
+        records.decode_target(f'servers/{name}', encode(ENTRY))
+
+
+@pytest.mark.parametrize(
+    ('place', 'wrong'),
+    [
+        (('version',), 10**400),
+        (('version',), -1),
+        (('routes', 0, 'timeout_ms'), -5),
+        (('routes', 0, 'timeout_ms'), 0),
+        (('routes', 0, 'timeout_ms'), 1e300),
+        (('routes', 0, 'goal_ms'), -1),
+        (('routes', 0, 'attempts'), 10**400),
+        (('routes', 0, 'priority'), 10**400),
+        (('routes', 0, 'name'), ''),
+        (('routes', 1, 'split', 0, 'weight'), -1),
+        (('routes', 1, 'split', 0, 'weight'), 1e308),
+        (('services', 0, 'name'), 'x' * 10_000),
+        (('services', 0, 'max_conns'), 10**400),
+        (('services', 0, 'engine', 'slots'), 10**400),
+        (('services', 0, 'engine', 'slots'), 0),
+        (('services', 0, 'engine', 'kv_capacity'), 10**400),
+        (('services', 0, 'engine', 'adapter_slots'), -1),
+        (('services', 0, 'engine', 'models', 0, 'load_s'), -1),
+        (('services', 0, 'engine', 'models', 0, 'adapter_mb'), 1e308),
+        (('limits', 'idle_ms'), -1),
+        (('limits', 'header_ms'), 1e300),
+        (('limits', 'body_bytes'), 10**400),
+        (('tenants', 0, 'name'), 'h\r\nx-priority: 0'),
+        (('tenants', 0, 'name'), '\u3042'),
+        (('tenants', 0, 'api_keys'), ['']),
+        (('tenants', 0, 'rate_per_s'), -1),
+        (('tenants', 0, 'burst'), 1e308),
+    ],
+    ids=short_id,
+)
+def test_config_with_a_value_out_of_bounds_is_rejected(place, wrong):
+    cfg = copy.deepcopy(CONFIG)
+    inner = cfg
+    for part in place[:-1]:
+        inner = inner[part]
+    inner[place[-1]] = wrong
+    with pytest.raises(records.RecordInvalid):
+        records.decode_config(json.dumps(cfg).encode())
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong'),
+    [
+        ('model', ''),
+        ('adapter', 'x' * 10_000),
+        ('version', -1),
+        ('version', 2**70),
+        ('version', '3'),
+    ],
+    ids=short_id,
+)
+def test_version_with_a_value_out_of_bounds_is_rejected(field, wrong):
+    version = {'model': 'daka', 'adapter': 'a1', 'version': 2, field: wrong}
+    with pytest.raises(records.RecordInvalid):
+        records.decode_version(json.dumps(version).encode())
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong'),
+    [
+        ('seq', 2**70),
+        ('born', 2**70),
+        ('inflight', 10**400),
+        ('inflight', -1),
+        ('queued', 1e308),
+        ('coming', ['daka/' + 'x' * 10_000]),
+    ],
+    ids=short_id,
+)
+def test_report_with_a_value_out_of_bounds_is_rejected(field, wrong):
+    with pytest.raises(records.RecordInvalid):
+        records.decode_report(json.dumps({**REPORT, field: wrong}).encode())
+
+
 def test_report_has_resident_and_loading_adapters():
     report = records.decode_report(encode(REPORT))
     assert report.adapters == (('a1', 2), ('a7', 1))
--- a/mintlanding/platform/tests/test_unforeseen_errors.py
+++ b/mintlanding/platform/tests/test_unforeseen_errors.py
@@ -1,6 +1,7 @@
 """Errors that no code expects: each costs at most the request or record."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -125,6 +126,49 @@
     assert status == 200
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'born': 2**70},
+        {'seq': 2**70},
+        {'slots': 10**300},
+        {'models': [{'name': 'daka', 'adapters': ['a1@9'] * 20_000}]},
+    ],
+    ids=['born', 'seq', 'slots', 'adapters'],
+)
+async def test_entry_beyond_all_bounds_costs_no_status(changes):
+    world = await World().start(instances=2)
+    address = f'127.0.0.1:{world.engines[0].address[1]}'
+    entry = {**ENTRY, 'addr': address, **changes}
+    world.store.put('servers/odd', json.dumps(entry).encode())
+    await asyncio.sleep(1.5)
+    exchanges = [node._membership.status_exchange for node in world.nodes]
+    started = {
+        member: each.at
+        for exchange in exchanges
+        for member, each in exchange.received.items()
+    }
+    assert len(started) == 2
+    await asyncio.sleep(1.5)
+    for exchange in exchanges:
+        for member, each in exchange.received.items():
+            assert each.at > started[member] + 0.5
+    for path in (ORDER, LOOKUP, LIVE):
+        status, _, _ = await world.ask(path)
+        assert status == 200
+    await world.stop()
+
+
+async def test_target_with_a_name_beyond_headers_costs_no_request(world):
+    address = f'127.0.0.1:{world.plain[0].address[1]}'
+    entry = {**ENTRY, 'service': 'orders', 'addr': address, 'models': []}
+    world.store.put('servers/\u3042', encode(entry))
+    await asyncio.sleep(1)
+    for _ in range(12):
+        status, _, _ = await world.ask(ORDER)
+        assert status == 200
+
+
 async def test_instance_starts_beside_a_deeply_nested_record(world):
     world.store.put('servers/odd', NESTED)
     async with asyncio.timeout(4):
