Treat invalid responses of the store as none

Only bytes that are not JSON became PlatformUnavailable; a response nested too deeply, without a revision, with another type or with events that are no list raised KeyError, TypeError, ValueError or RecursionError, which no caller of the store expects: the task that follows the store, renews the lease or claims workers ended. A listing whose pages did not advance was read forever. Change: each response is decoded into its declared type; anything else is PlatformUnavailable, since a write may have taken effect.

--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from typing import Any, Self
+from typing import Annotated, Any, Self, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -35,12 +35,43 @@
 _PAGE_SECONDS = 2.5
 # Seconds by which the response to a watch call may exceed its wait.
 _WATCH_GRACE = 0.6
-_BODY = msgspec.json.Decoder()
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
 _CONFLICT = 412
 _REFUSED = frozenset((429, 503))
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class _Row(msgspec.Struct):
+    key: str
+    rev: _Number
+    # Base64, checked for each row.
+    value: Any = ''
+    lease: _Number | None = 0
+    removed: bool = False
+
+
+class _Page(msgspec.Struct):
+    as_of: _Number
+    items: list[_Row]
+    truncated: bool = False
+
+
+class _Events(msgspec.Struct):
+    as_of: _Number
+    events: list[_Row]
+
+
+class _Committed(msgspec.Struct):
+    rev: _Number
+
+
+class _Granted(msgspec.Struct):
+    lease: _Number
+
+
+_Response = TypeVar('_Response', _Page, _Events, _Committed, _Granted)
 
 
 class PlatformStore:
@@ -74,11 +105,16 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            page = await self._get('/v1/kv-range', query, _PAGE_SECONDS)
-            revision = revision or int(page['as_of'])
-            items.extend(_decode_item(each) for each in page['items'])
-            if not page.get('truncated') or not page['items']:
+            raw = await self._get('/v1/kv-range', query, _PAGE_SECONDS)
+            page = _decode(_Page, raw)
+            revision = revision or page.as_of
+            items.extend(_decode_item(each) for each in page.items)
+            if not page.truncated or not page.items:
                 return Snapshot(tuple(items), revision)
+            if items[-1].key <= after:
+                raise PlatformUnavailable(
+                    f'the page after {after!r} ends at {items[-1].key!r}'
+                )
             after = items[-1].key
 
     async def changes(self, prefix: str, after: int, wait: float) -> Changes:
@@ -92,9 +128,10 @@
             'wait_ms': str(int(wait * _MILLISECONDS)),
         }
         seconds = wait + _WATCH_GRACE
-        page = await self._get('/v1/kv-watch', query, seconds)
-        changes = tuple(_decode_change(each) for each in page['events'])
-        return Changes(changes, int(page['as_of']))
+        raw = await self._get('/v1/kv-watch', query, seconds)
+        page = _decode(_Events, raw)
+        changes = tuple(_decode_change(each) for each in page.events)
+        return Changes(changes, page.as_of)
 
     async def commit(self, transaction: Transaction) -> Committed | Rejected:
         """Commit a transaction, unless an expected revision has changed."""
@@ -115,7 +152,7 @@
         }
         status, response = await self._call('POST', '/v1/kv-txn', body)
         if status == _OK:
-            return Committed(int(response['rev']))
+            return Committed(_decode(_Committed, response).rev)
         if status in {_CONFLICT, _NOT_FOUND}:
             return Rejected(lease_ended=status == _NOT_FOUND)
         raise PlatformError(f'transaction failed: the store responded {status}')
@@ -128,7 +165,7 @@
             raise PlatformError(
                 f'lease not granted: the store responded {status}'
             )
-        return int(response['lease'])
+        return _decode(_Granted, response).lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return false if it has ended."""
@@ -156,7 +193,7 @@
         path: str,
         query: dict[str, str],
         seconds: float,
-    ) -> dict[str, Any]:
+    ) -> bytes:
         target = f'{path}?{urlencode(query)}'
         status, response = await self._call('GET', target, None, seconds)
         if status == _GONE:
@@ -171,7 +208,7 @@
         target: str,
         body: dict[str, Any] | None,
         seconds: float = _CALL_SECONDS,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[int, bytes]:
         self.calls += 1
         payload = b'' if body is None else msgspec.json.encode(body)
         head = (
@@ -192,7 +229,7 @@
             self._pool.release(conn)
         if status in _REFUSED:
             raise StoreBusy(f'the store refused a call with {status}')
-        return status, _decode_body(raw)
+        return status, raw
 
 
 async def _exchange(
@@ -205,34 +242,25 @@
     return head.status, await conn.read_body(seconds)
 
 
-def _decode_body(raw: bytes) -> dict[str, Any]:
-    if not raw:
-        return {}
+def _decode(kind: type[_Response], raw: bytes) -> _Response:
     try:
-        response = _BODY.decode(raw)
-    except msgspec.DecodeError as exc:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise PlatformUnavailable(
-            f'the response of the store is not JSON: {exc}',
+            f'the response of the store is invalid: {exc}',
         ) from exc
-    return response if isinstance(response, dict) else {}
 
 
-def _decode_item(raw: dict[str, Any]) -> Item:
+def _decode_item(row: _Row) -> Item:
     try:
-        content = base64.b64decode(raw.get('value') or '', validate=True)
+        content = base64.b64decode(row.value or '', validate=True)
     except (binascii.Error, ValueError, TypeError):
         # Replace a value that is not base64; its decoder will reject it.
         content = b''
-    return Item(
-        key=str(raw['key']),
-        content=content,
-        revision=int(raw['rev']),
-        lease=int(raw.get('lease') or 0),
-    )
-
-
-def _decode_change(raw: dict[str, Any]) -> Change:
-    revision = int(raw['rev'])
-    if raw.get('removed'):
-        return Change(str(raw['key']), revision)
-    return Change(str(raw['key']), revision, _decode_item(raw))
+    return Item(row.key, content, row.rev, row.lease or 0)
+
+
+def _decode_change(row: _Row) -> Change:
+    if row.removed:
+        return Change(row.key, row.rev)
+    return Change(row.key, row.rev, _decode_item(row))
--- a/mintlanding/platform/tests/test_store.py
+++ b/mintlanding/platform/tests/test_store.py
@@ -1,5 +1,7 @@
 """The client of the platform's store, with and without faults."""
 
+import asyncio
+
 import pytest
 
 from mintlanding.coordination.transactional_store import (
@@ -12,6 +14,7 @@
     Write,
 )
 from mintlanding.core.exceptions import PlatformUnavailable
+from mintlanding.http1.server import CallerServer
 from mintlanding.platform.store import PlatformStore
 from mintlanding.platform.tests.standins import StoreStandin
 
@@ -93,3 +96,74 @@
     standin.stop()
     with pytest.raises(PlatformUnavailable):
         await store.snapshot('')
+
+
+ODD_BODIES = [
+    b'[' * 100_000,
+    b'[]',
+    b'7',
+    b'{}',
+    b'{"as_of": null, "items": [], "events": []}',
+    b'{"as_of": "4", "items": [], "events": []}',
+    b'{"as_of": 1.5, "items": [], "events": []}',
+    b'{"as_of": -1, "items": [], "events": []}',
+    b'{"as_of": 1' + b'0' * 400 + b', "items": [], "events": []}',
+    b'{"as_of": 4, "items": 3, "events": 3}',
+    b'{"as_of": 4, "items": [3], "events": [3]}',
+    b'{"as_of": 4, "items": [{}], "events": [{}]}',
+    b'{"as_of": 4, "items": [{"key": "k", "rev": "x", "value": ""}],'
+    b' "events": [{"key": "k", "rev": "x", "value": ""}]}',
+    b'{"as_of": 4, "items": [{"key": 7, "rev": 2, "value": ""}],'
+    b' "events": [{"key": 7, "rev": 2, "removed": true}]}',
+    b'\xff',
+    b'{"as_of": 4, "items": [], "events": []',
+]
+
+
+@pytest.fixture(params=ODD_BODIES, ids=range(len(ODD_BODIES)))
+async def odd_store(request):
+    async def answer(req):
+        req.respond(200, [], request.param)
+
+    server = CallerServer.from_config(answer, 'odd')
+    await server.start('127.0.0.1', 0)
+    yield PlatformStore.from_config(('127.0.0.1', server.port))
+    server.stop()
+
+
+async def test_odd_response_of_the_store_is_an_error_of_the_platform(odd_store):
+    for call in (
+        odd_store.snapshot(''),
+        odd_store.changes('', 1, 0.02),
+        odd_store.commit(Transaction(writes=(Write('k', b'1'),))),
+        odd_store.grant_lease(5),
+    ):
+        with pytest.raises(PlatformUnavailable):
+            await call
+
+
+async def test_value_that_is_not_base64_costs_only_its_record(standin, store):
+    standin.items['k/a'] = (b'1', 2, 0)
+    standin.items['k/b'] = (b'2', 3, 0)
+    item = standin._item
+
+    def spoil(key):
+        value = {'value': 5} if key == 'k/a' else {}
+        return {**item(key), **value}
+
+    standin._item = spoil
+    snapshot = await store.snapshot('k/')
+    assert [each.content for each in snapshot.items] == [b'', b'2']
+
+
+async def test_listing_that_never_advances_ends(standin, store):
+    standin.items['k/a'] = (b'1', 2, 0)
+
+    async def same_page(parts, query, body):
+        page = {'items': [standin._item('k/a')], 'truncated': True, 'as_of': 2}
+        return 200, page
+
+    standin._kv_range = same_page
+    with pytest.raises(PlatformUnavailable):
+        async with asyncio.timeout(5):
+            await store.snapshot('k/')
