--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -20,6 +20,7 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
+from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
     LINK_VERSION,
@@ -308,6 +309,25 @@
         elif self.on_message is not None:
             self.on_message(peer, message, reply)
 
+    def path_helpers(self) -> list[Address]:
+        """Return where to ask for paths to targets, members of the zone first.
+
+        Bytes between zones cost. The order is random otherwise.
+        """
+        now = boot_seconds()
+        members = [
+            each
+            for each in self._view.members.values()
+            if each.path_port
+            and not each.is_leaving
+            and each.instance != self.instance
+            and self.is_reachable(each.instance, now)
+        ]
+        self._rnd.shuffle(members)
+        zone = self._cfg.facts.zone
+        members.sort(key=lambda each: each.zone != zone)
+        return [(each.host, each.path_port) for each in members]
+
     async def leave(self) -> None:
         """Announce that this instance is leaving, and claim no more workers.
 
@@ -434,6 +454,7 @@
             is_leaving=self.is_leaving,
             link_mbps=facts.link_mbps,
             link_version=LINK_VERSION,
+            path_port=facts.path_port,
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -9,8 +9,8 @@
     ResponseLost,
     ResponseTimeout,
 )
-from mintlanding.http1.client import ClientConnection, ConnectionPool
-from mintlanding.http1.models import ResponseHead
+from mintlanding.http1.client import ClientConnection
+from mintlanding.http1.models import BodyFraming, ResponseHead
 from mintlanding.http1.server import CallerRequest
 from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
@@ -30,6 +30,7 @@
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
 from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
@@ -43,7 +44,6 @@
 from mintlanding.traffic.models import Demand, RouteKind, Target
 from mintlanding.traffic.quotas import FleetQuotas
 from mintlanding.traffic.retries import FleetRetryBudget
-from mintlanding.traffic.routes import choose_service
 
 # Attempts of one request, including those that targets refused.
 _MAX_SENDS = 4
@@ -82,13 +82,17 @@
         self._limits = limits
         self._codec = codec
         self._rnd = rnd
-        self._pool = ConnectionPool(cfg.client)
+        self.connector = TargetConnector.from_config(
+            cfg, view, admissions.membership
+        )
+        self._pool = self.connector.pool
         self.quarantines = Quarantines.from_config(cfg)
         self.crash_watch = CrashWatch(
-            self.quarantines.parts, self.quarantines.requests, self._pool
+            self.quarantines.parts, self.quarantines.requests, self.connector
         )
         self._gate = SendGate(view, self.quarantines, limits)
         self.planned_stop = self._gate.planned_stop
+        self.pauses = self._gate.pauses
         self._choice = TargetChoice(
             cfg, view, admissions, limits, self._gate, self.target_table, rnd
         )
@@ -139,7 +143,7 @@
     def stop(self) -> None:
         """Close idle connections."""
         self.crash_watch.stop()
-        self._pool.close()
+        self.connector.stop()
 
     async def _accept(self, req: CallerRequest) -> RequestPlan | None:
         """Return the plan of a request, None if it was refused."""
@@ -204,7 +208,7 @@
             workspace = view.workspace(fields.key)
             if workspace is None:
                 return self._refuse_unknown('no such key', 401)
-        service = view.service(choose_service(route, self._rnd))
+        service = view.choose_service(route, self._rnd)
         if service is None:
             return Refusal(503, 'no service', self._retry_after())
         wanted = route.timeout
@@ -451,7 +455,9 @@
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
-        excluded = plan.tried | self._admissions.stewards.unreachable()
+        # Members reach the targets to which only the own path is cut.
+        unreachable = self._admissions.stewards.unreachable()
+        excluded = plan.tried | (unreachable - self.connector.cut_targets())
         workers = [
             each
             for each in self._gate.candidates(plan)
@@ -583,12 +589,10 @@
         now = self._now()
         is_reusable = plan.route.is_idempotent
         try:
-            conn = await self._pool.acquire(
-                target.address,
+            conn = await self.connector.acquire(
+                target,
                 is_fresh=not is_reusable,
-                seconds=min(
-                    self._cfg.client.connect_timeout, self._time_left(plan)
-                ),
+                seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
             )
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
@@ -674,6 +678,8 @@
     ) -> None:
         """Record a lost response; of a suspect, wait for what it means."""
         self.target_table.failed(target.target, self._now())
+        if isinstance(exc, ResponseTimeout):
+            self.connector.paths.record_silence(target.key)
         self.crash_watch.record_loss(target, plan.as_lost(), exc)
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
@@ -716,6 +722,14 @@
                 if response.is_misdirected
                 else AttemptResult.not_run
             )
+        if plan.req.is_streaming and not _continues(plan, head, response):
+            # Whatever else it is, the caller would take it for events.
+            plan.reason = (
+                f'{target.target}: status {head.status} and '
+                f'{_media_type(head)!r} do not continue a stream'
+            )
+            self.target_table.failed(target.target, now)
+            return AttemptResult.lost
         is_stream = plan.route.kind is RouteKind.stream and response.is_success
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
@@ -803,6 +817,7 @@
         req = plan.req
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
+            plan.media_type = _media_type(head)
         plan.is_stream_begun = True
         plan.events.begin_response()
         try:
@@ -892,6 +907,23 @@
     )
 
 
+def _media_type(head: ResponseHead) -> str:
+    media_type, _, _ = head.get(b'content-type').partition(b';')
+    return media_type.strip().lower().decode('latin-1')
+
+
+def _continues(
+    plan: RequestPlan, head: ResponseHead, response: TargetResponse
+) -> bool:
+    """Tell whether a response may go on with the stream that has begun."""
+    return (
+        response.is_success
+        and response.is_signed
+        and head.framing is not BodyFraming.none
+        and _media_type(head) == plan.media_type
+    )
+
+
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
