Show that brittle targets crash under twice the demand

Nothing reads Server-Brittle: instances send whatever their callers ask, and each target refuses more requests per second than it bears. Stand-ins get slots, a waiting room and a bound on refusals.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -216,6 +216,12 @@
     pause: float = 0
     # Its responses say that it leaves.
     leaving: bool = False
+    # Requests that run at once and those that may wait for them; None for any.
+    slots: int | None = None
+    waiting_room: int = 0
+    # Refusals per second for want of room that it bears, as its responses say;
+    # with more of them it crashes.
+    brittle: int | None = None
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
     # Body of a request under which the target crashes.
@@ -259,6 +265,11 @@
     # Times at which requests with `crash_body` arrived.
     crashed_at: list = field(default_factory=list)
     on_restart: Callable[['TargetStandin'], None] = lambda target: None
+    # Requests that run or wait, and the times of refusals for want of room.
+    held: int = 0
+    full_at: list = field(default_factory=list)
+    slot_freed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    running: int = 0
 
     async def start(self):
         self.server = CallerServer(
@@ -291,6 +302,7 @@
         await asyncio.sleep(self.faults.restart_after)
         self.adapters.clear()
         self.orders_taken = 0
+        self.held = self.running = 0
         await self.server.start('127.0.0.1', port)
         self.is_down = False
         self.on_restart(self)
@@ -311,6 +323,7 @@
                 'zone': self.zone,
                 'version': self.build,
                 'state': state,
+                'slots': self.faults.slots or ENTRY['slots'],
                 'seq': self.orders_taken,
                 'born': self.born,
                 'models': models if self.model else [],
@@ -327,24 +340,66 @@
                 await self._send_endless(req, [])
             self._report(req)
             return
-        await self._run(req)
+        if self.faults.slots is None:
+            await self._run(req)
+            return
+        await self._run_in_room(req)
+
+    async def _run_in_room(self, req):
+        """Run a request in a slot, refuse it without room to wait for one."""
+        room = self.faults.slots + self.faults.waiting_room
+        if self.held >= room:
+            self._refuse_full(req)
+            return
+        crashes = self.crashes
+        self.held += 1
+        has_slot = False
+        try:
+            async with self.slot_freed:
+                await self.slot_freed.wait_for(
+                    lambda: self.running < self.faults.slots
+                )
+                self.running += 1
+                has_slot = True
+            await self._run(req)
+        finally:
+            if crashes == self.crashes:
+                self.held -= 1
+                self.running -= has_slot
+            asyncio.ensure_future(self._free_slot())
+
+    async def _free_slot(self):
+        async with self.slot_freed:
+            self.slot_freed.notify_all()
+
+    def _refuse_full(self, req):
+        now = time.monotonic()
+        self.arrived_at.append(now)
+        self.full_at.append(now)
+        headers = [(b'x-not-run', b'full'), *self._own_headers()]
+        req.respond(503, headers, b'')
+        bears = self.faults.brittle
+        recent = sum(at > now - 1 for at in self.full_at)
+        if bears is not None and recent > bears and not self.is_down:
+            self.is_down = True
+            self.crashing = asyncio.ensure_future(self.crash_now())
 
     def _order(self, req):
         body = msgspec.json.decode(req.body)
         self.orders.append(body)
         if self.faults.conflicts or body['expected'] != self.orders_taken:
             self.faults.conflicts = max(0, self.faults.conflicts - 1)
-            req.respond(409, [], b'')
+            req.respond(409, self._own_headers(), b'')
             return
         adapter = body['adapter']
         self.orders_taken += 1
         if body['op'] == 'unload':
             self.adapters.pop(adapter, None)
-            req.respond(200, [], b'')
+            req.respond(200, self._own_headers(), b'')
             return
         self.adapters[adapter] = body.get('version', 1)
         assert len(self.adapters) <= self.places
-        req.respond(202, [], b'')
+        req.respond(202, self._own_headers(), b'')
 
     def _report(self, req):
         names = [f'{name}@{number}' for name, number in self.adapters.items()]
@@ -354,7 +409,8 @@
             'models': [{'name': self.model, 'version': 1, 'adapters': names}],
             'coming': [],
         }
-        req.respond(200, JSON_HEADERS, msgspec.json.encode(report))
+        headers = [*JSON_HEADERS, *self._own_headers()]
+        req.respond(200, headers, msgspec.json.encode(report))
 
     async def _run(self, req):
         self.arrivals += 1
@@ -400,6 +456,8 @@
         headers = []
         if self.faults.limit is not None:
             headers.append((b'server-limit', b'%g' % self.faults.limit))
+        if self.faults.brittle is not None:
+            headers.append((b'server-brittle', b'%d' % self.faults.brittle))
         if self.faults.leaving:
             headers.append((b'server-leaving', b'1'))
         if self.faults.shed and self.faults.pause:
--- /dev/null
+++ b/mintlanding/platform/tests/test_brittle_targets.py
@@ -0,0 +1,104 @@
+"""Targets that crash when they refuse too many requests for want of room."""
+
+import asyncio
+import time
+
+import pytest
+
+from mintlanding.platform.tests.world import LIVE, LOOKUP, ORDER, World
+
+# Refusals per second that each target bears.
+BEARS = 4
+SLOTS = 4
+# Seconds that a request runs.
+RUN_SECONDS = 0.2
+# Requests per second that the two targets of a service can run.
+CAPACITY = 2 * SLOTS / RUN_SECONDS
+# Seconds from the first response that says it until the instances comply.
+CONTACT_SECONDS = 3.0
+
+
+@pytest.fixture
+async def four():
+    found = await World().start(instances=4)
+    make_brittle(found)
+    yield found
+    await found.stop()
+
+
+def make_brittle(world):
+    """Give all targets little room, and let their entries come back."""
+    for target in world.targets:
+        target.faults.slots = SLOTS
+        target.faults.waiting_room = SLOTS
+        target.faults.brittle = BEARS
+        target.faults.restart_after = 2.0
+        target.delay = RUN_SECONDS
+        target.on_restart = lambda each: world.store.put(
+            f'servers/{each.name}', each.entry()
+        )
+        world.store.put(f'servers/{target.name}', target.entry())
+
+
+async def send_steadily(world, path, seconds, rate, change=None):
+    """Send to the instances in turn; make a change after half of the time."""
+    tasks = []
+    begin = time.monotonic()
+    for number in range(int(seconds * rate)):
+        node = number % len(world.nodes)
+        tasks.append(asyncio.create_task(world.ask(path, node=node)))
+        if change is not None and number == int(seconds * rate / 2):
+            change()
+        await asyncio.sleep(max(0, begin + number / rate - time.monotonic()))
+    return await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def most_refused(target, since):
+    """Return the most refusals for want of room within one second."""
+    times = [each for each in target.full_at if each >= since]
+    return max(
+        (sum(first <= each < first + 1 for each in times) for first in times),
+        default=0,
+    )
+
+
+async def check_flood(world, path, kind, change=None, share=0.7):
+    """Send twice what the targets can run; none may refuse too much."""
+    targets = getattr(world, kind)
+    begin = time.monotonic()
+    await send_steadily(world, path, CONTACT_SECONDS, 10)
+    crashes = sum(each.crashes for each in targets)
+    seconds = 8
+    responses = await send_steadily(
+        world, path, seconds, 2 * CAPACITY, change=change
+    )
+    since = begin + CONTACT_SECONDS
+    refused = [most_refused(each, since) for each in targets]
+    assert max(refused) <= BEARS
+    assert sum(each.crashes for each in targets) == crashes
+    served = sum(
+        not isinstance(each, BaseException) and each[0] == 200
+        for each in responses
+    )
+    assert served >= share * seconds * CAPACITY
+
+
+@pytest.mark.parametrize(
+    ('path', 'kind'),
+    [(ORDER, 'plain'), (LOOKUP, 'plain'), (LIVE, 'engines')],
+)
+async def test_brittle_targets_do_not_crash_under_twice_what_they_can_run(
+    four, path, kind
+):
+    await check_flood(four, path, kind)
+
+
+@pytest.mark.parametrize(
+    ('path', 'kind'), [(LOOKUP, 'plain'), (LIVE, 'engines')]
+)
+async def test_room_that_shrinks_without_a_word_is_followed(four, path, kind):
+    def shrink():
+        for target in getattr(four, kind):
+            target.faults.waiting_room = 0
+
+    await check_flood(four, path, kind, shrink)
