Keep brittle targets below the refusals that they bear

Callers of a service whose targets say Server-Brittle lost all of them for seconds: at twice the demand that the targets can run, each refused up to 46 requests in one second and crashed.

Nothing read the header, and nothing bounded the requests at a plain target. A turn at the elected desk (plain targets) or the steward (engines) now bounds requests under way by what was served and refused, and those whose fate is unknown by the refusals that are left; the send gate lets nothing past that. Statuses, hubs and requests for admission carry what each member learned. Members that do not reach the desk use their integer share of the refusals.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -47,7 +47,7 @@
     seconds the sender has reached the store without interruption. `suspects`
     are parts of prompts under which engines crashed, `limits` what targets
     named as their limits to the sender, `requests` whole requests under which
-    targets crashed.
+    targets crashed, `brittle` how many refusals per second targets bear.
     """
 
     instance: str
@@ -63,6 +63,7 @@
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
     leaving: tuple[tuple[str, int], ...] = ()
+    brittle: tuple[LimitReport, ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -84,7 +85,7 @@
 
     `admitted` is the sum over all processes that the zone ever had, `levels`
     the mean of the members, `store_contact` the longest of them, `suspects`,
-    `limits`, `requests` and `leaving` what they report together.
+    `limits`, `requests`, `leaving` and `brittle` what they report together.
     """
 
     zone: str
@@ -100,6 +101,7 @@
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
     leaving: tuple[tuple[str, int], ...] = ()
+    brittle: tuple[LimitReport, ...] = ()
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -225,6 +225,7 @@
                 round(times.first_event, 3),
                 round(times.longest_pause, 3),
             )
+        self.limits.end_own(message)
         holder = self.holder(worker)
         if holder == self.membership.instance:
             self.stewards.end(message)
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -179,6 +179,7 @@
         sources.requests = self.relay.quarantines.requests.reports
         sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
+        sources.brittle = self._limits.brittle.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
@@ -189,6 +190,8 @@
         self.relay.crash_watch.on_recurrence = self._share_crash
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
+        listeners.on_brittle = self._limits.merge_brittle
+        self._limits.departed = self._reach.departed
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
         listeners.on_store_contact = self._record_store_contact
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -4,6 +4,8 @@
 elected among those that reach each other. It lets pass as large a part of the
 limit as it reaches members. An instance that cannot reach the holder keeps its
 own part, so that all parts of a divided fleet together stay within the limit.
+
+The room of brittle targets is kept in the same way.
 """
 
 import asyncio
@@ -20,6 +22,7 @@
     AdmissionReply,
     AdmissionRequest,
 )
+from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
 from mintlanding.target_limits.desk import LimitDesk
 from mintlanding.target_limits.messages import LimitReport
 from mintlanding.target_limits.pacer import Pacer
@@ -75,6 +78,9 @@
     ) -> None:
         """Start without limits."""
         self.table = LimitTable()
+        # Refusals per second that brittle targets bear.
+        self.brittle = LimitTable()
+        self.departed: Callable[[], frozenset[str]] = frozenset
         self._cfg = cfg
         self._view = view
         self._membership = membership
@@ -92,10 +98,22 @@
         """Tell whether a target has a limit."""
         return self.table.limit(target.key) is not None
 
+    def is_brittle(self, target: Target) -> bool:
+        """Tell whether a target crashes when it refuses too much."""
+        return self.brittle.limit(target.key) is not None
+
+    def needs_turn(self, target: Target) -> bool:
+        """Tell whether a request to a target needs a turn."""
+        return self.is_limited(target) or self.is_brittle(target)
+
     def count(self) -> int:
         """Return the number of targets that have a limit."""
         return len(self.table.limited())
 
+    def count_brittle(self) -> int:
+        """Return the number of brittle targets."""
+        return len(self.brittle.limited())
+
     def holder(self, target: str) -> str:
         """Return the instance that keeps the limit of a plain target."""
         return self._membership.elected(target)
@@ -114,6 +132,7 @@
         """Record what a response to a request sent at a time says."""
         if not response.is_from(target.target):
             return
+        self._record_brittle(target, response, sent_at)
         if response.has_invalid_limit:
             self._logger.warning(
                 'Limit unreadable; the last one stays in force.',
@@ -130,6 +149,30 @@
             )
             self.update()
 
+    def _record_brittle(
+        self, target: Target, response: TargetResponse, sent_at: float
+    ) -> None:
+        if response.has_invalid_brittle:
+            self._logger.warning(
+                'Number of refusals unreadable; the last one stays in force.',
+                target=target.target,
+            )
+            return
+        now = boot_seconds()
+        if self.brittle.record(target.key, response.brittle, sent_at, now):
+            self._logger.info(
+                'Brittle target changed.',
+                target=target.target,
+                incarnation=target.incarnation,
+                refusals=response.brittle,
+            )
+            self.update()
+
+    def merge_brittle(self, reports: Sequence[LimitReport], now: float) -> None:
+        """Apply what another instance reports of brittle targets."""
+        if reports and self.brittle.merge(reports, now):
+            self.update()
+
     def merge(self, reports: Sequence[LimitReport], now: float) -> None:
         """Apply what another instance reports."""
         if reports and self.table.merge(reports, now):
@@ -146,9 +189,21 @@
         reachable, members = self._membership.reach(boot_seconds())
         return limit * reachable / members
 
+    def holder_share(self, target: TargetKey) -> RoomShare | None:
+        """Return what this instance may use of a brittle target as holder."""
+        now = boot_seconds()
+        return self._share(
+            target,
+            [
+                each
+                for each in self._view.members
+                if self._membership.is_reachable(each, now)
+            ],
+        )
+
     def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
         """Request a turn at a plain target for any instance."""
-        self._reserve(self._desks, req, on_reply, self.holder_limit)
+        self._reserve(self._desks, req, on_reply)
 
     async def reserve_own(self, req: AdmissionRequest) -> AdmissionReply:
         """Wait for a turn within the own part of a limit."""
@@ -160,7 +215,7 @@
             if not admission.is_waiting and not reply.done():
                 reply.set_result(admission)
 
-        self._reserve(self._own_desks, req, receive, self._own_limit)
+        self._reserve(self._own_desks, req, receive)
         try:
             return await reply
         finally:
@@ -172,13 +227,21 @@
     def holder_replied(self, target: str) -> None:
         """Give up the own part of a limit, since its holder is reachable."""
         opened = self._own_desks.get(target)
-        if opened is not None and not opened.desk.queue:
-            opened.close()
-            self._own_desks.pop(target)
+        if opened is None or opened.desk.queue or opened.desk.room is not None:
+            return
+        opened.close()
+        self._own_desks.pop(target)
 
     def end(self, message: AdmissionEnd) -> None:
         """Process the end of a request to a plain target."""
-        opened = self._desks.get(message.worker)
+        self._end(self._desks, message)
+
+    def end_own(self, message: AdmissionEnd) -> None:
+        """Process the end of a request with a turn in the own part."""
+        self._end(self._own_desks, message)
+
+    def _end(self, desks: dict[str, _OpenDesk], message: AdmissionEnd) -> None:
+        opened = desks.get(message.worker)
         if opened is not None:
             opened.callbacks.pop(message.request_id, None)
             opened.desk.end(message, boot_seconds())
@@ -188,21 +251,24 @@
         """Adapt the desks to limits, members and targets."""
         now = boot_seconds()
         targets = self._view.targets
-        self.table.retain({each.key for each in targets.values()}, now)
+        runs = {each.key for each in targets.values()}
+        self.table.retain(runs, now)
+        self.brittle.retain(runs, now)
         self._waits = {
             target: until
             for target, until in self._waits.items()
-            if now < until and self.table.limit(target) is not None
+            if now < until
+            and (
+                self.table.limit(target) is not None
+                or self.brittle.limit(target) is not None
+            )
         }
-        for desks, rate in (
-            (self._desks, self.holder_limit),
-            (self._own_desks, self._own_limit),
-        ):
+        for desks in (self._desks, self._own_desks):
             for name, opened in tuple(desks.items()):
                 if self._is_outdated(name, opened, now):
                     desks.pop(name).close()
                     continue
-                _set_rate(opened.desk, rate(opened.key), now)
+                self._adapt(opened, now)
                 self._proceed(opened)
         self.on_change()
 
@@ -229,12 +295,43 @@
         _, members = self._membership.reach(boot_seconds())
         return limit / members
 
+    def _share(
+        self, target: TargetKey, others: Sequence[str]
+    ) -> RoomShare | None:
+        """Return the share of this instance and others of a brittle target."""
+        refusals = self.brittle.limit(target)
+        if refusals is None:
+            return None
+        own = self._membership.instance
+        return RoomShare.of_members(
+            target[0],
+            refusals,
+            {own, *others},
+            {own, *self._view.members, *self.departed()},
+        )
+
+    def _adapt(self, opened: _OpenDesk, now: float) -> None:
+        """Adapt a desk to the limit of its target and to its room."""
+        desk, key = opened.desk, opened.key
+        if self._own_desks.get(desk.target) is opened:
+            _set_rate(desk, self._own_limit(key), now)
+            share = self._share(key, ())
+        else:
+            _set_rate(desk, self.holder_limit(key), now)
+            share = self.holder_share(key)
+        target = self._view.targets.get(desk.target)
+        if share is None or target is None:
+            desk.room = None
+        elif desk.room is None:
+            desk.room = BrittleRoom(target.slots, share, now)
+        else:
+            desk.room.set_share(share)
+
     def _reserve(
         self,
         desks: dict[str, _OpenDesk],
         req: AdmissionRequest,
         on_reply: ReplyCallback,
-        rate: Callable[[TargetKey], float | None],
     ) -> None:
         now = boot_seconds()
         target = self._view.targets.get(req.worker)
@@ -254,7 +351,7 @@
                 opened.close()
             opened = self._open(target, is_own=desks is self._own_desks)
             desks[req.worker] = opened
-            _set_rate(opened.desk, rate(target.key), now)
+            self._adapt(opened, now)
         opened.used_at = now
         opened.callbacks[req.request_id] = on_reply
         self._deliver(opened, opened.desk.reserve(req, now))
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -24,6 +24,7 @@
     quarantined = len(relay.quarantines.requests.quarantined())
     lines.append(f'mintlanding_quarantined_requests {quarantined}')
     lines.append(f'mintlanding_limited_targets {limits.count()}')
+    lines.append(f'mintlanding_brittle_targets {limits.count_brittle()}')
     for worker, steward in sorted(stewards.stewards.items()):
         label = f'{{worker="{worker}"}}'
         counters = steward.counters
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -32,7 +32,11 @@
 from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionRequest,
+    GrantOutcome,
+)
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.header_fields import (
@@ -350,11 +354,25 @@
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
-            result = await self._attempt(plan, target, 0)
+            result = await self._attempt_in_turn(plan, target)
             if not self._can_retry(plan, result, target):
                 return result
         return result
 
+    async def _attempt_in_turn(
+        self, plan: RequestPlan, target: Target
+    ) -> AttemptResult:
+        """Attempt a request; report its end if the target has little room."""
+        turn_id, plan.turn_id = plan.turn_id, ''
+        outcome = GrantOutcome.failed
+        try:
+            result = await self._attempt(plan, target, 0)
+            outcome = _outcome(result, plan)
+            return result
+        finally:
+            if turn_id and self._limits.is_brittle(target):
+                self._admissions.end(target.target, turn_id, outcome)
+
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -448,6 +466,12 @@
                     outcome,
                     plan.times,
                 )
+            else:
+                self._limits.end_own(
+                    AdmissionEnd(
+                        reservation.reservation_id, reservation.worker, outcome
+                    )
+                )
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
@@ -531,6 +555,7 @@
             reroute_wait=reroute_wait,
             parts=plan.fields.parts,
             limits=self._limits.table.report(target.key, boot_seconds()),
+            brittle=self._limits.brittle.report(target.key, boot_seconds()),
             event_gap=plan.route.event_gap,
         )
         reply = await self._admissions.reserve(admission)
@@ -542,7 +567,7 @@
                 return None
             return Reservation(target.target, reservation_id, is_granted=False)
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds())
             return Reservation(target.target, reservation_id, reply.version)
         plan.reason = f'{target.target}: {reply.reason}'
         if not reply.elsewhere:
@@ -553,14 +578,14 @@
         self, plan: RequestPlan, target: Target, admission: AdmissionRequest
     ) -> bool:
         """Wait for a turn in this instance's own part of an engine's limit."""
-        if not self._limits.is_limited(target):
+        if not self._limits.needs_turn(target):
             return True
         reply = await self._limits.reserve_own(admission)
         if not reply.is_granted:
             plan.reason = f'{target.target}: {reply.reason}'
             plan.retry_after = reply.retry_after
             return False
-        plan.turn = target.key
+        plan.take_turn(target.key, boot_seconds())
         return True
 
     def _required_version(self, plan: RequestPlan) -> int:
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -20,8 +20,8 @@
     `failed`: it ran, failed and is retried elsewhere. `broken`: the response
     was lost after a part of it had been sent to the caller. `quarantined`: a
     part of the prompt crashes engines, so that the request was not sent.
-    `no_turn`: the target has a limit, and the request has no turn within it, or
-    it has asked for a pause.
+    `no_turn`: the target has a limit or little room, and the request has no
+    turn within it, or it has asked for a pause.
     """
 
     done = 'done'
@@ -60,8 +60,9 @@
     age of the view when the request was sent. Once a stream has begun, it may
     go on only at `began_at_build`. `turn` is the target at which the request
     may take one place within the limit that the target named, `turns` how often
-    it asked for one; `sent_at` is when the last attempt was sent, `times` are
-    those of its events.
+    it asked for one; `turn_at` is when it got the turn, and `turn_id` the id
+    under which the end of the request is reported. `sent_at` is when the last
+    attempt was sent, `times` are those of its events.
     """
 
     req: CallerRequest
@@ -81,6 +82,8 @@
     limit: float | None = None
     turn: tuple[str, int] | None = None
     turns: int = 0
+    turn_at: float = 0
+    turn_id: str = ''
     sent_at: float = 0
     times: StreamTimes = field(default_factory=lambda: StreamTimes(0))
     is_stream_begun: bool = False
@@ -109,6 +112,14 @@
         """Tell whether the last attempt has brought a whole event."""
         return self.is_stream_begun and self.events.has_events
 
+    def take_turn(
+        self, target: tuple[str, int], now: float, turn_id: str = ''
+    ) -> None:
+        """Record a turn at a target."""
+        self.turn = target
+        self.turn_at = now
+        self.turn_id = turn_id
+
     def record_sent(self, now: float) -> None:
         """Record that an attempt is sent."""
         self.sent_at = now
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -17,6 +17,7 @@
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_plan import AttemptResult, RequestPlan
 from mintlanding.node.view import FleetView
+from mintlanding.target_limits.brittle import TURN_SECONDS
 from mintlanding.traffic.models import Target
 from mintlanding.traffic.pauses import TargetPauses
 
@@ -136,6 +137,20 @@
     return Barrier(AttemptResult.no_turn, reason)
 
 
+@SEND_CHECKS.register('room')
+def check_room(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that a request has a recent turn at a brittle target."""
+    if not gate.limits.is_brittle(target):
+        return None
+    is_recent = boot_seconds() < plan.turn_at + TURN_SECONDS
+    if plan.turn == target.key and is_recent:
+        return None
+    reason = f'{target.target}: no turn within its room'
+    return Barrier(AttemptResult.no_turn, reason)
+
+
 @SEND_CHECKS.register('pause')
 def check_pause(
     gate: SendGate, plan: RequestPlan, target: Target
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -64,6 +64,7 @@
     suspects: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     requests: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     limits: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
+    brittle: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
     leaving: Callable[[], tuple[tuple[str, int], ...]] = tuple
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
@@ -87,6 +88,9 @@
     on_limits: Callable[[tuple[LimitReport, ...], float], None] = (
         lambda limits, now: None
     )
+    on_brittle: Callable[[tuple[LimitReport, ...], float], None] = (
+        lambda brittle, now: None
+    )
     on_adapter_use: (
         Callable[[str, tuple[tuple[str, str], ...]], None] | None
     ) = None
@@ -236,6 +240,7 @@
         self.listeners.on_store_contact(status.store_contact, now)
         self.listeners.on_suspects(status.suspects, now)
         self.listeners.on_limits(status.limits, now)
+        self.listeners.on_brittle(status.brittle, now)
         self.listeners.on_requests(status.requests, now)
         self._notify_leaving(status.leaving)
         if not self.uses_hubs:
@@ -269,6 +274,7 @@
         self.listeners.on_store_contact(zone_status.store_contact, now)
         self.listeners.on_suspects(zone_status.suspects, now)
         self.listeners.on_limits(zone_status.limits, now)
+        self.listeners.on_brittle(zone_status.brittle, now)
         self.listeners.on_requests(zone_status.requests, now)
         self._notify_leaving(zone_status.leaving)
         for instance, digest in zone_status.digests:
@@ -305,6 +311,7 @@
             limits=self.sources.limits(now),
             requests=self.sources.requests(now),
             leaving=self.sources.leaving(),
+            brittle=self.sources.brittle(now),
         )
 
     def _send_use_reports(self) -> None:
@@ -434,6 +441,11 @@
             leaving=tuple(
                 sorted({key for each in live.values() for key in each.leaving})
             ),
+            brittle=combine_limits(
+                (report, self._delay(each.instance, now))
+                for each in live.values()
+                for report in each.brittle
+            ),
         )
 
     def _delay(self, member: str, now: float) -> float:
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -179,6 +179,7 @@
     def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
         """Request an admission; `on_reply` may be called later and twice."""
         self._limits.merge(req.limits, boot_seconds())
+        self._limits.merge_brittle(req.brittle, boot_seconds())
         target = self._view.targets.get(req.worker)
         if target is not None and not self._view.is_engine(target):
             self._limits.reserve(req, on_reply)
@@ -293,9 +294,11 @@
         self, steward: EngineSteward, target: Target, now: float
     ) -> None:
         limit = self._limits.holder_limit(target.key)
-        if limit is None and steward.pacer is None:
-            return
-        self._execute(target.target, steward.set_limit(limit, now))
+        if limit is not None or steward.pacer is not None:
+            self._execute(target.target, steward.set_limit(limit, now))
+        share = self._limits.holder_share(target.key)
+        if share is not None or steward.room is not None:
+            self._execute(target.target, steward.set_room_share(share, now))
 
     def _execute(self, worker: str, actions: Sequence[Action]) -> None:
         for action in actions:
@@ -443,7 +446,7 @@
         response = self._codec.read_response(head, '')
         if response.is_leaving:
             self._view.mark_leaving(target.key)
-        if response.limit is not None:
+        if response.limit is not None or response.brittle is not None:
             self._limits.record_response(target, response, boot_seconds())
 
     async def _request_report(self, worker: str) -> None:
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -60,13 +60,13 @@
             _now(),
             may_fail=plan.route.is_idempotent,
         ):
-            if not self.limits.is_limited(target):
+            if not self.limits.needs_turn(target):
                 return target
             if await self._take_turn(plan, target, 0):
                 return target
             full.add(target.target)
         now = boot_seconds()
-        limited = [each for each in targets if self.limits.is_limited(each)]
+        limited = [each for each in targets if self.limits.needs_turn(each)]
         if not limited:
             return None
         first = min(limited, key=lambda each: self.limits.wait(each, now))
@@ -132,9 +132,10 @@
         """Wait for a turn within the limit of a plain target."""
         begin = _now()
         plan.turns += 1
+        turn_id = f'{plan.fields.request_id}.t{plan.turns}'
         reply = await self.admissions.take_turn(
             AdmissionRequest(
-                request_id=f'{plan.fields.request_id}.t{plan.turns}',
+                request_id=turn_id,
                 worker=target.target,
                 model='',
                 adapter='',
@@ -147,11 +148,12 @@
                 deadline=_time_left(plan),
                 reroute_wait=max_wait,
                 limits=self.limits.table.report(target.key, boot_seconds()),
+                brittle=self.limits.brittle.report(target.key, boot_seconds()),
             ),
         )
         plan.waited += _now() - begin
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds(), turn_id)
             return True
         plan.reason = f'{target.target}: {reply.reason}'
         plan.retry_after = min(
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -27,6 +27,7 @@
 _LOAD = b'x-server-load'
 _LIMIT = b'server-limit'
 _LEAVING = b'server-leaving'
+_BRITTLE = b'server-brittle'
 _RETRY_AFTER = b'retry-after'
 _SCHEME = 'Token '
 # Set only by the relay; a caller's values are dropped.
@@ -120,6 +121,8 @@
     is_misdirected = head.status == _MISDIRECTED
     named_limit = head.get(_LIMIT)
     limit = _number(named_limit)
+    named_brittle = head.get(_BRITTLE)
+    brittle = _number(named_brittle)
     return TargetResponse(
         status=head.status,
         matches_request=not echoed or echoed == request_id,
@@ -132,6 +135,8 @@
         has_invalid_limit=named_limit != b'' and limit is None,
         is_leaving=head.get(_LEAVING) == b'1',
         pause=_pause(head),
+        brittle=brittle,
+        has_invalid_brittle=named_brittle != b'' and brittle is None,
     )
 
 
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -37,7 +37,8 @@
     is the better choice. `parts` are the parts of the prompt in order, each
     with its number of tokens. `limits` is what the sender knows of a limit
     that the worker named. `event_gap` is the longest pause in seconds between
-    two events of a stream with which it is still on time, 0 for none.
+    two events of a stream with which it is still on time, 0 for none. `brittle`
+    is what the sender knows of the refusals that the worker bears.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     limits: tuple[LimitReport, ...] = ()
     event_gap: float = 0
+    brittle: tuple[LimitReport, ...] = ()
 
 
 class AdmissionReply(
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -31,6 +31,11 @@
 from mintlanding.residency.pauses import PauseBudget
 from mintlanding.residency.prefix_cache import PrefixCacheModel
 from mintlanding.residency.queue import AdmissionQueue, missed_turns
+from mintlanding.target_limits.brittle import (
+    ROOM_REASON,
+    BrittleRoom,
+    RoomShare,
+)
 from mintlanding.target_limits.pacer import Pacer
 
 # Weight of a new service time in the exponential moving average.
@@ -45,6 +50,8 @@
 _LIMIT_REASON = 'its limit is used up'
 # Retry times get up to this share of jitter, to spread the retries.
 _RETRY_JITTER = 0.3
+# The same for a brittle engine, whose room is short for longer.
+_ROOM_RETRY_JITTER = 1.0
 
 
 class EngineSteward:
@@ -78,6 +85,8 @@
         self.queue = AdmissionQueue(options)
         # Set while the engine names a limit of requests per second.
         self.pacer: Pacer | None = None
+        # Set while the engine is brittle.
+        self.room: BrittleRoom | None = None
         self.pauses = PauseBudget(options.pauses)
         self.pace = pace or EnginePace(
             options.initial_prefill_rate, options.initial_token_time
@@ -150,6 +159,8 @@
         """End a granted or queued request."""
         if self.queue.remove(message.request_id) is not None:
             return self._proceed(now)
+        if self.room is not None:
+            self.room.record_end(message.request_id, message.outcome, now)
         granted = self._granted.pop(message.request_id, None)
         if granted is None:
             return []
@@ -270,6 +281,22 @@
             self.pacer.set_limit(limit, now)
         return self._proceed(now)
 
+    def set_room_share(
+        self, share: RoomShare | None, now: float
+    ) -> Sequence[Action]:
+        """Send no more than a share of the room of a brittle engine."""
+        if share is None:
+            self.room = None
+        elif self.room is None:
+            self.room = BrittleRoom(self._capacity.batch_limit, share, now)
+            self.room.adopt(
+                (request_id, each.since, each.expires)
+                for request_id, each in self._granted.items()
+            )
+        else:
+            self.room.set_share(share)
+        return self._proceed(now)
+
     def set_authority(
         self,
         may_order: bool,
@@ -316,6 +343,9 @@
         turn = 0 if self.pacer is None else self.pacer.wait(now)
         if self.queue and turn > 0:
             times.append(now + turn)
+        if self.queue and self.room is not None:
+            room = self.room.wait(now)
+            times.append(now + room if 0 < room < math.inf else None)
         if self._pending_order is not None:
             times.append(self._pending_order.resend_at)
         times.append(self._report_at)
@@ -357,7 +387,10 @@
         turn: float = 0
         if self.pacer is not None:
             turn = self.pacer.wait(now, ahead)
-        return max(prefill, batch, load, turn)
+        room: float = 0
+        if self.room is not None:
+            room = self.room.expected_wait(now, ahead)
+        return max(prefill, batch, load, turn, room)
 
     def _orders_wait(self, now: float) -> float:
         """Return the seconds until orders can be sent, inf if unknown."""
@@ -523,6 +556,8 @@
             return True
         if self.pacer is not None and self.pacer.wait(now) > 0:
             return True
+        if self.room is not None and self.room.wait(now) > 0:
+            return True
         return self._prefill_until - now > self._options.max_prefill_backlog
 
     def _wait_reason(self, req: AdmissionRequest, now: float) -> str:
@@ -533,6 +568,8 @@
             return 'the batch is full'
         if self.pacer is not None and self.pacer.wait(now) > 0:
             return _LIMIT_REASON
+        if self.room is not None and self.room.wait(now) > 0:
+            return ROOM_REASON
         if self._prefill_until - now > self._options.max_prefill_backlog:
             return 'prompts are behind'
         if req.adapter and not self.adapter_slots.is_ready(req.adapter, now):
@@ -564,6 +601,8 @@
         expires = now + req.deadline + _GRANT_GRACE
         if self.pacer is not None:
             self.pacer.take(now)
+        if self.room is not None:
+            self.room.begin(req.request_id, now, expires)
         self._tokens += _total_tokens(req)
         cost = self._prefill_seconds(req)
         self._prefixes.note(req.adapter, req.parts)
@@ -715,7 +754,8 @@
     ) -> AdmissionReply:
         self.counters.refusals += 1
         expected = wait or self.expected_wait(req.adapter, float('inf'), now)
-        spread = 1 + _RETRY_JITTER * self._rnd.random()
+        jitter = _RETRY_JITTER if self.room is None else _ROOM_RETRY_JITTER
+        spread = 1 + jitter * self._rnd.random()
         return AdmissionReply(
             req.request_id,
             self.worker,
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -48,7 +48,8 @@
     all instances together, None if it names no limit. With `has_invalid_limit`
     it names one that could not be read. `is_leaving` says that the target ends
     soon and wants no further requests. A target that turned the request away
-    wants none for `pause` seconds.
+    wants none for `pause` seconds. `brittle` is how many refusals per second
+    for want of room it bears before it crashes, None if it bears any number.
     """
 
     status: int
@@ -62,6 +63,8 @@
     has_invalid_limit: bool = False
     is_leaving: bool = False
     pause: float = 0
+    brittle: float | None = None
+    has_invalid_brittle: bool = False
 
     def is_from(self, target: str) -> bool:
         """Return whether a target sent it, as far as the response tells."""
--- a/mintlanding/traffic/reach.py
+++ b/mintlanding/traffic/reach.py
@@ -34,6 +34,10 @@
     _contacts: dict[str, MemberContact] = field(default_factory=dict)
     _departed: dict[str, float] = field(default_factory=dict)
 
+    def departed(self) -> frozenset[str]:
+        """Return the members that ended silently a short while ago."""
+        return frozenset(self._departed)
+
     def update(
         self, contacts: Mapping[str, MemberContact], interval: float, now: float
     ) -> tuple[float, int]:
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -933,6 +933,7 @@
     'mintlanding_quarantined_parts 1',
     'mintlanding_quarantined_requests 2',
     'mintlanding_limited_targets 2',
+    'mintlanding_brittle_targets 3',
     'mintlanding_worker_running{worker="i-7f"} 7',
     'mintlanding_worker_queued{worker="i-7f"} 8',
     'mintlanding_worker_grants_total{worker="i-7f"} 3',
@@ -978,7 +979,7 @@
         ),
         types.SimpleNamespace(stewards={'i-7f': steward}),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
-        types.SimpleNamespace(count=lambda: 2),
+        types.SimpleNamespace(count=lambda: 2, count_brittle=lambda: 3),
     )
 
 
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -118,6 +118,11 @@
             ),
         ),
         leaving=(('text-31', 32),),
+        brittle=(
+            target_limits.LimitReport(
+                target='text-33', incarnation=34, limit=35.5, age=36.5
+            ),
+        ),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -182,6 +187,11 @@
             ),
         ),
         leaving=(('text-54', 55),),
+        brittle=(
+            target_limits.LimitReport(
+                target='text-60', incarnation=61, limit=62.5, age=63.5
+            ),
+        ),
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
@@ -238,6 +248,11 @@
             ),
         ),
         event_gap=74.5,
+        brittle=(
+            target_limits.LimitReport(
+                target='text-75', incarnation=76, limit=77.5, age=78.5
+            ),
+        ),
     ),
     'residency.AdmissionReply': residency.AdmissionReply(
         request_id='text-70',
