--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -47,6 +47,11 @@
         self._is_complete = False
         self._reset_exchange()
 
+    @property
+    def member(self) -> str:
+        """Return the member that passes the bytes on, empty for none."""
+        return ''
+
     @property
     def is_open(self) -> bool:
         """Tell whether the connection can be written to."""
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -252,13 +252,13 @@
         """Return the address of a target, or why members get no path to it."""
         target = self.view.targets.get(name)
         if target is None or target.incarnation != incarnation:
-            return f'{name}/{incarnation} is not a target'
+            return f'no target of incarnation {incarnation}'
         if target.is_leaving:
-            return f'{name} leaves'
+            return 'it leaves'
         if self.relay.pauses.wait(target.key, boot_seconds()):
-            return f'{name} asked for a pause'
+            return 'it asked for a pause'
         if self.relay.connector.paths.is_cut(target.key):
-            return f'{name} is reached through other members only'
+            return 'it is reached through other members only'
         return target.address
 
     def _learn_from_head(
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -16,6 +16,9 @@
     """Return the lines of the metrics page."""
     lines = relay.log.render()
     lines.append(f'mintlanding_connections_opened_total {relay.opened}')
+    lines.append(f'mintlanding_paths_opened_total {relay.connector.opened}')
+    cut = len(relay.connector.cut_targets())
+    lines.append(f'mintlanding_cut_targets {cut}')
     reachable, members = membership.reach(boot_seconds())
     lines.append(f'mintlanding_members {members}')
     lines.append(f'mintlanding_members_heard {reachable}')
--- a/mintlanding/node/path_client.py
+++ b/mintlanding/node/path_client.py
@@ -51,6 +51,11 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def member(self) -> str:
+        """Return the address of the member that passes the bytes on."""
+        return '{0}:{1}'.format(*self.address)
+
     @property
     def is_reusable(self) -> bool:
         """Tell that the path ends with its request."""
@@ -122,7 +127,11 @@
         self._options = options
 
     async def open(
-        self, target: Target, seconds: float, lifetime: float
+        self,
+        target: Target,
+        seconds: float,
+        lifetime: float,
+        request_id: str = '',
     ) -> ClientConnection:
         """Return a path to a target within `seconds`.
 
@@ -130,6 +139,7 @@
         none of the helpers has a path.
         """
         reason = 'no member to ask for a path'
+        request = self._request(target, lifetime, request_id)
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         for address in self._in_order(target, loop.time()):
@@ -138,7 +148,7 @@
                 break
             try:
                 async with asyncio.timeout(left):
-                    conn = await self._open_through(address, target, lifetime)
+                    conn = await self._open_through(address, request)
             except (RequestNotSent, OSError, ValueError) as exc:
                 reason = str(exc) or repr(exc)
                 self._failed[(address, target.key)] = loop.time()
@@ -170,25 +180,29 @@
 
         return sorted(self._helpers(), key=rank)[:_MAX_MEMBERS]
 
+    def _request(
+        self, target: Target, lifetime: float, request_id: str
+    ) -> OpenPath:
+        identity = self._identity()
+        return OpenPath(
+            identity.instance,
+            path_proof(identity.fleet_key, identity.instance),
+            target.target,
+            target.incarnation,
+            lifetime,
+            request_id,
+        )
+
     async def _open_through(
-        self, address: Address, target: Target, lifetime: float
+        self, address: Address, request: OpenPath
     ) -> ClientConnection:
-        identity = self._identity()
         conn = IndirectConnection(self._options, address)
         transport, _ = await asyncio.get_running_loop().create_connection(
             lambda: conn, *address
         )
         set_user_timeout(transport, self._options.user_timeout)
         try:
-            await conn.opened(
-                OpenPath(
-                    identity.instance,
-                    path_proof(identity.fleet_key, identity.instance),
-                    target.target,
-                    target.incarnation,
-                    lifetime,
-                )
-            )
+            await conn.opened(request)
         except BaseException:
             conn.abort()
             raise
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -207,7 +207,7 @@
     async def _open(self, request: OpenPath) -> None:
         address = self._server.resolve(request)
         if isinstance(address, str):
-            self._reply(address)
+            self._refuse(request, address)
             return
         self._expire_after(request.seconds)
         loop = asyncio.get_running_loop()
@@ -219,17 +219,26 @@
                     lambda: side, *address
                 )
         except (OSError, OverflowError, ValueError) as exc:
-            self._reply(f'no connection to {request.target}: {exc!r}')
+            self._refuse(request, f'no connection to it: {exc!r}')
             return
         set_user_timeout(transport, self._server.options.user_timeout)
         side.peer, self.peer = self, side
         self._server.opened += 1
         self._reply('')
 
+    def _refuse(self, request: OpenPath, reason: str) -> None:
+        self._server.logger.info(
+            'Path refused.',
+            request=request.request_id,
+            peer=request.instance,
+            target=request.target,
+            reason=reason,
+        )
+        self._reply(f'{request.target}: {reason}')
+        self.close()
+
     def _reply(self, reason: str) -> None:
         self.write(frame(_ENCODER.encode(PathReply(reason))))
-        if reason:
-            self.close()
 
     def _expire_after(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -618,7 +618,9 @@
                 target,
                 is_fresh=not is_reusable,
                 seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
+                request_id=plan.fields.request_id,
             )
+            plan.through = conn.member
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
             self.target_table.failed(target.target, now)
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -63,7 +63,8 @@
     the target named, `turns` how often it asked for one; `turn_at` is when it
     got the turn, and `turn_id` the id under which the end of the request is
     reported. `sent_at` is when the last attempt was sent, `times` are those of
-    its events.
+    its events. `through` is the address of the member through which the last
+    target was reached, empty for a direct connection.
     """
 
     req: CallerRequest
@@ -90,6 +91,7 @@
     is_stream_begun: bool = False
     last_event: str = ''
     target: str = ''
+    through: str = ''
     build: str = ''
     entry: str = ''
     view_age: float = 0
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -90,19 +90,25 @@
         return self.paths.is_cut_off(keys)
 
     async def acquire(
-        self, target: Target, *, is_fresh: bool, seconds: float
+        self,
+        target: Target,
+        *,
+        is_fresh: bool,
+        seconds: float,
+        request_id: str = '',
     ) -> ClientConnection:
         """Return a connection to a target; raise RequestNotSent without one.
 
         `seconds` is the time left for the request.
         """
         if self.paths.is_cut(target.key):
-            return await self._open_path(target, seconds)
+            timeout = min(self._connect_timeout, seconds)
+            return await self._client.open(target, timeout, seconds, request_id)
         if not is_fresh and self.paths.may_reuse(target.key):
             conn = self.pool.take_idle(target.address)
             if conn is not None:
                 return conn
-        return await self._connect(target, seconds)
+        return await self._connect(target, seconds, request_id)
 
     async def is_refused(self, target: Target, seconds: float) -> bool:
         """Tell whether a target refuses connections, by one to it.
@@ -139,7 +145,7 @@
         self.pool.close()
 
     async def _connect(
-        self, target: Target, seconds: float
+        self, target: Target, seconds: float, request_id: str
     ) -> ClientConnection:
         """Connect directly; after a short while also through a member."""
         timeout = min(self._connect_timeout, seconds)
@@ -151,7 +157,7 @@
             await asyncio.wait((direct,), timeout=_HEDGE_SECONDS)
             if not _succeeded(direct):
                 attempts.indirect = asyncio.create_task(
-                    self._client.open(target, timeout, seconds)
+                    self._client.open(target, timeout, seconds, request_id)
                 )
             attempts.chosen = await _first_success(attempts.in_order())
         finally:
@@ -183,12 +189,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _open_path(
-        self, target: Target, seconds: float
-    ) -> ClientConnection:
-        timeout = min(self._connect_timeout, seconds)
-        return await self._client.open(target, timeout, seconds)
-
     async def _is_reached_by_member(
         self, target: Target, seconds: float
     ) -> bool:
--- a/mintlanding/paths/messages.py
+++ b/mintlanding/paths/messages.py
@@ -13,7 +13,8 @@
     """Request for a path to one run of a target.
 
     `seconds` is the time after which the path is of no use; `proof` shows
-    knowledge of the fleet's key.
+    knowledge of the fleet's key. `request_id` is that of the caller's request,
+    for the logs.
     """
 
     instance: str
@@ -21,6 +22,7 @@
     target: str
     incarnation: int
     seconds: float
+    request_id: str = ''
 
 
 class PathReply(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -930,6 +930,8 @@
     'mintlanding_request_seconds_sum 1.250',
     'mintlanding_request_seconds_count 5',
     'mintlanding_connections_opened_total 9',
+    'mintlanding_paths_opened_total 6',
+    'mintlanding_cut_targets 1',
     'mintlanding_members 11',
     'mintlanding_members_heard 10',
     'mintlanding_quarantined_parts 1',
@@ -974,6 +976,9 @@
         types.SimpleNamespace(
             log=log,
             opened=9,
+            connector=types.SimpleNamespace(
+                opened=6, cut_targets=lambda: {'i-7f'}
+            ),
             quarantines=types.SimpleNamespace(
                 parts=types.SimpleNamespace(quarantined=lambda: ('part',)),
                 requests=types.SimpleNamespace(quarantined=lambda: ('a', 'b')),
