--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -210,18 +210,13 @@
             self._refuse(request, address)
             return
         self._expire_after(request.seconds)
-        loop = asyncio.get_running_loop()
         side = _TargetSide(functools.partial(self._server.on_head, request))
         seconds = min(request.seconds, self._server.options.connect_timeout)
         try:
-            async with asyncio.timeout(seconds):
-                transport, _ = await loop.create_connection(
-                    lambda: side, *address
-                )
+            await self._server.connect(side, address, seconds)
         except (OSError, OverflowError, ValueError) as exc:
             self._refuse(request, f'no connection to it: {exc!r}')
             return
-        set_user_timeout(transport, self._server.options.user_timeout)
         side.peer, self.peer = self, side
         self._server.opened += 1
         self._reply('')
@@ -282,6 +277,15 @@
             return 0
         return int(self._listener.sockets[0].getsockname()[1])
 
+    async def connect(
+        self, side: asyncio.Protocol, address: Address, seconds: float
+    ) -> None:
+        """Connect to a target; raise OSError or ValueError on failure."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(seconds):
+            transport, _ = await loop.create_connection(lambda: side, *address)
+        set_user_timeout(transport, self.options.user_timeout)
+
     def resolve(self, request: OpenPath) -> Address | str:
         """Return the address of a target, or why there is no path to it."""
         proof = path_proof(self._fleet_key, request.instance)
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -124,7 +124,10 @@
         except RequestNotSent as exc:
             if not isinstance(exc.__cause__, ConnectionRefusedError):
                 return False
-            return not await self._is_reached_by_member(target, seconds)
+            if not await self._is_reached_by_member(target, seconds):
+                return True
+            self._record_indirect(target, str(exc))
+            return False
         self.pool.release(conn)
         return False
 
--- a/mintlanding/platform/tests/partition.py
+++ b/mintlanding/platform/tests/partition.py
@@ -15,6 +15,7 @@
     def __init__(self, world, node, *, refuses, old='dead'):
         self._world = world
         self._pools = (node.relay._pool, node._stewards._pool)
+        self._paths = node._paths
         self._refuses = refuses
         self._old = old
 
@@ -25,11 +26,13 @@
                 for conn in pool._idle[address]:
                     self._cut(conn)
             pool._open = self._wrap(pool._open, addresses)
+        self._paths.connect = self._fail_to_connect
         return self
 
     def __exit__(self, *exc_info):
         for pool in self._pools:
             del pool._open
+        del self._paths.connect
 
     def _cut(self, conn):
         if self._old == 'dead':
@@ -37,6 +40,12 @@
         elif self._old == 'silent':
             conn.data_received = lambda chunk: None
 
+    async def _fail_to_connect(self, side, address, seconds):
+        if self._refuses:
+            raise ConnectionRefusedError
+        await asyncio.sleep(seconds)
+        raise TimeoutError
+
     def _wrap(self, connect, addresses):
         async def connect_unless_cut(address, seconds):
             if address not in addresses:
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -1,9 +1,13 @@
 """Instances that reach no target, while members and store are reached."""
 
 import asyncio
+import contextlib
+import gc
 
 import pytest
 
+from mintlanding.http1.client import ClientConnection
+from mintlanding.node.clock import boot_seconds
 from mintlanding.platform.tests.partition import TargetPartition
 from mintlanding.platform.tests.world import BATCH, LIVE, LOOKUP, ORDER, World
 
@@ -52,3 +56,105 @@
     for path, cut, whole in zip(PATHS, served[::2], served[1::2], strict=True):
         assert cut * 3 >= whole * 2, (path, cut, whole)
         assert whole >= REQUESTS - 1, (path, whole)
+
+
+async def test_lost_paths_are_not_taken_for_crashes_of_targets(world):
+    node = world.nodes[0]
+    for engine in world.engines:
+        engine.events = 100
+    streams = [asyncio.create_task(world.ask(LIVE, node=0)) for _ in range(4)]
+    await asyncio.sleep(0.1)
+    with TargetPartition(world, node, refuses=True):
+        for conn in open_connections(world):
+            conn.abort()
+        await asyncio.gather(*streams, return_exceptions=True)
+        await asyncio.sleep(1)
+        assert node.relay.connector.cut_targets()
+        assert not node.relay.quarantines.requests.reports(boot_seconds())
+        assert not node.relay.quarantines.parts.reports(boot_seconds())
+
+
+async def test_crash_of_a_target_is_found_by_an_instance_without_paths(world):
+    node = world.nodes[0]
+    with TargetPartition(world, node, refuses=True):
+        await ask_steadily(world, LIVE, 0, 5)
+        (engine, *_) = world.engines
+        engine.faults.restart_after = 2
+        target = node.view.targets[engine.name]
+        assert not await node.relay.crash_watch.refuses_connections(target)
+        crash = asyncio.create_task(engine.crash_now())
+        await asyncio.sleep(0.1)
+        assert await node.relay.crash_watch.refuses_connections(target)
+        await crash
+
+
+async def test_fleet_without_paths_refuses_at_once(world):
+    cuts = [TargetPartition(world, node, refuses=False) for node in world.nodes]
+    with contextlib.ExitStack() as stack:
+        for cut in cuts:
+            stack.enter_context(cut)
+        await asyncio.gather(
+            *(ask_steadily(world, ORDER, node, 15) for node in range(3))
+        )
+        begin = asyncio.get_running_loop().time()
+        status, head, _ = await world.ask(ORDER, node=0)
+        assert status == 503
+        assert b'retry-after' in head
+        assert asyncio.get_running_loop().time() < begin + 1.5
+
+
+async def test_request_through_a_member_is_charged_and_run_once(world):
+    admitted = [
+        node.relay.quotas.counters().get('hule930', 0) for node in world.nodes
+    ]
+    runs = sum(len(each.runs) for each in world.targets)
+    with TargetPartition(world, world.nodes[0], refuses=True):
+        assert await ask_steadily(world, ORDER, 0, 10) == 10
+    now = [node.relay.quotas.counters()['hule930'] for node in world.nodes]
+    assert now[0] - admitted[0] == 10 * 110
+    assert now[1:] == admitted[1:]
+    assert sum(len(each.runs) for each in world.targets) == runs + 10
+
+
+async def test_instance_returns_to_direct_paths(world):
+    connector = world.nodes[0].relay.connector
+    with TargetPartition(world, world.nodes[0], refuses=False):
+        await ask_steadily(world, ORDER, 0, 10)
+        assert connector.cut_targets()
+    async with asyncio.timeout(2):
+        while connector.cut_targets():
+            await asyncio.sleep(0.05)
+    opened = connector.opened
+    assert await ask_steadily(world, ORDER, 0, 5) == 5
+    assert connector.opened == opened
+
+
+async def test_caller_that_leaves_ends_its_run_behind_a_member(world):
+    for engine in world.engines:
+        engine.events = 500
+    with TargetPartition(world, world.nodes[0], refuses=True):
+        await ask_steadily(world, ORDER, 0, 3)
+        reader, writer = await world.connect(0)
+        writer.write(world.raw(LIVE))
+        await reader.readuntil(b'data: x')
+        writer.close()
+        async with asyncio.timeout(1):
+            while any(is_running(engine) for engine in world.engines):
+                await asyncio.sleep(0.02)
+
+
+def is_running(target):
+    return any(not conn.is_idle for conn in target.server.connections)
+
+
+def open_connections(world):
+    """Return the connections to targets on which requests are under way."""
+    addresses = {each.address for each in world.targets}
+    return [
+        conn
+        for conn in gc.get_objects()
+        if type(conn) is ClientConnection
+        and conn.address in addresses
+        and conn._is_busy
+        and conn.is_open
+    ]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,6 +22,7 @@
 from mintlanding.configuration.resolver import Resolver
 from mintlanding.engines.headers import CredentialFilter
 from mintlanding.engines.stream import EngineStream
+from mintlanding.http1.client import ClientConnection
 from mintlanding.idempotency.decisions import Abandoned
 from mintlanding.idempotency.models import Claim
 from mintlanding.limits.bucket import Bucket
@@ -32,6 +33,8 @@
 )
 from mintlanding.membership.member_table import MemberTable
 from mintlanding.membership.node import MembershipNode
+from mintlanding.node.path_client import IndirectConnection
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.peers.auth import NonceWindow
 from mintlanding.peers.server import PeerServer
 from mintlanding.placement.eviction import EvictionChooser
@@ -108,6 +111,16 @@
     return replace(failure, ran='not_run')
 
 
+async def never_reached(connector, target, seconds):
+    """Ask no member whether it reaches a target."""
+    return False
+
+
+def end_in_order(conn, reason):
+    """Take the end of a path for that of the response."""
+    ClientConnection.eof_received(conn)
+
+
 MUTANTS = [
     Mutant(
         'an answer is not compared with the adapter asked for',
@@ -343,6 +356,24 @@
         'mintlanding/platform/tests/test_node.py::'
         'test_stream_of_killed_instance_is_resumed_at_its_build',
     ),
+    Mutant(
+        'a cut path is taken for a crash of its target',
+        'quarantine',
+        TargetConnector,
+        '_is_reached_by_member',
+        never_reached,
+        'mintlanding/platform/tests/test_partitioned_instances.py::'
+        'test_lost_paths_are_not_taken_for_crashes_of_targets',
+    ),
+    Mutant(
+        'a response that loses the member passing it on is whole',
+        'stream end',
+        IndirectConnection,
+        '_lose',
+        end_in_order,
+        'mintlanding/node/tests/test_paths.py::'
+        'test_response_without_length_that_loses_its_member_is_lost',
+    ),
 ]
 
 
