Continue a stream only with events after its last one

A target that ignores Last-Event-Id answers with the whole stream again, or with the last event once more. Callers got events twice, for a stream that the relay continued and for one that they resumed themselves.

The first id of a response must be greater than the last one passed on (or named by the caller); else the attempt counts as lost and nothing of it is passed on. Ids are only promised to increase, so that a gap cannot be seen.

--- a/mintlanding/node/events.py
+++ b/mintlanding/node/events.py
@@ -2,6 +2,9 @@
 
 import re
 
+from mintlanding.core.exceptions import InvalidResponse
+from mintlanding.core.numbers import parse_count
+
 # A blank line ends an event. A line ends with LF, CRLF or CR.
 _EVENT_END = re.compile(rb'\n\r?\n|\r\r')
 _ID = b'id:'
@@ -15,10 +18,11 @@
     has brought a whole event.
     """
 
-    def __init__(self) -> None:
-        """Start before the first response."""
-        self.last_id = ''
+    def __init__(self, last_id: str = '') -> None:
+        """Start before the first response, after an event if one is named."""
+        self.last_id = last_id
         self.has_events = False
+        self._has_ids = False
         self._rest = b''
 
     @property
@@ -29,17 +33,39 @@
     def begin_response(self) -> None:
         """Discard the incomplete event of the response before."""
         self.has_events = False
+        self._has_ids = False
         self._rest = b''
 
     def take(self, chunk: bytes) -> bytes:
-        """Add a chunk; return the events that are complete now."""
+        """Add a chunk; return the events that are complete now.
+
+        Raise InvalidResponse if a response does not continue after the last
+        event of the one before.
+        """
         text = self._rest + chunk
         ends = [match.end() for match in _EVENT_END.finditer(text)]
         end = ends[-1] if ends else 0
         whole = text[:end]
         self._rest = text[end:]
+        ids = [
+            line[len(_ID) :].strip().decode('latin-1')
+            for line in whole.splitlines()
+            if line.startswith(_ID)
+        ]
+        if ids and not self._has_ids and not _follows(ids[0], self.last_id):
+            raise InvalidResponse(
+                f'its first event {ids[0]!r} does not follow {self.last_id!r}',
+            )
         self.has_events = self.has_events or whole.strip() != b''
-        for line in whole.splitlines():
-            if line.startswith(_ID):
-                self.last_id = line[len(_ID) :].strip().decode('latin-1')
+        if ids:
+            self._has_ids = True
+            self.last_id = ids[-1]
         return whole
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    """Tell whether an event may come after another; ids increase."""
+    number, last_number = parse_count(event_id), parse_count(last_id)
+    if number is None or last_number is None:
+        return not last_id or event_id != last_id
+    return number > last_number
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -311,6 +311,7 @@
         route, fields = plan.route, plan.fields
         if not route.is_resumable or not fields.last_event:
             return True
+        plan.events = EventBuffer(fields.last_event)
         origin = None
         if fields.resumes:
             origin = await self._origins.find(fields.resumes)
--- a/mintlanding/node/tests/test_events.py
+++ b/mintlanding/node/tests/test_events.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mintlanding.core.exceptions import InvalidResponse
 from mintlanding.node.events import EventBuffer
 
 LINE_ENDS = [b'\n', b'\r\n', b'\r']
@@ -60,3 +61,24 @@
     assert (buffer.partial_bytes, buffer.has_events) == (0, False)
     buffer.take(events(2, line_end).removeprefix(events(1, line_end)))
     assert buffer.last_id == '2'
+
+
+@pytest.mark.parametrize('first', [1, 2])
+def test_response_that_repeats_events_does_not_continue_a_stream(first):
+    buffer = EventBuffer()
+    buffer.begin_response()
+    buffer.take(events(2, b'\n'))
+    buffer.begin_response()
+    assert buffer.take(b': alive\n\n')
+    with pytest.raises(InvalidResponse, match="does not follow '2'"):
+        buffer.take(b'id: %d\ndata: x\n\n' % first)
+    assert buffer.last_id == '2'
+
+
+def test_response_continues_after_the_event_that_its_caller_has():
+    buffer = EventBuffer('2')
+    buffer.begin_response()
+    with pytest.raises(InvalidResponse):
+        buffer.take(events(3, b'\n'))
+    buffer.begin_response()
+    assert buffer.take(b'id: 3\ndata: x\n\n')
--- a/mintlanding/platform/tests/test_continued_streams.py
+++ b/mintlanding/platform/tests/test_continued_streams.py
@@ -20,6 +20,8 @@
     'no content': OddAnswer(204),
     'other media type': OddAnswer(200, b'application/json', b'{}\n\n'),
     'without stamp': OddAnswer(200, body=REST, signed=False),
+    'from the start': OddAnswer(200, body=FIRST + REST),
+    'last event again': OddAnswer(200, body=FIRST),
 }
 
 
@@ -33,10 +35,10 @@
     await found.stop()
 
 
-async def receive(world):
+async def receive(world, extra=()):
     """Return status, received chunks and whether the response is complete."""
     reader, writer = await world.connect()
-    writer.write(world.raw(BATCH))
+    writer.write(world.raw(BATCH, extra=extra))
     async with asyncio.timeout(8):
         head = await reader.readuntil(b'\r\n\r\n')
         body, is_complete = await read_chunks(reader)
@@ -109,3 +111,16 @@
     for engine in world.engines:
         engine.faults.shed = 10
     assert await asking == (200, FIRST, False)
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunked', 'close'])
+async def test_stream_that_its_caller_resumes_does_not_begin_anew(
+    world, framing
+):
+    await world.change_build(world.engines[1], 'v2')
+    request_id, _ = await world.begin_stream()
+    for engine in world.engines:
+        answer = ANSWERS['from the start']
+        engine.faults.on_resume = replace(answer, framing=framing)
+    extra = (b'Last-Event-Id: 1', b'Resumes: ' + request_id)
+    assert await receive(world, extra=extra) == (200, b'', False)
