Refuse to write a second response to a request

Last line of defence against a response head in the middle of a stream: CallerRequest.respond and begin raise ResponseAlreadyBegun once a response has begun.

--- a/mintlanding/core/exceptions.py
+++ b/mintlanding/core/exceptions.py
@@ -47,6 +47,10 @@
     """The response violates HTTP or is too large."""
 
 
+class ResponseAlreadyBegun(MintlandingError):
+    """A second response to one request would reach its caller."""
+
+
 class TargetError(MintlandingError):
     """A target violated its protocol or did not respond."""
 
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -12,6 +12,7 @@
     HttpRequestParser,
 )
 
+from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import Headers, MessageLimits, header_value
@@ -76,6 +77,7 @@
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with its whole body."""
+        self._check_unanswered(status)
         full = [*headers, (b'content-length', b'%d' % len(body))]
         self.conn.write(
             head_bytes(status, self._with_close_header(full)) + body
@@ -84,6 +86,7 @@
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a chunked response."""
+        self._check_unanswered(status)
         full = [*headers, (b'transfer-encoding', b'chunked')]
         self.conn.write(head_bytes(status, self._with_close_header(full)))
         self.is_streaming = True
@@ -102,6 +105,13 @@
         self.is_answered = True
         self.conn.abort()
 
+    def _check_unanswered(self, status: int) -> None:
+        if self.is_streaming or self.is_answered:
+            raise ResponseAlreadyBegun(
+                f'response {status} to {self.method!r} {self.target!r} '
+                'after another one; abort the response that has begun',
+            )
+
     def _with_close_header(self, headers: Headers) -> Headers:
         if self.is_last or self.conn.is_draining:
             self.is_last = True
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger
 from mintlanding.http1.models import MessageLimits
 from mintlanding.http1.server import CallerServer
@@ -221,3 +222,28 @@
         assert statuses == [200] * (len(statuses) - 1) + [503]
         assert len(statuses) > 10
         writer.close()
+
+
+@pytest.mark.parametrize('second', ['respond', 'begin'])
+async def test_second_response_to_a_request_is_not_written(second):
+    raised = []
+
+    async def respond_twice(req):
+        req.begin(200, [])
+        req.write(b'part')
+        try:
+            getattr(req, second)(500, [], *([b''] * (second == 'respond')))
+        except ResponseAlreadyBegun as exc:
+            raised.append(str(exc))
+        req.end()
+        with pytest.raises(ResponseAlreadyBegun):
+            req.respond(500, [], b'failed')
+
+    async with World(respond_twice) as world:
+        reader, writer = await world.connect()
+        writer.write(GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'))
+        received = await reader.read()
+        writer.close()
+    assert received.endswith(b'\r\n\r\n4\r\npart\r\n0\r\n\r\n')
+    assert received.count(b'HTTP/1.1') == 1
+    assert "b'GET' b'/x'" in raised[0]
