Send 100 Continue only after the responses before it

A caller that pipelined a request with Expect: 100-continue behind a stream found the head of the interim response in the middle of that stream: it was written as soon as the request's headers had arrived. It is now written once the responses to earlier requests have ended, unless the body has come by then.

test_continue_is_not_sent_amid_an_earlier_response failed before this change and passes with it.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -244,8 +244,9 @@
             self._refuse(413)
             return
         expected = header_value(self._headers, b'expect').lower()
-        if expected == b'100-continue':
-            self.write(_CONTINUE)
+        self._expects_continue = expected == b'100-continue'
+        if self._task is None:
+            self._send_continue()
 
     def on_body(self, part: bytes) -> None:
         """Collect the body, up to the size limit."""
@@ -260,6 +261,7 @@
         if self._is_refused:
             return
         self._in_request = False
+        self._expects_continue = False
         self._cancel_timer()
         req = CallerRequest(
             method=self._parser.get_method(),
@@ -283,12 +285,20 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._expects_continue = False
+
+    def _send_continue(self) -> None:
+        """Ask for an expected body; not amid the response before."""
+        if self._expects_continue:
+            self._expects_continue = False
+            self.write(_CONTINUE)
 
     def _serve_next(self) -> None:
         if not self._pending and self._is_refused:
             self._send_refusal()
             return
         if not self._pending or self.is_disconnected:
+            self._send_continue()
             self._start_timer(self._server.limits.idle_timeout)
             return
         req = self._pending.popleft()
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -247,3 +247,38 @@
     assert received.endswith(b'\r\n\r\n4\r\npart\r\n0\r\n\r\n')
     assert received.count(b'HTTP/1.1') == 1
     assert "b'GET' b'/x'" in raised[0]
+
+
+async def test_continue_is_not_sent_amid_an_earlier_response():
+    begun = asyncio.Event()
+    done = asyncio.Event()
+
+    async def respond(req):
+        if req.target == b'/y':
+            req.respond(200, [], req.body)
+            return
+        req.begin(200, [])
+        req.write(b'part')
+        begun.set()
+        await done.wait()
+        req.end()
+
+    expecting = (
+        b'POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    async with World(respond) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        await begun.wait()
+        writer.write(expecting)
+        await asyncio.sleep(0.05)
+        done.set()
+        stream = await reader.readuntil(b'0\r\n\r\n')
+        assert b'100 Continue' not in stream
+        async with asyncio.timeout(1):
+            interim = await reader.readuntil(b'\r\n\r\n')
+        assert interim.startswith(b'HTTP/1.1 100')
+        writer.write(b'body')
+        assert await read_response(reader) == (200, b'body')
+        writer.close()
