Send no chunks after a response that has no body

A target's 204 to a request on a stream route was passed on as a chunked stream: callers found the last chunk where the next response on their connection was due. Responses whose status excludes a body are now passed on without one, and without a Content-Length (RFC 9110, section 8.6).

test_response_without_a_body_brings_none failed for 204 on both kinds of streams before this change and passes with it; the unit test of the server failed for 204 and 304.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -19,6 +19,7 @@
 )
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
     BodyFraming,
     ClientOptions,
     ResponseHead,
@@ -28,7 +29,6 @@
 
 _MILLISECONDS = 1000
 _FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUSES = frozenset((204, 304))
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
@@ -368,7 +368,7 @@
 
 
 def _framing(head: ResponseHead) -> BodyFraming:
-    if head.status in _NO_BODY_STATUSES:
+    if head.status in NO_BODY_STATUSES:
         return BodyFraming.none
     if b'chunked' in head.get(b'transfer-encoding').lower():
         return BodyFraming.chunked
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -5,6 +5,7 @@
 
 # Names are lower case; values are as received.
 Headers = list[tuple[bytes, bytes]]
+NO_BODY_STATUSES = frozenset((204, 304))
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -15,7 +15,12 @@
 from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.core.numbers import parse_count
-from mintlanding.http1.models import Headers, MessageLimits, header_value
+from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
+    Headers,
+    MessageLimits,
+    header_value,
+)
 
 # Requests that a caller may pipeline on one connection.
 _MAX_PIPELINED = 16
@@ -78,7 +83,9 @@
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with its whole body."""
         self._check_unanswered(status)
-        full = [*headers, (b'content-length', b'%d' % len(body))]
+        full = headers
+        if status not in NO_BODY_STATUSES:
+            full = [*headers, (b'content-length', b'%d' % len(body))]
         self.conn.write(
             head_bytes(status, self._with_close_header(full)) + body
         )
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -282,3 +282,16 @@
         writer.write(b'body')
         assert await read_response(reader) == (200, b'body')
         writer.close()
+
+
+@pytest.mark.parametrize('status', [204, 304])
+async def test_response_without_a_body_declares_no_length(status):
+    async def respond(req):
+        req.respond(status, [], b'')
+
+    async with World(respond) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+    assert b'content-length' not in head.lower()
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -725,7 +725,11 @@
             )
             self.target_table.failed(target.target, now)
             return AttemptResult.lost
-        is_stream = plan.route.kind is RouteKind.stream and response.is_success
+        is_stream = (
+            plan.route.kind is RouteKind.stream
+            and response.is_success
+            and head.framing is not BodyFraming.none
+        )
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
         if response.is_success and not response.is_signed:
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -239,6 +239,8 @@
     endless: bool = False
     endless_reports: bool = False
     conflicts: int = 0
+    # Status of its responses without a body, 0 for others.
+    bare_status: int = 0
     # Response to a request that goes on with a stream.
     on_resume: OddAnswer | None = None
     # Requests per second that its responses name as its limit.
@@ -455,6 +457,8 @@
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
             self.crashing = asyncio.ensure_future(self.crash())
+        elif faults.bare_status:
+            req.respond(faults.bare_status, headers, b'')
         elif faults.on_resume and req.get(b'last-event-id'):
             faults.on_resume.send(req, headers)
         elif self.service == 'engines':
--- a/mintlanding/platform/tests/test_continued_streams.py
+++ b/mintlanding/platform/tests/test_continued_streams.py
@@ -7,7 +7,13 @@
 
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import OddAnswer
-from mintlanding.platform.tests.world import BATCH, World
+from mintlanding.platform.tests.world import (
+    BATCH,
+    LIVE,
+    ORDER,
+    World,
+    read_response,
+)
 
 FIRST = b'id: 1\ndata: x\n\n'
 REST = b'id: 2\ndata: x\n\nid: 3\ndata: x\n\n'
@@ -124,3 +130,21 @@
         engine.faults.on_resume = replace(answer, framing=framing)
     extra = (b'Last-Event-Id: 1', b'Resumes: ' + request_id)
     assert await receive(world, extra=extra) == (200, b'', False)
+
+
+@pytest.mark.parametrize('path', [LIVE, BATCH, ORDER])
+@pytest.mark.parametrize('status', [204, 304])
+async def test_response_without_a_body_brings_none(world, path, status):
+    # Chunks after such a head would be taken for the next response.
+    for target in world.targets:
+        target.faults.bare_status = status
+    reader, writer = await world.connect()
+    writer.write(world.raw(path))
+    async with asyncio.timeout(5):
+        head = await reader.readuntil(b'\r\n\r\n')
+    assert int(head.split()[1]) == status
+    assert b'transfer-encoding' not in head.lower()
+    writer.write(world.raw(b'/nowhere/'))
+    async with asyncio.timeout(5):
+        assert (await read_response(reader))[0] == 404
+    writer.close()
