Close a connection on which an earlier response came again

A target that writes an earlier response once more on a kept connection got the connection back into the pool: the run behind that response went on without a reader while the request ran again elsewhere, and the connection stayed one response behind. A copy of a success without X-Request-Id was taken for the answer to the next request and passed to its caller.

Requests that may run once, and streams that cannot be resumed, always get a connection of their own, on retries too, so that no earlier refusal reaches them. On a used connection a response must name its request; only refusals may do without, since targets send them so. Those are believed, as the request may be repeated, but the connection is closed, which cancels the run if there is one. The same holds for the refusal of an attempt after the first, whose id is that of the earlier attempt.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -42,6 +42,7 @@
         self.address = address
         self.idle_until: float = 0
         self._options = options
+        self._exchanges = 0
         self._transport: asyncio.Transport | None = None
         self._head: ResponseHead | None = None
         self._is_complete = False
@@ -52,6 +53,14 @@
         """Tell whether the connection can be written to."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_reused(self) -> bool:
+        """Tell whether this is not the first exchange of the connection.
+
+        A server may then send a response to an earlier one again.
+        """
+        return self._exchanges > 1
+
     @property
     def is_reusable(self) -> bool:
         """Tell whether the response is complete and the connection intact."""
@@ -107,6 +116,7 @@
         if self._transport is None or not self.is_open:
             raise RequestNotSent('the connection is closed')
         self._reset_exchange()
+        self._exchanges += 1
         self._is_busy = True
         self._transport.write(payload)
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -701,22 +701,12 @@
         now = self._now()
         plan.framing = head.framing.value
         plan.limit = response.limit
-        if not response.matches_request:
+        if not _is_own(conn, response):
+            conn.abort()
             raise ResponseLost('the response belongs to another request')
         self._record_response(plan, target, response)
         if response.is_not_run:
-            plan.runs -= 1
-            plan.is_sent = plan.runs > 0
-            plan.reason = f'{target.target}: not run, {response.status}'
-            await self._hold_body(conn, plan)
-            is_other = response.target not in {'', target.target}
-            if is_other:
-                return AttemptResult.not_sent
-            return (
-                AttemptResult.missing
-                if response.is_misdirected
-                else AttemptResult.not_run
-            )
+            return await self._handle_refusal(plan, target, conn, response)
         if plan.req.is_streaming and not _continues(plan, head, response):
             # Whatever else it is, the caller would take it for events.
             plan.reason = (
@@ -752,6 +742,29 @@
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
+    async def _handle_refusal(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        conn: ClientConnection,
+        response: TargetResponse,
+    ) -> AttemptResult:
+        plan.runs -= 1
+        plan.is_sent = plan.runs > 0
+        plan.reason = f'{target.target}: not run, {response.status}'
+        await self._hold_body(conn, plan)
+        is_certain = response.names_request and plan.sends == 1
+        if conn.is_reused and not is_certain:
+            # If it refuses an earlier request, this one may still run.
+            conn.abort()
+        if not response.is_from(target.target):
+            return AttemptResult.not_sent
+        return (
+            AttemptResult.missing
+            if response.is_misdirected
+            else AttemptResult.not_run
+        )
+
     def _record_response(
         self, plan: RequestPlan, target: Target, response: TargetResponse
     ) -> None:
@@ -906,6 +919,18 @@
     )
 
 
+def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
+    """Tell whether a response is taken for that to the last request.
+
+    Any response names its request, except for refusals. One without a name is
+    believed on a used connection, too, since only requests that may be repeated
+    are sent there.
+    """
+    if response.is_not_run or not conn.is_reused:
+        return response.matches_request
+    return response.names_request
+
+
 def _media_type(head: ResponseHead) -> str:
     media_type, _, _ = head.get(b'content-type').partition(b';')
     return media_type.strip().lower().decode('latin-1')
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -132,6 +132,7 @@
         has_invalid_limit=named_limit != b'' and limit is None,
         is_leaving=head.get(_LEAVING) == b'1',
         pause=_pause(head),
+        names_request=echoed != '' and echoed == request_id,
     )
 
 
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -216,6 +216,24 @@
             req.respond(self.status, headers, self.body)
 
 
+@dataclass(frozen=True)
+class StaleResponse:
+    """A response that is written once more on its kept connection."""
+
+    status: int = 503
+    # It bears the id of the request before; without, it names none.
+    is_named: bool = True
+    # It comes with the answer to the next request, else before that runs.
+    is_late: bool = False
+    headers: tuple = ()
+
+    def bytes_after(self, request_id):
+        headers = [(b'content-length', b'0'), *self.headers]
+        if self.is_named:
+            headers.append((b'x-request-id', request_id))
+        return head_bytes(self.status, headers)
+
+
 @dataclass
 class TargetFaults:
     """Faults of a target."""
@@ -239,6 +257,8 @@
     endless: bool = False
     endless_reports: bool = False
     conflicts: int = 0
+    # Written before the answer to each but the first request on a connection.
+    stale: StaleResponse | None = None
     # Status of its responses without a body, 0 for others.
     bare_status: int = 0
     # Response to a request that goes on with a stream.
@@ -286,6 +306,9 @@
     endless_bytes: int = 0
     crashes: int = 0
     last_answer: bytes = b''
+    # Ids of the last requests that ran, by connection.
+    last_ids: dict = field(default_factory=dict)
+    stale_sent: int = 0
     is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
@@ -410,6 +433,12 @@
             req.respond(503, headers, b'')
             return
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
+        before = self.last_ids.get(req.conn)
+        self.last_ids[req.conn] = request_id
+        stale = faults.stale if before is not None else None
+        if stale and not stale.is_late:
+            self.stale_sent += 1
+            req.conn.write(stale.bytes_after(before))
         headers = [
             (b'x-request-id', request_id),
             (STAMP, b's1'),
@@ -420,6 +449,9 @@
         except asyncio.CancelledError:
             self.left += 1
             raise
+        if stale and stale.is_late:
+            self.stale_sent += 1
+            req.conn.write(stale.bytes_after(before))
         if faults.crash_body and req.body == faults.crash_body:
             self.crashed_at.append(time.monotonic())
             self.crashing = asyncio.ensure_future(
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -44,6 +44,8 @@
 class TargetResponse:
     """Fields of a target's response; `load` is running, waiting, slots.
 
+    `matches_request` is false if it names another request, and `names_request`
+    true if it names the one that was sent; refusals may name none.
     `limit` is the number of requests per second that the target accepts from
     all instances together, None if it names no limit. With `has_invalid_limit`
     it names one that could not be read. `is_leaving` says that the target ends
@@ -62,6 +64,7 @@
     has_invalid_limit: bool = False
     is_leaving: bool = False
     pause: float = 0
+    names_request: bool = False
 
     def is_from(self, target: str) -> bool:
         """Return whether a target sent it, as far as the response tells."""
