--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -19,6 +19,7 @@
 )
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
     BodyFraming,
     ClientOptions,
     ResponseHead,
@@ -28,7 +29,6 @@
 
 _MILLISECONDS = 1000
 _FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUSES = frozenset((204, 304))
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
@@ -42,6 +42,7 @@
         self.address = address
         self.idle_until: float = 0
         self._options = options
+        self._exchanges = 0
         self._transport: asyncio.Transport | None = None
         self._head: ResponseHead | None = None
         self._is_complete = False
@@ -57,6 +58,14 @@
         """Tell whether the connection can be written to."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_reused(self) -> bool:
+        """Tell whether this is not the first exchange of the connection.
+
+        A server may then send a response to an earlier one again.
+        """
+        return self._exchanges > 1
+
     @property
     def is_reusable(self) -> bool:
         """Tell whether the response is complete and the connection intact."""
@@ -112,6 +121,7 @@
         if self._transport is None or not self.is_open:
             raise RequestNotSent('the connection is closed')
         self._reset_exchange()
+        self._exchanges += 1
         self._is_busy = True
         self._transport.write(payload)
 
@@ -380,7 +390,7 @@
 
 
 def _framing(head: ResponseHead) -> BodyFraming:
-    if head.status in _NO_BODY_STATUSES:
+    if head.status in NO_BODY_STATUSES:
         return BodyFraming.none
     if b'chunked' in head.get(b'transfer-encoding').lower():
         return BodyFraming.chunked
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -12,9 +12,15 @@
     HttpRequestParser,
 )
 
+from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.core.numbers import parse_count
-from mintlanding.http1.models import Headers, MessageLimits, header_value
+from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
+    Headers,
+    MessageLimits,
+    header_value,
+)
 
 # Requests that a caller may pipeline on one connection.
 _MAX_PIPELINED = 16
@@ -76,7 +82,10 @@
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with its whole body."""
-        full = [*headers, (b'content-length', b'%d' % len(body))]
+        self._check_unanswered(status)
+        full = headers
+        if status not in NO_BODY_STATUSES:
+            full = [*headers, (b'content-length', b'%d' % len(body))]
         self.conn.write(
             head_bytes(status, self._with_close_header(full)) + body
         )
@@ -84,6 +93,7 @@
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a chunked response."""
+        self._check_unanswered(status)
         full = [*headers, (b'transfer-encoding', b'chunked')]
         self.conn.write(head_bytes(status, self._with_close_header(full)))
         self.is_streaming = True
@@ -102,6 +112,13 @@
         self.is_answered = True
         self.conn.abort()
 
+    def _check_unanswered(self, status: int) -> None:
+        if self.is_streaming or self.is_answered:
+            raise ResponseAlreadyBegun(
+                f'response {status} to {self.method!r} {self.target!r} '
+                'after another one; abort the response that has begun',
+            )
+
     def _with_close_header(self, headers: Headers) -> Headers:
         if self.is_last or self.conn.is_draining:
             self.is_last = True
@@ -234,8 +251,9 @@
             self._refuse(413)
             return
         expected = header_value(self._headers, b'expect').lower()
-        if expected == b'100-continue':
-            self.write(_CONTINUE)
+        self._expects_continue = expected == b'100-continue'
+        if self._task is None:
+            self._send_continue()
 
     def on_body(self, part: bytes) -> None:
         """Collect the body, up to the size limit."""
@@ -250,6 +268,7 @@
         if self._is_refused:
             return
         self._in_request = False
+        self._expects_continue = False
         self._cancel_timer()
         if self._parser.should_upgrade():
             # The parser takes the body for bytes of another protocol.
@@ -278,12 +297,20 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._expects_continue = False
+
+    def _send_continue(self) -> None:
+        """Ask for an expected body; not amid the response before."""
+        if self._expects_continue:
+            self._expects_continue = False
+            self.write(_CONTINUE)
 
     def _serve_next(self) -> None:
         if not self._pending and self._is_refused:
             self._send_refusal()
             return
         if not self._pending or self.is_disconnected:
+            self._send_continue()
             self._start_timer(self._server.limits.idle_timeout)
             return
         req = self._pending.popleft()
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -137,6 +137,7 @@
         pause=_pause(head),
         brittle=brittle,
         has_invalid_brittle=named_brittle != b'' and brittle is None,
+        names_request=echoed != '' and echoed == request_id,
     )
 
 
