Await the first response of a target before sending it more

After a restart, a kill of all or the return of a crashed target, no process knew that the target is brittle: 60 callers at once made one refuse 27 requests in a second, and one that came back refused 5, with 4 borne.

Until a plain target has responded to a process, it gets one request of it; a new run is taken for brittle like the others of its service until it responds. What is learned goes to the others at once.

test_first_requests_of_new_instances_do_not_crash_brittle_targets and test_brittle_target_that_is_back_is_not_flooded[/cufi504/x-plain] failed before and pass.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -39,7 +39,7 @@
 # Seconds of the grace period that are reserved for closing.
 _STOP_MARGIN = 1.2
 _POLL_SECONDS = 0.1
-# Least seconds between statuses sent because of crashes.
+# Least seconds between statuses sent because of what targets did.
 _SHARE_SECONDS = 0.2
 # Seconds between checks for the first configuration.
 _START_SECONDS = 0.05
@@ -109,7 +109,7 @@
         )
         self._is_ready = False
         self._reach = FleetReach()
-        # When a status was last sent because of a crash.
+        # When a status was last sent because of what a target did.
         self._shared_at = float('-inf')
         self._connect_components()
 
@@ -187,10 +187,11 @@
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
-        self.relay.crash_watch.on_recurrence = self._share_crash
+        self.relay.crash_watch.on_recurrence = self._share_at_once
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
         listeners.on_brittle = self._limits.merge_brittle
+        self._limits.on_brittle = self._share_at_once
         self._limits.departed = self._reach.departed
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
@@ -250,8 +251,8 @@
             )
             await asyncio.sleep(REACH_SECONDS)
 
-    def _share_crash(self) -> None:
-        """Tell the others at once, before the request comes to them."""
+    def _share_at_once(self) -> None:
+        """Tell the others at once, before callers come to them."""
         now = boot_seconds()
         if now < self._shared_at + _SHARE_SECONDS:
             return
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -24,6 +24,7 @@
 )
 from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
 from mintlanding.target_limits.desk import LimitDesk
+from mintlanding.target_limits.first_contact import FirstContacts
 from mintlanding.target_limits.messages import LimitReport
 from mintlanding.target_limits.pacer import Pacer
 from mintlanding.target_limits.table import LimitTable, TargetKey
@@ -80,6 +81,7 @@
         self.table = LimitTable()
         # Refusals per second that brittle targets bear.
         self.brittle = LimitTable()
+        self.contacts = FirstContacts()
         self.departed: Callable[[], frozenset[str]] = frozenset
         self._cfg = cfg
         self._view = view
@@ -92,6 +94,7 @@
         # Until when no turn is expected, by target.
         self._waits: dict[TargetKey, float] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.on_brittle: Callable[[], None] = lambda: None
         self._logger = Logger('limits')
 
     def is_limited(self, target: Target) -> bool:
@@ -100,7 +103,7 @@
 
     def is_brittle(self, target: Target) -> bool:
         """Tell whether a target crashes when it refuses too much."""
-        return self.brittle.limit(target.key) is not None
+        return self._refusals(target) is not None
 
     def needs_turn(self, target: Target) -> bool:
         """Tell whether a request to a target needs a turn."""
@@ -132,6 +135,7 @@
         """Record what a response to a request sent at a time says."""
         if not response.is_from(target.target):
             return
+        self.contacts.record_heard(target.key)
         self._record_brittle(target, response, sent_at)
         if response.has_invalid_limit:
             self._logger.warning(
@@ -167,6 +171,7 @@
                 refusals=response.brittle,
             )
             self.update()
+            self.on_brittle()
 
     def merge_brittle(self, reports: Sequence[LimitReport], now: float) -> None:
         """Apply what another instance reports of brittle targets."""
@@ -254,6 +259,7 @@
         runs = {each.key for each in targets.values()}
         self.table.retain(runs, now)
         self.brittle.retain(runs, now)
+        self.contacts.retain(runs)
         self._waits = {
             target: until
             for target, until in self._waits.items()
@@ -295,16 +301,37 @@
         _, members = self._membership.reach(boot_seconds())
         return limit / members
 
-    def _share(
-        self, target: TargetKey, others: Sequence[str]
-    ) -> RoomShare | None:
+    def _refusals(self, target: Target) -> float | None:
+        """Return how many refusals per second a target bears, None for any.
+
+        A new run of a target is taken for brittle like the others of its
+        service until it has responded.
+        """
+        named = self.brittle.limit(target.key)
+        if named is not None or self.contacts.is_heard(target.key):
+            return named
+        bears = [
+            self.brittle.limit(key)
+            for key in self.brittle.limited()
+            if self._service_of(key) == target.service
+        ]
+        return min((each for each in bears if each is not None), default=None)
+
+    def _service_of(self, key: TargetKey) -> str | None:
+        target = self._view.targets.get(key[0])
+        return None if target is None else target.service
+
+    def _share(self, key: TargetKey, others: Sequence[str]) -> RoomShare | None:
         """Return the share of this instance and others of a brittle target."""
-        refusals = self.brittle.limit(target)
+        target = self._view.targets.get(key[0])
+        if target is None or target.key != key:
+            return None
+        refusals = self._refusals(target)
         if refusals is None:
             return None
         own = self._membership.instance
         return RoomShare.of_members(
-            target[0],
+            target.target,
             refusals,
             {own, *others},
             {own, *self._view.members, *self.departed()},
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -72,6 +72,7 @@
             if barrier is not None:
                 return barrier
         self.quarantines.begin_trial(plan)
+        self.limits.contacts.record_sent(target.key, boot_seconds())
         return None
 
 
@@ -151,6 +152,22 @@
     return Barrier(AttemptResult.no_turn, reason)
 
 
+@SEND_CHECKS.register('first contact')
+def check_first_contact(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that the limits of a plain target may be known.
+
+    An engine's steward bounds what is sent there in any case.
+    """
+    if plan.service.engine is not None or gate.limits.needs_turn(target):
+        return None
+    if not gate.limits.contacts.wait(target.key, boot_seconds()):
+        return None
+    reason = f'{target.target}: its first response is awaited'
+    return Barrier(AttemptResult.no_turn, reason)
+
+
 @SEND_CHECKS.register('pause')
 def check_pause(
     gate: SendGate, plan: RequestPlan, target: Target
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -17,6 +17,8 @@
 
 # Least seconds before the deadline with which a request is still sent.
 MIN_TIME_LEFT = 0.05
+# Seconds between looks at whether a target has responded for the first time.
+_CONTACT_POLL_SECONDS = 0.01
 
 
 @dataclass(slots=True)
@@ -49,6 +51,7 @@
             if each.target not in plan.tried
         ]
         targets = await self.outlast_pauses(plan, targets)
+        targets = await self._outlast_first_contacts(plan, targets)
         now = boot_seconds()
         full = {
             each.target for each in targets if self.limits.wait(each, now) > 0
@@ -100,6 +103,24 @@
         await asyncio.sleep(wait)
         return [first]
 
+    async def _outlast_first_contacts(
+        self, plan: RequestPlan, targets: list[Target]
+    ) -> list[Target]:
+        """Return the targets whose limits may be known, as soon as one is."""
+        begin = _now()
+        while True:
+            now = boot_seconds()
+            known = [
+                each
+                for each in targets
+                if self.limits.needs_turn(each)
+                or not self.limits.contacts.wait(each.key, now)
+            ]
+            if known or not targets or _time_left(plan) < MIN_TIME_LEFT:
+                plan.waited += _now() - begin
+                return known
+            await asyncio.sleep(_CONTACT_POLL_SECONDS)
+
     def without_unreachable_zones(self, workers: list[Target]) -> list[Target]:
         """Leave out zones that are cut off, if others have targets.
 
--- a/mintlanding/platform/tests/test_brittle_targets.py
+++ b/mintlanding/platform/tests/test_brittle_targets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import LIVE, LOOKUP, ORDER, World
 
 # Refusals per second that each target bears.
@@ -102,3 +103,93 @@
             target.faults.waiting_room = 0
 
     await check_flood(four, path, kind, shrink)
+
+
+def holder(world, target):
+    """Return the node that keeps the room of a target, and the others."""
+    name = world.nodes[0]._admissions.holder(target)
+    (found,) = [
+        each for each in world.nodes if each._membership.instance == name
+    ]
+    return found, [each for each in world.nodes if each is not found]
+
+
+def cut_in_halves(world, target):
+    world.cut_links(world.nodes[:2], world.nodes[2:])
+
+
+def cut_off_holder(world, target):
+    alone, others = holder(world, target)
+    world.cut_links([alone], others)
+
+
+def kill_holder(world, target):
+    killed, _ = holder(world, target)
+    world.changing = asyncio.ensure_future(world.kill(killed))
+
+
+def change_configuration(world, target):
+    world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+
+
+@pytest.mark.parametrize(
+    'change',
+    [cut_in_halves, cut_off_holder, kill_holder, change_configuration],
+)
+@pytest.mark.parametrize(
+    ('path', 'kind', 'target'),
+    [(LOOKUP, 'plain', 'p1'), (LIVE, 'engines', 'e1')],
+)
+async def test_brittle_targets_do_not_crash_when_instances_part(
+    four, path, kind, target, change
+):
+    await check_flood(four, path, kind, lambda: change(four, target), share=0.3)
+
+
+@pytest.mark.parametrize(
+    ('path', 'kind'), [(LOOKUP, 'plain'), (LIVE, 'engines')]
+)
+async def test_brittle_targets_do_not_crash_after_a_kill_of_all(
+    four, path, kind
+):
+    targets = getattr(four, kind)
+    await send_steadily(four, path, CONTACT_SECONDS, 2 * CAPACITY)
+    await asyncio.sleep(0.5)
+    begin = time.monotonic()
+    crashes = sum(each.crashes for each in targets)
+    names = [each._membership.instance for each in four.nodes]
+    await four.kill_all()
+    for name in names:
+        await four.add_node(name)
+    await send_steadily(four, path, 5, 2 * CAPACITY)
+    assert max(most_refused(each, begin) for each in targets) <= BEARS
+    assert sum(each.crashes for each in targets) == crashes
+
+
+async def test_first_requests_of_new_instances_do_not_crash_brittle_targets(
+    four,
+):
+    tasks = [
+        asyncio.create_task(four.ask(LOOKUP, node=number % 4))
+        for number in range(60)
+    ]
+    await asyncio.gather(*tasks)
+    assert max(most_refused(each, 0) for each in four.plain) <= BEARS
+    assert not any(each.crashes for each in four.plain)
+
+
+@pytest.mark.parametrize(
+    ('path', 'kind'), [(LOOKUP, 'plain'), (LIVE, 'engines')]
+)
+async def test_brittle_target_that_is_back_is_not_flooded(four, path, kind):
+    def crash():
+        target = getattr(four, kind)[0]
+        four.changing = asyncio.ensure_future(target.crash_now())
+
+    targets = getattr(four, kind)
+    begin = time.monotonic()
+    await send_steadily(four, path, CONTACT_SECONDS, 10)
+    await send_steadily(four, path, 10, 3 * CAPACITY, change=crash)
+    since = begin + CONTACT_SECONDS
+    assert max(most_refused(each, since) for each in targets) <= BEARS
+    assert sum(each.crashes for each in targets) == 1
