--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -246,6 +246,28 @@
     assert (response.limit, response.has_invalid_limit) == (limit, is_invalid)
 
 
+@pytest.mark.parametrize(
+    ('named', 'refusals', 'is_invalid'),
+    [
+        (b'5', 5, False),
+        (b'0', 0, False),
+        (b'', None, False),
+        (b'-1', None, True),
+        (b'inf', None, True),
+        (b'nan', None, True),
+        (b'five', None, True),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+def test_refusals_that_a_target_bears_are_read_from_every_response(
+    status, named, refusals, is_invalid
+):
+    head = ResponseHead(status, [(b'server-brittle', named)])
+    response = requests.read_response(head, '9c41')
+    found = (response.brittle, response.has_invalid_brittle)
+    assert found == (refusals, is_invalid)
+
+
 def test_response_to_another_request_is_recognised():
     head = ResponseHead(200, [(b'x-request-id', b'other')])
     assert not requests.read_response(head, '9c41').matches_request
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -40,7 +40,9 @@
 from mintlanding.quarantine.request_ledger import RequestLedger
 from mintlanding.routing.plain import PlainRouter
 from mintlanding.routing.retries import RetryBudget
+from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
 from mintlanding.target_limits.pacer import Pacer
+from mintlanding.traffic.reach import FleetReach
 
 PROFILE = 'mutants'
 
@@ -108,6 +110,15 @@
     return replace(failure, ran='not_run')
 
 
+def take_silent_shares(target, refusals, granters, members):
+    whole = max(1, int(refusals / 2))
+    return RoomShare(whole, 1.0)
+
+
+def wait_for_a_place_only(self, now):
+    return 0 if len(self._sent) < self.limit else 1
+
+
 MUTANTS = [
     Mutant(
         'an answer is not compared with the adapter asked for',
@@ -298,6 +309,33 @@
         always(True),
         'mintlanding/routing/tests/test_retries.py',
     ),
+    Mutant(
+        'the share of silent members in a brittle target is used',
+        'brittle targets',
+        RoomShare,
+        'of_members',
+        take_silent_shares,
+        'mintlanding/target_limits/tests/test_brittle.py::'
+        'test_shares_of_a_divided_fleet_are_within_what_a_target_bears',
+    ),
+    Mutant(
+        'the share of members that ended silently is used',
+        'brittle targets',
+        FleetReach,
+        'departed',
+        always(frozenset()),
+        'mintlanding/node/tests/test_limit_keeper.py::'
+        'test_members_that_ended_silently_keep_their_share',
+    ),
+    Mutant(
+        'requests are sent although the refusals are used up',
+        'brittle targets',
+        BrittleRoom,
+        'wait',
+        wait_for_a_place_only,
+        'mintlanding/target_limits/tests/test_brittle.py::'
+        'test_new_holder_starts_cautiously',
+    ),
     Mutant(
         'a limit of a target lets all pass',
         'limits of targets',
