Let targets of a soak be brittle

The new fault lets the targets of a service say that they are brittle, gives them one slot and ever less waiting room; the new check counts crashes in one such time, if most refusals came from undisrupted instances.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -270,6 +271,8 @@
     full_at: list = field(default_factory=list)
     slot_freed: asyncio.Condition = field(default_factory=asyncio.Condition)
     running: int = 0
+    # How often it crashed; requests of an earlier run hold nothing.
+    runs_begun: int = 0
 
     async def start(self):
         self.server = CallerServer(
@@ -303,6 +306,7 @@
         self.adapters.clear()
         self.orders_taken = 0
         self.held = self.running = 0
+        self.runs_begun += 1
         await self.server.start('127.0.0.1', port)
         self.is_down = False
         self.on_restart(self)
@@ -351,19 +355,19 @@
         if self.held >= room:
             self._refuse_full(req)
             return
-        crashes = self.crashes
+        began = self.runs_begun
         self.held += 1
         has_slot = False
         try:
             async with self.slot_freed:
                 await self.slot_freed.wait_for(
-                    lambda: self.running < self.faults.slots
+                    lambda: self.running < (self.faults.slots or math.inf)
                 )
                 self.running += 1
                 has_slot = True
             await self._run(req)
         finally:
-            if crashes == self.crashes:
+            if began == self.runs_begun:
                 self.held -= 1
                 self.running -= has_slot
             asyncio.ensure_future(self._free_slot())
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,8 @@
 # Requests that may reach a target in a pause, and when the pause begins.
 MAX_PAUSED_REQUESTS = 2
 PAUSE_BEGIN_SECONDS = 0.5
+# Crashes of brittle targets, and a tenth of their number, in one time.
+MOST_ROOM_CRASHES = 2
 # Seconds over which the requests to a target with a limit are counted.
 LIMIT_WINDOW_SECONDS = 4.0
 
@@ -34,6 +36,7 @@
         *_find_requests_that_crash_engines(world, callers),
         *_find_deadly_requests(world, callers),
         *_find_exceeded_limits(world, callers),
+        *_find_room_crashes(world, callers),
         *_find_requests_after_announced_leaving(world, callers),
         *_find_requests_in_pauses(world, callers),
         *_find_unexpected_exits(world),
@@ -193,6 +196,46 @@
                 )
 
 
+def _find_room_crashes(world, callers):
+    """Find too many crashes of brittle targets in one time of a service.
+
+    One counts if most of what was refused came from undisrupted instances.
+    """
+    for targets in (world.plain, world.engines):
+        times = {tuple(each) for one in targets for each in one.brittle_times}
+        begins = sorted(times)
+        most = MOST_ROOM_CRASHES + len(targets) / 10
+        for begin, end in _merge_times(begins):
+            crashes = [
+                at
+                for target in targets
+                for at, refused in target.room_crashes
+                if begin <= at <= end
+                and 2
+                * sum(
+                    world.is_undisrupted(callers.sent_to.get(name), at)
+                    for name in refused
+                )
+                > len(refused)
+            ]
+            if len(crashes) > most:
+                yield (
+                    f'{len(crashes)} crashes of brittle targets of '
+                    f'{targets[0].service}, {most} allowed'
+                )
+
+
+def _merge_times(times):
+    """Merge the times of the targets of a service, a moment apart at most."""
+    merged = []
+    for begin, end in times:
+        if merged and begin < merged[-1][0] + 0.1:
+            merged[-1][1] = max(merged[-1][1], end)
+        else:
+            merged.append([begin, end])
+    return merged
+
+
 def _find_requests_after_announced_leaving(world, callers):
     for target in world.targets:
         ran = {run[0] for run in target.runs}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from mintlanding.core.registry import Registry
 from mintlanding.platform.tests.samples import CONFIG
 from soak.proxy import Mode
+from soak.world import CONTACT_SECONDS
 
 FAULTS = Registry('soak fault')
 
@@ -232,6 +233,29 @@
         target.name_limit(None)
 
 
+@FAULTS.register('targets are brittle')
+async def be_brittle(world, rnd):
+    """Let the targets of a service be brittle, with less and less room."""
+    targets = rnd.choice((world.plain, world.engines))
+    if any(each.faults.brittle is not None for each in targets):
+        return
+    bears = rnd.choice((1, 2, 4))
+    for target in targets:
+        target.become_brittle(bears)
+    await asyncio.sleep(CONTACT_SECONDS)
+    for target in targets:
+        target.faults.restart_after = rnd.uniform(1, 2)
+        target.delay = rnd.uniform(0.1, 0.4)
+        target.faults.waiting_room = rnd.randint(0, 3)
+        target.faults.slots = 1
+    await asyncio.sleep(rnd.uniform(2, 5))
+    for target in targets:
+        target.faults.waiting_room = 0
+    await asyncio.sleep(rnd.uniform(2, 5))
+    for target in targets:
+        target.stop_being_brittle()
+
+
 @FAULTS.register('targets say they leave')
 async def announce_leaving(world, rnd):
     """Let a target say in its responses alone that it leaves, then restart."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -125,6 +125,12 @@
         self.deadly_runs = []
         # Start, end and limit of the times in which one incarnation names it.
         self.limits = []
+        # Time and request of each refusal for want of room, and of each crash
+        # because of them the requests refused in the last second.
+        self.refusals = []
+        self.room_crashes = []
+        # Start and end of the times in which it says that it is brittle.
+        self.brittle_times = []
         # Start and end of the times in which its responses say it leaves.
         self.announced = []
         # Time, request and seconds of each pause that it asked for.
@@ -142,6 +148,27 @@
         self.name_limit(self.faults.limit)
         await self.proxy.listen(self.proxy.address[1])
 
+    def _refuse_full(self, req):
+        now = time.monotonic()
+        request = req.get(b'x-request-id').decode()
+        self.refusals.append((now, request))
+        was_down = self.is_down
+        super()._refuse_full(req)
+        if self.is_down and not was_down:
+            recent = [name for at, name in self.refusals if at > now - 1]
+            self.room_crashes.append((now, recent))
+
+    def become_brittle(self, refusals):
+        """Say from now on how many refusals per second the target bears."""
+        self.brittle_times.append([time.monotonic(), float('inf')])
+        self.faults.brittle = refusals
+
+    def stop_being_brittle(self):
+        """Have any room again, and say nothing of refusals."""
+        self.brittle_times[-1][1] = time.monotonic()
+        self.faults.brittle = self.faults.slots = None
+        self.delay = 0
+
     async def _run(self, req):
         parts = req.get(b'x-prompt-prefix')
         request = req.get(b'x-request-id').decode()
