--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -199,7 +199,7 @@
         now = boot_seconds()
         return self._share(
             target,
-            [
+            lambda: [
                 each
                 for each in self._view.members
                 if self._membership.is_reachable(each, now)
@@ -321,7 +321,9 @@
         target = self._view.targets.get(key[0])
         return None if target is None else target.service
 
-    def _share(self, key: TargetKey, others: Sequence[str]) -> RoomShare | None:
+    def _share(
+        self, key: TargetKey, others: Callable[[], Sequence[str]]
+    ) -> RoomShare | None:
         """Return the share of this instance and others of a brittle target."""
         target = self._view.targets.get(key[0])
         if target is None or target.key != key:
@@ -333,7 +335,7 @@
         return RoomShare.of_members(
             target.target,
             refusals,
-            {own, *others},
+            {own, *others()},
             {own, *self._view.members, *self.departed()},
         )
 
@@ -342,7 +344,7 @@
         desk, key = opened.desk, opened.key
         if self._own_desks.get(desk.target) is opened:
             _set_rate(desk, self._own_limit(key), now)
-            share = self._share(key, ())
+            share = self._share(key, list)
         else:
             _set_rate(desk, self.holder_limit(key), now)
             share = self.holder_share(key)
