Tell a brittle engine without room from one that loads an adapter

Engines also refuse requests for an adapter whose load is under way. Each such refusal lowered the bound by a fifth, although the engine had room.

test_steward_room.py: of 5 tests 2 failed for this before, all pass.

--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -46,6 +46,8 @@
 _GRANT_GRACE = 0.3
 # Least retry time in seconds that a refusal gives.
 _MIN_RETRY_AFTER = 0.1
+# Seconds after its expected end in which a load may still be under way.
+_LOAD_MARGIN = 0.5
 # Reason of a refusal because of a limit that the engine named.
 _LIMIT_REASON = 'its limit is used up'
 # Retry times get up to this share of jitter, to spread the retries.
@@ -159,9 +161,11 @@
         """End a granted or queued request."""
         if self.queue.remove(message.request_id) is not None:
             return self._proceed(now)
-        if self.room is not None:
-            self.room.record_end(message.request_id, message.outcome, now)
         granted = self._granted.pop(message.request_id, None)
+        outcome = message.outcome
+        if self.room is not None:
+            outcome = self._room_outcome(granted, outcome)
+            self.room.record_end(message.request_id, outcome, now)
         if granted is None:
             return []
         req = granted.req
@@ -174,7 +178,7 @@
         self.pauses.end(req.event_gap)
         if message.outcome is GrantOutcome.served:
             self._record_served(granted, message, now)
-        if message.outcome is GrantOutcome.not_ready:
+        if outcome is GrantOutcome.not_ready:
             self.counters.not_ready += 1
             self.adapter_slots.extend_load(
                 req.adapter, now + self._options.resend_delay
@@ -185,6 +189,17 @@
             self._schedule_report(now)
         return self._proceed(now)
 
+    def _room_outcome(
+        self, granted: GrantedRequest | None, outcome: GrantOutcome
+    ) -> GrantOutcome:
+        """Tell an engine without room from one that loads an adapter."""
+        if outcome is not GrantOutcome.not_ready or granted is None:
+            return outcome
+        slot = self.adapter_slots.get(granted.req.adapter)
+        if slot is None or granted.since <= slot.ready_at + _LOAD_MARGIN:
+            return outcome
+        return GrantOutcome.full
+
     def _record_served(
         self, granted: GrantedRequest, message: AdmissionEnd, now: float
     ) -> None:
--- a/mintlanding/target_limits/brittle.py
+++ b/mintlanding/target_limits/brittle.py
@@ -169,13 +169,19 @@
     def record_end(
         self, request_id: str, outcome: GrantOutcome, now: float
     ) -> None:
-        """Record how a request ended."""
+        """Record how a request ended.
+
+        One that was refused while its adapter was loading says nothing of the
+        room, but the target may have counted it.
+        """
         if outcome is GrantOutcome.served:
             self._record_served(request_id, now)
-        elif outcome in {GrantOutcome.full, GrantOutcome.not_ready}:
-            self._record_refused(request_id, now)
-        else:
-            self._sent.pop(request_id, None)
+            return
+        self._sent.pop(request_id, None)
+        if outcome in {GrantOutcome.full, GrantOutcome.not_ready}:
+            self._refused_at.append(now)
+        if outcome is GrantOutcome.full:
+            self._record_full(now)
 
     def _record_served(self, request_id: str, now: float) -> None:
         sent = self._sent.pop(request_id, None)
@@ -189,9 +195,7 @@
         if sent.is_at_bound:
             self._raise_bound(now)
 
-    def _record_refused(self, request_id: str, now: float) -> None:
-        self._sent.pop(request_id, None)
-        self._refused_at.append(now)
+    def _record_full(self, now: float) -> None:
         self._last_refusal = now
         self._proven = 0
         self._is_starting = False
--- a/mintlanding/target_limits/desk.py
+++ b/mintlanding/target_limits/desk.py
@@ -77,7 +77,11 @@
         if self.queue.remove(message.request_id) is not None:
             return
         if self.room is not None:
-            self.room.record_end(message.request_id, message.outcome, now)
+            outcome = message.outcome
+            if outcome is GrantOutcome.not_ready:
+                # A plain target has no adapters to load.
+                outcome = GrantOutcome.full
+            self.room.record_end(message.request_id, outcome, now)
         granted_at = self._granted.pop(message.request_id, None)
         is_unused = message.outcome is GrantOutcome.unused
         if self.pacer is None or granted_at is None or not is_unused:
