Lose only the message that has no encoding

An integer beyond 64 bits, a lone surrogate or a value of an unknown type raised in send, broadcast or reply, and ended the task that sends statuses each time it ran: the other members heard nothing from this one any more. Bounds of records are checked where they are decoded; this is about whatever passes them. Change: such a message is logged with its type and is not sent; send, broadcast and reply return false.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -180,13 +180,16 @@
     def send(self, member: str, message: Message) -> bool:
         """Send to a member; return false without a usable link."""
         links = self._links.get(member, [])
-        return bool(links) and links[-1].send(self._encoder.encode(message))
+        return bool(links) and self._send(links[-1], message)
 
-    def broadcast(self, message: Message) -> None:
-        """Send to every linked member."""
-        frame = self._encoder.encode(message)
+    def broadcast(self, message: Message) -> bool:
+        """Send to every linked member; return false if it has no encoding."""
+        frame = self._encode(message)
+        if frame is None:
+            return False
         for links in tuple(self._links.values()):
             links[-1].send(frame)
+        return True
 
     def redial(self, member: str) -> None:
         """Close the link to a member that does not reply on it."""
@@ -208,7 +211,7 @@
     def opened(self, link: LinkProtocol) -> None:
         """Send the hello message on a dialled link."""
         if link.peer:
-            link.send(self._encoder.encode(self._identity.hello()))
+            self._send(link, self._identity.hello())
         else:
             self._accepted.add(link)
 
@@ -244,7 +247,7 @@
             return
 
         def reply(own_message: Message) -> bool:
-            return link.send(self._encoder.encode(own_message))
+            return self._send(link, own_message)
 
         try:
             self._receiver(link.peer, message, reply)
@@ -256,6 +259,23 @@
                 **describe_exception(exc),
             )
 
+    def _send(self, link: LinkProtocol, message: Message) -> bool:
+        frame = self._encode(message)
+        return frame is not None and link.send(frame)
+
+    def _encode(self, message: Message) -> bytes | None:
+        """Return the frame of a message, None if a value has no encoding."""
+        try:
+            return self._encoder.encode(message)
+        except Exception as exc:
+            # Integers beyond 64 bits or lone surrogates, among others.
+            self.logger.error(
+                'Encoding a message failed.',
+                type=type(message).__name__,
+                **describe_exception(exc),
+            )
+            return None
+
     def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
         proof = self._identity.proof(hello.instance)
         if not hmac.compare_digest(proof, hello.proof):
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -162,3 +162,37 @@
     await link.is_lost.wait()
     await until(lambda: a.mesh.send('b', status('a')))
     await until(lambda: len(b.received) >= 2)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        Status('a', 'boot', 1.0, levels={'t': 2**70}),
+        Status('a\ud800', 'boot', 1.0),
+        Status('a', 'boot', 1.0, levels={'t': object()}),
+    ],
+    ids=['number', 'text', 'type'],
+)
+async def test_message_without_encoding_costs_only_itself(members, message):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    assert not a.mesh.send('b', message)
+    assert not a.mesh.broadcast(message)
+    assert a.mesh.broadcast(status('a'))
+    await until(lambda: len(b.received) == 2)
+
+
+async def test_reply_without_encoding_costs_only_itself(members):
+    a, b = members
+    replies = []
+
+    def receive(peer, message, reply):
+        replies.append(reply(Status('b', 'boot', 1.0, levels={'t': 2**70})))
+        replies.append(reply(status('b')))
+
+    b.mesh._receiver = receive
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: a.received)
+    assert replies == [False, True]
