Let a steward that raises cost only its worker

An exception in one steward, or one digest that has no encoding, ended the update of all stewards or the status of the member, and again each time the task was started anew: all workers that the member held were without updates, and the others heard nothing from it. Change: each steward is updated, told of versions, limits and uses, and asked for its digest on its own. What raises is logged once until it succeeds again; a digest that has no encoding is left out of the status. A steward that raises when it starts is started again with the next update, one that raises when it stops is removed all the same.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -4,11 +4,14 @@
 """
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+
+import msgspec
 
 from mintlanding.core.exceptions import RequestNotSent, ResponseLost
-from mintlanding.core.logs import Logger
+from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import ConnectionPool
 from mintlanding.http1.models import ResponseHead
 from mintlanding.links.mesh import Reply
@@ -51,6 +54,7 @@
 _JOIN_SECONDS = 0.15
 
 _OK = 200
+_ENCODER = msgspec.msgpack.Encoder()
 
 ReplyCallback = Callable[[AdmissionReply], None]
 
@@ -84,6 +88,8 @@
         # Pace of the engine of each service whose steward was started last.
         self._paces: dict[str, EnginePace] = {}
         self._started = boot_seconds()
+        # Tasks that failed last time, with their worker.
+        self._failing: set[tuple[str, str]] = set()
         self._logger = Logger('steward')
 
     def unreachable(self) -> frozenset[str]:
@@ -104,9 +110,18 @@
         self._unreachable.pop(worker, None)
 
     def digests(self) -> tuple[WorkerDigest, ...]:
-        """Return the digests of all held workers."""
+        """Return the digests of all held workers that can be sent."""
         now = boot_seconds()
-        return tuple(each.digest(now) for each in self.stewards.values())
+        found: list[WorkerDigest] = []
+
+        def collect(worker: str, steward: EngineSteward) -> None:
+            digest = steward.digest(now)
+            # One that has no encoding would hold up the whole status.
+            _ENCODER.encode(digest)
+            found.append(digest)
+
+        self._for_each('digest', collect)
+        return tuple(found)
 
     async def run(self) -> None:
         """Update the stewards periodically until cancelled."""
@@ -119,25 +134,21 @@
         now = boot_seconds()
         engines = self._view.engines()
         held = self._membership.ownership.held_workers()
-        for worker in tuple(self.stewards):
-            target = engines.get(worker)
-            steward = self.stewards[worker]
-            if target is None or worker not in held:
-                self._stop_steward(worker, now)
-            elif target.incarnation != steward.incarnation:
-                self._stop_steward(worker, now)
-                self._start_steward(target, now)
-        for worker in held:
-            target = engines.get(worker)
-            if target is not None and worker not in self.stewards:
-                self._start_steward(target, now)
-        for worker, steward in self.stewards.items():
+        for worker in dict.fromkeys((*self.stewards, *held)):
+            target = engines.get(worker) if worker in held else None
+            with self._isolate('adapt', worker):
+                self._adapt(worker, target, now)
+
+        def refresh(worker: str, steward: EngineSteward) -> None:
             self._refresh(worker, steward, engines[worker], now)
 
+        self._for_each('refresh', refresh)
+
     def update_versions(self) -> None:
         """Pass the newest adapter versions to the stewards."""
         now = boot_seconds()
-        for worker, steward in tuple(self.stewards.items()):
+
+        def pass_versions(worker: str, steward: EngineSteward) -> None:
             for (_, adapter), newest in self._view.versions.items():
                 if steward.adapter_slots.newest(adapter) < newest.version:
                     actions = steward.set_newest_version(
@@ -145,14 +156,19 @@
                     )
                     self._execute(worker, actions)
 
+        self._for_each('versions', pass_versions)
+
     def update_limits(self) -> None:
         """Pass the limits that engines named to the stewards."""
         now = boot_seconds()
-        for worker, steward in tuple(self.stewards.items()):
+
+        def pass_limit(worker: str, steward: EngineSteward) -> None:
             target = self._view.targets.get(worker)
             if target is not None and target.incarnation == steward.incarnation:
                 self._set_limit(steward, target, now)
 
+        self._for_each('limits', pass_limit)
+
     def record_adapter_use(
         self,
         instance: str,
@@ -160,12 +176,15 @@
     ) -> None:
         """Record which adapters an instance uses without a grant."""
         now = boot_seconds()
-        for worker, steward in self.stewards.items():
+
+        def record(worker: str, steward: EngineSteward) -> None:
             adapters = frozenset(
                 adapter for name, adapter in in_use if name == worker
             )
             steward.record_adapter_use(instance, adapters, now)
 
+        self._for_each('use', record)
+
     def receive(self, peer: str, message: Message, reply: Reply) -> bool:
         """Process an admission message; return false for any other."""
         if isinstance(message, AdmissionRequest):
@@ -213,6 +232,47 @@
             timer.cancel()
         self._pool.close()
 
+    def _for_each(
+        self, task: str, work: Callable[[str, EngineSteward], None]
+    ) -> None:
+        """Call for each steward; one that raises costs only its worker."""
+        for worker, steward in tuple(self.stewards.items()):
+            with self._isolate(task, worker):
+                work(worker, steward)
+
+    @contextlib.contextmanager
+    def _isolate(self, task: str, worker: str) -> Iterator[None]:
+        """Log an error, once until the task has succeeded for the worker."""
+        try:
+            yield
+        except Exception as exc:
+            if (task, worker) not in self._failing:
+                self._failing.add((task, worker))
+                self._logger.error(
+                    'Steward failed.',
+                    worker=worker,
+                    task=task,
+                    **describe_exception(exc),
+                )
+        else:
+            self._failing.discard((task, worker))
+
+    def _adapt(self, worker: str, target: Target | None, now: float) -> None:
+        """Start or stop the steward of a worker, if the target calls for it."""
+        steward = self.stewards.get(worker)
+        if steward is not None:
+            if target and target.incarnation == steward.incarnation:
+                return
+            self._stop_steward(worker, now)
+        if target is None:
+            return
+        try:
+            self._start_steward(target, now)
+        except Exception:
+            # Tried again with the next update.
+            self.stewards.pop(worker, None)
+            raise
+
     def _start_steward(self, target: Target, now: float) -> None:
         service = self._view.service(target.service)
         if service is None or service.engine is None:
@@ -255,11 +315,13 @@
 
     def _stop_steward(self, worker: str, now: float) -> None:
         steward = self.stewards[worker]
-        self._execute(worker, steward.drain(now))
-        self.stewards.pop(worker)
-        timer = self._timers.pop(worker, None)
-        if timer is not None:
-            timer.cancel()
+        try:
+            self._execute(worker, steward.drain(now))
+        finally:
+            self.stewards.pop(worker)
+            timer = self._timers.pop(worker, None)
+            if timer is not None:
+                timer.cancel()
         self._logger.info('Steward stopped.', worker=worker)
 
     def _refresh(
