Let readiness depend on the vital tasks only

An instance was unready while any of its long-running tasks failed: one record that made, say, the quarantine task of every member fail would have made the whole fleet unready. And a task that failed three times and then ended in good order, as joining does when the port for links is taken for a moment, counted as failing for good: the instance never became ready. Change: a supervised task may be vital; only vital ones decide on readiness. These are following the store, sending statuses and joining. A task that ends in good order no longer counts as failing.

--- a/mintlanding/core/application.py
+++ b/mintlanding/core/application.py
@@ -60,6 +60,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         # Names of the supervised tasks that fail again and again.
         self._failing: set[str] = set()
+        self._vital: set[str] = set()
         self._stop_requested = asyncio.Event()
         self._machine = Machine(
             self,
@@ -98,14 +99,21 @@
         task.add_done_callback(self._forget_task)
         return task
 
-    def supervise(self, name: str, work: Work) -> asyncio.Task[Any]:
-        """Run a long-running task, started again after an exception."""
+    def supervise(
+        self, name: str, work: Work, *, is_vital: bool = False
+    ) -> asyncio.Task[Any]:
+        """Run a long-running task, started again after an exception.
+
+        Without its vital tasks, a process cannot do its work at all.
+        """
+        if is_vital:
+            self._vital.add(name)
         return self.spawn(self._keep_running(name, work))
 
     @property
     def is_sound(self) -> bool:
-        """Tell whether no supervised task fails again and again."""
-        return not self._failing
+        """Tell whether no vital task fails again and again."""
+        return self._vital.isdisjoint(self._failing)
 
     def request_stop(self) -> None:
         """Request a graceful shutdown."""
@@ -153,9 +161,12 @@
             sound = loop.call_later(_SOUND_SECONDS, self._failing.discard, name)
             started = loop.time()
             try:
-                return await work()
+                await work()
             except Exception as exc:
                 fields = describe_exception(exc)
+            else:
+                self._failing.discard(name)
+                return
             finally:
                 sound.cancel()
             if loop.time() > started + _SOUND_SECONDS:
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -142,9 +142,9 @@
         await self._ready.start(*facts.ready)
         await self._metrics.start(facts.host, facts.metrics_port)
         supervise = self.application.supervise
-        supervise('store', self._store_watcher.run)
+        supervise('store', self._store_watcher.run, is_vital=True)
         supervise('lease', self._membership.run_lease)
-        supervise('join', self._join)
+        supervise('join', self._join, is_vital=True)
 
     async def drain(self) -> None:
         """Announce the stop, finish requests and close idle connections."""
@@ -220,7 +220,9 @@
         await mesh.start(facts.host, facts.peer_port)
         self._membership.update_members()
         supervise = self.application.supervise
-        supervise('statuses', self._membership.run_status_exchange)
+        supervise(
+            'statuses', self._membership.run_status_exchange, is_vital=True
+        )
         supervise('claims', self._membership.run_claims)
         supervise('stewards', self._stewards.run)
         supervise('admissions', self._admissions.run)
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -5,7 +5,9 @@
 import msgspec
 import pytest
 
-from mintlanding.platform.tests.world import World
+from mintlanding.core.tests.ports import free_port
+from mintlanding.platform.tests import world as world_module
+from mintlanding.platform.tests.world import World, read_response
 
 
 @pytest.fixture
@@ -77,3 +79,51 @@
         while node._stewards.stewards.get('e1') in {None, former}:
             await asyncio.sleep(0.05)
     assert node._stewards.stewards['e1'].may_order
+
+
+async def is_ready(node):
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', node._ready.port
+    )
+    writer.write(b'GET / HTTP/1.1\r\nHost: ready\r\n\r\n')
+    status, _, _ = await read_response(reader)
+    writer.close()
+    return status == 200
+
+
+@pytest.fixture
+async def late_node(world, monkeypatch):
+    """An instance whose port for links was taken when it started."""
+    port = free_port()
+    blocker = await asyncio.start_server(lambda *args: None, '127.0.0.1', port)
+    with monkeypatch.context() as patch:
+        patch.setattr(world_module, 'free_port', lambda: port)
+        node = await world.add_node('late')
+    # The third failure in succession comes after 0.3 s.
+    await asyncio.sleep(1)
+    assert not await is_ready(node)
+    blocker.close()
+    await blocker.wait_closed()
+    return node
+
+
+async def test_instance_whose_port_was_taken_becomes_ready(late_node):
+    async with asyncio.timeout(5):
+        while not await is_ready(late_node):
+            await asyncio.sleep(0.05)
+
+
+async def test_instance_stays_ready_while_its_upkeep_fails(world, monkeypatch):
+    node = world.nodes[0]
+    monkeypatch.setattr(node.relay, 'prune', fail)
+    await asyncio.sleep(1.5)
+    assert await is_ready(node)
+
+
+async def test_instance_that_sends_no_statuses_is_not_ready(world, monkeypatch):
+    node = world.nodes[0]
+    exchange = node._membership.status_exchange
+    monkeypatch.setattr(exchange, 'send_status', fail)
+    async with asyncio.timeout(5):
+        while await is_ready(node):
+            await asyncio.sleep(0.05)
