Keep one set of links when joining is repeated

Joining opens the links to the members and listens for theirs; when the port was taken for a moment, each repetition opened another set, and those before it went on dialling as soon as a member changed. Members close a former link of a peer that dials again, so that the sets closed each other's links without end. Change: the links are opened once, and a listener that listens is kept; the same for the listener for paths.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -156,7 +156,9 @@
         )
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for connections of members."""
+        """Listen for connections of members, unless it does already."""
+        if self._listener is not None:
+            return
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             lambda: LinkProtocol(self),
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -288,7 +288,9 @@
             await asyncio.sleep(self._cfg.fleet.status_interval)
 
     def open_mesh(self) -> Mesh:
-        """Create the mesh of links to the members."""
+        """Return the mesh of links to the members, created on first use."""
+        if self.mesh is not None:
+            return self.mesh
         identity = Identity(
             self.instance, self.incarnation, self._view.fleet_key
         )
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -259,7 +259,9 @@
         self._listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, fleet_key: bytes) -> None:
-        """Listen; raise OSError if the address is in use."""
+        """Listen, unless it does; raise OSError if the address is in use."""
+        if self._listener is not None:
+            return
         self._fleet_key = fleet_key
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -91,19 +91,37 @@
     return status == 200
 
 
+async def block(port):
+    return await asyncio.start_server(lambda *args: None, '127.0.0.1', port)
+
+
+async def unblock(*blockers):
+    for each in blockers:
+        each.close()
+        await each.wait_closed()
+
+
 @pytest.fixture
 async def late_node(world, monkeypatch):
-    """An instance whose port for links was taken when it started."""
-    port = free_port()
-    blocker = await asyncio.start_server(lambda *args: None, '127.0.0.1', port)
+    """An instance whose ports for members were taken when it started."""
+    peer_port, path_port = free_port(), free_port()
+    ports = iter((peer_port, path_port))
+    blocker, path_blocker = await block(peer_port), await block(path_port)
     with monkeypatch.context() as patch:
-        patch.setattr(world_module, 'free_port', lambda: port)
+        patch.setattr(world_module, 'free_port', lambda: next(ports))
         node = await world.add_node('late')
     # The third failure in succession comes after 0.3 s.
-    await asyncio.sleep(1)
+    for _ in range(5):
+        await asyncio.sleep(0.2)
+        node._membership.update_members()
     assert not await is_ready(node)
-    blocker.close()
-    await blocker.wait_closed()
+    await unblock(blocker)
+    async with asyncio.timeout(5):
+        while not node._is_ready:
+            await asyncio.sleep(0.05)
+    # The paths start once the port for links is free.
+    await asyncio.sleep(0.5)
+    await unblock(path_blocker)
     return node
 
 
@@ -113,6 +131,53 @@
             await asyncio.sleep(0.05)
 
 
+async def test_instance_whose_port_was_taken_has_one_link(
+    world, late_node, monkeypatch
+):
+    hellos = []
+    mesh = world.nodes[0]._membership.mesh
+    welcome = mesh._welcome
+
+    def record(link, hello):
+        hellos.append(hello.instance)
+        welcome(link, hello)
+
+    monkeypatch.setattr(mesh, '_welcome', record)
+    await asyncio.sleep(1.5)
+    assert hellos == []
+
+
+async def test_paths_whose_port_was_taken_are_listened_for_once(
+    world, late_node, monkeypatch
+):
+    paths = late_node._paths
+    async with asyncio.timeout(5):
+        while not paths.port:
+            await asyncio.sleep(0.05)
+    listener = paths._listener
+    await late_node._open_paths()
+    assert paths._listener is listener
+    assert paths.port == late_node._cfg.facts.path_port
+
+
+async def test_instance_that_joins_again_listens_once(world, monkeypatch):
+    calls = []
+
+    def fail_once():
+        calls.append(1)
+        if len(calls) == 1:
+            raise LookupError('unforeseen')
+        update_members()
+
+    late = await world.add_node('late')
+    update_members = late._membership.update_members
+    monkeypatch.setattr(late._membership, 'update_members', fail_once)
+    async with asyncio.timeout(5):
+        while not await is_ready(late):
+            await asyncio.sleep(0.05)
+    assert calls
+
+
 async def test_instance_stays_ready_while_its_upkeep_fails(world, monkeypatch):
     node = world.nodes[0]
     monkeypatch.setattr(node.relay, 'prune', fail)
