--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -599,17 +599,28 @@
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
+        try:
+            return await self._send_if_open(plan, target, version, conn)
+        finally:
+            self._pool.release(conn)
+
+    async def _send_if_open(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        version: int,
+        conn: ClientConnection,
+    ) -> AttemptResult:
+        """Send a request, unless something bars it by now."""
         barrier = self._gate.check(plan, target)
         if barrier is not None:
-            self._pool.release(conn)
             plan.reason = barrier.reason
             plan.retry_after = barrier.retry_after or plan.retry_after
             return barrier.result
-        number = self.target_table.begin(target.target, now)
+        number = self.target_table.begin(target.target, self._now())
         try:
             return await self._exchange(plan, target, version, conn, number)
         finally:
-            self._pool.release(conn)
             self.target_table.end(target.target, number)
 
     async def _exchange(
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -6,8 +6,9 @@
 import pytest
 
 from mintlanding.core.tests.ports import free_port
+from mintlanding.node.send_gate import SendGate
 from mintlanding.platform.tests import world as world_module
-from mintlanding.platform.tests.world import World, read_response
+from mintlanding.platform.tests.world import ORDER, World, read_response
 
 
 @pytest.fixture
@@ -192,3 +193,15 @@
     async with asyncio.timeout(5):
         while await is_ready(node):
             await asyncio.sleep(0.05)
+
+
+async def test_check_that_raises_leaves_no_connection(world, monkeypatch):
+    await world.ask(ORDER)
+    monkeypatch.setattr(SendGate, 'check', fail)
+    for _ in range(4):
+        status, _, _ = await world.ask(ORDER)
+        assert status == 503
+    await asyncio.sleep(0.3)
+    # Connections that wait for the next request; one to each target at most.
+    for target in world.plain:
+        assert len(target.server.connections) <= 1
