End the reservation of a request whose routing raises

Change: a reservation that turns out to be of no use is ended, also after an exception. Measured: four such requests leave no place taken; the new test fails on the parent and passes here.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -394,14 +394,8 @@
             reservation = await self._reserve(plan)
             if reservation is None:
                 return result
-            target = self._view.targets.get(reservation.worker)
-            # The worker may have restarted with another build meanwhile.
-            if target is None or not self._gate.is_candidate(target, plan):
-                self._admissions.end(
-                    reservation.worker,
-                    reservation.reservation_id,
-                    GrantOutcome.unused,
-                )
+            target = self._reserved_target(plan, reservation)
+            if target is None:
                 continue
             result = await self._attempt_reserved(plan, reservation, target)
             if result is AttemptResult.missing:
@@ -420,6 +414,26 @@
                 return result
         return result
 
+    def _reserved_target(
+        self, plan: RequestPlan, reservation: Reservation
+    ) -> Target | None:
+        """Return the target of a reservation; end one that is of no use."""
+        target = self._view.targets.get(reservation.worker)
+        is_usable = False
+        try:
+            # The worker may have restarted with another build meanwhile.
+            is_usable = target is not None and self._gate.is_candidate(
+                target, plan
+            )
+        finally:
+            if not is_usable:
+                self._admissions.end(
+                    reservation.worker,
+                    reservation.reservation_id,
+                    GrantOutcome.unused,
+                )
+        return target if is_usable else None
+
     async def _attempt_reserved(
         self,
         plan: RequestPlan,
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -8,7 +8,7 @@
 from mintlanding.core.tests.ports import free_port
 from mintlanding.node.send_gate import SendGate
 from mintlanding.platform.tests import world as world_module
-from mintlanding.platform.tests.world import ORDER, World, read_response
+from mintlanding.platform.tests.world import LIVE, ORDER, World, read_response
 
 
 @pytest.fixture
@@ -205,3 +205,22 @@
     # Connections that wait for the next request; one to each target at most.
     for target in world.plain:
         assert len(target.server.connections) <= 1
+
+
+async def test_reservation_of_a_request_that_raises_is_ended(
+    world, monkeypatch
+):
+    node = world.nodes[0]
+    with monkeypatch.context() as patch:
+        patch.setattr(SendGate, 'is_candidate', fail)
+        patch.setattr(
+            SendGate,
+            'candidates',
+            lambda gate, plan: gate.view.targets_of(plan.service.name),
+        )
+        for _ in range(4):
+            status, _, _ = await world.ask(LIVE)
+            assert status == 503
+    await asyncio.sleep(0.3)
+    stewards = node._stewards.stewards.values()
+    assert [each.running for each in stewards] == [0, 0]
