Refund the quota of a request that cannot be noted

Change: the request is counted where an exception refunds what was charged. Measured: the counter of the workspace after such a request; the new test fails on the parent (110 tokens charged) and passes here.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -154,10 +154,10 @@
         if isinstance(plan, Refusal):
             self._refuse(req, fields, plan)
             return None
-        self.budget.note_request(plan.service.name, req.arrived)
         return plan
 
     async def _run(self, plan: RequestPlan) -> AttemptResult:
+        self.budget.note_request(plan.service.name, plan.req.arrived)
         if await self._locate_stream(plan):
             return await self._serve(plan)
         return AttemptResult.not_sent
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -224,3 +224,13 @@
     await asyncio.sleep(0.3)
     stewards = node._stewards.stewards.values()
     assert [each.running for each in stewards] == [0, 0]
+
+
+async def test_quota_of_a_request_that_is_not_noted_is_refunded(
+    world, monkeypatch
+):
+    relay = world.nodes[0].relay
+    monkeypatch.setattr(relay.budget, 'note_request', fail)
+    status, _, _ = await world.ask(ORDER)
+    assert status == 503
+    assert relay.quotas.counters()['hule930'] == 0
