Put a configuration in force with all its tables, or not at all

Had one of them raised, new services would have been in force with old routes or keys, and the record would not have been read again. Change: the tables are built first, then all three are replaced. Measured: a configuration whose tables raise leaves the one before in force; both cases of the new test fail on the parent and pass here.

--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -337,9 +337,8 @@
         cfg = self.records.decode_config(item.content)
         if self.config is not None and cfg.version < self.config.version:
             return
-        self.config = cfg
-        self.routes = RouteTable.from_config(cfg)
-        self.keys = KeyTable.from_config(cfg)
+        routes, keys = RouteTable.from_config(cfg), KeyTable.from_config(cfg)
+        self.config, self.routes, self.keys = cfg, routes, keys
         self.logger.info(
             'Configuration in force.',
             version=cfg.version,
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -6,8 +6,10 @@
 import pytest
 
 from mintlanding.core.tests.ports import free_port
+from mintlanding.node import view as view_module
 from mintlanding.node.send_gate import SendGate
 from mintlanding.platform.tests import world as world_module
+from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import LIVE, ORDER, World, read_response
 
 
@@ -234,3 +236,26 @@
     status, _, _ = await world.ask(ORDER)
     assert status == 503
     assert relay.quotas.counters()['hule930'] == 0
+
+
+@pytest.mark.parametrize('table', ['RouteTable', 'KeyTable'])
+async def test_configuration_whose_tables_raise_is_not_in_force(
+    world, monkeypatch, table
+):
+    node = world.nodes[0]
+    view = node.view
+    before = (view.config, view.routes, view.keys)
+    with monkeypatch.context() as patch:
+        patch.setattr(getattr(view_module, table), 'from_config', fail)
+        world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+        as_of = world.store.revision
+        async with asyncio.timeout(4):
+            while view.as_of < as_of:
+                await asyncio.sleep(0.05)
+    assert (view.config, view.routes, view.keys) == before
+    world.store.put('op/config', encode({**CONFIG, 'version': 9}))
+    async with asyncio.timeout(4):
+        while view.config.version < 9:
+            await asyncio.sleep(0.05)
+    status, _, _ = await world.ask(ORDER)
+    assert status == 200
