Dial a member again although greeting it has raised

The status that is sent when a link comes up is built from all parts of the instance; had one of them raised, the task that dials the member ended for good, and an accepted link was closed again and again. Change: the exception is logged, and the link stays in use.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -304,8 +304,16 @@
         if not links:
             self.logger.info('Link established.', peer=link.peer)
         links.append(link)
-        if self.on_link_up is not None:
+        if self.on_link_up is None:
+            return
+        try:
             self.on_link_up(link.peer)
+        except Exception as exc:
+            self.logger.error(
+                'Greeting a member failed.',
+                peer=link.peer,
+                **describe_exception(exc),
+            )
 
     def _drop(self, member: str) -> None:
         dialer = self._dialers.pop(member, None)
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -196,3 +196,19 @@
     await until(lambda: a.mesh.send('b', status('a')))
     await until(lambda: a.received)
     assert replies == [False, True]
+
+
+async def test_link_whose_greeting_raises_is_dialled_again(members):
+    a, b = members
+
+    def fail(member):
+        raise LookupError('unforeseen')
+
+    a.mesh.on_link_up = fail
+    b.mesh.on_link_up = fail
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    a.mesh.redial('b')
+    await until(lambda: not a.mesh.send('b', status('a')))
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: len(b.received) >= 2)
