--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -158,10 +158,10 @@
         if isinstance(plan, Refusal):
             self._refuse(req, fields, plan)
             return None
-        self.budget.note_request(plan.service.name, req.arrived)
         return plan
 
     async def _run(self, plan: RequestPlan) -> AttemptResult:
+        self.budget.note_request(plan.service.name, plan.req.arrived)
         if await self._locate_stream(plan):
             return await self._serve(plan)
         return AttemptResult.not_sent
@@ -413,14 +413,8 @@
             reservation = await self._reserve(plan)
             if reservation is None:
                 return result
-            target = self._view.targets.get(reservation.worker)
-            # The worker may have restarted with another build meanwhile.
-            if target is None or not self._gate.is_candidate(target, plan):
-                self._admissions.end(
-                    reservation.worker,
-                    reservation.reservation_id,
-                    GrantOutcome.unused,
-                )
+            target = self._reserved_target(plan, reservation)
+            if target is None:
                 continue
             result = await self._attempt_reserved(plan, reservation, target)
             if result is AttemptResult.missing:
@@ -439,6 +433,26 @@
                 return result
         return result
 
+    def _reserved_target(
+        self, plan: RequestPlan, reservation: Reservation
+    ) -> Target | None:
+        """Return the target of a reservation; end one that is of no use."""
+        target = self._view.targets.get(reservation.worker)
+        is_usable = False
+        try:
+            # The worker may have restarted with another build meanwhile.
+            is_usable = target is not None and self._gate.is_candidate(
+                target, plan
+            )
+        finally:
+            if not is_usable:
+                self._admissions.end(
+                    reservation.worker,
+                    reservation.reservation_id,
+                    GrantOutcome.unused,
+                )
+        return target if is_usable else None
+
     async def _attempt_reserved(
         self,
         plan: RequestPlan,
@@ -627,17 +641,28 @@
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
+        try:
+            return await self._send_if_open(plan, target, version, conn)
+        finally:
+            self._pool.release(conn)
+
+    async def _send_if_open(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        version: int,
+        conn: ClientConnection,
+    ) -> AttemptResult:
+        """Send a request, unless something bars it by now."""
         barrier = self._gate.check(plan, target)
         if barrier is not None:
-            self._pool.release(conn)
             plan.reason = barrier.reason
             plan.retry_after = barrier.retry_after or plan.retry_after
             return barrier.result
-        number = self.target_table.begin(target.target, now)
+        number = self.target_table.begin(target.target, self._now())
         try:
             return await self._exchange(plan, target, version, conn, number)
         finally:
-            self._pool.release(conn)
             self.target_table.end(target.target, number)
 
     async def _exchange(
