Pass on no refusal that lacks word that the request was not run

A target that answers 408, 429 or 503 without X-Not-Run may have run the request. For requests that may run once, and streams that cannot be resumed, the answer was passed on, and callers, who take these statuses for a promise, sent the request again. Such an answer is now treated as a lost one: 502.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from mintlanding.core.exceptions import (
+    InvalidResponse,
     RequestNotSent,
     ResponseLost,
     ResponseTimeout,
@@ -54,6 +55,9 @@
 _CONFIG_TIMEOUT = 0.15
 _CONFIG_POLL_SECONDS = 0.01
 
+# Statuses that tell a caller that its request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class Relay:
     """Reverse proxy for callers' requests."""
@@ -707,6 +711,7 @@
         self._record_response(plan, target, response)
         if response.is_not_run:
             return await self._handle_refusal(plan, target, conn, response)
+        _check_promise(plan, response)
         if plan.req.is_streaming and not _continues(plan, head, response):
             # Whatever else it is, the caller would take it for events.
             plan.reason = (
@@ -919,6 +924,17 @@
     )
 
 
+def _check_promise(plan: RequestPlan, response: TargetResponse) -> None:
+    """Raise InvalidResponse for a refusal of a request that may have run.
+
+    Callers take these statuses for a promise and send the request again.
+    """
+    if response.status in _NOT_RUN_STATUSES and not plan.route.is_idempotent:
+        raise InvalidResponse(
+            f'status {response.status} without word whether the request ran',
+        )
+
+
 def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
     """Tell whether a response is taken for that to the last request.
 
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -250,6 +250,8 @@
     crash_after: int = 0
     # Event after which a stream brings single bytes and no further event.
     drip_after: int = 0
+    # Event after which a stream pauses for a second.
+    silent_after: int = 0
     mute: bool = False
     # Seconds after each event of a stream.
     event_pause: float = 0.005
@@ -534,6 +536,8 @@
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
             await asyncio.sleep(self.faults.event_pause)
+            if number == self.faults.silent_after:
+                await asyncio.sleep(1)
             if number == self.faults.drip_after:
                 await _drip_bytes(req)
             if number == self.faults.crash_after:
--- a/mintlanding/platform/tests/test_stale_responses.py
+++ b/mintlanding/platform/tests/test_stale_responses.py
@@ -87,3 +87,17 @@
             assert (await world.ask(LOOKUP))[0] == 200
     await asyncio.sleep(0.6)
     assert faulty.left == faulty.stale_sent
+
+
+@pytest.mark.parametrize('path', [ORDER, LIVE])
+@pytest.mark.parametrize('status', [408, 429, 503])
+async def test_status_that_promises_no_run_needs_word_of_the_target(
+    world, path, status
+):
+    # The target has run the request and answers so without X-Not-Run.
+    for target in world.targets:
+        target.faults.bare_status = status
+    found, head, _ = await world.ask(path)
+    assert found == 502
+    assert b'x-response-stamp' not in head
+    assert len(runs(world)) == 1
