Wait for a silent target if no other one can be tried

A target that was silent for one and a half objectives was given up even when no retry could follow: with no other target left, or no retry budget. Callers of requests that may be repeated got 502, and resumable streams broke off, although the target was sound and would have gone on a moment later.

A silent target is now given up before the deadline only if another one may be sent the request within the route's attempts and the budget; this is asked again after each such time.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -654,7 +654,7 @@
         if plan.route.kind is RouteKind.unsafe:
             req.outlives_caller = True
         try:
-            response_head = await conn.read_head(self._response_timeout(plan))
+            response_head = await self._read_head(plan, conn)
             self.target_table.record_response_start(
                 target.target, number, self._now()
             )
@@ -683,6 +683,33 @@
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
 
+    async def _read_head(
+        self, plan: RequestPlan, conn: ClientConnection
+    ) -> ResponseHead:
+        """Wait for a response, longer if no other target could give one."""
+        while True:
+            try:
+                return await conn.read_head(self._response_timeout(plan))
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+
+    def _gives_up(self, plan: RequestPlan) -> bool:
+        """Tell whether a silent target is given up for another attempt.
+
+        A sound one may be silent for a while, and what it has done so far is
+        lost with its connection.
+        """
+        if self._time_left(plan) <= 0:
+            return True
+        others = [
+            each
+            for each in self._gate.candidates(plan)
+            if each.target not in plan.tried and each.target != plan.target
+        ]
+        can_send = bool(others) and plan.sends < _MAX_SENDS
+        return can_send and self.budget.has_room(plan.service.name, self._now())
+
     def _response_timeout(self, plan: RequestPlan) -> float:
         """Return how long an attempt may wait for its response to begin."""
         left = max(0.001, self._time_left(plan))
@@ -869,9 +896,7 @@
         req = plan.req
         is_resumable = plan.route.is_resumable
         event_at = self._now()
-        while chunk := await conn.read_chunk(
-            self._event_timeout(plan, event_at)
-        ):
+        while chunk := await self._read_events(plan, conn, event_at):
             whole = plan.events.take(chunk)
             passed = whole if is_resumable else chunk
             if whole:
@@ -889,6 +914,20 @@
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
+    async def _read_events(
+        self, plan: RequestPlan, conn: ClientConnection, event_at: float
+    ) -> bytes:
+        """Wait for bytes, longer if no other target could continue."""
+        while True:
+            try:
+                return await conn.read_chunk(
+                    self._event_timeout(plan, event_at)
+                )
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+                event_at = self._now()
+
     def _event_timeout(self, plan: RequestPlan, event_at: float) -> float:
         """Return how long to wait for bytes after the last whole event.
 
--- /dev/null
+++ b/mintlanding/platform/tests/test_silent_targets.py
@@ -0,0 +1,89 @@
+"""Sound targets that fall silent for a second and go on."""
+
+import asyncio
+
+import pytest
+
+from mintlanding.platform.tests.samples import CONFIG, encode
+from mintlanding.platform.tests.world import (
+    BATCH,
+    LIVE,
+    LOOKUP,
+    ORDER,
+    World,
+)
+
+SILENCE_SECONDS = 1.0
+EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3))
+
+
+@pytest.fixture
+async def world():
+    """Targets of routes whose answers are due within 0.3 s."""
+    found = await World().start()
+    routes = [{**route, 'goal_ms': 300} for route in CONFIG['routes']]
+    changed = {**CONFIG, 'version': 9, 'routes': routes}
+    found.store.put('op/config', encode(changed))
+    await asyncio.sleep(0.8)
+    assert (await found.ask(LIVE))[0] == 200
+    for target in found.targets:
+        target.runs.clear()
+    yield found
+    await found.stop()
+
+
+async def keep_one_target(world):
+    """Leave one target of each service."""
+    (ready,) = [each for each in world.engines if each.adapters]
+    for target in (*world.engines, world.plain[1]):
+        if target is not ready:
+            world.store.remove(f'servers/{target.name}')
+    await asyncio.sleep(0.8)
+
+
+def allow_no_retries(world):
+    for node in world.nodes:
+        node.relay.budget.take = lambda service, now: False
+        node.relay.budget.has_room = lambda service, now: False
+
+
+@pytest.mark.parametrize('path', [LIVE, BATCH, ORDER, LOOKUP])
+@pytest.mark.parametrize('others', ['silent', 'gone', 'no retries'])
+async def test_target_silent_before_its_answer_is_waited_for(
+    world, path, others
+):
+    if others == 'gone':
+        await keep_one_target(world)
+    if others == 'no retries':
+        allow_no_retries(world)
+    for target in world.targets:
+        target.delay = SILENCE_SECONDS
+    status, _, body = await world.ask(path)
+    assert status == 200
+    assert body == (EVENTS if path in {LIVE, BATCH} else b'done hello')
+    await check_no_crash(world)
+
+
+@pytest.mark.parametrize('path', [LIVE, BATCH])
+@pytest.mark.parametrize('others', ['silent', 'gone', 'no retries'])
+async def test_target_silent_amid_its_stream_is_waited_for(world, path, others):
+    if others == 'gone':
+        await keep_one_target(world)
+    if others == 'no retries':
+        allow_no_retries(world)
+    for engine in world.engines:
+        engine.faults.silent_after = 1
+    status, _, body = await world.ask(path)
+    assert (status, body) == (200, EVENTS)
+    await check_no_crash(world)
+
+
+async def check_no_crash(world):
+    """No crash is suspected, and the targets are used again at once."""
+    (node,) = world.nodes
+    assert not node.relay.crash_watch._checks
+    for target in world.targets:
+        target.delay = 0
+        target.faults.silent_after = 0
+    for path in (LIVE, BATCH, ORDER, LOOKUP):
+        assert (await world.ask(path))[0] == 200
--- a/mintlanding/traffic/retries.py
+++ b/mintlanding/traffic/retries.py
@@ -49,15 +49,19 @@
         """Count a request, once however often it is retried."""
         self._pruned(service, now).requests.append(now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Spend one retry; return false if the budget is used up."""
+    def has_room(self, service: str, now: float) -> bool:
+        """Tell whether a retry may be spent."""
         window = self._pruned(service, now)
         allowed = self._options.ratio * len(
             window.requests
         ) + self._options.slack / max(1, self.members)
-        if len(window.retries) + 1 > allowed * _USABLE_SHARE:
+        return len(window.retries) + 1 <= allowed * _USABLE_SHARE
+
+    def take(self, service: str, now: float) -> bool:
+        """Spend one retry; return false if the budget is used up."""
+        if not self.has_room(service, now):
             return False
-        window.retries.append(now)
+        self._pruned(service, now).retries.append(now)
         return True
 
     def _pruned(self, service: str, now: float) -> _Window:
