--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from mintlanding.core.exceptions import (
+    InvalidResponse,
     RequestNotSent,
     ResponseLost,
     ResponseTimeout,
@@ -58,6 +59,9 @@
 _CONFIG_TIMEOUT = 0.15
 _CONFIG_POLL_SECONDS = 0.01
 
+# Statuses that tell a caller that its request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class Relay:
     """Reverse proxy for callers' requests."""
@@ -706,7 +710,7 @@
         if plan.route.kind is RouteKind.unsafe:
             req.outlives_caller = True
         try:
-            response_head = await conn.read_head(self._response_timeout(plan))
+            response_head = await self._read_head(plan, conn)
             self.target_table.record_response_start(
                 target.target, number, self._now()
             )
@@ -737,6 +741,33 @@
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
 
+    async def _read_head(
+        self, plan: RequestPlan, conn: ClientConnection
+    ) -> ResponseHead:
+        """Wait for a response, longer if no other target could give one."""
+        while True:
+            try:
+                return await conn.read_head(self._response_timeout(plan))
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+
+    def _gives_up(self, plan: RequestPlan) -> bool:
+        """Tell whether a silent target is given up for another attempt.
+
+        A sound one may be silent for a while, and what it has done so far is
+        lost with its connection.
+        """
+        if self._time_left(plan) <= 0:
+            return True
+        others = [
+            each
+            for each in self._gate.candidates(plan)
+            if each.target not in plan.tried and each.target != plan.target
+        ]
+        can_send = bool(others) and plan.sends < _MAX_SENDS
+        return can_send and self.budget.has_room(plan.service.name, self._now())
+
     def _response_timeout(self, plan: RequestPlan) -> float:
         """Return how long an attempt may wait for its response to begin."""
         left = max(0.001, self._time_left(plan))
@@ -765,6 +796,7 @@
         self._record_response(plan, target, response)
         if response.is_not_run:
             return await self._handle_refusal(plan, target, conn, response)
+        _check_promise(plan, response)
         if plan.req.is_streaming and not _continues(plan, head, response):
             # Whatever else it is, the caller would take it for events.
             plan.reason = (
@@ -922,9 +954,7 @@
         req = plan.req
         is_resumable = plan.route.is_resumable
         event_at = self._now()
-        while chunk := await conn.read_chunk(
-            self._event_timeout(plan, event_at)
-        ):
+        while chunk := await self._read_events(plan, conn, event_at):
             whole = plan.events.take(chunk)
             passed = whole if is_resumable else chunk
             if whole:
@@ -942,6 +972,20 @@
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
+    async def _read_events(
+        self, plan: RequestPlan, conn: ClientConnection, event_at: float
+    ) -> bytes:
+        """Wait for bytes, longer if no other target could continue."""
+        while True:
+            try:
+                return await conn.read_chunk(
+                    self._event_timeout(plan, event_at)
+                )
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+                event_at = self._now()
+
     def _event_timeout(self, plan: RequestPlan, event_at: float) -> float:
         """Return how long to wait for bytes after the last whole event.
 
@@ -977,6 +1021,17 @@
     )
 
 
+def _check_promise(plan: RequestPlan, response: TargetResponse) -> None:
+    """Raise InvalidResponse for a refusal of a request that may have run.
+
+    Callers take these statuses for a promise and send the request again.
+    """
+    if response.status in _NOT_RUN_STATUSES and not plan.route.is_idempotent:
+        raise InvalidResponse(
+            f'status {response.status} without word whether the request ran',
+        )
+
+
 def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
     """Tell whether a response is taken for that to the last request.
 
