--- a/mintlanding/platform/tests/test_brittle_targets.py
+++ b/mintlanding/platform/tests/test_brittle_targets.py
@@ -73,6 +73,8 @@
     responses = await send_steadily(
         world, path, seconds, 2 * CAPACITY, change=change
     )
+    if hasattr(world, 'changing'):
+        await world.changing
     since = begin + CONTACT_SECONDS
     refused = [most_refused(each, since) for each in targets]
     assert max(refused) <= BEARS
@@ -128,13 +130,47 @@
     world.changing = asyncio.ensure_future(world.kill(killed))
 
 
+def cut_for_a_while(world, target):
+    cut_in_halves(world, target)
+
+    async def heal():
+        await asyncio.sleep(2)
+        for node in world.nodes:
+            mesh = node._membership.mesh
+            del mesh.send, mesh.broadcast
+
+    world.changing = asyncio.ensure_future(heal())
+
+
+def replace_holder(world, target):
+    stopped, _ = holder(world, target)
+
+    async def replace():
+        await stopped.drain()
+        for task in tuple(stopped.application._tasks):
+            task.cancel()
+        await stopped.stop()
+        await world.add_node('n9')
+
+    # Callers leave an instance that says that it is not ready.
+    world.nodes.remove(stopped)
+    world.changing = asyncio.ensure_future(replace())
+
+
 def change_configuration(world, target):
     world.store.put('op/config', encode({**CONFIG, 'version': 8}))
 
 
 @pytest.mark.parametrize(
     'change',
-    [cut_in_halves, cut_off_holder, kill_holder, change_configuration],
+    [
+        cut_in_halves,
+        cut_off_holder,
+        cut_for_a_while,
+        kill_holder,
+        replace_holder,
+        change_configuration,
+    ],
 )
 @pytest.mark.parametrize(
     ('path', 'kind', 'target'),
