Write the entry again when a write of it had no response

The entry that says that an instance is cut off was written without a response, but committed. The instance did not know the revision, so that its releases, which depend on it, were rejected for good, and its orders stayed suspended: the worker was lost to all until a restart. The entry itself went on saying that the instance is cut off. Change: an entry that is not known to be stored is written again, also after a release that was rejected, since an earlier write may have been committed late.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -113,8 +113,8 @@
         self._registered = False
         # Revision at which the entry of the current lease was written.
         self._entry_revision = 0
-        # Last entry that is known to be stored, its revision, and when it may
-        # be written again.
+        # Stored entry, if it is known, its revision, and when it may be written
+        # again.
         self._entry: MemberRecord | None = None
         self._stored_revision = 0
         self._entry_retry_at = float('-inf')
@@ -242,25 +242,30 @@
             self.status_exchange.send_status(now)
 
     async def run_claims(self) -> None:
-        """Claim workers without a holder and settle earlier claims."""
+        """Claim and release workers until cancelled."""
         while True:
             await asyncio.sleep(self._cfg.fleet.status_interval)
-            now = boot_seconds()
-            if self.is_leaving or now < self._joined_at + _SETTLE_SECONDS:
-                continue
-            # Entries of members may have lapsed in an outage of the store.
-            if now < self._view.store_contact.since + _LAPSING_SECONDS:
-                continue
-            self.update_members()
-            self._observe_cuts(now)
-            await self._update_entry(now)
-            for worker in self.ownership.releasable(now)[:_MAX_RELEASES]:
-                await self.ownership.release(worker, self._stored_revision)
-            for claim in self._claims(now):
-                await self.ownership.claim(claim)
-            for worker in sorted(self.ownership.held_workers()):
-                if not self.ownership.is_releasing(worker):
-                    await self.ownership.settle(worker, now)
+            await self.claim_workers(boot_seconds())
+
+    async def claim_workers(self, now: float) -> None:
+        """Claim workers without a holder, settle earlier claims, release."""
+        if self.is_leaving or now < self._joined_at + _SETTLE_SECONDS:
+            return
+        # Entries of members may have lapsed in an outage of the store.
+        if now < self._view.store_contact.since + _LAPSING_SECONDS:
+            return
+        self.update_members()
+        self._observe_cuts(now)
+        await self._update_entry(now)
+        for worker in self.ownership.releasable(now)[:_MAX_RELEASES]:
+            if not await self.ownership.release(worker, self._stored_revision):
+                # An earlier write of the entry may have been committed late.
+                self._entry = None
+        for claim in self._claims(now):
+            await self.ownership.claim(claim)
+        for held in sorted(self.ownership.held_workers()):
+            if not self.ownership.is_releasing(held):
+                await self.ownership.settle(held, now)
 
     async def ensure_fleet_key(self) -> None:
         """Write a random key of the fleet unless the store has one."""
@@ -458,6 +463,8 @@
         )
         key = MEMBERS_PREFIX + self.instance
         write = Write(key, msgspec.json.encode(record), self._lease)
+        # Without a response, it is not known which entry is stored.
+        self._entry = None
         reply = await self._store.commit(Transaction(writes=(write,)))
         if isinstance(reply, Committed):
             if not self._registered:
@@ -480,11 +487,12 @@
         )
 
     async def _update_entry(self, now: float) -> None:
-        """Write the entry again once it is wrong about this instance's cuts."""
+        """Write the entry again if it is, or may be, wrong about the cuts."""
         is_cut_off = self.ownership.cuts.is_cut_off
         if not self._registered or now < self._entry_retry_at:
             return
-        if self._entry is None or self._entry.is_cut_off == is_cut_off:
+        before = self._entry
+        if before is not None and before.is_cut_off == is_cut_off:
             return
         self._entry_retry_at = now + _ENTRY_RETRY_SECONDS
         try:
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -89,7 +89,7 @@
             return False
         if self._confirmed.get(worker) != record.revision:
             self._resume(worker, record, now)
-        if self._is_given_up(worker, record):
+        if self._is_given_up(worker):
             return False
         return self._order_from[worker] <= now < self.authority.until()
 
@@ -98,7 +98,7 @@
         record = self._view.ownership.get(worker)
         if record is None or record.holder != self._instance:
             return float('inf')
-        if now >= self.authority.until() or self._is_given_up(worker, record):
+        if now >= self.authority.until() or self._is_given_up(worker):
             return float('inf')
         return max(now, self._order_from.get(worker, float('inf')))
 
@@ -178,11 +178,11 @@
             return False
         return self._releasing.get(worker) == record.revision
 
-    async def release(self, worker: str, entry_revision: int) -> None:
-        """Release a worker, unless its record or this instance's entry changed.
+    async def release(self, worker: str, entry_revision: int) -> bool:
+        """Release a worker; return false if a record it depends on has changed.
 
-        No order is sent once the release may have been committed. It fails
-        after a restart of this process, which has written its entry anew.
+        That is its record or this instance's entry, which a new process writes
+        anew. No order is sent once the release may have been committed.
         """
         record = self._view.ownership[worker]
         self._releasing[worker] = record.revision
@@ -192,17 +192,14 @@
             MEMBERS_PREFIX + self._instance: entry_revision,
         }
         entry = OwnershipEntry('', previous=self._instance)
-        revision, reason = None, 'a record it depends on has changed'
         try:
             revision = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
-            reason = str(exc)
+            self._postpone_release(worker, str(exc))
+            return True
         if revision is None:
-            self._release_at = boot_seconds() + _RELEASE_RETRY_SECONDS
-            self._logger.warning(
-                'Release not confirmed.', worker=worker, reason=reason
-            )
-            return
+            self._postpone_release(worker, 'a record has changed')
+            return False
         self._record_release(worker, revision)
         self._logger.info(
             'Worker released.',
@@ -210,6 +207,7 @@
             revision=revision,
             reason='only other members reach it',
         )
+        return True
 
     async def settle(self, worker: str, now: float) -> None:
         """Mark a claimed worker's record as settled once the wait is over."""
@@ -257,11 +255,9 @@
         self._order_from[worker] = now + wait
         self._logger.info('Ownership resumed.', worker=worker, wait=wait)
 
-    def _is_given_up(self, worker: str, record: OwnershipRecord) -> bool:
+    def _is_given_up(self, worker: str) -> bool:
         """Tell whether a held worker is cut, or may have been released."""
-        if self._releasing.get(worker) == record.revision:
-            return True
-        return self.cuts.is_cut(worker)
+        return self.is_releasing(worker) or self.cuts.is_cut(worker)
 
     def _may_release(self, target: Target) -> bool:
         """Tell whether a worker was cut for long, while its entry is kept."""
@@ -269,6 +265,12 @@
             return False
         return self.cuts.is_due(target.target)
 
+    def _postpone_release(self, worker: str, reason: str) -> None:
+        self._release_at = boot_seconds() + _RELEASE_RETRY_SECONDS
+        self._logger.warning(
+            'Release not confirmed.', worker=worker, reason=reason
+        )
+
     def _record_release(self, worker: str, revision: int) -> None:
         self._confirmed.pop(worker, None)
         self._order_from.pop(worker, None)
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -202,3 +202,46 @@
     for step in range(30):
         await membership._update_entry(now + step / 10)
     assert 2 <= len(calls) <= 3
+
+
+async def test_entry_whose_write_had_no_response_is_written_again():
+    # Else it would say for good that the instance is cut off, and releases,
+    # which depend on its revision, would fail.
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    commit = store.commit
+
+    async def lose(transaction):
+        await commit(transaction)
+        raise PlatformUnavailable('no response')
+
+    now = boot_seconds()
+    membership.ownership.cuts.is_cut_off = True
+    store.commit = lose
+    await membership._update_entry(now)
+    store.commit = commit
+    membership.ownership.cuts.is_cut_off = False
+    await membership._update_entry(now + 2)
+    assert membership._stored_revision == store.revision
+    assert not membership._entry.is_cut_off
+    before = store.revision
+    await membership._update_entry(now + 4)
+    assert store.revision == before
+
+
+async def test_entry_is_written_again_after_a_release_that_depends_on_it_failed():
+    membership = make_membership(FakeStore(), 50, w1=('me', 3))
+    await membership._keep_lease()
+
+    async def release(worker, entry_revision):
+        return entry_revision == 12
+
+    membership.ownership.releasable = lambda now: ['w1']
+    membership.ownership.release = release
+    now = boot_seconds() + 1
+    revisions = []
+    for step in range(4):
+        await membership.claim_workers(now + 2 * step)
+        revisions.append(membership._stored_revision)
+    assert revisions == [11, 12, 12, 12]
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -230,7 +230,8 @@
     await world.ownership.claim(FIRST_CLAIM)
     cut(world)
     world.store.outcome = outcome
-    await world.ownership.release('w', entry_revision=3)
+    is_current = await world.ownership.release('w', entry_revision=3)
+    assert is_current == (outcome == 'lose')
     # The paths are back, but a member may have claimed the worker.
     world.now += 6
     world.ownership.cuts.observe((), world.now)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -32,12 +32,14 @@
 )
 from mintlanding.membership.member_table import MemberTable
 from mintlanding.membership.node import MembershipNode
+from mintlanding.node.ownership import WorkerOwnership
 from mintlanding.peers.auth import NonceWindow
 from mintlanding.peers.server import PeerServer
 from mintlanding.placement.eviction import EvictionChooser
 from mintlanding.placement.index import WorkerIndex
 from mintlanding.placement.models import SlotState
 from mintlanding.quarantine.request_ledger import RequestLedger
+from mintlanding.residency.cuts import CutHistory
 from mintlanding.routing.plain import PlainRouter
 from mintlanding.routing.retries import RetryBudget
 from mintlanding.target_limits.pacer import Pacer
@@ -316,6 +318,24 @@
         'mintlanding/quarantine/tests/test_request_ledger.py::'
         'test_request_is_blamed_although_nothing_else_is_answered',
     ),
+    Mutant(
+        'orders go on after a release without a response',
+        'one holder orders',
+        WorkerOwnership,
+        'is_releasing',
+        always(False),
+        'mintlanding/node/tests/test_ownership.py::'
+        'test_no_order_follows_a_release_that_may_have_been_committed',
+    ),
+    Mutant(
+        'a worker is released at once when its path is cut',
+        'one holder orders',
+        CutHistory,
+        'is_due',
+        always(True),
+        'mintlanding/node/tests/test_ownership.py::'
+        'test_cut_worker_is_released_and_gets_no_more_orders',
+    ),
     Mutant(
         'the end of a stream is not checked',
         'whole answers',
