--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -19,6 +19,7 @@
 )
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
     BodyFraming,
     ClientOptions,
     ResponseHead,
@@ -28,7 +29,6 @@
 
 _MILLISECONDS = 1000
 _FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUSES = frozenset((204, 304))
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
@@ -42,16 +42,30 @@
         self.address = address
         self.idle_until: float = 0
         self._options = options
+        self._exchanges = 0
         self._transport: asyncio.Transport | None = None
         self._head: ResponseHead | None = None
         self._is_complete = False
         self._reset_exchange()
 
+    @property
+    def member(self) -> str:
+        """Return the member that passes the bytes on, empty for none."""
+        return ''
+
     @property
     def is_open(self) -> bool:
         """Tell whether the connection can be written to."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_reused(self) -> bool:
+        """Tell whether this is not the first exchange of the connection.
+
+        A server may then send a response to an earlier one again.
+        """
+        return self._exchanges > 1
+
     @property
     def is_reusable(self) -> bool:
         """Tell whether the response is complete and the connection intact."""
@@ -107,6 +121,7 @@
         if self._transport is None or not self.is_open:
             raise RequestNotSent('the connection is closed')
         self._reset_exchange()
+        self._exchanges += 1
         self._is_busy = True
         self._transport.write(payload)
 
@@ -312,16 +327,23 @@
         seconds: float | None = None,
     ) -> ClientConnection:
         """Return an idle or new connection; raise RequestNotSent on failure."""
+        conn = None if is_fresh else self.take_idle(address)
+        if conn is not None:
+            return conn
+        return await self._open(
+            address, seconds or self._options.connect_timeout
+        )
+
+    def take_idle(self, address: Address) -> ClientConnection | None:
+        """Return an idle connection, None without one."""
         now = asyncio.get_running_loop().time()
-        idle = [] if is_fresh else self._idle.get(address, [])
+        idle = self._idle.get(address, [])
         while idle:
             conn = idle.pop()
             if conn.is_open and conn.idle_until > now:
                 return conn
             conn.abort()
-        return await self._open(
-            address, seconds or self._options.connect_timeout
-        )
+        return None
 
     def release(self, conn: ClientConnection) -> None:
         """Keep a reusable connection and close any other."""
@@ -368,7 +390,7 @@
 
 
 def _framing(head: ResponseHead) -> BodyFraming:
-    if head.status in _NO_BODY_STATUSES:
+    if head.status in NO_BODY_STATUSES:
         return BodyFraming.none
     if b'chunked' in head.get(b'transfer-encoding').lower():
         return BodyFraming.chunked
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger
 from mintlanding.http1.models import MessageLimits
 from mintlanding.http1.server import CallerServer
@@ -218,6 +219,112 @@
         statuses = []
         while not statuses or statuses[-1] == 200:
             statuses.append((await read_response(reader))[0])
-        assert statuses == [200] * (len(statuses) - 1) + [503]
-        assert len(statuses) > 10
+        assert statuses == [200] * 17 + [503]
+        assert await reader.read() == b''
+        writer.close()
+
+
+async def test_as_many_pipelined_requests_as_allowed_are_answered_in_turn():
+    async def slow(req):
+        await asyncio.sleep(0.01)
+        req.respond(200, [], b'')
+
+    async with World(slow) as world:
+        reader, writer = await world.connect()
+        writer.write(GET * 17)
+        for _ in range(17):
+            assert (await read_response(reader))[0] == 200
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'POST /x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n'
+        b'Upgrade: h2c\r\nContent-Length: 5\r\n\r\nhello',
+        b'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n',
+    ],
+)
+async def test_change_of_the_protocol_is_refused_and_not_handled(raw):
+    async with World() as world:
+        reader, writer = await world.connect()
+        writer.write(raw)
+        assert (await read_response(reader))[0] == 400
+        assert await reader.read() == b''
+        assert not world.seen
+        writer.close()
+
+
+@pytest.mark.parametrize('second', ['respond', 'begin'])
+async def test_second_response_to_a_request_is_not_written(second):
+    raised = []
+
+    async def respond_twice(req):
+        req.begin(200, [])
+        req.write(b'part')
+        try:
+            getattr(req, second)(500, [], *([b''] * (second == 'respond')))
+        except ResponseAlreadyBegun as exc:
+            raised.append(str(exc))
+        req.end()
+        with pytest.raises(ResponseAlreadyBegun):
+            req.respond(500, [], b'failed')
+
+    async with World(respond_twice) as world:
+        reader, writer = await world.connect()
+        writer.write(GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'))
+        received = await reader.read()
+        writer.close()
+    assert received.endswith(b'\r\n\r\n4\r\npart\r\n0\r\n\r\n')
+    assert received.count(b'HTTP/1.1') == 1
+    assert "b'GET' b'/x'" in raised[0]
+
+
+async def test_continue_is_not_sent_amid_an_earlier_response():
+    begun = asyncio.Event()
+    done = asyncio.Event()
+
+    async def respond(req):
+        if req.target == b'/y':
+            req.respond(200, [], req.body)
+            return
+        req.begin(200, [])
+        req.write(b'part')
+        begun.set()
+        await done.wait()
+        req.end()
+
+    expecting = (
+        b'POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    async with World(respond) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        await begun.wait()
+        writer.write(expecting)
+        await asyncio.sleep(0.05)
+        done.set()
+        stream = await reader.readuntil(b'0\r\n\r\n')
+        assert b'100 Continue' not in stream
+        async with asyncio.timeout(1):
+            interim = await reader.readuntil(b'\r\n\r\n')
+        assert interim.startswith(b'HTTP/1.1 100')
+        writer.write(b'body')
+        assert await read_response(reader) == (200, b'body')
+        writer.close()
+
+
+@pytest.mark.parametrize('status', [204, 304])
+async def test_response_without_a_body_declares_no_length(status):
+    async def respond(req):
+        req.respond(status, [], b'')
+
+    async with World(respond) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        head = await reader.readuntil(b'\r\n\r\n')
         writer.close()
+    assert b'content-length' not in head.lower()
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -6,6 +6,8 @@
 
 from mintlanding.coordination.transactional_store import TransactionalStore
 from mintlanding.core.application import Application
+from mintlanding.http1.client import Address
+from mintlanding.http1.models import ResponseHead
 from mintlanding.http1.server import CallerRequest, CallerServer
 from mintlanding.links.mesh import Reply
 from mintlanding.links.messages import Message
@@ -16,6 +18,7 @@
 from mintlanding.node.membership import Membership
 from mintlanding.node.metrics import render_metrics
 from mintlanding.node.origin_records import OriginRecords
+from mintlanding.node.path_server import PathServer
 from mintlanding.node.quarantine_records import QuarantineRecords
 from mintlanding.node.relay import Relay
 from mintlanding.node.settings import NodeSettings
@@ -39,7 +42,7 @@
 # Seconds of the grace period that are reserved for closing.
 _STOP_MARGIN = 1.2
 _POLL_SECONDS = 0.1
-# Least seconds between statuses sent because of crashes.
+# Least seconds between statuses sent because of what targets did.
 _SHARE_SECONDS = 0.2
 # Seconds between checks for the first configuration.
 _START_SECONDS = 0.05
@@ -107,9 +110,13 @@
         self._metrics = CallerServer.from_config(
             self._answer_metrics, 'metrics'
         )
+        self._paths = PathServer(
+            self._resolve_target, self._learn_from_head, cfg.client
+        )
+        self._codec = codec
         self._is_ready = False
         self._reach = FleetReach()
-        # When a status was last sent because of a crash.
+        # When a status was last sent because of what a target did.
         self._shared_at = float('-inf')
         self._connect_components()
 
@@ -135,9 +142,9 @@
         await self._ready.start(*facts.ready)
         await self._metrics.start(facts.host, facts.metrics_port)
         supervise = self.application.supervise
-        supervise('store', self._store_watcher.run)
+        supervise('store', self._store_watcher.run, is_vital=True)
         supervise('lease', self._membership.run_lease)
-        supervise('join', self._join)
+        supervise('join', self._join, is_vital=True)
 
     async def drain(self) -> None:
         """Announce the stop, finish requests and close idle connections."""
@@ -165,6 +172,7 @@
         self._metrics.stop()
         self._stewards.stop()
         self._limits.stop()
+        self._paths.stop()
         self.relay.stop()
         if self._membership.mesh is not None:
             self._membership.mesh.stop()
@@ -179,6 +187,7 @@
         sources.requests = self.relay.quarantines.requests.reports
         sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
+        sources.brittle = self._limits.brittle.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
@@ -186,9 +195,12 @@
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
-        self.relay.crash_watch.on_recurrence = self._share_crash
+        self.relay.crash_watch.on_recurrence = self._share_at_once
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
+        listeners.on_brittle = self._limits.merge_brittle
+        self._limits.on_brittle = self._share_at_once
+        self._limits.departed = self._reach.departed
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
         listeners.on_store_contact = self._record_store_contact
@@ -200,8 +212,10 @@
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
         ownership = self._membership.ownership
-        ownership.unreachable = self._stewards.unreachable
+        ownership.unreachable = self._unreachable
         ownership.has_order_under_way = self._stewards.has_order_under_way
+        ownership.cut_targets = self.relay.connector.cut_targets
+        self._membership.is_cut_off = self.relay.connector.is_cut_off
         self.view.listeners.append(self._changed)
 
     async def _join(self) -> None:
@@ -214,17 +228,60 @@
         await mesh.start(facts.host, facts.peer_port)
         self._membership.update_members()
         supervise = self.application.supervise
-        supervise('statuses', self._membership.run_status_exchange)
+        supervise(
+            'statuses', self._membership.run_status_exchange, is_vital=True
+        )
         supervise('claims', self._membership.run_claims)
         supervise('stewards', self._stewards.run)
         supervise('admissions', self._admissions.run)
         supervise('quarantines', self._quarantine_records.run)
         supervise('origins', self._origin_records.run)
         supervise('upkeep', self._upkeep)
+        supervise('paths', self._open_paths)
+        supervise('probes', self.relay.connector.run)
         supervise('quotas', self._share_quotas)
         self._is_ready = True
         self.application.logger.info('Ready.')
 
+    async def _open_paths(self) -> None:
+        """Listen for members that do not reach a target."""
+        facts = self._cfg.facts
+        if facts.path_port:
+            await self._paths.start(
+                facts.host, facts.path_port, self.view.fleet_key
+            )
+
+    def _resolve_target(self, name: str, incarnation: int) -> Address | str:
+        """Return the address of a target, or why members get no path to it."""
+        target = self.view.targets.get(name)
+        if target is None or target.incarnation != incarnation:
+            return f'no target of incarnation {incarnation}'
+        if target.is_leaving:
+            return 'it leaves'
+        if self.relay.pauses.wait(target.key, boot_seconds()):
+            return 'it asked for a pause'
+        if self.relay.connector.paths.is_cut(target.key):
+            return 'it is reached through other members only'
+        return target.address
+
+    def _learn_from_head(
+        self, name: str, incarnation: int, head: ResponseHead
+    ) -> None:
+        """Learn from a response to a request that a member has sent."""
+        response = self._codec.read_response(head, '')
+        if not response.is_from(name):
+            return
+        key = (name, incarnation)
+        if response.is_leaving:
+            self.view.mark_leaving(key)
+        if response.pause:
+            self.relay.pauses.record(key, response.pause, boot_seconds())
+
+    def _unreachable(self) -> frozenset[str]:
+        """Return the workers that this instance does not reach itself."""
+        cut = self.relay.connector.cut_targets()
+        return self._stewards.unreachable() | cut
+
     async def _upkeep(self) -> None:
         while True:
             now = boot_seconds()
@@ -249,8 +306,8 @@
             )
             await asyncio.sleep(REACH_SECONDS)
 
-    def _share_crash(self) -> None:
-        """Tell the others at once, before the request comes to them."""
+    def _share_at_once(self) -> None:
+        """Tell the others at once, before callers come to them."""
         now = boot_seconds()
         if now < self._shared_at + _SHARE_SECONDS:
             return
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -21,6 +21,7 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
+from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
     LINK_VERSION,
@@ -292,7 +293,9 @@
             await asyncio.sleep(self._cfg.fleet.status_interval)
 
     def open_mesh(self) -> Mesh:
-        """Create the mesh of links to the members."""
+        """Return the mesh of links to the members, created on first use."""
+        if self.mesh is not None:
+            return self.mesh
         identity = Identity(
             self.instance, self.incarnation, self._view.fleet_key
         )
@@ -333,6 +336,26 @@
         elif self.on_message is not None:
             self.on_message(peer, message, reply)
 
+    def path_helpers(self) -> list[Address]:
+        """Return where to ask for paths to targets, members of the zone first.
+
+        Bytes between zones cost. Members that are cut off themselves come last;
+        the order is random otherwise.
+        """
+        now = boot_seconds()
+        members = [
+            each
+            for each in self._view.members.values()
+            if each.path_port
+            and not each.is_leaving
+            and each.instance != self.instance
+            and self.is_reachable(each.instance, now)
+        ]
+        self._rnd.shuffle(members)
+        zone = self._cfg.facts.zone
+        members.sort(key=lambda each: (each.is_cut_off, each.zone != zone))
+        return [(each.host, each.path_port) for each in members]
+
     async def leave(self) -> None:
         """Announce that this instance is leaving, and claim no more workers.
 
@@ -459,6 +482,7 @@
             is_leaving=self.is_leaving,
             link_mbps=facts.link_mbps,
             link_version=LINK_VERSION,
+            path_port=facts.path_port,
             is_cut_off=self.ownership.cuts.is_cut_off,
         )
         key = MEMBERS_PREFIX + self.instance
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -9,8 +9,8 @@
     ResponseLost,
     ResponseTimeout,
 )
-from mintlanding.http1.client import ClientConnection, ConnectionPool
-from mintlanding.http1.models import ResponseHead
+from mintlanding.http1.client import ClientConnection
+from mintlanding.http1.models import BodyFraming, ResponseHead
 from mintlanding.http1.server import CallerRequest
 from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
@@ -30,9 +30,14 @@
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionRequest,
+    GrantOutcome,
+)
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.header_fields import (
@@ -43,7 +48,6 @@
 from mintlanding.traffic.models import Demand, RouteKind, Target
 from mintlanding.traffic.quotas import FleetQuotas
 from mintlanding.traffic.retries import FleetRetryBudget
-from mintlanding.traffic.routes import choose_service
 
 # Attempts of one request, including those that targets refused.
 _MAX_SENDS = 4
@@ -82,13 +86,17 @@
         self._limits = limits
         self._codec = codec
         self._rnd = rnd
-        self._pool = ConnectionPool(cfg.client)
+        self.connector = TargetConnector.from_config(
+            cfg, view, admissions.membership
+        )
+        self._pool = self.connector.pool
         self.quarantines = Quarantines.from_config(cfg)
         self.crash_watch = CrashWatch(
-            self.quarantines.parts, self.quarantines.requests, self._pool
+            self.quarantines.parts, self.quarantines.requests, self.connector
         )
         self._gate = SendGate(view, self.quarantines, limits)
         self.planned_stop = self._gate.planned_stop
+        self.pauses = self._gate.pauses
         self._choice = TargetChoice(
             cfg, view, admissions, limits, self._gate, self.target_table, rnd
         )
@@ -139,7 +147,7 @@
     def stop(self) -> None:
         """Close idle connections."""
         self.crash_watch.stop()
-        self._pool.close()
+        self.connector.stop()
 
     async def _accept(self, req: CallerRequest) -> RequestPlan | None:
         """Return the plan of a request, None if it was refused."""
@@ -150,10 +158,10 @@
         if isinstance(plan, Refusal):
             self._refuse(req, fields, plan)
             return None
-        self.budget.note_request(plan.service.name, req.arrived)
         return plan
 
     async def _run(self, plan: RequestPlan) -> AttemptResult:
+        self.budget.note_request(plan.service.name, plan.req.arrived)
         if await self._locate_stream(plan):
             return await self._serve(plan)
         return AttemptResult.not_sent
@@ -204,7 +212,7 @@
             workspace = view.workspace(fields.key)
             if workspace is None:
                 return self._refuse_unknown('no such key', 401)
-        service = view.service(choose_service(route, self._rnd))
+        service = view.choose_service(route, self._rnd)
         if service is None:
             return Refusal(503, 'no service', self._retry_after())
         wanted = route.timeout
@@ -311,6 +319,7 @@
         route, fields = plan.route, plan.fields
         if not route.is_resumable or not fields.last_event:
             return True
+        plan.events = EventBuffer(fields.last_event)
         origin = None
         if fields.resumes:
             origin = await self._origins.find(fields.resumes)
@@ -350,11 +359,25 @@
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
-            result = await self._attempt(plan, target, 0)
+            result = await self._attempt_in_turn(plan, target)
             if not self._can_retry(plan, result, target):
                 return result
         return result
 
+    async def _attempt_in_turn(
+        self, plan: RequestPlan, target: Target
+    ) -> AttemptResult:
+        """Attempt a request; report its end if the target has little room."""
+        turn_id, plan.turn_id = plan.turn_id, ''
+        outcome = GrantOutcome.failed
+        try:
+            result = await self._attempt(plan, target, 0)
+            outcome = _outcome(result, plan)
+            return result
+        finally:
+            if turn_id and self._limits.is_brittle(target):
+                self._admissions.end(target.target, turn_id, outcome)
+
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -390,14 +413,8 @@
             reservation = await self._reserve(plan)
             if reservation is None:
                 return result
-            target = self._view.targets.get(reservation.worker)
-            # The worker may have restarted with another build meanwhile.
-            if target is None or not self._gate.is_candidate(target, plan):
-                self._admissions.end(
-                    reservation.worker,
-                    reservation.reservation_id,
-                    GrantOutcome.unused,
-                )
+            target = self._reserved_target(plan, reservation)
+            if target is None:
                 continue
             result = await self._attempt_reserved(plan, reservation, target)
             if result is AttemptResult.missing:
@@ -416,6 +433,26 @@
                 return result
         return result
 
+    def _reserved_target(
+        self, plan: RequestPlan, reservation: Reservation
+    ) -> Target | None:
+        """Return the target of a reservation; end one that is of no use."""
+        target = self._view.targets.get(reservation.worker)
+        is_usable = False
+        try:
+            # The worker may have restarted with another build meanwhile.
+            is_usable = target is not None and self._gate.is_candidate(
+                target, plan
+            )
+        finally:
+            if not is_usable:
+                self._admissions.end(
+                    reservation.worker,
+                    reservation.reservation_id,
+                    GrantOutcome.unused,
+                )
+        return target if is_usable else None
+
     async def _attempt_reserved(
         self,
         plan: RequestPlan,
@@ -448,10 +485,18 @@
                     outcome,
                     plan.times,
                 )
+            else:
+                self._limits.end_own(
+                    AdmissionEnd(
+                        reservation.reservation_id, reservation.worker, outcome
+                    )
+                )
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
-        excluded = plan.tried | self._admissions.stewards.unreachable()
+        # Members reach the targets to which only the own path is cut.
+        unreachable = self._admissions.stewards.unreachable()
+        excluded = plan.tried | (unreachable - self.connector.cut_targets())
         workers = [
             each
             for each in self._gate.candidates(plan)
@@ -531,6 +576,7 @@
             reroute_wait=reroute_wait,
             parts=plan.fields.parts,
             limits=self._limits.table.report(target.key, boot_seconds()),
+            brittle=self._limits.brittle.report(target.key, boot_seconds()),
             event_gap=plan.route.event_gap,
         )
         reply = await self._admissions.reserve(admission)
@@ -542,7 +588,7 @@
                 return None
             return Reservation(target.target, reservation_id, is_granted=False)
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds())
             return Reservation(target.target, reservation_id, reply.version)
         plan.reason = f'{target.target}: {reply.reason}'
         if not reply.elsewhere:
@@ -553,14 +599,14 @@
         self, plan: RequestPlan, target: Target, admission: AdmissionRequest
     ) -> bool:
         """Wait for a turn in this instance's own part of an engine's limit."""
-        if not self._limits.is_limited(target):
+        if not self._limits.needs_turn(target):
             return True
         reply = await self._limits.reserve_own(admission)
         if not reply.is_granted:
             plan.reason = f'{target.target}: {reply.reason}'
             plan.retry_after = reply.retry_after
             return False
-        plan.turn = target.key
+        plan.take_turn(target.key, boot_seconds())
         return True
 
     def _required_version(self, plan: RequestPlan) -> int:
@@ -583,29 +629,40 @@
         now = self._now()
         is_reusable = plan.route.is_idempotent
         try:
-            conn = await self._pool.acquire(
-                target.address,
+            conn = await self.connector.acquire(
+                target,
                 is_fresh=not is_reusable,
-                seconds=min(
-                    self._cfg.client.connect_timeout, self._time_left(plan)
-                ),
+                seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
+                request_id=plan.fields.request_id,
             )
+            plan.through = conn.member
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
+        try:
+            return await self._send_if_open(plan, target, version, conn)
+        finally:
+            self._pool.release(conn)
+
+    async def _send_if_open(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        version: int,
+        conn: ClientConnection,
+    ) -> AttemptResult:
+        """Send a request, unless something bars it by now."""
         barrier = self._gate.check(plan, target)
         if barrier is not None:
-            self._pool.release(conn)
             plan.reason = barrier.reason
             plan.retry_after = barrier.retry_after or plan.retry_after
             return barrier.result
-        number = self.target_table.begin(target.target, now)
+        number = self.target_table.begin(target.target, self._now())
         try:
             return await self._exchange(plan, target, version, conn, number)
         finally:
-            self._pool.release(conn)
             self.target_table.end(target.target, number)
 
     async def _exchange(
@@ -674,6 +731,8 @@
     ) -> None:
         """Record a lost response; of a suspect, wait for what it means."""
         self.target_table.failed(target.target, self._now())
+        if isinstance(exc, ResponseTimeout):
+            self.connector.paths.record_silence(target.key)
         self.crash_watch.record_loss(target, plan.as_lost(), exc)
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
@@ -700,23 +759,25 @@
         now = self._now()
         plan.framing = head.framing.value
         plan.limit = response.limit
-        if not response.matches_request:
+        if not _is_own(conn, response):
+            conn.abort()
             raise ResponseLost('the response belongs to another request')
         self._record_response(plan, target, response)
         if response.is_not_run:
-            plan.runs -= 1
-            plan.is_sent = plan.runs > 0
-            plan.reason = f'{target.target}: not run, {response.status}'
-            await self._hold_body(conn, plan)
-            is_other = response.target not in {'', target.target}
-            if is_other:
-                return AttemptResult.not_sent
-            return (
-                AttemptResult.missing
-                if response.is_misdirected
-                else AttemptResult.not_run
+            return await self._handle_refusal(plan, target, conn, response)
+        if plan.req.is_streaming and not _continues(plan, head, response):
+            # Whatever else it is, the caller would take it for events.
+            plan.reason = (
+                f'{target.target}: status {head.status} and '
+                f'{_media_type(head)!r} do not continue a stream'
             )
-        is_stream = plan.route.kind is RouteKind.stream and response.is_success
+            self.target_table.failed(target.target, now)
+            return AttemptResult.lost
+        is_stream = (
+            plan.route.kind is RouteKind.stream
+            and response.is_success
+            and head.framing is not BodyFraming.none
+        )
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
         if response.is_success and not response.is_signed:
@@ -739,6 +800,29 @@
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
+    async def _handle_refusal(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        conn: ClientConnection,
+        response: TargetResponse,
+    ) -> AttemptResult:
+        plan.runs -= 1
+        plan.is_sent = plan.runs > 0
+        plan.reason = f'{target.target}: not run, {response.status}'
+        await self._hold_body(conn, plan)
+        is_certain = response.names_request and plan.sends == 1
+        if conn.is_reused and not is_certain:
+            # If it refuses an earlier request, this one may still run.
+            conn.abort()
+        if not response.is_from(target.target):
+            return AttemptResult.not_sent
+        return (
+            AttemptResult.missing
+            if response.is_misdirected
+            else AttemptResult.not_run
+        )
+
     def _record_response(
         self, plan: RequestPlan, target: Target, response: TargetResponse
     ) -> None:
@@ -803,6 +887,7 @@
         req = plan.req
         if not req.is_streaming:
             req.begin(head.status, self._codec.response_headers(head))
+            plan.media_type = _media_type(head)
         plan.is_stream_begun = True
         plan.events.begin_response()
         try:
@@ -892,6 +977,35 @@
     )
 
 
+def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
+    """Tell whether a response is taken for that to the last request.
+
+    Any response names its request, except for refusals. One without a name is
+    believed on a used connection, too, since only requests that may be repeated
+    are sent there.
+    """
+    if response.is_not_run or not conn.is_reused:
+        return response.matches_request
+    return response.names_request
+
+
+def _media_type(head: ResponseHead) -> str:
+    media_type, _, _ = head.get(b'content-type').partition(b';')
+    return media_type.strip().lower().decode('latin-1')
+
+
+def _continues(
+    plan: RequestPlan, head: ResponseHead, response: TargetResponse
+) -> bool:
+    """Tell whether a response may go on with the stream that has begun."""
+    return (
+        response.is_success
+        and response.is_signed
+        and head.framing is not BodyFraming.none
+        and _media_type(head) == plan.media_type
+    )
+
+
 def _check_stream_end(head: ResponseHead, events: EventBuffer) -> None:
     """Raise ResponseLost if a stream ended before its last event.
 
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -17,6 +17,8 @@
 
 # Least seconds before the deadline with which a request is still sent.
 MIN_TIME_LEFT = 0.05
+# Seconds between looks at whether a target has responded for the first time.
+_CONTACT_POLL_SECONDS = 0.01
 
 
 @dataclass(slots=True)
@@ -49,6 +51,7 @@
             if each.target not in plan.tried
         ]
         targets = await self.outlast_pauses(plan, targets)
+        targets = await self._outlast_first_contacts(plan, targets)
         now = boot_seconds()
         full = {
             each.target for each in targets if self.limits.wait(each, now) > 0
@@ -60,13 +63,13 @@
             _now(),
             may_fail=plan.route.is_idempotent,
         ):
-            if not self.limits.is_limited(target):
+            if not self.limits.needs_turn(target):
                 return target
             if await self._take_turn(plan, target, 0):
                 return target
             full.add(target.target)
         now = boot_seconds()
-        limited = [each for each in targets if self.limits.is_limited(each)]
+        limited = [each for each in targets if self.limits.needs_turn(each)]
         if not limited:
             return None
         first = min(limited, key=lambda each: self.limits.wait(each, now))
@@ -100,6 +103,24 @@
         await asyncio.sleep(wait)
         return [first]
 
+    async def _outlast_first_contacts(
+        self, plan: RequestPlan, targets: list[Target]
+    ) -> list[Target]:
+        """Return the targets whose limits may be known, as soon as one is."""
+        begin = _now()
+        while True:
+            now = boot_seconds()
+            known = [
+                each
+                for each in targets
+                if self.limits.needs_turn(each)
+                or not self.limits.contacts.wait(each.key, now)
+            ]
+            if known or not targets or _time_left(plan) < MIN_TIME_LEFT:
+                plan.waited += _now() - begin
+                return known
+            await asyncio.sleep(_CONTACT_POLL_SECONDS)
+
     def without_unreachable_zones(self, workers: list[Target]) -> list[Target]:
         """Leave out zones that are cut off, if others have targets.
 
@@ -132,9 +153,10 @@
         """Wait for a turn within the limit of a plain target."""
         begin = _now()
         plan.turns += 1
+        turn_id = f'{plan.fields.request_id}.t{plan.turns}'
         reply = await self.admissions.take_turn(
             AdmissionRequest(
-                request_id=f'{plan.fields.request_id}.t{plan.turns}',
+                request_id=turn_id,
                 worker=target.target,
                 model='',
                 adapter='',
@@ -147,11 +169,12 @@
                 deadline=_time_left(plan),
                 reroute_wait=max_wait,
                 limits=self.limits.table.report(target.key, boot_seconds()),
+                brittle=self.limits.brittle.report(target.key, boot_seconds()),
             ),
         )
         plan.waited += _now() - begin
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds(), turn_id)
             return True
         plan.reason = f'{target.target}: {reply.reason}'
         plan.retry_after = min(
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from random import Random
 from typing import Protocol
 
 import msgspec
@@ -21,7 +22,11 @@
     Target,
     Workspace,
 )
-from mintlanding.traffic.routes import KeyTable, RouteTable
+from mintlanding.traffic.routes import (
+    KeyTable,
+    RouteTable,
+    choose_service,
+)
 
 MEMBERS_PREFIX = 'mintlanding/member/'
 OWNERSHIP_PREFIX = 'mintlanding/hold/'
@@ -58,8 +63,9 @@
     """Entry that an instance registers in the store under its lease.
 
     `boot` is the incarnation, a random id of the process. `link_version` is
-    that of the messages it understands. One that is cut off reaches less than
-    half of the targets.
+    that of the messages it understands. At `path_port` it opens paths to
+    targets for members that do not reach them, 0 for none.
+    One that is cut off reaches less than half of the targets itself.
     """
 
     instance: str
@@ -70,6 +76,7 @@
     is_leaving: bool = False
     link_mbps: float = 0
     link_version: int = 0
+    path_port: int = 0
     is_cut_off: bool = False
 
 
@@ -163,6 +170,10 @@
         """Return the route for a host and path."""
         return self.routes.find(host, path)
 
+    def choose_service(self, route: Route, rnd: Random) -> Service | None:
+        """Return one of a route's services, by their weights."""
+        return self.service(choose_service(route, rnd))
+
     def workspace(self, key: str) -> Workspace | None:
         """Return the workspace that an API key belongs to."""
         return self.keys.find(key)
@@ -326,9 +337,8 @@
         cfg = self.records.decode_config(item.content)
         if self.config is not None and cfg.version < self.config.version:
             return
-        self.config = cfg
-        self.routes = RouteTable.from_config(cfg)
-        self.keys = KeyTable.from_config(cfg)
+        routes, keys = RouteTable.from_config(cfg), KeyTable.from_config(cfg)
+        self.config, self.routes, self.keys = cfg, routes, keys
         self.logger.info(
             'Configuration in force.',
             version=cfg.version,
--- a/mintlanding/traffic/header_fields.py
+++ b/mintlanding/traffic/header_fields.py
@@ -44,11 +44,14 @@
 class TargetResponse:
     """Fields of a target's response; `load` is running, waiting, slots.
 
+    `matches_request` is false if it names another request, and `names_request`
+    true if it names the one that was sent; refusals may name none.
     `limit` is the number of requests per second that the target accepts from
     all instances together, None if it names no limit. With `has_invalid_limit`
     it names one that could not be read. `is_leaving` says that the target ends
     soon and wants no further requests. A target that turned the request away
-    wants none for `pause` seconds.
+    wants none for `pause` seconds. `brittle` is how many refusals per second
+    for want of room it bears before it crashes, None if it bears any number.
     """
 
     status: int
@@ -62,6 +65,9 @@
     has_invalid_limit: bool = False
     is_leaving: bool = False
     pause: float = 0
+    brittle: float | None = None
+    has_invalid_brittle: bool = False
+    names_request: bool = False
 
     def is_from(self, target: str) -> bool:
         """Return whether a target sent it, as far as the response tells."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,6 +22,7 @@
 from mintlanding.configuration.resolver import Resolver
 from mintlanding.engines.headers import CredentialFilter
 from mintlanding.engines.stream import EngineStream
+from mintlanding.http1.client import ClientConnection
 from mintlanding.idempotency.decisions import Abandoned
 from mintlanding.idempotency.models import Claim
 from mintlanding.limits.bucket import Bucket
@@ -33,6 +34,8 @@
 from mintlanding.membership.member_table import MemberTable
 from mintlanding.membership.node import MembershipNode
 from mintlanding.node.ownership import WorkerOwnership
+from mintlanding.node.path_client import IndirectConnection
+from mintlanding.node.target_connector import TargetConnector
 from mintlanding.peers.auth import NonceWindow
 from mintlanding.peers.server import PeerServer
 from mintlanding.placement.eviction import EvictionChooser
@@ -42,7 +45,9 @@
 from mintlanding.residency.cuts import CutHistory
 from mintlanding.routing.plain import PlainRouter
 from mintlanding.routing.retries import RetryBudget
+from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
 from mintlanding.target_limits.pacer import Pacer
+from mintlanding.traffic.reach import FleetReach
 
 PROFILE = 'mutants'
 
@@ -110,6 +115,25 @@
     return replace(failure, ran='not_run')
 
 
+async def never_reached(connector, target, seconds):
+    """Ask no member whether it reaches a target."""
+    return False
+
+
+def end_in_order(conn, reason):
+    """Take the end of a path for that of the response."""
+    ClientConnection.eof_received(conn)
+
+
+def take_silent_shares(target, refusals, granters, members):
+    whole = max(1, int(refusals / 2))
+    return RoomShare(whole, 1.0)
+
+
+def wait_for_a_place_only(self, now):
+    return 0 if len(self._sent) < self.limit else 1
+
+
 MUTANTS = [
     Mutant(
         'an answer is not compared with the adapter asked for',
@@ -300,6 +324,33 @@
         always(True),
         'mintlanding/routing/tests/test_retries.py',
     ),
+    Mutant(
+        'the share of silent members in a brittle target is used',
+        'brittle targets',
+        RoomShare,
+        'of_members',
+        take_silent_shares,
+        'mintlanding/target_limits/tests/test_brittle.py::'
+        'test_shares_of_a_divided_fleet_are_within_what_a_target_bears',
+    ),
+    Mutant(
+        'the share of members that ended silently is used',
+        'brittle targets',
+        FleetReach,
+        'departed',
+        always(frozenset()),
+        'mintlanding/node/tests/test_limit_keeper.py::'
+        'test_members_that_ended_silently_keep_their_share',
+    ),
+    Mutant(
+        'requests are sent although the refusals are used up',
+        'brittle targets',
+        BrittleRoom,
+        'wait',
+        wait_for_a_place_only,
+        'mintlanding/target_limits/tests/test_brittle.py::'
+        'test_new_holder_starts_cautiously',
+    ),
     Mutant(
         'a limit of a target lets all pass',
         'limits of targets',
@@ -363,6 +414,24 @@
         'mintlanding/platform/tests/test_node.py::'
         'test_stream_of_killed_instance_is_resumed_at_its_build',
     ),
+    Mutant(
+        'a cut path is taken for a crash of its target',
+        'quarantine',
+        TargetConnector,
+        '_is_reached_by_member',
+        never_reached,
+        'mintlanding/platform/tests/test_partitioned_instances.py::'
+        'test_lost_paths_are_not_taken_for_crashes_of_targets',
+    ),
+    Mutant(
+        'a response that loses the member passing it on is whole',
+        'stream end',
+        IndirectConnection,
+        '_lose',
+        end_in_order,
+        'mintlanding/node/tests/test_paths.py::'
+        'test_response_without_length_that_loses_its_member_is_lost',
+    ),
 ]
 
 
