Let a failed order find out whether members reach the engine

Orders take no path through a member, and only requests of an instance's own callers told it which paths are cut. A holder whose callers ask for nothing kept engines that it does not reach, and requests of the other instances that needed a load were refused until the end of the partition. Change: an order that finds no connection has the path examined, at most about twice a second: directly, and through a member. If only the member connects, the engine counts as cut, and is released as before.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -215,6 +215,7 @@
         ownership.unreachable = self._unreachable
         ownership.has_order_under_way = self._stewards.has_order_under_way
         ownership.cut_targets = self.relay.connector.cut_targets
+        self._stewards.on_unreachable = self.relay.connector.examine
         self._membership.is_cut_off = self.relay.connector.is_cut_off
         self.view.listeners.append(self._changed)
 
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -75,6 +75,7 @@
         """Start without stewards."""
         self.stewards: dict[str, EngineSteward] = {}
         self.on_steward_start: Callable[[], None] = lambda: None
+        self.on_unreachable: Callable[[Target], None] = lambda target: None
         self._cfg = cfg
         self._view = view
         self._membership = membership
@@ -454,6 +455,7 @@
             conn = await self._pool.acquire(target.address)
         except RequestNotSent as exc:
             self.mark_unreachable(target.target)
+            self.on_unreachable(target)
             self._log_failed_order(target.target, exc)
             return OrderResult.not_sent
         # Connecting may take a while, so authority is checked last.
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -13,7 +13,7 @@
 from mintlanding.node.path_client import PathClient, PathIdentity
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.view import FleetView
-from mintlanding.paths.path_table import PathTable
+from mintlanding.paths.path_table import PathTable, TargetKey
 from mintlanding.traffic.models import Target
 
 # Seconds after which a direct connection that is not open yet is also tried
@@ -24,6 +24,9 @@
 # Seconds between looks for cut paths to probe, and probes at a time.
 _PROBE_INTERVAL = 0.25
 _MAX_PROBES = 4
+# Seconds for an examination of a path, and until the next one of the same.
+_EXAMINE_SECONDS = 1.0
+_EXAMINE_INTERVAL = 0.5
 
 
 _Attempt = asyncio.Task[ClientConnection]
@@ -61,6 +64,8 @@
         self._view = view
         self._connect_timeout = options.connect_timeout
         self._tasks: set[asyncio.Task[None]] = set()
+        # Targets whose paths are or were just examined.
+        self._examined: set[TargetKey] = set()
         self._logger = Logger('paths')
 
     @classmethod
@@ -131,6 +136,17 @@
         self.pool.release(conn)
         return False
 
+    def examine(self, target: Target) -> None:
+        """Find out whether members reach a target that this instance does not.
+
+        Orders take no path through a member; without requests of its own the
+        holder of an engine learns of a cut path only here.
+        """
+        if target.key in self._examined or self.paths.is_cut(target.key):
+            return
+        self._examined.add(target.key)
+        self._spawn(self._examine(target))
+
     async def run(self) -> None:
         """Probe the cut paths until cancelled."""
         while True:
@@ -171,6 +187,20 @@
             raise RequestNotSent('; '.join(reasons)) from _cause(direct)
         return attempts.chosen.result()
 
+    async def _examine(self, target: Target) -> None:
+        try:
+            conn = await self._connect(target, _EXAMINE_SECONDS, '')
+        except RequestNotSent as exc:
+            self._logger.info(
+                'Target reached by nobody.',
+                target=target.target,
+                reason=str(exc),
+            )
+        else:
+            conn.abort()
+        await asyncio.sleep(_EXAMINE_INTERVAL)
+        self._examined.discard(target.key)
+
     async def _settle(self, target: Target, attempts: '_Attempts') -> None:
         """Learn from a direct attempt, and close what is not used."""
         direct, indirect = attempts.direct, attempts.indirect
