Start the tasks of entry, agent and admin again when they fail

Change: the tasks that are meant to run for good are supervised, as those of an instance of the platform are.

--- a/mintlanding/admin/application.py
+++ b/mintlanding/admin/application.py
@@ -68,8 +68,8 @@
 
     async def _start(self) -> None:
         await self.server.start()
-        self.application.spawn(self._poll_progress())
-        self.application.spawn(self._collect_garbage())
+        self.application.supervise('progress', self._poll_progress)
+        self.application.supervise('garbage', self._collect_garbage)
 
     async def _drain(self) -> None:
         await self.server.drain(DRAIN_SECONDS)
--- a/mintlanding/agent/configuration.py
+++ b/mintlanding/agent/configuration.py
@@ -76,7 +76,7 @@
 
     async def start(self) -> None:
         """Start the periodic work."""
-        self._context.application.spawn(self._run_ticks())
+        self._context.application.supervise('configuration', self._run_ticks)
 
     def update_members(self) -> None:
         """Pass the changed members to the node."""
--- a/mintlanding/agent/limits.py
+++ b/mintlanding/agent/limits.py
@@ -84,7 +84,7 @@
 
     async def start(self) -> None:
         """Start the periodic work."""
-        self._context.application.spawn(self._run_ticks())
+        self._context.application.supervise('limits', self._run_ticks)
 
     def assign_seats(self, seats: frozenset[int]) -> None:
         """Own the seats that are claimed in the key-value service."""
--- a/mintlanding/agent/membership.py
+++ b/mintlanding/agent/membership.py
@@ -62,8 +62,9 @@
     async def start(self) -> None:
         """Start heartbeats and the polling of the instance list."""
         self._publish_members()
-        self._context.application.spawn(self._run_ticks())
-        self._context.application.spawn(self._poll_platform())
+        supervise = self._context.application.supervise
+        supervise('membership', self._run_ticks)
+        supervise('instance list', self._poll_platform)
 
     async def leave(self) -> None:
         """Announce to the neighbours that this instance is leaving."""
--- a/mintlanding/agent/seats.py
+++ b/mintlanding/agent/seats.py
@@ -50,7 +50,7 @@
 
     async def start(self) -> None:
         """Start claiming seats."""
-        self._context.application.spawn(self._run_ticks())
+        self._context.application.supervise('seats', self._run_ticks)
 
     def update_members(self) -> None:
         """Pass the changed members to the claims."""
--- a/mintlanding/agent/steward_runner.py
+++ b/mintlanding/agent/steward_runner.py
@@ -78,8 +78,12 @@
 
     def start(self) -> None:
         """Start reading reports and the periodic work."""
-        spawn = self._context.application.spawn
-        self._tasks = [spawn(self._read_reports()), spawn(self._run_ticks())]
+        supervise = self._context.application.supervise
+        worker = self.target.name
+        self._tasks = [
+            supervise(f'reports of {worker}', self._read_reports),
+            supervise(f'steward of {worker}', self._run_ticks),
+        ]
 
     async def stop(self) -> None:
         """Cancel the tasks and close the connection to the engine."""
--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -84,8 +84,9 @@
 
     async def start(self) -> None:
         """Start claiming workers."""
-        self._context.application.spawn(self._permits.run())
-        self._context.application.spawn(self._run_ticks())
+        supervise = self._context.application.supervise
+        supervise('permits', self._permits.run)
+        supervise('stewards', self._run_ticks)
 
     async def drain(self, timeout: float) -> None:
         """Drain all stewards, then revoke the lease of the workers."""
--- a/mintlanding/entry/application.py
+++ b/mintlanding/entry/application.py
@@ -62,18 +62,20 @@
             self.application.request_stop()
 
     async def _start(self) -> None:
-        self.application.spawn(self._follower.run())
-        self.application.spawn(self._settle_ledger())
-        self.application.spawn(HealthProbes(self.context).run())
-        self.application.spawn(
-            send_samples(
-                self.context.samples,
-                self.context.peers,
-                self.context.agent_address,
-            ),
-        )
+        supervise = self.application.supervise
+        supervise('view', self._follower.run)
+        supervise('ledger', self._settle_ledger)
+        supervise('probes', HealthProbes(self.context).run)
+        supervise('samples', self._send_samples)
         await self._server.start()
 
+    async def _send_samples(self) -> None:
+        await send_samples(
+            self.context.samples,
+            self.context.peers,
+            self.context.agent_address,
+        )
+
     async def _settle_ledger(self) -> None:
         while True:
             await asyncio.sleep(LEDGER_INTERVAL_SECONDS)
