--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -42,7 +42,7 @@
 # Seconds of the grace period that are reserved for closing.
 _STOP_MARGIN = 1.2
 _POLL_SECONDS = 0.1
-# Least seconds between statuses sent because of crashes.
+# Least seconds between statuses sent because of what targets did.
 _SHARE_SECONDS = 0.2
 # Seconds between checks for the first configuration.
 _START_SECONDS = 0.05
@@ -116,7 +116,7 @@
         self._codec = codec
         self._is_ready = False
         self._reach = FleetReach()
-        # When a status was last sent because of a crash.
+        # When a status was last sent because of what a target did.
         self._shared_at = float('-inf')
         self._connect_components()
 
@@ -187,6 +187,7 @@
         sources.requests = self.relay.quarantines.requests.reports
         sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
+        sources.brittle = self._limits.brittle.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
@@ -194,9 +195,12 @@
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
-        self.relay.crash_watch.on_recurrence = self._share_crash
+        self.relay.crash_watch.on_recurrence = self._share_at_once
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
+        listeners.on_brittle = self._limits.merge_brittle
+        self._limits.on_brittle = self._share_at_once
+        self._limits.departed = self._reach.departed
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
         listeners.on_store_contact = self._record_store_contact
@@ -251,13 +255,13 @@
         """Return the address of a target, or why members get no path to it."""
         target = self.view.targets.get(name)
         if target is None or target.incarnation != incarnation:
-            return f'{name}/{incarnation} is not a target'
+            return f'no target of incarnation {incarnation}'
         if target.is_leaving:
-            return f'{name} leaves'
+            return 'it leaves'
         if self.relay.pauses.wait(target.key, boot_seconds()):
-            return f'{name} asked for a pause'
+            return 'it asked for a pause'
         if self.relay.connector.paths.is_cut(target.key):
-            return f'{name} is reached through other members only'
+            return 'it is reached through other members only'
         return target.address
 
     def _learn_from_head(
@@ -302,8 +306,8 @@
             )
             await asyncio.sleep(REACH_SECONDS)
 
-    def _share_crash(self) -> None:
-        """Tell the others at once, before the request comes to them."""
+    def _share_at_once(self) -> None:
+        """Tell the others at once, before callers come to them."""
         now = boot_seconds()
         if now < self._shared_at + _SHARE_SECONDS:
             return
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -33,7 +33,11 @@
 from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionRequest,
+    GrantOutcome,
+)
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.header_fields import (
@@ -315,6 +319,7 @@
         route, fields = plan.route, plan.fields
         if not route.is_resumable or not fields.last_event:
             return True
+        plan.events = EventBuffer(fields.last_event)
         origin = None
         if fields.resumes:
             origin = await self._origins.find(fields.resumes)
@@ -354,11 +359,25 @@
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
-            result = await self._attempt(plan, target, 0)
+            result = await self._attempt_in_turn(plan, target)
             if not self._can_retry(plan, result, target):
                 return result
         return result
 
+    async def _attempt_in_turn(
+        self, plan: RequestPlan, target: Target
+    ) -> AttemptResult:
+        """Attempt a request; report its end if the target has little room."""
+        turn_id, plan.turn_id = plan.turn_id, ''
+        outcome = GrantOutcome.failed
+        try:
+            result = await self._attempt(plan, target, 0)
+            outcome = _outcome(result, plan)
+            return result
+        finally:
+            if turn_id and self._limits.is_brittle(target):
+                self._admissions.end(target.target, turn_id, outcome)
+
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -466,6 +485,12 @@
                     outcome,
                     plan.times,
                 )
+            else:
+                self._limits.end_own(
+                    AdmissionEnd(
+                        reservation.reservation_id, reservation.worker, outcome
+                    )
+                )
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
@@ -551,6 +576,7 @@
             reroute_wait=reroute_wait,
             parts=plan.fields.parts,
             limits=self._limits.table.report(target.key, boot_seconds()),
+            brittle=self._limits.brittle.report(target.key, boot_seconds()),
             event_gap=plan.route.event_gap,
         )
         reply = await self._admissions.reserve(admission)
@@ -562,7 +588,7 @@
                 return None
             return Reservation(target.target, reservation_id, is_granted=False)
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds())
             return Reservation(target.target, reservation_id, reply.version)
         plan.reason = f'{target.target}: {reply.reason}'
         if not reply.elsewhere:
@@ -573,14 +599,14 @@
         self, plan: RequestPlan, target: Target, admission: AdmissionRequest
     ) -> bool:
         """Wait for a turn in this instance's own part of an engine's limit."""
-        if not self._limits.is_limited(target):
+        if not self._limits.needs_turn(target):
             return True
         reply = await self._limits.reserve_own(admission)
         if not reply.is_granted:
             plan.reason = f'{target.target}: {reply.reason}'
             plan.retry_after = reply.retry_after
             return False
-        plan.turn = target.key
+        plan.take_turn(target.key, boot_seconds())
         return True
 
     def _required_version(self, plan: RequestPlan) -> int:
@@ -607,7 +633,9 @@
                 target,
                 is_fresh=not is_reusable,
                 seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
+                request_id=plan.fields.request_id,
             )
+            plan.through = conn.member
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
             self.target_table.failed(target.target, now)
@@ -731,22 +759,12 @@
         now = self._now()
         plan.framing = head.framing.value
         plan.limit = response.limit
-        if not response.matches_request:
+        if not _is_own(conn, response):
+            conn.abort()
             raise ResponseLost('the response belongs to another request')
         self._record_response(plan, target, response)
         if response.is_not_run:
-            plan.runs -= 1
-            plan.is_sent = plan.runs > 0
-            plan.reason = f'{target.target}: not run, {response.status}'
-            await self._hold_body(conn, plan)
-            is_other = response.target not in {'', target.target}
-            if is_other:
-                return AttemptResult.not_sent
-            return (
-                AttemptResult.missing
-                if response.is_misdirected
-                else AttemptResult.not_run
-            )
+            return await self._handle_refusal(plan, target, conn, response)
         if plan.req.is_streaming and not _continues(plan, head, response):
             # Whatever else it is, the caller would take it for events.
             plan.reason = (
@@ -755,7 +773,11 @@
             )
             self.target_table.failed(target.target, now)
             return AttemptResult.lost
-        is_stream = plan.route.kind is RouteKind.stream and response.is_success
+        is_stream = (
+            plan.route.kind is RouteKind.stream
+            and response.is_success
+            and head.framing is not BodyFraming.none
+        )
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
         if response.is_success and not response.is_signed:
@@ -778,6 +800,29 @@
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
+    async def _handle_refusal(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        conn: ClientConnection,
+        response: TargetResponse,
+    ) -> AttemptResult:
+        plan.runs -= 1
+        plan.is_sent = plan.runs > 0
+        plan.reason = f'{target.target}: not run, {response.status}'
+        await self._hold_body(conn, plan)
+        is_certain = response.names_request and plan.sends == 1
+        if conn.is_reused and not is_certain:
+            # If it refuses an earlier request, this one may still run.
+            conn.abort()
+        if not response.is_from(target.target):
+            return AttemptResult.not_sent
+        return (
+            AttemptResult.missing
+            if response.is_misdirected
+            else AttemptResult.not_run
+        )
+
     def _record_response(
         self, plan: RequestPlan, target: Target, response: TargetResponse
     ) -> None:
@@ -932,6 +977,18 @@
     )
 
 
+def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
+    """Tell whether a response is taken for that to the last request.
+
+    Any response names its request, except for refusals. One without a name is
+    believed on a used connection, too, since only requests that may be repeated
+    are sent there.
+    """
+    if response.is_not_run or not conn.is_reused:
+        return response.matches_request
+    return response.names_request
+
+
 def _media_type(head: ResponseHead) -> str:
     media_type, _, _ = head.get(b'content-type').partition(b';')
     return media_type.strip().lower().decode('latin-1')
