Count a request that is begun behind another one as begun

Whether a request has begun was decided by chunks: one that began in the same chunk as the end of the one before counted as idle. Its connection was closed after the idle limit, or by a drain, amid the upload and without a word; and an empty line after a request, which HTTP lets servers ignore, was answered with 408. Change: a request begins where the parser says so. Behind another one, its time starts with the response to that.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -169,7 +169,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         self._server.connections.add(self)
-        self._start_timer(self._server.limits.idle_timeout)
+        self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request, unless it outlives its caller."""
@@ -195,10 +195,6 @@
         """Parse a chunk; refuse invalid HTTP."""
         if self._is_refused:
             return
-        if not self._in_request:
-            self._in_request = True
-            self._started = self._loop.time()
-            self._start_timer(self._server.limits.header_timeout)
         try:
             self._parser.feed_data(chunk)
         except (HttpParserError, HttpParserUpgrade):
@@ -226,8 +222,11 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, which may share a chunk with the one before."""
         self._reset_message()
+        self._in_request = True
+        if self._task is None:
+            self._start_timer()
 
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
@@ -311,7 +310,7 @@
             return
         if not self._pending or self.is_disconnected:
             self._send_continue()
-            self._start_timer(self._server.limits.idle_timeout)
+            self._start_timer()
             return
         req = self._pending.popleft()
         self._current = req
@@ -356,9 +355,16 @@
         self.write(head_bytes(self._refused_status, closing))
         self.close()
 
-    def _start_timer(self, seconds: float) -> None:
+    @property
+    def _time_limit(self) -> float:
+        limits = self._server.limits
+        return (
+            limits.header_timeout if self._in_request else limits.idle_timeout
+        )
+
+    def _start_timer(self) -> None:
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._expire)
+        self._timer = self._loop.call_later(self._time_limit, self._expire)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -328,3 +328,41 @@
         head = await reader.readuntil(b'\r\n\r\n')
         writer.close()
     assert b'content-length' not in head.lower()
+
+
+@pytest.mark.parametrize('size', [1, 20, 50])
+async def test_request_begun_behind_another_one_is_not_idle(size):
+    second = b'POST /y HTTP/1.1\r\nContent-Length: 9\r\n\r\n012345678'
+    async with World(idle_timeout=0.05, header_timeout=5) as world:
+        reader, writer = await world.connect()
+        writer.write(GET + second[:size])
+        assert (await read_response(reader))[0] == 200
+        (conn,) = world.server.connections
+        assert not conn.is_idle
+        await asyncio.sleep(0.15)
+        writer.write(second[size:])
+        async with asyncio.timeout(2):
+            response = await read_response(reader)
+        assert response == (200, b'POST /y 012345678')
+        writer.close()
+
+
+async def test_slow_request_behind_another_one_gets_a_timeout():
+    async with World(header_timeout=0.05) as world:
+        reader, writer = await world.connect()
+        writer.write(GET + b'GET /y HT')
+        assert (await read_response(reader))[0] == 200
+        async with asyncio.timeout(2):
+            assert (await read_response(reader))[0] == 408
+        writer.close()
+
+
+async def test_empty_line_behind_a_request_begins_none():
+    async with World(header_timeout=0.05, idle_timeout=0.2) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        writer.write(b'\r\n')
+        async with asyncio.timeout(2):
+            assert await reader.read() == b''
+        writer.close()
