Let open connections follow changed limits

The timer of a waiting connection kept the limit that was in force when it started: after a longer idle limit had come into force, connections were closed after the old one, under callers who reused them by the new one; a shorter limit did not reach them at all. Change: limits that change restart the timers of waiting connections: a longer limit counts from the start of the wait, a shorter one from now at most, so that no connection is closed out of hand.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -143,6 +143,8 @@
         self._task: asyncio.Task[None] | None = None
         self._current: CallerRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # When the wait that the timer bounds began.
+        self._waits_since = self._loop.time()
         self._drained = asyncio.Event()
         self._drained.set()
         self._in_request = False
@@ -364,8 +366,19 @@
 
     def _start_timer(self) -> None:
         self._cancel_timer()
+        self._waits_since = self._loop.time()
         self._timer = self._loop.call_later(self._time_limit, self._expire)
 
+    def follow_limits(self) -> None:
+        """Follow changed limits; shorter ones count from now at most."""
+        if self._timer is None:
+            return
+        now = self._loop.time()
+        due = max(self._timer.when(), self._waits_since + self._time_limit)
+        self._cancel_timer()
+        due = min(due, now + self._time_limit)
+        self._timer = self._loop.call_at(due, self._expire)
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -421,6 +434,14 @@
             return 0
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def set_limits(self, limits: MessageLimits) -> None:
+        """Replace the limits, also for the connections that are open."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        for conn in tuple(self.connections):
+            conn.follow_limits()
+
     def refused(self, status: int) -> None:
         """Count a request that was refused before it reached the handler."""
         self.refusals[status] = self.refusals.get(status, 0) + 1
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -366,3 +366,69 @@
         async with asyncio.timeout(2):
             assert await reader.read() == b''
         writer.close()
+
+
+async def ended_within(reader, seconds):
+    try:
+        async with asyncio.timeout(seconds):
+            return await reader.read() == b''
+    except TimeoutError:
+        return False
+
+
+async def test_idle_connections_follow_a_longer_limit():
+    async with World(idle_timeout=0.2) as world:
+        fresh, _ = await world.connect()
+        used, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(used))[0] == 200
+        world.server.set_limits(replace(world.limits, idle_timeout=0.8))
+        assert not await ended_within(fresh, 0.4)
+        assert not await ended_within(used, 0.05)
+        assert await ended_within(fresh, 0.8)
+        assert await ended_within(used, 0.2)
+
+
+async def test_idle_connections_follow_a_shorter_limit():
+    async with World(idle_timeout=30) as world:
+        fresh, _ = await world.connect()
+        await asyncio.sleep(0.3)
+        world.server.set_limits(replace(world.limits, idle_timeout=0.2))
+        # Its caller may still use it for a while.
+        assert not await ended_within(fresh, 0.1)
+        assert await ended_within(fresh, 0.5)
+
+
+async def test_slow_caller_follows_changed_limits():
+    async with World(header_timeout=0.1) as world:
+        reader, writer = await world.connect()
+        writer.write(b'GET / HT')
+        await asyncio.sleep(0.05)
+        world.server.set_limits(replace(world.limits, header_timeout=5))
+        await asyncio.sleep(0.2)
+        writer.write(b'TP/1.1\r\n\r\n')
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+async def test_changed_limits_leave_a_request_that_is_served():
+    begun = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def handler(req):
+        begun.set()
+        await go_on.wait()
+        req.respond(200, [], b'')
+
+    async with World(handler) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        await begun.wait()
+        world.server.set_limits(
+            replace(world.limits, idle_timeout=0.05, header_timeout=0.05)
+        )
+        await asyncio.sleep(0.2)
+        go_on.set()
+        assert (await read_response(reader))[0] == 200
+        assert await ended_within(reader, 1)
+        writer.close()
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -334,7 +334,7 @@
     def _apply_config(self) -> None:
         cfg = self.view.config
         if cfg is not None:
-            self._front.limits = cfg.limits
+            self._front.set_limits(cfg.limits)
             self.relay.log.configuration = cfg.version
 
     def _charge(
