Read on after the last response until the caller closes

After a response with Connection: close, in a drain among others, the connection was closed at once. What the caller had sent meanwhile, a pipelined request or the rest of a refused body, was unread then, and a socket that is closed with unread bytes resets its connection: the caller lost what it had not read of the response. Requests behind the last response are not processed, by HTTP/1.1, and are owed no answer. Change: the sending side is closed first; what comes is read and dropped until the caller closes its side, for a second at most once the response is written.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -1,6 +1,7 @@
 """Server for callers: limits on requests, and detection of disconnects."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
 _MAX_PIPELINED = 16
 # Bytes of a response buffered for a slow caller before the relay pauses.
 _HIGH_WATER_BYTES = 1 << 18
+# Seconds in which a caller should close its side after the last response.
+_LINGER_SECONDS = 1.0
 _REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -148,6 +151,8 @@
         self._drained = asyncio.Event()
         self._drained.set()
         self._in_request = False
+        # True once the last response has been written.
+        self._is_ending = False
         # Status with which what follows is refused, 0 while nothing is.
         self._refused_status = 0
         self._reset_message()
@@ -163,8 +168,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is being read or served."""
-        return self._task is None and not self._in_request
+        """Tell whether no request is being read, served or answered."""
+        is_busy = self._in_request or self._is_ending
+        return self._task is None and not is_busy
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server and start the idle timeout."""
@@ -195,7 +201,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; refuse invalid HTTP."""
-        if self._is_refused:
+        if self._is_refused or self._is_ending:
             return
         try:
             self._parser.feed_data(chunk)
@@ -335,7 +341,7 @@
             self.abort()
             return
         if req.is_last:
-            self.close()
+            self._close_after_response()
             return
         self._serve_next()
 
@@ -355,7 +361,7 @@
             (b'connection', b'close'),
         ]
         self.write(head_bytes(self._refused_status, closing))
-        self.close()
+        self._close_after_response()
 
     @property
     def _time_limit(self) -> float:
@@ -364,6 +370,32 @@
             limits.header_timeout if self._in_request else limits.idle_timeout
         )
 
+    def _close_after_response(self) -> None:
+        """Close the sending side; read on until the caller closes its own.
+
+        A socket that is closed with unread bytes resets its connection, and
+        the caller loses what it has not read of the response.
+        """
+        self._cancel_timer()
+        if self._transport is None or self.is_disconnected:
+            return
+        self._is_ending = True
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._timer = self._loop.call_later(_LINGER_SECONDS, self._end)
+
+    def _end(self) -> None:
+        """Close, unless the caller still reads the response."""
+        self._timer = None
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size():
+            self._linger()
+            return
+        self.close()
+
     def _start_timer(self) -> None:
         self._cancel_timer()
         self._waits_since = self._loop.time()
@@ -371,7 +403,7 @@
 
     def follow_limits(self) -> None:
         """Follow changed limits; shorter ones count from now at most."""
-        if self._timer is None:
+        if self._timer is None or self._is_ending:
             return
         now = self._loop.time()
         due = max(self._timer.when(), self._waits_since + self._time_limit)
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -432,3 +432,74 @@
         assert (await read_response(reader))[0] == 200
         assert await ended_within(reader, 1)
         writer.close()
+
+
+LARGE = b'x' * (8 << 20)
+
+
+async def large(req):
+    req.respond(200, [], LARGE)
+
+
+async def read_whole_response_amid_requests(world, raw):
+    """Read a large response slowly, and send further requests meanwhile."""
+    reader, writer = await world.connect()
+    writer.write(raw)
+    start = await reader.readexactly(1000)
+    writer.write(GET * 50_000)
+    await asyncio.sleep(0.2)
+    world.server.close_idle()
+    async with asyncio.timeout(8):
+        rest = await reader.read()
+    writer.close()
+    return start + rest
+
+
+async def test_last_response_is_whole_although_requests_follow():
+    seen = []
+
+    async def handler(req):
+        seen.append(req)
+        await large(req)
+
+    async with World(handler) as world:
+        world.server.is_draining = True
+        got = await read_whole_response_amid_requests(world, GET + GET)
+    assert got.count(b'HTTP/1.1') == 1
+    assert got.endswith(b'\r\n\r\n' + LARGE)
+    assert len(seen) == 1
+
+
+async def test_response_before_a_refusal_is_whole_although_bytes_follow():
+    async with World(large) as world:
+        raw = GET + b'garbage\r\n\r\n'
+        got = await read_whole_response_amid_requests(world, raw)
+    first, _, second = got.partition(LARGE)
+    assert first.startswith(b'HTTP/1.1 200')
+    assert second.startswith(b'HTTP/1.1 400')
+
+
+async def test_refusal_reaches_a_caller_that_is_still_sending():
+    body = b'x' * (32 << 20)
+    head = b'POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+    async with World() as world:
+        reader, writer = await world.connect()
+        writer.write(head + body)
+        async with asyncio.timeout(5):
+            status, _ = await read_response(reader)
+        writer.close()
+    assert status == 413
+
+
+async def test_connection_of_a_caller_that_never_closes_ends():
+    async with World() as world:
+        world.server.is_draining = True
+        reader, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        assert await ended_within(reader, 0.3)
+        # The caller keeps its own side open.
+        async with asyncio.timeout(3):
+            while world.server.connections:
+                await asyncio.sleep(0.02)
+        writer.close()
