--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -1,6 +1,7 @@
 """Server for callers: limits on requests, and detection of disconnects."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
 _MAX_PIPELINED = 16
 # Bytes of a response buffered for a slow caller before the relay pauses.
 _HIGH_WATER_BYTES = 1 << 18
+# Seconds in which a caller should close its side after the last response.
+_LINGER_SECONDS = 1.0
 _REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -143,9 +146,13 @@
         self._task: asyncio.Task[None] | None = None
         self._current: CallerRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # When the wait that the timer bounds began.
+        self._waits_since = self._loop.time()
         self._drained = asyncio.Event()
         self._drained.set()
         self._in_request = False
+        # True once the last response has been written.
+        self._is_ending = False
         # Status with which what follows is refused, 0 while nothing is.
         self._refused_status = 0
         self._reset_message()
@@ -161,15 +168,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is being read or served."""
-        return self._task is None and not self._in_request
+        """Tell whether no request is being read, served or answered."""
+        is_busy = self._in_request or self._is_ending
+        return self._task is None and not is_busy
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         self._server.connections.add(self)
-        self._start_timer(self._server.limits.idle_timeout)
+        self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request, unless it outlives its caller."""
@@ -193,12 +201,8 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; refuse invalid HTTP."""
-        if self._is_refused:
+        if self._is_refused or self._is_ending:
             return
-        if not self._in_request:
-            self._in_request = True
-            self._started = self._loop.time()
-            self._start_timer(self._server.limits.header_timeout)
         try:
             self._parser.feed_data(chunk)
         except (HttpParserError, HttpParserUpgrade):
@@ -226,8 +230,11 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, which may share a chunk with the one before."""
         self._reset_message()
+        self._in_request = True
+        if self._task is None:
+            self._start_timer()
 
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
@@ -311,7 +318,7 @@
             return
         if not self._pending or self.is_disconnected:
             self._send_continue()
-            self._start_timer(self._server.limits.idle_timeout)
+            self._start_timer()
             return
         req = self._pending.popleft()
         self._current = req
@@ -334,7 +341,7 @@
             self.abort()
             return
         if req.is_last:
-            self.close()
+            self._close_after_response()
             return
         self._serve_next()
 
@@ -354,11 +361,55 @@
             (b'connection', b'close'),
         ]
         self.write(head_bytes(self._refused_status, closing))
+        self._close_after_response()
+
+    @property
+    def _time_limit(self) -> float:
+        limits = self._server.limits
+        return (
+            limits.header_timeout if self._in_request else limits.idle_timeout
+        )
+
+    def _close_after_response(self) -> None:
+        """Close the sending side; read on until the caller closes its own.
+
+        A socket that is closed with unread bytes resets its connection, and
+        the caller loses what it has not read of the response.
+        """
+        self._cancel_timer()
+        if self._transport is None or self.is_disconnected:
+            return
+        self._is_ending = True
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._timer = self._loop.call_later(_LINGER_SECONDS, self._end)
+
+    def _end(self) -> None:
+        """Close, unless the caller still reads the response."""
+        self._timer = None
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size():
+            self._linger()
+            return
         self.close()
 
-    def _start_timer(self, seconds: float) -> None:
+    def _start_timer(self) -> None:
+        self._cancel_timer()
+        self._waits_since = self._loop.time()
+        self._timer = self._loop.call_later(self._time_limit, self._expire)
+
+    def follow_limits(self) -> None:
+        """Follow changed limits; shorter ones count from now at most."""
+        if self._timer is None or self._is_ending:
+            return
+        now = self._loop.time()
+        due = max(self._timer.when(), self._waits_since + self._time_limit)
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._expire)
+        due = min(due, now + self._time_limit)
+        self._timer = self._loop.call_at(due, self._expire)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -415,6 +466,14 @@
             return 0
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def set_limits(self, limits: MessageLimits) -> None:
+        """Replace the limits, also for the connections that are open."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        for conn in tuple(self.connections):
+            conn.follow_limits()
+
     def refused(self, status: int) -> None:
         """Count a request that was refused before it reached the handler."""
         self.refusals[status] = self.refusals.get(status, 0) + 1
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -328,3 +328,178 @@
         head = await reader.readuntil(b'\r\n\r\n')
         writer.close()
     assert b'content-length' not in head.lower()
+
+
+@pytest.mark.parametrize('size', [1, 20, 50])
+async def test_request_begun_behind_another_one_is_not_idle(size):
+    second = b'POST /y HTTP/1.1\r\nContent-Length: 9\r\n\r\n012345678'
+    async with World(idle_timeout=0.05, header_timeout=5) as world:
+        reader, writer = await world.connect()
+        writer.write(GET + second[:size])
+        assert (await read_response(reader))[0] == 200
+        (conn,) = world.server.connections
+        assert not conn.is_idle
+        await asyncio.sleep(0.15)
+        writer.write(second[size:])
+        async with asyncio.timeout(2):
+            response = await read_response(reader)
+        assert response == (200, b'POST /y 012345678')
+        writer.close()
+
+
+async def test_slow_request_behind_another_one_gets_a_timeout():
+    async with World(header_timeout=0.05) as world:
+        reader, writer = await world.connect()
+        writer.write(GET + b'GET /y HT')
+        assert (await read_response(reader))[0] == 200
+        async with asyncio.timeout(2):
+            assert (await read_response(reader))[0] == 408
+        writer.close()
+
+
+async def test_empty_line_behind_a_request_begins_none():
+    async with World(header_timeout=0.05, idle_timeout=0.2) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        writer.write(b'\r\n')
+        async with asyncio.timeout(2):
+            assert await reader.read() == b''
+        writer.close()
+
+
+async def ended_within(reader, seconds):
+    try:
+        async with asyncio.timeout(seconds):
+            return await reader.read() == b''
+    except TimeoutError:
+        return False
+
+
+async def test_idle_connections_follow_a_longer_limit():
+    async with World(idle_timeout=0.2) as world:
+        fresh, _ = await world.connect()
+        used, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(used))[0] == 200
+        world.server.set_limits(replace(world.limits, idle_timeout=0.8))
+        assert not await ended_within(fresh, 0.4)
+        assert not await ended_within(used, 0.05)
+        assert await ended_within(fresh, 0.8)
+        assert await ended_within(used, 0.2)
+
+
+async def test_idle_connections_follow_a_shorter_limit():
+    async with World(idle_timeout=30) as world:
+        fresh, _ = await world.connect()
+        await asyncio.sleep(0.3)
+        world.server.set_limits(replace(world.limits, idle_timeout=0.2))
+        # Its caller may still use it for a while.
+        assert not await ended_within(fresh, 0.1)
+        assert await ended_within(fresh, 0.5)
+
+
+async def test_slow_caller_follows_changed_limits():
+    async with World(header_timeout=0.1) as world:
+        reader, writer = await world.connect()
+        writer.write(b'GET / HT')
+        await asyncio.sleep(0.05)
+        world.server.set_limits(replace(world.limits, header_timeout=5))
+        await asyncio.sleep(0.2)
+        writer.write(b'TP/1.1\r\n\r\n')
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+async def test_changed_limits_leave_a_request_that_is_served():
+    begun = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def handler(req):
+        begun.set()
+        await go_on.wait()
+        req.respond(200, [], b'')
+
+    async with World(handler) as world:
+        reader, writer = await world.connect()
+        writer.write(GET)
+        await begun.wait()
+        world.server.set_limits(
+            replace(world.limits, idle_timeout=0.05, header_timeout=0.05)
+        )
+        await asyncio.sleep(0.2)
+        go_on.set()
+        assert (await read_response(reader))[0] == 200
+        assert await ended_within(reader, 1)
+        writer.close()
+
+
+LARGE = b'x' * (8 << 20)
+
+
+async def large(req):
+    req.respond(200, [], LARGE)
+
+
+async def read_whole_response_amid_requests(world, raw):
+    """Read a large response slowly, and send further requests meanwhile."""
+    reader, writer = await world.connect()
+    writer.write(raw)
+    start = await reader.readexactly(1000)
+    writer.write(GET * 50_000)
+    await asyncio.sleep(0.2)
+    world.server.close_idle()
+    async with asyncio.timeout(8):
+        rest = await reader.read()
+    writer.close()
+    return start + rest
+
+
+async def test_last_response_is_whole_although_requests_follow():
+    seen = []
+
+    async def handler(req):
+        seen.append(req)
+        await large(req)
+
+    async with World(handler) as world:
+        world.server.is_draining = True
+        got = await read_whole_response_amid_requests(world, GET + GET)
+    assert got.count(b'HTTP/1.1') == 1
+    assert got.endswith(b'\r\n\r\n' + LARGE)
+    assert len(seen) == 1
+
+
+async def test_response_before_a_refusal_is_whole_although_bytes_follow():
+    async with World(large) as world:
+        raw = GET + b'garbage\r\n\r\n'
+        got = await read_whole_response_amid_requests(world, raw)
+    first, _, second = got.partition(LARGE)
+    assert first.startswith(b'HTTP/1.1 200')
+    assert second.startswith(b'HTTP/1.1 400')
+
+
+async def test_refusal_reaches_a_caller_that_is_still_sending():
+    body = b'x' * (32 << 20)
+    head = b'POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+    async with World() as world:
+        reader, writer = await world.connect()
+        writer.write(head + body)
+        async with asyncio.timeout(5):
+            status, _ = await read_response(reader)
+        writer.close()
+    assert status == 413
+
+
+async def test_connection_of_a_caller_that_never_closes_ends():
+    async with World() as world:
+        world.server.is_draining = True
+        reader, writer = await world.connect()
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        assert await ended_within(reader, 0.3)
+        # The caller keeps its own side open.
+        async with asyncio.timeout(3):
+            while world.server.connections:
+                await asyncio.sleep(0.02)
+        writer.close()
