Bound the numbers in records of members

A quarantine record with crashes = 10**400, or 10**9, kept the instance that restored it in a loop with a step for each crash: it no longer answered anything. A record of a member could have any port, and could name another member, whose address it then replaced for good. Change: the numbers of both records have bounds, and a member's record counts only under the member's own key.

--- a/mintlanding/core/bounds.py
+++ b/mintlanding/core/bounds.py
@@ -1,5 +1,9 @@
 """Bounds of values that other systems and processes write."""
 
+from typing import Annotated
+
+from msgspec import Meta
+
 # Requests, tokens, slots or attempts.
 MAX_COUNT = 10**9
 # Revisions, versions and milliseconds since the epoch: exact as floats.
@@ -9,3 +13,17 @@
 MAX_NAME_CHARACTERS = 200
 # Names are sent in header fields.
 NAME_PATTERN = '[\x20-\x7e\xa0-\xff]*'
+MAX_PORT = 65535
+
+# Types of the fields of messages and records of instances.
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+# Numbers that the store assigns.
+StoreNumber = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
+SignedAmount = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+# An age or limit, -1 for none.
+OptionalAmount = Annotated[float, Meta(ge=-1, le=MAX_AMOUNT)]
+# Seconds until something happens, infinite if that is unknown.
+Wait = Annotated[float, Meta(ge=-MAX_AMOUNT)]
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -9,6 +9,7 @@
 
 from mintlanding.coordination.store_contact import StoreContact
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
+from mintlanding.core.bounds import Amount, Count, Port
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.quarantine.records import QuarantineRecord, RequestRecord
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
@@ -70,12 +71,12 @@
     instance: str
     zone: str
     host: str
-    port: int
+    port: Port
     boot: str
     is_leaving: bool = False
-    link_mbps: float = 0
-    link_version: int = 0
-    path_port: int = 0
+    link_mbps: Amount = 0
+    link_version: Count = 0
+    path_port: Port = 0
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -399,6 +400,8 @@
 
     def _put_member(self, item: Item, now: float) -> None:
         record = msgspec.json.decode(item.content, type=MemberRecord)
+        if item.key != MEMBERS_PREFIX + record.instance:
+            raise ValueError(f'the record names member {record.instance!r}')
         self.members[record.instance] = record
         self._notify('members')
 
--- a/mintlanding/platform/tests/test_unforeseen_errors.py
+++ b/mintlanding/platform/tests/test_unforeseen_errors.py
@@ -13,6 +13,14 @@
     World,
 )
 
+MEMBER = {
+    'instance': 'odd',
+    'zone': 'z1',
+    'host': '127.0.0.1',
+    'port': 7600,
+    'boot': '1',
+}
+QUARANTINE = {'position': 1, 'crashes': 3, 'last_crash': 1700000000.0}
 NESTED = b'{"service":' + b'[' * 100_000
 
 
@@ -169,6 +177,32 @@
         assert status == 200
 
 
+@pytest.mark.parametrize(
+    ('key', 'record'),
+    [
+        ('mintlanding/member/odd', {**MEMBER, 'port': 70_000}),
+        ('mintlanding/member/odd', {**MEMBER, 'port': 10**400}),
+        ('mintlanding/member/odd', {**MEMBER, 'instance': 'n0'}),
+        ('mintlanding/member/odd', {**MEMBER, 'link_mbps': -5}),
+        ('mintlanding/quarantine/5c1e', {**QUARANTINE, 'crashes': 10**9}),
+        ('mintlanding/quarantine/5c1e', {**QUARANTINE, 'crashes': 10**400}),
+        ('mintlanding/quarantine/5c1e', {**QUARANTINE, 'last_crash': -1e300}),
+    ],
+    ids=lambda value: ascii(value)[:80],
+)
+async def test_record_of_members_out_of_bounds_changes_nothing(
+    world, key, record
+):
+    view = world.nodes[0].view
+    before = dict(view.members), dict(view.quarantines)
+    world.store.put(key, json.dumps(record).encode())
+    world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+    async with asyncio.timeout(4):
+        while view.config.version < 8:
+            await asyncio.sleep(0.05)
+    assert (view.members, view.quarantines) == before
+
+
 async def test_instance_starts_beside_a_deeply_nested_record(world):
     world.store.put('servers/odd', NESTED)
     async with asyncio.timeout(4):
--- a/mintlanding/quarantine/ledger.py
+++ b/mintlanding/quarantine/ledger.py
@@ -12,7 +12,7 @@
 
 from mintlanding.core.logs import Logger
 from mintlanding.quarantine.messages import EngineCrash, SuspectPart
-from mintlanding.quarantine.records import QuarantineRecord
+from mintlanding.quarantine.records import MAX_CRASHES, QuarantineRecord
 from mintlanding.quarantine.trials import Trials
 
 # Begins the names of engines whose crashes are only known by their number.
@@ -116,7 +116,7 @@
         return {
             part: QuarantineRecord(
                 suspect.position,
-                len(suspect.crashes),
+                min(len(suspect.crashes), MAX_CRASHES),
                 suspect.last_crash,
                 self.trials.made(part),
             )
--- a/mintlanding/quarantine/messages.py
+++ b/mintlanding/quarantine/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mintlanding.core.bounds import Count, OptionalAmount
+
 
 class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
     """A crash of an engine, `age` seconds ago.
@@ -10,7 +12,7 @@
     """
 
     engine: str
-    age: float
+    age: OptionalAmount
 
 
 class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
@@ -23,7 +25,7 @@
     """
 
     part: str
-    position: int = 0
+    position: Count = 0
     crashes: tuple[EngineCrash, ...] = ()
-    answered_age: float = -1.0
+    answered_age: OptionalAmount = -1.0
     is_quarantined: bool = False
--- a/mintlanding/quarantine/records.py
+++ b/mintlanding/quarantine/records.py
@@ -1,7 +1,14 @@
 """Record of a part in quarantine, as it is stored."""
 
+from typing import Annotated
+
 import msgspec
 
+from mintlanding.core.bounds import Amount, Count
+
+# Crashes that a record counts; restoring takes a step for each.
+MAX_CRASHES = 1000
+
 
 class QuarantineRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Stored record of a part in quarantine.
@@ -10,10 +17,10 @@
     `trials` how many trials were claimed.
     """
 
-    position: int
-    crashes: int
-    last_crash: float
-    trials: int = 0
+    position: Count
+    crashes: Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASHES)]
+    last_crash: Amount
+    trials: Count = 0
 
 
 class RequestRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -24,6 +31,6 @@
     """
 
     targets: tuple[str, ...]
-    last_crash: float
-    trials: int = 0
+    last_crash: Amount
+    trials: Count = 0
     is_quarantined: bool = False
