Bound the numbers in messages between instances

A status with a time, level or limit that is not a number or infinite was taken: it compares with nothing, so that counters, limits and ages went wrong for good. A message that could not be decoded as its type closed the link, with all replies on it. A limit of 1e308 that a target names was passed on to all members. Change: the fields of messages have bounds; a message of a known peer that is out of them is dropped and logged, and its link stays. Sums are only required to be finite, so that no member's own counters exceed the bounds. Limits that targets name, and tokens that callers declare, have bounds, too: others count as absent.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -233,7 +233,9 @@
                 peer=link.peer,
                 reason=str(exc),
             )
-            link.abort()
+            is_known = link.peer and isinstance(exc, msgspec.ValidationError)
+            if not is_known:
+                link.abort()
             return
         if isinstance(message, Hello):
             self._welcome(link, message)
--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mintlanding.core.bounds import Amount, SignedAmount, StoreNumber, Whole
 from mintlanding.quarantine.messages import SuspectPart
 from mintlanding.residency.messages import (
     AdmissionEnd,
@@ -52,17 +53,17 @@
 
     instance: str
     incarnation: str
-    sent_at: float
+    sent_at: Amount
     asks_consent: bool = False
     digests: tuple[WorkerDigest, ...] = ()
-    admitted: dict[str, float] = {}
-    levels: dict[str, float] = {}
+    admitted: dict[str, Amount] = {}
+    levels: dict[str, SignedAmount] = {}
     is_leaving: bool = False
-    store_contact: float = 0.0
+    store_contact: Amount = 0.0
     suspects: tuple[SuspectPart, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
-    leaving: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[tuple[str, Whole], ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -70,7 +71,7 @@
 
     instance: str
     incarnation: str
-    sent_at: float
+    sent_at: Amount
     asks_consent: bool = False
 
 
@@ -90,16 +91,16 @@
     zone: str
     hub: str
     hub_incarnation: str
-    sent_at: float
+    sent_at: Amount
     members: tuple[MemberStatus, ...] = ()
     digests: tuple[tuple[str, WorkerDigest], ...] = ()
-    admitted: dict[str, float] = {}
-    levels: dict[str, float] = {}
-    store_contact: float = 0.0
+    admitted: dict[str, Amount] = {}
+    levels: dict[str, SignedAmount] = {}
+    store_contact: Amount = 0.0
     suspects: tuple[SuspectPart, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
-    leaving: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[tuple[str, Whole], ...] = ()
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -119,16 +120,16 @@
     although its lease cannot be renewed.
     """
 
-    status_sent_at: float
+    status_sent_at: Amount
 
 
 class StoreChange(msgspec.Struct, frozen=True, array_like=True):
     """Write or removal of a key."""
 
     key: str
-    revision: int
+    revision: StoreNumber
     content: bytes = b''
-    lease: int = 0
+    lease: StoreNumber = 0
     is_removed: bool = False
 
 
@@ -140,8 +141,8 @@
 ):
     """Changes of the store after one revision, up to and including another."""
 
-    after: int
-    as_of: int
+    after: StoreNumber
+    as_of: StoreNumber
     changes: tuple[StoreChange, ...] = ()
 
 
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -1,11 +1,16 @@
 """Links: authentication, invalid messages and lost connections."""
 
 import asyncio
+import math
 
+import msgspec
 import pytest
 
 from mintlanding.links.mesh import Identity, LinkOptions, Mesh
-from mintlanding.links.messages import Status
+from mintlanding.links.messages import Consent, Status
+from mintlanding.quarantine.messages import EngineCrash, SuspectPart
+from mintlanding.residency.messages import WorkerDigest
+from mintlanding.target_limits.messages import LimitReport
 
 OPTIONS = LinkOptions(redial_pause=0.02)
 
@@ -162,3 +167,35 @@
     await link.is_lost.wait()
     await until(lambda: a.mesh.send('b', status('a')))
     await until(lambda: len(b.received) >= 2)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'sent_at': math.nan},
+        {'sent_at': math.inf},
+        {'admitted': {'hule930': math.nan}},
+        {'levels': {'hule930': math.inf}},
+        {'store_contact': math.nan},
+        {'limits': (LimitReport('i-7f', 1, math.nan),)},
+        {'limits': (LimitReport('i-7f', 1, 3.5, -math.inf),)},
+        {'limits': (LimitReport('i-7f', 2**63, 3.5),)},
+        {'digests': (WorkerDigest('i-7f', 1, True, wait=math.nan),)},
+        {'digests': (WorkerDigest('i-7f', -1, True),)},
+        {'leaving': (('i-7f', -1),)},
+        {'suspects': (SuspectPart('5c1e', crashes=(EngineCrash('e', -9),)),)},
+    ],
+    ids=str,
+)
+async def test_message_out_of_bounds_costs_only_itself(members, changes):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: b.received)
+    link = a.mesh._links['b'][-1]
+    b.received.clear()
+    a.mesh.send('b', msgspec.structs.replace(status('a'), **changes))
+    a.mesh.send('b', Consent(7))
+    await until(lambda: b.received)
+    assert [type(each) for _, each in b.received] == [Consent]
+    assert not link.is_lost.is_set()
--- a/mintlanding/paths/messages.py
+++ b/mintlanding/paths/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from mintlanding.core.bounds import Amount, Whole
+
 # Keeps the proof of one protocol from being used in another.
 _PURPOSE = b'path:'
 
@@ -19,8 +21,8 @@
     instance: str
     proof: str
     target: str
-    incarnation: int
-    seconds: float
+    incarnation: Whole
+    seconds: Amount
 
 
 class PathReply(msgspec.Struct, frozen=True, array_like=True):
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -1,9 +1,8 @@
 """Codec of request and response headers, and of orders to engines."""
 
-import math
-
 import msgspec
 
+from mintlanding.core.bounds import MAX_AMOUNT, MAX_COUNT
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import Headers, ResponseHead, header_value
 from mintlanding.residency.models import Order, OrderResult
@@ -243,18 +242,23 @@
 
 
 def _demand(prompt: str, output: str) -> Demand | None:
-    prompt_tokens = parse_count(prompt.strip())
-    output_tokens = parse_count(output.strip())
+    prompt_tokens = _tokens(prompt.strip())
+    output_tokens = _tokens(output.strip())
     if prompt_tokens is None or output_tokens is None:
         return None
     return Demand(prompt_tokens, output_tokens)
 
 
+def _tokens(text: str) -> int | None:
+    count = parse_count(text)
+    return None if count is None or count > MAX_COUNT else count
+
+
 def _parts(text: str) -> tuple[tuple[str, int], ...]:
     found: list[tuple[str, int]] = []
     for each in text.split(','):
         part, _, tokens = each.strip().partition(':')
-        count = parse_count(tokens)
+        count = _tokens(tokens)
         if not part or count is None:
             return tuple(found)
         found.append((part, count))
@@ -280,9 +284,9 @@
 
 
 def _number(text: bytes) -> float | None:
-    """Return a number that is neither negative nor infinite."""
+    """Return a number within the bounds of amounts."""
     try:
         number = float(text)
     except ValueError:
         return None
-    return number if 0 <= number < math.inf else None
+    return number if 0 <= number <= MAX_AMOUNT else None
--- a/mintlanding/platform/tests/test_decoding.py
+++ b/mintlanding/platform/tests/test_decoding.py
@@ -356,6 +356,7 @@
         (b'', None, False),
         (b'-1', None, True),
         (b'inf', None, True),
+        (b'1e308', None, True),
         (b'nan', None, True),
         (b'four', None, True),
     ],
@@ -367,6 +368,17 @@
     assert (response.limit, response.has_invalid_limit) == (limit, is_invalid)
 
 
+def test_more_tokens_than_any_request_has_count_as_absent():
+    fields = requests.read_caller(
+        [
+            (b'x-token-counts', b'%d,80' % (10**9 + 1)),
+            (b'x-prompt-prefix', b'5c1e:%d' % (10**9 + 1)),
+        ]
+    )
+    assert fields.demand is None
+    assert fields.parts == ()
+
+
 def test_response_to_another_request_is_recognised():
     head = ResponseHead(200, [(b'x-request-id', b'other')])
     assert not requests.read_response(head, '9c41').matches_request
@@ -390,7 +402,9 @@
     ]
 
 
-@pytest.mark.parametrize('digits', [b'\xb2', b'9' * 5000, b'-1', b'1e3', b''])
+@pytest.mark.parametrize(
+    'digits', [b'\xb2', b'9' * 5000, b'9' * 16, b'-1', b'1e3', b'']
+)
 def test_odd_numbers_in_headers_are_treated_as_absent(digits):
     fields = requests.read_caller(
         [
--- a/mintlanding/residency/messages.py
+++ b/mintlanding/residency/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mintlanding.core.bounds import Count, Wait, Whole
 from mintlanding.target_limits.messages import LimitReport
 
 
@@ -45,16 +46,16 @@
     model: str
     adapter: str
     workspace: str
-    prompt_tokens: int
-    output_tokens: int
-    priority: int
-    objective: float
-    max_wait: float
-    deadline: float
-    reroute_wait: float
-    parts: tuple[tuple[str, int], ...] = ()
+    prompt_tokens: Whole
+    output_tokens: Whole
+    priority: Count
+    objective: Wait
+    max_wait: Wait
+    deadline: Wait
+    reroute_wait: Wait
+    parts: tuple[tuple[str, Whole], ...] = ()
     limits: tuple[LimitReport, ...] = ()
-    event_gap: float = 0
+    event_gap: Wait = 0
 
 
 class AdmissionReply(
@@ -74,8 +75,8 @@
     worker: str = ''
     is_granted: bool = False
     is_waiting: bool = False
-    version: int = 0
-    retry_after: float = 0
+    version: Whole = 0
+    retry_after: Wait = 0
     elsewhere: bool = False
     reason: str = ''
 
@@ -95,8 +96,8 @@
     request_id: str
     worker: str
     outcome: GrantOutcome
-    first_event: float = 0
-    longest_pause: float = 0
+    first_event: Wait = 0
+    longest_pause: Wait = 0
 
 
 class WorkerDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -108,12 +109,12 @@
     """
 
     worker: str
-    incarnation: int
+    incarnation: Whole
     can_order: bool
-    running: int = 0
-    queued: int = 0
-    wait: float = 0
-    load_wait: float = 0
+    running: Count = 0
+    queued: Count = 0
+    wait: Wait = 0
+    load_wait: Wait = 0
     has_model: bool = True
     ready: tuple[str, ...] = ()
     hot: tuple[str, ...] = ()
--- a/mintlanding/streams/messages.py
+++ b/mintlanding/streams/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mintlanding.core.bounds import Count, Whole
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Service and build of the target that a stream's request was sent to.
@@ -12,7 +14,7 @@
     request_id: str
     service: str
     build: str
-    attempt: int = 1
+    attempt: Count = 1
 
 
 class OriginNotice(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -28,12 +30,12 @@
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Question for the origin of a stream; `number` returns in the reply."""
 
-    number: int
+    number: Whole
     request_id: str
 
 
 class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Reply to a query; without an origin the stream is not known."""
 
-    number: int
+    number: Whole
     origin: StreamOrigin | None = None
--- a/mintlanding/target_limits/messages.py
+++ b/mintlanding/target_limits/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mintlanding.core.bounds import OptionalAmount, Whole
+
 # Value of a report that the target no longer names a limit.
 NO_LIMIT = -1.0
 
@@ -14,6 +16,6 @@
     """
 
     target: str
-    incarnation: int
-    limit: float
-    age: float = 0
+    incarnation: Whole
+    limit: OptionalAmount
+    age: OptionalAmount = 0
