Compare proofs of the fleet's key as bytes

Change: the bytes are compared. Measured: test_hello_with_an_odd_proof_is_rejected fails on the parent (an unhandled exception of the event loop) and passes here. That of the path was not run on the parent.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -260,7 +260,7 @@
 
     def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
         proof = self._identity.proof(hello.instance)
-        if not hmac.compare_digest(proof, hello.proof):
+        if not hmac.compare_digest(proof.encode(), hello.proof.encode()):
             self.logger.error(
                 'Peer rejected for an invalid proof of the fleet key.',
                 peer=hello.instance,
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mintlanding.links.mesh import Identity, LinkOptions, Mesh
-from mintlanding.links.messages import Consent, Status
+from mintlanding.links.messages import Consent, Hello, Status
 from mintlanding.quarantine.messages import EngineCrash, SuspectPart
 from mintlanding.residency.messages import WorkerDigest
 from mintlanding.target_limits.messages import LimitReport
@@ -199,3 +199,16 @@
     await until(lambda: b.received)
     assert [type(each) for _, each in b.received] == [Consent]
     assert not link.is_lost.is_set()
+
+
+async def test_hello_with_an_odd_proof_is_rejected(members):
+    _, b = members
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    hello = msgspec.msgpack.encode(Hello('x', '1', '\u3042'))
+    reader, writer = await asyncio.open_connection(*b.address)
+    writer.write(len(hello).to_bytes(4, 'big') + hello)
+    assert await reader.read() == b''
+    writer.close()
+    assert not errors
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -276,7 +276,7 @@
     def resolve(self, request: OpenPath) -> Address | str:
         """Return the address of a target, or why there is no path to it."""
         proof = path_proof(self._fleet_key, request.instance)
-        if not hmac.compare_digest(proof, request.proof):
+        if not hmac.compare_digest(proof.encode(), request.proof.encode()):
             self.logger.error(
                 'Path refused for an invalid proof of the fleet key.',
                 peer=request.instance,
