Register the borders and test them with changed samples

Change: a decorator registers a border's decoder with its one error; a property test feeds each of them changed samples (values out of bounds or of another type, removed, repeated, cut, nested deeply, stray bytes) and takes a value within bounds or that error. The numbers and names in the settings file have bounds, and a number of thousands of digits there is a SettingsError. Messages of members and records of members are not registered yet.

--- a/mintlanding/platform/records.py
+++ b/mintlanding/platform/records.py
@@ -12,6 +12,7 @@
     ValidationError,
 )
 
+from mintlanding.core.borders import border
 from mintlanding.core.bounds import (
     MAX_AMOUNT,
     MAX_COUNT,
@@ -268,6 +269,7 @@
     queued: _Count = 0
 
 
+@border('configuration', RecordInvalid)
 def decode_config(content: bytes) -> ServingConfig:
     """Decode the operators' configuration; raise RecordInvalid."""
     raw = _validate(_Config, content)
@@ -281,12 +283,14 @@
     )
 
 
+@border('version', RecordInvalid)
 def decode_version(content: bytes) -> tuple[str, str, int]:
     """Decode a version record into model, adapter and version."""
     raw = _validate(_Version, content)
     return raw.model, raw.adapter, raw.version
 
 
+@border('target', RecordInvalid)
 def decode_target(key: str, content: bytes) -> Target:
     """Decode a target's entry; raise RecordInvalid."""
     raw = _validate(_Entry, content)
@@ -316,6 +320,7 @@
     )
 
 
+@border('report', RecordInvalid)
 def decode_report(content: bytes) -> EngineReport:
     """Decode the report of an engine; raise RecordInvalid."""
     raw = _validate(_Report, content)
--- a/mintlanding/platform/settings.py
+++ b/mintlanding/platform/settings.py
@@ -6,11 +6,18 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mintlanding.conf.exceptions import SettingsError
+from mintlanding.core.borders import border
+from mintlanding.core.bounds import (
+    MAX_AMOUNT,
+    MAX_NAME_CHARACTERS,
+    MAX_PORT,
+    NAME_PATTERN,
+)
 from mintlanding.core.checks import CheckMessage
 from mintlanding.node.settings import (
     Bounds,
@@ -23,7 +30,6 @@
 _DEFAULT_PATH = '/etc/mintlanding/boot.toml'
 _MILLISECONDS = 1000
 _PORT = re.compile('[0-9]{1,5}')
-_MAX_PORT = 65535
 # Characters of an invalid address that its error shows.
 _SHOWN_CHARACTERS = 80
 # Default port of the metrics, the same as in deploy/system.toml.
@@ -32,6 +38,18 @@
 _METRICS_VARIABLE = 'MINTLANDING_METRICS_PORT'
 
 
+_Amount = Annotated[float, Field(ge=0, le=MAX_AMOUNT)]
+_Port = Annotated[int, Field(ge=1, le=MAX_PORT)]
+_Name = Annotated[
+    str,
+    Field(
+        min_length=1,
+        max_length=MAX_NAME_CHARACTERS,
+        pattern=f'^{NAME_PATTERN}$',
+    ),
+]
+
+
 class _Section(BaseModel):
     """Base class of all sections; unknown names are ignored."""
 
@@ -45,33 +63,33 @@
 
 
 class _Bounds(_Section):
-    contact_ms: float = 3000
-    drain_ms: float = 2000
-    grace_s: float = 8
-    apply_ms: float = 2000
-    retry_ratio: float = 0.2
-    retry_window_s: float = 10
-    retry_slack: float = 50
-    lease_ttl_ms: float = 3000
-    version_ms: float = 5000
-    quota_slack: float = 0
-    quota_window_s: float = 8
+    contact_ms: _Amount = 3000
+    drain_ms: _Amount = 2000
+    grace_s: _Amount = 8
+    apply_ms: _Amount = 2000
+    retry_ratio: _Amount = 0.2
+    retry_window_s: _Amount = 10
+    retry_slack: _Amount = 50
+    lease_ttl_ms: _Amount = 3000
+    version_ms: _Amount = 5000
+    quota_slack: _Amount = 0
+    quota_window_s: _Amount = 8
 
 
 class _Limits(_Section):
-    link_mbps: float = 0
+    link_mbps: _Amount = 0
 
 
 class _Platform(_Section):
     addr: str
-    ttl_min_ms: float = 1000
+    ttl_min_ms: _Amount = 1000
 
 
 class _Boot(_Section):
-    node: str
-    ip: str
-    zone: str
-    port_range: list[int] = Field(min_length=2)
+    node: _Name
+    ip: _Name
+    zone: _Name
+    port_range: list[_Port] = Field(min_length=2)
     listen: _Listen
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
@@ -100,11 +118,13 @@
     return parse_settings(text, path)
 
 
+@border('settings', SettingsError)
 def parse_settings(text: str, source: str = 'settings') -> PlatformSettings:
     """Parse and validate the text of a settings file."""
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (ValueError, RecursionError) as exc:
+        # Numbers of thousands of digits raise the first.
         raise _error(source, f'the file is not TOML: {exc}') from exc
     try:
         boot = _Boot.model_validate(document)
@@ -124,7 +144,7 @@
         ipaddress.ip_address(host)
     except ValueError as exc:
         raise _invalid_address(text) from exc
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         raise _invalid_address(text)
     return host, int(port)
 
@@ -132,7 +152,7 @@
 def _invalid_address(text: str) -> ValueError:
     return ValueError(
         f'{text[:_SHOWN_CHARACTERS]!r} is not an address of the form IP:PORT '
-        f'with a port of 1 to {_MAX_PORT}'
+        f'with a port of 1 to {MAX_PORT}'
     )
 
 
--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -18,6 +18,7 @@
     StoreBusy,
     Transaction,
 )
+from mintlanding.core.borders import border
 from mintlanding.core.exceptions import (
     PlatformError,
     PlatformUnavailable,
@@ -40,11 +41,13 @@
 _GONE = 410
 _CONFLICT = 412
 _REFUSED = frozenset((429, 503))
+# Characters of a key.
+_MAX_KEY = 1000
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Row(msgspec.Struct):
-    key: str
+    key: Annotated[str, msgspec.Meta(max_length=_MAX_KEY)]
     rev: _Number
     # Base64, checked for each row.
     value: Any = ''
@@ -242,6 +245,7 @@
     return head.status, await conn.read_body(seconds)
 
 
+@border('store', PlatformUnavailable)
 def _decode(kind: type[_Response], raw: bytes) -> _Response:
     try:
         return msgspec.json.decode(raw, type=kind)
