--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -238,7 +238,9 @@
                 peer=link.peer,
                 reason=str(exc),
             )
-            link.abort()
+            is_known = link.peer and isinstance(exc, msgspec.ValidationError)
+            if not is_known:
+                link.abort()
             return
         if isinstance(message, Hello):
             self._welcome(link, message)
@@ -280,7 +282,7 @@
 
     def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
         proof = self._identity.proof(hello.instance)
-        if not hmac.compare_digest(proof, hello.proof):
+        if not hmac.compare_digest(proof.encode(), hello.proof.encode()):
             self.logger.error(
                 'Peer rejected for an invalid proof of the fleet key.',
                 peer=hello.instance,
