Take the slots of a brittle engine from its entry

The room was judged by the batch limit of the service. An engine that names fewer slots had its waiting room taken for slots, whose requests are not counted as at risk.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -298,7 +298,9 @@
             self._execute(target.target, steward.set_limit(limit, now))
         share = self._limits.holder_share(target.key)
         if share is not None or steward.room is not None:
-            self._execute(target.target, steward.set_room_share(share, now))
+            self._execute(
+                target.target, steward.set_room_share(share, target.slots, now)
+            )
 
     def _execute(self, worker: str, actions: Sequence[Action]) -> None:
         for action in actions:
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -297,13 +297,17 @@
         return self._proceed(now)
 
     def set_room_share(
-        self, share: RoomShare | None, now: float
+        self, share: RoomShare | None, slots: int, now: float
     ) -> Sequence[Action]:
-        """Send no more than a share of the room of a brittle engine."""
+        """Send no more than a share of the room of a brittle engine.
+
+        `slots` are those that the engine itself has named.
+        """
         if share is None:
             self.room = None
         elif self.room is None:
-            self.room = BrittleRoom(self._capacity.batch_limit, share, now)
+            slots = min(slots, self._capacity.batch_limit)
+            self.room = BrittleRoom(slots, share, now)
             self.room.adopt(
                 (request_id, each.since, each.expires)
                 for request_id, each in self._granted.items()
--- a/mintlanding/residency/tests/test_steward_room.py
+++ b/mintlanding/residency/tests/test_steward_room.py
@@ -11,7 +11,7 @@
 def brittle():
     driver = Driver(slots=3, batch_limit=20).start()
     share = RoomShare(refusals=4, part=1)
-    driver.act(driver.steward.set_room_share(share, driver.now))
+    driver.act(driver.steward.set_room_share(share, 20, driver.now))
     driver.reserve('first', adapter='a1')
     driver.wait(0.7)
     assert driver.replies['first'].is_granted
@@ -65,6 +65,6 @@
     refuse(brittle, 'full')
     for number in range(4):
         brittle.reserve(f'r{number}', adapter='a1', max_wait=3.0)
-    brittle.act(brittle.steward.set_room_share(None, brittle.now))
+    brittle.act(brittle.steward.set_room_share(None, 20, brittle.now))
     brittle.wait(1)
     assert all(brittle.replies[f'r{each}'].is_granted for each in range(4))
