--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -1125,6 +1125,7 @@
         is_misdirected=False,
         target='i-7f',
         load=(1, 2, 3),
+        names_request=True,
     )
     assert requests.response_headers(head) == [
         (b'x-request-id', b'9c41'),
