Take no earlier response of the store for that to a write

Responses of the store do not name their call. If one was written once more on a kept connection after the next call had been sent, a transaction that the store rejected counted as committed, and a lease of another call as granted.

A commit that writes must bring a revision above all that the store had told before it was sent, and a grant another lease than the last one; else the outcome is unknown, and idle connections are closed. A renewal cannot be told from an earlier one by its response.

--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -52,6 +52,9 @@
     def __init__(self, address: Address, pool: ConnectionPool) -> None:
         """Take the address of the store and a connection pool."""
         self.calls = 0
+        # Highest revision and last lease that the store has told.
+        self._revision = 0
+        self._lease = 0
         self._address = address
         self._host = '{0}:{1}'.format(*address).encode()
         self._pool = pool
@@ -94,7 +97,9 @@
         seconds = wait + _WATCH_GRACE
         page = await self._get('/v1/kv-watch', query, seconds)
         changes = tuple(_decode_change(each) for each in page['events'])
-        return Changes(changes, int(page['as_of']))
+        revision = int(page['as_of'])
+        self._revision = max(self._revision, revision)
+        return Changes(changes, revision)
 
     async def commit(self, transaction: Transaction) -> Committed | Rejected:
         """Commit a transaction, unless an expected revision has changed."""
@@ -113,9 +118,15 @@
             ],
             'delete': list(transaction.deletes),
         }
+        before = self._revision
         status, response = await self._call('POST', '/v1/kv-txn', body)
         if status == _OK:
-            return Committed(int(response['rev']))
+            revision = int(response['rev'])
+            # Deletions of missing keys need not change the revision.
+            is_new = revision > before or not transaction.writes
+            self._check_new(is_new, f'revision {revision}')
+            self._revision = max(self._revision, revision)
+            return Committed(revision)
         if status in {_CONFLICT, _NOT_FOUND}:
             return Rejected(lease_ended=status == _NOT_FOUND)
         raise PlatformError(f'transaction failed: the store responded {status}')
@@ -128,7 +139,10 @@
             raise PlatformError(
                 f'lease not granted: the store responded {status}'
             )
-        return int(response['lease'])
+        lease = int(response['lease'])
+        self._check_new(lease != self._lease, f'lease {lease}')
+        self._lease = lease
+        return lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return false if it has ended."""
@@ -151,6 +165,16 @@
         """Close all idle connections."""
         self._pool.close()
 
+    def _check_new(self, is_new: bool, what: str) -> None:
+        """Raise PlatformUnavailable for a response to an earlier call."""
+        if is_new:
+            return
+        # The response to the call itself may still come on an idle connection.
+        self._pool.close()
+        raise PlatformUnavailable(
+            f'the store told {what} before; the call may have taken effect',
+        )
+
     async def _get(
         self,
         path: str,
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -27,6 +27,8 @@
     silent: bool = False
     oldest_revision: int = 0
     cut_watches: bool = False
+    # A response is sent again on its connection before the next one.
+    repeat_answers: bool = False
 
 
 class StoreStandin:
@@ -40,6 +42,8 @@
         self.leases = {}
         self.changed = asyncio.Event()
         self.calls = []
+        # The last response by connection.
+        self.answers = {}
         self.server = CallerServer(
             self.handle, MessageLimits(), Logger('store')
         )
@@ -90,7 +94,12 @@
             self.faults.lose_answers -= 1
             req.abort()
             return
-        req.respond(status, JSON_HEADERS, msgspec.json.encode(response))
+        body = msgspec.json.encode(response)
+        if self.faults.repeat_answers:
+            req.conn.write(self.answers.get(req.conn, b''))
+        length = (b'content-length', b'%d' % len(body))
+        self.answers[req.conn] = head_bytes(status, [length]) + body
+        req.respond(status, JSON_HEADERS, body)
 
     async def _kv_range(self, parts, query, body):
         prefix, after = query.get('prefix', ''), query.get('after', '')
@@ -242,6 +251,8 @@
     lose_answers: int = 0
     # An answer is sent again on its connection before the one to the next call.
     repeat_answers: bool = False
+    # The same for responses to orders.
+    repeat_orders: bool = False
     shed: int = 0
     break_after: int = 0
     # Responses have neither length nor chunks and end with the connection.
@@ -311,6 +322,9 @@
     # Ids of the last requests that ran, by connection.
     last_ids: dict = field(default_factory=dict)
     stale_sent: int = 0
+    # Statuses of the last responses to orders, by connection.
+    last_orders: dict = field(default_factory=dict)
+    most_adapters: int = 0
     is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
@@ -390,19 +404,27 @@
     def _order(self, req):
         body = msgspec.json.decode(req.body)
         self.orders.append(body)
+        if self.faults.repeat_orders and req.conn in self.last_orders:
+            self.stale_sent += 1
+            status = self.last_orders[req.conn]
+            req.conn.write(head_bytes(status, [(b'content-length', b'0')]))
+        self.last_orders[req.conn] = self._carry_out(body)
+        req.respond(self.last_orders[req.conn], [], b'')
+
+    def _carry_out(self, body):
+        """Carry out an order; return the status of the response."""
         if self.faults.conflicts or body['expected'] != self.orders_taken:
             self.faults.conflicts = max(0, self.faults.conflicts - 1)
-            req.respond(409, [], b'')
-            return
+            return 409
         adapter = body['adapter']
         self.orders_taken += 1
         if body['op'] == 'unload':
             self.adapters.pop(adapter, None)
-            req.respond(200, [], b'')
-            return
+            return 200
         self.adapters[adapter] = body.get('version', 1)
+        self.most_adapters = max(self.most_adapters, len(self.adapters))
         assert len(self.adapters) <= self.places
-        req.respond(202, [], b'')
+        return 202
 
     def _report(self, req):
         names = [f'{name}@{number}' for name, number in self.adapters.items()]
--- a/mintlanding/platform/tests/test_store.py
+++ b/mintlanding/platform/tests/test_store.py
@@ -93,3 +93,20 @@
     standin.stop()
     with pytest.raises(PlatformUnavailable):
         await store.snapshot('')
+
+
+async def test_response_to_an_earlier_call_confirms_no_write(standin, store):
+    standin.faults.repeat_answers = True
+    txn = Transaction({'k': NO_REVISION}, (Write('k', b'1'),))
+    assert isinstance(await store.commit(txn), Committed)
+    with pytest.raises(PlatformUnavailable, match='told revision'):
+        await store.commit(txn)
+    assert await store.commit(txn) == Rejected()
+
+
+async def test_response_to_an_earlier_call_grants_no_lease(standin, store):
+    standin.faults.repeat_answers = True
+    lease = await store.grant_lease(5)
+    with pytest.raises(PlatformUnavailable, match='told lease'):
+        await store.grant_lease(5)
+    assert await store.grant_lease(5) != lease
