Test earlier responses to orders and silent servers

An earlier response to an order may be taken for that to the next one, but no engine is overloaded by it: orders bear the number of those before them, so that a wrong belief ends with a rejected order and a new report.

TCP_USER_TIMEOUT ends no connection whose server is silent: keep-alive probes, to which it would apply, are off, and the kernel of a silent server acknowledges. A server that reads nothing for a second keeps its connection.

--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -309,3 +309,51 @@
         assert await peer.call(seconds=5) == (200, large)
         assert await peer.call() == (200, b'ok')
         assert peer.connections == 1
+
+
+async def test_server_may_be_silent_for_longer_than_the_user_timeout():
+    # The timeout bounds unacknowledged bytes, and the kernel of a silent
+    # server acknowledges. Keep-alive probes, to which it would apply as well,
+    # are off.
+    async def serve(reader, writer):
+        while await reader.read(4096):
+            await asyncio.sleep(0.6)
+            writer.write(COMPLETE)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    pool = ConnectionPool(ClientOptions(user_timeout=0.2))
+    for _ in range(2):
+        conn = await pool.acquire(server.sockets[0].getsockname())
+        sock = conn._transport.get_extra_info('socket')
+        assert not sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert sock.getsockopt(*option) == 200
+        conn.send(REQUEST)
+        assert (await conn.read_head(2)).status == 200
+        assert await conn.read_body(1) == b'ok'
+        pool.release(conn)
+        await asyncio.sleep(0.6)
+    assert pool.opened == 1
+    pool.close()
+    server.close()
+
+
+async def test_server_may_read_nothing_for_a_second():
+    # The timeout also ends a connection whose server has closed its window.
+    size = 16 << 20
+
+    async def serve(reader, writer):
+        writer.transport.pause_reading()
+        await asyncio.sleep(1)
+        writer.transport.resume_reading()
+        await reader.readexactly(size)
+        writer.write(COMPLETE)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    pool = ConnectionPool(ClientOptions())
+    conn = await pool.acquire(server.sockets[0].getsockname())
+    conn.send(b'x' * size)
+    assert (await conn.read_head(4)).status == 200
+    pool.release(conn)
+    pool.close()
+    server.close()
--- a/mintlanding/platform/tests/test_stale_responses.py
+++ b/mintlanding/platform/tests/test_stale_responses.py
@@ -101,3 +101,21 @@
     assert found == 502
     assert b'x-response-stamp' not in head
     assert len(runs(world)) == 1
+
+
+async def test_earlier_response_to_an_order_overloads_no_engine(world):
+    # Orders bear the number of those before them, so that an engine rejects
+    # one that follows from a mistake; the steward then asks for a report.
+    for engine in world.engines:
+        engine.faults.repeat_orders = True
+    for number in range(1, 13):
+        for engine in world.engines:
+            engine.faults.conflicts = number % 2
+        status = 503
+        async with asyncio.timeout(6):
+            while status == 503:
+                status, _, _ = await world.ask(LIVE, adapter=b'/a%d' % number)
+        assert status == 200
+    assert sum(engine.stale_sent for engine in world.engines)
+    for engine in world.engines:
+        assert engine.most_adapters <= engine.places
