Tell a steward that its order failed although sending it raised

It gave no further order to that worker, and requests for other adapters there got 503 for good; a connection could be left open, too. Change: such an order counts as lost, since it may have been sent, and its connection is released. Measured: orders that raise before or after sending; the workers load adapters again. Both cases of the new test fail on the parent and pass here.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -13,7 +13,7 @@
 
 from mintlanding.core.exceptions import RequestNotSent, ResponseLost
 from mintlanding.core.logs import Logger, describe_exception
-from mintlanding.http1.client import ConnectionPool
+from mintlanding.http1.client import ClientConnection, ConnectionPool
 from mintlanding.http1.models import ResponseHead
 from mintlanding.links.mesh import Reply
 from mintlanding.links.messages import Message
@@ -435,6 +435,14 @@
             self._orders_under_way[worker] += 1
             try:
                 result = await self._send_order(target, order)
+            except Exception as exc:
+                # It may have been sent.
+                result = OrderResult.lost
+                self._logger.error(
+                    'Sending an order failed.',
+                    worker=worker,
+                    **describe_exception(exc),
+                )
             finally:
                 self._orders_under_way.subtract((worker,))
                 self._orders_under_way += Counter()
@@ -456,11 +464,18 @@
             self.mark_unreachable(target.target)
             self._log_failed_order(target.target, exc)
             return OrderResult.not_sent
+        try:
+            return await self._send_order_on(conn, target, order)
+        finally:
+            self._pool.release(conn)
+
+    async def _send_order_on(
+        self, conn: ClientConnection, target: Target, order: Order
+    ) -> OrderResult:
         # Connecting may take a while, so authority is checked last.
         if not self._membership.ownership.may_order(
             target.target, boot_seconds()
         ):
-            self._pool.release(conn)
             return OrderResult.not_sent
         payload = self._codec.order_request(
             order,
@@ -479,8 +494,6 @@
         except ResponseLost as exc:
             self._log_failed_order(target.target, exc)
             return OrderResult.lost
-        finally:
-            self._pool.release(conn)
         self.mark_reachable(target.target)
         self._record_response(target, head)
         return self._codec.order_result(head.status)
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -8,6 +8,7 @@
 from mintlanding.core.tests.ports import free_port
 from mintlanding.node import view as view_module
 from mintlanding.node.send_gate import SendGate
+from mintlanding.platform import requests
 from mintlanding.platform.tests import world as world_module
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import LIVE, ORDER, World, read_response
@@ -259,3 +260,26 @@
             await asyncio.sleep(0.05)
     status, _, _ = await world.ask(ORDER)
     assert status == 200
+
+
+@pytest.mark.parametrize('function', ['order_request', 'order_result'])
+async def test_order_that_raises_leaves_its_worker_in_use(
+    world, monkeypatch, function
+):
+    failed = []
+
+    def fail_order(*args):
+        failed.append(args)
+        raise LookupError('unforeseen')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(requests, function, fail_order)
+        await world.ask(LIVE)
+        await asyncio.sleep(0.5)
+    assert failed
+    await asyncio.sleep(0.5)
+    for adapter in (b'/a1', b'/a2', b'/a3', b'/a4'):
+        status, _, _ = await world.ask(LIVE, adapter=adapter)
+        assert status == 200
+    for engine in world.engines:
+        assert len(engine.server.connections) <= 4
