Keep the slots of a brittle target in use after a refusal

Change: what was proven, at most the slots, stays proven unless the target refuses with fewer requests under way.

--- a/mintlanding/target_limits/brittle.py
+++ b/mintlanding/target_limits/brittle.py
@@ -197,10 +197,12 @@
 
     def _record_full(self, now: float) -> None:
         self._last_refusal = now
-        self._proven = 0
         self._is_starting = False
         self._raised_at = now
         left = len(self._sent) / self._share.part
+        if left < self._proven:
+            # Its slots are taken by requests that are not known here.
+            self._proven = int(left * _DROP)
         self._bound = max(1, min(self._bound, left * _DROP))
 
     def _raise_bound(self, now: float) -> None:
