--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -1,6 +1,7 @@
 """Server for callers: limits on requests, and detection of disconnects."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -12,14 +13,22 @@
     HttpRequestParser,
 )
 
+from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.core.numbers import parse_count
-from mintlanding.http1.models import Headers, MessageLimits, header_value
+from mintlanding.http1.models import (
+    NO_BODY_STATUSES,
+    Headers,
+    MessageLimits,
+    header_value,
+)
 
 # Requests that a caller may pipeline on one connection.
 _MAX_PIPELINED = 16
 # Bytes of a response buffered for a slow caller before the relay pauses.
 _HIGH_WATER_BYTES = 1 << 18
+# Seconds in which a caller should close its side after the last response.
+_LINGER_SECONDS = 1.0
 _REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -76,7 +85,10 @@
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with its whole body."""
-        full = [*headers, (b'content-length', b'%d' % len(body))]
+        self._check_unanswered(status)
+        full = headers
+        if status not in NO_BODY_STATUSES:
+            full = [*headers, (b'content-length', b'%d' % len(body))]
         self.conn.write(
             head_bytes(status, self._with_close_header(full)) + body
         )
@@ -84,6 +96,7 @@
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a chunked response."""
+        self._check_unanswered(status)
         full = [*headers, (b'transfer-encoding', b'chunked')]
         self.conn.write(head_bytes(status, self._with_close_header(full)))
         self.is_streaming = True
@@ -102,6 +115,13 @@
         self.is_answered = True
         self.conn.abort()
 
+    def _check_unanswered(self, status: int) -> None:
+        if self.is_streaming or self.is_answered:
+            raise ResponseAlreadyBegun(
+                f'response {status} to {self.method!r} {self.target!r} '
+                'after another one; abort the response that has begun',
+            )
+
     def _with_close_header(self, headers: Headers) -> Headers:
         if self.is_last or self.conn.is_draining:
             self.is_last = True
@@ -126,9 +146,13 @@
         self._task: asyncio.Task[None] | None = None
         self._current: CallerRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # When the wait that the timer bounds began.
+        self._waits_since = self._loop.time()
         self._drained = asyncio.Event()
         self._drained.set()
         self._in_request = False
+        # True once the last response has been written.
+        self._is_ending = False
         # Status with which what follows is refused, 0 while nothing is.
         self._refused_status = 0
         self._reset_message()
@@ -144,15 +168,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is being read or served."""
-        return self._task is None and not self._in_request
+        """Tell whether no request is being read, served or answered."""
+        is_busy = self._in_request or self._is_ending
+        return self._task is None and not is_busy
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         self._server.connections.add(self)
-        self._start_timer(self._server.limits.idle_timeout)
+        self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request, unless it outlives its caller."""
@@ -176,12 +201,8 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; refuse invalid HTTP."""
-        if self._is_refused:
+        if self._is_refused or self._is_ending:
             return
-        if not self._in_request:
-            self._in_request = True
-            self._started = self._loop.time()
-            self._start_timer(self._server.limits.header_timeout)
         try:
             self._parser.feed_data(chunk)
         except (HttpParserError, HttpParserUpgrade):
@@ -209,8 +230,11 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, which may share a chunk with the one before."""
         self._reset_message()
+        self._in_request = True
+        if self._task is None:
+            self._start_timer()
 
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
@@ -234,8 +258,9 @@
             self._refuse(413)
             return
         expected = header_value(self._headers, b'expect').lower()
-        if expected == b'100-continue':
-            self.write(_CONTINUE)
+        self._expects_continue = expected == b'100-continue'
+        if self._task is None:
+            self._send_continue()
 
     def on_body(self, part: bytes) -> None:
         """Collect the body, up to the size limit."""
@@ -250,7 +275,15 @@
         if self._is_refused:
             return
         self._in_request = False
+        self._expects_continue = False
         self._cancel_timer()
+        if self._parser.should_upgrade():
+            # The parser takes the body for bytes of another protocol.
+            self._refuse(400)
+            return
+        if len(self._pending) >= _MAX_PIPELINED:
+            self._refuse(503)
+            return
         req = CallerRequest(
             method=self._parser.get_method(),
             target=self._target,
@@ -263,8 +296,6 @@
         self._pending.append(req)
         if self._task is None:
             self._serve_next()
-        elif len(self._pending) >= _MAX_PIPELINED:
-            self._refuse(503)
 
     def _reset_message(self) -> None:
         self._started = self._loop.time()
@@ -273,13 +304,21 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._expects_continue = False
+
+    def _send_continue(self) -> None:
+        """Ask for an expected body; not amid the response before."""
+        if self._expects_continue:
+            self._expects_continue = False
+            self.write(_CONTINUE)
 
     def _serve_next(self) -> None:
         if not self._pending and self._is_refused:
             self._send_refusal()
             return
         if not self._pending or self.is_disconnected:
-            self._start_timer(self._server.limits.idle_timeout)
+            self._send_continue()
+            self._start_timer()
             return
         req = self._pending.popleft()
         self._current = req
@@ -302,7 +341,7 @@
             self.abort()
             return
         if req.is_last:
-            self.close()
+            self._close_after_response()
             return
         self._serve_next()
 
@@ -322,11 +361,55 @@
             (b'connection', b'close'),
         ]
         self.write(head_bytes(self._refused_status, closing))
+        self._close_after_response()
+
+    @property
+    def _time_limit(self) -> float:
+        limits = self._server.limits
+        return (
+            limits.header_timeout if self._in_request else limits.idle_timeout
+        )
+
+    def _close_after_response(self) -> None:
+        """Close the sending side; read on until the caller closes its own.
+
+        A socket that is closed with unread bytes resets its connection, and
+        the caller loses what it has not read of the response.
+        """
+        self._cancel_timer()
+        if self._transport is None or self.is_disconnected:
+            return
+        self._is_ending = True
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._timer = self._loop.call_later(_LINGER_SECONDS, self._end)
+
+    def _end(self) -> None:
+        """Close, unless the caller still reads the response."""
+        self._timer = None
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size():
+            self._linger()
+            return
         self.close()
 
-    def _start_timer(self, seconds: float) -> None:
+    def _start_timer(self) -> None:
+        self._cancel_timer()
+        self._waits_since = self._loop.time()
+        self._timer = self._loop.call_later(self._time_limit, self._expire)
+
+    def follow_limits(self) -> None:
+        """Follow changed limits; shorter ones count from now at most."""
+        if self._timer is None or self._is_ending:
+            return
+        now = self._loop.time()
+        due = max(self._timer.when(), self._waits_since + self._time_limit)
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._expire)
+        due = min(due, now + self._time_limit)
+        self._timer = self._loop.call_at(due, self._expire)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -383,6 +466,14 @@
             return 0
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def set_limits(self, limits: MessageLimits) -> None:
+        """Replace the limits, also for the connections that are open."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        for conn in tuple(self.connections):
+            conn.follow_limits()
+
     def refused(self, status: int) -> None:
         """Count a request that was refused before it reached the handler."""
         self.refusals[status] = self.refusals.get(status, 0) + 1
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -42,7 +42,7 @@
 # Seconds of the grace period that are reserved for closing.
 _STOP_MARGIN = 1.2
 _POLL_SECONDS = 0.1
-# Least seconds between statuses sent because of crashes.
+# Least seconds between statuses sent because of what targets did.
 _SHARE_SECONDS = 0.2
 # Seconds between checks for the first configuration.
 _START_SECONDS = 0.05
@@ -116,7 +116,7 @@
         self._codec = codec
         self._is_ready = False
         self._reach = FleetReach()
-        # When a status was last sent because of a crash.
+        # When a status was last sent because of what a target did.
         self._shared_at = float('-inf')
         self._connect_components()
 
@@ -142,9 +142,9 @@
         await self._ready.start(*facts.ready)
         await self._metrics.start(facts.host, facts.metrics_port)
         supervise = self.application.supervise
-        supervise('store', self._store_watcher.run)
+        supervise('store', self._store_watcher.run, is_vital=True)
         supervise('lease', self._membership.run_lease)
-        supervise('join', self._join)
+        supervise('join', self._join, is_vital=True)
 
     async def drain(self) -> None:
         """Announce the stop, finish requests and close idle connections."""
@@ -187,6 +187,7 @@
         sources.requests = self.relay.quarantines.requests.reports
         sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
+        sources.brittle = self._limits.brittle.reports
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
@@ -194,9 +195,12 @@
         listeners.on_levels = self.relay.quotas.converge
         listeners.on_adapter_use = self._stewards.record_adapter_use
         listeners.on_requests = self.relay.quarantines.requests.merge
-        self.relay.crash_watch.on_recurrence = self._share_crash
+        self.relay.crash_watch.on_recurrence = self._share_at_once
         listeners.on_leaving = self.view.mark_leaving
         listeners.on_limits = self._limits.merge
+        listeners.on_brittle = self._limits.merge_brittle
+        self._limits.on_brittle = self._share_at_once
+        self._limits.departed = self._reach.departed
         self._limits.on_change = self._stewards.update_limits
         listeners.on_suspects = self.relay.quarantines.parts.merge
         listeners.on_store_contact = self._record_store_contact
@@ -207,7 +211,12 @@
         self._membership.on_authority = self._stewards.update
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
-        self._membership.ownership.unreachable = self._unreachable
+        ownership = self._membership.ownership
+        ownership.unreachable = self._unreachable
+        ownership.has_order_under_way = self._stewards.has_order_under_way
+        ownership.cut_targets = self.relay.connector.cut_targets
+        self._stewards.on_unreachable = self.relay.connector.examine
+        self._membership.is_cut_off = self.relay.connector.is_cut_off
         self.view.listeners.append(self._changed)
 
     async def _join(self) -> None:
@@ -220,7 +229,9 @@
         await mesh.start(facts.host, facts.peer_port)
         self._membership.update_members()
         supervise = self.application.supervise
-        supervise('statuses', self._membership.run_status_exchange)
+        supervise(
+            'statuses', self._membership.run_status_exchange, is_vital=True
+        )
         supervise('claims', self._membership.run_claims)
         supervise('stewards', self._stewards.run)
         supervise('admissions', self._admissions.run)
@@ -245,13 +256,13 @@
         """Return the address of a target, or why members get no path to it."""
         target = self.view.targets.get(name)
         if target is None or target.incarnation != incarnation:
-            return f'{name}/{incarnation} is not a target'
+            return f'no target of incarnation {incarnation}'
         if target.is_leaving:
-            return f'{name} leaves'
+            return 'it leaves'
         if self.relay.pauses.wait(target.key, boot_seconds()):
-            return f'{name} asked for a pause'
+            return 'it asked for a pause'
         if self.relay.connector.paths.is_cut(target.key):
-            return f'{name} is reached through other members only'
+            return 'it is reached through other members only'
         return target.address
 
     def _learn_from_head(
@@ -296,8 +307,8 @@
             )
             await asyncio.sleep(REACH_SECONDS)
 
-    def _share_crash(self) -> None:
-        """Tell the others at once, before the request comes to them."""
+    def _share_at_once(self) -> None:
+        """Tell the others at once, before callers come to them."""
         now = boot_seconds()
         if now < self._shared_at + _SHARE_SECONDS:
             return
@@ -324,7 +335,7 @@
     def _apply_config(self) -> None:
         cfg = self.view.config
         if cfg is not None:
-            self._front.limits = cfg.limits
+            self._front.set_limits(cfg.limits)
             self.relay.log.configuration = cfg.version
 
     def _charge(
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from mintlanding.core.exceptions import (
+    InvalidResponse,
     RequestNotSent,
     ResponseLost,
     ResponseTimeout,
@@ -33,7 +34,11 @@
 from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionRequest,
+    GrantOutcome,
+)
 from mintlanding.residency.worker_choice import choose_worker
 from mintlanding.streams.messages import StreamOrigin
 from mintlanding.traffic.header_fields import (
@@ -54,6 +59,9 @@
 _CONFIG_TIMEOUT = 0.15
 _CONFIG_POLL_SECONDS = 0.01
 
+# Statuses that tell a caller that its request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class Relay:
     """Reverse proxy for callers' requests."""
@@ -154,10 +162,10 @@
         if isinstance(plan, Refusal):
             self._refuse(req, fields, plan)
             return None
-        self.budget.note_request(plan.service.name, req.arrived)
         return plan
 
     async def _run(self, plan: RequestPlan) -> AttemptResult:
+        self.budget.note_request(plan.service.name, plan.req.arrived)
         if await self._locate_stream(plan):
             return await self._serve(plan)
         return AttemptResult.not_sent
@@ -315,6 +323,7 @@
         route, fields = plan.route, plan.fields
         if not route.is_resumable or not fields.last_event:
             return True
+        plan.events = EventBuffer(fields.last_event)
         origin = None
         if fields.resumes:
             origin = await self._origins.find(fields.resumes)
@@ -354,11 +363,25 @@
             if target is None:
                 plan.reason = plan.reason or no_target_reason(plan)
                 return result
-            result = await self._attempt(plan, target, 0)
+            result = await self._attempt_in_turn(plan, target)
             if not self._can_retry(plan, result, target):
                 return result
         return result
 
+    async def _attempt_in_turn(
+        self, plan: RequestPlan, target: Target
+    ) -> AttemptResult:
+        """Attempt a request; report its end if the target has little room."""
+        turn_id, plan.turn_id = plan.turn_id, ''
+        outcome = GrantOutcome.failed
+        try:
+            result = await self._attempt(plan, target, 0)
+            outcome = _outcome(result, plan)
+            return result
+        finally:
+            if turn_id and self._limits.is_brittle(target):
+                self._admissions.end(target.target, turn_id, outcome)
+
     def _can_retry(
         self, plan: RequestPlan, result: AttemptResult, target: Target
     ) -> bool:
@@ -394,14 +417,8 @@
             reservation = await self._reserve(plan)
             if reservation is None:
                 return result
-            target = self._view.targets.get(reservation.worker)
-            # The worker may have restarted with another build meanwhile.
-            if target is None or not self._gate.is_candidate(target, plan):
-                self._admissions.end(
-                    reservation.worker,
-                    reservation.reservation_id,
-                    GrantOutcome.unused,
-                )
+            target = self._reserved_target(plan, reservation)
+            if target is None:
                 continue
             result = await self._attempt_reserved(plan, reservation, target)
             if result is AttemptResult.missing:
@@ -420,6 +437,26 @@
                 return result
         return result
 
+    def _reserved_target(
+        self, plan: RequestPlan, reservation: Reservation
+    ) -> Target | None:
+        """Return the target of a reservation; end one that is of no use."""
+        target = self._view.targets.get(reservation.worker)
+        is_usable = False
+        try:
+            # The worker may have restarted with another build meanwhile.
+            is_usable = target is not None and self._gate.is_candidate(
+                target, plan
+            )
+        finally:
+            if not is_usable:
+                self._admissions.end(
+                    reservation.worker,
+                    reservation.reservation_id,
+                    GrantOutcome.unused,
+                )
+        return target if is_usable else None
+
     async def _attempt_reserved(
         self,
         plan: RequestPlan,
@@ -452,6 +489,12 @@
                     outcome,
                     plan.times,
                 )
+            else:
+                self._limits.end_own(
+                    AdmissionEnd(
+                        reservation.reservation_id, reservation.worker, outcome
+                    )
+                )
 
     async def _reserve(self, plan: RequestPlan) -> Reservation | None:
         now = self._now()
@@ -537,6 +580,7 @@
             reroute_wait=reroute_wait,
             parts=plan.fields.parts,
             limits=self._limits.table.report(target.key, boot_seconds()),
+            brittle=self._limits.brittle.report(target.key, boot_seconds()),
             event_gap=plan.route.event_gap,
         )
         reply = await self._admissions.reserve(admission)
@@ -548,7 +592,7 @@
                 return None
             return Reservation(target.target, reservation_id, is_granted=False)
         if reply.is_granted:
-            plan.turn = target.key
+            plan.take_turn(target.key, boot_seconds())
             return Reservation(target.target, reservation_id, reply.version)
         plan.reason = f'{target.target}: {reply.reason}'
         if not reply.elsewhere:
@@ -559,14 +603,14 @@
         self, plan: RequestPlan, target: Target, admission: AdmissionRequest
     ) -> bool:
         """Wait for a turn in this instance's own part of an engine's limit."""
-        if not self._limits.is_limited(target):
+        if not self._limits.needs_turn(target):
             return True
         reply = await self._limits.reserve_own(admission)
         if not reply.is_granted:
             plan.reason = f'{target.target}: {reply.reason}'
             plan.retry_after = reply.retry_after
             return False
-        plan.turn = target.key
+        plan.take_turn(target.key, boot_seconds())
         return True
 
     def _required_version(self, plan: RequestPlan) -> int:
@@ -593,23 +637,36 @@
                 target,
                 is_fresh=not is_reusable,
                 seconds=max(MIN_TIME_LEFT, self._time_left(plan)),
+                request_id=plan.fields.request_id,
             )
+            plan.through = conn.member
         except RequestNotSent as exc:
             plan.reason = f'no connection to {target.target}: {exc}'
             self.target_table.failed(target.target, now)
             self._admissions.stewards.mark_unreachable(target.target)
             return AttemptResult.not_sent
+        try:
+            return await self._send_if_open(plan, target, version, conn)
+        finally:
+            self._pool.release(conn)
+
+    async def _send_if_open(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        version: int,
+        conn: ClientConnection,
+    ) -> AttemptResult:
+        """Send a request, unless something bars it by now."""
         barrier = self._gate.check(plan, target)
         if barrier is not None:
-            self._pool.release(conn)
             plan.reason = barrier.reason
             plan.retry_after = barrier.retry_after or plan.retry_after
             return barrier.result
-        number = self.target_table.begin(target.target, now)
+        number = self.target_table.begin(target.target, self._now())
         try:
             return await self._exchange(plan, target, version, conn, number)
         finally:
-            self._pool.release(conn)
             self.target_table.end(target.target, number)
 
     async def _exchange(
@@ -653,7 +710,7 @@
         if plan.route.kind is RouteKind.unsafe:
             req.outlives_caller = True
         try:
-            response_head = await conn.read_head(self._response_timeout(plan))
+            response_head = await self._read_head(plan, conn)
             self.target_table.record_response_start(
                 target.target, number, self._now()
             )
@@ -684,6 +741,33 @@
         if self.quarantines.requests.is_suspected(plan.digest):
             await self.crash_watch.settle(target)
 
+    async def _read_head(
+        self, plan: RequestPlan, conn: ClientConnection
+    ) -> ResponseHead:
+        """Wait for a response, longer if no other target could give one."""
+        while True:
+            try:
+                return await conn.read_head(self._response_timeout(plan))
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+
+    def _gives_up(self, plan: RequestPlan) -> bool:
+        """Tell whether a silent target is given up for another attempt.
+
+        A sound one may be silent for a while, and what it has done so far is
+        lost with its connection.
+        """
+        if self._time_left(plan) <= 0:
+            return True
+        others = [
+            each
+            for each in self._gate.candidates(plan)
+            if each.target not in plan.tried and each.target != plan.target
+        ]
+        can_send = bool(others) and plan.sends < _MAX_SENDS
+        return can_send and self.budget.has_room(plan.service.name, self._now())
+
     def _response_timeout(self, plan: RequestPlan) -> float:
         """Return how long an attempt may wait for its response to begin."""
         left = max(0.001, self._time_left(plan))
@@ -706,22 +790,13 @@
         now = self._now()
         plan.framing = head.framing.value
         plan.limit = response.limit
-        if not response.matches_request:
+        if not _is_own(conn, response):
+            conn.abort()
             raise ResponseLost('the response belongs to another request')
         self._record_response(plan, target, response)
         if response.is_not_run:
-            plan.runs -= 1
-            plan.is_sent = plan.runs > 0
-            plan.reason = f'{target.target}: not run, {response.status}'
-            await self._hold_body(conn, plan)
-            is_other = response.target not in {'', target.target}
-            if is_other:
-                return AttemptResult.not_sent
-            return (
-                AttemptResult.missing
-                if response.is_misdirected
-                else AttemptResult.not_run
-            )
+            return await self._handle_refusal(plan, target, conn, response)
+        _check_promise(plan, response)
         if plan.req.is_streaming and not _continues(plan, head, response):
             # Whatever else it is, the caller would take it for events.
             plan.reason = (
@@ -730,7 +805,11 @@
             )
             self.target_table.failed(target.target, now)
             return AttemptResult.lost
-        is_stream = plan.route.kind is RouteKind.stream and response.is_success
+        is_stream = (
+            plan.route.kind is RouteKind.stream
+            and response.is_success
+            and head.framing is not BodyFraming.none
+        )
         if is_stream and response.is_signed:
             return await self._pass_stream(plan, target, conn, head)
         if response.is_success and not response.is_signed:
@@ -753,6 +832,29 @@
         plan.req.respond(head.status, self._codec.response_headers(head), body)
         return AttemptResult.done
 
+    async def _handle_refusal(
+        self,
+        plan: RequestPlan,
+        target: Target,
+        conn: ClientConnection,
+        response: TargetResponse,
+    ) -> AttemptResult:
+        plan.runs -= 1
+        plan.is_sent = plan.runs > 0
+        plan.reason = f'{target.target}: not run, {response.status}'
+        await self._hold_body(conn, plan)
+        is_certain = response.names_request and plan.sends == 1
+        if conn.is_reused and not is_certain:
+            # If it refuses an earlier request, this one may still run.
+            conn.abort()
+        if not response.is_from(target.target):
+            return AttemptResult.not_sent
+        return (
+            AttemptResult.missing
+            if response.is_misdirected
+            else AttemptResult.not_run
+        )
+
     def _record_response(
         self, plan: RequestPlan, target: Target, response: TargetResponse
     ) -> None:
@@ -852,9 +954,7 @@
         req = plan.req
         is_resumable = plan.route.is_resumable
         event_at = self._now()
-        while chunk := await conn.read_chunk(
-            self._event_timeout(plan, event_at)
-        ):
+        while chunk := await self._read_events(plan, conn, event_at):
             whole = plan.events.take(chunk)
             passed = whole if is_resumable else chunk
             if whole:
@@ -872,6 +972,20 @@
             if is_resumable:
                 plan.last_event = plan.events.last_id
 
+    async def _read_events(
+        self, plan: RequestPlan, conn: ClientConnection, event_at: float
+    ) -> bytes:
+        """Wait for bytes, longer if no other target could continue."""
+        while True:
+            try:
+                return await conn.read_chunk(
+                    self._event_timeout(plan, event_at)
+                )
+            except ResponseTimeout:
+                if self._gives_up(plan):
+                    raise
+                event_at = self._now()
+
     def _event_timeout(self, plan: RequestPlan, event_at: float) -> float:
         """Return how long to wait for bytes after the last whole event.
 
@@ -907,6 +1021,29 @@
     )
 
 
+def _check_promise(plan: RequestPlan, response: TargetResponse) -> None:
+    """Raise InvalidResponse for a refusal of a request that may have run.
+
+    Callers take these statuses for a promise and send the request again.
+    """
+    if response.status in _NOT_RUN_STATUSES and not plan.route.is_idempotent:
+        raise InvalidResponse(
+            f'status {response.status} without word whether the request ran',
+        )
+
+
+def _is_own(conn: ClientConnection, response: TargetResponse) -> bool:
+    """Tell whether a response is taken for that to the last request.
+
+    Any response names its request, except for refusals. One without a name is
+    believed on a used connection, too, since only requests that may be repeated
+    are sent there.
+    """
+    if response.is_not_run or not conn.is_reused:
+        return response.matches_request
+    return response.names_request
+
+
 def _media_type(head: ResponseHead) -> str:
     media_type, _, _ = head.get(b'content-type').partition(b';')
     return media_type.strip().lower().decode('latin-1')
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -13,7 +13,7 @@
 from mintlanding.node.path_client import PathClient, PathIdentity
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.view import FleetView
-from mintlanding.paths.path_table import PathTable
+from mintlanding.paths.path_table import PathTable, TargetKey
 from mintlanding.traffic.models import Target
 
 # Seconds after which a direct connection that is not open yet is also tried
@@ -24,6 +24,9 @@
 # Seconds between looks for cut paths to probe, and probes at a time.
 _PROBE_INTERVAL = 0.25
 _MAX_PROBES = 4
+# Seconds for an examination of a path, and until the next one of the same.
+_EXAMINE_SECONDS = 1.0
+_EXAMINE_INTERVAL = 0.5
 
 
 _Attempt = asyncio.Task[ClientConnection]
@@ -61,6 +64,8 @@
         self._view = view
         self._connect_timeout = options.connect_timeout
         self._tasks: set[asyncio.Task[None]] = set()
+        # Targets whose paths are or were just examined.
+        self._examined: set[TargetKey] = set()
         self._logger = Logger('paths')
 
     @classmethod
@@ -90,19 +95,25 @@
         return self.paths.is_cut_off(keys)
 
     async def acquire(
-        self, target: Target, *, is_fresh: bool, seconds: float
+        self,
+        target: Target,
+        *,
+        is_fresh: bool,
+        seconds: float,
+        request_id: str = '',
     ) -> ClientConnection:
         """Return a connection to a target; raise RequestNotSent without one.
 
         `seconds` is the time left for the request.
         """
         if self.paths.is_cut(target.key):
-            return await self._open_path(target, seconds)
+            timeout = min(self._connect_timeout, seconds)
+            return await self._client.open(target, timeout, seconds, request_id)
         if not is_fresh and self.paths.may_reuse(target.key):
             conn = self.pool.take_idle(target.address)
             if conn is not None:
                 return conn
-        return await self._connect(target, seconds)
+        return await self._connect(target, seconds, request_id)
 
     async def is_refused(self, target: Target, seconds: float) -> bool:
         """Tell whether a target refuses connections, by one to it.
@@ -118,10 +129,24 @@
         except RequestNotSent as exc:
             if not isinstance(exc.__cause__, ConnectionRefusedError):
                 return False
-            return not await self._is_reached_by_member(target, seconds)
+            if not await self._is_reached_by_member(target, seconds):
+                return True
+            self._record_indirect(target, str(exc))
+            return False
         self.pool.release(conn)
         return False
 
+    def examine(self, target: Target) -> None:
+        """Find out whether members reach a target that this instance does not.
+
+        Orders take no path through a member; without requests of its own the
+        holder of an engine learns of a cut path only here.
+        """
+        if target.key in self._examined or self.paths.is_cut(target.key):
+            return
+        self._examined.add(target.key)
+        self._spawn(self._examine(target))
+
     async def run(self) -> None:
         """Probe the cut paths until cancelled."""
         while True:
@@ -139,7 +164,7 @@
         self.pool.close()
 
     async def _connect(
-        self, target: Target, seconds: float
+        self, target: Target, seconds: float, request_id: str
     ) -> ClientConnection:
         """Connect directly; after a short while also through a member."""
         timeout = min(self._connect_timeout, seconds)
@@ -151,7 +176,7 @@
             await asyncio.wait((direct,), timeout=_HEDGE_SECONDS)
             if not _succeeded(direct):
                 attempts.indirect = asyncio.create_task(
-                    self._client.open(target, timeout, seconds)
+                    self._client.open(target, timeout, seconds, request_id)
                 )
             attempts.chosen = await _first_success(attempts.in_order())
         finally:
@@ -162,6 +187,20 @@
             raise RequestNotSent('; '.join(reasons)) from _cause(direct)
         return attempts.chosen.result()
 
+    async def _examine(self, target: Target) -> None:
+        try:
+            conn = await self._connect(target, _EXAMINE_SECONDS, '')
+        except RequestNotSent as exc:
+            self._logger.info(
+                'Target reached by nobody.',
+                target=target.target,
+                reason=str(exc),
+            )
+        else:
+            conn.abort()
+        await asyncio.sleep(_EXAMINE_INTERVAL)
+        self._examined.discard(target.key)
+
     async def _settle(self, target: Target, attempts: '_Attempts') -> None:
         """Learn from a direct attempt, and close what is not used."""
         direct, indirect = attempts.direct, attempts.indirect
@@ -183,12 +222,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _open_path(
-        self, target: Target, seconds: float
-    ) -> ClientConnection:
-        timeout = min(self._connect_timeout, seconds)
-        return await self._client.open(target, timeout, seconds)
-
     async def _is_reached_by_member(
         self, target: Target, seconds: float
     ) -> bool:
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -165,3 +165,83 @@
     assert membership._renew_interval() == interval
     # Two renewals fit into a lease, so that one may be lost.
     assert 2 * 1.1 * interval < cfg.authority.lease
+
+
+async def test_entry_says_once_that_the_instance_is_cut_off():
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    before = store.revision
+    membership.is_cut_off = lambda: True
+    now = boot_seconds()
+    for step in range(100):
+        if step == 40:
+            membership.is_cut_off = lambda: False
+        membership._observe_cuts(now + step / 10)
+        await membership._update_entry(now + step / 10)
+        if step == 30:
+            assert store.revision == before + 1
+            assert membership._entry.is_cut_off
+    assert store.revision == before + 2
+    assert not membership._entry.is_cut_off
+
+
+async def test_entry_that_could_not_be_written_is_not_repeated_at_once():
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    calls = []
+
+    async def refuse(transaction):
+        calls.append(transaction)
+        raise PlatformUnavailable('no response')
+
+    store.commit = refuse
+    membership.ownership.cuts.is_cut_off = True
+    now = boot_seconds()
+    for step in range(30):
+        await membership._update_entry(now + step / 10)
+    assert 2 <= len(calls) <= 3
+
+
+async def test_entry_whose_write_had_no_response_is_written_again():
+    # Else it would say for good that the instance is cut off, and releases,
+    # which depend on its revision, would fail.
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    commit = store.commit
+
+    async def lose(transaction):
+        await commit(transaction)
+        raise PlatformUnavailable('no response')
+
+    now = boot_seconds()
+    membership.ownership.cuts.is_cut_off = True
+    store.commit = lose
+    await membership._update_entry(now)
+    store.commit = commit
+    membership.ownership.cuts.is_cut_off = False
+    await membership._update_entry(now + 2)
+    assert membership._stored_revision == store.revision
+    assert not membership._entry.is_cut_off
+    before = store.revision
+    await membership._update_entry(now + 4)
+    assert store.revision == before
+
+
+async def test_entry_is_written_again_after_a_release_that_depends_on_it_failed():
+    membership = make_membership(FakeStore(), 50, w1=('me', 3))
+    await membership._keep_lease()
+
+    async def release(worker, entry_revision):
+        return entry_revision == 12
+
+    membership.ownership.releasable = lambda now: ['w1']
+    membership.ownership.release = release
+    now = boot_seconds() + 1
+    revisions = []
+    for step in range(4):
+        await membership.claim_workers(now + 2 * step)
+        revisions.append(membership._stored_revision)
+    assert revisions == [11, 12, 12, 12]
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -66,6 +66,7 @@
     `boot` is the incarnation, a random id of the process. `link_version` is
     that of the messages it understands. At `path_port` it opens paths to
     targets for members that do not reach them, 0 for none.
+    One that is cut off reaches less than half of the targets itself.
     """
 
     instance: str
@@ -77,12 +78,14 @@
     link_mbps: Amount = 0
     link_version: Count = 0
     path_port: Port = 0
+    is_cut_off: bool = False
 
 
 class OwnershipEntry(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Stored record of the holder of a worker; empty when it was released.
+    """Stored record of the holder of a worker.
 
-    The record is settled once the holder has waited long enough for orders of
+    The holder is empty when the previous one has released the worker. The
+    record is settled once the holder has waited long enough for orders of
     the previous holder, from whom it took the worker, to have ended.
     """
 
@@ -98,6 +101,7 @@
         record.zone,
         record.is_leaving,
         record.link_mbps,
+        record.is_cut_off,
     )
 
 
@@ -334,9 +338,8 @@
         cfg = self.records.decode_config(item.content)
         if self.config is not None and cfg.version < self.config.version:
             return
-        self.config = cfg
-        self.routes = RouteTable.from_config(cfg)
-        self.keys = KeyTable.from_config(cfg)
+        routes, keys = RouteTable.from_config(cfg), KeyTable.from_config(cfg)
+        self.config, self.routes, self.keys = cfg, routes, keys
         self.logger.info(
             'Configuration in force.',
             version=cfg.version,
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -216,6 +217,24 @@
             req.respond(self.status, headers, self.body)
 
 
+@dataclass(frozen=True)
+class StaleResponse:
+    """A response that is written once more on its kept connection."""
+
+    status: int = 503
+    # It bears the id of the request before; without, it names none.
+    is_named: bool = True
+    # It comes with the answer to the next request, else before that runs.
+    is_late: bool = False
+    headers: tuple = ()
+
+    def bytes_after(self, request_id):
+        headers = [(b'content-length', b'0'), *self.headers]
+        if self.is_named:
+            headers.append((b'x-request-id', request_id))
+        return head_bytes(self.status, headers)
+
+
 @dataclass
 class TargetFaults:
     """Faults of a target."""
@@ -232,6 +251,8 @@
     crash_after: int = 0
     # Event after which a stream brings single bytes and no further event.
     drip_after: int = 0
+    # Event after which a stream pauses for a second.
+    silent_after: int = 0
     mute: bool = False
     # Seconds after each event of a stream.
     event_pause: float = 0.005
@@ -239,6 +260,10 @@
     endless: bool = False
     endless_reports: bool = False
     conflicts: int = 0
+    # Written before the answer to each but the first request on a connection.
+    stale: StaleResponse | None = None
+    # Status of its responses without a body, 0 for others.
+    bare_status: int = 0
     # Response to a request that goes on with a stream.
     on_resume: OddAnswer | None = None
     # Requests per second that its responses name as its limit.
@@ -247,6 +272,12 @@
     pause: float = 0
     # Its responses say that it leaves.
     leaving: bool = False
+    # Requests that run at once and those that may wait for them; None for any.
+    slots: int | None = None
+    waiting_room: int = 0
+    # Refusals per second for want of room that it bears, as its responses say;
+    # with more of them it crashes.
+    brittle: int | None = None
     # Part of a prompt under which the target crashes as it begins to write.
     crash_part: bytes = b''
     # Body of a request under which the target crashes.
@@ -284,12 +315,22 @@
     endless_bytes: int = 0
     crashes: int = 0
     last_answer: bytes = b''
+    # Ids of the last requests that ran, by connection.
+    last_ids: dict = field(default_factory=dict)
+    stale_sent: int = 0
     is_down: bool = False
     # Requests with `crash_part` that arrived.
     crash_requests: int = 0
     # Times at which requests with `crash_body` arrived.
     crashed_at: list = field(default_factory=list)
     on_restart: Callable[['TargetStandin'], None] = lambda target: None
+    # Requests that run or wait, and the times of refusals for want of room.
+    held: int = 0
+    full_at: list = field(default_factory=list)
+    slot_freed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    running: int = 0
+    # How often it crashed; requests of an earlier run hold nothing.
+    runs_begun: int = 0
 
     async def start(self):
         self.server = CallerServer(
@@ -322,6 +363,8 @@
         await asyncio.sleep(self.faults.restart_after)
         self.adapters.clear()
         self.orders_taken = 0
+        self.held = self.running = 0
+        self.runs_begun += 1
         await self.server.start('127.0.0.1', port)
         self.is_down = False
         self.on_restart(self)
@@ -342,6 +385,7 @@
                 'zone': self.zone,
                 'version': self.build,
                 'state': state,
+                'slots': self.faults.slots or ENTRY['slots'],
                 'seq': self.orders_taken,
                 'born': self.born,
                 'models': models if self.model else [],
@@ -358,24 +402,66 @@
                 await self._send_endless(req, [])
             self._report(req)
             return
-        await self._run(req)
+        if self.faults.slots is None:
+            await self._run(req)
+            return
+        await self._run_in_room(req)
+
+    async def _run_in_room(self, req):
+        """Run a request in a slot, refuse it without room to wait for one."""
+        room = self.faults.slots + self.faults.waiting_room
+        if self.held >= room:
+            self._refuse_full(req)
+            return
+        began = self.runs_begun
+        self.held += 1
+        has_slot = False
+        try:
+            async with self.slot_freed:
+                await self.slot_freed.wait_for(
+                    lambda: self.running < (self.faults.slots or math.inf)
+                )
+                self.running += 1
+                has_slot = True
+            await self._run(req)
+        finally:
+            if began == self.runs_begun:
+                self.held -= 1
+                self.running -= has_slot
+            asyncio.ensure_future(self._free_slot())
+
+    async def _free_slot(self):
+        async with self.slot_freed:
+            self.slot_freed.notify_all()
+
+    def _refuse_full(self, req):
+        now = time.monotonic()
+        self.arrived_at.append(now)
+        self.full_at.append(now)
+        headers = [(b'x-not-run', b'full'), *self._own_headers()]
+        req.respond(503, headers, b'')
+        bears = self.faults.brittle
+        recent = sum(at > now - 1 for at in self.full_at)
+        if bears is not None and recent > bears and not self.is_down:
+            self.is_down = True
+            self.crashing = asyncio.ensure_future(self.crash_now())
 
     def _order(self, req):
         body = msgspec.json.decode(req.body)
         self.orders.append(body)
         if self.faults.conflicts or body['expected'] != self.orders_taken:
             self.faults.conflicts = max(0, self.faults.conflicts - 1)
-            req.respond(409, [], b'')
+            req.respond(409, self._own_headers(), b'')
             return
         adapter = body['adapter']
         self.orders_taken += 1
         if body['op'] == 'unload':
             self.adapters.pop(adapter, None)
-            req.respond(200, [], b'')
+            req.respond(200, self._own_headers(), b'')
             return
         self.adapters[adapter] = body.get('version', 1)
         assert len(self.adapters) <= self.places
-        req.respond(202, [], b'')
+        req.respond(202, self._own_headers(), b'')
 
     def _report(self, req):
         names = [f'{name}@{number}' for name, number in self.adapters.items()]
@@ -385,7 +471,8 @@
             'models': [{'name': self.model, 'version': 1, 'adapters': names}],
             'coming': [],
         }
-        req.respond(200, JSON_HEADERS, msgspec.json.encode(report))
+        headers = [*JSON_HEADERS, *self._own_headers()]
+        req.respond(200, headers, msgspec.json.encode(report))
 
     async def _run(self, req):
         self.arrivals += 1
@@ -408,6 +495,12 @@
             req.respond(503, headers, b'')
             return
         self.runs.append((request_id.decode(), req.body, dict(req.headers)))
+        before = self.last_ids.get(req.conn)
+        self.last_ids[req.conn] = request_id
+        stale = faults.stale if before is not None else None
+        if stale and not stale.is_late:
+            self.stale_sent += 1
+            req.conn.write(stale.bytes_after(before))
         headers = [
             (b'x-request-id', request_id),
             (STAMP, b's1'),
@@ -418,6 +511,9 @@
         except asyncio.CancelledError:
             self.left += 1
             raise
+        if stale and stale.is_late:
+            self.stale_sent += 1
+            req.conn.write(stale.bytes_after(before))
         if faults.crash_body and req.body == faults.crash_body:
             self.crashed_at.append(time.monotonic())
             self.crashing = asyncio.ensure_future(
@@ -431,6 +527,8 @@
         headers = []
         if self.faults.limit is not None:
             headers.append((b'server-limit', b'%g' % self.faults.limit))
+        if self.faults.brittle is not None:
+            headers.append((b'server-brittle', b'%d' % self.faults.brittle))
         if self.faults.leaving:
             headers.append((b'server-leaving', b'1'))
         if self.faults.shed and self.faults.pause:
@@ -455,6 +553,8 @@
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
             self.crashing = asyncio.ensure_future(self.crash())
+        elif faults.bare_status:
+            req.respond(faults.bare_status, headers, b'')
         elif faults.on_resume and req.get(b'last-event-id'):
             faults.on_resume.send(req, headers)
         elif self.service == 'engines':
@@ -498,6 +598,8 @@
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
             await asyncio.sleep(self.faults.event_pause)
+            if number == self.faults.silent_after:
+                await asyncio.sleep(1)
             if number == self.faults.drip_after:
                 await _drip_bytes(req)
             if number == self.faults.crash_after:
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -31,6 +31,11 @@
 from mintlanding.residency.pauses import PauseBudget
 from mintlanding.residency.prefix_cache import PrefixCacheModel
 from mintlanding.residency.queue import AdmissionQueue, missed_turns
+from mintlanding.target_limits.brittle import (
+    ROOM_REASON,
+    BrittleRoom,
+    RoomShare,
+)
 from mintlanding.target_limits.pacer import Pacer
 
 # Weight of a new service time in the exponential moving average.
@@ -41,10 +46,14 @@
 _GRANT_GRACE = 0.3
 # Least retry time in seconds that a refusal gives.
 _MIN_RETRY_AFTER = 0.1
+# Seconds after its expected end in which a load may still be under way.
+_LOAD_MARGIN = 0.5
 # Reason of a refusal because of a limit that the engine named.
 _LIMIT_REASON = 'its limit is used up'
 # Retry times get up to this share of jitter, to spread the retries.
 _RETRY_JITTER = 0.3
+# The same for a brittle engine, whose room is short for longer.
+_ROOM_RETRY_JITTER = 1.0
 
 
 class EngineSteward:
@@ -78,6 +87,8 @@
         self.queue = AdmissionQueue(options)
         # Set while the engine names a limit of requests per second.
         self.pacer: Pacer | None = None
+        # Set while the engine is brittle.
+        self.room: BrittleRoom | None = None
         self.pauses = PauseBudget(options.pauses)
         self.pace = pace or EnginePace(
             options.initial_prefill_rate, options.initial_token_time
@@ -151,6 +162,10 @@
         if self.queue.remove(message.request_id) is not None:
             return self._proceed(now)
         granted = self._granted.pop(message.request_id, None)
+        outcome = message.outcome
+        if self.room is not None:
+            outcome = self._room_outcome(granted, outcome)
+            self.room.record_end(message.request_id, outcome, now)
         if granted is None:
             return []
         req = granted.req
@@ -163,7 +178,7 @@
         self.pauses.end(req.event_gap)
         if message.outcome is GrantOutcome.served:
             self._record_served(granted, message, now)
-        if message.outcome is GrantOutcome.not_ready:
+        if outcome is GrantOutcome.not_ready:
             self.counters.not_ready += 1
             self.adapter_slots.extend_load(
                 req.adapter, now + self._options.resend_delay
@@ -174,6 +189,17 @@
             self._schedule_report(now)
         return self._proceed(now)
 
+    def _room_outcome(
+        self, granted: GrantedRequest | None, outcome: GrantOutcome
+    ) -> GrantOutcome:
+        """Tell an engine without room from one that loads an adapter."""
+        if outcome is not GrantOutcome.not_ready or granted is None:
+            return outcome
+        slot = self.adapter_slots.get(granted.req.adapter)
+        if slot is None or granted.since <= slot.ready_at + _LOAD_MARGIN:
+            return outcome
+        return GrantOutcome.full
+
     def _record_served(
         self, granted: GrantedRequest, message: AdmissionEnd, now: float
     ) -> None:
@@ -270,6 +296,22 @@
             self.pacer.set_limit(limit, now)
         return self._proceed(now)
 
+    def set_room_share(
+        self, share: RoomShare | None, now: float
+    ) -> Sequence[Action]:
+        """Send no more than a share of the room of a brittle engine."""
+        if share is None:
+            self.room = None
+        elif self.room is None:
+            self.room = BrittleRoom(self._capacity.batch_limit, share, now)
+            self.room.adopt(
+                (request_id, each.since, each.expires)
+                for request_id, each in self._granted.items()
+            )
+        else:
+            self.room.set_share(share)
+        return self._proceed(now)
+
     def set_authority(
         self,
         may_order: bool,
@@ -316,6 +358,9 @@
         turn = 0 if self.pacer is None else self.pacer.wait(now)
         if self.queue and turn > 0:
             times.append(now + turn)
+        if self.queue and self.room is not None:
+            room = self.room.wait(now)
+            times.append(now + room if 0 < room < math.inf else None)
         if self._pending_order is not None:
             times.append(self._pending_order.resend_at)
         times.append(self._report_at)
@@ -326,7 +371,7 @@
         return WorkerDigest(
             worker=self.worker,
             incarnation=self.incarnation,
-            can_order=math.isfinite(self._orders_wait(now)),
+            can_order=self._can_order(now),
             running=self.running,
             queued=len(self.queue),
             wait=round(self.expected_wait('', float('inf'), now), 3),
@@ -357,7 +402,16 @@
         turn: float = 0
         if self.pacer is not None:
             turn = self.pacer.wait(now, ahead)
-        return max(prefill, batch, load, turn)
+        room: float = 0
+        if self.room is not None:
+            room = self.room.expected_wait(now, ahead)
+        return max(prefill, batch, load, turn, room)
+
+    def _can_order(self, now: float) -> bool:
+        """Return whether a load can be expected to begin."""
+        if self._is_unresponsive():
+            return False
+        return math.isfinite(self._orders_wait(now))
 
     def _orders_wait(self, now: float) -> float:
         """Return the seconds until orders can be sent, inf if unknown."""
@@ -523,6 +577,8 @@
             return True
         if self.pacer is not None and self.pacer.wait(now) > 0:
             return True
+        if self.room is not None and self.room.wait(now) > 0:
+            return True
         return self._prefill_until - now > self._options.max_prefill_backlog
 
     def _wait_reason(self, req: AdmissionRequest, now: float) -> str:
@@ -533,6 +589,8 @@
             return 'the batch is full'
         if self.pacer is not None and self.pacer.wait(now) > 0:
             return _LIMIT_REASON
+        if self.room is not None and self.room.wait(now) > 0:
+            return ROOM_REASON
         if self._prefill_until - now > self._options.max_prefill_backlog:
             return 'prompts are behind'
         if req.adapter and not self.adapter_slots.is_ready(req.adapter, now):
@@ -564,6 +622,8 @@
         expires = now + req.deadline + _GRANT_GRACE
         if self.pacer is not None:
             self.pacer.take(now)
+        if self.room is not None:
+            self.room.begin(req.request_id, now, expires)
         self._tokens += _total_tokens(req)
         cost = self._prefill_seconds(req)
         self._prefixes.note(req.adapter, req.parts)
@@ -715,7 +775,8 @@
     ) -> AdmissionReply:
         self.counters.refusals += 1
         expected = wait or self.expected_wait(req.adapter, float('inf'), now)
-        spread = 1 + _RETRY_JITTER * self._rnd.random()
+        jitter = _RETRY_JITTER if self.room is None else _ROOM_RETRY_JITTER
+        spread = 1 + jitter * self._rnd.random()
         return AdmissionReply(
             req.request_id,
             self.worker,
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -930,11 +930,14 @@
     'mintlanding_request_seconds_sum 1.250',
     'mintlanding_request_seconds_count 5',
     'mintlanding_connections_opened_total 9',
+    'mintlanding_paths_opened_total 6',
+    'mintlanding_cut_targets 1',
     'mintlanding_members 11',
     'mintlanding_members_heard 10',
     'mintlanding_quarantined_parts 1',
     'mintlanding_quarantined_requests 2',
     'mintlanding_limited_targets 2',
+    'mintlanding_brittle_targets 3',
     'mintlanding_worker_running{worker="i-7f"} 7',
     'mintlanding_worker_queued{worker="i-7f"} 8',
     'mintlanding_worker_grants_total{worker="i-7f"} 3',
@@ -973,6 +976,9 @@
         types.SimpleNamespace(
             log=log,
             opened=9,
+            connector=types.SimpleNamespace(
+                opened=6, cut_targets=lambda: {'i-7f'}
+            ),
             quarantines=types.SimpleNamespace(
                 parts=types.SimpleNamespace(quarantined=lambda: ('part',)),
                 requests=types.SimpleNamespace(quarantined=lambda: ('a', 'b')),
@@ -980,7 +986,7 @@
         ),
         types.SimpleNamespace(stewards={'i-7f': steward}),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
-        types.SimpleNamespace(count=lambda: 2),
+        types.SimpleNamespace(count=lambda: 2, count_brittle=lambda: 3),
     )
 
 
@@ -1127,6 +1133,7 @@
         is_misdirected=False,
         target='i-7f',
         load=(1, 2, 3),
+        names_request=True,
     )
     assert requests.response_headers(head) == [
         (b'x-request-id', b'9c41'),
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -118,6 +118,11 @@
             ),
         ),
         leaving=(('text-31', 32),),
+        brittle=(
+            target_limits.LimitReport(
+                target='text-33', incarnation=34, limit=35.5, age=36.5
+            ),
+        ),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -182,6 +187,11 @@
             ),
         ),
         leaving=(('text-54', 55),),
+        brittle=(
+            target_limits.LimitReport(
+                target='text-60', incarnation=61, limit=62.5, age=63.5
+            ),
+        ),
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
@@ -238,6 +248,11 @@
             ),
         ),
         event_gap=74.5,
+        brittle=(
+            target_limits.LimitReport(
+                target='text-75', incarnation=76, limit=77.5, age=78.5
+            ),
+        ),
     ),
     'residency.AdmissionReply': residency.AdmissionReply(
         request_id='text-70',
@@ -932,6 +947,7 @@
         link_mbps=519.5,
         link_version=620,
         path_port=621,
+        is_cut_off=True,
     ),
     'view.HoldEntry': view.OwnershipEntry(
         holder='text-520', is_settled=True, previous='text-521'
@@ -1282,6 +1298,22 @@
             link_mbps=519.5,
         )
     ),
+    'view.MemberRecord, not cut off': (
+        view.MemberRecord(
+            instance='text-514',
+            zone='text-515',
+            host='text-516',
+            port=617,
+            boot='text-518',
+            is_leaving=True,
+            link_mbps=519.5,
+            link_version=620,
+            path_port=621,
+        )
+    ),
+    'view.HoldEntry, released': view.OwnershipEntry(
+        holder='', previous='text-521'
+    ),
     'streams.OriginReply, without an origin': streams.OriginReply(number=5),
     'objects.Change, deleted': objects.Change(
         revision=1, kind='adapter-version', name='text-2'
