Settle no claim whose record was removed meanwhile

Claims are settled one by one, with a write between; a record that was removed meanwhile raised KeyError, which ended the round of claims for all workers, until the task was started again. Change: nothing is settled without a record. Measured: the new test fails on the parent and passes here; the file passes.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -211,7 +211,9 @@
 
     async def settle(self, worker: str, now: float) -> None:
         """Mark a claimed worker's record as settled once the wait is over."""
-        record = self._view.ownership[worker]
+        record = self._view.ownership.get(worker)
+        if record is None:
+            return
         is_known = self._confirmed.get(worker) == record.revision
         if record.is_settled or not is_known or now < self._order_from[worker]:
             return
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -269,3 +269,11 @@
     await world.ownership.release('w', entry_revision=3)
     assert world.view.ownership['w'].holder == 'other'
     assert not world.may_order()
+
+
+async def test_settling_a_worker_whose_record_was_removed_does_nothing(world):
+    await world.ownership.claim(TAKEOVER)
+    world.ownership._view.ownership.pop('w')
+    before = len(world.ownership._store.writes)
+    await world.ownership.settle('w', world.now + 100)
+    assert len(world.ownership._store.writes) == before
