Take a target that was down for a moment for one that crashed

After a refused connection a member is asked whether it reaches the target; one that restarts in a third of a second may be back by then, and the crash was taken for a cut path. Change: if a member reaches it, the own connection is tried once more: accepted, the target was down; refused again, the path is cut. Measured: the new test fails before and passes here.

--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -118,22 +118,19 @@
     async def is_refused(self, target: Target, seconds: float) -> bool:
         """Tell whether a target refuses connections, by one to it.
 
-        If members reach it, the path is at fault and not the target.
+        If members reach it, the path is at fault and not the target, unless it
+        accepts again: it was down for a moment.
         """
         if self.paths.is_cut(target.key):
             return not await self._is_reached_by_member(target, seconds)
-        try:
-            conn = await self.pool.acquire(
-                target.address, is_fresh=True, seconds=seconds
-            )
-        except RequestNotSent as exc:
-            if not isinstance(exc.__cause__, ConnectionRefusedError):
-                return False
-            if not await self._is_reached_by_member(target, seconds):
-                return True
-            self._record_indirect(target, str(exc))
+        exc = await self._fail_to_connect(target, seconds)
+        if exc is None or not isinstance(exc.__cause__, ConnectionRefusedError):
             return False
-        self.pool.release(conn)
+        if not await self._is_reached_by_member(target, seconds):
+            return True
+        if await self._fail_to_connect(target, seconds) is None:
+            return True
+        self._record_indirect(target, str(exc))
         return False
 
     def examine(self, target: Target) -> None:
@@ -222,6 +219,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _fail_to_connect(
+        self, target: Target, seconds: float
+    ) -> RequestNotSent | None:
+        """Return why a target cannot be connected to, None if it can."""
+        try:
+            conn = await self.pool.acquire(
+                target.address, is_fresh=True, seconds=seconds
+            )
+        except RequestNotSent as exc:
+            return exc
+        self.pool.release(conn)
+        return None
+
     async def _is_reached_by_member(
         self, target: Target, seconds: float
     ) -> bool:
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -88,6 +88,28 @@
         await crash
 
 
+async def test_target_that_is_back_before_members_are_asked_has_crashed(
+    world, monkeypatch
+):
+    node = world.nodes[0]
+    (engine, *_) = world.engines
+    engine.faults.restart_after = 0.1
+    connector = node.relay.connector
+    ask = connector._is_reached_by_member
+
+    async def ask_later(target, seconds):
+        await asyncio.sleep(0.3)
+        return await ask(target, seconds)
+
+    monkeypatch.setattr(connector, '_is_reached_by_member', ask_later)
+    target = node.view.targets[engine.name]
+    crash = asyncio.create_task(engine.crash_now())
+    await asyncio.sleep(0.02)
+    assert await node.relay.crash_watch.refuses_connections(target)
+    assert not connector.cut_targets()
+    await crash
+
+
 async def test_fleet_without_paths_refuses_at_once(world):
     cuts = [TargetPartition(world, node, refuses=False) for node in world.nodes]
     with contextlib.ExitStack() as stack:
