Refuse a path whose target closes at once

Cause: found by reading. A target that reset a new connection at once, as one with too many connections does, was lost before both sides of the path knew each other: the member replied that the path was open, and the request waited there until its deadline. Bytes before the path was open were dropped instead of ending it. Change: a connection that is closed again is refused as not sent; bytes before the reply end the path. Measured: the first of the two new tests fails before and passes here; the second passed before, too, since the frame check caught what it sends.

--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -60,9 +60,14 @@
         if self.peer is not None and self.peer.transport is not None:
             self.peer.transport.resume_reading()
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection can be written to."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def write(self, payload: bytes) -> None:
         """Write, unless the connection is closed."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and self.is_open:
             self.transport.write(payload)
 
     def close(self) -> None:
@@ -168,7 +173,10 @@
         elif asyncio.get_running_loop().time() >= self._expires_at:
             # The process may have been suspended meanwhile.
             self.reset()
-        elif self.peer is not None:
+        elif self.peer is None:
+            # Nothing may be sent before the path is open.
+            self.reset()
+        else:
             self.peer.write(chunk)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -217,6 +225,9 @@
         except (OSError, OverflowError, ValueError) as exc:
             self._refuse(request, f'no connection to it: {exc!r}')
             return
+        if not side.is_open:
+            self._refuse(request, 'it closed the connection at once')
+            return
         side.peer, self.peer = self, side
         self._server.opened += 1
         self._reply('')
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -192,6 +192,38 @@
             await world.open()
 
 
+async def test_target_that_closes_at_once_gives_no_path():
+    async with World() as world:
+        connect = world.server.connect
+
+        async def connect_and_lose(side, address, seconds):
+            await connect(side, address, seconds)
+            side.transport.abort()
+            await asyncio.sleep(0.05)
+
+        world.server.connect = connect_and_lose
+        with pytest.raises(RequestNotSent, match='closed'):
+            await world.open()
+
+
+async def test_bytes_before_the_path_is_open_end_it():
+    async with World() as world:
+        connect = world.server.connect
+
+        async def connect_later(side, address, seconds):
+            await asyncio.sleep(0.2)
+            await connect(side, address, seconds)
+
+        world.server.connect = connect_later
+        opening = asyncio.create_task(world.open())
+        await asyncio.sleep(0.1)
+        (side,) = world.server.sides
+        side.data_received(REQUEST)
+        with pytest.raises(RequestNotSent):
+            await opening
+        assert not world.target.received
+
+
 async def test_nothing_is_passed_on_after_the_time_of_the_request():
     async with World() as world:
         conn = await world.open(lifetime=0.2)
