Let a member that stops finish what it passes on

Cause: found by reading. A planned stop of a member ended as soon as its own callers were done, and reset the streams that it passed on for others. Change: it waits for them, up to the end of the grace period, and opens no new paths. Measured: the new test fails before and passes here.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -159,7 +159,8 @@
                 self.relay.planned_stop.ends_at = end
                 self._front.close_listener()
                 self._front.close_idle()
-                if not self._front.connections:
+                # Members' requests under way here end as the own ones do.
+                if not self._front.connections and not self._paths.sides:
                     break
             await asyncio.sleep(_POLL_SECONDS)
         await asyncio.gather(leaving, return_exceptions=True)
@@ -254,6 +255,8 @@
 
     def _resolve_target(self, name: str, incarnation: int) -> Address | str:
         """Return the address of a target, or why members get no path to it."""
+        if self._front.is_draining:
+            return 'the member stops'
         target = self.view.targets.get(name)
         if target is None or target.incarnation != incarnation:
             return f'no target of incarnation {incarnation}'
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mintlanding.http1.client import ClientConnection
+from mintlanding.node import application
 from mintlanding.node.clock import boot_seconds
 from mintlanding.platform.tests.partition import TargetPartition
 from mintlanding.platform.tests.world import BATCH, LIVE, LOOKUP, ORDER, World
@@ -151,6 +152,24 @@
     assert connector.opened == opened
 
 
+async def test_planned_stop_of_a_member_ends_no_stream_that_it_passes_on(
+    world, monkeypatch
+):
+    monkeypatch.setattr(application, '_ACCEPT_SECONDS', 0.2)
+    for engine in world.engines:
+        engine.events = 300
+    helper = world.nodes[1]
+    world.nodes[2]._paths.stop()
+    with TargetPartition(world, world.nodes[0], refuses=True):
+        await ask_steadily(world, ORDER, 0, 3)
+        stream = asyncio.create_task(world.ask(LIVE, node=0))
+        await asyncio.sleep(0.2)
+        assert helper._paths.sides
+        await helper.drain()
+        assert not helper._paths.sides
+        assert (await stream)[0] == 200
+
+
 async def test_caller_that_leaves_ends_its_run_behind_a_member(world):
     for engine in world.engines:
         engine.events = 500
