Split the relay by duty

Change: routes, quotas and deadlines are found by request_planner, places at engines are taken by engine_reservations, one attempt is made by attempts, its response passed on by responses; patience says how long a silent target is waited for, stream_resumption where a stream goes on, retry_after when a caller should return. The methods were moved by a script and keep their bodies; tests that replaced a method of Relay replace it where it is now.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -183,7 +183,7 @@
         sources.digests = self._stewards.digests
         sources.admitted = self.relay.quotas.counters
         sources.levels = self.relay.quotas.levels
-        sources.in_use = self.relay.in_use
+        sources.in_use = self.relay.reservations.in_use
         sources.suspects = self.relay.quarantines.parts.reports
         sources.requests = self.relay.quarantines.requests.reports
         sources.leaving = self.view.leaving_targets
@@ -294,7 +294,7 @@
             self._limits.update()
             reachable, members = self._membership.reach(now)
             self.relay.budget.members = members
-            self.relay.is_isolated = reachable * 2 <= members
+            self.relay.retry_after.is_isolated = reachable * 2 <= members
             await asyncio.sleep(_UPKEEP_SECONDS)
 
     async def _share_quotas(self) -> None:
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -116,6 +116,10 @@
         """Tell whether the last attempt has brought a whole event."""
         return self.is_stream_begun and self.events.has_events
 
+    def time_left(self, now: float) -> float:
+        """Return the seconds from a time of the event loop to the deadline."""
+        return self.deadline - now
+
     def take_turn(
         self, target: tuple[str, int], now: float, turn_id: str = ''
     ) -> None:
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from mintlanding.node.admissions import Admissions
-from mintlanding.node.clock import boot_seconds
+from mintlanding.node.clock import boot_seconds, loop_seconds
 from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.request_plan import RequestPlan
 from mintlanding.node.send_gate import SendGate
@@ -60,7 +60,7 @@
             targets,
             full,
             self.cfg.facts.zone,
-            _now(),
+            loop_seconds(),
             may_fail=plan.route.is_idempotent,
         ):
             if not self.limits.needs_turn(target):
@@ -92,7 +92,7 @@
             return ready
         first = min(targets, key=lambda each: pauses.wait(each.key, now))
         wait = pauses.wait(first.key, now)
-        left = _time_left(plan)
+        left = plan.time_left(loop_seconds())
         # The response takes its time after the pause.
         if wait > left - min(plan.route.objective, left / 3):
             plan.reason = f'{first.target}: it asked for a pause'
@@ -107,7 +107,7 @@
         self, plan: RequestPlan, targets: list[Target]
     ) -> list[Target]:
         """Return the targets whose limits may be known, as soon as one is."""
-        begin = _now()
+        begin = loop_seconds()
         while True:
             now = boot_seconds()
             known = [
@@ -116,8 +116,12 @@
                 if self.limits.needs_turn(each)
                 or not self.limits.contacts.wait(each.key, now)
             ]
-            if known or not targets or _time_left(plan) < MIN_TIME_LEFT:
-                plan.waited += _now() - begin
+            if (
+                known
+                or not targets
+                or plan.time_left(loop_seconds()) < MIN_TIME_LEFT
+            ):
+                plan.waited += loop_seconds() - begin
                 return known
             await asyncio.sleep(_CONTACT_POLL_SECONDS)
 
@@ -140,8 +144,8 @@
 
     def _longest_turn(self, plan: RequestPlan) -> float:
         """Return how many seconds a request may wait for a limited target."""
-        left = _time_left(plan)
-        spent = _now() - plan.req.arrived
+        left = plan.time_left(loop_seconds())
+        spent = loop_seconds() - plan.req.arrived
         objective = plan.route.objective * self.cfg.relay.max_wait_share
         return max(
             0, min(left - MIN_TIME_LEFT, max(objective - spent, left / 3))
@@ -151,7 +155,7 @@
         self, plan: RequestPlan, target: Target, max_wait: float
     ) -> bool:
         """Wait for a turn within the limit of a plain target."""
-        begin = _now()
+        begin = loop_seconds()
         plan.turns += 1
         turn_id = f'{plan.fields.request_id}.t{plan.turns}'
         reply = await self.admissions.take_turn(
@@ -166,13 +170,13 @@
                 priority=plan.priority,
                 objective=plan.route.objective - (begin - plan.req.arrived),
                 max_wait=max_wait,
-                deadline=_time_left(plan),
+                deadline=plan.time_left(loop_seconds()),
                 reroute_wait=max_wait,
                 limits=self.limits.table.report(target.key, boot_seconds()),
                 brittle=self.limits.brittle.report(target.key, boot_seconds()),
             ),
         )
-        plan.waited += _now() - begin
+        plan.waited += loop_seconds() - begin
         if reply.is_granted:
             plan.take_turn(target.key, boot_seconds(), turn_id)
             return True
@@ -182,11 +186,3 @@
         )
         self.limits.record_refusal(target, reply.retry_after)
         return False
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _time_left(plan: RequestPlan) -> float:
-    return plan.deadline - _now()
--- a/mintlanding/platform/tests/partition.py
+++ b/mintlanding/platform/tests/partition.py
@@ -14,7 +14,7 @@
 
     def __init__(self, world, node, *, refuses, old='dead'):
         self._world = world
-        self._pools = (node.relay._pool, node._stewards._pool)
+        self._pools = (node.relay.connector.pool, node._stewards._pool)
         self._paths = node._paths
         self._refuses = refuses
         self._old = old
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -661,7 +661,7 @@
     # A queue, a slow connection or a steward without the store takes time.
     node = world.nodes[0]
     left = []
-    acquire = node.relay._pool.acquire
+    acquire = node.relay.connector.pool.acquire
 
     async def leave_and_acquire(address, **options):
         conn = await acquire(address, **options)
@@ -676,7 +676,7 @@
             left.append(target.target)
         return conn
 
-    node.relay._pool.acquire = leave_and_acquire
+    node.relay.connector.pool.acquire = leave_and_acquire
     assert (await world.ask(path))[0] == 200
     ran = [each.name for each in getattr(world, targets) if each.arrivals]
     assert left and not set(ran) & set(left)
--- a/mintlanding/platform/tests/test_unforeseen_errors.py
+++ b/mintlanding/platform/tests/test_unforeseen_errors.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from mintlanding.node.attempts import Attempts
+from mintlanding.node.responses import ResponseForwarder
 from mintlanding.platform.tests.samples import CONFIG, ENTRY, encode
 from mintlanding.platform.tests.world import (
     LIVE,
@@ -61,8 +63,7 @@
 async def test_request_whose_handler_raises_after_sending_gets_bad_gateway(
     world, monkeypatch
 ):
-    relay = world.nodes[0].relay
-    monkeypatch.setattr(relay, '_handle_response', fail)
+    monkeypatch.setattr(Attempts, '_handle_response', fail)
     status, _, _ = await world.ask(ORDER)
     assert status == 502
 
@@ -70,7 +71,7 @@
 async def test_stream_whose_handler_raises_is_cut_short(world, monkeypatch):
     relay = world.nodes[0].relay
     monkeypatch.setattr(relay._limits, 'record_response', lambda *args: None)
-    monkeypatch.setattr(relay, '_check_engine', fail)
+    monkeypatch.setattr(ResponseForwarder, '_check_engine', fail)
     with pytest.raises(asyncio.IncompleteReadError):
         await world.ask(LIVE)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -390,7 +390,7 @@
     Mutant(
         'the end of a stream is not checked',
         'whole answers',
-        'mintlanding.node.relay._check_stream_end',
+        'mintlanding.node.responses._check_stream_end',
         '',
         always(None),
         'mintlanding/platform/tests/test_node.py::'
