--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PY := .venv/bin/python
 VENV := .venv/.ready
 SEED ?= 1
+# Processes that run the tests.
+TEST_PROCESSES ?= 4
 DEMO_SIZE ?= full
 
 .PHONY: demo run test prove prove-mutants chaos soak measure bench capacity lint format clean
@@ -17,7 +19,7 @@
 	DEMO_SIZE=$(DEMO_SIZE) $(PY) -m demo --keep
 
 test: $(VENV)
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 prove: $(VENV)
 	HYPOTHESIS_PROFILE=prove $(PY) -m pytest $$($(PY) -m tests.promises)
