Give the tests of rejected keys ids that do not change

Cause: The ids of nine cases of test_rejected_key_fails_with_its_code held keys that are drawn anew in each process, so that two processes collected different tests.

Change: The cases are named. The keys stay random.

Measured: Two collections (PYTHONHASHSEED=1 and 2) of 2,701 tests differed in six lines, all of this test, before.

--- a/mintlanding/configuration/tests/test_keys.py
+++ b/mintlanding/configuration/tests/test_keys.py
@@ -46,6 +46,18 @@
             _Code.key_unknown,
         ),
     ],
+    # Keys are random, and ids must be the same in each process that collects.
+    ids=[
+        'empty',
+        'blank',
+        'short',
+        'too long',
+        'upper case',
+        'unknown',
+        'other secret',
+        'withdrawn',
+        'withdrawn and wrong',
+    ],
 )
 def test_rejected_key_fails_with_its_code(text, stored, code):
     found = HASHER.verify(text, lambda _: stored)
