Keep the ports that tests, soak and demo draw

Cause: A port was looked up, closed and bound again by its user, so that another process could take it meanwhile. Soak processes took 21,000 and up by the process id modulo 500, without a look, from the range that tests and demo draw from; after a kill such a port was free until the restart.

Soak and demo draw from the same place. The soak reports the exit codes of processes that ended by themselves.

A process of the soak whose port for readiness was taken ended with exit code 1 and a traceback; one whose port for members was taken did not become ready.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -1,11 +1,8 @@
 """Plan and run the processes of a demo fleet on the loopback interface."""
 
 import asyncio
-import contextlib
 import os
-import random
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 import time
@@ -17,13 +14,13 @@
 import yaml
 
 from demo.sizes import FleetSize
+from mintlanding.core.tests.ports import free_port
 
 HOST = '127.0.0.1'
 REGION = 'mx-centro'
 PEPPER = 'demo-pepper-0123456789'
 PEER_SECRET = 'demo-peer-secret-0123456789'  # noqa: S105
 STOP_SECONDS = 90
-_PORTS = range(20_000, 32_000)
 
 
 @dataclass(slots=True)
@@ -276,16 +273,7 @@
 
 def free_ports(count: int) -> list[int]:
     """Return free ports outside the range of outgoing connections."""
-    found: list[int] = []
-    candidates = list(_PORTS)
-    random.shuffle(candidates)
-    for port in candidates:
-        if len(found) == count:
-            break
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            found.append(port)
-    return found
+    return [free_port() for _ in range(count)]
 
 
 def make_folder(root: str) -> Path:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -89,7 +89,8 @@
 
 def _find_unexpected_exits(world):
     return [
-        f'{each.name} ended by itself {each.unexpected_exits} times'
+        f'{each.name} ended by itself {len(each.unexpected_exits)} times, '
+        f'with exit codes {each.unexpected_exits}'
         for each in world.instances
         if each.unexpected_exits
     ]
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+from mintlanding.core.tests.ports import free_port, free_ports
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
 from soak.proxy import Proxy
@@ -27,7 +28,6 @@
 """
 # Software versions of the engines; each writes its own into its events.
 BUILDS = ('v1', 'v1', 'v2')
-FIRST_PORT = 21_000
 START_SECONDS = 20
 # Time after a disruption in which an instance need not know what others do.
 CONTACT_SECONDS = 3
@@ -37,10 +37,8 @@
     """One instance, run as a process of the program."""
 
     def __init__(self, number, folder, store):
-        base = FIRST_PORT + number * 5 + os.getpid() % 500 * 20
-        self.front, self.ready, self.metrics, self.peer, paths = range(
-            base, base + 5
-        )
+        self.front, self.ready, self.metrics = (free_port() for _ in range(3))
+        self.peer, paths = free_ports(2)
         self.name = f'n{number}'
         self.log = folder / f'{self.name}.log'
         self.settings = folder / f'{self.name}.toml'
@@ -56,7 +54,8 @@
             ),
         )
         self.process = None
-        self.unexpected_exits = 0
+        # Exit codes of the processes that ended by themselves.
+        self.unexpected_exits = []
         self.started_at = 0.0
         # Faults overlap; the lock keeps two from starting a process each.
         self.lock = asyncio.Lock()
@@ -101,7 +100,7 @@
     async def restart_if_exited(self):
         """Start the process again if it has exited on its own."""
         if self.process.returncode is not None and not self.lock.locked():
-            self.unexpected_exits += 1
+            self.unexpected_exits.append(self.process.returncode)
             await self.start()
 
     async def freeze(self, seconds):
