Say which address a process cannot listen at

Cause: An instance whose port was taken ended with exit code 1 and a traceback, as after a crash; one whose port for members was taken tried again for good and logged neither address nor reason.

Change: All listeners of an instance are opened by core.listening, which logs the address and the reason and raises AddressNotAvailable. The program ends with exit code 3 then.

--- a/mintlanding/core/exceptions.py
+++ b/mintlanding/core/exceptions.py
@@ -11,6 +11,10 @@
     """Settings or configuration objects are invalid."""
 
 
+class AddressNotAvailable(MintlandingError):
+    """A server cannot listen at its address."""
+
+
 class PlatformError(MintlandingError):
     """The platform did not respond as its protocol requires."""
 
--- a/mintlanding/core/http_server.py
+++ b/mintlanding/core/http_server.py
@@ -10,6 +10,8 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from mintlanding.core.listening import listen
+
 TRANSPORT_KEY = 'mintlanding.transport'
 _POLL_SECONDS = 0.02
 _TOO_LARGE_STATUS = 431
@@ -186,16 +188,15 @@
         return [each.transport for each in self._state.connections]
 
     async def start(self) -> None:
-        """Start to listen; raise OSError if the address is in use."""
+        """Start to listen.
+
+        Raise AddressNotAvailable if the address is in use.
+        """
         if not self._config.loaded:
             self._config.load()
-        loop = asyncio.get_running_loop()
         self._draining = False
-        self._listener = await loop.create_server(
-            self._make_protocol,
-            host=self.host,
-            port=self.port,
-            backlog=self._config.backlog,
+        self._listener = await listen(
+            self._make_protocol, self.host, self.port, self._config.backlog
         )
         self.port = self._listener.sockets[0].getsockname()[1]
 
--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -14,6 +14,7 @@
 )
 
 from mintlanding.core.exceptions import ResponseAlreadyBegun
+from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
@@ -450,13 +451,9 @@
         return cls(handler, MessageLimits(), Logger(name))
 
     async def start(self, host: str, port: int, backlog: int = 1024) -> None:
-        """Listen; raise OSError if the address is in use."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: CallerConnection(self),
-            host,
-            port,
-            backlog=backlog,
+        """Listen; raise AddressNotAvailable if the address is in use."""
+        self._listener = await listen(
+            lambda: CallerConnection(self), host, port, backlog
         )
 
     @property
--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import Address, set_user_timeout
 from mintlanding.links.messages import Hello, Message
@@ -156,15 +157,13 @@
         )
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for connections of members, unless it does already."""
+        """Listen for connections of members, unless it does already.
+
+        Raise AddressNotAvailable if the address is in use.
+        """
         if self._listener is not None:
             return
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: LinkProtocol(self),
-            host,
-            port,
-        )
+        self._listener = await listen(lambda: LinkProtocol(self), host, port)
 
     def set_members(self, members: dict[str, Address]) -> None:
         """Dial new members and close the links to removed ones."""
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -11,6 +11,7 @@
 import msgspec
 from httptools import HttpParserError, HttpResponseParser
 
+from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import Address, set_user_timeout
 from mintlanding.http1.models import ClientOptions, ResponseHead
@@ -274,14 +275,14 @@
         self._listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, fleet_key: bytes) -> None:
-        """Listen, unless it does; raise OSError if the address is in use."""
+        """Listen, unless it does.
+
+        Raise AddressNotAvailable if the address is in use.
+        """
         if self._listener is not None:
             return
         self._fleet_key = fleet_key
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: _MemberSide(self), host, port
-        )
+        self._listener = await listen(lambda: _MemberSide(self), host, port)
 
     @property
     def port(self) -> int:
--- a/mintlanding/platform/command.py
+++ b/mintlanding/platform/command.py
@@ -6,6 +6,7 @@
 
 from mintlanding.conf.exceptions import SettingsError
 from mintlanding.core.application import Application, run_application
+from mintlanding.core.exceptions import AddressNotAvailable
 from mintlanding.core.logs import configure_stdout_logs
 from mintlanding.node.application import NodeApplication
 from mintlanding.platform import records, requests
@@ -13,6 +14,7 @@
 from mintlanding.platform.store import PlatformStore
 
 _EXIT_SETTINGS = 2
+_EXIT_ADDRESS = 3
 
 
 def build() -> Application:
@@ -25,7 +27,11 @@
 
 
 def main() -> None:
-    """Run the instance until a signal ends it."""
+    """Run the instance until a signal ends it.
+
+    A process that cannot run has an exit code of its own for settings and for
+    an address that is not available; that of an unforeseen error is 1.
+    """
     try:
         run_application(
             build,
@@ -35,3 +41,6 @@
     except SettingsError as exc:
         sys.stderr.write(f'{exc}\n')
         sys.exit(_EXIT_SETTINGS)
+    except AddressNotAvailable as exc:
+        sys.stderr.write(f'{exc}\n')
+        sys.exit(_EXIT_ADDRESS)
