Keep the addresses of fake targets while they are down

Cause: Fake targets and the soak's proxies listened on ports of the range that the kernel gives to outgoing connections, and bound the same one again after a crash. A connection or a server of another process could have it by then: the target never came back, or requests reached a stranger.

Change: They listen on ports that core/tests/ports.py keeps.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from mintlanding.core.logs import Logger
+from mintlanding.core.tests.ports import free_port
 from mintlanding.http1.models import MessageLimits
 from mintlanding.http1.server import CallerServer, head_bytes
 from mintlanding.platform.tests.samples import ENTRY, encode
@@ -50,7 +51,7 @@
         )
 
     async def start(self):
-        await self.server.start('127.0.0.1', 0)
+        await self.server.start('127.0.0.1', free_port())
         self.address = ('127.0.0.1', self.server.port)
         return self
 
@@ -352,7 +353,8 @@
             MessageLimits(),
             Logger('target'),
         )
-        await self.server.start('127.0.0.1', 0)
+        # Nobody else is given its port while it is down.
+        await self.server.start('127.0.0.1', free_port())
         return self
 
     @property
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 import struct
 from enum import StrEnum
 
+from mintlanding.core.tests.ports import free_port
+
 
 class Mode(StrEnum):
     """What the proxy does to bytes and to new connections.
@@ -32,13 +34,13 @@
         self._writers = set()
 
     async def start(self):
-        """Listen on a free port of the loopback interface."""
-        await self.listen(0)
+        """Listen on a port that nobody else is given while it is closed."""
+        await self.listen(free_port())
         self.address = self._server.sockets[0].getsockname()
         return self
 
     async def listen(self, port):
-        """Accept connections on a port, 0 for a free one."""
+        """Accept connections on a port."""
         self._server = await asyncio.start_server(
             self._accept, '127.0.0.1', port
         )
