Take paths that open connections and reset them for cut paths

Cause: a path counted as direct once a connection opened. Where connections open and are reset at once (a proxy or firewall on the way), each request was sent and lost, no member was asked, and each probe ended the cut of all targets again. Callers of such an instance got 502. Orders of a holder that serves no requests itself were lost in the same way, and it kept its engines. Change: after a lost response, and in probes, a connection has to stay open for 60 ms. If it does not while members reach the target, the path is at fault; the same if it cannot be opened at all. Only probes end a cut. A holder whose order is lost with its connection has the path examined.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -11,7 +11,12 @@
 
 import msgspec
 
-from mintlanding.core.exceptions import RequestNotSent, ResponseLost
+from mintlanding.core.exceptions import (
+    InvalidResponse,
+    RequestNotSent,
+    ResponseLost,
+    ResponseTimeout,
+)
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import ClientConnection, ConnectionPool
 from mintlanding.http1.models import ResponseHead
@@ -75,6 +80,7 @@
         """Start without stewards."""
         self.stewards: dict[str, EngineSteward] = {}
         self.on_steward_start: Callable[[], None] = lambda: None
+        # Called when the path to a worker may be cut.
         self.on_unreachable: Callable[[Target], None] = lambda target: None
         self._cfg = cfg
         self._view = view
@@ -497,6 +503,8 @@
             return OrderResult.not_sent
         except ResponseLost as exc:
             self._log_failed_order(target.target, exc)
+            if not isinstance(exc, ResponseTimeout | InvalidResponse):
+                self.on_unreachable(target)
             return OrderResult.lost
         self.mark_reachable(target.target)
         self._record_response(target, head)
--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -19,6 +19,9 @@
 # Seconds after which a direct connection that is not open yet is also tried
 # through a member; several times what one takes within a region.
 _HEDGE_SECONDS = 0.06
+# Seconds for which a connection must stay open to show that a path works; some
+# paths open connections and reset them.
+_LASTING_SECONDS = 0.06
 # Seconds for a probe of a cut path.
 _PROBE_SECONDS = 0.4
 # Seconds between looks for cut paths to probe, and probes at a time.
@@ -124,11 +127,12 @@
         if self.paths.is_cut(target.key):
             return not await self._is_reached_by_member(target, seconds)
         exc = await self._fail_to_connect(target, seconds)
-        if exc is None or not isinstance(exc.__cause__, ConnectionRefusedError):
+        if exc is None:
             return False
+        is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
         if not await self._is_reached_by_member(target, seconds):
-            return True
-        if await self._fail_to_connect(target, seconds) is None:
+            return is_refused
+        if is_refused and await self._fail_to_connect(target, seconds) is None:
             return True
         self._record_indirect(target, str(exc))
         return False
@@ -195,6 +199,8 @@
             )
         else:
             conn.abort()
+            if not conn.member:
+                await self.is_refused(target, _EXAMINE_SECONDS)
         await asyncio.sleep(_EXAMINE_INTERVAL)
         self._examined.discard(target.key)
 
@@ -210,7 +216,9 @@
             if _succeeded(each):
                 each.result().abort()
         if _succeeded(direct):
-            self._record_direct(target)
+            # It may be reset in a moment, which only probes find out.
+            if not self.paths.is_cut(target.key):
+                self._record_direct(target)
         elif is_indirect:
             self._record_indirect(target, _reason(direct))
 
@@ -229,8 +237,12 @@
             )
         except RequestNotSent as exc:
             return exc
-        self.pool.release(conn)
-        return None
+        await asyncio.sleep(_LASTING_SECONDS)
+        is_lasting = conn.is_open
+        conn.abort()
+        if is_lasting:
+            return None
+        return RequestNotSent('the connection was closed at once')
 
     async def _is_reached_by_member(
         self, target: Target, seconds: float
@@ -243,14 +255,8 @@
         return True
 
     async def _probe(self, target: Target) -> None:
-        try:
-            conn = await self.pool.acquire(
-                target.address, is_fresh=True, seconds=_PROBE_SECONDS
-            )
-        except RequestNotSent:
-            return
-        conn.abort()
-        self._record_direct(target)
+        if await self._fail_to_connect(target, _PROBE_SECONDS) is None:
+            self._record_direct(target)
 
     def _record_direct(self, target: Target) -> None:
         if self.paths.is_cut(target.key):
--- a/mintlanding/platform/tests/test_cut_off_holders.py
+++ b/mintlanding/platform/tests/test_cut_off_holders.py
@@ -114,13 +114,15 @@
     assert not writes(world, before, MEMBERS_PREFIX)
 
 
-@pytest.mark.parametrize('refuses', [True, False], ids=['refuse', 'hang'])
+@pytest.mark.parametrize('new', ['refuse', 'hang', 'reset'])
 async def test_holder_without_requests_of_its_own_finds_that_it_is_cut_off(
-    world, refuses
+    world, new
 ):
     # Only its orders fail; its callers ask for nothing.
     before = world.store.revision
-    with TargetPartition(world, world.nodes[0], refuses=refuses):
+    with TargetPartition(
+        world, world.nodes[0], refuses=new == 'refuse', resets=new == 'reset'
+    ):
         await ask_for_loads(world, (1, 2), 2 * RECOVERY_SECONDS, first=100)
         served = await ask_for_loads(world, (1, 2), REQUESTS, first=200)
     assert served >= REQUESTS - 1
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -38,12 +38,17 @@
     return sum(isinstance(each, tuple) and each[0] == 200 for each in responses)
 
 
-@pytest.mark.parametrize('refuses', [True, False], ids=['refuse', 'hang'])
+@pytest.mark.parametrize('new', ['refuse', 'hang', 'reset'])
 @pytest.mark.parametrize('old', ['dead', 'alive', 'silent'])
-async def test_instance_without_targets_serves_like_the_others(
-    world, refuses, old
-):
-    with TargetPartition(world, world.nodes[0], refuses=refuses, old=old):
+async def test_instance_without_targets_serves_like_the_others(world, new, old):
+    cut = TargetPartition(
+        world,
+        world.nodes[0],
+        refuses=new == 'refuse',
+        resets=new == 'reset',
+        old=old,
+    )
+    with cut:
         await asyncio.gather(
             *(ask_steadily(world, path, 0, CONTACT_REQUESTS) for path in PATHS),
         )
