Cut instances of the soak from the targets

Cause: no soak fault cut an instance from its targets while callers, members and the store reach it: all instances shared one proxy of each target. Change: each instance has a proxy of its own for each target, on a loopback address of its own; a small launcher sends connections to the targets' host there. The fault cuts one or several instances from all or some targets, at times each second; new connections hang, are refused or reset, old ones are reset, silent or live on. The check compares first tries at cut instances with those at others, as RECOVER does. `--faults` limits what is drawn. A new fault changes what each seed draws, as before with each new fault.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,8 +19,11 @@
 RECOVER_SECONDS = 12
 
 
-async def run_soak(seed, seconds, folder):
-    """Run one soak; return its faults, its callers and the broken promises."""
+async def run_soak(seed, seconds, folder, names=()):
+    """Run one soak; return its faults, its callers and the broken promises.
+
+    Faults are drawn from `names`, by default from all.
+    """
     rnd = random.Random(seed)
     world = World(folder)
     drawn = []
@@ -28,7 +31,7 @@
         await world.start()
         callers = Callers(world, random.Random(seed))
         calling = asyncio.create_task(callers.run())
-        await inject_faults(world, rnd, seconds, drawn)
+        await inject_faults(world, rnd, seconds, drawn, names)
         callers.is_stopped = True
         await calling
         await world.wait_ready()
@@ -41,9 +44,9 @@
     return drawn, callers, broken
 
 
-async def inject_faults(world, rnd, seconds, drawn):
+async def inject_faults(world, rnd, seconds, drawn, names):
     """Start random faults that may overlap; wait until all have ended."""
-    names = FAULTS.names()
+    names = names or FAULTS.names()
     until = time.monotonic() + seconds
     running = set()
     while time.monotonic() < until:
@@ -67,7 +70,7 @@
     return [f'{kind} was not served again' for kind in sorted(unserved)]
 
 
-def run(seed=1, seconds=20, seeds=1, keep=''):
+def run(seed=1, seconds=20, seeds=1, keep='', faults=()):
     """Run soaks with consecutive seeds; exit 1 if a promise was broken.
 
     Args:
@@ -75,13 +78,14 @@
         seconds: How long faults are started.
         seeds: Number of soaks.
         keep: Folder for the logs of failed soaks.
+        faults: Names of the faults to draw from, by default all.
     """
     failed = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
             try:
                 drawn, callers, broken = asyncio.run(
-                    run_soak(number, seconds, folder),
+                    run_soak(number, seconds, folder, faults),
                 )
             except TimeoutError:
                 sys.stdout.write(f'seed {number}: not ready in time\n')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from dataclasses import dataclass, field, replace
 
 ROUTES = {
@@ -33,6 +34,16 @@
     is_whole: bool = False
 
 
+@dataclass(frozen=True)
+class FirstTry:
+    """The first attempt of a request, when it was sent and when it ended."""
+
+    instance: object
+    sent_at: float
+    ended_at: float
+    is_served: bool
+
+
 @dataclass
 class Callers:
     """Callers that send random requests until `is_stopped` is set."""
@@ -40,6 +51,7 @@
     world: object
     rnd: random.Random
     outcomes: list = field(default_factory=list)
+    first_tries: list = field(default_factory=list)
     # Instance that each request was sent to.
     sent_to: dict = field(default_factory=dict)
     sent: int = 0
@@ -68,12 +80,22 @@
                 continue
             kind = self.rnd.choice(list(ROUTES))
             instance = self.rnd.choice(self.world.instances)
-            outcome = await self._send_request(kind, instance)
+            outcome = await self._try_first(kind, instance)
             if kind == 'batch' and not outcome.is_whole:
                 outcome = await self._resume(outcome)
             self.outcomes.append(outcome)
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _try_first(self, kind, instance):
+        """Send a request and record how its first attempt ended."""
+        sent_at = time.monotonic()
+        outcome = await self._send_request(kind, instance)
+        is_served = outcome.status == 200 and outcome.is_whole
+        self.first_tries.append(
+            FirstTry(instance, sent_at, time.monotonic(), is_served)
+        )
+        return outcome
+
     async def _send_crashing(self):
         """Send a request that crashes engines; its outcome is not judged."""
         prefix = b'X-Prompt-Prefix: aa01:60,%b:30,%x:10' % (
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,11 @@
 PAUSE_BEGIN_SECONDS = 0.5
 # Crashes of brittle targets, and a tenth of their number, in one time.
 MOST_ROOM_CRASHES = 2
+# First tries at cut instances that may fail, and their share of all, unless
+# these are served at this share of the rate of the others.
+MOST_FAILED_TRIES = 10
+FAILED_SHARE = 1 / 50
+SERVED_SHARE = 2 / 3
 # Seconds over which the requests to a target with a limit are counted.
 LIMIT_WINDOW_SECONDS = 4.0
 
@@ -39,6 +44,7 @@
         *_find_room_crashes(world, callers),
         *_find_requests_after_announced_leaving(world, callers),
         *_find_requests_in_pauses(world, callers),
+        *_find_tries_failed_at_cut_instances(world, callers),
         *_find_unexpected_exits(world),
     ]
 
@@ -274,3 +280,40 @@
                     f'{len(late)} requests of {instance.name} reached '
                     f'{target.name}, which had asked for {seconds} s of pause'
                 )
+
+
+def _find_tries_failed_at_cut_instances(world, callers):
+    """Find cuts from the targets in which callers noticed the cut.
+
+    Only undisrupted instances count, while there is one that is not cut.
+    """
+    for begin, end, instances in world.cuts:
+        others = [each for each in world.instances if each not in instances]
+        tries = [
+            each
+            for each in callers.first_tries
+            if begin + CONTACT_SECONDS <= each.sent_at < end
+            and _is_in_touch(world, each.instance, each)
+            and any(_is_in_touch(world, other, each) for other in others)
+        ]
+        cut = [each.is_served for each in tries if each.instance in instances]
+        whole = [each.is_served for each in tries if each.instance in others]
+        allowed = MOST_FAILED_TRIES + len(tries) * FAILED_SHARE
+        if cut.count(False) <= allowed:
+            continue
+        if _share(cut) < SERVED_SHARE * _share(whole):
+            names = ' '.join(each.name for each in instances)
+            yield (
+                f'{names}, cut off from targets for {end - begin:.1f} s, served '
+                f'{sum(cut)} of {len(cut)} first tries, the others '
+                f'{sum(whole)} of {len(whole)}'
+            )
+
+
+def _is_in_touch(world, instance, attempt):
+    since = attempt.sent_at - CONTACT_SECONDS
+    return world.is_undisrupted_since(instance, since, attempt.ended_at)
+
+
+def _share(served):
+    return sum(served) / len(served) if served else 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 
 from mintlanding.core.registry import Registry
 from mintlanding.platform.tests.samples import CONFIG
-from soak.proxy import Mode
+from soak.proxy import Mode, NewConnections, OldConnections
 from soak.world import CONTACT_SECONDS
 
 FAULTS = Registry('soak fault')
@@ -135,10 +135,10 @@
 @FAULTS.register('target unreachable')
 async def disrupt_target(world, rnd):
     """Refuse or drop all traffic of a target, or drop its responses."""
-    proxy = rnd.choice(world.targets).proxy
+    proxies = rnd.choice(world.targets).proxies
     mode = rnd.choice((Mode.refusing, Mode.silent, Mode.one_way))
     with world.disruption():
-        await _disrupt([proxy], mode, rnd.uniform(0.5, 4))
+        await _disrupt(proxies, mode, rnd.uniform(0.5, 4))
 
 
 @FAULTS.register('connections reset')
@@ -146,7 +146,30 @@
     """Reset the open connections of all targets."""
     with world.disruption():
         for target in world.targets:
-            target.proxy.reset()
+            for proxy in target.proxies:
+                proxy.reset()
+
+
+@FAULTS.register('instances cut off from targets')
+async def cut_off_from_targets(world, rnd):
+    """Cut some instances from all or some targets, at times each second."""
+    if any(end == float('inf') for _, end, _ in world.cuts):
+        return
+    instances = rnd.sample(world.instances, rnd.randrange(1, world.count))
+    targets = rnd.choice((world.targets, rnd.sample(world.targets, 3)))
+    proxies = [
+        target.proxies[each.number] for target in targets for each in instances
+    ]
+    new = rnd.choice(tuple(NewConnections))
+    old = rnd.choice(tuple(OldConnections))
+    times, seconds = rnd.choice(((1, 6), (1, 10), (4, 1)))
+    with world.cut(instances):
+        for _ in range(times):
+            await asyncio.gather(*(each.cut(new, old) for each in proxies))
+            await asyncio.sleep(seconds)
+            await asyncio.gather(*(each.heal() for each in proxies))
+            if times > 1:
+                await asyncio.sleep(1)
 
 
 @FAULTS.register('answers of targets lost')
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -19,32 +19,74 @@
     one_way = 'one_way'
 
 
+class NewConnections(StrEnum):
+    """What a cut path does to new connections."""
+
+    hang = 'hang'
+    refuse = 'refuse'
+    reset = 'reset'
+
+
+class OldConnections(StrEnum):
+    """What a cut path does to the connections that were open before."""
+
+    reset = 'reset'
+    silent = 'silent'
+    live_on = 'live_on'
+
+
 class Proxy:
     """Forwards connections to one address, subject to its mode."""
 
     DELAY_SECONDS = 0.1
     _CHUNK_BYTES = 1 << 16
 
-    def __init__(self, address):
+    def __init__(self, address, host='127.0.0.1'):
         self.mode = Mode.passing
         self._address = address
+        self._host = host
+        self._new = self._old = None
+        # Listener without room, and the connection that takes its room.
+        self._full = ()
         self._tasks = set()
         self._writers = set()
 
-    async def start(self):
-        """Listen on a free port of the loopback interface."""
-        await self.listen(0)
+    async def start(self, port=0):
+        """Listen on a port of the loopback interface, 0 for a free one."""
+        await self._listen(port)
         self.address = self._server.sockets[0].getsockname()
         return self
 
-    async def listen(self, port):
-        """Accept connections on a port, 0 for a free one."""
-        self._server = await asyncio.start_server(
-            self._accept, '127.0.0.1', port
-        )
+    async def listen(self):
+        """Accept connections again, unless new ones are cut."""
+        if self._new in {None, NewConnections.reset}:
+            await self._listen(self.address[1])
+
+    async def cut(self, new, old):
+        """Cut the path until it is healed."""
+        self._new, self._old = new, old
+        if old is OldConnections.reset:
+            self.reset()
+        if new is not NewConnections.reset:
+            self._server.close()
+        if new is NewConnections.hang:
+            self._full = _listen_without_room(self.address)
+
+    async def heal(self):
+        """Pass everything on again; bytes that were dropped end connections."""
+        new, old = self._new, self._old
+        self._new = self._old = None
+        if old is OldConnections.silent:
+            self.reset()
+        for each in self._full:
+            each.close()
+        self._full = ()
+        if new is not NewConnections.reset and self._is_up:
+            await self.listen()
 
     def refuse(self):
         """Refuse connections, as after the end of a process."""
+        self._is_up = False
         self._server.close()
         self._close_connections()
 
@@ -67,7 +109,16 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    async def _listen(self, port):
+        self._is_up = True
+        self._server = await asyncio.start_server(
+            self._accept, self._host, port
+        )
+
     async def _accept(self, reader, writer):
+        if self._new is NewConnections.reset:
+            _close_with_reset(writer)
+            return
         if self.mode is Mode.refusing:
             writer.transport.abort()
             return
@@ -90,8 +141,7 @@
             while chunk := await source.read(self._CHUNK_BYTES):
                 if self.mode is Mode.delaying:
                     await asyncio.sleep(self.DELAY_SECONDS)
-                is_cut = self.mode is Mode.one_way and is_response
-                if self.mode is not Mode.silent and not is_cut:
+                if not self._is_dropped(is_response):
                     sink.write(chunk)
         except OSError:
             # Reset the other side as well, as a router does.
@@ -100,6 +150,26 @@
             self._writers.discard(sink)
             sink.close()
 
+    def _is_dropped(self, is_response):
+        """Tell whether bytes in one direction are dropped."""
+        if self._old is OldConnections.silent:
+            return True
+        return self.mode is Mode.silent or (
+            self.mode is Mode.one_way and is_response
+        )
+
+
+def _listen_without_room(address):
+    """Return a listener to which connections hang, and one that fills it."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(0)
+    filler = socket.socket()
+    filler.setblocking(False)
+    filler.connect_ex(address)
+    return listener, filler
+
 
 def _close_with_reset(writer):
     connection = writer.get_extra_info('socket')
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,6 +10,7 @@
 
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
+from soak.instance import TARGETS_HOST
 from soak.proxy import Proxy
 
 SETTINGS = """
@@ -29,6 +30,9 @@
 BUILDS = ('v1', 'v1', 'v2')
 FIRST_PORT = 21_000
 START_SECONDS = 20
+# Host of the proxies through which an instance reaches the targets.
+WAY_HOST = '127.0.0.{number}'
+FIRST_WAY = 10
 # Time after a disruption in which an instance need not know what others do.
 CONTACT_SECONDS = 3
 
@@ -42,6 +46,7 @@
             base, base + 5
         )
         self.name = f'n{number}'
+        self.number = number
         self.log = folder / f'{self.name}.log'
         self.settings = folder / f'{self.name}.toml'
         self.settings.write_text(
@@ -73,7 +78,8 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'mintlanding.platform',
+                'soak.instance',
+                way_host(self.number),
                 stdout=log,
                 stderr=log,
                 env=environment,
@@ -113,12 +119,18 @@
 
 
 class Target(TargetStandin):
-    """A target behind a proxy; it records when orders and requests arrive."""
+    """A target behind proxies; it records when orders and requests arrive."""
 
-    async def start(self):
-        """Start the target and its proxy."""
+    async def start(self, instances=1):
+        """Start the target and a proxy for each instance, on one port."""
         await super().start()
-        self.proxy = await Proxy(('127.0.0.1', self.server.port)).start()
+        self.proxies = [
+            Proxy(self.address, way_host(number)) for number in range(instances)
+        ]
+        first, *others = self.proxies
+        await first.start()
+        for proxy in others:
+            await proxy.start(first.address[1])
         self.order_times = []
         # Time, request and parts of the prompt of each request.
         self.requests = []
@@ -146,10 +158,12 @@
         """End under a request and start again as a new incarnation."""
         if self.faults.crash_part:
             self.crash_times.append((time.monotonic(), self.faults.crash_part))
-        self.proxy.refuse()
+        for proxy in self.proxies:
+            proxy.refuse()
         await super().crash_now()
         self.name_limit(self.faults.limit)
-        await self.proxy.listen(self.proxy.address[1])
+        for proxy in self.proxies:
+            await proxy.listen()
 
     def _refuse_full(self, req):
         now = time.monotonic()
@@ -202,9 +216,9 @@
         self.faults.limit = limit
 
     def entry(self, state='ready'):
-        """Return the store entry, with the address of the proxy."""
+        """Return the store entry, with the address of the proxies."""
         own = encode(f'127.0.0.1:{self.server.port}')
-        front = encode(f'127.0.0.1:{self.proxy.address[1]}')
+        front = encode(f'{TARGETS_HOST}:{self.proxies[0].address[1]}')
         return super().entry(state).replace(own, front)
 
     def _order(self, req):
@@ -215,7 +229,8 @@
 
     def stop(self):
         """Stop the proxy and the target."""
-        self.proxy.stop()
+        for proxy in self.proxies:
+            proxy.stop()
         super().stop()
 
 
@@ -247,6 +262,8 @@
         self.crash_kind = ''
         # Start, end and instance of each disruption; None for all instances.
         self.disruptions = []
+        # Start, end and instances of each cut from the targets.
+        self.cuts = []
         self.version = CONFIG['version']
 
     @property
@@ -258,7 +275,7 @@
         """Start everything and wait until all instances are ready."""
         await self.store.start()
         for target in self.targets:
-            await target.start()
+            await target.start(self.count)
             target.on_restart = self.register
             self.register(target)
         self.store.put('op/config', encode(CONFIG))
@@ -287,6 +304,19 @@
         finally:
             row[1] = time.monotonic()
 
+    @contextlib.contextmanager
+    def cut(self, instances):
+        """Record that some instances are cut off from targets.
+
+        It is no disruption: they serve through the other instances.
+        """
+        row = [time.monotonic(), float('inf'), instances]
+        self.cuts.append(row)
+        try:
+            yield
+        finally:
+            row[1] = time.monotonic()
+
     def is_undisrupted(self, instance, at):
         """Tell whether nothing disrupted an instance shortly before."""
         return not any(
@@ -340,6 +370,11 @@
         self.store.stop()
 
 
+def way_host(number):
+    """Return the host of the proxies of an instance."""
+    return WAY_HOST.format(number=FIRST_WAY + number)
+
+
 async def is_ready(instance):
     """Return whether an instance reports that it is ready."""
     try:
