Register the borders to members, callers, targets and operators

Cause: the registry of borders knew the operator's and the targets' records, the store and the settings only. What members write (messages, records, path frames), header fields, events and the administration API were decoded in place, each with several types of errors, so that no test fed all of them. One value was found to have no bound: X-Deadline-Ms: 1e400 counted as infinite.

Change: each of them has a registered decoder with one named error and the bounds of its values, which the registry holds instead of the test. The view and the links catch this error only. A deadline beyond the bound of amounts counts as absent.

--- a/mintlanding/admin/endpoint.py
+++ b/mintlanding/admin/endpoint.py
@@ -26,6 +26,8 @@
 from mintlanding.admin.openapi import describe_api
 from mintlanding.admin.operations import OPERATIONS, Call, Operation
 from mintlanding.admin.schemas import ObjectSchema, Schema
+from mintlanding.core.borders import ValueBounds, border
+from mintlanding.core.bounds import MAX_FLOAT
 from mintlanding.core.logs import Logger
 from mintlanding.core.results import Done, Failed, Outcome, ResultCode
 
@@ -143,9 +145,20 @@
     return Done(bytes(received))
 
 
+# Whole numbers are versions and counts; the checks of a change bound amounts.
+@border(
+    'administration',
+    ValidationError,
+    ValueBounds(2**53, -MAX_FLOAT, MAX_FLOAT),
+)
+def decode_body(model: type[Schema], received: bytes) -> Schema:
+    """Decode the body of a call; raise ValidationError."""
+    return model.model_validate_json(received, strict=True)
+
+
 def _parse(model: type[Schema], received: bytes) -> Schema | Refusal:
     try:
-        return model.model_validate_json(received, strict=True)
+        return decode_body(model, received)
     except ValidationError as exc:
         return build_validation_refusal(exc, 'body')
 
--- a/mintlanding/core/exceptions.py
+++ b/mintlanding/core/exceptions.py
@@ -47,6 +47,14 @@
     """The response violates HTTP or is too large."""
 
 
+class MemberDataInvalid(MintlandingError, ValueError):
+    """Raised for a record or message of another instance, with the reason."""
+
+
+class MessageUnexpected(MemberDataInvalid):
+    """A message is readable, but none of this version."""
+
+
 class ResponseAlreadyBegun(MintlandingError):
     """A second response to one request would reach its caller."""
 
--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -16,12 +16,17 @@
 
 import msgspec
 
+from mintlanding.core.exceptions import MemberDataInvalid, MessageUnexpected
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import Address, set_user_timeout
-from mintlanding.links.messages import Hello, Message
+from mintlanding.links.messages import (
+    MAX_FRAME_BYTES,
+    Hello,
+    Message,
+    decode_message,
+)
 
 _LENGTH = struct.Struct('>I')
-_MAX_FRAME_BYTES = 1 << 20
 # Bytes that a peer has not read yet; a link with more is closed.
 _MAX_BUFFERED_BYTES = 1 << 20
 
@@ -82,7 +87,7 @@
         self._buffer += chunk
         while len(self._buffer) >= _LENGTH.size:
             size = int(_LENGTH.unpack_from(self._buffer)[0])
-            if size > _MAX_FRAME_BYTES:
+            if size > MAX_FRAME_BYTES:
                 self._mesh.logger.error(
                     'Oversized frame received.',
                     peer=self.peer,
@@ -135,8 +140,6 @@
         self._identity = identity
         self._receiver = receiver
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder: msgspec.msgpack.Decoder[Message]
-        self._decoder = msgspec.msgpack.Decoder(Message)
         self._listener: asyncio.Server | None = None
         self._accepted: set[LinkProtocol] = set()
         # Dialled and accepted links by peer, the newest last.
@@ -231,14 +234,14 @@
     def received(self, link: LinkProtocol, frame: bytes) -> None:
         """Decode a frame and pass the message to the receiver."""
         try:
-            message = self._decoder.decode(frame)
-        except (msgspec.DecodeError, RecursionError) as exc:
+            message = decode_message(frame)
+        except MemberDataInvalid as exc:
             self.logger.error(
                 'Invalid message received.',
                 peer=link.peer,
                 reason=str(exc),
             )
-            is_known = link.peer and isinstance(exc, msgspec.ValidationError)
+            is_known = link.peer and isinstance(exc, MessageUnexpected)
             if not is_known:
                 link.abort()
             return
--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -1,10 +1,20 @@
 """Messages between instances over their links."""
 
+import math
 from typing import Union
 
 import msgspec
 
-from mintlanding.core.bounds import Amount, SignedAmount, StoreNumber, Whole
+from mintlanding.core.borders import ValueBounds, border
+from mintlanding.core.bounds import (
+    MAX_FINITE,
+    MAX_STORE_NUMBER,
+    Amount,
+    SignedAmount,
+    StoreNumber,
+    Whole,
+)
+from mintlanding.core.exceptions import MemberDataInvalid, MessageUnexpected
 from mintlanding.quarantine.messages import SuspectPart
 from mintlanding.residency.messages import (
     AdmissionEnd,
@@ -19,6 +29,9 @@
 )
 from mintlanding.target_limits.messages import LimitReport
 
+# Bytes of the largest frame of a link.
+MAX_FRAME_BYTES = 1 << 20
+
 # Version of the messages that this process understands. A member of a lower
 # version closes its link when it receives a type that it does not know.
 LINK_VERSION = 1
@@ -162,3 +175,21 @@
     OriginQuery,
     OriginReply,
 ]
+
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+@border(
+    'message',
+    MemberDataInvalid,
+    # Waits may be infinite, and callers choose the ids of requests.
+    ValueBounds(MAX_STORE_NUMBER, -MAX_FINITE, math.inf, MAX_FRAME_BYTES),
+)
+def decode_message(frame: bytes) -> Message:
+    """Decode a message; raise MessageUnexpected for one of another version."""
+    try:
+        return _DECODER.decode(frame)
+    except msgspec.ValidationError as exc:
+        raise MessageUnexpected(str(exc)) from exc
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise MemberDataInvalid(f'the message is not msgpack: {exc}') from exc
--- a/mintlanding/node/events.py
+++ b/mintlanding/node/events.py
@@ -2,6 +2,7 @@
 
 import re
 
+from mintlanding.core.borders import border
 from mintlanding.core.exceptions import InvalidResponse
 from mintlanding.core.numbers import parse_count
 
@@ -36,6 +37,7 @@
         self._has_ids = False
         self._rest = b''
 
+    @border('events', InvalidResponse)
     def take(self, chunk: bytes) -> bytes:
         """Add a chunk; return the events that are complete now.
 
--- a/mintlanding/node/path_client.py
+++ b/mintlanding/node/path_client.py
@@ -6,15 +6,24 @@
 
 import msgspec
 
-from mintlanding.core.exceptions import RequestNotSent, ResponseLost
+from mintlanding.core.exceptions import (
+    MemberDataInvalid,
+    RequestNotSent,
+    ResponseLost,
+)
 from mintlanding.http1.client import (
     Address,
     ClientConnection,
     set_user_timeout,
 )
 from mintlanding.http1.models import ClientOptions
-from mintlanding.paths.frames import FrameBuffer, frame
-from mintlanding.paths.messages import OpenPath, PathReply, path_proof
+from mintlanding.paths.frames import FrameBuffer, FrameTooLarge, frame
+from mintlanding.paths.messages import (
+    OpenPath,
+    PathReply,
+    decode_reply,
+    path_proof,
+)
 from mintlanding.paths.path_table import TargetKey
 from mintlanding.traffic.models import Target
 
@@ -26,7 +35,6 @@
 _FAILURE_SECONDS = 1.0
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(PathReply)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +83,7 @@
         self._frames.feed(chunk)
         try:
             self._receive_frames()
-        except (ValueError, RecursionError, msgspec.MsgspecError) as exc:
+        except (FrameTooLarge, MemberDataInvalid) as exc:
             self._lose(f'invalid bytes from the member: {exc}')
 
     def eof_received(self) -> bool:
@@ -92,7 +100,7 @@
         payload = self._frames.take()
         while payload is not None:
             if not self._reply.done():
-                self._reply.set_result(_DECODER.decode(payload))
+                self._reply.set_result(decode_reply(payload))
             elif payload:
                 ClientConnection.data_received(self, payload)
             else:
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -11,11 +11,17 @@
 import msgspec
 from httptools import HttpParserError, HttpResponseParser
 
+from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import Address, set_user_timeout
 from mintlanding.http1.models import ClientOptions, ResponseHead
 from mintlanding.paths.frames import END, FrameBuffer, FrameTooLarge, frame
-from mintlanding.paths.messages import OpenPath, PathReply, path_proof
+from mintlanding.paths.messages import (
+    OpenPath,
+    PathReply,
+    decode_request,
+    path_proof,
+)
 
 # Paths that members may have open here at the same time; each takes two
 # descriptors of this process.
@@ -28,7 +34,6 @@
 _NO_LINGER = struct.pack('ii', 1, 0)
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(OpenPath)
 
 _FIRST_FINAL_STATUS = 200
 
@@ -197,8 +202,8 @@
             payload = frames.take()
             if payload is None:
                 return
-            request = _DECODER.decode(payload)
-        except (FrameTooLarge, msgspec.MsgspecError, RecursionError) as exc:
+            request = decode_request(payload)
+        except (FrameTooLarge, MemberDataInvalid) as exc:
             self._server.logger.error(
                 'Invalid request for a path.', reason=str(exc)
             )
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -9,13 +9,27 @@
 
 from mintlanding.coordination.store_contact import StoreContact
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
-from mintlanding.core.bounds import Amount, Count, Port
+from mintlanding.core.borders import ValueBounds, border, decode_with
+from mintlanding.core.bounds import (
+    MAX_FINITE,
+    MAX_RECORD_BYTES,
+    MAX_WHOLE,
+    Amount,
+    Count,
+    Port,
+)
+from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
-from mintlanding.quarantine.records import QuarantineRecord, RequestRecord
+from mintlanding.quarantine.records import (
+    QuarantineRecord,
+    RequestRecord,
+    decode_quarantine,
+    decode_request_record,
+)
 from mintlanding.residency.authority import MemberInfo, OwnershipRecord
 from mintlanding.residency.models import EngineReport
 from mintlanding.streams.builds import BuildHistory
-from mintlanding.streams.messages import StreamOrigin
+from mintlanding.streams.messages import StreamOrigin, decode_origins
 from mintlanding.traffic.models import (
     Route,
     Service,
@@ -35,6 +49,7 @@
 QUARANTINE_PREFIX = 'mintlanding/quarantine/'
 REQUEST_QUARANTINE_PREFIX = 'mintlanding/request-quarantine/'
 ORIGINS_PREFIX = 'mintlanding/streams/'
+_BOUNDS = ValueBounds(MAX_WHOLE, 0, MAX_FINITE, MAX_RECORD_BYTES)
 
 
 class Records(Protocol):
@@ -94,6 +109,25 @@
     previous: str = ''
 
 
+_MEMBER_DECODER = msgspec.json.Decoder(MemberRecord)
+_OWNERSHIP_DECODER = msgspec.json.Decoder(OwnershipEntry)
+
+
+@border('member', MemberDataInvalid, _BOUNDS)
+def decode_member(key: str, content: bytes) -> MemberRecord:
+    """Decode a member's entry; raise MemberDataInvalid."""
+    record = decode_with(_MEMBER_DECODER.decode, content, MemberDataInvalid)
+    if key != MEMBERS_PREFIX + record.instance:
+        raise MemberDataInvalid(f'it names member {record.instance!r}')
+    return record
+
+
+@border('ownership', MemberDataInvalid, _BOUNDS)
+def decode_ownership(content: bytes) -> OwnershipEntry:
+    """Decode the record of a worker's holder; raise MemberDataInvalid."""
+    return decode_with(_OWNERSHIP_DECODER.decode, content, MemberDataInvalid)
+
+
 def member_info(record: MemberRecord) -> MemberInfo:
     """Return what the choice among members depends on."""
     return MemberInfo(
@@ -322,7 +356,7 @@
         try:
             for prefix in found:
                 handlers[prefix](item, now)
-        except (ValueError, RecursionError, msgspec.MsgspecError) as exc:
+        except ValueError as exc:
             self.logger.warning(
                 'Invalid record.',
                 record=item.key,
@@ -402,9 +436,7 @@
         self._notify('targets')
 
     def _put_member(self, item: Item, now: float) -> None:
-        record = msgspec.json.decode(item.content, type=MemberRecord)
-        if item.key != MEMBERS_PREFIX + record.instance:
-            raise ValueError(f'the record names member {record.instance!r}')
+        record = decode_member(item.key, item.content)
         self.members[record.instance] = record
         self._notify('members')
 
@@ -413,24 +445,18 @@
 
     def _put_quarantine(self, item: Item, now: float) -> None:
         part = item.key.removeprefix(QUARANTINE_PREFIX)
-        self.quarantines[part] = msgspec.json.decode(
-            item.content, type=QuarantineRecord
-        )
+        self.quarantines[part] = decode_quarantine(item.content)
         self.quarantine_revisions[item.key] = item.revision
         self._notify('quarantines')
 
     def _put_request_quarantine(self, item: Item, now: float) -> None:
         digest = item.key.removeprefix(REQUEST_QUARANTINE_PREFIX)
-        self.request_records[digest] = msgspec.json.decode(
-            item.content, type=RequestRecord
-        )
+        self.request_records[digest] = decode_request_record(item.content)
         self.quarantine_revisions[item.key] = item.revision
         self._notify('quarantines')
 
     def _put_origins(self, item: Item, now: float) -> None:
-        self.stream_origins[item.key] = msgspec.msgpack.decode(
-            item.content, type=tuple[StreamOrigin, ...]
-        )
+        self.stream_origins[item.key] = decode_origins(item.content)
         self._notify('streams')
 
     def _put_ownership(self, item: Item, now: float) -> None:
@@ -438,7 +464,7 @@
         known = self.ownership.get(worker)
         if known is not None and known.revision > item.revision:
             return
-        entry = msgspec.json.decode(item.content, type=OwnershipEntry)
+        entry = decode_ownership(item.content)
         self.ownership[worker] = OwnershipRecord(
             entry.holder,
             item.revision,
--- a/mintlanding/paths/frames.py
+++ b/mintlanding/paths/frames.py
@@ -5,6 +5,8 @@
 
 import struct
 
+from mintlanding.core.borders import border
+
 _LENGTH = struct.Struct('>I')
 # Bytes of the largest frame; a target's bytes come in smaller pieces.
 MAX_FRAME_BYTES = 1 << 20
@@ -31,6 +33,7 @@
         """Add received bytes."""
         self._buffer += chunk
 
+    @border('path-frame', FrameTooLarge)
     def take(self) -> bytes | None:
         """Return the next whole frame, None until there is one."""
         if len(self._buffer) < _LENGTH.size:
--- a/mintlanding/paths/messages.py
+++ b/mintlanding/paths/messages.py
@@ -5,10 +5,15 @@
 
 import msgspec
 
-from mintlanding.core.bounds import Amount, Whole
+from mintlanding.core.borders import ValueBounds, border, decode_with
+from mintlanding.core.bounds import MAX_FINITE, MAX_WHOLE, Amount, Whole
+from mintlanding.core.exceptions import MemberDataInvalid
+from mintlanding.paths.frames import MAX_FRAME_BYTES
 
 # Keeps the proof of one protocol from being used in another.
 _PURPOSE = b'path:'
+# Callers choose the ids of requests.
+_BOUNDS = ValueBounds(MAX_WHOLE, 0, MAX_FINITE, MAX_FRAME_BYTES)
 
 
 class OpenPath(msgspec.Struct, frozen=True, array_like=True):
@@ -33,6 +38,22 @@
     reason: str = ''
 
 
+_REQUEST_DECODER = msgspec.msgpack.Decoder(OpenPath)
+_REPLY_DECODER = msgspec.msgpack.Decoder(PathReply)
+
+
+@border('path-request', MemberDataInvalid, _BOUNDS)
+def decode_request(payload: bytes) -> OpenPath:
+    """Decode the request for a path; raise MemberDataInvalid."""
+    return decode_with(_REQUEST_DECODER.decode, payload, MemberDataInvalid)
+
+
+@border('path-reply', MemberDataInvalid, _BOUNDS)
+def decode_reply(payload: bytes) -> PathReply:
+    """Decode the reply to it; raise MemberDataInvalid."""
+    return decode_with(_REPLY_DECODER.decode, payload, MemberDataInvalid)
+
+
 def path_proof(fleet_key: bytes, instance: str) -> str:
     """Return the proof that an instance knows the fleet's key."""
     message = _PURPOSE + instance.encode()
--- a/mintlanding/platform/requests.py
+++ b/mintlanding/platform/requests.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from mintlanding.core.bounds import MAX_AMOUNT, MAX_COUNT
+from mintlanding.core.borders import ValueBounds, border
+from mintlanding.core.bounds import MAX_AMOUNT, MAX_COUNT, MAX_FIELD_BYTES
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import Headers, ResponseHead, header_value
 from mintlanding.residency.models import Order, OrderResult
@@ -73,6 +74,8 @@
 _LOWEST_PRIORITY = 9
 
 
+# The operator's limits bound the fields of callers.
+@border('caller-fields', None, ValueBounds(text_bytes=MAX_FIELD_BYTES))
 def read_caller(headers: Headers) -> CallerFields:
     """Decode a caller's headers; treat invalid ones as absent."""
     scheme, _, key = _text(headers, b'authorization').partition(' ')
@@ -114,6 +117,7 @@
     return b''.join(lines)
 
 
+@border('response-fields', None, ValueBounds(text_bytes=MAX_FIELD_BYTES))
 def read_response(head: ResponseHead, request_id: str) -> TargetResponse:
     """Decode the head of a target's response to a request."""
     echoed = head.get(_REQUEST_ID).decode('latin-1')
@@ -244,7 +248,7 @@
         number = float(text)
     except ValueError:
         return None
-    return number / _MILLISECONDS if number > 0 else None
+    return number / _MILLISECONDS if 0 < number <= MAX_AMOUNT else None
 
 
 def _demand(prompt: str, output: str) -> Demand | None:
--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -18,7 +18,8 @@
     StoreBusy,
     Transaction,
 )
-from mintlanding.core.borders import border
+from mintlanding.core.borders import ValueBounds, border
+from mintlanding.core.bounds import MAX_STORE_NUMBER
 from mintlanding.core.exceptions import (
     PlatformError,
     PlatformUnavailable,
@@ -43,7 +44,7 @@
 _REFUSED = frozenset((429, 503))
 # Characters of a key.
 _MAX_KEY = 1000
-_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORE_NUMBER)]
 
 
 class _Row(msgspec.Struct):
@@ -245,7 +246,7 @@
     return head.status, await conn.read_body(seconds)
 
 
-@border('store', PlatformUnavailable)
+@border('store', PlatformUnavailable, ValueBounds(MAX_STORE_NUMBER))
 def _decode(kind: type[_Response], raw: bytes) -> _Response:
     try:
         return msgspec.json.decode(raw, type=kind)
--- a/mintlanding/platform/tests/samples.py
+++ b/mintlanding/platform/tests/samples.py
@@ -120,6 +120,56 @@
     'inflight': 12,
     'born': 1700000000000,
 }
+MEMBER = {
+    'instance': 'odd',
+    'zone': 'z1',
+    'host': '127.0.0.1',
+    'port': 7600,
+    'boot': 'a1b2',
+    'link_mbps': 5.0,
+    'link_version': 1,
+    'path_port': 7601,
+}
+OWNERSHIP = {'holder': 'odd', 'is_settled': True, 'previous': 'n0'}
+QUARANTINE = {
+    'position': 1,
+    'crashes': 3,
+    'last_crash': 1700000000.0,
+    'trials': 1,
+}
+REQUEST_RECORD = {
+    'targets': ['e1/1', 'e2/1'],
+    'last_crash': 1700000000.0,
+    'trials': 1,
+    'is_quarantined': True,
+}
+CALLER_FIELDS = b"""Host: ficu95.example
+X-Request-Id: r1
+X-Model: daka/a1
+X-Token-Counts: 100,10
+X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410
+X-Deadline-Ms: 3000
+Authorization: Token key-1
+Last-Event-Id: 1
+Resumes: r0"""
+RESPONSE_FIELDS = b"""X-Request-Id: r1
+X-Response-Stamp: s1
+X-Not-Run: 1
+X-Server-Load: 3,0,8
+Server-Limit: 12.5
+Server-Leaving: 1
+Server-Brittle: 3
+Retry-After: 0.5
+X-Instance-Id: e1
+Keep-Alive: timeout=5"""
+EVENTS = b"""id: 1
+data: x
+
+id: 2
+data: y
+
+id: 3
+da"""
 SETTINGS = """
 node = "front-a-1"
 role = "instance"
--- a/mintlanding/platform/tests/test_borders.py
+++ b/mintlanding/platform/tests/test_borders.py
@@ -2,31 +2,103 @@
 
 import copy
 import dataclasses
+import functools
 import json
 import math
 import tomllib
 from collections.abc import Mapping
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mintlanding.admin.endpoint import decode_body
+from mintlanding.admin.messages import ApplyRequest
 from mintlanding.core.borders import BORDERS
-from mintlanding.core.bounds import MAX_AMOUNT, MAX_WHOLE
-from mintlanding.platform import records, settings, store
+from mintlanding.http1.models import ResponseHead
+from mintlanding.links.messages import (
+    AdmissionRequest,
+    Hello,
+    OriginNotice,
+    Status,
+    StoreChange,
+    StoreUpdate,
+)
+from mintlanding.node import view
+from mintlanding.node.events import EventBuffer
+from mintlanding.paths.frames import FrameBuffer, frame
+from mintlanding.paths.messages import OpenPath, PathReply
+from mintlanding.platform import records, requests, settings, store
 from mintlanding.platform.tests.samples import (
+    CALLER_FIELDS,
     CONFIG,
     ENTRY,
+    EVENTS,
+    MEMBER,
+    OWNERSHIP,
+    QUARANTINE,
     REPORT,
+    REQUEST_RECORD,
+    RESPONSE_FIELDS,
     SETTINGS,
 )
+from mintlanding.quarantine.messages import EngineCrash, SuspectPart
+from mintlanding.residency.messages import WorkerDigest
+from mintlanding.streams.messages import StreamOrigin
+from mintlanding.target_limits.messages import LimitReport
 
-# The store assigns revisions of 64 bits; others are exact as floats.
-LARGEST = {'store': 2**63 - 1}
-# Of an API key, the longest text that is accepted.
-MAX_BYTES = 4000
 ROW = {'key': 'k', 'rev': 3, 'value': 'YQ==', 'lease': 4}
+ORIGIN = StreamOrigin('r1', 'engines', 'v1')
+LIMITS = (LimitReport('e1', 1700000000000, 12.5, 0.5),)
+SUSPECTS = (SuspectPart('5c1e07a2', 1, (EngineCrash('e1/1', 2.0),), 3.0),)
+MESSAGES = (
+    Hello('n1', 'a1b2', 'f' * 64),
+    Status(
+        'n1',
+        'a1b2',
+        5.0,
+        digests=(WorkerDigest('e1', 1700000000000, True, ready=('a1',)),),
+        admitted={'hule930': 120.0},
+        levels={'hule930': -4.5},
+        suspects=SUSPECTS,
+        limits=LIMITS,
+        leaving=(('e2', 1700000000000),),
+    ),
+    AdmissionRequest(
+        *('r1', 'e1', 'daka', 'a1', 'hule930'),
+        *(100, 10, 0),
+        *(0.6, 0.5, 3.0, math.inf),
+        parts=(('5c1e07a2', 800),),
+        limits=LIMITS,
+    ),
+    OriginNotice(ORIGIN),
+    StoreUpdate(6, 7, (StoreChange('servers/e1', 7, b'{}'),)),
+)
 SAMPLES = {
+    'administration': {
+        'objects': [
+            {
+                'kind': 'workspace',
+                'name': 'acme',
+                'rate': 100.0,
+                'burst': 200.0,
+                'version': 3,
+            },
+            {
+                'kind': 'target',
+                'name': 't1',
+                'service': 's1',
+                'zone': 'z1',
+                'url': 'http://127.0.0.1:80',
+                'slots': 4,
+            },
+        ],
+    },
+    'member': MEMBER,
+    'ownership': OWNERSHIP,
+    'quarantined-part': QUARANTINE,
+    'quarantined-request': REQUEST_RECORD,
     'configuration': CONFIG,
     'version': {'model': 'daka', 'adapter': 'a1', 'version': 2},
     'target': ENTRY,
@@ -40,6 +112,24 @@
         'events': [ROW, {'key': 'k', 'rev': 4, 'removed': True}],
     },
 }
+# Samples in msgpack, by border.
+PACKED = {
+    'message': [
+        msgspec.to_builtins(each, builtin_types=(bytes,)) for each in MESSAGES
+    ],
+    'origins': [[msgspec.to_builtins(ORIGIN)]],
+    'path-request': [
+        msgspec.to_builtins(OpenPath('n1', 'f' * 64, 'e1', 4, 2.5, 'r1')),
+    ],
+    'path-reply': [msgspec.to_builtins(PathReply('it leaves'))],
+}
+# Samples in bytes, by border.
+RAW = {
+    'caller-fields': CALLER_FIELDS,
+    'response-fields': RESPONSE_FIELDS,
+    'events': EVENTS,
+    'path-frame': frame(b'abc') + frame(b''),
+}
 ODD_VALUES = (
     st.sampled_from(
         [
@@ -120,14 +210,44 @@
         )
         if not isinstance(raw, dict):
             break
-    text = json.dumps(raw, ensure_ascii=draw(st.booleans()))
-    encoded = text.encode(errors='surrogatepass')
+    return draw(spoiled(encoded(raw, draw(st.booleans())), b'['))
+
+
+def encoded(value, is_ascii=True):
+    """Encode a value in JSON."""
+    text = json.dumps(value, ensure_ascii=is_ascii)
+    return text.encode(errors='surrogatepass')
+
+
+@st.composite
+def packed(draw, samples):
+    """Return the msgpack of a sample that was changed, cut, or nested."""
+    raw = copy.deepcopy(draw(st.sampled_from(samples)))
+    for _ in range(draw(st.integers(0, 2))):
+        place = draw(st.sampled_from(places(raw)))
+        odd = draw(ODD_VALUES)
+        kind = draw(st.sampled_from(['replace', 'remove', 'copy']))
+        raw = change(raw, place, odd, kind)
+        if not isinstance(raw, list):
+            break
+    try:
+        content = msgspec.msgpack.encode(raw)
+    except (OverflowError, ValueError, TypeError):
+        # Integers beyond 64 bits and lone surrogates have no encoding.
+        content = msgspec.msgpack.encode(str(raw).encode('utf-8', 'replace'))
+    # An array of one element that is an array of one element, and so on.
+    return draw(spoiled(content, b'\x91'))
+
+
+@st.composite
+def spoiled(draw, encoded, nested):
+    """Return bytes that were cut, nested, doubled, or have others inside."""
     match draw(st.sampled_from(['whole', 'cut', 'nested', 'bytes', 'twice'])):
         case 'cut':
             return encoded[: draw(st.integers(0, len(encoded)))]
         case 'nested':
             at = draw(st.integers(0, len(encoded)))
-            return encoded[:at] + b'[' * 50_000 + encoded[at:]
+            return encoded[:at] + nested * 50_000 + encoded[at:]
         case 'bytes':
             at = draw(st.integers(0, len(encoded)))
             return encoded[:at] + draw(st.binary(max_size=4)) + encoded[at:]
@@ -137,6 +257,75 @@
             return encoded
 
 
+ODD_FIELDS = (
+    b'',
+    b'-1',
+    b'1e400',
+    b'nan',
+    b'9' * 5000,
+    b'1,' * 2000,
+    b'\xb2',
+    b'\xff\xfe',
+    b'\xe3\x81\x82',
+    b':,:',
+    b'a:1,b:-2,c:' + b'9' * 30,
+)
+
+
+@st.composite
+def spoiled_lines(draw, raw):
+    """Return lines of which some were removed, doubled or given odd values."""
+    lines = raw.split(b'\n')
+    for _ in range(draw(st.integers(0, 3))):
+        at = draw(st.integers(0, len(lines) - 1))
+        name, separator, _ = lines[at].partition(b': ')
+        odd = draw(st.sampled_from(ODD_FIELDS) | st.binary(max_size=8))
+        # One field stays one line.
+        odd = odd.replace(b'\r', b' ').replace(b'\n', b' ')
+        lines[at : at + 1] = draw(
+            st.sampled_from(
+                [[], [lines[at]] * 2, [name + separator + odd], [odd]],
+            ),
+        )
+        if not lines:
+            break
+    return b'\n'.join(lines)
+
+
+def inputs(name):
+    """Return a strategy of the contents that a border gets."""
+    if name in SAMPLES:
+        return mutated(SAMPLES[name])
+    if name in PACKED:
+        return packed(PACKED[name])
+    return spoiled_lines(RAW[name]) | spoiled_lines(RAW[name]).flatmap(
+        lambda raw: spoiled(raw, b'\n')
+    )
+
+
+def samples(name):
+    """Return the encoded samples of a border."""
+    if name in SAMPLES:
+        return [encoded(SAMPLES[name])]
+    if name in PACKED:
+        return [msgspec.msgpack.encode(each) for each in PACKED[name]]
+    return [RAW[name]]
+
+
+def fields_of(content):
+    """Return the header fields in some lines."""
+    pairs = [line.partition(b': ') for line in content.split(b'\n')]
+    return [(name.lower(), value) for name, _, value in pairs]
+
+
+def take_all(buffer, decode):
+    """Return all frames in a buffer."""
+    found = []
+    while (payload := decode(buffer)) is not None:
+        found.append(payload)
+    return found
+
+
 def toml(content):
     """Return the text of a settings file from the JSON of a document."""
     text = content.decode(errors='surrogateescape')
@@ -160,32 +349,72 @@
     )
 
 
+def store_calls(decode, content):
+    """Yield the calls of the store's client."""
+    yield lambda: decode(store._Committed, content).rev
+    yield lambda: decode(store._Granted, content).lease
+    yield lambda: [
+        store._decode_item(row) for row in decode(store._Page, content).items
+    ]
+    yield lambda: [
+        store._decode_change(row)
+        for row in decode(store._Events, content).events
+    ]
+
+
+def response_calls(decode, content):
+    """Yield the calls with heads of several statuses."""
+    for status in (200, 421, 503):
+        head = ResponseHead(status, fields_of(content))
+        yield functools.partial(decode, head, 'r1')
+
+
+def frame_calls(decode, content):
+    """Yield the call that reads all frames."""
+    buffer = FrameBuffer()
+    buffer.feed(content)
+    yield lambda: take_all(buffer, decode)
+
+
+def body_calls(decode, content):
+    """Yield the call with the body that has all others inside."""
+    yield lambda: decode(ApplyRequest, content).model_dump()
+
+
+# Calls of the borders that take more than some content.
+CALLS = {
+    'administration': body_calls,
+    'caller-fields': lambda decode, content: [
+        lambda: decode(fields_of(content)),
+    ],
+    'events': lambda decode, content: [lambda: decode(EventBuffer(), content)],
+    'member': lambda decode, content: [
+        lambda: decode('mintlanding/member/odd', content),
+    ],
+    'path-frame': frame_calls,
+    'response-fields': response_calls,
+    'settings': lambda decode, content: [lambda: decode(toml(content))],
+    'store': store_calls,
+    'target': lambda decode, content: [
+        lambda: decode('servers/i-7f', content),
+    ],
+}
+
+
 def calls(name, content):
-    """Yield the calls of a border with some content."""
+    """Return the calls of a border with some content."""
     decode = BORDERS[name].decode
-    if name == 'settings':
-        yield lambda: decode(toml(content))
-    elif name == 'target':
-        yield lambda: decode('servers/i-7f', content)
-    elif name == 'store':
-        yield lambda: decode(store._Committed, content).rev
-        yield lambda: decode(store._Granted, content).lease
-        yield lambda: [
-            store._decode_item(row)
-            for row in decode(store._Page, content).items
-        ]
-        yield lambda: [
-            store._decode_change(row)
-            for row in decode(store._Events, content).events
-        ]
-    else:
-        yield lambda: decode(content)
+    if name in CALLS:
+        return CALLS[name](decode, content)
+    return [lambda: decode(content)]
 
 
 def parts(value):
     """Yield the numbers and texts in a decoded value."""
     if isinstance(value, Mapping):
         value = (*value.keys(), *value.values())
+    if isinstance(value, msgspec.Struct):
+        value = [getattr(value, name) for name in value.__struct_fields__]
     if dataclasses.is_dataclass(value):
         names = [field.name for field in dataclasses.fields(value)]
         value = [getattr(value, name) for name in names]
@@ -196,38 +425,44 @@
         yield value
 
 
-def check(value, largest):
+def check(value, bounds):
     """Assert that all numbers and texts in a value are within bounds."""
     for part in parts(value):
         if isinstance(part, int):
-            assert 0 <= part <= largest
+            assert 0 <= part <= bounds.most_whole
         elif isinstance(part, float):
-            assert 0 <= part <= MAX_AMOUNT
+            assert bounds.least <= part <= bounds.most
         elif isinstance(part, str):
             # Raises for a surrogate.
-            assert len(part.encode()) <= MAX_BYTES
+            assert len(part.encode()) <= bounds.text_bytes
 
 
 def test_every_border_has_a_sample():
-    assert SAMPLES.keys() == BORDERS.keys()
+    found = SAMPLES.keys() | PACKED.keys() | RAW.keys()
+    assert found == BORDERS.keys()
+    assert BORDERS['administration'].decode is decode_body
+    assert BORDERS['caller-fields'].decode is requests.read_caller
+    assert BORDERS['member'].decode is view.decode_member
     assert BORDERS['target'].decode is records.decode_target
     assert BORDERS['settings'].decode is settings.parse_settings
 
 
-@pytest.mark.parametrize('name', sorted(SAMPLES))
+@pytest.mark.parametrize('name', sorted(BORDERS))
 def test_sample_is_valid_at_its_border(name):
-    for call in calls(name, json.dumps(SAMPLES[name]).encode()):
-        check(call(), MAX_WHOLE)
+    for content in samples(name):
+        for call in calls(name, content):
+            check(call(), BORDERS[name].bounds)
 
 
-@pytest.mark.parametrize('name', sorted(SAMPLES))
+@pytest.mark.parametrize('name', sorted(BORDERS))
 @given(data=st.data())
 def test_border_gives_a_value_within_bounds_or_its_error(name, data):
-    content = data.draw(mutated(SAMPLES[name]))
+    content = data.draw(inputs(name))
+    error = BORDERS[name].error or ()
     for call in calls(name, content):
         try:
             value = call()
-        except BORDERS[name].error as exc:
+        except error as exc:
             assert str(exc)
             continue
-        check(value, LARGEST.get(name, MAX_WHOLE))
+        check(value, BORDERS[name].bounds)
--- a/mintlanding/quarantine/records.py
+++ b/mintlanding/quarantine/records.py
@@ -4,10 +4,19 @@
 
 import msgspec
 
-from mintlanding.core.bounds import Amount, Count
+from mintlanding.core.borders import ValueBounds, border, decode_with
+from mintlanding.core.bounds import (
+    MAX_FINITE,
+    MAX_RECORD_BYTES,
+    MAX_WHOLE,
+    Amount,
+    Count,
+)
+from mintlanding.core.exceptions import MemberDataInvalid
 
 # Crashes that a record counts; restoring takes a step for each.
 MAX_CRASHES = 1000
+_BOUNDS = ValueBounds(MAX_WHOLE, 0, MAX_FINITE, MAX_RECORD_BYTES)
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -34,3 +43,19 @@
     last_crash: Amount
     trials: Count = 0
     is_quarantined: bool = False
+
+
+_PART_DECODER = msgspec.json.Decoder(QuarantineRecord)
+_REQUEST_DECODER = msgspec.json.Decoder(RequestRecord)
+
+
+@border('quarantined-part', MemberDataInvalid, _BOUNDS)
+def decode_quarantine(content: bytes) -> QuarantineRecord:
+    """Decode the record of a part; raise MemberDataInvalid."""
+    return decode_with(_PART_DECODER.decode, content, MemberDataInvalid)
+
+
+@border('quarantined-request', MemberDataInvalid, _BOUNDS)
+def decode_request_record(content: bytes) -> RequestRecord:
+    """Decode the record of a request; raise MemberDataInvalid."""
+    return decode_with(_REQUEST_DECODER.decode, content, MemberDataInvalid)
--- a/mintlanding/streams/messages.py
+++ b/mintlanding/streams/messages.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from mintlanding.core.bounds import Count, Whole
+from mintlanding.core.borders import ValueBounds, border, decode_with
+from mintlanding.core.bounds import MAX_RECORD_BYTES, Count, Whole
+from mintlanding.core.exceptions import MemberDataInvalid
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -39,3 +41,12 @@
 
     number: Whole
     origin: StreamOrigin | None = None
+
+
+_ORIGINS_DECODER = msgspec.msgpack.Decoder(tuple[StreamOrigin, ...])
+
+
+@border('origins', MemberDataInvalid, ValueBounds(text_bytes=MAX_RECORD_BYTES))
+def decode_origins(content: bytes) -> tuple[StreamOrigin, ...]:
+    """Decode a record of origins; raise MemberDataInvalid."""
+    return decode_with(_ORIGINS_DECODER.decode, content, MemberDataInvalid)
