Close a refused connection although another request follows

Cause: after a refusal the caller's connection is kept for a second, so that the response can be read. A request in the same bytes behind the refused one started the timeout of its header in place of that second; its end found the connection refused already and did nothing, so that the connection stayed open for as long as its caller kept it, also through a planned stop.

Change: nothing behind a refused request is begun.

Measured: test_refused_connection_ends_although_a_request_follows fails twice of twice before (413, 431) and passes; all of http1/tests/test_server.py passes.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -231,6 +231,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request, which may share a chunk with the one before."""
+        if self._is_refused:
+            return
         self._reset_message()
         self._in_request = True
         if self._task is None:
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -503,3 +503,26 @@
             while world.server.connections:
                 await asyncio.sleep(0.02)
         writer.close()
+
+
+@pytest.mark.parametrize(
+    ('refused', 'status'),
+    [
+        (b'POST / HTTP/1.1\r\nContent-Length: 200\r\n\r\n' + b'x' * 200, 413),
+        (b'GET / HTTP/1.1\r\nX: ' + b'a' * 500 + b'\r\n\r\n', 431),
+    ],
+)
+async def test_refused_connection_ends_although_a_request_follows(
+    refused, status
+):
+    limits = {'header_bytes': 400, 'body_bytes': 100, 'header_timeout': 0.2}
+    async with World(**limits) as world:
+        reader, writer = await world.connect()
+        # The caller keeps its own side open.
+        writer.write(refused + GET)
+        assert (await read_response(reader))[0] == status
+        async with asyncio.timeout(3):
+            while world.server.connections:
+                await asyncio.sleep(0.02)
+        writer.close()
+    assert not world.seen
