Let no third granter of a brittle target act within one window

The old holder's last grant, two of the next holder (open for 0.6 s) and one of an instance that started 44 ms later were refused within 0.1 s; an instance whose holder did not answer granted from its own share 0.15 s later. Each began with all refusals of its share, since what one granter let pass is lost with its desk, and the part that one uses is meant for two. By reading: the end of a request went to the present holder and not to the one that granted it; a request for a closed desk opened one that had forgotten; the end of a cut gave a holder the others' refusals and slots at once.

Change: A new granter looks back at who was in charge within 1.9 s and waits if more acted than the target bears, or if its process is younger; stewards of engines do the same. The own share counts once the holder has been silent for as long, a larger share as long after it came back. A larger part does not raise the number of places that are known to be there. Rooms outlive desks, and ends go to the granter too. What another's request was refused counts, but leaves the bound.

--- a/mintlanding/node/admissions.py
+++ b/mintlanding/node/admissions.py
@@ -28,6 +28,9 @@
 _OBSERVE_SECONDS = 0.5
 # Seconds after the last choice of a worker from which no reports are requested.
 _IDLE_SECONDS = 3.0
+# Seconds for which it is known who granted a request: longer than one that is
+# refused takes.
+_GRANTED_SECONDS = 5.0
 # Seconds for which the adapters in an old digest are taken for resident.
 _DIGEST_LIFETIME = 8.0
 
@@ -84,6 +87,8 @@
     stewards: Stewards
     limits: LimitKeeper
     _pending: dict[str, _Pending] = field(default_factory=dict)
+    # Who granted each request to a brittle target, and when.
+    _granted: dict[str, tuple[str, float]] = field(default_factory=dict)
     _digests: dict[str, _LastDigest] = field(default_factory=dict)
     _observed: dict[str, _ObservedWorker] = field(default_factory=dict)
     _started: float = field(default_factory=boot_seconds)
@@ -191,6 +196,8 @@
                 return None
             reply = await self._await_reply(holder, req, pending)
             is_replied = reply is not None
+            if reply is not None:
+                self._record_reply(holder, reply)
             return reply
         finally:
             self._pending.pop(req.request_id, None)
@@ -205,7 +212,6 @@
         reply = await self.reserve(req)
         if reply is None:
             return await self.limits.reserve_own(req)
-        self.limits.holder_replied(req.worker)
         return reply
 
     def end(
@@ -215,7 +221,10 @@
         outcome: GrantOutcome,
         times: StreamTimes | None = None,
     ) -> None:
-        """Report the end of a request to the holder of its worker."""
+        """Report the end of a request to the holder of its worker.
+
+        The one that granted it has to know as well.
+        """
         message = AdmissionEnd(reservation_id, worker, outcome)
         if times is not None:
             message = AdmissionEnd(
@@ -227,10 +236,26 @@
             )
         self.limits.end_own(message)
         holder = self.holder(worker)
-        if holder == self.membership.instance:
-            self.stewards.end(message)
-        elif self.membership.mesh is not None:
-            self.membership.mesh.send(holder, message)
+        granter, _ = self._granted.pop(reservation_id, (holder, 0))
+        for receiver in {holder, granter}:
+            if receiver == self.membership.instance:
+                self.stewards.end(message)
+            elif self.membership.mesh is not None:
+                self.membership.mesh.send(receiver, message)
+
+    def _record_reply(self, holder: str, reply: AdmissionReply) -> None:
+        self.limits.holder_replied(reply.worker)
+        target = self.view.targets.get(reply.worker)
+        is_brittle = target is not None and self.limits.is_brittle(target)
+        if not reply.is_granted or not is_brittle:
+            return
+        now = boot_seconds()
+        self._granted[reply.request_id] = (holder, now)
+        while self._granted:
+            oldest = next(iter(self._granted))
+            if now <= self._granted[oldest][1] + _GRANTED_SECONDS:
+                break
+            self._granted.pop(oldest)
 
     async def _send_request(self, holder: str, req: AdmissionRequest) -> bool:
         known = self._digests.get(req.worker)
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -5,7 +5,8 @@
 limit as it reaches members. An instance that cannot reach the holder keeps its
 own part, so that all parts of a divided fleet together stay within the limit.
 
-The room of brittle targets is kept in the same way.
+The room of brittle targets is kept in the same way. What was refused there
+outlives the desk: another one may follow within the same second.
 """
 
 import asyncio
@@ -21,10 +22,17 @@
     AdmissionEnd,
     AdmissionReply,
     AdmissionRequest,
+    GrantOutcome,
 )
-from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
-from mintlanding.target_limits.desk import LimitDesk
+from mintlanding.target_limits.brittle import (
+    HANDOVER_SECONDS,
+    BrittleRoom,
+    RoomShare,
+    other_granters,
+)
+from mintlanding.target_limits.desk import LimitDesk, room_outcome
 from mintlanding.target_limits.first_contact import FirstContacts
+from mintlanding.target_limits.handover import FleetHistory
 from mintlanding.target_limits.messages import LimitReport
 from mintlanding.target_limits.pacer import Pacer
 from mintlanding.target_limits.table import LimitTable, TargetKey
@@ -35,14 +43,19 @@
 _IDLE_SECONDS = 15.0
 
 ReplyCallback = Callable[[AdmissionReply], None]
+# A target, and whether its room is that for own requests only.
+_RoomKey = tuple[TargetKey, bool]
 
 
 class _OpenDesk:
     """A desk with the callbacks of its requests and its timer."""
 
-    def __init__(self, desk: LimitDesk, key: TargetKey) -> None:
+    def __init__(
+        self, desk: LimitDesk, key: TargetKey, *, is_own: bool
+    ) -> None:
         self.desk = desk
         self.key = key
+        self.is_own = is_own
         self.used_at = boot_seconds()
         self.callbacks: dict[str, ReplyCallback] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -91,6 +104,11 @@
         self._desks: dict[str, _OpenDesk] = {}
         # Desks for the own requests to targets whose holder is unreachable.
         self._own_desks: dict[str, _OpenDesk] = {}
+        # Rooms of closed desks, and when each was closed.
+        self._kept_rooms: dict[_RoomKey, tuple[BrittleRoom, float]] = {}
+        # Since when the holders of targets have not replied.
+        self._silent_since: dict[str, float] = {}
+        self._history = FleetHistory(boot_seconds())
         # Until when no turn is expected, by target.
         self._waits: dict[TargetKey, float] = {}
         self.on_change: Callable[[], None] = lambda: None
@@ -206,6 +224,15 @@
             ],
         )
 
+    def steward_start(self, target: Target) -> float:
+        """Return when this instance may begin to grant as a steward."""
+        return self._history.start_as_steward(
+            self._membership.instance,
+            target.target,
+            other_granters(self._refusals(target) or 0),
+            boot_seconds(),
+        )
+
     def reserve(self, req: AdmissionRequest, on_reply: ReplyCallback) -> None:
         """Request a turn at a plain target for any instance."""
         self._reserve(self._desks, req, on_reply)
@@ -220,6 +247,7 @@
             if not admission.is_waiting and not reply.done():
                 reply.set_result(admission)
 
+        self._silent_since.setdefault(req.worker, boot_seconds())
         self._reserve(self._own_desks, req, receive)
         try:
             return await reply
@@ -231,11 +259,11 @@
 
     def holder_replied(self, target: str) -> None:
         """Give up the own part of a limit, since its holder is reachable."""
+        self._silent_since.pop(target, None)
         opened = self._own_desks.get(target)
         if opened is None or opened.desk.queue or opened.desk.room is not None:
             return
-        opened.close()
-        self._own_desks.pop(target)
+        self._close(self._own_desks.pop(target))
 
     def end(self, message: AdmissionEnd) -> None:
         """Process the end of a request to a plain target."""
@@ -251,6 +279,26 @@
             opened.callbacks.pop(message.request_id, None)
             opened.desk.end(message, boot_seconds())
             self._proceed(opened)
+            return
+        self._record_late_end(message, is_own=desks is self._own_desks)
+
+    def _record_late_end(self, message: AdmissionEnd, *, is_own: bool) -> None:
+        """Record the end of a request whose desk is closed, or elsewhere."""
+        now = boot_seconds()
+        target = self._view.targets.get(message.worker)
+        outcome = room_outcome(message.outcome)
+        if target is None or self._view.is_engine(target):
+            return
+        kept = self._kept_rooms.get((target.key, is_own))
+        if kept is not None:
+            kept[0].record_end(message.request_id, outcome, now)
+            return
+        share = self.holder_share(target.key)
+        if is_own or share is None or outcome is not GrantOutcome.full:
+            return
+        room = self._new_room(target, share, is_own=False)
+        room.record_end(message.request_id, outcome, now)
+        self._kept_rooms[target.key, False] = (room, now)
 
     def update(self) -> None:
         """Adapt the desks to limits, members and targets."""
@@ -260,6 +308,7 @@
         self.table.retain(runs, now)
         self.brittle.retain(runs, now)
         self.contacts.retain(runs)
+        self._observe(now)
         self._waits = {
             target: until
             for target, until in self._waits.items()
@@ -272,7 +321,7 @@
         for desks in (self._desks, self._own_desks):
             for name, opened in tuple(desks.items()):
                 if self._is_outdated(name, opened, now):
-                    desks.pop(name).close()
+                    self._close(desks.pop(name))
                     continue
                 self._adapt(opened, now)
                 self._proceed(opened)
@@ -283,6 +332,33 @@
         for opened in (*self._desks.values(), *self._own_desks.values()):
             opened.stop_timer()
 
+    def _close(self, opened: _OpenDesk) -> None:
+        """Close a desk; what is known of the room is kept for a while."""
+        if opened.desk.room is not None:
+            kept = (opened.desk.room, boot_seconds())
+            self._kept_rooms[opened.key, opened.is_own] = kept
+        opened.close()
+
+    def _observe(self, now: float) -> None:
+        """Record who could be elected, and who holds the engines."""
+        own = self._membership.instance
+        reached = {
+            each
+            for each in self._view.members
+            if self._membership.is_reachable(each, now)
+        }
+        self._history.record_members(frozenset((own, *reached)), now)
+        self._history.retain(self._view.ownership)
+        for engine, record in self._view.ownership.items():
+            self._history.record_holder(engine, record.holder, now)
+        self._kept_rooms = {
+            key: (room, closed_at)
+            for key, (room, closed_at) in self._kept_rooms.items()
+            if now < closed_at + HANDOVER_SECONDS
+        }
+        for target in self._silent_since.keys() - self._view.targets.keys():
+            self._silent_since.pop(target)
+
     def _is_outdated(self, name: str, opened: _OpenDesk, now: float) -> bool:
         """Tell whether a desk should be closed."""
         target = self._view.targets.get(name)
@@ -342,7 +418,7 @@
     def _adapt(self, opened: _OpenDesk, now: float) -> None:
         """Adapt a desk to the limit of its target and to its room."""
         desk, key = opened.desk, opened.key
-        if self._own_desks.get(desk.target) is opened:
+        if opened.is_own:
             _set_rate(desk, self._own_limit(key), now)
             share = self._share(key, list)
         else:
@@ -352,9 +428,43 @@
         if share is None or target is None:
             desk.room = None
         elif desk.room is None:
-            desk.room = BrittleRoom(target.slots, share, now)
+            desk.room = self._room(target, share, now, is_own=opened.is_own)
         else:
-            desk.room.set_share(share)
+            desk.room.set_share(share, now)
+
+    def _room(
+        self, target: Target, share: RoomShare, now: float, *, is_own: bool
+    ) -> BrittleRoom:
+        """Return the room of a desk that was closed lately, or a new one."""
+        kept = self._kept_rooms.pop((target.key, is_own), None)
+        if kept is None:
+            return self._new_room(target, share, is_own=is_own)
+        room, _ = kept
+        room.set_share(share, now)
+        room.resume(self._start(target, is_own=is_own))
+        return room
+
+    def _new_room(
+        self, target: Target, share: RoomShare, *, is_own: bool
+    ) -> BrittleRoom:
+        starts_at = self._start(target, is_own=is_own)
+        return BrittleRoom(target.slots, share, boot_seconds(), starts_at)
+
+    def _start(self, target: Target, *, is_own: bool) -> float:
+        """Return when this instance may begin to let requests pass.
+
+        Its own share may be used by a holder that is silent for a moment.
+        """
+        now = boot_seconds()
+        if is_own:
+            since = self._silent_since.get(target.target, now)
+            return since + HANDOVER_SECONDS
+        return self._history.start_as_elected(
+            self._membership.instance,
+            target.target,
+            other_granters(self._refusals(target) or 0),
+            now,
+        )
 
     def _reserve(
         self,
@@ -377,10 +487,13 @@
         opened = desks.get(req.worker)
         if opened is None or opened.key != target.key:
             if opened is not None:
-                opened.close()
+                self._close(opened)
             opened = self._open(target, is_own=desks is self._own_desks)
             desks[req.worker] = opened
+            self._observe(now)
             self._adapt(opened, now)
+        if opened.is_own and opened.desk.room is not None:
+            opened.desk.room.hold_until(self._start(target, is_own=True))
         opened.used_at = now
         opened.callbacks[req.request_id] = on_reply
         self._deliver(opened, opened.desk.reserve(req, now))
@@ -394,7 +507,7 @@
             level = self._rnd.random() if is_own else 0
             pacer = Pacer(0, boot_seconds(), level)
         desk = LimitDesk(target.target, pacer, self._cfg.steward, self._rnd)
-        return _OpenDesk(desk, target.key)
+        return _OpenDesk(desk, target.key, is_own=is_own)
 
     def _proceed(self, opened: _OpenDesk) -> None:
         self._deliver(opened, opened.desk.tick(boot_seconds()))
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-import xxhash
 
 from mintlanding.coordination.transactional_store import (
     NO_REVISION,
@@ -51,6 +50,7 @@
     preferred_member,
     well_connected_members,
 )
+from mintlanding.target_limits.handover import elect
 from mintlanding.traffic.reach import MemberContact
 
 # Seconds after joining before workers of others are claimed, so that members
@@ -169,10 +169,7 @@
             if record.link_version >= least_link_version
             and self.is_reachable(each, now)
         )
-        return max(
-            candidates,
-            key=lambda each: xxhash.xxh64_intdigest(f'{name}|{each}'.encode()),
-        )
+        return elect(name, candidates)
 
     def forward(self, update: StoreUpdate) -> None:
         """Forward changes of the store to the members of the zone."""
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -367,8 +367,10 @@
             self._execute(target.target, steward.set_limit(limit, now))
         share = self._limits.holder_share(target.key)
         if share is not None or steward.room is not None:
+            starts_at = self._limits.steward_start(target)
             self._execute(
-                target.target, steward.set_room_share(share, target.slots, now)
+                target.target,
+                steward.set_room_share(share, target.slots, now, starts_at),
             )
 
     def _execute(self, worker: str, actions: Sequence[Action]) -> None:
--- /dev/null
+++ b/mintlanding/node/tests/fleet_on_paper.py
@@ -0,0 +1,307 @@
+"""Instances that share a brittle target, on a simulated clock.
+
+The keepers of limits and the admissions are real; links, statuses, the store
+and the target are played.
+"""
+
+import asyncio
+import itertools
+import random
+from types import SimpleNamespace
+
+from mintlanding.node import admissions, limit_keeper
+from mintlanding.node.admissions import Admissions
+from mintlanding.node.limit_keeper import LimitKeeper
+from mintlanding.node.settings import FleetOptions, RelayOptions
+from mintlanding.residency.messages import (
+    AdmissionEnd,
+    AdmissionReply,
+    AdmissionRequest,
+    GrantOutcome,
+)
+from mintlanding.residency.models import StewardOptions
+from mintlanding.target_limits.brittle import TURN_SECONDS, member_weight
+from mintlanding.target_limits.messages import LimitReport
+from mintlanding.target_limits.tests.oracle import Oracle
+from mintlanding.traffic.models import Target
+from mintlanding.traffic.reach import FleetReach, MemberContact
+
+TARGET = Target('p1', 'orders', ('127.0.0.1', 1), 'z1', 4, incarnation=7)
+# Seconds between two statuses, and for a message.
+STATUS_SECONDS = 0.25
+DELAY = 0.004
+# Seconds until the record of a member that ended silently is gone.
+LEASE_SECONDS = 3.0
+
+
+class PaperLoop(asyncio.SelectorEventLoop):
+    """An event loop that goes on to its next timer without waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+
+    def time(self):
+        return self.now
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.now = max(self.now, self._scheduled[0]._when)
+        super()._run_once()
+
+
+class Member:
+    """One process: what it knows of the others, and its real parts."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.is_leaving = False
+        self.ended = False
+        # When each other member was heard last.
+        self.heard = {}
+        self.reach = FleetReach()
+        self.membership = SimpleNamespace(
+            instance=name,
+            is_reachable=self.is_reachable,
+            elected=self.elected,
+            reach=lambda now: (1, 1),
+            mesh=SimpleNamespace(send=self.send, redial=lambda member: None),
+        )
+        self.view = SimpleNamespace(
+            targets={'p1': TARGET},
+            members={},
+            ownership={},
+            is_engine=lambda target: False,
+        )
+        cfg = SimpleNamespace(
+            relay=RelayOptions(), fleet=FleetOptions(), steward=StewardOptions()
+        )
+        rnd = random.Random(name)
+        self.limits = LimitKeeper(cfg, self.view, self.membership, rnd)
+        self.limits.departed = self.reach.departed
+        self.stewards = SimpleNamespace(
+            reserve=self.limits.reserve, end=self.limits.end
+        )
+        self.admissions = Admissions(
+            cfg, self.view, self.membership, self.stewards, self.limits
+        )
+
+    def is_reachable(self, member, now):
+        at = self.heard.get(member, float('-inf'))
+        return now < at + FleetOptions().member_timeout
+
+    def elected(self, target):
+        now = self.fleet.loop.time()
+        near = [
+            each for each in self.view.members if self.is_reachable(each, now)
+        ]
+        return max(
+            {self.name, *near}, key=lambda each: member_weight(target, each)
+        )
+
+    def send(self, member, message):
+        if member not in self.view.members:
+            return False
+        self.fleet.deliver(self.name, member, message)
+        return True
+
+    def receive(self, sender, message):
+        if isinstance(message, AdmissionRequest):
+            self.limits.merge_brittle(message.brittle, self.fleet.loop.time())
+            self.limits.reserve(message, lambda reply: self.send(sender, reply))
+        elif isinstance(message, AdmissionEnd):
+            self.limits.end(message)
+        elif isinstance(message, AdmissionReply):
+            self.admissions.receive(message)
+        else:
+            self.heard[sender] = self.fleet.loop.time()
+
+    def update(self):
+        now = self.fleet.loop.time()
+        contacts = {
+            each: MemberContact(
+                now - self.heard.get(each, float('-inf')),
+                self.fleet.is_leaving(each),
+            )
+            for each in self.view.members
+            if each != self.name
+        }
+        self.reach.update(contacts, STATUS_SECONDS, now)
+        self.limits.update()
+
+
+class Fleet:
+    """Members, their links, the store's records and one target."""
+
+    def __init__(self, loop, oracle, bears, rnd):
+        self.loop = loop
+        self.oracle = oracle
+        self.bears = bears
+        self.rnd = rnd
+        self.members = {}
+        self.records = set()
+        self.silent_links = set()
+        self.served = 0
+        self.number = itertools.count()
+        self.tasks = set()
+
+    def add(self, name):
+        member = Member(self, name)
+        self.members[name] = member
+        self.records.add(name)
+        # It learns from the first statuses that the target is brittle.
+        report = LimitReport('p1', 7, float(self.bears))
+        self.loop.call_later(
+            self.rnd.uniform(0.05, 0.3),
+            member.limits.merge_brittle,
+            (report,),
+            self.loop.time(),
+        )
+        self._spawn(self._run(member))
+
+    def kill(self, name):
+        member = self.members.pop(name, None)
+        if member is None:
+            return
+        member.ended = True
+        member.limits.stop()
+        self.loop.call_later(LEASE_SECONDS, self._lapse, name)
+
+    def leave(self, name):
+        member = self.members.pop(name, None)
+        if member is None:
+            return
+        member.ended = member.is_leaving = True
+        member.limits.stop()
+        self.records.discard(name)
+
+    def is_leaving(self, name):
+        return name not in self.members and name not in self.records
+
+    def cut(self, senders, receivers):
+        """Lose what some members send to others."""
+        self.silent_links |= {
+            (one, other)
+            for one in senders
+            for other in receivers
+            if one != other
+        }
+
+    def cut_in_groups(self, *groups):
+        for one, other in itertools.permutations(groups, 2):
+            self.cut(one, other)
+
+    def heal(self):
+        self.silent_links.clear()
+
+    def deliver(self, sender, receiver, message):
+        def arrive():
+            member = self.members.get(receiver)
+            if member is not None and sender in self.members:
+                member.receive(sender, message)
+
+        if (sender, receiver) not in self.silent_links:
+            self.loop.call_later(DELAY * self.rnd.uniform(0.5, 3), arrive)
+
+    def most_refused(self):
+        return self.oracle.most_refused()
+
+    async def flood(self, seconds, rate):
+        """Let callers send to the members in turn."""
+        end = self.loop.time() + seconds
+        while self.loop.time() < end:
+            names = sorted(self.members)
+            if names:
+                name = names[next(self.number) % len(names)]
+                self._spawn(self._call(self.members[name]))
+            await asyncio.sleep(self.rnd.uniform(0, 2) / rate)
+
+    async def stop(self):
+        for member in self.members.values():
+            member.limits.stop()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _spawn(self, coroutine):
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _lapse(self, name):
+        if name not in self.members:
+            self.records.discard(name)
+
+    async def _run(self, member):
+        await asyncio.sleep(self.rnd.uniform(0, STATUS_SECONDS))
+        while not member.ended:
+            member.view.members = dict.fromkeys(sorted(self.records))
+            for each in member.view.members:
+                if each != member.name:
+                    self.deliver(member.name, each, None)
+            member.update()
+            await asyncio.sleep(STATUS_SECONDS * self.rnd.uniform(0.9, 1.1))
+
+    async def _call(self, member):
+        name = f'r{next(self.number)}'
+        if not member.limits.is_brittle(TARGET):
+            return
+        report = LimitReport('p1', 7, float(self.bears))
+        reply = await member.admissions.take_turn(
+            AdmissionRequest(
+                request_id=name,
+                worker='p1',
+                model='',
+                adapter='',
+                workspace='',
+                prompt_tokens=0,
+                output_tokens=0,
+                priority=1,
+                objective=2.0,
+                max_wait=0.5,
+                deadline=3.0,
+                reroute_wait=0.5,
+                brittle=(report,),
+            )
+        )
+        if not reply.is_granted or member.ended:
+            return
+        granted_at = self.loop.time()
+        await asyncio.sleep(DELAY * self.rnd.choice([0.5, 1, 1, 10]))
+        outcome = GrantOutcome.unused
+        if member.ended:
+            return
+        if self.loop.time() < granted_at + TURN_SECONDS:
+            outcome, at = self.oracle.arrive(self.loop.time())
+            await asyncio.sleep(max(0, at - self.loop.time()) + DELAY)
+        self.served += outcome is GrantOutcome.served
+        if not member.ended:
+            member.admissions.end('p1', name, outcome)
+
+
+def play_fleet(monkeypatch, scenario, **options):
+    """Run a scenario, a coroutine function of a fleet; return the fleet."""
+    loop = PaperLoop()
+    for module in (limit_keeper, admissions):
+        monkeypatch.setattr(module, 'boot_seconds', loop.time)
+    rnd = random.Random(options.get('seed', 1))
+    slots = options.get('slots', 4)
+    oracle = Oracle(
+        slots,
+        slots + options.get('waiting', 4),
+        options.get('run_seconds', 0.2),
+    )
+    fleet = Fleet(loop, oracle, options.get('bears', 4), rnd)
+
+    async def play():
+        for number in range(options.get('members', 4)):
+            fleet.add(f'n{number}')
+        await scenario(fleet)
+        await fleet.stop()
+
+    try:
+        loop.run_until_complete(play())
+    finally:
+        loop.close()
+    return fleet
--- a/mintlanding/node/tests/test_limit_keeper.py
+++ b/mintlanding/node/tests/test_limit_keeper.py
@@ -21,6 +21,7 @@
     view = SimpleNamespace(
         targets={'p1': TARGET, 'p2': OTHER},
         members={name: None for name in ('n0', 'n1', 'n2', 'n3')},
+        ownership={},
     )
     membership = SimpleNamespace(
         instance='n0',
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -297,23 +297,28 @@
         return self._proceed(now)
 
     def set_room_share(
-        self, share: RoomShare | None, slots: int, now: float
+        self,
+        share: RoomShare | None,
+        slots: int,
+        now: float,
+        starts_at: float = -math.inf,
     ) -> Sequence[Action]:
         """Send no more than a share of the room of a brittle engine.
 
-        `slots` are those that the engine itself has named.
+        `slots` are those that the engine itself has named, `starts_at` is when
+        a new steward may begin.
         """
         if share is None:
             self.room = None
         elif self.room is None:
             slots = min(slots, self._capacity.batch_limit)
-            self.room = BrittleRoom(slots, share, now)
+            self.room = BrittleRoom(slots, share, now, starts_at)
             self.room.adopt(
                 (request_id, each.since, each.expires)
                 for request_id, each in self._granted.items()
             )
         else:
-            self.room.set_share(share)
+            self.room.set_share(share, now)
         return self._proceed(now)
 
     def set_authority(
--- a/mintlanding/target_limits/brittle.py
+++ b/mintlanding/target_limits/brittle.py
@@ -24,6 +24,8 @@
 _WINDOW_SECONDS = 1.5
 # Seconds after its grant in which a request may still be refused.
 _RISK_SECONDS = 0.4
+# Seconds for which what one granter let pass bears on what others may.
+HANDOVER_SECONDS = _WINDOW_SECONDS + _RISK_SECONDS
 # Seconds for which a grant may be used, well below the time at risk.
 TURN_SECONDS = 0.25
 # Part of the concurrent requests that remain after a refusal.
@@ -65,12 +67,23 @@
         Refusals that do not divide go to the first members by rendezvous
         hashing. `granters` are some of `members`.
         """
-        whole = max(1, int(refusals * _USED_PART))
+        whole = _whole(refusals)
         each, rest = divmod(whole, len(members))
-        favoured = sorted(members, key=lambda name: _weight(target, name))
+        favoured = sorted(members, key=lambda name: member_weight(target, name))
         extra = sum(name in granters for name in favoured[:rest])
         return cls(each * len(granters) + extra, len(granters) / len(members))
 
+    def least(self, other: 'RoomShare') -> 'RoomShare':
+        """Return what both shares contain."""
+        return RoomShare(
+            min(self.refusals, other.refusals), min(self.part, other.part)
+        )
+
+
+def other_granters(refusals: float) -> int:
+    """Return how many others may act within the same window as a granter."""
+    return max(1, int(refusals)) // _whole(refusals) - 1
+
 
 @dataclass(slots=True)
 class _Sent:
@@ -86,14 +99,29 @@
 class BrittleRoom:
     """Bounds the requests that one granter lets pass to a brittle target."""
 
-    def __init__(self, slots: int, share: RoomShare, now: float) -> None:
-        """Start cautiously: nothing is known of the requests under way."""
+    def __init__(
+        self,
+        slots: int,
+        share: RoomShare,
+        now: float,
+        starts_at: float = -math.inf,
+    ) -> None:
+        """Start cautiously: nothing is known of the requests under way.
+
+        Before `starts_at` none may pass, since others may have used up the
+        refusals.
+        """
         self._slots = max(1, slots)
         self._share = share
+        self._named_share = share
+        # Earlier shares, and until when each was in force.
+        self._earlier: deque[tuple[float, RoomShare]] = deque()
+        self._starts_at = starts_at
         self._bound = max(float(share.refusals), self._slots / 2)
         self._sent: dict[str, _Sent] = {}
         self._refused_at: deque[float] = deque()
-        # Concurrent requests that the target took since its last refusal.
+        # Concurrent requests from here that the target took since its last
+        # refusal.
         self._proven = 0
         self._last_refusal = float('-inf')
         self._is_starting = True
@@ -112,9 +140,26 @@
         """Return the number of requests that have not ended."""
         return len(self._sent)
 
-    def set_share(self, share: RoomShare) -> None:
-        """Use another share from now on."""
-        self._share = share
+    def set_share(self, share: RoomShare, now: float) -> None:
+        """Use another share: at once what is less, what is more later.
+
+        Others may have used what comes back here.
+        """
+        if share != self._named_share:
+            self._earlier.append((now, self._named_share))
+            self._named_share = share
+        self._update_share(now)
+
+    def hold_until(self, at: float) -> None:
+        """Let none pass before a time, since others may let some pass."""
+        if at > self._starts_at:
+            self._starts_at = at
+            self._proven = 0
+
+    def resume(self, at: float) -> None:
+        """Go on at a time, after others have let requests pass meanwhile."""
+        self.hold_until(at)
+        self._proven = 0
 
     def adopt(self, granted: Iterable[tuple[str, float, float]]) -> None:
         """Count requests that were granted before the target was brittle.
@@ -128,11 +173,13 @@
     def wait(self, now: float) -> float:
         """Return the seconds until a request may pass if none ends before."""
         self._expire(now)
+        if now < self._starts_at:
+            return self._starts_at - now
         if not self._share.refusals:
-            return math.inf
+            return self._seconds_until_share(now)
         if len(self._sent) >= self.limit:
             return min(each.expires for each in self._sent.values()) - now
-        if len(self._sent) < self._proven * self._share.part:
+        if len(self._sent) < self._proven:
             return 0
         risks = [
             each.at + _RISK_SECONDS
@@ -162,7 +209,7 @@
             at=now,
             expires=expires,
             place=place,
-            is_at_risk=place > self._proven * self._share.part,
+            is_at_risk=place > self._proven,
             is_at_bound=place >= self.limit,
         )
 
@@ -172,15 +219,16 @@
         """Record how a request ended.
 
         One that was refused while its adapter was loading says nothing of the
-        room, but the target may have counted it.
+        room, but the target may have counted it. The same holds for one that
+        another granter let pass.
         """
         if outcome is GrantOutcome.served:
             self._record_served(request_id, now)
             return
-        self._sent.pop(request_id, None)
+        sent = self._sent.pop(request_id, None)
         if outcome in {GrantOutcome.full, GrantOutcome.not_ready}:
             self._refused_at.append(now)
-        if outcome is GrantOutcome.full:
+        if outcome is GrantOutcome.full and sent is not None:
             self._record_full(now)
 
     def _record_served(self, request_id: str, now: float) -> None:
@@ -190,7 +238,7 @@
         self._run_seconds += _SMOOTHING * (now - sent.at - self._run_seconds)
         if sent.at <= self._last_refusal:
             return
-        taken = min(self._slots, int(sent.place / self._share.part))
+        taken = min(self._most_proven(), sent.place)
         self._proven = max(self._proven, taken)
         if sent.is_at_bound:
             self._raise_bound(now)
@@ -199,11 +247,11 @@
         self._last_refusal = now
         self._is_starting = False
         self._raised_at = now
-        left = len(self._sent) / self._share.part
-        if left < self._proven:
+        left = len(self._sent) * _DROP
+        if len(self._sent) < self._proven:
             # Its slots are taken by requests that are not known here.
-            self._proven = int(left * _DROP)
-        self._bound = max(1, min(self._bound, left * _DROP))
+            self._proven = int(left)
+        self._bound = max(1, min(self._bound, left / self._share.part))
 
     def _raise_bound(self, now: float) -> None:
         rise = 1.0
@@ -212,7 +260,28 @@
         self._raised_at = now
         self._bound = min(self._slots * _MAX_SLOTS, self._bound + rise)
 
+    def _most_proven(self) -> int:
+        return int(self._slots * self._share.part)
+
+    def _update_share(self, now: float) -> None:
+        """Use the least of the shares of the last window."""
+        while self._earlier and self._earlier[0][0] <= now - HANDOVER_SECONDS:
+            self._earlier.popleft()
+        share = self._named_share
+        for _, earlier in self._earlier:
+            share = share.least(earlier)
+        self._share = share
+        self._proven = min(self._proven, self._most_proven())
+
+    def _seconds_until_share(self, now: float) -> float:
+        """Return the seconds until a share counts, infinite without one."""
+        if not self._named_share.refusals or not self._earlier:
+            return math.inf
+        return self._earlier[0][0] + HANDOVER_SECONDS - now
+
     def _expire(self, now: float) -> None:
+        if self._earlier:
+            self._update_share(now)
         while self._refused_at and self._refused_at[0] <= now - _WINDOW_SECONDS:
             self._refused_at.popleft()
         for request_id, sent in tuple(self._sent.items()):
@@ -220,5 +289,11 @@
                 self._sent.pop(request_id)
 
 
-def _weight(target: str, member: str) -> int:
+def _whole(refusals: float) -> int:
+    """Return the refusals that all shares together contain."""
+    return max(1, int(refusals * _USED_PART))
+
+
+def member_weight(target: str, member: str) -> int:
+    """Return the weight of a member for a target in rendezvous hashing."""
     return xxhash.xxh64_intdigest(f'{target}|{member}'.encode())
--- a/mintlanding/target_limits/desk.py
+++ b/mintlanding/target_limits/desk.py
@@ -77,10 +77,7 @@
         if self.queue.remove(message.request_id) is not None:
             return
         if self.room is not None:
-            outcome = message.outcome
-            if outcome is GrantOutcome.not_ready:
-                # A plain target has no adapters to load.
-                outcome = GrantOutcome.full
+            outcome = room_outcome(message.outcome)
             self.room.record_end(message.request_id, outcome, now)
         granted_at = self._granted.pop(message.request_id, None)
         is_unused = message.outcome is GrantOutcome.unused
@@ -160,3 +157,11 @@
         if self.room is None:
             return 'its limit is used up'
         return ROOM_REASON
+
+
+def room_outcome(outcome: GrantOutcome) -> GrantOutcome:
+    """Return what the end of a request says of the room of a plain target."""
+    if outcome is GrantOutcome.not_ready:
+        # It has no adapters to load.
+        return GrantOutcome.full
+    return outcome
--- a/mintlanding/target_limits/tests/test_brittle.py
+++ b/mintlanding/target_limits/tests/test_brittle.py
@@ -9,46 +9,18 @@
 from hypothesis import strategies as st
 
 from mintlanding.residency.messages import GrantOutcome
-from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
+from mintlanding.target_limits.brittle import (
+    HANDOVER_SECONDS,
+    BrittleRoom,
+    RoomShare,
+    other_granters,
+)
+from mintlanding.target_limits.tests.oracle import Oracle
 
 # Seconds for a message between an instance and the target or the holder.
 DELAY = 0.01
 
 
-class Oracle:
-    """A target that knows its room and when it refused."""
-
-    def __init__(self, slots, room, run_seconds):
-        self.slots = slots
-        self.room = room
-        self.run_seconds = run_seconds
-        self.ends = []
-        self.refused_at = []
-
-    def arrive(self, now):
-        """Return the outcome of a request and when its response is sent."""
-        while self.ends and self.ends[0] <= now:
-            heapq.heappop(self.ends)
-        if len(self.ends) >= self.room:
-            self.refused_at.append(now)
-            return GrantOutcome.full, now
-        busy = sorted(self.ends)[-self.slots :]
-        begin = busy[0] if len(self.ends) >= self.slots else now
-        end = max(now, begin) + self.run_seconds
-        heapq.heappush(self.ends, end)
-        return GrantOutcome.served, end
-
-    def most_refused(self):
-        return most_within_a_second(self.refused_at)
-
-
-def most_within_a_second(times):
-    return max(
-        (sum(first <= at < first + 1 for at in times) for first in times),
-        default=0,
-    )
-
-
 def play(oracle, rooms, seconds, rate, change=None, rnd=None, lose=0.0):
     """Send more than the target can run through the rooms in turn.
 
@@ -188,3 +160,62 @@
         limits.append(room.limit)
     assert limits == sorted(limits)
     assert 4 <= limits[-1] <= 6
+
+
+@given(bears=st.floats(0, 60))
+def test_granters_of_one_window_use_no_more_than_a_target_bears(bears):
+    whole = RoomShare.of_members('p1', bears, ['n0'], ['n0']).refusals
+    assert (other_granters(bears) + 1) * whole <= max(1, bears)
+
+
+def test_new_granter_waits_until_others_are_forgotten():
+    room = BrittleRoom(4, RoomShare(2, 1), 0, starts_at=1.5)
+    assert room.wait(1.0) == 0.5
+    assert room.wait(1.5) == 0
+    room.hold_until(3)
+    assert room.wait(2) == 1
+
+
+def test_share_that_comes_back_counts_later():
+    room = BrittleRoom(8, RoomShare(4, 1), 0)
+    room.set_share(RoomShare(1, 0.25), 5)
+    assert used_refusals(room, 5) == 1
+    room.set_share(RoomShare(4, 1), 10)
+    assert used_refusals(room, 10) == 1
+    assert used_refusals(room, 10 + HANDOVER_SECONDS - 0.01) == 1
+    assert used_refusals(room, 20) == 4
+
+
+def used_refusals(room, now):
+    """Return how many requests pass before one has to be refused."""
+    passed = 0
+    while room.wait(now) <= 0:
+        room.begin(f'{now}-{passed}', now, now + 0.001)
+        passed += 1
+    return passed
+
+
+def test_part_that_comes_back_proves_no_more_room():
+    room = BrittleRoom(8, RoomShare(4, 0.5), 0)
+    for number in range(4):
+        room.begin(f'r{number}', 0, 9)
+    for number in range(4):
+        room.record_end(f'r{number}', GrantOutcome.served, 0.3)
+    room.set_share(RoomShare(4, 1), 1)
+    # The other half still runs the requests that it sent.
+    for number in range(4):
+        assert room.wait(4) <= 0
+        room.begin(f's{number}', 4, 9)
+    risky = 0
+    while room.wait(4) <= 0:
+        room.begin(f't{risky}', 4, 9)
+        risky += 1
+    assert risky <= 4
+
+
+def test_refusal_of_another_granter_counts_and_leaves_the_bound():
+    room = BrittleRoom(4, RoomShare(2, 1), 0)
+    limit = room.limit
+    room.record_end('sent elsewhere', GrantOutcome.full, 0.1)
+    assert room.limit == limit
+    assert used_refusals(room, 0.2) == 1
