Report the last log lines of a test that fails

Change: conftest.py keeps the last 400 lines of a test and adds them to the report of a failure.

Measured: with a stall of the event loop put in as a trial, a failing start of test_silent_targets.py showed 'Request ended.' with its reason.

--- a/conftest.py
+++ b/conftest.py
@@ -1,12 +1,21 @@
-"""Load a derandomized Hypothesis profile and mark known failing tests."""
+"""Load a derandomized Hypothesis profile and mark known failing tests.
+
+The last log lines of a test are reported with its failure.
+"""
 
 import gc
+import json
 import os
+from collections import deque
 from pathlib import Path
 
+import eliot
 import pytest
 from hypothesis import HealthCheck, settings
 
+# Log lines that are reported with a failure.
+_MAX_LINES = 400
+_lines = deque(maxlen=_MAX_LINES)
 _CHECKS = (HealthCheck.too_slow, HealthCheck.data_too_large)
 
 settings.register_profile(
@@ -44,6 +53,22 @@
             item.add_marker(mark)
 
 
+def pytest_configure():
+    eliot.add_destinations(_lines.append)
+
+
+def pytest_runtest_setup():
+    _lines.clear()
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport():
+    report = (yield).get_result()
+    if report.failed and _lines:
+        text = '\n'.join(json.dumps(each, default=repr) for each in _lines)
+        report.sections.append(('Last log lines', text))
+
+
 @pytest.fixture(autouse=True, scope='module')
 def _collect_garbage():
     """Collect what the tests of a module left before the next module runs.
