Keep a pause that a target asked for when the target restarts

Cause: A pause belonged to one run of a target, so that it ended with a restart. Whoever names pauses excuses a restart, a freeze or a cut of the instance that was told, not one of the target.

Change: Pauses are kept by the name of the target.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -262,7 +262,7 @@
             return f'no target of incarnation {incarnation}'
         if target.is_leaving:
             return 'it leaves'
-        if self.relay.pauses.wait(target.key, boot_seconds()):
+        if self.relay.pauses.wait(target.target, boot_seconds()):
             return 'it asked for a pause'
         if self.relay.connector.paths.is_cut(target.key):
             return 'it is reached through other members only'
@@ -275,11 +275,10 @@
         response = self._codec.read_response(head, '')
         if not response.is_from(name):
             return
-        key = (name, incarnation)
         if response.is_leaving:
-            self.view.mark_leaving(key)
+            self.view.mark_leaving((name, incarnation))
         if response.pause:
-            self.relay.pauses.record(key, response.pause, boot_seconds())
+            self.relay.pauses.record(name, response.pause, boot_seconds())
 
     def _unreachable(self) -> frozenset[str]:
         """Return the workers that this instance does not reach itself."""
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -145,7 +145,7 @@
         self._pool.prune()
         runs = {each.key for each in self._view.targets.values()}
         self.crash_watch.retain(runs)
-        self._gate.pauses.retain(runs, boot_seconds())
+        self._gate.pauses.prune(boot_seconds())
         self.target_table.retain(set(self._view.targets))
 
     def stop(self) -> None:
@@ -395,7 +395,7 @@
             return False
         if result is AttemptResult.no_turn:
             return True
-        if not self._gate.pauses.wait(target.key, boot_seconds()):
+        if not self._gate.pauses.wait(target.target, boot_seconds()):
             plan.tried.add(target.target)
         self.log.log_failed_attempt(plan, result.value, self._time_left(plan))
         if result in {AttemptResult.not_sent, AttemptResult.failed}:
@@ -866,7 +866,9 @@
         if response.is_leaving:
             self._view.mark_leaving(target.key)
         if response.pause:
-            self._gate.pauses.record(target.key, response.pause, boot_seconds())
+            self._gate.pauses.record(
+                target.target, response.pause, boot_seconds()
+            )
             self.log.log_pause(plan, response.pause)
 
     async def _hold_body(
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -173,7 +173,7 @@
     gate: SendGate, plan: RequestPlan, target: Target
 ) -> Barrier | None:
     """Check that the target has not asked this instance for a pause."""
-    wait = gate.pauses.wait(target.key, boot_seconds())
+    wait = gate.pauses.wait(target.target, boot_seconds())
     if not wait:
         return None
     reason = f'{target.target}: it asked for a pause'
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -87,18 +87,18 @@
         """
         now = boot_seconds()
         pauses = self.gate.pauses
-        ready = [each for each in targets if not pauses.wait(each.key, now)]
+        ready = [each for each in targets if not pauses.wait(each.target, now)]
         if ready or not targets:
             return ready
-        first = min(targets, key=lambda each: pauses.wait(each.key, now))
-        wait = pauses.wait(first.key, now)
+        first = min(targets, key=lambda each: pauses.wait(each.target, now))
+        wait = pauses.wait(first.target, now)
         left = _time_left(plan)
         # The response takes its time after the pause.
         if wait > left - min(plan.route.objective, left / 3):
             plan.reason = f'{first.target}: it asked for a pause'
             plan.retry_after = wait * self.rnd.uniform(1, 1.4)
             return []
-        wait = pauses.join(first.key, now)
+        wait = pauses.join(first.target, now)
         plan.waited += wait
         await asyncio.sleep(wait)
         return [first]
--- a/mintlanding/platform/tests/test_target_pauses.py
+++ b/mintlanding/platform/tests/test_target_pauses.py
@@ -59,6 +59,36 @@
         assert not paused
 
 
+@pytest.mark.parametrize(
+    ('path', 'kind'), [(LOOKUP, 'plain'), (ORDER, 'plain'), (LIVE, 'engines')]
+)
+async def test_restart_of_a_target_does_not_end_its_pause(world, path, kind):
+    await ask_steadily(world, path, 0.5)
+    targets = getattr(world, kind)
+    ask_for_pause(targets, 3.0)
+    begin = time.monotonic()
+    await ask_steadily(world, path, 0.3)
+    paused = [each for each in targets if not each.faults.shed]
+    assert paused
+    for target in targets:
+        target.faults.shed = 0
+        target.crashes += 1
+        target.adapters.clear()
+        target.orders_taken = 0
+        world.store.put(f'servers/{target.name}', target.entry())
+    await ask_steadily(world, path, 2)
+    for target in paused:
+        late = [
+            at
+            for at in target.arrived_at
+            if begin + UNDER_WAY < at < begin + 3.0
+        ]
+        assert not late
+    await asyncio.sleep(1.2)
+    status, _, _ = await world.ask(path)
+    assert status == 200
+
+
 async def test_request_waits_for_a_pause_that_ends_in_time(world):
     # Requests that were served leave room for retries.
     await ask_steadily(world, LOOKUP, 2)
