--- a/mintlanding/node/attempts.py
+++ b/mintlanding/node/attempts.py
@@ -265,7 +265,9 @@
         if response.is_leaving:
             self.view.mark_leaving(target.key)
         if response.pause:
-            self.gate.pauses.record(target.key, response.pause, boot_seconds())
+            self.gate.pauses.record(
+                target.target, response.pause, boot_seconds()
+            )
             self.log.log_pause(plan, response.pause)
 
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -123,7 +123,7 @@
         self.connector.pool.prune()
         runs = {each.key for each in self._view.targets.values()}
         self.crash_watch.retain(runs)
-        self._gate.pauses.retain(runs, boot_seconds())
+        self._gate.pauses.prune(boot_seconds())
         self.target_table.retain(set(self._view.targets))
 
     def stop(self) -> None:
@@ -294,7 +294,7 @@
             return False
         if result is AttemptResult.no_turn:
             return True
-        if not self._gate.pauses.wait(target.key, boot_seconds()):
+        if not self._gate.pauses.wait(target.target, boot_seconds()):
             plan.tried.add(target.target)
         self.log.log_failed_attempt(
             plan, result.value, plan.time_left(loop_seconds())
