Answer what has come in when a planned stop closes the listener

Cause: callers whose connections waited to be accepted when a stopping instance closed its listener were reset, and an idle connection was closed although a request had arrived on it, or right after it was accepted. If no connection was open just then, the process ended while those that asyncio was about to hand over were served: their requests had been passed on to a target, and the connections ended without an answer.

Change: the listener accepts what waits before it closes, the process looks for open connections once more after that, a connection with unread bytes is not idle, and the first request of a new connection is waited for up to a second.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import fcntl
+import socket
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -29,6 +32,11 @@
 _HIGH_WATER_BYTES = 1 << 18
 # Seconds in which a caller should close its side after the last response.
 _LINGER_SECONDS = 1.0
+# Seconds for which a stopping server waits for the first request of a new
+# connection, which callers send right after they have connected.
+_FIRST_REQUEST_SECONDS = 1.0
+# Size of the number of unread bytes.
+_INT_BYTES = 4
 _REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -150,6 +158,8 @@
         self._waits_since = self._loop.time()
         self._drained = asyncio.Event()
         self._drained.set()
+        self._opened_at = self._loop.time()
+        self._had_request = False
         self._in_request = False
         # True once the last response has been written.
         self._is_ending = False
@@ -172,6 +182,14 @@
         is_busy = self._in_request or self._is_ending
         return self._task is None and not is_busy
 
+    @property
+    def may_close(self) -> bool:
+        """Tell whether it is idle, and no request is about to be read."""
+        if not self.is_idle or self._has_unread_bytes():
+            return False
+        age = self._loop.time() - self._opened_at
+        return self._had_request or age > _FIRST_REQUEST_SECONDS
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
@@ -232,6 +250,7 @@
     def on_message_begin(self) -> None:
         """Start a request, which may share a chunk with the one before."""
         self._reset_message()
+        self._had_request = True
         self._in_request = True
         if self._task is None:
             self._start_timer()
@@ -297,6 +316,15 @@
         if self._task is None:
             self._serve_next()
 
+    def _has_unread_bytes(self) -> bool:
+        """Tell whether bytes have arrived that were not read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        sock = self._transport.get_extra_info('socket')
+        unread = bytearray(_INT_BYTES)
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, unread)
+        return any(unread)
+
     def _reset_message(self) -> None:
         self._started = self._loop.time()
         self._target = b''
@@ -443,6 +471,8 @@
         self.is_draining = False
         self.refusals: dict[int, int] = {}
         self._listener: asyncio.Server | None = None
+        # Connections that the listener has left.
+        self._accepting: set[asyncio.Task[Any]] = set()
 
     @classmethod
     def from_config(cls, handler: RequestHandler, name: str) -> Self:
@@ -453,7 +483,7 @@
         """Listen; raise OSError if the address is in use."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: CallerConnection(self),
+            self._build_connection,
             host,
             port,
             backlog=backlog,
@@ -481,17 +511,48 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for conn in tuple(self.connections):
-            if conn.is_idle:
+            if conn.may_close:
                 conn.close()
 
+    @property
+    def is_listening(self) -> bool:
+        """Tell whether new connections are accepted."""
+        return self._listener is not None
+
     def close_listener(self) -> None:
-        """Stop accepting connections."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        """Accept the connections that wait for it, and no further ones."""
+        if self._listener is None:
+            return
+        for each in self._listener.sockets:
+            with each.dup() as sock:
+                self._accept_waiting(sock)
+        self._end_listener()
 
     def stop(self) -> None:
         """Stop listening and close all connections at once."""
-        self.close_listener()
+        self._end_listener()
         for conn in tuple(self.connections):
             conn.abort()
+
+    def _build_connection(self) -> CallerConnection:
+        return CallerConnection(self)
+
+    def _end_listener(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        """Accept what has connected; it is reset if the listener closes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(self._build_connection, sock)
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -1,12 +1,14 @@
 """Limits on callers' requests, and what happens when callers disconnect."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
 
 from mintlanding.core.exceptions import ResponseAlreadyBegun
 from mintlanding.core.logs import Logger
+from mintlanding.http1 import server
 from mintlanding.http1.models import MessageLimits
 from mintlanding.http1.server import CallerServer
 
@@ -503,3 +505,58 @@
             while world.server.connections:
                 await asyncio.sleep(0.02)
         writer.close()
+
+
+async def answer_to(sock):
+    """Return the status of the response that a socket receives."""
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(3):
+        raw = await loop.sock_recv(sock, 1000)
+    return int(raw.split()[1])
+
+
+def send_at_once(port, raw=GET):
+    """Connect and send while the event loop does nothing else."""
+    sock = socket.create_connection(('127.0.0.1', port))
+    sock.sendall(raw)
+    return sock
+
+
+async def test_connections_that_wait_to_be_accepted_at_the_stop_are_served():
+    async with World() as world:
+        port = world.server.port
+        clients = [send_at_once(port) for _ in range(20)]
+        world.server.close_listener()
+        world.server.close_idle()
+        for client in clients:
+            assert await answer_to(client) == 200
+            client.close()
+        with pytest.raises(ConnectionRefusedError):
+            send_at_once(port)
+
+
+async def test_request_that_has_arrived_at_the_stop_is_answered():
+    async with World() as world:
+        client = send_at_once(world.server.port)
+        assert await answer_to(client) == 200
+        client.sendall(GET)
+        world.server.close_idle()
+        assert await answer_to(client) == 200
+        client.close()
+
+
+async def test_first_request_of_a_new_connection_is_waited_for(monkeypatch):
+    monkeypatch.setattr(server, '_FIRST_REQUEST_SECONDS', 0.2)
+    async with World() as world:
+        reader, writer = await world.connect()
+        idle_reader, _ = await world.connect()
+        await asyncio.sleep(0.05)
+        world.server.close_idle()
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        await asyncio.sleep(0.2)
+        world.server.close_idle()
+        async with asyncio.timeout(1):
+            assert await idle_reader.read() == b''
+            assert await reader.read() == b''
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -157,10 +157,13 @@
         while loop.time() < end:
             if loop.time() > started + _ACCEPT_SECONDS:
                 self.relay.planned_stop.ends_at = end
+                was_listening = self._front.is_listening
                 self._front.close_listener()
                 self._front.close_idle()
                 # Members' requests under way here end as the own ones do.
-                if not self._front.connections and not self._paths.sides:
+                is_used = self._front.connections or self._paths.sides
+                # What was accepted last is not among the connections yet.
+                if not is_used and not was_listening:
                     break
             await asyncio.sleep(_POLL_SECONDS)
         await asyncio.gather(leaving, return_exceptions=True)
