Give each write to the store a connection of its own

Cause: responses of the store do not name their call. One that came once more on a kept connection, behind the next call, was taken for the response to that: a transaction that the store had rejected counted as committed, so that two instances could hold one worker, and an earlier lease as granted anew. A first attempt compared revisions, which go back when a store returns from an older copy.

Change: transactions, grants and the end of a lease go out on a connection that was never used and is closed after them, so that there is no earlier response. Renewals stay on kept connections, since a handshake under loss would cost leases; a test shows that an earlier response stands in for a renewal once at most. The next one is read on another connection, within the time that a new holder waits.

--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -79,9 +79,12 @@
 
 
 class PlatformStore:
-    """Client of the store with persistent connections; it never retries.
+    """Client of the store; it never retries.
 
-    A connection with an incomplete response is closed.
+    Reads and renewals use persistent connections; one with an incomplete
+    response is closed. Each write has a connection of its own, since responses
+    do not name their call: on one that was used before, an earlier response
+    that comes once more would be taken for that to the write.
     """
 
     def __init__(self, address: Address, pool: ConnectionPool) -> None:
@@ -154,7 +157,7 @@
             ],
             'delete': list(transaction.deletes),
         }
-        status, response = await self._call('POST', '/v1/kv-txn', body)
+        status, response = await self._write('POST', '/v1/kv-txn', body)
         if status == _OK:
             return Committed(_decode(_Committed, response).rev)
         if status in {_CONFLICT, _NOT_FOUND}:
@@ -164,7 +167,7 @@
     async def grant_lease(self, seconds: float) -> int:
         """Return the id of a new lease."""
         body = {'ttl_ms': int(seconds * _MILLISECONDS)}
-        status, response = await self._call('POST', '/v1/kv-lease', body)
+        status, response = await self._write('POST', '/v1/kv-lease', body)
         if status != _OK:
             raise PlatformError(
                 f'lease not granted: the store responded {status}'
@@ -172,7 +175,11 @@
         return _decode(_Granted, response).lease
 
     async def renew_lease(self, lease: int) -> bool:
-        """Renew a lease; return false if it has ended."""
+        """Renew a lease; return false if it has ended.
+
+        An earlier response can be taken for this one, but not twice in
+        succession: its connection is closed when the other one comes.
+        """
         status, _ = await self._call('POST', f'/v1/kv-keep/{lease}', None)
         if status not in {_OK, _NOT_FOUND}:
             raise PlatformError(
@@ -182,7 +189,7 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease."""
-        await self._call('DELETE', f'/v1/kv-lease-end/{lease}', None)
+        await self._write('DELETE', f'/v1/kv-lease-end/{lease}', None)
 
     def prune(self) -> None:
         """Close connections that have been idle for too long."""
@@ -206,12 +213,19 @@
             raise PlatformError(f'{path} failed: the store responded {status}')
         return response
 
+    async def _write(
+        self, method: str, target: str, body: dict[str, Any] | None
+    ) -> tuple[int, bytes]:
+        return await self._call(method, target, body, is_write=True)
+
     async def _call(
         self,
         method: str,
         target: str,
         body: dict[str, Any] | None,
         seconds: float = _CALL_SECONDS,
+        *,
+        is_write: bool = False,
     ) -> tuple[int, bytes]:
         self.calls += 1
         payload = b'' if body is None else msgspec.json.encode(body)
@@ -222,7 +236,7 @@
         ).encode()
         request = b'%bHost: %b\r\n\r\n%b' % (head, self._host, payload)
         try:
-            conn = await self._pool.acquire(self._address)
+            conn = await self._pool.acquire(self._address, is_fresh=is_write)
         except RequestNotSent as exc:
             raise PlatformUnavailable(str(exc)) from exc
         try:
@@ -230,11 +244,18 @@
         except (ResponseLost, RequestNotSent) as exc:
             raise PlatformUnavailable(str(exc)) from exc
         finally:
-            self._pool.release(conn)
+            self._give_back(conn, is_write=is_write)
         if status in _REFUSED:
             raise StoreBusy(f'the store refused a call with {status}')
         return status, raw
 
+    def _give_back(self, conn: ClientConnection, *, is_write: bool) -> None:
+        """Keep a connection, but not for a response to a write to come."""
+        if is_write:
+            conn.abort()
+        else:
+            self._pool.release(conn)
+
 
 async def _exchange(
     conn: ClientConnection,
--- a/mintlanding/platform/tests/test_store.py
+++ b/mintlanding/platform/tests/test_store.py
@@ -167,3 +167,31 @@
     with pytest.raises(PlatformUnavailable):
         async with asyncio.timeout(5):
             await store.snapshot('k/')
+
+
+async def test_earlier_response_does_not_confirm_a_write(standin, store):
+    txn = Transaction({'k': NO_REVISION}, (Write('k', b'1'),))
+    assert isinstance(await store.commit(txn), Committed)
+    standin.faults.repeat_answers = True
+    for _ in range(4):
+        assert await store.commit(txn) == Rejected()
+        later = Transaction(writes=(Write('j', b'1'),))
+        assert await store.commit(later) == Committed(standin.revision)
+
+
+async def test_earlier_response_grants_no_lease(standin, store):
+    leases = {await store.grant_lease(5)}
+    standin.faults.repeat_answers = True
+    for _ in range(4):
+        leases.add(await store.grant_lease(5))
+    assert len(leases) == 5
+    assert leases <= standin.leases.keys()
+
+
+async def test_earlier_response_renews_a_lease_once_at_most(standin, store):
+    lease = await store.grant_lease(5)
+    assert await store.renew_lease(lease)
+    standin.revoke_lease(lease)
+    standin.faults.repeat_answers = True
+    renewed = [await store.renew_lease(lease) for _ in range(4)]
+    assert renewed[1:] == [False] * 3
