Let a direct attempt that hung since a cut not cut the path again

Cause: A direct attempt that began while a path was cut, and whose request went through a member, ends up to its timeout later. When it failed after a probe had succeeded, the path counted as cut again, and the next half second of requests went through members.

Change: A failed attempt says nothing if the target was reached directly, or a cut ended, after the attempt began.

--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -37,6 +37,7 @@
     """Attempts to connect to a target, and the one that is used."""
 
     direct: _Attempt
+    begun_at: float
     indirect: _Attempt | None = None
     chosen: _Attempt | None = None
 
@@ -128,9 +129,10 @@
             return False
         if not await self._is_reached_by_member(target, seconds):
             return True
+        begun_at = _now()
         if await self._fail_to_connect(target, seconds) is None:
             return True
-        self._record_indirect(target, str(exc))
+        self._record_indirect(target, begun_at, str(exc))
         return False
 
     def examine(self, target: Target) -> None:
@@ -168,7 +170,7 @@
         direct = asyncio.create_task(
             self.pool.acquire(target.address, is_fresh=True, seconds=timeout)
         )
-        attempts = _Attempts(direct)
+        attempts = _Attempts(direct, _now())
         try:
             await asyncio.wait((direct,), timeout=_HEDGE_SECONDS)
             if not _succeeded(direct):
@@ -212,7 +214,7 @@
         if _succeeded(direct):
             self._record_direct(target)
         elif is_indirect:
-            self._record_indirect(target, _reason(direct))
+            self._record_indirect(target, attempts.begun_at, _reason(direct))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
@@ -257,14 +259,17 @@
             self._logger.info('Target reached directly.', target=target.target)
         self.paths.record_direct(target.key, _now())
 
-    def _record_indirect(self, target: Target, reason: str) -> None:
-        if not self.paths.is_cut(target.key):
+    def _record_indirect(
+        self, target: Target, begun_at: float, reason: str
+    ) -> None:
+        was_cut = self.paths.is_cut(target.key)
+        self.paths.record_indirect(target.key, begun_at, _now())
+        if self.paths.is_cut(target.key) and not was_cut:
             self._logger.warning(
                 'Target reached through members only.',
                 target=target.target,
                 reason=reason,
             )
-        self.paths.record_indirect(target.key, _now())
 
 
 def _now() -> float:
--- a/mintlanding/paths/path_table.py
+++ b/mintlanding/paths/path_table.py
@@ -28,6 +28,8 @@
     # Idle connections to targets that were not reached directly since then may
     # belong to paths that are gone.
     _doubted_at: float = float('-inf')
+    # When a cut ended last.
+    _ended_at: float = float('-inf')
 
     def is_cut(self, target: TargetKey) -> bool:
         """Tell whether a target is reached through members only."""
@@ -56,9 +58,19 @@
         self._direct_at[target] = now
         if target in self._probed_at:
             self._probed_at.clear()
+            self._ended_at = now
 
-    def record_indirect(self, target: TargetKey, now: float) -> None:
-        """Record that only a member has reached a target."""
+    def record_indirect(
+        self, target: TargetKey, begun_at: float, now: float
+    ) -> None:
+        """Record that only a member has reached a target.
+
+        A direct attempt that began before a later one succeeded says nothing:
+        it may have hung since the path was cut.
+        """
+        direct_at = self._direct_at.get(target, float('-inf'))
+        if begun_at < max(direct_at, self._ended_at):
+            return
         if target not in self._probed_at:
             self._probed_at[target] = now
         self._doubted_at = now
--- a/mintlanding/paths/tests/test_path_table.py
+++ b/mintlanding/paths/tests/test_path_table.py
@@ -10,16 +10,35 @@
 
 def test_target_that_only_members_reach_is_cut_until_it_is_reached():
     paths = PathTable()
-    paths.record_indirect(TARGETS[0], 10)
+    paths.record_indirect(TARGETS[0], 10, 10)
     assert paths.is_cut(TARGETS[0])
     assert not paths.is_cut(TARGETS[1])
     paths.record_direct(TARGETS[0], 12)
     assert not paths.is_cut(TARGETS[0])
 
 
+def test_attempt_that_began_before_a_later_one_succeeded_cuts_nothing():
+    paths = PathTable()
+    paths.record_direct(TARGETS[0], 11)
+    paths.record_indirect(TARGETS[0], 10, 12)
+    assert not paths.is_cut(TARGETS[0])
+    assert paths.may_reuse(TARGETS[0])
+    paths.record_indirect(TARGETS[0], 11, 12)
+    assert paths.is_cut(TARGETS[0])
+
+
+def test_attempt_that_began_before_the_end_of_a_cut_cuts_no_other_target():
+    paths = PathTable()
+    for target in TARGETS:
+        paths.record_indirect(target, 10, 11)
+    paths.record_direct(TARGETS[0], 12)
+    paths.record_indirect(TARGETS[1], 11, 13)
+    assert not paths.is_cut(TARGETS[1])
+
+
 def test_target_that_nobody_reaches_is_not_cut():
     paths = PathTable()
-    paths.record_indirect(TARGETS[0], 10)
+    paths.record_indirect(TARGETS[0], 10, 10)
     paths.record_unreachable(TARGETS[0])
     assert not paths.is_cut(TARGETS[0])
 
@@ -28,7 +47,7 @@
     paths = PathTable()
     paths.record_direct(TARGETS[1], 9)
     assert paths.may_reuse(TARGETS[1])
-    paths.record_indirect(TARGETS[0], 10)
+    paths.record_indirect(TARGETS[0], 10, 10)
     assert not paths.may_reuse(TARGETS[1])
     paths.record_direct(TARGETS[1], 11)
     assert paths.may_reuse(TARGETS[1])
@@ -46,7 +65,7 @@
 def test_end_of_one_cut_lets_all_targets_be_tried_directly():
     paths = PathTable()
     for target in TARGETS:
-        paths.record_indirect(target, 10)
+        paths.record_indirect(target, 10, 10)
     assert paths.is_cut_off(TARGETS)
     paths.record_direct(TARGETS[0], 12)
     assert not any(paths.is_cut(target) for target in TARGETS)
@@ -55,10 +74,10 @@
 
 def test_one_of_two_cut_targets_is_no_cut_off_instance():
     paths = PathTable()
-    paths.record_indirect(TARGETS[0], 10)
+    paths.record_indirect(TARGETS[0], 10, 10)
     assert not paths.is_cut_off(TARGETS[:1])
     assert not paths.is_cut_off(TARGETS[:2])
-    paths.record_indirect(TARGETS[1], 10)
+    paths.record_indirect(TARGETS[1], 10, 10)
     assert paths.is_cut_off(TARGETS[:3])
     assert not paths.is_cut_off(TARGETS)
 
@@ -66,7 +85,7 @@
 def test_probes_are_bounded_and_come_in_turn():
     paths = PathTable()
     for number, target in enumerate(TARGETS):
-        paths.record_indirect(target, number / 100)
+        paths.record_indirect(target, number / 100, number / 100)
     assert not paths.due_probes(0.1, 2)
     assert paths.due_probes(1, 2) == TARGETS[:2]
     assert paths.due_probes(1, 2) == TARGETS[2:]
@@ -89,7 +108,7 @@
         if self.is_down[target]:
             self.paths.record_unreachable(target)
         elif self.is_path_cut[target]:
-            self.paths.record_indirect(target, self.now)
+            self.paths.record_indirect(target, self.now, self.now)
         else:
             self.paths.record_direct(target, self.now)
 
