Let the next holder of a released engine wait only as long as it must

Cause: after a release the next holder waited 3.4 s, as if the last order of the holder before had been sent just then. A holder that lost its paths has mostly sent none for a second or more. Until then callers of adapters that are not resident there were refused or sent elsewhere. Change: the release says for how long the next holder must send no orders: 3.4 s after the last answered order, and never before this holder might have ordered itself. It sends none from then on, so that the times of two clocks need not be compared. An order without an answer may be carried out late, and an earlier process may have sent one: within 10 s of either the wait is the full one, as without the field. Measured: seven of the new tests of test_ownership.py fail without it. The state machine of releases, which now reports its orders as stewards do, fails if they are not recorded (a trial) and passes. In the profile "prove" the state machine had not ended after 300 s: not run whole.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -35,6 +35,8 @@
 
 # Seconds for which a write without a response may still be committed.
 _LATE_WRITE_SECONDS = 10.0
+# Seconds for which an order without an answer may still be carried out.
+_LATE_ORDER_SECONDS = 10.0
 # Seconds until a release that was not confirmed is tried again.
 _RELEASE_RETRY_SECONDS = 1.0
 
@@ -61,6 +63,8 @@
         self._view = view
         self._options = options
         self._order_from: dict[str, float] = {}
+        # Until when orders of this instance may have reached each worker.
+        self._ordered_until: dict[str, float] = {}
         # Revisions of the ownership records that this process has confirmed.
         self._confirmed: dict[str, int] = {}
         # Holders from whom this process may be taking a worker, and until when.
@@ -102,6 +106,12 @@
             return float('inf')
         return max(now, self._order_from.get(worker, float('inf')))
 
+    def record_order(self, worker: str, *, is_answered: bool) -> None:
+        """Record that an order was, or may have been, sent to a worker."""
+        late = 0 if is_answered else _LATE_ORDER_SECONDS
+        before = self._ordered_until.get(worker, float('-inf'))
+        self._ordered_until[worker] = max(before, boot_seconds() + late)
+
     def may_consent(self, member: str) -> bool:
         """Tell whether this instance consents to a member's sending orders.
 
@@ -191,7 +201,8 @@
             key: record.revision,
             MEMBERS_PREFIX + self._instance: entry_revision,
         }
-        entry = OwnershipEntry('', previous=self._instance)
+        wait = self._next_wait(worker, record, boot_seconds())
+        entry = OwnershipEntry('', previous=self._instance, order_wait=wait)
         try:
             revision = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
@@ -200,11 +211,12 @@
         if revision is None:
             self._postpone_release(worker, 'a record has changed')
             return False
-        self._record_release(worker, revision)
+        self._record_release(worker, revision, wait)
         self._logger.info(
             'Worker released.',
             worker=worker,
             revision=revision,
+            wait=round(wait, 2),
             reason='only other members reach it',
         )
         return True
@@ -255,6 +267,8 @@
             wait = 0
         self._confirmed[worker] = record.revision
         self._order_from[worker] = now + wait
+        # The earlier incarnation may have sent orders.
+        self.record_order(worker, is_answered=False)
         self._logger.info('Ownership resumed.', worker=worker, wait=wait)
 
     def _is_given_up(self, worker: str) -> bool:
@@ -267,20 +281,36 @@
             return False
         return self.cuts.is_due(target.target)
 
+    def _next_wait(
+        self, worker: str, record: OwnershipRecord, now: float
+    ) -> float:
+        """Return how long the next holder has to wait after a release.
+
+        This instance sends no orders from now on. Those that it has sent, and
+        those of the holder before, have to be long enough ago.
+        """
+        longest = self._options.handover_delay
+        if self._confirmed.get(worker) != record.revision:
+            return longest
+        last = self._ordered_until.get(worker, float('-inf'))
+        begin = max(last + longest, self._order_from[worker])
+        return min(longest, max(0, begin - now))
+
     def _postpone_release(self, worker: str, reason: str) -> None:
         self._release_at = boot_seconds() + _RELEASE_RETRY_SECONDS
         self._logger.warning(
             'Release not confirmed.', worker=worker, reason=reason
         )
 
-    def _record_release(self, worker: str, revision: int) -> None:
+    def _record_release(self, worker: str, revision: int, wait: float) -> None:
         self._confirmed.pop(worker, None)
         self._order_from.pop(worker, None)
+        self._ordered_until.pop(worker, None)
         record = self._view.ownership.get(worker)
         # A member may have claimed it before the response was processed.
         if record is None or record.revision < revision:
             self._view.ownership[worker] = OwnershipRecord(
-                '', revision, previous=self._instance
+                '', revision, previous=self._instance, wait=wait
             )
 
     def _confirm(
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -442,17 +442,18 @@
         result = OrderResult.not_sent
         if target is not None and target.incarnation == steward.incarnation:
             self._orders_under_way[worker] += 1
+            # Unless it ends in order, it may have been sent.
+            result = OrderResult.lost
             try:
                 result = await self._send_order(target, order)
             except Exception as exc:
-                # It may have been sent.
-                result = OrderResult.lost
                 self._logger.error(
                     'Sending an order failed.',
                     worker=worker,
                     **describe_exception(exc),
                 )
             finally:
+                self._record_order(worker, result)
                 self._orders_under_way.subtract((worker,))
                 self._orders_under_way += Counter()
         self._logger.info(
@@ -466,6 +467,12 @@
         )
         self._execute(worker, steward.order_done(order, result, boot_seconds()))
 
+    def _record_order(self, worker: str, result: OrderResult) -> None:
+        if result is not OrderResult.not_sent:
+            self._membership.ownership.record_order(
+                worker, is_answered=result is not OrderResult.lost
+            )
+
     async def _send_order(self, target: Target, order: Order) -> OrderResult:
         try:
             conn = await self._pool.acquire(target.address)
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -201,12 +201,64 @@
     transaction = world.store.writes[-1]
     assert transaction.expected['mintlanding/member/me'] == 3
     assert transaction.expected['mintlanding/hold/w'] == 11
-    assert world.view.ownership['w'] == OwnershipRecord('', 12, previous='me')
+    released = OwnershipRecord('', 12, previous='me', wait=0)
+    assert world.view.ownership['w'] == released
     assert not world.ownership.held_workers()
     assert not world.ownership.releasable(world.now)
     assert 'w' in world.ownership.avoided()
 
 
+async def released_wait(world):
+    """Release the worker; return the wait that the next holder is told."""
+    await world.ownership.release('w', entry_revision=3)
+    entry = msgspec.json.decode(world.store.writes[-1].writes[0].content)
+    assert world.view.ownership['w'].wait == entry['order_wait']
+    return entry['order_wait']
+
+
+@pytest.mark.parametrize('seconds', [0.0, 1.5, 4.0])
+async def test_next_holder_waits_only_for_orders_that_were_sent_lately(
+    world, seconds
+):
+    await world.ownership.claim(FIRST_CLAIM)
+    world.ownership.record_order('w', is_answered=True)
+    world.now += seconds
+    left = max(0, OPTIONS.handover_delay - seconds)
+    assert await released_wait(world) == pytest.approx(left)
+
+
+async def test_next_holder_need_not_wait_where_no_order_was_sent(world):
+    await world.ownership.claim(FIRST_CLAIM)
+    assert await released_wait(world) == 0
+
+
+async def test_next_holder_waits_in_full_after_an_order_without_an_answer(
+    world,
+):
+    # It may be carried out seconds later.
+    await world.ownership.claim(FIRST_CLAIM)
+    world.ownership.record_order('w', is_answered=False)
+    world.ownership.record_order('w', is_answered=True)
+    world.now += 5
+    assert await released_wait(world) == OPTIONS.handover_delay
+
+
+async def test_next_holder_waits_for_the_holder_before_this_one(world):
+    await world.ownership.claim(TAKEOVER)
+    world.now += 1
+    left = OPTIONS.takeover_delay - 1
+    assert await released_wait(world) == pytest.approx(left)
+
+
+async def test_next_holder_waits_in_full_for_orders_of_an_earlier_process(
+    world,
+):
+    world.set_record('me', 5, is_settled=True)
+    assert world.may_order()
+    world.now += 4
+    assert await released_wait(world) == OPTIONS.handover_delay
+
+
 @pytest.mark.parametrize('state', ['leaving', 'lapsed', 'gone', 'ordering'])
 async def test_worker_that_may_be_at_fault_itself_is_not_released(
     world, monkeypatch, state
--- a/mintlanding/node/tests/test_release_machine.py
+++ b/mintlanding/node/tests/test_release_machine.py
@@ -37,6 +37,8 @@
 ZONES = {'a': 'z1', 'b': 'z1', 'c': 'z2'}
 WORKERS = ('w1', 'w2')
 STEP = 0.125
+# Share of the orders that are answered.
+ANSWERED_SHARE = 0.9
 # Seconds for which a write without a response may still be committed.
 LATE_SECONDS = 10
 # Seconds after the last fault until every worker that somebody reaches has a
@@ -133,6 +135,8 @@
     view: FleetView
     connection: Connection
     is_stale: bool = False
+    # Without requests it sends no orders although it may.
+    is_idle: bool = False
     renewed_at: float = float('-inf')
     claimed_at: float = float('-inf')
 
@@ -246,8 +250,11 @@
             run(member.membership.claim_workers(self.now))
         # Old connections may live on while new ones fail.
         for worker in WORKERS:
-            if member.membership.ownership.may_order(worker, self.now):
+            ownership = member.membership.ownership
+            if ownership.may_order(worker, self.now) and not member.is_idle:
                 self.record_order(member.name, worker)
+                is_answered = self.rnd.random() < ANSWERED_SHARE
+                ownership.record_order(worker, is_answered=is_answered)
 
     def attempt(self, coroutine):
         try:
@@ -283,6 +290,10 @@
     def change_watch(self, name, is_stale):
         self.members[name].is_stale = is_stale
 
+    @rule(name=names, is_idle=st.booleans())
+    def change_requests(self, name, is_idle):
+        self.members[name].is_idle = is_idle
+
     @rule(name=names)
     def restart(self, name):
         self.start(name)
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -86,12 +86,14 @@
 
     The holder is empty when the previous one has released the worker. The
     record is settled once the holder has waited long enough for orders of
-    the previous holder, from whom it took the worker, to have ended.
+    the previous holder, from whom it took the worker, to have ended. A release
+    tells in `order_wait` for how many seconds the next holder sends no orders.
     """
 
     holder: str
     is_settled: bool = False
     previous: str = ''
+    order_wait: Amount | None = None
 
 
 def member_info(record: MemberRecord) -> MemberInfo:
@@ -444,6 +446,7 @@
             item.revision,
             entry.is_settled,
             entry.previous,
+            entry.order_wait,
         )
         self._notify('ownership')
 
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -121,13 +121,15 @@
     """The holder of a worker; with an empty one, `previous` has released it.
 
     A settled holder has waited as long as it must after the previous holder,
-    from which it took the worker.
+    from which it took the worker. `wait`: seconds that the next holder must let
+    pass after a release, None if that is unknown.
     """
 
     holder: str
     revision: int
     is_settled: bool = False
     previous: str = ''
+    wait: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,9 +220,7 @@
             view.me, worker, view.zones[worker], released_by, free_for
         ):
             continue
-        wait = (
-            options.takeover_delay if record.holder else options.handover_delay
-        )
+        wait = _wait_after(record, options)
         claims.append(
             WorkerClaim(
                 worker,
@@ -232,6 +232,15 @@
     return claims
 
 
+def _wait_after(record: OwnershipRecord, options: AuthorityOptions) -> float:
+    """Return how long the next holder waits before its first order."""
+    if record.holder:
+        return options.takeover_delay
+    if record.wait is None:
+        return options.handover_delay
+    return min(record.wait, options.handover_delay)
+
+
 def _record(view: ClaimContext, worker: str) -> OwnershipRecord:
     return view.records.get(worker, OwnershipRecord('', 0))
 
--- a/mintlanding/residency/tests/test_authority.py
+++ b/mintlanding/residency/tests/test_authority.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -135,6 +136,15 @@
     assert claim.wait == OPTIONS.handover_delay
 
 
+@pytest.mark.parametrize(('told', 'wait'), [(0, 0), (1.5, 1.5), (60, 3.4)])
+def test_next_holder_waits_as_long_as_it_is_told(told, wait):
+    records = {'w': OwnershipRecord('', 9, previous='b', wait=told)}
+    (claim,) = choose_claims(
+        view('a', members={'a': A}, records=records), OPTIONS, 0
+    )
+    assert claim.wait == wait
+
+
 def test_claims_do_not_wait_for_members_that_are_cut_off():
     members = {
         name: replace(each, is_cut_off=each.zone == 'z2')
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -378,6 +378,15 @@
         'mintlanding/node/tests/test_ownership.py::'
         'test_no_order_follows_a_release_that_may_have_been_committed',
     ),
+    Mutant(
+        'the next holder is not told of orders that were sent lately',
+        'one holder orders',
+        WorkerOwnership,
+        'record_order',
+        always(None),
+        'mintlanding/node/tests/test_ownership.py::'
+        'test_next_holder_waits_only_for_orders_that_were_sent_lately',
+    ),
     Mutant(
         'a worker is released at once when its path is cut',
         'one holder orders',
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -950,7 +950,10 @@
         is_cut_off=True,
     ),
     'view.HoldEntry': view.OwnershipEntry(
-        holder='text-520', is_settled=True, previous='text-521'
+        holder='text-520',
+        is_settled=True,
+        previous='text-521',
+        order_wait=522.5,
     ),
     'lease_calls.StewardRecord': lease_client.StewardRecord(
         instance='text-522', incarnation=623
@@ -1314,6 +1317,9 @@
     'view.HoldEntry, released': view.OwnershipEntry(
         holder='', previous='text-521'
     ),
+    'view.HoldEntry, without a wait': view.OwnershipEntry(
+        holder='text-520', is_settled=True, previous='text-521'
+    ),
     'streams.OriginReply, without an origin': streams.OriginReply(number=5),
     'objects.Change, deleted': objects.Change(
         revision=1, kind='adapter-version', name='text-2'
