Give up a silent engine only for one that takes the request

Cause: callers' streams ended early although their engine was sound: silent for one and a half times the objective, it was given up when another engine existed and a retry was left, before that engine had been asked. It then refused for lack of room, and the stream was cut, or the request answered 502.

Change: the other engine is asked for a reservation while the silent one is still read from. Only with a reservation the silent one is given up; what it sends before that ends the search. The reservation is handed to the next attempt, or ended if none follows.

Measured: with one place at each of two engines that are silent for a second, test_silent_target_is_waited_for_while_the_other_one_is_full fails before in both cases and passes; the whole of platform/tests/test_silent_targets.py passes.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -30,7 +30,13 @@
 from mintlanding.node.send_gate import SendGate, no_target_reason
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.stream_origins import StreamOrigins
-from mintlanding.node.target_choice import MIN_TIME_LEFT, TargetChoice
+from mintlanding.node.target_choice import (
+    MIN_TIME_LEFT,
+    PartReader,
+    ReadPart,
+    TargetChoice,
+    TargetSearch,
+)
 from mintlanding.node.target_connector import TargetConnector
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
@@ -311,7 +317,10 @@
     async def _serve(self, plan: RequestPlan) -> AttemptResult:
         if plan.service.engine is None:
             return await self._serve_plain(plan)
-        return await self._serve_engine(plan)
+        try:
+            return await self._serve_engine(plan)
+        finally:
+            self._end_unused_reservation(plan)
 
     # Streams that a caller resumes.
 
@@ -414,7 +423,8 @@
     async def _serve_engine(self, plan: RequestPlan) -> AttemptResult:
         result = AttemptResult.not_sent
         while plan.sends < _MAX_SENDS and self._time_left(plan) > MIN_TIME_LEFT:
-            reservation = await self._reserve(plan)
+            reservation, plan.reservation = plan.reservation, None
+            reservation = reservation or await self._reserve(plan)
             if reservation is None:
                 return result
             target = self._reserved_target(plan, reservation)
@@ -457,6 +467,14 @@
                 )
         return target if is_usable else None
 
+    def _end_unused_reservation(self, plan: RequestPlan) -> None:
+        """End a reservation whose attempt could not follow any more."""
+        unused, plan.reservation = plan.reservation, None
+        if unused is not None:
+            self._admissions.end(
+                unused.worker, unused.reservation_id, GrantOutcome.unused
+            )
+
     async def _attempt_reserved(
         self,
         plan: RequestPlan,
@@ -749,15 +767,38 @@
             try:
                 return await conn.read_head(self._response_timeout(plan))
             except ResponseTimeout:
-                if self._gives_up(plan):
-                    raise
-
-    def _gives_up(self, plan: RequestPlan) -> bool:
-        """Tell whether a silent target is given up for another attempt.
-
-        A sound one may be silent for a while, and what it has done so far is
-        lost with its connection.
+                head = await self._read_or_switch(plan, conn.read_head)
+                if head is not None:
+                    return head
+
+    async def _read_or_switch(
+        self, plan: RequestPlan, read: PartReader[ReadPart]
+    ) -> ReadPart | None:
+        """Read on from a silent target until another one takes the request.
+
+        A sound target may be silent for a while, and what it has done so far is
+        lost with its connection. Raise ResponseTimeout to give it up; return
+        None if there is no other one.
         """
+        if not self._may_give_up(plan):
+            return None
+        if plan.service.engine is not None:
+            plan.tried.add(plan.target)
+            search = TargetSearch(self._reserve(plan), self._admissions)
+            try:
+                part = await search.read_meanwhile(read, plan.deadline)
+                if part is None and self._may_give_up(plan):
+                    plan.reservation = search.take()
+            finally:
+                search.end()
+            if part is not None:
+                return part
+            if plan.reservation is None and self._time_left(plan) > 0:
+                return None
+        raise ResponseTimeout('no response in time')
+
+    def _may_give_up(self, plan: RequestPlan) -> bool:
+        """Tell whether a silent target may be given up for another attempt."""
         if self._time_left(plan) <= 0:
             return True
         others = [
@@ -982,8 +1023,9 @@
                     self._event_timeout(plan, event_at)
                 )
             except ResponseTimeout:
-                if self._gives_up(plan):
-                    raise
+                chunk = await self._read_or_switch(plan, conn.read_chunk)
+                if chunk is not None:
+                    return chunk
                 event_at = self._now()
 
     def _event_timeout(self, plan: RequestPlan, event_at: float) -> float:
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -5,6 +5,7 @@
 
 from mintlanding.http1.models import Headers
 from mintlanding.http1.server import CallerRequest
+from mintlanding.node.admissions import Reservation
 from mintlanding.node.crash_watch import LostRequest
 from mintlanding.node.events import EventBuffer
 from mintlanding.node.stream_times import StreamTimes
@@ -64,7 +65,8 @@
     got the turn, and `turn_id` the id under which the end of the request is
     reported. `sent_at` is when the last attempt was sent, `times` are those of
     its events. `through` is the address of the member through which the last
-    target was reached, empty for a direct connection.
+    target was reached, empty for a direct connection. `reservation` is for the
+    next attempt, made while the last one was silent.
     """
 
     req: CallerRequest
@@ -102,6 +104,7 @@
     retry_after: float = 0
     reason: str = ''
     failure: FailedResponse | None = None
+    reservation: Reservation | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/mintlanding/node/target_choice.py
+++ b/mintlanding/node/target_choice.py
@@ -1,10 +1,15 @@
 """Choose the target of a request, or wait for one that takes it in time."""
 
 import asyncio
+import contextlib
 import random
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any, TypeVar
 
-from mintlanding.node.admissions import Admissions
+from mintlanding.core.exceptions import ResponseTimeout
+from mintlanding.http1.models import ResponseHead
+from mintlanding.node.admissions import Admissions, Reservation
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.request_plan import RequestPlan
@@ -12,13 +17,20 @@
 from mintlanding.node.settings import NodeSettings
 from mintlanding.node.targets import TargetTable
 from mintlanding.node.view import FleetView
-from mintlanding.residency.messages import AdmissionRequest
+from mintlanding.residency.messages import AdmissionRequest, GrantOutcome
 from mintlanding.traffic.models import Target
 
 # Least seconds before the deadline with which a request is still sent.
 MIN_TIME_LEFT = 0.05
 # Seconds between looks at whether a target has responded for the first time.
 _CONTACT_POLL_SECONDS = 0.01
+# Seconds between looks at whether another engine takes a request.
+_SEARCH_POLL_SECONDS = 0.02
+
+# The head of a response or a part of its body.
+ReadPart = TypeVar('ReadPart', ResponseHead, bytes)
+# Reads one within a number of seconds, or raises ResponseTimeout.
+PartReader = Callable[[float], Awaitable[ReadPart]]
 
 
 @dataclass(slots=True)
@@ -184,6 +196,47 @@
         return False
 
 
+class TargetSearch:
+    """The search for another engine while that of a request is silent."""
+
+    def __init__(
+        self,
+        work: Coroutine[Any, Any, Reservation | None],
+        admissions: Admissions,
+    ) -> None:
+        """Start to reserve; `work` returns None without another engine."""
+        self._task = asyncio.create_task(work)
+        self._admissions = admissions
+        self._is_taken = False
+
+    async def read_meanwhile(
+        self, read: PartReader[ReadPart], deadline: float
+    ) -> ReadPart | None:
+        """Return what the silent engine sends before the search is over."""
+        while not self._task.done() and _now() < deadline:
+            with contextlib.suppress(ResponseTimeout):
+                return await read(_SEARCH_POLL_SECONDS)
+        return None
+
+    def take(self) -> Reservation | None:
+        """Return the reservation, None without one or before there is one."""
+        if not self._task.done():
+            return None
+        self._is_taken = True
+        return self._task.result()
+
+    def end(self) -> None:
+        """Stop searching, and end a reservation that was not taken."""
+        # A cancelled search ends what it has asked for itself.
+        if self._task.cancel() or self._is_taken or self._task.exception():
+            return
+        found = self._task.result()
+        if found is not None:
+            self._admissions.end(
+                found.worker, found.reservation_id, GrantOutcome.unused
+            )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/mintlanding/platform/tests/test_silent_targets.py
+++ b/mintlanding/platform/tests/test_silent_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mintlanding.platform.tests import world as world_module
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import (
     BATCH,
@@ -78,6 +79,55 @@
     await check_no_crash(world)
 
 
+@pytest.fixture
+async def small_world(monkeypatch):
+    """Two engines, each with place for one request and its adapter loaded."""
+    engine = {**CONFIG['services'][0]['engine'], 'slots': 1}
+    services = [{**CONFIG['services'][0], 'engine': engine}]
+    routes = [{**CONFIG['routes'][0], 'goal_ms': 600}]
+    changed = {**CONFIG, 'routes': routes, 'services': services}
+    monkeypatch.setattr(world_module, 'CONFIG', changed)
+    found = await World().start()
+    async with asyncio.timeout(8):
+        while not all(each.adapters for each in found.engines):
+            await asyncio.gather(found.ask(BATCH), found.ask(BATCH))
+    for each in found.engines:
+        each.runs.clear()
+    yield found
+    await found.stop()
+
+
+@pytest.mark.parametrize('begun', [False, True], ids=['before', 'amid'])
+async def test_silent_target_is_waited_for_while_the_other_one_is_full(
+    small_world, begun
+):
+    engines = small_world.engines
+    for each in engines:
+        each.faults.silent_after = int(begun)
+        each.delay = 0 if begun else SILENCE_SECONDS
+    found = await asyncio.gather(*(small_world.ask(BATCH) for _ in range(2)))
+    assert [(status, body) for status, _, body in found] == [(200, EVENTS)] * 2
+    assert [len(each.runs) for each in engines] == [1, 1]
+    (node,) = small_world.nodes
+    stewards = node._stewards.stewards.values()
+    assert [(each.running, len(each.queue)) for each in stewards] == [
+        (0, 0)
+    ] * 2
+
+
+async def test_mute_target_is_left_for_one_that_is_free(small_world):
+    first, second = small_world.engines
+    first.faults.mute = second.faults.mute = True
+    stream = asyncio.create_task(small_world.ask(BATCH))
+    async with asyncio.timeout(2):
+        while not first.runs and not second.runs:
+            await asyncio.sleep(0.01)
+    for each in (first, second):
+        each.faults.mute = False
+    assert (await stream)[::2] == (200, EVENTS)
+    assert sorted(len(each.runs) for each in (first, second)) == [1, 1]
+
+
 async def check_no_crash(world):
     """No crash is suspected, and the targets are used again at once."""
     (node,) = world.nodes
