--- a/mintlanding/node/attempts.py
+++ b/mintlanding/node/attempts.py
@@ -175,8 +175,9 @@
                     self.patience.response_timeout(plan)
                 )
             except ResponseTimeout:
-                if self.patience.gives_up(plan):
-                    raise
+                head = await self.patience.read_or_switch(plan, conn.read_head)
+                if head is not None:
+                    return head
 
     async def _handle_response(
         self,
--- a/mintlanding/node/engine_reservations.py
+++ b/mintlanding/node/engine_reservations.py
@@ -122,6 +122,14 @@
                 )
         return target if is_usable else None
 
+    def end_unused(self, plan: RequestPlan) -> None:
+        """End a reservation whose attempt could not follow any more."""
+        unused, plan.reservation = plan.reservation, None
+        if unused is not None:
+            self.admissions.end(
+                unused.worker, unused.reservation_id, GrantOutcome.unused
+            )
+
     def begin(self, plan: RequestPlan, reservation: Reservation) -> EngineUse:
         """Count the adapter of a request as used at its engine."""
         worker = reservation.worker
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -132,7 +132,13 @@
         self.connector.stop()
 
     def _make_attempts(self) -> Attempts:
-        patience = Patience(self._cfg.relay, self._gate, self.budget)
+        patience = Patience(
+            self._cfg.relay,
+            self._gate,
+            self.budget,
+            self._admissions,
+            self.reservations,
+        )
         forwarder = ResponseForwarder(
             self._cfg.relay,
             self._codec,
@@ -248,7 +254,10 @@
     async def _serve(self, plan: RequestPlan) -> AttemptResult:
         if plan.service.engine is None:
             return await self._serve_plain(plan)
-        return await self._serve_engine(plan)
+        try:
+            return await self._serve_engine(plan)
+        finally:
+            self.reservations.end_unused(plan)
 
     # Plain services.
 
@@ -318,7 +327,8 @@
             plan.sends < MAX_SENDS
             and plan.time_left(loop_seconds()) > MIN_TIME_LEFT
         ):
-            reservation = await self.reservations.reserve(plan)
+            reservation, plan.reservation = plan.reservation, None
+            reservation = reservation or await self.reservations.reserve(plan)
             if reservation is None:
                 return result
             target = self.reservations.usable_target(plan, reservation)
--- a/mintlanding/node/responses.py
+++ b/mintlanding/node/responses.py
@@ -158,8 +158,11 @@
                     self.patience.event_timeout(plan, event_at)
                 )
             except ResponseTimeout:
-                if self.patience.gives_up(plan):
-                    raise
+                chunk = await self.patience.read_or_switch(
+                    plan, conn.read_chunk
+                )
+                if chunk is not None:
+                    return chunk
                 event_at = loop_seconds()
 
 
