Examine the path to an engine whose report finds none

Cause: an engine whose report could not be fetched was avoided for two seconds. An instance that starts while it is cut off asks for reports first, so that it sent no requests, never tried a member, and refused with "no target" as each further report failed. Change: as after an order without a connection, the path is examined. Measured: the test fails without it (0 of 5 served), 5 of 5 with it.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -527,6 +527,7 @@
             conn = await self._pool.acquire(target.address)
         except RequestNotSent as exc:
             self.mark_unreachable(target.target)
+            self.on_unreachable(target)
             self._log_missing_report(target.target, exc)
             return None
         try:
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -157,6 +157,19 @@
     assert connector.opened == opened
 
 
+async def test_engine_whose_report_finds_no_path_is_used_through_a_member(
+    world,
+):
+    # An instance that starts without paths asks engines for reports first.
+    node = world.nodes[0]
+    with TargetPartition(world, node, refuses=True):
+        for engine in world.engines:
+            target = node.view.targets[engine.name]
+            assert await node._stewards.fetch_report(target) is None
+        await asyncio.sleep(0.5)
+        assert await ask_steadily(world, LIVE, 0, 5) == 5
+
+
 async def test_planned_stop_of_a_member_ends_no_stream_that_it_passes_on(
     world, monkeypatch
 ):
