Let a target read nothing for two seconds amid a large body

Cause: TCP_USER_TIMEOUT, 1.5 s on connections to targets and on both sides of a path, also ends a connection whose peer has closed its window. A sound target that fell silent for two seconds while a body of a megabyte was under way lost the request; so did a member that passed a response on.

Change: while more bytes are sent than the kernel of a silent peer takes, the timeout is 3 s. Smaller requests keep 1.5 s, by which a dead path is noticed. Callers' connections have no such timeout. Links keep 1 s: they are dialled again, and a test shows that statuses arrive again at once. No connection of the platform's process has keep-alive probes.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -32,6 +32,8 @@
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
+# Bytes that the kernel of a peer takes while the peer reads nothing.
+UNREAD_BYTES = 1 << 16
 
 
 class ClientConnection(asyncio.Protocol):
@@ -44,6 +46,7 @@
         self._options = options
         self._exchanges = 0
         self._transport: asyncio.Transport | None = None
+        self._is_large = False
         self._head: ResponseHead | None = None
         self._is_complete = False
         self._reset_exchange()
@@ -123,6 +126,7 @@
         self._reset_exchange()
         self._exchanges += 1
         self._is_busy = True
+        self._bound_silence(len(payload))
         self._transport.write(payload)
 
     async def read_head(self, seconds: float) -> ResponseHead:
@@ -243,6 +247,18 @@
             self._is_complete = True
             self._wake()
 
+    def _bound_silence(self, size: int) -> None:
+        """Let the server read nothing for longer while a body is sent."""
+        is_large = size > UNREAD_BYTES
+        if self._transport is None or is_large == self._is_large:
+            return
+        self._is_large = is_large
+        options = self._options
+        set_user_timeout(
+            self._transport,
+            options.silent_timeout if is_large else options.user_timeout,
+        )
+
     def _reset_exchange(self) -> None:
         self._parser: Any = HttpResponseParser(self)
         self._head = None
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -27,7 +27,9 @@
 
     `idle_timeout` applies unless the server declares one; a connection is
     closed `idle_margin` before the server would close it. `user_timeout`
-    bounds how long sent bytes may stay unacknowledged by the peer's kernel.
+    bounds how long sent bytes may stay unacknowledged by the peer's kernel, or
+    wait because the peer reads nothing; `silent_timeout` is that for so many
+    bytes that the kernel of a peer which falls silent cannot take them all.
     `header_bytes` also bounds what is received without any part of a body,
     `body_bytes` a body that is read as a whole. The server is slowed down while
     `buffer_bytes` of a body wait to be read.
@@ -37,6 +39,7 @@
     idle_timeout: float = 4
     idle_margin: float = 1
     user_timeout: float = 1.5
+    silent_timeout: float = 3
     header_bytes: int = 65536
     body_bytes: int = 32 << 20
     buffer_bytes: int = 256 << 10
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -13,7 +13,7 @@
 
 from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
-from mintlanding.http1.client import Address, set_user_timeout
+from mintlanding.http1.client import UNREAD_BYTES, Address, set_user_timeout
 from mintlanding.http1.models import ClientOptions, ResponseHead
 from mintlanding.paths.frames import END, FrameBuffer, FrameTooLarge, frame
 from mintlanding.paths.messages import (
@@ -46,9 +46,11 @@
 class _Side(asyncio.Protocol):
     """One of the two connections of a path, with the other as its peer."""
 
-    def __init__(self) -> None:
+    def __init__(self, options: ClientOptions) -> None:
         self.peer: _Side | None = None
         self.transport: asyncio.Transport | None = None
+        self._options = options
+        self._written = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -72,8 +74,13 @@
 
     def write(self, payload: bytes) -> None:
         """Write, unless the connection is closed."""
-        if self.transport is not None and self.is_open:
-            self.transport.write(payload)
+        if self.transport is None or not self.is_open:
+            return
+        before = self._written
+        self._written += len(payload)
+        if before <= UNREAD_BYTES < self._written:
+            set_user_timeout(self.transport, self._options.silent_timeout)
+        self.transport.write(payload)
 
     def close(self) -> None:
         """Close once all bytes are written."""
@@ -132,8 +139,12 @@
 class _TargetSide(_Side):
     """The connection to the target."""
 
-    def __init__(self, on_head: Callable[[ResponseHead], None]) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        on_head: Callable[[ResponseHead], None],
+        options: ClientOptions,
+    ) -> None:
+        super().__init__(options)
         self._reader = _HeadReader(on_head)
 
     def data_received(self, chunk: bytes) -> None:
@@ -157,7 +168,7 @@
     """The connection of a member that asks for a path."""
 
     def __init__(self, server: 'PathServer') -> None:
-        super().__init__()
+        super().__init__(server.options)
         self._server = server
         self._frames: FrameBuffer | None = FrameBuffer()
         self._expires_at = float('inf')
@@ -223,7 +234,10 @@
             self._refuse(request, address)
             return
         self._expire_after(request.seconds)
-        side = _TargetSide(functools.partial(self._server.on_head, request))
+        side = _TargetSide(
+            functools.partial(self._server.on_head, request),
+            self._server.options,
+        )
         seconds = min(request.seconds, self._server.options.connect_timeout)
         try:
             await self._server.connect(side, address, seconds)
