--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -507,7 +507,7 @@
         if req.get(b'x-expect-instance') != self.name.encode():
             self._refuse(req)
             return
-        adapter = req.get(b'x-model').decode().partition('/')[2]
+        adapter = req.get(b'x-model').decode('latin-1').partition('/')[2]
         if self.model and adapter and adapter not in self.adapters:
             self._refuse(req)
             return
@@ -516,7 +516,9 @@
             faults.shed -= 1
             req.respond(503, headers, b'')
             return
-        self.runs.append((request_id.decode(), req.body, dict(req.headers)))
+        self.runs.append(
+            (request_id.decode('latin-1'), req.body, dict(req.headers))
+        )
         before = self.last_ids.get(req.conn)
         self.last_ids[req.conn] = request_id
         stale = faults.stale if before is not None else None
