Pass on all bytes of a target before a path breaks

Cause: when a target reset its connection, the member that passes its bytes on reset the path at once, and what the other member had not read yet was dropped. A response that the target had sent whole was lost on the way: to the caller of an unsafe request 502, to others a cut body or one more run.

Change: the path is closed after the last byte, without the mark of an orderly end. A response without length stays lost, as its test asserts.

--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -138,14 +138,15 @@
             self._reader.feed(chunk)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the member of an end in order; a reset ends the path."""
+        """Tell the member of an end in order, after all bytes of the target.
+
+        Without it the member knows that the connection broke.
+        """
         if self.peer is None:
             return
         if exc is None:
             self.peer.write(END)
-            self.peer.close()
-        else:
-            self.peer.reset()
+        self.peer.close()
 
 
 class _MemberSide(_Side):
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -1,6 +1,7 @@
 """Paths to targets through a member: what it passes on, refuses and ends."""
 
 import asyncio
+import socket
 import struct
 
 import pytest
@@ -113,6 +114,24 @@
         assert body == b'ok'
 
 
+async def test_whole_response_reaches_a_slow_member_although_its_target_resets():
+    body = b'x' * 200_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    async with World() as world:
+        world.target.response, world.target.ending = head + body, 'reset'
+        (listener,) = world.server._listener.sockets
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
+        conn = await world.open()
+        conn._transport.pause_reading()
+        sock = conn._transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        conn.send(REQUEST)
+        await asyncio.sleep(0.4)
+        conn._transport.resume_reading()
+        assert (await conn.read_head(1)).status == 200
+        assert await conn.read_body(1) == body
+
+
 async def test_response_without_length_that_is_reset_is_lost():
     async with World() as world:
         world.target.response, world.target.ending = UNFRAMED, 'reset'
