Refund the quota of a caller that leaves before its request is sent

Cause: a request is charged before it waits for a target. Where its caller left during that wait, the charge stayed although nothing had run, and the workspace was refused that much later on, by all instances.

Change: the end of a request that was not sent refunds its charge, also where its caller has left.

Measured: the new test fails on the parent (the counter stays) and passes.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -141,6 +141,7 @@
         try:
             self._finish(plan, await self._run(plan))
         except asyncio.CancelledError:
+            self._refund_unsent(plan)
             self.log.ended(plan, 'gone', self._now())
             raise
         except Exception as exc:
@@ -269,6 +270,10 @@
         plan.charged = amount
         return plan
 
+    def _refund_unsent(self, plan: RequestPlan) -> None:
+        if plan.workspace is not None and not plan.is_sent:
+            self.quotas.refund(plan.workspace.name, plan.charged)
+
     def _refuse(
         self,
         req: CallerRequest,
@@ -294,8 +299,7 @@
             self.planned_stop.record_run(plan.route, now - req.arrived)
             self.log.ended(plan, 'served', now)
             return
-        if plan.workspace is not None and not plan.is_sent:
-            self.quotas.refund(plan.workspace.name, plan.charged)
+        self._refund_unsent(plan)
         self.log.ended(plan, result.value, now)
         if req.is_streaming or result is AttemptResult.broken:
             req.abort()
--- a/mintlanding/platform/tests/test_contained_errors.py
+++ b/mintlanding/platform/tests/test_contained_errors.py
@@ -8,10 +8,17 @@
 from mintlanding.core.tests.ports import free_port
 from mintlanding.node import view as view_module
 from mintlanding.node.send_gate import SendGate
+from mintlanding.node.target_choice import TargetChoice
 from mintlanding.platform import requests
 from mintlanding.platform.tests import world as world_module
 from mintlanding.platform.tests.samples import CONFIG, encode
-from mintlanding.platform.tests.world import LIVE, ORDER, World, read_response
+from mintlanding.platform.tests.world import (
+    LIVE,
+    LOOKUP,
+    ORDER,
+    World,
+    read_response,
+)
 
 
 @pytest.fixture
@@ -283,3 +290,24 @@
         assert status == 200
     for engine in world.engines:
         assert len(engine.server.connections) <= 4
+
+
+async def test_quota_of_a_caller_that_leaves_before_its_request_is_sent(
+    world, monkeypatch
+):
+    relay = world.nodes[0].relay
+    waiting = asyncio.Event()
+
+    async def wait(choice, plan):
+        waiting.set()
+        await asyncio.sleep(5)
+
+    monkeypatch.setattr(TargetChoice, 'plain_target', wait)
+    _, writer = await world.connect()
+    writer.write(world.raw(LOOKUP))
+    await waiting.wait()
+    assert relay.quotas.counters()['hule930'] > 0
+    writer.close()
+    async with asyncio.timeout(2):
+        while relay.quotas.counters()['hule930']:
+            await asyncio.sleep(0.01)
