--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -113,6 +113,7 @@
         try:
             self._finish(plan, await self._run(plan))
         except asyncio.CancelledError:
+            self._refund_unsent(plan)
             self.log.ended(plan, 'gone', loop_seconds())
             raise
         except Exception as exc:
@@ -231,8 +232,7 @@
             self.planned_stop.record_run(plan.route, now - req.arrived)
             self.log.ended(plan, 'served', now)
             return
-        if plan.workspace is not None and not plan.is_sent:
-            self.quotas.refund(plan.workspace.name, plan.charged)
+        self._refund_unsent(plan)
         self.log.ended(plan, result.value, now)
         if req.is_streaming or result is AttemptResult.broken:
             req.abort()
@@ -251,6 +251,11 @@
         )
         req.respond(status, headers, b'')
 
+    def _refund_unsent(self, plan: RequestPlan) -> None:
+        """Give back to the quota what no target was asked for."""
+        if plan.workspace is not None and not plan.is_sent:
+            self.quotas.refund(plan.workspace.name, plan.charged)
+
     async def _serve(self, plan: RequestPlan) -> AttemptResult:
         if plan.service.engine is None:
             return await self._serve_plain(plan)
