Write an entry again that an earlier write has replaced late

Cause: a write without a response may be committed seconds later, after a third one that was confirmed. The entry then said for good that the instance is cut off, or that it is not: members ask it for paths last, or wait for it to claim engines that it does not reach. Change: the entry that the instance sees of itself, as of its last write or later, is compared with the one it wrote; if they differ it is written again, at most once a second. Measured: both cases of the new test fail without it; with it one write each.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -515,6 +515,8 @@
         is_cut_off = self.ownership.cuts.is_cut_off
         if not self._registered or now < self._entry_retry_at:
             return
+        if self._is_entry_replaced():
+            self._entry = None
         before = self._entry
         if before is not None and before.is_cut_off == is_cut_off:
             return
@@ -530,6 +532,14 @@
             targets=len(self._view.targets),
         )
 
+    def _is_entry_replaced(self) -> bool:
+        """Tell whether an earlier write of the entry was committed late."""
+        stored = self._view.members.get(self.instance)
+        if stored is None or stored.boot != self.incarnation:
+            return False
+        is_current = self._view.as_of >= self._stored_revision
+        return is_current and stored != self._entry
+
     def _claims(self, now: float) -> list[WorkerClaim]:
         view = self._view
         context = ClaimContext(
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mintlanding.coordination.transactional_store import (
+    Change,
     Committed,
     Item,
     Snapshot,
@@ -230,6 +231,41 @@
     assert store.revision == before
 
 
+@pytest.mark.parametrize('is_cut_off', [True, False])
+async def test_entry_that_a_late_write_has_replaced_is_written_again(
+    is_cut_off,
+):
+    # Two writes had no response; one is committed after a third was confirmed.
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    membership.ownership.cuts.is_cut_off = is_cut_off
+    await membership._keep_lease()
+    late = []
+    commit = store.commit
+
+    async def delay(transaction):
+        late.append(transaction)
+        raise PlatformUnavailable('no response')
+
+    now = boot_seconds()
+    store.commit = delay
+    for step, told in enumerate((not is_cut_off, is_cut_off)):
+        membership.ownership.cuts.is_cut_off = told
+        await membership._update_entry(now + 2 * step)
+    store.commit = commit
+    await membership._update_entry(now + 4)
+    assert membership._entry.is_cut_off == is_cut_off
+    reply = await commit(late[0])
+    (write,) = late[0].writes
+    item = Item(write.key, write.content, reply.revision)
+    membership._view.apply(Change(item.key, item.revision, item), now + 5)
+    membership._view.as_of = reply.revision
+    before = store.revision
+    for step in range(4):
+        await membership._update_entry(now + 6 + step)
+    assert store.revision == before + 1
+
+
 async def test_entry_is_written_again_after_a_release_that_depends_on_it_failed():
     membership = make_membership(FakeStore(), 50, w1=('me', 3))
     await membership._keep_lease()
