Correct a revision that is beyond those of the store

Cause: an update of a member or a response of the store whose revision was far too high, but within bounds, set the revision of the view. Every later change counted as known, so that the instance looked sound and followed the store no more, for good. An instance that only gets updates never asked the store, since each update counted as news.

An update that ends before the view is not taken for news, so that the instance reads for itself in time.

--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -76,8 +76,10 @@
         if not view.as_of or update.after > view.as_of:
             return
         now = boot_seconds()
-        self._mark_fresh(now)
-        self._last_update_at = now
+        # One that ends before the view tells nothing about the store now.
+        if update.as_of >= view.as_of:
+            self._mark_fresh(now)
+            self._last_update_at = now
         for each in update.changes:
             if each.revision > view.as_of:
                 view.apply(_decode_change(each), now)
@@ -114,6 +116,10 @@
             await self._back_off(exc)
             return
         self._mark_reachable()
+        if found.revision < after:
+            raise HistoryLost(
+                f'the store is at {found.revision}, the view at {after}',
+            )
         now = boot_seconds()
         self._mark_fresh(now)
         # Changes that another reader forwarded meanwhile may not have reached
--- a/mintlanding/platform/tests/test_unforeseen_errors.py
+++ b/mintlanding/platform/tests/test_unforeseen_errors.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mintlanding.links.messages import StoreUpdate
 from mintlanding.platform.tests.samples import CONFIG, ENTRY, encode
 from mintlanding.platform.tests.world import (
     LIVE,
@@ -203,6 +204,27 @@
     assert (view.members, view.quarantines) == before
 
 
+@pytest.mark.parametrize('is_reader', [True, False])
+async def test_revision_beyond_those_of_the_store_is_corrected(
+    world, is_reader
+):
+    late = await world.add_node('late')
+    async with asyncio.timeout(4):
+        while not late._is_ready or len(late.view.members) < 2:
+            await asyncio.sleep(0.05)
+    nodes = [world.nodes[0], late]
+    reader = next(each for each in nodes if each._store_watcher.is_reader())
+    other = next(each for each in nodes if each is not reader)
+    odd = reader if is_reader else other
+    odd._store_watcher.apply_update(StoreUpdate(1, 2**62))
+    assert odd.view.as_of == 2**62
+    world.store.put('op/config', encode({**CONFIG, 'version': 8}))
+    async with asyncio.timeout(6):
+        while odd.view.config.version < 8:
+            await asyncio.sleep(0.05)
+    assert odd.view.as_of <= world.store.revision
+
+
 async def test_instance_starts_beside_a_deeply_nested_record(world):
     world.store.put('servers/odd', NESTED)
     async with asyncio.timeout(4):
