Use a member's share of a brittle target by the one that it elects only

Cause: A holder used the shares of all members that it reaches. Members that see each other differently elect several holders, and a member that two of them reach was counted twice: in a star of eight, of which only the middle reaches the others, seven holders used 1.75 of the whole.

Change: A status names the members from which its sender hears nothing, at most 16, and hubs pass it on. A holder uses a member's share only if that member would elect it: it hears the holder and none that is elected before it. A member that has just registered cannot have begun to act and is left out of account. One that names 16 is on one side of a divided fleet and counts where it is reached. Two mutants: what earlier granters let pass is forgotten, and shares are used by two.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -48,7 +48,8 @@
     seconds the sender has reached the store without interruption. `suspects`
     are parts of prompts under which engines crashed, `limits` what targets
     named as their limits to the sender, `requests` whole requests under which
-    targets crashed, `brittle` how many refusals per second targets bear.
+    targets crashed, `brittle` how many refusals per second targets bear,
+    `unreached` members from which the sender hears nothing.
     """
 
     instance: str
@@ -65,6 +66,7 @@
     requests: tuple[SuspectPart, ...] = ()
     leaving: tuple[tuple[str, Whole], ...] = ()
     brittle: tuple[LimitReport, ...] = ()
+    unreached: tuple[str, ...] = ()
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -87,6 +89,7 @@
     `admitted` is the sum over all processes that the zone ever had, `levels`
     the mean of the members, `store_contact` the longest of them, `suspects`,
     `limits`, `requests`, `leaving` and `brittle` what they report together.
+    `unreached` names for members from which others they hear nothing.
     """
 
     zone: str
@@ -103,6 +106,7 @@
     requests: tuple[SuspectPart, ...] = ()
     leaving: tuple[tuple[str, Whole], ...] = ()
     brittle: tuple[LimitReport, ...] = ()
+    unreached: dict[str, tuple[str, ...]] = {}
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -189,6 +189,7 @@
         sources.leaving = self.view.leaving_targets
         sources.limits = self._limits.table.reports
         sources.brittle = self._limits.brittle.reports
+        sources.unreached = self._limits.unreached
         sources.store_contact = self.view.store_contact.uninterrupted
         listeners = self._membership.status_exchange.listeners
         listeners.on_digests = self._admissions.record_digests
--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -28,11 +28,12 @@
     HANDOVER_SECONDS,
     BrittleRoom,
     RoomShare,
+    member_weight,
     other_granters,
 )
 from mintlanding.target_limits.desk import LimitDesk, room_outcome
 from mintlanding.target_limits.first_contact import FirstContacts
-from mintlanding.target_limits.handover import FleetHistory
+from mintlanding.target_limits.handover import FleetHistory, elects
 from mintlanding.target_limits.messages import LimitReport
 from mintlanding.target_limits.pacer import Pacer
 from mintlanding.target_limits.table import LimitTable, TargetKey
@@ -41,6 +42,9 @@
 
 # Seconds without a request after which a desk is closed.
 _IDLE_SECONDS = 15.0
+# Members in the own status from which nothing is heard. One that names so many
+# is on one side of a divided fleet.
+_MAX_UNREACHED = 16
 
 ReplyCallback = Callable[[AdmissionReply], None]
 # A target, and whether its room is that for own requests only.
@@ -213,16 +217,55 @@
         return limit * reachable / members
 
     def holder_share(self, target: TargetKey) -> RoomShare | None:
-        """Return what this instance may use of a brittle target as holder."""
+        """Return what this instance may use of a brittle target as holder.
+
+        A member's share belongs to the one that it takes for the holder, so
+        that members which see each other differently use none twice.
+        """
+        return self._share(target, lambda: self._electors(target[0]))
+
+    def unreached(self, now: float) -> tuple[str, ...]:
+        """Return the other members from which this instance hears nothing.
+
+        Those that ended silently count too, since others may still expect
+        them. Of many the first ones are returned.
+        """
+        own = self._membership.instance
+        known = {*self._view.members, *self.departed()} - {own}
+        silent = [
+            each
+            for each in sorted(known)
+            if not self._membership.is_reachable(each, now)
+        ]
+        return tuple(silent[:_MAX_UNREACHED])
+
+    def _electors(self, target: str) -> list[str]:
+        """Return the members that take this instance for the holder."""
         now = boot_seconds()
-        return self._share(
-            target,
-            lambda: [
-                each
-                for each in self._view.members
-                if self._membership.is_reachable(each, now)
-            ],
-        )
+        own = self._membership.instance
+        rivals = self._rivals(target, now)
+        electors = []
+        for each in self._view.members:
+            unreached = self._membership.unreached_by(each)
+            is_divided = len(unreached) >= _MAX_UNREACHED
+            if self._membership.is_reachable(each, now) and (
+                is_divided or elects(own, rivals, unreached)
+            ):
+                electors.append(each)
+        return electors
+
+    def _rivals(self, target: str, now: float) -> list[str]:
+        """Return the members that are elected where they are reached."""
+        found = self._view.targets.get(target)
+        if found is None or self._view.is_engine(found):
+            return []
+        weight = member_weight(target, self._membership.instance)
+        return [
+            each
+            for each in self._view.members
+            if member_weight(target, each) > weight
+            and self._history.may_act(each, now)
+        ]
 
     def steward_start(self, target: Target) -> float:
         """Return when this instance may begin to grant as a steward."""
@@ -347,6 +390,7 @@
             for each in self._view.members
             if self._membership.is_reachable(each, now)
         }
+        self._history.record_registered(self._view.members, now)
         self._history.record_members(frozenset((own, *reached)), now)
         self._history.retain(self._view.ownership)
         for engine, record in self._view.ownership.items():
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -139,6 +139,10 @@
         """Tell whether a member's last status is recent enough."""
         return self.status_exchange.is_reachable(member, now)
 
+    def unreached_by(self, member: str) -> tuple[str, ...]:
+        """Return the members from which a member hears nothing, by itself."""
+        return self.status_exchange.unreached_by(member)
+
     def members(self) -> dict[str, MemberRecord]:
         """Return the other members that are or were lately registered."""
         return self._recent_members
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -45,11 +45,15 @@
 
 @dataclass(slots=True)
 class ReceivedStatus:
-    """The last status of a member: `at` is when it arrived here."""
+    """The last status of a member: `at` is when it arrived here.
+
+    `unreached` are the members from which it hears nothing.
+    """
 
     incarnation: str
     sent_at: float
     at: float
+    unreached: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -65,6 +69,7 @@
     requests: Callable[[float], tuple[SuspectPart, ...]] = lambda now: ()
     limits: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
     brittle: Callable[[float], tuple[LimitReport, ...]] = lambda now: ()
+    unreached: Callable[[float], tuple[str, ...]] = lambda now: ()
     leaving: Callable[[], tuple[tuple[str, int], ...]] = tuple
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
@@ -181,6 +186,11 @@
             timeout = self._options.hub_timeout
         return now < received.at + timeout
 
+    def unreached_by(self, member: str) -> tuple[str, ...]:
+        """Return the members from which a member hears nothing, by itself."""
+        received = self.received.get(member)
+        return () if received is None else received.unreached
+
     def unreachable_zones(self, now: float) -> frozenset[str]:
         """Return the other zones none of whose members is reachable.
 
@@ -232,7 +242,15 @@
 
     def receive_status(self, status: Status, now: float) -> None:
         """Process the status of a member and keep it for the zone's status."""
-        self._record(status.instance, status.incarnation, status.sent_at, now)
+        self._record(
+            MemberStatus(
+                status.instance,
+                status.incarnation,
+                status.sent_at,
+            ),
+            status.unreached,
+            now,
+        )
         if status.asks_consent:
             self._send_consent(status.instance, status.sent_at)
         self._statuses[status.instance] = status
@@ -263,12 +281,8 @@
         for member in zone_status.members:
             if member.instance == self._instance:
                 continue
-            is_newer = self._record(
-                member.instance,
-                member.incarnation,
-                member.sent_at,
-                now,
-            )
+            unreached = zone_status.unreached.get(member.instance, ())
+            is_newer = self._record(member, unreached, now)
             if is_newer and member.asks_consent:
                 self._send_consent(member.instance, member.sent_at)
         self.listeners.on_store_contact(zone_status.store_contact, now)
@@ -312,6 +326,7 @@
             requests=self.sources.requests(now),
             leaving=self.sources.leaving(),
             brittle=self.sources.brittle(now),
+            unreached=self.sources.unreached(now),
         )
 
     def _send_use_reports(self) -> None:
@@ -446,6 +461,11 @@
                 for each in live.values()
                 for report in each.brittle
             ),
+            unreached={
+                each.instance: each.unreached
+                for each in live.values()
+                if each.unreached
+            },
         )
 
     def _delay(self, member: str, now: float) -> float:
@@ -474,19 +494,17 @@
         return {}
 
     def _record(
-        self,
-        member: str,
-        incarnation: str,
-        sent_at: float,
-        now: float,
+        self, status: MemberStatus, unreached: tuple[str, ...], now: float
     ) -> bool:
         """Record a status; return false if it is no newer than the last one."""
-        known = self.received.get(member)
-        if known is not None and known.incarnation == incarnation:
-            if known.sent_at >= sent_at:
+        known = self.received.get(status.instance)
+        if known is not None and known.incarnation == status.incarnation:
+            if known.sent_at >= status.sent_at:
                 return False
-        self.received[member] = ReceivedStatus(incarnation, sent_at, now)
-        if known is None or known.incarnation != incarnation:
+        self.received[status.instance] = ReceivedStatus(
+            status.incarnation, status.sent_at, now, unreached
+        )
+        if known is None or known.incarnation != status.incarnation:
             self.listeners.on_new_incarnation()
         return True
 
--- a/mintlanding/node/tests/fleet_on_paper.py
+++ b/mintlanding/node/tests/fleet_on_paper.py
@@ -30,6 +30,8 @@
 # Seconds between two statuses, and for a message.
 STATUS_SECONDS = 0.25
 DELAY = 0.004
+# Most seconds by which a message is late.
+LATE_SECONDS = 0.15
 # Seconds until the record of a member that ended silently is gone.
 LEASE_SECONDS = 3.0
 
@@ -60,11 +62,13 @@
         self.ended = False
         # When each other member was heard last.
         self.heard = {}
+        self.unreached = {}
         self.reach = FleetReach()
         self.membership = SimpleNamespace(
             instance=name,
             is_reachable=self.is_reachable,
             elected=self.elected,
+            unreached_by=lambda member: self.unreached.get(member, ()),
             reach=lambda now: (1, 1),
             mesh=SimpleNamespace(send=self.send, redial=lambda member: None),
         )
@@ -116,6 +120,7 @@
             self.admissions.receive(message)
         else:
             self.heard[sender] = self.fleet.loop.time()
+            self.unreached[sender] = message
 
     def update(self):
         now = self.fleet.loop.time()
@@ -143,6 +148,8 @@
         self.records = set()
         self.silent_links = set()
         self.served = 0
+        # Parts of the messages that come twice, and that come late.
+        self.repeated = self.late = 0
         self.number = itertools.count()
         self.tasks = set()
 
@@ -158,7 +165,7 @@
             (report,),
             self.loop.time(),
         )
-        self._spawn(self._run(member))
+        self.spawn(self._run(member))
 
     def kill(self, name):
         member = self.members.pop(name, None)
@@ -192,6 +199,11 @@
         for one, other in itertools.permutations(groups, 2):
             self.cut(one, other)
 
+    def leave_links(self, pairs):
+        """Cut all links but those between some pairs, both ways."""
+        kept = pairs | {(other, one) for one, other in pairs}
+        self.silent_links = set(itertools.permutations(self.members, 2)) - kept
+
     def heal(self):
         self.silent_links.clear()
 
@@ -201,8 +213,13 @@
             if member is not None and sender in self.members:
                 member.receive(sender, message)
 
-        if (sender, receiver) not in self.silent_links:
-            self.loop.call_later(DELAY * self.rnd.uniform(0.5, 3), arrive)
+        if (sender, receiver) in self.silent_links:
+            return
+        for _ in range(1 + (self.rnd.random() < self.repeated)):
+            delay = DELAY * self.rnd.uniform(0.5, 3)
+            if self.rnd.random() < self.late:
+                delay += LATE_SECONDS * self.rnd.random()
+            self.loop.call_later(delay, arrive)
 
     def most_refused(self):
         return self.oracle.most_refused()
@@ -214,17 +231,18 @@
             names = sorted(self.members)
             if names:
                 name = names[next(self.number) % len(names)]
-                self._spawn(self._call(self.members[name]))
+                self.spawn(self._call(self.members[name]))
             await asyncio.sleep(self.rnd.uniform(0, 2) / rate)
 
     async def stop(self):
+        """End all members and callers."""
         for member in self.members.values():
             member.limits.stop()
         for task in tuple(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def _spawn(self, coroutine):
+    def spawn(self, coroutine):
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -239,7 +257,8 @@
             member.view.members = dict.fromkeys(sorted(self.records))
             for each in member.view.members:
                 if each != member.name:
-                    self.deliver(member.name, each, None)
+                    unreached = member.limits.unreached(self.loop.time())
+                    self.deliver(member.name, each, unreached)
             member.update()
             await asyncio.sleep(STATUS_SECONDS * self.rnd.uniform(0.9, 1.1))
 
@@ -280,28 +299,36 @@
             member.admissions.end('p1', name, outcome)
 
 
-def play_fleet(monkeypatch, scenario, **options):
-    """Run a scenario, a coroutine function of a fleet; return the fleet."""
+def start_fleet(
+    monkeypatch,
+    seed=1,
+    members=4,
+    bears=4,
+    slots=4,
+    waiting=4,
+    run_seconds=0.2,
+):
+    """Return a fleet on a loop of its own, stopped until the loop runs."""
     loop = PaperLoop()
     for module in (limit_keeper, admissions):
         monkeypatch.setattr(module, 'boot_seconds', loop.time)
-    rnd = random.Random(options.get('seed', 1))
-    slots = options.get('slots', 4)
-    oracle = Oracle(
-        slots,
-        slots + options.get('waiting', 4),
-        options.get('run_seconds', 0.2),
-    )
-    fleet = Fleet(loop, oracle, options.get('bears', 4), rnd)
-
-    async def play():
-        for number in range(options.get('members', 4)):
-            fleet.add(f'n{number}')
-        await scenario(fleet)
-        await fleet.stop()
+    oracle = Oracle(slots, slots + waiting, run_seconds)
+    fleet = Fleet(loop, oracle, bears, random.Random(seed))
+    for number in range(members):
+        fleet.add(f'n{number}')
+    return fleet
 
+
+def stop_fleet(fleet):
+    fleet.loop.run_until_complete(fleet.stop())
+    fleet.loop.close()
+
+
+def play_fleet(monkeypatch, scenario, **options):
+    """Run a scenario, a coroutine function of a fleet; return the fleet."""
+    fleet = start_fleet(monkeypatch, **options)
     try:
-        loop.run_until_complete(play())
+        fleet.loop.run_until_complete(scenario(fleet))
     finally:
-        loop.close()
+        stop_fleet(fleet)
     return fleet
--- a/mintlanding/node/tests/test_limit_keeper.py
+++ b/mintlanding/node/tests/test_limit_keeper.py
@@ -6,29 +6,32 @@
 import pytest
 
 from mintlanding.node.limit_keeper import LimitKeeper
+from mintlanding.target_limits.handover import elect
 from mintlanding.target_limits.messages import LimitReport
 from mintlanding.traffic.header_fields import TargetResponse
 from mintlanding.traffic.models import Target
 from mintlanding.traffic.reach import FleetReach, MemberContact
 
-TARGET = Target('p1', 'orders', ('127.0.0.1', 1), 'z1', 4, incarnation=7)
-AGAIN = Target('p1', 'orders', ('127.0.0.1', 1), 'z1', 4, incarnation=8)
-OTHER = Target('p2', 'orders', ('127.0.0.1', 2), 'z1', 4, incarnation=7)
+TARGET = Target('p2', 'orders', ('127.0.0.1', 1), 'z1', 4, incarnation=7)
+AGAIN = Target('p2', 'orders', ('127.0.0.1', 1), 'z1', 4, incarnation=8)
+OTHER = Target('p1', 'orders', ('127.0.0.1', 2), 'z1', 4, incarnation=7)
 
 
 @pytest.fixture
 def keeper():
     view = SimpleNamespace(
-        targets={'p1': TARGET, 'p2': OTHER},
+        targets={'p2': TARGET, 'p1': OTHER},
         members={name: None for name in ('n0', 'n1', 'n2', 'n3')},
         ownership={},
+        is_engine=lambda target: False,
     )
     membership = SimpleNamespace(
         instance='n0',
         is_reachable=lambda member, now: True,
+        unreached_by=lambda member: (),
     )
     found = LimitKeeper(None, view, membership, random.Random(1))
-    found.merge_brittle([LimitReport('p1', 7, 8.0)], now=0)
+    found.merge_brittle([LimitReport('p2', 7, 8.0)], now=0)
     return found
 
 
@@ -78,6 +81,27 @@
 
 
 def test_knowledge_belongs_to_one_run(keeper):
-    keeper._view.targets = {'p1': AGAIN}
+    keeper._view.targets = {'p2': AGAIN}
     keeper.update()
     assert not keeper.count_brittle()
+
+
+def test_share_of_a_member_that_takes_another_for_the_holder_is_not_used(
+    keeper,
+):
+    rival = 'n2'
+    keeper._membership.instance = 'n3'
+    keeper._membership.is_reachable = lambda member, now: member == 'n1'
+    # It reaches one that is elected before this instance, and later none.
+    assert elect('p2', ['n0', 'n1', 'n2', 'n3']) == 'n0'
+    assert keeper.holder_share(TARGET.key).part == 0.25
+    keeper._membership.unreached_by = lambda member: ('n0', rival)
+    assert keeper.holder_share(TARGET.key).part == 0.5
+    keeper._membership.unreached_by = lambda member: ('n0', rival, 'n3')
+    assert keeper.holder_share(TARGET.key).part == 0.25
+
+
+def test_status_names_the_members_from_which_nothing_is_heard(keeper):
+    keeper._membership.is_reachable = lambda member, now: member == 'n1'
+    keeper.departed = lambda: frozenset({'n7'})
+    assert keeper.unreached(0) == ('n2', 'n3', 'n7')
--- a/mintlanding/target_limits/brittle.py
+++ b/mintlanding/target_limits/brittle.py
@@ -114,6 +114,7 @@
         self._slots = max(1, slots)
         self._share = share
         self._named_share = share
+        self._opened_at = now
         # Earlier shares, and until when each was in force.
         self._earlier: deque[tuple[float, RoomShare]] = deque()
         self._starts_at = starts_at
@@ -143,11 +144,13 @@
     def set_share(self, share: RoomShare, now: float) -> None:
         """Use another share: at once what is less, what is more later.
 
-        Others may have used what comes back here.
+        Others may have used what comes back here. When to begin was decided
+        with regard to them, so that shares may still come in then.
         """
-        if share != self._named_share:
+        is_old = now > self._opened_at + HANDOVER_SECONDS
+        if share != self._named_share and is_old:
             self._earlier.append((now, self._named_share))
-            self._named_share = share
+        self._named_share = share
         self._update_share(now)
 
     def hold_until(self, at: float) -> None:
--- a/mintlanding/target_limits/handover.py
+++ b/mintlanding/target_limits/handover.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -23,6 +23,9 @@
     """
 
     began_at: float
+    # When members that have not been reached yet were first registered.
+    _new_since: dict[str, float] = field(default_factory=dict)
+    _reached: set[str] = field(default_factory=set)
     _members: frozenset[str] = frozenset()
     # Members before, each with the time until which they were the members.
     _earlier: list[tuple[float, frozenset[str]]] = field(default_factory=list)
@@ -31,8 +34,21 @@
         default_factory=dict
     )
 
+    def record_registered(self, members: Iterable[str], now: float) -> None:
+        """Record which members are registered, reached or not."""
+        self._new_since = {
+            each: self._new_since.get(each, now) for each in members
+        }
+        self._reached.intersection_update(self._new_since)
+
+    def may_act(self, member: str, now: float) -> bool:
+        """Tell whether a member may have begun to act for targets."""
+        since = self._new_since.get(member, now)
+        return member in self._reached or now >= since + HANDOVER_SECONDS
+
     def record_members(self, members: frozenset[str], now: float) -> None:
         """Record which members reach each other, this one included."""
+        self._reached |= members
         if members == self._members:
             return
         if self._members:
@@ -97,3 +113,14 @@
     tenures: list[tuple[float, _Tenure]], now: float
 ) -> list[tuple[float, _Tenure]]:
     return [each for each in tenures if each[0] > now - HANDOVER_SECONDS]
+
+
+def elects(
+    own: str, rivals: Collection[str], unreached: Collection[str]
+) -> bool:
+    """Tell whether a member takes an instance for the holder of a target.
+
+    `rivals` would be elected before it, `unreached` are the members from which
+    the member hears nothing.
+    """
+    return own not in unreached and all(each in unreached for each in rivals)
--- a/mintlanding/target_limits/tests/test_handover.py
+++ b/mintlanding/target_limits/tests/test_handover.py
@@ -1,9 +1,13 @@
 """Test when a granter of turns may begin to act."""
 
+from collections import Counter
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mintlanding.target_limits.brittle import HANDOVER_SECONDS
-from mintlanding.target_limits.handover import FleetHistory, elect
+from mintlanding.target_limits.handover import FleetHistory, elect, elects
 
 NAMES = frozenset(f'n{number}' for number in range(4))
 
@@ -75,3 +79,38 @@
         HANDOVER_SECONDS
     )
     assert history.start_as_steward('n2', 'e1', 2, 10.9) <= 10.9
+
+
+@given(st.data())
+def test_members_that_see_each_other_differently_use_no_share_twice(data):
+    names = [f'n{number}' for number in range(data.draw(st.integers(1, 7)))]
+    reached = {
+        each: {each} | data.draw(st.sets(st.sampled_from(names)))
+        for each in names
+    }
+    holders = {elect('p1', reached[each]) for each in names}
+    used = Counter()
+    for holder in holders:
+        rivals = [
+            each
+            for each in names
+            if elect('p1', [each, holder]) == each and each != holder
+        ]
+        used.update(
+            each
+            for each in names
+            if each != holder
+            and each in reached[holder]
+            and elects(holder, rivals, set(names) - reached[each])
+        )
+    assert all(times == 1 for times in used.values())
+
+
+def test_member_that_is_new_may_not_have_begun_to_act():
+    history = FleetHistory(0)
+    history.record_members(frozenset({'n0'}), 10)
+    history.record_registered(['n0', 'n1'], 10)
+    assert not history.may_act('n1', 11)
+    assert history.may_act('n1', 10 + HANDOVER_SECONDS)
+    history.record_members(frozenset({'n0', 'n1'}), 10.5)
+    assert history.may_act('n1', 10.5)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -46,6 +46,7 @@
 from mintlanding.routing.plain import PlainRouter
 from mintlanding.routing.retries import RetryBudget
 from mintlanding.target_limits.brittle import BrittleRoom, RoomShare
+from mintlanding.target_limits.handover import FleetHistory
 from mintlanding.target_limits.pacer import Pacer
 from mintlanding.traffic.reach import FleetReach
 
@@ -351,6 +352,24 @@
         'mintlanding/target_limits/tests/test_brittle.py::'
         'test_new_holder_starts_cautiously',
     ),
+    Mutant(
+        'a new granter does not regard what those before it let pass',
+        'brittle targets',
+        FleetHistory,
+        '_start',
+        always(float('-inf')),
+        'mintlanding/node/tests/test_limit_handover.py::'
+        'test_holders_that_end_one_after_another',
+    ),
+    Mutant(
+        'a share is used by two members that see each other differently',
+        'brittle targets',
+        'mintlanding.node.limit_keeper.elects',
+        '',
+        always(True),
+        'mintlanding/node/tests/test_limit_handover.py::'
+        'test_star_of_which_only_the_middle_reaches_the_others',
+    ),
     Mutant(
         'a limit of a target lets all pass',
         'limits of targets',
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -123,6 +123,7 @@
                 target='text-33', incarnation=34, limit=35.5, age=36.5
             ),
         ),
+        unreached=('text-37',),
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -192,6 +193,7 @@
                 target='text-60', incarnation=61, limit=62.5, age=63.5
             ),
         ),
+        unreached={'text-57': ('text-58',)},
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
