Search no other engine for a request whose time is over

Cause: since silent engines are kept until another one takes their request, a search was begun also at the end of the request's time, and ended at once.

Change: a request whose time is over is given up as before; the steps read in order.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -786,20 +786,19 @@
         """
         if not self._may_give_up(plan):
             return None
-        if plan.service.engine is not None:
-            plan.tried.add(plan.target)
-            search = TargetSearch(self._reserve(plan), self._admissions)
-            try:
-                part = await search.read_meanwhile(read, plan.deadline)
-                if part is None and self._may_give_up(plan):
-                    plan.reservation = search.take()
-            finally:
-                search.end()
-            if part is not None:
-                return part
-            if plan.reservation is None and self._time_left(plan) > 0:
-                return None
-        raise ResponseTimeout('no response in time')
+        if plan.service.engine is None or self._time_left(plan) <= 0:
+            raise ResponseTimeout('no response in time')
+        plan.tried.add(plan.target)
+        search = TargetSearch(self._reserve(plan), self._admissions)
+        try:
+            part = await search.read_meanwhile(read, plan.deadline)
+            if part is None and self._may_give_up(plan):
+                plan.reservation = search.take()
+        finally:
+            search.end()
+        if plan.reservation is not None:
+            raise ResponseTimeout('no response, and another engine is free')
+        return part
 
     def _may_give_up(self, plan: RequestPlan) -> bool:
         """Tell whether a silent target may be given up for another attempt."""
