--- a/mintlanding/node/patience.py
+++ b/mintlanding/node/patience.py
@@ -37,23 +37,20 @@
         """
         if not self._may_give_up(plan):
             return None
-        if plan.service.engine is not None:
-            plan.tried.add(plan.target)
-            search = TargetSearch(
-                self.reservations.reserve(plan), self.admissions
-            )
-            try:
-                part = await search.read_meanwhile(read, plan.deadline)
-                if part is None and self._may_give_up(plan):
-                    plan.reservation = search.take()
-            finally:
-                search.end()
-            if part is not None:
-                return part
-            is_in_time = plan.time_left(loop_seconds()) > 0
-            if plan.reservation is None and is_in_time:
-                return None
-        raise ResponseTimeout('no response in time')
+        is_late = plan.time_left(loop_seconds()) <= 0
+        if plan.service.engine is None or is_late:
+            raise ResponseTimeout('no response in time')
+        plan.tried.add(plan.target)
+        search = TargetSearch(self.reservations.reserve(plan), self.admissions)
+        try:
+            part = await search.read_meanwhile(read, plan.deadline)
+            if part is None and self._may_give_up(plan):
+                plan.reservation = search.take()
+        finally:
+            search.end()
+        if plan.reservation is not None:
+            raise ResponseTimeout('no response, and another engine is free')
+        return part
 
     def response_timeout(self, plan: RequestPlan) -> float:
         """Return how long an attempt may wait for its response to begin."""
