Add mutants and a stronger state machine for paths through members

Cause: no mutant took out the rule of one hop, that of one charge, or what a path that resets its connections shows; the state machine of the path table knew no findings that come late, twice, out of order or never. Change: three mutants; a test that a member without a path of its own offers none; late findings in the state machine, with an oracle that compares the table with the truth once it stays.

--- a/mintlanding/paths/tests/test_path_table.py
+++ b/mintlanding/paths/tests/test_path_table.py
@@ -75,7 +75,10 @@
 
 
 class Paths(RuleBasedStateMachine):
-    """The truth about each path, and what connection attempts tell of it."""
+    """The truth about each path, and what connection attempts tell of it.
+
+    What an attempt found may be recorded late, twice, out of order, or never.
+    """
 
     def __init__(self):
         super().__init__()
@@ -83,16 +86,26 @@
         self.now = 0.0
         self.is_path_cut = dict.fromkeys(TARGETS, False)
         self.is_down = dict.fromkeys(TARGETS, False)
+        self.late = []
 
-    def attempt(self, target):
-        self.now += 0.01
+    def find(self, target):
+        """Return what an attempt finds now."""
         if self.is_down[target]:
+            return 'unreachable', target
+        return 'indirect' if self.is_path_cut[target] else 'direct', target
+
+    def record(self, finding, target):
+        self.now += 0.01
+        if finding == 'unreachable':
             self.paths.record_unreachable(target)
-        elif self.is_path_cut[target]:
+        elif finding == 'indirect':
             self.paths.record_indirect(target, self.now)
         else:
             self.paths.record_direct(target, self.now)
 
+    def attempt(self, target):
+        self.record(*self.find(target))
+
     @rule(goal=st.sampled_from(TARGETS), is_cut=st.booleans())
     def cut(self, goal, is_cut):
         self.is_path_cut[goal] = is_cut
@@ -107,6 +120,31 @@
         if not self.paths.is_cut(goal):
             self.attempt(goal)
 
+    @rule(goal=st.sampled_from(TARGETS))
+    def request_that_ends_late(self, goal):
+        if not self.paths.is_cut(goal):
+            self.late.append(self.find(goal))
+
+    @rule(position=st.integers(0, 5), times=st.integers(0, 2))
+    def late_request_ends(self, position, times):
+        if self.late:
+            found = self.late.pop(position % len(self.late))
+            for _ in range(times):
+                self.record(*found)
+
+    @rule()
+    def truth_stays(self):
+        """Requests and probes find out which of the running targets are cut."""
+        while self.late:
+            self.record(*self.late.pop())
+        for _ in range(3):
+            self.probe(1)
+        for target in TARGETS:
+            self.request(target)
+        for target in TARGETS:
+            if not self.is_down[target]:
+                assert self.paths.is_cut(target) == self.is_path_cut[target]
+
     @rule(seconds=st.floats(0, 2))
     def probe(self, seconds):
         self.now += seconds
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -144,6 +144,24 @@
     assert sum(len(each.runs) for each in world.targets) == runs + 10
 
 
+async def test_member_without_a_path_of_its_own_offers_none(world):
+    cut, helper, sound = world.nodes
+    with contextlib.ExitStack() as stack:
+        for node in (cut, helper):
+            partition = TargetPartition(world, node, refuses=False)
+            stack.enter_context(partition)
+        for node in (0, 1):
+            assert await ask_steadily(world, ORDER, node, 8) >= 6
+        reasons = [
+            helper._resolve_target(each.name, each.born)
+            for each in world.targets
+            if each.name in helper.relay.connector.cut_targets()
+        ]
+    assert set(reasons) == {'it is reached through other members only'}
+    assert not helper._paths.opened
+    assert sound._paths.opened
+
+
 async def test_instance_returns_to_direct_paths(world):
     connector = world.nodes[0].relay.connector
     with TargetPartition(world, world.nodes[0], refuses=False):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -33,6 +33,8 @@
 )
 from mintlanding.membership.member_table import MemberTable
 from mintlanding.membership.node import MembershipNode
+from mintlanding.node.application import NodeApplication
+from mintlanding.node.clock import boot_seconds
 from mintlanding.node.ownership import WorkerOwnership
 from mintlanding.node.path_client import IndirectConnection
 from mintlanding.node.target_connector import TargetConnector
@@ -120,6 +122,17 @@
     return False
 
 
+def offer_any_path(node, name, incarnation):
+    """Offer paths to targets that the member does not reach itself."""
+    return node.view.targets[name].address
+
+
+def charge_again(node, name, incarnation, head):
+    """Charge a request at the member that passes it on as well."""
+    for workspace in node.view.workspaces().values():
+        node.relay.quotas.admit(workspace, 1, boot_seconds())
+
+
 def end_in_order(conn, reason):
     """Take the end of a path for that of the response."""
     ClientConnection.eof_received(conn)
@@ -432,6 +445,33 @@
         'mintlanding/platform/tests/test_partitioned_instances.py::'
         'test_lost_paths_are_not_taken_for_crashes_of_targets',
     ),
+    Mutant(
+        'a path that resets its connections is taken for sound',
+        'paths through members',
+        'mintlanding.node.target_connector._LASTING_SECONDS',
+        '',
+        0,
+        'mintlanding/platform/tests/test_cut_off_holders.py::'
+        'test_holder_without_requests_of_its_own_finds_that_it_is_cut_off',
+    ),
+    Mutant(
+        'a member offers paths that it does not have',
+        'paths through members',
+        NodeApplication,
+        '_resolve_target',
+        offer_any_path,
+        'mintlanding/platform/tests/test_partitioned_instances.py::'
+        'test_member_without_a_path_of_its_own_offers_none',
+    ),
+    Mutant(
+        'a request through a member is charged twice',
+        'paths through members',
+        NodeApplication,
+        '_learn_from_head',
+        charge_again,
+        'mintlanding/platform/tests/test_partitioned_instances.py::'
+        'test_request_through_a_member_is_charged_and_run_once',
+    ),
     Mutant(
         'a response that loses the member passing it on is whole',
         'stream end',
