Split the changes of the store into frames that links accept

Cause: a reader forwarded all changes of one watch in one message. After an outage or a release, entries of 600 targets that were written twice make 1.7 MB; frames over 1 MiB close the link of each member that gets them, and statuses with it.

Change: the changes go out in updates of at most half a frame, parted only between revisions. A message that is larger than a frame is not sent and logged, and its link stays.

--- a/mintlanding/links/mesh.py
+++ b/mintlanding/links/mesh.py
@@ -188,7 +188,7 @@
         return bool(links) and self._send(links[-1], message)
 
     def broadcast(self, message: Message) -> bool:
-        """Send to every linked member; return false if it has no encoding."""
+        """Send to every linked member; return false if it has no frame."""
         frame = self._encode(message)
         if frame is None:
             return False
@@ -271,9 +271,9 @@
         return frame is not None and link.send(frame)
 
     def _encode(self, message: Message) -> bytes | None:
-        """Return the frame of a message, None if a value has no encoding."""
+        """Return the frame of a message, None if it has none within bounds."""
         try:
-            return self._encoder.encode(message)
+            frame = self._encoder.encode(message)
         except Exception as exc:
             # Integers beyond 64 bits or lone surrogates, among others.
             self.logger.error(
@@ -282,6 +282,16 @@
                 **describe_exception(exc),
             )
             return None
+        if len(frame) <= MAX_FRAME_BYTES:
+            return frame
+        # The receiver would close the link.
+        self.logger.error(
+            'Message too large to be sent.',
+            type=type(message).__name__,
+            size=len(frame),
+            limit=MAX_FRAME_BYTES,
+        )
+        return None
 
     def _welcome(self, link: LinkProtocol, hello: Hello) -> None:
         proof = self._identity.proof(hello.instance)
--- a/mintlanding/links/tests/test_mesh.py
+++ b/mintlanding/links/tests/test_mesh.py
@@ -262,3 +262,17 @@
     assert await reader.read() == b''
     writer.close()
     assert not errors
+
+
+async def test_message_beyond_the_frame_limit_costs_no_link(members):
+    a, b = members
+    a.mesh.set_members({'b': b.address})
+    await until(lambda: a.mesh.send('b', status('a')))
+    await until(lambda: b.received)
+    large = Status('a', 'boot', 1.0, levels={'w' * (1 << 20): 1.0})
+    links = tuple(a.mesh._links['b'])
+    assert not a.mesh.send('b', large)
+    assert not a.mesh.broadcast(large)
+    assert a.mesh.send('b', status('a'))
+    await until(lambda: len(b.received) == 2)
+    assert tuple(a.mesh._links['b']) == links
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import operator
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from mintlanding.coordination.transactional_store import (
     Change,
@@ -19,7 +20,11 @@
 )
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
-from mintlanding.links.messages import StoreChange, StoreUpdate
+from mintlanding.links.messages import (
+    MAX_FRAME_BYTES,
+    StoreChange,
+    StoreUpdate,
+)
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.settings import FleetOptions
 from mintlanding.node.view import FleetView
@@ -31,6 +36,10 @@
 _MAX_FAILURES = 2
 # Prefix of all keys: one watch call returns changes of every kind.
 _ALL_KEYS = ''
+# Bytes of the changes in one update, unless a single one has more.
+_UPDATE_BYTES = MAX_FRAME_BYTES // 2
+# Bytes of a change besides its key and content.
+_CHANGE_BYTES = 40
 
 
 class StoreWatcher:
@@ -130,7 +139,8 @@
             if change.revision <= view.as_of or view.apply(change, now)
         ]
         view.as_of = max(view.as_of, found.revision)
-        self.forward(StoreUpdate(after, found.revision, tuple(forwarded)))
+        for update in split_changes(after, found.revision, forwarded):
+            self.forward(update)
         if found.changes:
             # Changes of this pause are collected by the next call.
             await asyncio.sleep(self._options.watch_pause)
@@ -160,6 +170,26 @@
         self._view.fresh_at = now
 
 
+def split_changes(
+    after: int, as_of: int, changes: list[StoreChange]
+) -> Iterator[StoreUpdate]:
+    """Yield updates that fit into frames; those of one revision stay together.
+
+    After an outage of the store hundreds of records change at once.
+    """
+    part: list[StoreChange] = []
+    size = 0
+    for change in sorted(changes, key=operator.attrgetter('revision')):
+        added = len(change.key) + len(change.content) + _CHANGE_BYTES
+        reached = part[-1].revision if part else change.revision
+        if size + added > _UPDATE_BYTES and change.revision > reached:
+            yield StoreUpdate(after, reached, tuple(part))
+            after, part, size = reached, [], 0
+        part.append(change)
+        size += added
+    yield StoreUpdate(after, as_of, tuple(part))
+
+
 def _encode_change(change: Change) -> StoreChange:
     item = change.item
     if item is None:
