Follow the slots that a brittle target's entry names

A room kept the slots of the entry with which it was opened, here 64 of an entry that was replaced as the first responses came. Requests up to the slots count as not at risk, so that what waited was taken for slots and replaced at once.

Change: A room follows the slots of the entry; places that were proven beyond them count no more.

--- a/mintlanding/node/limit_keeper.py
+++ b/mintlanding/node/limit_keeper.py
@@ -474,6 +474,7 @@
         elif desk.room is None:
             desk.room = self._room(target, share, now, is_own=opened.is_own)
         else:
+            desk.room.set_slots(target.slots)
             desk.room.set_share(share, now)
 
     def _room(
@@ -484,6 +485,7 @@
         if kept is None:
             return self._new_room(target, share, is_own=is_own)
         room, _ = kept
+        room.set_slots(target.slots)
         room.set_share(share, now)
         room.resume(self._start(target, is_own=is_own))
         return room
--- a/mintlanding/residency/steward.py
+++ b/mintlanding/residency/steward.py
@@ -308,16 +308,17 @@
         `slots` are those that the engine itself has named, `starts_at` is when
         a new steward may begin.
         """
+        slots = min(slots, self._capacity.batch_limit)
         if share is None:
             self.room = None
         elif self.room is None:
-            slots = min(slots, self._capacity.batch_limit)
             self.room = BrittleRoom(slots, share, now, starts_at)
             self.room.adopt(
                 (request_id, each.since, each.expires)
                 for request_id, each in self._granted.items()
             )
         else:
+            self.room.set_slots(slots)
             self.room.set_share(share, now)
         return self._proceed(now)
 
--- a/mintlanding/residency/tests/test_steward_room.py
+++ b/mintlanding/residency/tests/test_steward_room.py
@@ -68,3 +68,21 @@
     brittle.act(brittle.steward.set_room_share(None, 20, brittle.now))
     brittle.wait(1)
     assert all(brittle.replies[f'r{each}'].is_granted for each in range(4))
+
+
+def test_engine_whose_entry_names_fewer_slots_gets_fewer_at_once(brittle):
+    for turn in range(3):
+        names = [f'r{turn}-{number}' for number in range(10)]
+        for name in names:
+            brittle.reserve(name, adapter='a1', max_wait=3.0)
+        brittle.wait(0.5)
+        for name in names:
+            brittle.end(name)
+    share = RoomShare(refusals=4, part=1)
+    brittle.act(brittle.steward.set_room_share(share, 2, brittle.now))
+    names = [f's{number}' for number in range(10)]
+    for name in names:
+        brittle.reserve(name, adapter='a1', max_wait=3.0)
+    granted = sum(brittle.replies[name].is_granted for name in names)
+    # Its slots, and those that it may refuse.
+    assert granted <= 2 + 4
--- a/mintlanding/target_limits/brittle.py
+++ b/mintlanding/target_limits/brittle.py
@@ -153,6 +153,11 @@
         self._named_share = share
         self._update_share(now)
 
+    def set_slots(self, slots: int) -> None:
+        """Take the target for one with so many slots from now on."""
+        self._slots = max(1, slots)
+        self._proven = min(self._proven, self._most_proven())
+
     def hold_until(self, at: float) -> None:
         """Let none pass before a time, since others may let some pass."""
         if at > self._starts_at:
