Take the ports of the soak's instances from below those of the tests

The soak's ports were fixed between 21,000 and 31,000, and tests and benchmarks draw theirs from 10,000 to 32,000; one of these ran at that time. Change: the soak uses 3,000 to 10,000.

--- a/soak/world.py
+++ b/soak/world.py
@@ -28,7 +28,9 @@
 """
 # Software versions of the engines; each writes its own into its events.
 BUILDS = ('v1', 'v1', 'v2')
-FIRST_PORT = 21_000
+# Ports of instances, below those that tests draw.
+FIRST_PORT = 3_000
+PORT_RANGES = 350
 START_SECONDS = 20
 # Host of the proxies through which an instance reaches the targets.
 WAY_HOST = '127.0.0.{number}'
@@ -41,7 +43,7 @@
     """One instance, run as a process of the program."""
 
     def __init__(self, number, folder, store):
-        base = FIRST_PORT + number * 5 + os.getpid() % 500 * 20
+        base = FIRST_PORT + number * 5 + os.getpid() % PORT_RANGES * 20
         self.front, self.ready, self.metrics, self.peer, paths = range(
             base, base + 5
         )
