Take no path for cut where members' connections are reset as well

Cause: since connections that are reset at once count as failed, a target that resets everyone's (at its limit of connections, say) counted as reached by members: the path through the member had opened, and was reset after it. Its holder would have released it. Change: the path through a member has to stay open for the same 60 ms. Measured: the test fails without it; it and the other tests of crashes, lost paths and resets in the file pass (7).

--- a/mintlanding/node/target_connector.py
+++ b/mintlanding/node/target_connector.py
@@ -237,10 +237,7 @@
             )
         except RequestNotSent as exc:
             return exc
-        await asyncio.sleep(_LASTING_SECONDS)
-        is_lasting = conn.is_open
-        conn.abort()
-        if is_lasting:
+        if await _lasts(conn):
             return None
         return RequestNotSent('the connection was closed at once')
 
@@ -251,8 +248,7 @@
             conn = await self._client.open(target, seconds, seconds)
         except RequestNotSent:
             return False
-        conn.abort()
-        return True
+        return await _lasts(conn)
 
     async def _probe(self, target: Target) -> None:
         if await self._fail_to_connect(target, _PROBE_SECONDS) is None:
@@ -277,6 +273,14 @@
     return asyncio.get_running_loop().time()
 
 
+async def _lasts(conn: ClientConnection) -> bool:
+    """Tell whether a connection stays open for a moment, and close it."""
+    await asyncio.sleep(_LASTING_SECONDS)
+    is_open = conn.is_open
+    conn.abort()
+    return is_open
+
+
 def _succeeded(task: _Attempt) -> bool:
     return task.done() and not task.cancelled() and task.exception() is None
 
--- a/mintlanding/platform/tests/test_partitioned_instances.py
+++ b/mintlanding/platform/tests/test_partitioned_instances.py
@@ -162,6 +162,25 @@
     assert sound._paths.opened
 
 
+async def test_target_that_resets_all_connections_is_not_cut(
+    world, monkeypatch
+):
+    node, helper, _ = world.nodes
+    connect = helper._paths.connect
+
+    async def connect_and_reset(side, address, seconds):
+        await connect(side, address, seconds)
+        asyncio.get_running_loop().call_later(0.01, side.reset)
+
+    target = node.view.targets[world.plain[0].name]
+    cut = TargetPartition(world, node, refuses=False, resets=True)
+    for each in world.nodes[1:]:
+        monkeypatch.setattr(each._paths, 'connect', connect_and_reset)
+    with cut:
+        assert not await node.relay.crash_watch.refuses_connections(target)
+    assert not node.relay.connector.cut_targets()
+
+
 async def test_instance_returns_to_direct_paths(world):
     connector = world.nodes[0].relay.connector
     with TargetPartition(world, world.nodes[0], refuses=False):
