Record the origins of streams soon after they begin

Change: origins are written ten times a second while new streams begin beside several builds, less often where the record is large: each write holds all origins, so its bytes per second are bounded.

--- a/mintlanding/node/origin_records.py
+++ b/mintlanding/node/origin_records.py
@@ -21,8 +21,11 @@
 from mintlanding.node.stream_origins import StreamOrigins
 from mintlanding.node.view import ORIGINS_PREFIX, FleetView
 
-# Seconds between writes while new streams begin.
-_INTERVAL_SECONDS = 0.5
+# Least seconds between writes while new streams begin; streams may last for a
+# fraction of a second only.
+_INTERVAL_SECONDS = 0.1
+# Bytes per second of all writes; each one holds all origins.
+_BYTES_PER_SECOND = 80_000
 # Seconds after a failed write.
 _BACKOFF_SECONDS = 2.0
 
@@ -55,7 +58,8 @@
     async def run(self) -> None:
         """Update the record until cancelled."""
         while True:
-            await asyncio.sleep(_INTERVAL_SECONDS)
+            pause = len(self._written) / _BYTES_PER_SECOND
+            await asyncio.sleep(max(_INTERVAL_SECONDS, pause))
             try:
                 await self._write()
             except (PlatformError, StoreBusy) as exc:
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -10,7 +10,7 @@
 
 from mintlanding.node import application, origin_records
 from mintlanding.node.clock import boot_seconds
-from mintlanding.node.view import MemberRecord
+from mintlanding.node.view import ORIGINS_PREFIX, MemberRecord
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.world import (
     BATCH,
@@ -248,6 +248,23 @@
     assert len(other.runs) == before
 
 
+async def test_stream_that_began_just_before_a_kill_of_all_goes_on(pair):
+    await pair.change_build(pair.engines[1], 'v2')
+    await pair.begin_stream()
+    async with asyncio.timeout(2):
+        while not any(
+            key.startswith(ORIGINS_PREFIX) for key in pair.store.items
+        ):
+            await asyncio.sleep(0.01)
+    request_id, _ = await pair.begin_stream()
+    await asyncio.sleep(0.3)
+    await pair.kill_all()
+    await pair.add_node('n0')
+    await pair.settle()
+    status, _, body = await pair.resume(request_id)
+    assert (status, body) == (200, stream(2, 3))
+
+
 async def test_origin_is_recorded_only_once_its_stream_has_begun(pair):
     # Another attempt, at another build, may still replace it.
     await pair.change_build(pair.engines[1], 'v2')
