Claim no second trial of a request that another instance has just claimed

Cause: each instance that gets a request in quarantine when a trial is due wants one, and claims it within a quarter of a second. One that claimed after another had claimed the first trial took the record as it was then, and claimed the second one, which is due 300 s later: two more targets crashed within 0.2 s. Change: a trial that another instance has claimed is not wanted any more.

--- a/mintlanding/node/quarantine_records.py
+++ b/mintlanding/node/quarantine_records.py
@@ -113,9 +113,11 @@
         ):
             trials = ledger.trials
             for name in tuple(trials.wanted):
-                trials.wanted.discard(name)
                 record = known.get(name)
-                if record is not None:
+                # Another instance may have claimed it during the last call.
+                is_wanted = name in trials.wanted
+                trials.wanted.discard(name)
+                if record is not None and is_wanted:
                     await self._claim_trial(trials, name, prefix, record)
 
     async def _claim_trial(
--- a/mintlanding/quarantine/tests/test_request_ledger.py
+++ b/mintlanding/quarantine/tests/test_request_ledger.py
@@ -190,3 +190,12 @@
         ledger.record_crash('t9/9', [f'r{number}'], 4)
     assert len(ledger.reports(5)) == OPTIONS.max_shared
     assert ledger.quarantined() == ('bad',)
+
+
+def test_trial_that_another_instance_has_claimed_is_not_wanted_any_more():
+    ledger = quarantine_of_bad()
+    now = 3 + FIRST
+    ledger.refusal('bad', now)
+    assert 'bad' in ledger.trials.wanted
+    ledger.trials.learn('bad', 1, now)
+    assert 'bad' not in ledger.trials.wanted
--- a/mintlanding/quarantine/trials.py
+++ b/mintlanding/quarantine/trials.py
@@ -42,11 +42,15 @@
         return 0 if trial is None else trial.made
 
     def learn(self, name: str, made: int, now: float) -> None:
-        """Record the number of trials that other instances have claimed."""
+        """Record the number of trials that other instances have claimed.
+
+        A new one is the trial that was wanted here, too.
+        """
         trial = self._trials.setdefault(name, _Trial())
         if made > trial.made:
             trial.made = made
             trial.last = now
+            self.wanted.discard(name)
 
     def claim(self, name: str, made: int, now: float) -> None:
         """Record that this instance has claimed trial number `made`."""
