--- a/mintlanding/node/attempts.py
+++ b/mintlanding/node/attempts.py
@@ -16,7 +16,6 @@
 from mintlanding.node.codec import Codec
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.limit_keeper import LimitKeeper
-from mintlanding.node.patience import Patience
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import (
@@ -24,6 +23,7 @@
     FailedResponse,
     RequestPlan,
 )
+from mintlanding.node.response_timeouts import ResponseTimeouts
 from mintlanding.node.responses import ResponseForwarder, media_type
 from mintlanding.node.send_gate import SendGate
 from mintlanding.node.stream_resumption import StreamResumption
@@ -53,7 +53,7 @@
     budget: FleetRetryBudget
     connector: TargetConnector
     table: TargetTable
-    patience: Patience
+    timeouts: ResponseTimeouts
     resumption: StreamResumption
     forwarder: ResponseForwarder
     log: RequestLog
@@ -172,10 +172,10 @@
         while True:
             try:
                 return await conn.read_head(
-                    self.patience.response_timeout(plan)
+                    self.timeouts.response_timeout(plan)
                 )
             except ResponseTimeout:
-                head = await self.patience.read_or_switch(plan, conn.read_head)
+                head = await self.timeouts.read_or_switch(plan, conn.read_head)
                 if head is not None:
                     return head
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -11,11 +11,11 @@
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.engine_reservations import EngineReservations
 from mintlanding.node.limit_keeper import LimitKeeper
-from mintlanding.node.patience import MAX_SENDS, Patience
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_log import RequestLog
 from mintlanding.node.request_plan import AttemptResult, Refusal, RequestPlan
 from mintlanding.node.request_planner import RequestPlanner
+from mintlanding.node.response_timeouts import MAX_SENDS, ResponseTimeouts
 from mintlanding.node.responses import ResponseForwarder
 from mintlanding.node.retry_after import RetryAfter
 from mintlanding.node.send_gate import SendGate, no_target_reason
@@ -133,7 +133,7 @@
         self.connector.stop()
 
     def _make_attempts(self) -> Attempts:
-        patience = Patience(
+        timeouts = ResponseTimeouts(
             self._cfg.relay,
             self._gate,
             self.budget,
@@ -143,7 +143,7 @@
         forwarder = ResponseForwarder(
             self._cfg.relay,
             self._codec,
-            patience,
+            timeouts,
             self.target_table,
             self.connector,
             self.quarantines,
@@ -161,7 +161,7 @@
             self.budget,
             self.connector,
             self.target_table,
-            patience,
+            timeouts,
             self._resumption,
             forwarder,
             self.log,
--- a/mintlanding/node/patience.py
+++ b/mintlanding/node/response_timeouts.py
@@ -17,8 +17,8 @@
 
 
 @dataclass(slots=True)
-class Patience:
-    """What the patience with a target depends on."""
+class ResponseTimeouts:
+    """What the timeouts of responses depend on."""
 
     options: RelayOptions
     gate: SendGate
--- a/mintlanding/node/responses.py
+++ b/mintlanding/node/responses.py
@@ -9,9 +9,9 @@
 from mintlanding.node.codec import Codec
 from mintlanding.node.crash_watch import CrashWatch
 from mintlanding.node.events import EventBuffer
-from mintlanding.node.patience import Patience
 from mintlanding.node.quarantines import Quarantines
 from mintlanding.node.request_plan import AttemptResult, RequestPlan
+from mintlanding.node.response_timeouts import ResponseTimeouts
 from mintlanding.node.settings import RelayOptions
 from mintlanding.node.stream_resumption import StreamResumption
 from mintlanding.node.target_connector import TargetConnector
@@ -25,7 +25,7 @@
 
     options: RelayOptions
     codec: Codec
-    patience: Patience
+    timeouts: ResponseTimeouts
     table: TargetTable
     connector: TargetConnector
     quarantines: Quarantines
@@ -155,10 +155,10 @@
         while True:
             try:
                 return await conn.read_chunk(
-                    self.patience.event_timeout(plan, event_at)
+                    self.timeouts.event_timeout(plan, event_at)
                 )
             except ResponseTimeout:
-                chunk = await self.patience.read_or_switch(
+                chunk = await self.timeouts.read_or_switch(
                     plan, conn.read_chunk
                 )
                 if chunk is not None:
