Let a target of the soak announce its leaving once at a time

Cause: two faults that let the same target say that it leaves could overlap. The first one to end closed the time of the other, so that its own stayed open for good, while the target had stopped saying it: each later request counted as one that reached a leaving target. Change: a target that is announcing is left alone, as with other faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -283,6 +283,8 @@
 async def announce_leaving(world, rnd):
     """Let a target say in its responses alone that it leaves, then restart."""
     target = rnd.choice(world.targets)
+    if target.faults.leaving:
+        return
     target.announce_leaving()
     await asyncio.sleep(rnd.uniform(3, 7))
     target.stop_leaving()
