List changes of the store that members never get

What callers see: requests go to a target that has announced its leaving, or a sound target gets none, at some instances only.

--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -12,11 +12,16 @@
     Snapshot,
 )
 from mintlanding.core.exceptions import PlatformUnavailable
-from mintlanding.links.messages import Consent, Status
+from mintlanding.links.messages import Consent, Status, StoreUpdate
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.membership import Membership
 from mintlanding.node.settings import InstanceFacts, NodeSettings
-from mintlanding.node.view import FleetView, OwnershipEntry
+from mintlanding.node.view import (
+    MEMBERS_PREFIX,
+    FleetView,
+    MemberRecord,
+    OwnershipEntry,
+)
 from mintlanding.platform import records
 from mintlanding.residency.authority import OwnershipRecord
 
@@ -168,6 +173,45 @@
     assert 2 * 1.1 * interval < cfg.authority.lease
 
 
+class RecordingMesh:
+    """Keeps the messages to each member."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, member, message):
+        self.sent.append((member, message))
+
+    def set_members(self, addresses):
+        """Open no links."""
+
+
+def member_change(name, revision, *, is_removed=False):
+    key = MEMBERS_PREFIX + name
+    if is_removed:
+        return Change(key, revision)
+    record = MemberRecord(name, FACTS.zone, FACTS.host, 1, 'boot')
+    return Change(
+        key, revision, Item(key, msgspec.json.encode(record), revision)
+    )
+
+
+async def test_member_that_lost_the_store_still_gets_its_changes():
+    # Its entry has lapsed, but its links to the others are sound.
+    membership = make_membership(FakeStore(), 50)
+    membership.mesh = RecordingMesh()
+    view, now = membership._view, boot_seconds()
+    view.listeners.append(lambda topic: membership.update_members())
+    view.apply(member_change('near', 51), now)
+    membership.receive(
+        'near', Status('near', 'boot', now), lambda message: True
+    )
+    view.apply(member_change('near', 52, is_removed=True), now)
+    update = StoreUpdate(52, 53)
+    membership.forward(update)
+    assert membership.mesh.sent == [('near', update)]
+
+
 async def test_entry_says_once_that_the_instance_is_cut_off():
     store = FakeStore()
     membership = make_membership(store, 50)
