Decide by the stored entry whether members hear of a change

Callers of some instances were served by too few targets, or by one that had announced its leaving, until the store's history was lost.

Cause: the reader of a zone forwarded a change only if it changed what the reader itself believed of the target. It had heard of a leaving in a response, or kept a lapsed target without an entry; the members had not, and their revision moved past a change that they never got.

The view keeps the entries as stored beside what it takes the targets to be, and compares those.

--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -167,6 +167,9 @@
     config: ServingConfig | None = None
     routes: RouteTable = field(default_factory=lambda: RouteTable({}))
     keys: KeyTable = field(default_factory=lambda: KeyTable({}))
+    # Entries of targets as the store has them.
+    entries: dict[str, Target] = field(default_factory=dict)
+    # Targets as this instance takes them to be.
     targets: dict[str, Target] = field(default_factory=dict)
     versions: dict[tuple[str, str], NewestVersion] = field(default_factory=dict)
     members: dict[str, MemberRecord] = field(default_factory=dict)
@@ -296,20 +299,18 @@
         """Apply a change; return false if other members need not hear of it.
 
         The adapters of a target are reported by its steward, or by the target
-        itself on request; origins of streams by members. A removal counts as a
-        change also where the target is kept for a while, since other members
-        need not keep it.
+        itself on request; origins of streams by members. Entries as stored
+        decide, since other members may not believe what this one does.
         """
-        name = change.key.removeprefix(self.records.TARGETS_PREFIX)
-        before = self.targets.get(name)
+        before = self._entry(change.key)
         if change.item is None:
             self._remove(change.key, now)
         else:
             self._put(change.item, now)
-        after = self.targets.get(name)
+        after = self._entry(change.key)
         if change.key.startswith(ORIGINS_PREFIX):
             return False
-        if change.item is None or before is None or after is None:
+        if before is None or after is None:
             return True
         return _without_adapters(before) != _without_adapters(after)
 
@@ -334,6 +335,9 @@
             self._remove_target(name, 'entry not written again', now)
         self.lapsed.clear()
 
+    def _entry(self, key: str) -> Target | None:
+        return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
+
     def _has_entry(self, target: str, keys: set[str]) -> bool:
         return self.records.TARGETS_PREFIX + target in keys
 
@@ -418,6 +422,7 @@
 
     def _put_target(self, item: Item, now: float) -> None:
         target = self.records.decode_target(item.key, item.content)
+        self.entries[target.target] = target
         if target.key in self.leaving:
             target = replace(target, is_leaving=True)
         before = self.targets.get(target.target)
@@ -480,6 +485,7 @@
         self.stream_origins.pop(key, None)
         if key.startswith(self.records.TARGETS_PREFIX):
             name = key.removeprefix(self.records.TARGETS_PREFIX)
+            self.entries.pop(name, None)
             target = self.targets.get(name)
             if target is None:
                 return
