Let the newest state of a record win, in whatever order it arrives

Callers were sent to a target that had announced its leaving, or not to one that had just registered, for the time of one more call to the store.

Cause: what arrived last was taken for the newest. A listing undid an update that had come while it was read, and set the view's revision back; a second reader skipped what its own call brought if the update of another reader, which had left it out, ended at the same revision.

StoreCopy keeps the revision of each record and of the last removals; a change is applied only if it is newer. A listing older than the view when it began replaces everything, since the store has lost changes then.

--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -104,11 +104,12 @@
         await self._read_changes()
 
     async def _load_snapshot(self) -> None:
+        known = self._view.as_of
         snapshot = await self._store.snapshot(_ALL_KEYS)
         self._mark_reachable()
         now = boot_seconds()
         self._mark_fresh(now)
-        self._view.load(snapshot, now)
+        self._view.load(snapshot, now, known)
 
     async def _read_changes(self) -> None:
         view = self._view
@@ -133,10 +134,11 @@
         self._mark_fresh(now)
         # Changes that another reader forwarded meanwhile may not have reached
         # all members, so they are forwarded again.
+        reached = view.as_of
         forwarded = [
             _encode_change(change)
             for change in found.changes
-            if change.revision <= view.as_of or view.apply(change, now)
+            if view.apply(change, now) or change.revision <= reached
         ]
         view.as_of = max(view.as_of, found.revision)
         for update in split_changes(after, found.revision, forwarded):
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -20,6 +20,7 @@
 )
 from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
+from mintlanding.node.store_copy import StoreCopy
 from mintlanding.quarantine.records import (
     QuarantineRecord,
     RequestRecord,
@@ -164,6 +165,7 @@
     """
 
     records: Records
+    copy: StoreCopy = field(default_factory=StoreCopy)
     config: ServingConfig | None = None
     routes: RouteTable = field(default_factory=lambda: RouteTable({}))
     keys: KeyTable = field(default_factory=lambda: KeyTable({}))
@@ -270,45 +272,47 @@
         """Return the newest version of an adapter."""
         return self.versions.get((model, adapter))
 
-    def load(self, snapshot: Snapshot, now: float) -> None:
-        """Replace everything by a snapshot of the store."""
+    def load(self, snapshot: Snapshot, now: float, known: int = 0) -> None:
+        """Load a listing of the store, unless newer changes are known by now.
+
+        `known` is the revision of the view when the listing began. A listing
+        of a lower one shows that the store has lost changes.
+        """
         self.builds.restart(now)
-        keys = {item.key for item in snapshot.items}
+        if snapshot.revision < known:
+            self.copy.rewind()
+            self.as_of = 0
+        for change in self.copy.removals(snapshot):
+            self.apply(change, now)
         for item in snapshot.items:
             # Versions in a snapshot may be old: they count as seen long ago.
-            self._put(item, float('-inf'))
-        for name in [
-            each for each in self.targets if not self._has_entry(each, keys)
-        ]:
-            self._remove(self.records.TARGETS_PREFIX + name, now)
-        for name in [
-            each for each in self.members if MEMBERS_PREFIX + each not in keys
-        ]:
-            self._remove(MEMBERS_PREFIX + name, now)
-        for key in self.quarantine_revisions.keys() - keys:
-            self._remove(key, now)
-        self.as_of = snapshot.revision
+            self._apply_item(item, float('-inf'))
+        self.as_of = max(self.as_of, snapshot.revision)
         self.fresh_at = now
 
     def load_ownership(self, snapshot: Snapshot) -> None:
         """Load ownership records only, ahead of the rest of the view."""
         for item in snapshot.items:
-            self._put(item, self.fresh_at)
+            self._apply_item(item, self.fresh_at)
 
     def apply(self, change: Change, now: float) -> bool:
-        """Apply a change; return false if other members need not hear of it.
+        """Apply a change, unless a newer state of its record is known.
 
-        The adapters of a target are reported by its steward, or by the target
-        itself on request; origins of streams by members. Entries as stored
-        decide, since other members may not believe what this one does.
+        Return false if other members need not hear of it. The adapters of a
+        target are reported by its steward, or by the target itself on request;
+        origins of streams by members. Entries as stored decide, since other
+        members may not believe what this one does, nor know what it knows.
         """
+        is_shared = not change.key.startswith(ORIGINS_PREFIX)
+        if not self.copy.record(change):
+            return is_shared
         before = self._entry(change.key)
         if change.item is None:
             self._remove(change.key, now)
         else:
             self._put(change.item, now)
         after = self._entry(change.key)
-        if change.key.startswith(ORIGINS_PREFIX):
+        if not is_shared:
             return False
         if before is None or after is None:
             return True
@@ -338,8 +342,8 @@
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
 
-    def _has_entry(self, target: str, keys: set[str]) -> bool:
-        return self.records.TARGETS_PREFIX + target in keys
+    def _apply_item(self, item: Item, now: float) -> None:
+        self.apply(Change(item.key, item.revision, item), now)
 
     def _is_engine(self, service: str) -> bool:
         found = self.service(service)
