Send changes of the store to members whose entry has lapsed, too

Callers of an instance that had lost the store alone were served by its last view: requests went to targets that had left, and routes, keys and versions stayed as they were, while its links to the other members were sound. When it reached the store again, it had to make up for all of it at once.

Cause: the reader of a zone sent changes to registered members only, and a member without the store loses its entry after two seconds.

They go to the members that were registered lately or still send statuses, as statuses do. The test of an instance that hears nothing meanwhile cuts it off from changes as well.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -176,12 +176,15 @@
         return elect(name, candidates)
 
     def forward(self, update: StoreUpdate) -> None:
-        """Forward changes of the store to the members of the zone."""
+        """Forward changes of the store to the members of the zone.
+
+        One whose entry has lapsed may have lost the store alone.
+        """
         if self.mesh is None:
             return
         zone = self._cfg.facts.zone
-        for each in self._view.members.values():
-            if each.zone == zone and each.instance != self.instance:
+        for each in self._recent_members.values():
+            if each.zone == zone:
                 self.mesh.send(each.instance, update)
 
     def reach(self, now: float) -> tuple[int, int]:
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -688,7 +688,8 @@
 
 
 async def test_target_that_left_during_a_partition_gets_no_requests(pair):
-    # Only n0 loses the store; without an entry it gets no changes from n1.
+    # Only n0 loses the store, and n1 sends it no changes.
+    pair.nodes[1]._store_watcher.forward = lambda update: None
     with pair.cut_off_from_store(pair.nodes[0]):
         await asyncio.sleep(3)
         pair.store.remove('servers/p1')
@@ -705,6 +706,19 @@
     assert pair.plain[0].arrivals == arrivals
 
 
+async def test_instance_without_the_store_hears_that_a_target_leaves(pair):
+    # Its entry has lapsed by then, its links to the others are sound.
+    leaving = pair.plain[0]
+    with pair.cut_off_from_store(pair.nodes[0]):
+        await asyncio.sleep(4)
+        pair.store.put('servers/p1', leaving.entry('draining'))
+        await asyncio.sleep(1.5)
+        arrivals = leaving.arrivals
+        for _ in range(6):
+            assert (await pair.ask(ORDER))[0] == 200
+        assert leaving.arrivals == arrivals
+
+
 @pytest.mark.parametrize(
     ('path', 'targets'), [(LIVE, 'engines'), (LOOKUP, 'plain')]
 )
