Let a member that missed changes read them at once, and show it

Callers of an instance that was out of step stayed with its old view for up to 1.3 s more than necessary: it heard in each update that changes were missing, dropped it, and read for itself only once no update had counted for that long.

An update that begins beyond the view's revision ends the wait. It is counted and logged with both revisions, and metrics show revision and age of the view, so that an instance that is behind can be told from one that is not. The new test waits for less than half of the time-out; with the watcher as it was before it ends with TimeoutError.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -372,7 +372,11 @@
 
     async def _answer_metrics(self, req: CallerRequest) -> None:
         lines = render_metrics(
-            self.relay, self._stewards, self._membership, self._limits
+            self.relay,
+            self._stewards,
+            self._membership,
+            self._limits,
+            self._store_watcher,
         )
         text = '\n'.join((*lines, '')).encode()
         req.respond(
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -1,10 +1,13 @@
 """Metrics of an instance in the Prometheus text format."""
 
+import math
+
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.limit_keeper import LimitKeeper
 from mintlanding.node.membership import Membership
 from mintlanding.node.relay import Relay
 from mintlanding.node.stewards import Stewards
+from mintlanding.node.store_watcher import StoreWatcher
 
 
 def render_metrics(
@@ -12,6 +15,7 @@
     stewards: Stewards,
     membership: Membership,
     limits: LimitKeeper,
+    watcher: StoreWatcher,
 ) -> list[str]:
     """Return the lines of the metrics page."""
     lines = relay.log.render()
@@ -19,7 +23,11 @@
     lines.append(f'mintlanding_paths_opened_total {relay.connector.opened}')
     cut = len(relay.connector.cut_targets())
     lines.append(f'mintlanding_cut_targets {cut}')
-    reachable, members = membership.reach(boot_seconds())
+    now = boot_seconds()
+    lines.append(f'mintlanding_view_revision {watcher.revision}')
+    lines.append(f'mintlanding_view_age_seconds {_number(watcher.age(now))}')
+    lines.append(f'mintlanding_updates_missed_total {watcher.updates_missed}')
+    reachable, members = membership.reach(now)
     lines.append(f'mintlanding_members {members}')
     lines.append(f'mintlanding_members_heard {reachable}')
     quarantined = len(relay.quarantines.parts.quarantined())
@@ -48,3 +56,7 @@
             for name, count in counts.items()
         )
     return lines
+
+
+def _number(amount: float) -> str:
+    return f'{amount:.2f}' if math.isfinite(amount) else '+Inf'
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -10,6 +10,7 @@
 import operator
 import random
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 
 from mintlanding.coordination.transactional_store import (
     Change,
@@ -62,8 +63,20 @@
         self._rnd = rnd
         self._failures = 0
         self._last_update_at = float('-inf')
+        # Set while changes are known to be missing.
+        self._is_behind = asyncio.Event()
+        self.updates_missed = 0
         self._logger = Logger('store')
 
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which the view has all changes."""
+        return self._view.as_of
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the view was last known to be the newest."""
+        return now - self._view.fresh_at
+
     async def run(self) -> None:
         """Watch the store until cancelled."""
         while True:
@@ -80,9 +93,12 @@
                 await self._back_off(exc)
 
     def apply_update(self, update: StoreUpdate) -> None:
-        """Apply a reader's changes, unless earlier ones are missing."""
+        """Apply a reader's changes, or read those that are missing before."""
         view = self._view
-        if not view.as_of or update.after > view.as_of:
+        if not view.as_of:
+            return
+        if update.after > view.as_of:
+            self._record_gap(update)
             return
         now = boot_seconds()
         # One that ends before the view tells nothing about the store now.
@@ -98,8 +114,9 @@
         left = (
             self._last_update_at + self._options.reader_timeout - boot_seconds()
         )
-        if left > 0 and not self.is_reader():
-            await asyncio.sleep(left)
+        if left > 0 and not self.is_reader() and not self._is_behind.is_set():
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._is_behind.wait(), left)
             return
         await self._read_changes()
 
@@ -132,6 +149,7 @@
             )
         now = boot_seconds()
         self._mark_fresh(now)
+        self._is_behind.clear()
         # Changes that another reader forwarded meanwhile may not have reached
         # all members, so they are forwarded again.
         reached = view.as_of
@@ -147,6 +165,16 @@
             # Changes of this pause are collected by the next call.
             await asyncio.sleep(self._options.watch_pause)
 
+    def _record_gap(self, update: StoreUpdate) -> None:
+        self.updates_missed += 1
+        if not self._is_behind.is_set():
+            self._logger.warning(
+                'Changes of the store missed.',
+                as_of=self._view.as_of,
+                after=update.after,
+            )
+        self._is_behind.set()
+
     async def _back_off(self, exc: Exception) -> None:
         self._failures += 1
         if self._failures >= _MAX_FAILURES:
--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -1,5 +1,6 @@
 """Views of a zone's readers and of the members they forward changes to."""
 
+import asyncio
 import random
 
 import msgspec
@@ -10,6 +11,7 @@
     Item,
     Snapshot,
 )
+from mintlanding.links.messages import StoreUpdate
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.settings import FleetOptions
 from mintlanding.node.store_watcher import StoreWatcher
@@ -68,6 +70,24 @@
     assert not third._view.ownership
 
 
+async def test_member_that_missed_changes_reads_them_at_once():
+    store = FakeStore(ownership_change('w1', 6), ownership_change('w2', 7))
+    reader, third = watcher(store), watcher(store)
+    third.is_reader = lambda: False
+    third.apply_update(StoreUpdate(5, 5))
+    waiting = asyncio.ensure_future(third._watch())
+    await asyncio.sleep(0)
+    reader._view.as_of = 6
+    reader.forward = third.apply_update
+    await reader._read_changes()
+    async with asyncio.timeout(FleetOptions().reader_timeout / 2):
+        await waiting
+        await third._watch()
+    assert third._view.as_of == 7
+    assert set(third._view.ownership) == {'w1', 'w2'}
+    assert third.updates_missed == 1
+
+
 def target_item(name, revision):
     key = records.TARGETS_PREFIX + name
     return Item(key, encode(ENTRY), revision)
