Show that a response whose head breaks off is no success

Another operator's report: targets stopped in the middle of the head of a response and closed; callers got a 200 with an empty or short body.

It cannot happen here: a response counts from the blank line after its head, and a close before that is a lost response, at whichever byte the head ends.

--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -75,6 +75,18 @@
         assert peer.connections == 1
 
 
+@pytest.mark.parametrize('resets', [False, True])
+@pytest.mark.parametrize('framing', [b'Content-Length: 20\r\n', b''])
+async def test_head_that_breaks_off_anywhere_is_a_lost_response(
+    framing, resets
+):
+    whole = b'HTTP/1.1 200 OK\r\nX-Id: 7\r\n' + framing + b'\r\n'
+    for size in range(1, len(whole)):
+        async with Peer(whole[:size], ends=True, resets=resets) as peer:
+            with pytest.raises(ResponseLost):
+                await peer.call()
+
+
 async def test_fresh_connection_is_opened_on_request():
     async with Peer(COMPLETE) as peer:
         await peer.call()
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -274,6 +274,8 @@
     conflicts: int = 0
     # Written before the answer to each but the first request on a connection.
     stale: StaleResponse | None = None
+    # Share of the head of a response after which its connection is closed.
+    broken_head: float = 0
     # Status of its responses without a body, 0 for others.
     bare_status: int = 0
     # Response to a request that goes on with a stream.
@@ -579,6 +581,8 @@
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
             self.crashing = asyncio.ensure_future(self.crash())
+        elif faults.broken_head:
+            _break_head(req, headers, faults.broken_head)
         elif faults.bare_status:
             req.respond(faults.bare_status, headers, b'')
         elif faults.on_resume and req.get(b'last-event-id'):
@@ -634,6 +638,13 @@
         end()
 
 
+def _break_head(req, headers, share):
+    whole = head_bytes(200, [*headers, (b'content-length', b'1000')])
+    req.conn.write(whole[: int(share * len(whole))])
+    req.is_answered = True
+    req.conn.close()
+
+
 async def _drip_bytes(req):
     while not req.is_disconnected:
         req.write(b':')
