Answer requests that the end of a planned stop would cut off

At the end of the grace each request that has no answer yet gets one before the connections are closed: 503 if no target was asked, 502 if one may have run it. A stream that has begun still breaks, since nothing else is left for it.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -166,6 +166,7 @@
                 if not is_used and not was_listening:
                     break
             await asyncio.sleep(_POLL_SECONDS)
+        await self.relay.end_requests()
         await asyncio.gather(leaving, return_exceptions=True)
 
     async def stop(self) -> None:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -95,6 +95,9 @@
             rnd,
         )
         self._attempts = self._make_attempts()
+        # Requests that are being served.
+        self._tasks: set[asyncio.Task[None] | None] = set()
+        self._is_ending = False
 
     @property
     def opened(self) -> int:
@@ -103,8 +106,30 @@
 
     async def handle(self, req: CallerRequest) -> None:
         """Serve one request up to its final response."""
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._handle(req)
+        finally:
+            self._tasks.discard(task)
+
+    async def end_requests(self) -> None:
+        """Answer the requests that the end of the process would cut off.
+
+        Streams that have begun have no answer left; they break.
+        """
+        self._is_ending = True
+        tasks = [each for each in self._tasks if each is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _handle(self, req: CallerRequest) -> None:
         try:
             plan = await self._accept(req)
+        except asyncio.CancelledError:
+            self._refuse_unplanned(req)
+            raise
         except Exception as exc:
             self._fail_unplanned(req, exc)
             return
@@ -113,9 +138,15 @@
         try:
             self._finish(plan, await self._run(plan))
         except asyncio.CancelledError:
-            self._refund_unsent(plan)
-            self.log.ended(plan, 'gone', loop_seconds())
-            raise
+            if not self._is_ending or req.is_disconnected:
+                self._refund_unsent(plan)
+                self.log.ended(plan, 'gone', loop_seconds())
+                raise
+            plan.reason = 'the instance stops'
+            result = AttemptResult.not_sent
+            if plan.is_sent:
+                result = AttemptResult.lost
+            self._finish(plan, result)
         except Exception as exc:
             self._fail(plan, exc)
 
@@ -189,6 +220,9 @@
     def _fail_unplanned(self, req: CallerRequest, exc: Exception) -> None:
         """Refuse a request whose routing raised: nothing has been sent."""
         self.log.log_unforeseen_error(req.get(b'x-request-id'), '', exc)
+        self._refuse_unplanned(req)
+
+    def _refuse_unplanned(self, req: CallerRequest) -> None:
         if not req.is_answered:
             headers = self._codec.own_response_headers(
                 '', self.retry_after.seconds()
--- a/mintlanding/platform/tests/test_planned_stop.py
+++ b/mintlanding/platform/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mintlanding.node import application
-from mintlanding.platform.tests.world import HOST, LOOKUP, ORDER, World
+from mintlanding.platform.tests.world import HOST, LIVE, LOOKUP, ORDER, World
 
 CLIENTS = 8
 
@@ -110,3 +110,47 @@
     assert not unanswered & runs
     if not is_kept:
         assert not unanswered
+
+
+@pytest.fixture
+async def two(monkeypatch):
+    monkeypatch.setattr(application, '_ACCEPT_SECONDS', 0.5)
+    found = await World().start(instances=2)
+    yield found
+    await found.stop()
+
+
+async def begin_late(world, path, during_stop):
+    """Send a request whose last bytes come late in a planned stop.
+
+    Targets have answered at once until then, and now take longer than is left.
+    """
+    for _ in range(12):
+        assert (await world.ask(path))[0] == 200
+    for target in world.targets:
+        target.delay = 30
+        target.runs.clear()
+    reader, writer = await world.connect()
+    raw = world.raw(path)
+    writer.write(raw[:-10])
+    await asyncio.sleep(0.1)
+    node = world.nodes.pop(0)
+    stopping = asyncio.ensure_future(node.application.stop())
+    await asyncio.sleep(during_stop)
+    writer.write(raw[-10:])
+    return reader, writer, stopping
+
+
+@pytest.mark.parametrize('path', [ORDER, LOOKUP, LIVE])
+@pytest.mark.parametrize('during_stop', [0.2, 2.0])
+async def test_request_that_a_planned_stop_ends_is_answered(
+    two, path, during_stop
+):
+    reader, writer, stopping = await begin_late(two, path, during_stop)
+    async with asyncio.timeout(6):
+        head = await reader.readuntil(b'\r\n\r\n')
+    runs = [run for target in two.targets for run in target.runs]
+    status = int(head.split()[1])
+    assert status in ({502, 504} if runs else {503})
+    writer.close()
+    await stopping
