Read the store before a stream of unknown origin goes on at the one build

It can happen here: an instance that finds no origin goes on at the one build that it knows, if its view is not older than two seconds, and a target of another build may have joined and begun the stream in that time.

It reads what changed up to now first, and refuses the stream as not run if it cannot. A target has its entry before it begins a stream, so that the read shows its build.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -214,6 +214,7 @@
         self._stewards.on_steward_start = self._admissions.notify_waiters
         self._membership.on_message = self._receive
         self._membership.on_store_update = self._store_watcher.apply_update
+        self._origins.catch_up = self._store_watcher.catch_up
         self._membership.on_authority = self._stewards.update
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -128,20 +128,32 @@
         self._mark_fresh(now)
         self._view.load(snapshot, now, known)
 
+    async def catch_up(self) -> bool:
+        """Read what changed up to now; return false if the store is lost."""
+        try:
+            await self._fetch_changes(0)
+        except (PlatformError, StoreBusy) as exc:
+            self._logger.info('Store not read on request.', reason=str(exc))
+            return False
+        return True
+
     async def _read_changes(self) -> None:
-        view = self._view
-        after = view.as_of
         try:
-            found = await self._store.changes(
-                _ALL_KEYS,
-                after,
-                self._options.watch_wait,
-            )
+            has_changes = await self._fetch_changes(self._options.watch_wait)
         except (HistoryLost, PlatformError, StoreBusy) as exc:
             if isinstance(exc, HistoryLost):
                 raise
             await self._back_off(exc)
             return
+        if has_changes:
+            # Changes of this pause are collected by the next call.
+            await asyncio.sleep(self._options.watch_pause)
+
+    async def _fetch_changes(self, wait: float) -> bool:
+        """Apply and forward what changed; return whether anything did."""
+        view = self._view
+        after = view.as_of
+        found = await self._store.changes(_ALL_KEYS, after, wait)
         self._mark_reachable()
         if found.revision < after:
             raise HistoryLost(
@@ -161,9 +173,7 @@
         view.as_of = max(view.as_of, found.revision)
         for update in split_changes(after, found.revision, forwarded):
             self.forward(update)
-        if found.changes:
-            # Changes of this pause are collected by the next call.
-            await asyncio.sleep(self._options.watch_pause)
+        return bool(found.changes)
 
     def _record_gap(self, update: StoreUpdate) -> None:
         self.updates_missed += 1
--- a/mintlanding/node/stream_origins.py
+++ b/mintlanding/node/stream_origins.py
@@ -1,7 +1,7 @@
 """Keep the origins of streams at other instances, and ask them for one."""
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from mintlanding.core.logs import Logger
@@ -35,6 +35,10 @@
     waiting: set[str] = field(default_factory=set)
 
 
+async def _fail_to_catch_up() -> bool:
+    return False
+
+
 class StreamOrigins:
     """Origins of this instance's streams and copies for other instances."""
 
@@ -42,6 +46,7 @@
         self, cfg: NodeSettings, view: FleetView, membership: Membership
     ) -> None:
         """Start without origins."""
+        self.catch_up: Callable[[], Awaitable[bool]] = _fail_to_catch_up
         self._cfg = cfg
         self._view = view
         self._membership = membership
@@ -114,13 +119,18 @@
         known = self._table.find(request_id, boot_seconds())
         return known or await self._ask(request_id)
 
-    def only_build(self, service: str) -> str | None:
-        """Return the build of all streams of a service, if it is certain."""
-        now = boot_seconds()
-        options = self._cfg.streams
-        if now > self._view.fresh_at + options.max_view_age:
+    async def only_build(self, service: str) -> str | None:
+        """Return the build of all streams of a service, if it is certain.
+
+        The store is read, since a target of another build may have begun the
+        stream that this instance has not heard of.
+        """
+        lifetime = self._cfg.streams.lifetime
+        if self._view.only_build(service, boot_seconds() - lifetime) is None:
+            return None
+        if not await self.catch_up():
             return None
-        return self._view.only_build(service, now - options.lifetime)
+        return self._view.only_build(service, boot_seconds() - lifetime)
 
     def receive(self, peer: str, message: Message, reply: Reply) -> bool:
         """Process a message about origins; return false for any other."""
--- a/mintlanding/node/stream_resumption.py
+++ b/mintlanding/node/stream_resumption.py
@@ -32,7 +32,8 @@
             return self._continue_at(plan, origin)
         # Several services may share the route, and any may have begun it.
         if len(route.shares) == 1:
-            plan.began_at_build = self.origins.only_build(plan.service.name)
+            service = plan.service.name
+            plan.began_at_build = await self.origins.only_build(service)
         if plan.began_at_build is None:
             plan.reason = f'unknown origin of stream {fields.resumes!r}'
         return plan.began_at_build is not None
--- a/mintlanding/streams/origins.py
+++ b/mintlanding/streams/origins.py
@@ -19,8 +19,7 @@
     instance keeps; the oldest are dropped. `copies`: zones in which one member
     keeps a copy. `queries_per_zone`: members of each zone that are asked, more
     than one since members come and go between notice and query.
-    `lookup_timeout`: time to wait for replies. `max_view_age`: age of the view
-    up to which it still counts as complete.
+    `lookup_timeout`: time to wait for replies.
     """
 
     lifetime: float = 30
@@ -28,7 +27,6 @@
     copies: int = 3
     queries_per_zone: int = 2
     lookup_timeout: float = 0.15
-    max_view_age: float = 2
 
 
 @dataclass(slots=True)
