Do not take updates of older builds for complete

While a fleet is upgraded, callers of a new instance could still be served by a view that lacks a change: the reader of its zone may run an older build, which leaves changes out by what it believes.

Members of link version 2 send complete updates. What an update of another member holds is applied, but neither the view's revision nor its age moves, so that the instance reads for itself until its zone has a reader of its build, and forwards what it finds. Older members take all updates as before. With all updates taken for complete, the new test fails for a reader of version 1: the view stands at 53 instead of 51.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -34,9 +34,11 @@
 
 # Version of the messages that this process understands. A member of a lower
 # version closes its link when it receives a type that it does not know.
-LINK_VERSION = 1
+LINK_VERSION = 2
 # First version with the messages about origins of streams.
 ORIGINS_LINK_VERSION = 1
+# First version whose readers leave out no change that a member may lack.
+COMPLETE_UPDATES_LINK_VERSION = 2
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -23,6 +23,7 @@
 from mintlanding.http1.client import Address
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
+    COMPLETE_UPDATES_LINK_VERSION,
     LINK_VERSION,
     Consent,
     Message,
@@ -99,7 +100,8 @@
         )
         self.status_exchange.sources.asks_consent = self._asks_consent
         self.status_exchange.sources.may_consent = self.ownership.may_consent
-        self.on_store_update: Callable[[StoreUpdate], None] | None = None
+        # Takes an update, and whether it lacks no change up to its end.
+        self.on_store_update: Callable[[StoreUpdate, bool], None] | None = None
         self.on_message: Callable[[str, Message, Reply], None] | None = None
         self.on_authority: Callable[[], None] | None = None
         self.is_cut_off: Callable[[], bool] = bool
@@ -400,8 +402,12 @@
         self.ownership.authority.record_ack(peer, consent.status_sent_at)
 
     def _receive_store_update(self, peer: str, update: StoreUpdate) -> None:
-        if self.on_store_update is not None:
-            self.on_store_update(update)
+        if self.on_store_update is None:
+            return
+        sender = self._recent_members.get(peer)
+        version = 0 if sender is None else sender.link_version
+        is_complete = version >= COMPLETE_UPDATES_LINK_VERSION
+        self.on_store_update(update, is_complete)
 
     def _receive_use_report(self, peer: str, report: UseReport) -> None:
         if self.status_exchange.listeners.on_adapter_use is not None:
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -92,23 +92,31 @@
             except (PlatformError, StoreBusy) as exc:
                 await self._back_off(exc)
 
-    def apply_update(self, update: StoreUpdate) -> None:
-        """Apply a reader's changes, or read those that are missing before."""
+    def apply_update(
+        self, update: StoreUpdate, is_complete: bool = True
+    ) -> None:
+        """Apply a reader's changes, or read those that are missing before.
+
+        An update of an older build may not be complete: what it holds is true,
+        but does not show that the view is as new as its end.
+        """
         view = self._view
         if not view.as_of:
             return
         if update.after > view.as_of:
-            self._record_gap(update)
+            if is_complete:
+                self._record_gap(update)
             return
         now = boot_seconds()
         # One that ends before the view tells nothing about the store now.
-        if update.as_of >= view.as_of:
+        if is_complete and update.as_of >= view.as_of:
             self._mark_fresh(now)
             self._last_update_at = now
         for each in update.changes:
             if each.revision > view.as_of:
                 view.apply(_decode_change(each), now)
-        view.as_of = max(view.as_of, update.as_of)
+        if is_complete:
+            view.as_of = max(view.as_of, update.as_of)
 
     async def _watch(self) -> None:
         left = (
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -12,10 +12,21 @@
     Snapshot,
 )
 from mintlanding.core.exceptions import PlatformUnavailable
-from mintlanding.links.messages import Consent, Status, StoreUpdate
+from mintlanding.links.messages import (
+    LINK_VERSION,
+    Consent,
+    Status,
+    StoreChange,
+    StoreUpdate,
+)
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.membership import Membership
-from mintlanding.node.settings import InstanceFacts, NodeSettings
+from mintlanding.node.settings import (
+    FleetOptions,
+    InstanceFacts,
+    NodeSettings,
+)
+from mintlanding.node.store_watcher import StoreWatcher
 from mintlanding.node.view import (
     MEMBERS_PREFIX,
     FleetView,
@@ -186,11 +197,11 @@
         """Open no links."""
 
 
-def member_change(name, revision, *, is_removed=False):
+def member_change(name, revision, *, is_removed=False, **fields):
     key = MEMBERS_PREFIX + name
     if is_removed:
         return Change(key, revision)
-    record = MemberRecord(name, FACTS.zone, FACTS.host, 1, 'boot')
+    record = MemberRecord(name, FACTS.zone, FACTS.host, 1, 'boot', **fields)
     return Change(
         key, revision, Item(key, msgspec.json.encode(record), revision)
     )
@@ -212,6 +223,26 @@
     assert membership.mesh.sent == [('near', update)]
 
 
+@pytest.mark.parametrize(('version', 'as_of'), [(1, 51), (LINK_VERSION, 53)])
+async def test_updates_of_an_older_build_do_not_make_the_view_newer(
+    version, as_of
+):
+    # Its readers leave out changes that this instance may lack.
+    membership = make_membership(FakeStore(), 50)
+    view, now = membership._view, boot_seconds()
+    watcher = StoreWatcher(None, view, FleetOptions(), random.Random(1))
+    membership.on_store_update = watcher.apply_update
+    view.listeners.append(lambda topic: membership.update_members())
+    view.apply(member_change('reader', 51, link_version=version), now)
+    view.as_of = 51
+    item = member_change('new', 52).item
+    change = StoreChange(item.key, 52, item.content)
+    update = StoreUpdate(51, 53, (change,))
+    membership.receive('reader', update, lambda message: True)
+    assert 'new' in view.members
+    assert view.as_of == as_of
+
+
 async def test_entry_says_once_that_the_instance_is_cut_off():
     store = FakeStore()
     membership = make_membership(store, 50)
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -932,6 +932,9 @@
     'mintlanding_connections_opened_total 9',
     'mintlanding_paths_opened_total 6',
     'mintlanding_cut_targets 1',
+    'mintlanding_view_revision 12',
+    'mintlanding_view_age_seconds 0.25',
+    'mintlanding_updates_missed_total 13',
     'mintlanding_members 11',
     'mintlanding_members_heard 10',
     'mintlanding_quarantined_parts 1',
@@ -987,6 +990,9 @@
         types.SimpleNamespace(stewards={'i-7f': steward}),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
         types.SimpleNamespace(count=lambda: 2, count_brittle=lambda: 3),
+        types.SimpleNamespace(
+            revision=12, age=lambda now: 0.25, updates_missed=13
+        ),
     )
 
 
