Name the revisions of records for what they are

The class holds no copy of the store, only which state of each record is known. Tasks of requests are forgotten by their own callback. No behaviour changes; tests of the watcher, members and planned stops pass.

--- a/mintlanding/node/store_copy.py
+++ b/mintlanding/node/record_revisions.py
@@ -1,4 +1,4 @@
-"""Which state of each of the store's records this instance has.
+"""Which state of each of the store's records an instance has.
 
 Changes arrive from the own watch, from listings and in updates of other
 members, each of which may be older than what is known by then. For each key the
@@ -15,7 +15,7 @@
 _MAX_REMOVALS = 1024
 
 
-class StoreCopy:
+class RecordRevisions:
     """Revisions of the records that are known, and of the last removals."""
 
     def __init__(self) -> None:
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -96,7 +96,7 @@
         )
         self._attempts = self._make_attempts()
         # Requests that are being served.
-        self._tasks: set[asyncio.Task[None] | None] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._is_ending = False
 
     @property
@@ -107,11 +107,10 @@
     async def handle(self, req: CallerRequest) -> None:
         """Serve one request up to its final response."""
         task = asyncio.current_task()
-        self._tasks.add(task)
-        try:
-            await self._handle(req)
-        finally:
-            self._tasks.discard(task)
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await self._handle(req)
 
     async def end_requests(self) -> None:
         """Answer the requests that the end of the process would cut off.
@@ -119,10 +118,9 @@
         Streams that have begun have no answer left; they break.
         """
         self._is_ending = True
-        tasks = [each for each in self._tasks if each is not None]
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _handle(self, req: CallerRequest) -> None:
         try:
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -20,7 +20,7 @@
 )
 from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
-from mintlanding.node.store_copy import StoreCopy
+from mintlanding.node.record_revisions import RecordRevisions
 from mintlanding.quarantine.records import (
     QuarantineRecord,
     RequestRecord,
@@ -165,7 +165,7 @@
     """
 
     records: Records
-    copy: StoreCopy = field(default_factory=StoreCopy)
+    revisions: RecordRevisions = field(default_factory=RecordRevisions)
     config: ServingConfig | None = None
     routes: RouteTable = field(default_factory=lambda: RouteTable({}))
     keys: KeyTable = field(default_factory=lambda: KeyTable({}))
@@ -280,9 +280,9 @@
         """
         self.builds.restart(now)
         if snapshot.revision < known:
-            self.copy.rewind()
+            self.revisions.rewind()
             self.as_of = 0
-        for change in self.copy.removals(snapshot):
+        for change in self.revisions.removals(snapshot):
             self.apply(change, now)
         for item in snapshot.items:
             # Versions in a snapshot may be old: they count as seen long ago.
@@ -304,7 +304,7 @@
         members may not believe what this one does, nor know what it knows.
         """
         is_shared = not change.key.startswith(ORIGINS_PREFIX)
-        if not self.copy.record(change):
+        if not self.revisions.record(change):
             return is_shared
         before = self._entry(change.key)
         if change.item is None:
