Show that an instance without the store follows the configuration

Callers of an instance that had lost the store alone were served on a route that had been withdrawn (CONFIG).

Measured: the new test gets 200 with the forwarding as it was before (a trial on a scratch copy), and 404 now.

--- a/mintlanding/node/record_revisions.py
+++ b/mintlanding/node/record_revisions.py
@@ -10,8 +10,7 @@
 
 from mintlanding.coordination.transactional_store import Change, Snapshot
 
-# Removed keys that are remembered, so that what was read before a removal does
-# not bring them back; more than change while a listing is read.
+# Removed keys that an earlier listing or answer must not bring back.
 _MAX_REMOVALS = 1024
 
 
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -719,6 +719,16 @@
         assert leaving.arrivals == arrivals
 
 
+async def test_instance_without_the_store_follows_the_configuration(pair):
+    # Its entry has lapsed by then, its links to the others are sound.
+    changed = {**CONFIG, 'version': 9, 'routes': CONFIG['routes'][:3]}
+    with pair.cut_off_from_store(pair.nodes[0]):
+        await asyncio.sleep(4)
+        pair.store.put('op/config', encode(changed))
+        await asyncio.sleep(1.5)
+        assert (await pair.ask(LOOKUP, method=b'GET', body=b''))[0] == 404
+
+
 @pytest.mark.parametrize(
     ('path', 'targets'), [(LIVE, 'engines'), (LOOKUP, 'plain')]
 )
