Compare revisions of the store within one era only

Cause: an instance goes on watching from the revision it has. It took a return for one only by a lower revision or 410. By the time it asked, the revisions had been given out again, so it got neither and never heard of what was written below its own.

Change: the client reads Store-Era. A call during which it changes has an unknown outcome, a watch ends, an answer from before is dropped; the view names its era, a listing of another one replaces all records, and transactions expect revisions of their own era only. Updates between members name the era (LINK_VERSION 3); one of another era is not applied. Beside an older reader, one of the instances that name the era reads for them. The field comes last, so that older builds read the message as before.

Why it works: era and revision together name one state of the store, whatever is written in which order after a return.

--- a/mintlanding/coordination/transactional_store.py
+++ b/mintlanding/coordination/transactional_store.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from mintlanding.coordination.store_era import NO_ERA, StoreEra
 from mintlanding.core.exceptions import PlatformError
 
 NO_REVISION = 0
@@ -38,18 +39,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """The items under a prefix as of `revision`."""
+    """The items under a prefix as of `revision` of an era."""
 
     items: tuple[Item, ...]
     revision: int
+    era: int = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes in order; the next ones follow after `revision`."""
+    """Changes in order; the next ones follow after `revision` of an era."""
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,12 +69,14 @@
     """Writes and deletes, applied if the expected keys are unchanged.
 
     `expected` maps keys to the revisions at which they must be, NO_REVISION if
-    they must not exist.
+    they must not exist. `era` is the one of these revisions, NO_ERA if it is
+    unknown; in any other one the transaction is rejected.
     """
 
     expected: Mapping[str, int] = field(default_factory=dict)
     writes: tuple[Write, ...] = ()
     deletes: tuple[str, ...] = ()
+    era: int = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,16 +101,22 @@
 
     Each method raises PlatformUnavailable if no response arrived, in which case
     a write may have taken effect or may still do so, and StoreBusy if the call
-    was rejected and nothing was done.
+    was rejected and nothing was done. A call during which the era changes
+    counts as one without a response.
     """
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era that the last responses named."""
+
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return all items under a prefix."""
 
     async def changes(self, prefix: str, after: int, wait: float) -> Changes:
         """Return changes as soon as there are any, none after `wait` seconds.
 
-        Raises HistoryLost if the changes are no longer retained.
+        Raises HistoryLost if the changes are no longer retained, or are those
+        of another era.
         """
 
     async def commit(self, transaction: Transaction) -> Committed | Rejected:
--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -34,11 +34,13 @@
 
 # Version of the messages that this process understands. A member of a lower
 # version closes its link when it receives a type that it does not know.
-LINK_VERSION = 2
+LINK_VERSION = 3
 # First version with the messages about origins of streams.
 ORIGINS_LINK_VERSION = 1
 # First version whose readers leave out no change that a member may lack.
 COMPLETE_UPDATES_LINK_VERSION = 2
+# First version whose updates name the era of the store.
+ERA_LINK_VERSION = 3
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -160,11 +162,15 @@
     array_like=True,
     tag='StoreNews',
 ):
-    """Changes of the store after one revision, up to and including another."""
+    """Changes of the store after one revision, up to and including another.
+
+    Both are of one era, 0 if the sender knows of none.
+    """
 
     after: StoreNumber
     as_of: StoreNumber
     changes: tuple[StoreChange, ...] = ()
+    era: StoreNumber = 0
 
 
 Message = Union[
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -24,6 +24,7 @@
 from mintlanding.links.mesh import Identity, Mesh, Reply
 from mintlanding.links.messages import (
     COMPLETE_UPDATES_LINK_VERSION,
+    ERA_LINK_VERSION,
     LINK_VERSION,
     Consent,
     Message,
@@ -42,6 +43,7 @@
     OWNERSHIP_PREFIX,
     FleetView,
     MemberRecord,
+    member_info,
 )
 from mintlanding.residency.authority import (
     ClaimContext,
@@ -150,12 +152,26 @@
         return self._recent_members
 
     def is_reader(self) -> bool:
-        """Tell whether this instance watches the store for its zone."""
+        """Tell whether this instance watches the store for its zone.
+
+        Members ignore updates without an era. Beside a reader of an older
+        build, one of those that name it reads for them.
+        """
         zone = self._cfg.facts.zone
-        infos = self._view.member_infos().values()
-        near = [each for each in infos if each.zone == zone]
-        reader = preferred_member(_READER, zone, well_connected_members(near))
-        return reader in {'', self.instance}
+        near = [
+            each for each in self._view.members.values() if each.zone == zone
+        ]
+        naming = [
+            each for each in near if each.link_version >= ERA_LINK_VERSION
+        ]
+        return any(
+            self._is_preferred(_READER, records) for records in (near, naming)
+        )
+
+    def _is_preferred(self, name: str, records: list[MemberRecord]) -> bool:
+        infos = well_connected_members(member_info(each) for each in records)
+        preferred = preferred_member(name, self._cfg.facts.zone, infos)
+        return preferred in {'', self.instance}
 
     def is_elected(self, name: str) -> bool:
         """Tell whether this instance is the elected one."""
@@ -468,8 +484,8 @@
         if self._view.as_of >= self._entry_revision:
             return
         snapshot = await self._store.snapshot(OWNERSHIP_PREFIX)
-        self._view.load_ownership(snapshot)
-        self._ownership_as_of = snapshot.revision
+        if self._view.load_ownership(snapshot):
+            self._ownership_as_of = snapshot.revision
 
     def _renew_authority(self, sent_at: float) -> None:
         """Renew the authority once ownership records are as new as the entry.
--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -25,6 +25,7 @@
     lines.append(f'mintlanding_cut_targets {cut}')
     now = boot_seconds()
     lines.append(f'mintlanding_view_revision {watcher.revision}')
+    lines.append(f'mintlanding_view_era {watcher.era}')
     lines.append(f'mintlanding_view_age_seconds {_number(watcher.age(now))}')
     lines.append(f'mintlanding_updates_missed_total {watcher.updates_missed}')
     reachable, members = membership.reach(now)
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -251,7 +251,8 @@
         entry: OwnershipEntry,
     ) -> int | None:
         write = Write(key, msgspec.json.encode(entry))
-        reply = await self._store.commit(Transaction(expected, (write,)))
+        txn = Transaction(expected, (write,), era=self._view.era)
+        reply = await self._store.commit(txn)
         return None if isinstance(reply, Rejected) else reply.revision
 
     def _resume(self, worker: str, record: OwnershipRecord, now: float) -> None:
--- a/mintlanding/node/quarantine_records.py
+++ b/mintlanding/node/quarantine_records.py
@@ -100,7 +100,9 @@
         )
         # Another instance may have claimed a trial meanwhile.
         expected = {key: self._revision(key) for key in changes}
-        await self._store.commit(Transaction(expected, writes, deletes))
+        await self._store.commit(
+            Transaction(expected, writes, deletes, self._view.era)
+        )
 
     async def _claim_trials(self) -> None:
         for prefix, ledger, known in (
@@ -127,7 +129,9 @@
         claimed = msgspec.structs.replace(record, trials=record.trials + 1)
         write = Write(key, msgspec.json.encode(claimed))
         reply = await self._store.commit(
-            Transaction({key: self._revision(key)}, (write,))
+            Transaction(
+                {key: self._revision(key)}, (write,), era=self._view.era
+            )
         )
         if isinstance(reply, Committed):
             trials.claim(name, claimed.trials, boot_seconds())
--- a/mintlanding/node/record_revisions.py
+++ b/mintlanding/node/record_revisions.py
@@ -46,7 +46,7 @@
     def rewind(self) -> None:
         """Let whatever is read next replace what is known.
 
-        A store that returns from an older copy hands out revisions again.
+        A store that returns from an older copy gives out revisions again.
         """
         self._revisions = dict.fromkeys(self._revisions, 0)
         self._removals.clear()
--- a/mintlanding/node/store_watcher.py
+++ b/mintlanding/node/store_watcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 
+from mintlanding.coordination.store_era import NO_ERA
 from mintlanding.coordination.transactional_store import (
     Change,
     HistoryLost,
@@ -41,6 +42,9 @@
 _UPDATE_BYTES = MAX_FRAME_BYTES // 2
 # Bytes of a change besides its key and content.
 _CHANGE_BYTES = 40
+# Seconds over which the members of a zone spread their listings when the store
+# has lost its history; the reader does not wait.
+_LISTING_SPREAD_SECONDS = 0.5
 
 
 class StoreWatcher:
@@ -73,6 +77,11 @@
         """Return the revision up to which the view has all changes."""
         return self._view.as_of
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store that the view is of."""
+        return self._view.era
+
     def age(self, now: float) -> float:
         """Return the seconds since the view was last known to be the newest."""
         return now - self._view.fresh_at
@@ -89,20 +98,32 @@
                     'Store history lost; loading a snapshot.',
                     reason=str(exc),
                 )
+                if not self.is_reader():
+                    spread = self._rnd.uniform(0, _LISTING_SPREAD_SECONDS)
+                    await asyncio.sleep(spread)
             except (PlatformError, StoreBusy) as exc:
                 await self._back_off(exc)
 
+    def read_soon(self) -> None:
+        """Read the store without waiting for updates of the reader."""
+        self._is_behind.set()
+
     def apply_update(
         self, update: StoreUpdate, is_complete: bool = True
     ) -> None:
         """Apply a reader's changes, or read those that are missing before.
 
         An update of an older build may not be complete: what it holds is true,
-        but does not show that the view is as new as its end.
+        but does not show that the view is as new as its end. Revisions of
+        another era, or of one that the sender does not name, tell nothing.
         """
         view = self._view
         if not view.as_of:
             return
+        if update.era != view.era:
+            if update.era > view.era:
+                self.read_soon()
+            return
         if update.after > view.as_of:
             if is_complete:
                 self._record_gap(update)
@@ -141,6 +162,8 @@
         try:
             await self._fetch_changes(0)
         except (PlatformError, StoreBusy) as exc:
+            if isinstance(exc, HistoryLost):
+                self.read_soon()
             self._logger.info('Store not read on request.', reason=str(exc))
             return False
         return True
@@ -160,9 +183,13 @@
     async def _fetch_changes(self, wait: float) -> bool:
         """Apply and forward what changed; return whether anything did."""
         view = self._view
-        after = view.as_of
+        after, era = view.as_of, view.era
         found = await self._store.changes(_ALL_KEYS, after, wait)
         self._mark_reachable()
+        if not found.era == era == view.era:
+            raise HistoryLost(
+                f'the store is in era {found.era}, the view was in era {era}',
+            )
         if found.revision < after:
             raise HistoryLost(
                 f'the store is at {found.revision}, the view at {after}',
@@ -179,7 +206,7 @@
             if view.apply(change, now) or change.revision <= reached
         ]
         view.as_of = max(view.as_of, found.revision)
-        for update in split_changes(after, found.revision, forwarded):
+        for update in split_changes(after, found.revision, forwarded, era):
             self.forward(update)
         return bool(found.changes)
 
@@ -219,7 +246,7 @@
 
 
 def split_changes(
-    after: int, as_of: int, changes: list[StoreChange]
+    after: int, as_of: int, changes: list[StoreChange], era: int = NO_ERA
 ) -> Iterator[StoreUpdate]:
     """Yield updates that fit into frames; those of one revision stay together.
 
@@ -231,11 +258,11 @@
         added = len(change.key) + len(change.content) + _CHANGE_BYTES
         reached = part[-1].revision if part else change.revision
         if size + added > _UPDATE_BYTES and change.revision > reached:
-            yield StoreUpdate(after, reached, tuple(part))
+            yield StoreUpdate(after, reached, tuple(part), era)
             after, part, size = reached, [], 0
         part.append(change)
         size += added
-    yield StoreUpdate(after, as_of, tuple(part))
+    yield StoreUpdate(after, as_of, tuple(part), era)
 
 
 def _encode_change(change: Change) -> StoreChange:
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mintlanding.coordination.store_contact import StoreContact
+from mintlanding.coordination.store_era import NO_ERA
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
 from mintlanding.core.borders import ValueBounds, border, decode_with
 from mintlanding.core.bounds import (
@@ -159,9 +160,10 @@
 class FleetView:
     """Configuration, targets, versions, members and ownership records.
 
-    All of it is at least as new as the revision `as_of`; `fresh_at` is when
-    that was last known to be the newest one. Targets whose entries lapsed in
-    an outage of the store are kept for `lapse_grace` seconds after its return.
+    All of it is at least as new as the revision `as_of` of the store's `era`;
+    `fresh_at` is when that was last known to be the newest one. Targets whose
+    entries lapsed in an outage of the store are kept for `lapse_grace` seconds
+    after its return.
     """
 
     records: Records
@@ -188,6 +190,7 @@
     )
     fleet_key: bytes = b''
     as_of: int = 0
+    era: int = NO_ERA
     fresh_at: float = float('-inf')
     store_contact: StoreContact = field(default_factory=StoreContact)
     lapse_grace: float = 0
@@ -276,12 +279,12 @@
         """Load a listing of the store, unless newer changes are known by now.
 
         `known` is the revision of the view when the listing began. A listing
-        of a lower one shows that the store has lost changes.
+        of a lower one, or of another era, shows that the store has lost
+        changes.
         """
         self.builds.restart(now)
-        if snapshot.revision < known:
-            self.revisions.rewind()
-            self.as_of = 0
+        if snapshot.era != self.era or snapshot.revision < known:
+            self._rewind(snapshot)
         for change in self.revisions.removals(snapshot):
             self.apply(change, now)
         for item in snapshot.items:
@@ -290,10 +293,18 @@
         self.as_of = max(self.as_of, snapshot.revision)
         self.fresh_at = now
 
-    def load_ownership(self, snapshot: Snapshot) -> None:
-        """Load ownership records only, ahead of the rest of the view."""
+    def load_ownership(self, snapshot: Snapshot) -> bool:
+        """Load ownership records only, ahead of the rest of the view.
+
+        Return false if the view is of another era of the store.
+        """
+        if not self.as_of and self.era == NO_ERA:
+            self.era = snapshot.era
+        if snapshot.era != self.era:
+            return False
         for item in snapshot.items:
             self._apply_item(item, self.fresh_at)
+        return True
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply a change, unless a newer state of its record is known.
@@ -339,6 +350,18 @@
             self._remove_target(name, 'entry not written again', now)
         self.lapsed.clear()
 
+    def _rewind(self, snapshot: Snapshot) -> None:
+        """Let a listing replace what is known, whatever its revisions."""
+        self.revisions.rewind()
+        self.as_of = 0
+        self.era = snapshot.era
+        listed = {item.key for item in snapshot.items}
+        self.ownership = {
+            worker: replace(record, revision=0)
+            for worker, record in self.ownership.items()
+            if OWNERSHIP_PREFIX + worker in listed
+        }
+
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
 
--- a/mintlanding/platform/store.py
+++ b/mintlanding/platform/store.py
@@ -2,11 +2,13 @@
 
 import base64
 import binascii
+from dataclasses import dataclass
 from typing import Annotated, Any, Self, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from mintlanding.coordination.store_era import NO_ERA, StoreEra
 from mintlanding.coordination.transactional_store import (
     Change,
     Changes,
@@ -26,8 +28,10 @@
     RequestNotSent,
     ResponseLost,
 )
+from mintlanding.core.numbers import parse_count
 from mintlanding.http1.client import Address, ClientConnection, ConnectionPool
-from mintlanding.http1.models import ClientOptions
+from mintlanding.http1.models import ClientOptions, ResponseHead
+from mintlanding.node.clock import boot_seconds
 
 _MILLISECONDS = 1000
 # Seconds for a call other than a watch or a listing. The store responds in
@@ -42,6 +46,7 @@
 _GONE = 410
 _CONFLICT = 412
 _REFUSED = frozenset((429, 503))
+_ERA = b'store-era'
 # Characters of a key.
 _MAX_KEY = 1000
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORE_NUMBER)]
@@ -78,6 +83,16 @@
 _Response = TypeVar('_Response', _Page, _Events, _Committed, _Granted)
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Response to a call; the era may have changed since the call was sent."""
+
+    status: int
+    body: bytes
+    era: int
+    is_era_unchanged: bool
+
+
 class PlatformStore:
     """Client of the store; it never retries.
 
@@ -90,6 +105,7 @@
     def __init__(self, address: Address, pool: ConnectionPool) -> None:
         """Take the address of the store and a connection pool."""
         self.calls = 0
+        self.era = StoreEra()
         self._address = address
         self._host = '{0}:{1}'.format(*address).encode()
         self._pool = pool
@@ -103,21 +119,28 @@
         """Return all items under a prefix, read page by page.
 
         The revision is that of the first page, since later pages may be newer:
-        the changes after it must be read, too.
+        the changes after it must be read, too. All pages are of one era.
         """
         items: list[Item] = []
         revision = 0
+        era = NO_ERA
         after = ''
         while True:
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            raw = await self._get('/v1/kv-range', query, _PAGE_SECONDS)
-            page = _decode(_Page, raw)
+            reply = await self._get('/v1/kv-range', query, _PAGE_SECONDS)
+            page = _decode(_Page, reply.body)
+            era = era if after else reply.era
+            if reply.era != era:
+                raise PlatformUnavailable(
+                    f'the listing began in era {era} of the store, the page '
+                    f'after {after!r} is of era {reply.era}'
+                )
             revision = revision or page.as_of
             items.extend(_decode_item(each) for each in page.items)
             if not page.truncated or not page.items:
-                return Snapshot(tuple(items), revision)
+                return Snapshot(tuple(items), revision, era)
             if items[-1].key <= after:
                 raise PlatformUnavailable(
                     f'the page after {after!r} ends at {items[-1].key!r}'
@@ -127,7 +150,8 @@
     async def changes(self, prefix: str, after: int, wait: float) -> Changes:
         """Return changes after a revision, waiting up to `wait` seconds.
 
-        Raise HistoryLost if the store no longer has them all.
+        Raise HistoryLost if the store no longer has them all, or has returned
+        in another era meanwhile.
         """
         query = {
             'prefix': prefix,
@@ -135,13 +159,23 @@
             'wait_ms': str(int(wait * _MILLISECONDS)),
         }
         seconds = wait + _WATCH_GRACE
-        raw = await self._get('/v1/kv-watch', query, seconds)
-        page = _decode(_Events, raw)
+        reply = await self._get('/v1/kv-watch', query, seconds)
+        if not reply.is_era_unchanged:
+            raise HistoryLost(f'the store is in era {reply.era} now')
+        page = _decode(_Events, reply.body)
         changes = tuple(_decode_change(each) for each in page.events)
-        return Changes(changes, page.as_of)
+        return Changes(changes, page.as_of, reply.era)
 
     async def commit(self, transaction: Transaction) -> Committed | Rejected:
-        """Commit a transaction, unless an expected revision has changed."""
+        """Commit a transaction, unless an expected revision has changed.
+
+        Raise StoreBusy for revisions of another era than the current one.
+        """
+        if transaction.era not in {NO_ERA, self.era.number}:
+            raise StoreBusy(
+                f'the expected revisions are of era {transaction.era}, the '
+                f'store is in era {self.era.number}'
+            )
         body = {
             'expected': [
                 {'key': key, 'rev': revision}
@@ -157,22 +191,24 @@
             ],
             'delete': list(transaction.deletes),
         }
-        status, response = await self._write('POST', '/v1/kv-txn', body)
-        if status == _OK:
-            return Committed(_decode(_Committed, response).rev)
-        if status in {_CONFLICT, _NOT_FOUND}:
-            return Rejected(lease_ended=status == _NOT_FOUND)
-        raise PlatformError(f'transaction failed: the store responded {status}')
+        reply = await self._write('POST', '/v1/kv-txn', body)
+        if reply.status == _OK:
+            return Committed(_decode(_Committed, reply.body).rev)
+        if reply.status in {_CONFLICT, _NOT_FOUND}:
+            return Rejected(lease_ended=reply.status == _NOT_FOUND)
+        raise PlatformError(
+            f'transaction failed: the store responded {reply.status}'
+        )
 
     async def grant_lease(self, seconds: float) -> int:
         """Return the id of a new lease."""
         body = {'ttl_ms': int(seconds * _MILLISECONDS)}
-        status, response = await self._write('POST', '/v1/kv-lease', body)
-        if status != _OK:
+        reply = await self._write('POST', '/v1/kv-lease', body)
+        if reply.status != _OK:
             raise PlatformError(
-                f'lease not granted: the store responded {status}'
+                f'lease not granted: the store responded {reply.status}'
             )
-        return _decode(_Granted, response).lease
+        return _decode(_Granted, reply.body).lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return false if it has ended.
@@ -180,12 +216,13 @@
         An earlier response can be taken for this one, but not twice in
         succession: its connection is closed when the other one comes.
         """
-        status, _ = await self._call('POST', f'/v1/kv-keep/{lease}', None)
-        if status not in {_OK, _NOT_FOUND}:
+        reply = await self._call('POST', f'/v1/kv-keep/{lease}', None)
+        _require_one_era(reply)
+        if reply.status not in {_OK, _NOT_FOUND}:
             raise PlatformError(
-                f'lease not renewed: the store responded {status}'
+                f'lease not renewed: the store responded {reply.status}'
             )
-        return status == _OK
+        return reply.status == _OK
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease."""
@@ -204,19 +241,23 @@
         path: str,
         query: dict[str, str],
         seconds: float,
-    ) -> bytes:
+    ) -> _Reply:
         target = f'{path}?{urlencode(query)}'
-        status, response = await self._call('GET', target, None, seconds)
-        if status == _GONE:
+        reply = await self._call('GET', target, None, seconds)
+        if reply.status == _GONE:
             raise HistoryLost('the store no longer has the history')
-        if status != _OK:
-            raise PlatformError(f'{path} failed: the store responded {status}')
-        return response
+        if reply.status != _OK:
+            raise PlatformError(
+                f'{path} failed: the store responded {reply.status}'
+            )
+        return reply
 
     async def _write(
         self, method: str, target: str, body: dict[str, Any] | None
-    ) -> tuple[int, bytes]:
-        return await self._call(method, target, body, is_write=True)
+    ) -> _Reply:
+        reply = await self._call(method, target, body, is_write=True)
+        _require_one_era(reply)
+        return reply
 
     async def _call(
         self,
@@ -226,28 +267,35 @@
         seconds: float = _CALL_SECONDS,
         *,
         is_write: bool = False,
-    ) -> tuple[int, bytes]:
+    ) -> _Reply:
         self.calls += 1
+        era_before, sent_at = self.era.number, boot_seconds()
         payload = b'' if body is None else msgspec.json.encode(body)
-        head = (
+        head_lines = (
             f'{method} {target} HTTP/1.1\r\n'
             f'Content-Length: {len(payload)}\r\n'
             'Content-Type: application/json\r\n'
         ).encode()
-        request = b'%bHost: %b\r\n\r\n%b' % (head, self._host, payload)
+        request = b'%bHost: %b\r\n\r\n%b' % (head_lines, self._host, payload)
         try:
             conn = await self._pool.acquire(self._address, is_fresh=is_write)
         except RequestNotSent as exc:
             raise PlatformUnavailable(str(exc)) from exc
         try:
-            status, raw = await _exchange(conn, request, seconds)
+            head, content = await _exchange(conn, request, seconds)
         except (ResponseLost, RequestNotSent) as exc:
             raise PlatformUnavailable(str(exc)) from exc
         finally:
             self._give_back(conn, is_write=is_write)
-        if status in _REFUSED:
-            raise StoreBusy(f'the store refused a call with {status}')
-        return status, raw
+        era = _read_era(head) or self.era.number
+        if not self.era.record(era, sent_at, boot_seconds()):
+            raise PlatformUnavailable(
+                f'the response is of era {era}, the store has been in era '
+                f'{self.era.number}'
+            )
+        if head.status in _REFUSED:
+            raise StoreBusy(f'the store refused a call with {head.status}')
+        return _Reply(head.status, content, era, era_before in {NO_ERA, era})
 
     def _give_back(self, conn: ClientConnection, *, is_write: bool) -> None:
         """Keep a connection, but not for a response to a write to come."""
@@ -261,10 +309,22 @@
     conn: ClientConnection,
     request: bytes,
     seconds: float,
-) -> tuple[int, bytes]:
+) -> tuple[ResponseHead, bytes]:
     conn.send(request)
     head = await conn.read_head(seconds)
-    return head.status, await conn.read_body(seconds)
+    return head, await conn.read_body(seconds)
+
+
+def _read_era(head: ResponseHead) -> int:
+    return parse_count(head.get(_ERA).decode('latin-1')) or NO_ERA
+
+
+def _require_one_era(reply: _Reply) -> None:
+    """Raise PlatformUnavailable if the era has changed during a call."""
+    if not reply.is_era_unchanged:
+        raise PlatformUnavailable(
+            f'the store has returned in era {reply.era} during the call'
+        )
 
 
 @border('store', PlatformUnavailable, ValueBounds(MAX_STORE_NUMBER))
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -39,6 +39,7 @@
 
     def __init__(self):
         self.faults = StoreFaults()
+        self.era = 1
         self.revision = 1
         self.items = {}
         self.history = []
@@ -79,6 +80,23 @@
         for key in [k for k, held in self.items.items() if held[2] == lease]:
             self.remove(key)
 
+    def copy(self):
+        """Return what a copy made now holds."""
+        return (
+            self.revision,
+            dict(self.items),
+            list(self.history),
+            dict(self.leases),
+        )
+
+    def restore(self, saved):
+        """Return from a copy, in a new era; what was written since is lost."""
+        self.revision, items, history, leases = saved
+        self.items, self.history = dict(items), list(history)
+        self.leases = dict(leases)
+        self.era += 1
+        self._wake()
+
     async def handle(self, req):
         """Respond to a call."""
         parts = urlsplit(req.target.decode())
@@ -100,9 +118,10 @@
         body = msgspec.json.encode(response)
         if self.faults.repeat_answers:
             req.conn.write(self.answers.get(req.conn, b''))
+        headers = [(b'store-era', b'%d' % self.era)] if self.era else []
         length = (b'content-length', b'%d' % len(body))
-        self.answers[req.conn] = head_bytes(status, [length]) + body
-        req.respond(status, JSON_HEADERS, body)
+        self.answers[req.conn] = head_bytes(status, [length, *headers]) + body
+        req.respond(status, [*JSON_HEADERS, *headers], body)
 
     async def _kv_range(self, parts, query, body):
         prefix, after = query.get('prefix', ''), query.get('after', '')
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -933,6 +933,7 @@
     'mintlanding_paths_opened_total 6',
     'mintlanding_cut_targets 1',
     'mintlanding_view_revision 12',
+    'mintlanding_view_era 14',
     'mintlanding_view_age_seconds 0.25',
     'mintlanding_updates_missed_total 13',
     'mintlanding_members 11',
@@ -991,7 +992,7 @@
         types.SimpleNamespace(reach=lambda now: (10, 11)),
         types.SimpleNamespace(count=lambda: 2, count_brittle=lambda: 3),
         types.SimpleNamespace(
-            revision=12, age=lambda now: 0.25, updates_missed=13
+            revision=12, era=14, age=lambda now: 0.25, updates_missed=13
         ),
     )
 
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -224,6 +224,7 @@
                 is_removed=True,
             ),
         ),
+        era=156,
     ),
     'residency.AdmissionRequest': residency.AdmissionRequest(
         request_id='text-56',
