Hold orders back in a new era and keep holders that the store forgot

Cause: what the copy lacked, the fleet forgot. A worker whose record was lost was claimed as one that never had a holder, without a wait; a copy's older holder was believed; leases and consents of the era before counted on; and the fencing token was the revision, which goes back.

Change: an instance that sees or hears of a new era sends no orders until it is registered under a new lease and consents of before have ended (EraHold). The last known holder of a worker stands until its record is written again, by the holder, at the revision that was listed. A record names a token where its revision is not above all before. Statuses name era and age, so that a member in a later era consents to no earlier one and a new process waits as well.

Why it works: whoever may still order in the earlier era does so for at most the validity of a lease or consent, and nobody orders in the new one before; the memory of living members replaces what the store has lost.

Fakes of the store have an era.

--- a/mintlanding/links/messages.py
+++ b/mintlanding/links/messages.py
@@ -66,7 +66,9 @@
     are parts of prompts under which engines crashed, `limits` what targets
     named as their limits to the sender, `requests` whole requests under which
     targets crashed, `brittle` how many refusals per second targets bear,
-    `unreached` members from which the sender hears nothing.
+    `unreached` members from which the sender hears nothing. `store_era` is the
+    era of the store, 0 if the sender knows of none, `era_age` for how many
+    seconds it has lasted, 0 if the sender has not seen it change.
     """
 
     instance: str
@@ -84,6 +86,8 @@
     leaving: tuple[tuple[str, Whole], ...] = ()
     brittle: tuple[LimitReport, ...] = ()
     unreached: tuple[str, ...] = ()
+    store_era: StoreNumber = 0
+    era_age: Amount = 0.0
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -107,6 +111,8 @@
     the mean of the members, `store_contact` the longest of them, `suspects`,
     `limits`, `requests`, `leaving` and `brittle` what they report together.
     `unreached` names for members from which others they hear nothing.
+    `store_era` and `era_age` are those of the hub, `asking_eras` the eras of
+    the members that ask for consent.
     """
 
     zone: str
@@ -124,6 +130,9 @@
     leaving: tuple[tuple[str, Whole], ...] = ()
     brittle: tuple[LimitReport, ...] = ()
     unreached: dict[str, tuple[str, ...]] = {}
+    store_era: StoreNumber = 0
+    era_age: Amount = 0.0
+    asking_eras: dict[str, StoreNumber] = {}
 
 
 class UseReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -216,6 +216,8 @@
         self._membership.on_store_update = self._store_watcher.apply_update
         self._origins.catch_up = self._store_watcher.catch_up
         self._membership.on_authority = self._stewards.update
+        self._membership.on_newer_era = self._store_watcher.read_soon
+        self._store.era.listeners.append(self._membership.begin_era)
         self._store_watcher.is_reader = self._membership.is_reader
         self._store_watcher.forward = self._membership.forward
         ownership = self._membership.ownership
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from mintlanding.coordination.store_era import NO_ERA
 from mintlanding.coordination.transactional_store import (
     NO_REVISION,
     Committed,
@@ -102,6 +103,13 @@
         )
         self.status_exchange.sources.asks_consent = self._asks_consent
         self.status_exchange.sources.may_consent = self.ownership.may_consent
+        self.status_exchange.sources.may_consent_in = (
+            self.ownership.may_consent_in
+        )
+        self.status_exchange.sources.store_era = self._store_era
+        self.status_exchange.listeners.on_store_era = self._receive_era
+        # Called when the store should be read at once.
+        self.on_newer_era: Callable[[], None] = lambda: None
         # Takes an update, and whether it lacks no change up to its end.
         self.on_store_update: Callable[[StoreUpdate, bool], None] | None = None
         self.on_message: Callable[[str, Message, Reply], None] | None = None
@@ -114,6 +122,9 @@
         self._view = view
         self._rnd = rnd
         self.ownership.cuts.share = rnd.random()
+        # Era of the entry, and the latest one that a member has named.
+        self._entry_era = NO_ERA
+        self._named_era = NO_ERA
         self._lease = 0
         self._registered = False
         # Revision at which the entry of the current lease was written.
@@ -139,6 +150,16 @@
         }
         self._logger = Logger('members')
 
+    def begin_era(self) -> None:
+        """Register anew: the store has returned without this lease."""
+        self.ownership.begin_era(boot_seconds())
+        self._lease = 0
+        self._registered = False
+        self._entry = None
+        self._entry_revision = self._stored_revision = 0
+        self._ownership_as_of = 0
+        self.on_newer_era()
+
     def is_reachable(self, member: str, now: float) -> bool:
         """Tell whether a member's last status is recent enough."""
         return self.status_exchange.is_reachable(member, now)
@@ -268,6 +289,8 @@
         """Claim and release workers until cancelled."""
         while True:
             await asyncio.sleep(self._cfg.fleet.status_interval)
+            if self._view.unwritten:
+                await self._rewrite_ownership()
             await self.claim_workers(boot_seconds())
 
     async def claim_workers(self, now: float) -> None:
@@ -290,6 +313,14 @@
             if not self.ownership.is_releasing(held):
                 await self.ownership.settle(held, now)
 
+    async def _rewrite_ownership(self) -> None:
+        try:
+            await self.ownership.rewrite()
+        except (PlatformError, StoreBusy) as exc:
+            self._logger.warning(
+                'Ownership not written again.', reason=str(exc)
+            )
+
     async def ensure_fleet_key(self) -> None:
         """Write a random key of the fleet unless the store has one."""
         if self._view.fleet_key:
@@ -417,6 +448,20 @@
     def _receive_consent(self, peer: str, consent: Consent) -> None:
         self.ownership.authority.record_ack(peer, consent.status_sent_at)
 
+    def _store_era(self, now: float) -> tuple[int, float]:
+        return self._store.era.number, self.ownership.era_hold.age(now)
+
+    def _receive_era(self, era: int, age: float, now: float) -> None:
+        """Send no orders while a member is in a later era of the store."""
+        current = self._store.era.number
+        if era == current:
+            self.ownership.era_hold.learn(age, now)
+        if current == NO_ERA or era <= max(current, self._named_era):
+            return
+        self._named_era = era
+        self.ownership.era_hold.hold(now)
+        self.on_newer_era()
+
     def _receive_store_update(self, peer: str, update: StoreUpdate) -> None:
         if self.on_store_update is None:
             return
@@ -494,8 +539,11 @@
         that records from after its registration are final.
         """
         as_of = max(self._view.as_of, self._ownership_as_of)
-        if self._registered and as_of >= self._entry_revision:
+        if self._entry_era != self._view.era or not self._registered:
+            return
+        if as_of >= self._entry_revision:
             self.ownership.authority.record_renewal(sent_at)
+            self.ownership.era_hold.release(sent_at)
 
     async def _register(self) -> None:
         facts = self._cfg.facts
@@ -519,6 +567,7 @@
         if isinstance(reply, Committed):
             if not self._registered:
                 self._entry_revision = reply.revision
+            self._entry_era = self._store.era.number
             self._entry = record
             self._stored_revision = max(self._stored_revision, reply.revision)
             self._registered = True
@@ -581,6 +630,7 @@
             },
             absent_since=self._missing_since,
             unreachable=self.ownership.avoided(),
+            unrecorded_wait=self.ownership.era_hold.unrecorded_wait(now),
         )
         free = free_workers(context, self._cfg.authority, now)
         known = self._free_since
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -31,6 +31,7 @@
     WorkerClaim,
 )
 from mintlanding.residency.cuts import CutHistory
+from mintlanding.residency.era_hold import EraHold
 from mintlanding.traffic.models import Target
 
 # Seconds for which a write without a response may still be committed.
@@ -58,6 +59,7 @@
         self.cut_targets: Callable[[], frozenset[str]] = frozenset
         self.has_order_under_way: Callable[[str], bool] = lambda worker: False
         self.cuts = CutHistory()
+        self.era_hold = EraHold(options)
         self._instance = instance
         self._store = store
         self._view = view
@@ -83,14 +85,23 @@
         }
 
     def fencing_token(self, worker: str) -> int:
-        """Return the fencing token: the revision of the ownership record."""
-        return self._view.ownership[worker].revision
+        """Return the fencing token of an ownership record."""
+        return self._view.ownership[worker].token
+
+    def begin_era(self, now: float) -> None:
+        """Send no orders until this instance is registered in the new era."""
+        self.authority.restart(now)
+        self.era_hold.begin(now)
+        self._confirmed.clear()
+        self._releasing.clear()
 
     def may_order(self, worker: str, now: float) -> bool:
         """Tell whether an order may be sent to a worker now."""
         record = self._view.ownership.get(worker)
         if record is None or record.holder != self._instance:
             return False
+        if worker in self._view.unwritten or now < self.era_hold.orders_from:
+            return False
         if self._confirmed.get(worker) != record.revision:
             self._resume(worker, record, now)
         if self._is_given_up(worker):
@@ -104,7 +115,10 @@
             return float('inf')
         if now >= self.authority.until() or self._is_given_up(worker):
             return float('inf')
-        return max(now, self._order_from.get(worker, float('inf')))
+        if worker in self._view.unwritten:
+            return float('inf')
+        begin = self._order_from.get(worker, float('inf'))
+        return max(now, begin, self.era_hold.orders_from)
 
     def record_order(self, worker: str, *, is_answered: bool) -> None:
         """Record that an order was, or may have been, sent to a worker."""
@@ -128,6 +142,15 @@
             for record in self._view.ownership.values()
         )
 
+    def may_consent_in(self, era: int) -> bool:
+        """Tell whether this instance consents to orders of an era's members.
+
+        One that has not seen the current era may not know who holds its workers
+        by now. Older builds name none.
+        """
+        is_current = era == self._store.era.number
+        return is_current or not self.era_hold.has_seen_change
+
     async def claim(self, claim: WorkerClaim) -> None:
         """Write an ownership record, unless a record it depends on changed."""
         key = OWNERSHIP_PREFIX + claim.worker
@@ -135,7 +158,12 @@
         if claim.previous:
             expected[MEMBERS_PREFIX + claim.previous] = NO_REVISION
         is_settled = claim.wait == 0
-        entry = OwnershipEntry(self._instance, is_settled, claim.previous)
+        entry = OwnershipEntry(
+            self._instance,
+            is_settled,
+            claim.previous,
+            fence=self._view.next_fence(claim.worker),
+        )
         self._mark_contested(claim.previous)
         try:
             revision = await self._write(key, expected, entry)
@@ -160,6 +188,30 @@
             revision=revision,
         )
 
+    async def rewrite(self) -> None:
+        """Write the records of held workers that the store has lost.
+
+        The revision that was listed is expected, so that a claim of another
+        member in the meantime stands.
+        """
+        for worker in sorted(self._view.unwritten & self.held_workers()):
+            record = self._view.ownership[worker]
+            entry = OwnershipEntry(
+                self._instance,
+                previous=record.previous,
+                fence=self._view.next_fence(worker),
+            )
+            key = OWNERSHIP_PREFIX + worker
+            revision = await self._write(key, {key: record.revision}, entry)
+            if revision is None:
+                continue
+            # Orders are held back in the new era for as long as is needed.
+            self._order_from[worker] = boot_seconds()
+            self._confirm(worker, revision, entry)
+            self._logger.info(
+                'Ownership written again.', worker=worker, revision=revision
+            )
+
     def avoided(self) -> frozenset[str]:
         """Return the workers that this instance does not claim now."""
         return self.unreachable() | self.cuts.recent()
@@ -175,7 +227,8 @@
         return [
             worker
             for worker in sorted(self.held_workers() & engines.keys())
-            if not self.has_order_under_way(worker)
+            if worker not in self._view.unwritten
+            and not self.has_order_under_way(worker)
             and (
                 self.is_releasing(worker) or self._may_release(engines[worker])
             )
@@ -202,7 +255,12 @@
             MEMBERS_PREFIX + self._instance: entry_revision,
         }
         wait = self._next_wait(worker, record, boot_seconds())
-        entry = OwnershipEntry('', previous=self._instance, order_wait=wait)
+        entry = OwnershipEntry(
+            '',
+            previous=self._instance,
+            order_wait=wait,
+            fence=self._view.next_fence(worker),
+        )
         try:
             revision = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
@@ -211,7 +269,7 @@
         if revision is None:
             self._postpone_release(worker, 'a record has changed')
             return False
-        self._record_release(worker, revision, wait)
+        self._record_release(worker, entry.at_revision(revision))
         self._logger.info(
             'Worker released.',
             worker=worker,
@@ -227,11 +285,18 @@
         if record is None:
             return
         is_known = self._confirmed.get(worker) == record.revision
-        if record.is_settled or not is_known or now < self._order_from[worker]:
+        if record.is_settled or not is_known:
+            return
+        if now < max(self._order_from[worker], self.era_hold.orders_from):
             return
         key = OWNERSHIP_PREFIX + worker
         expected = {key: record.revision}
-        entry = OwnershipEntry(self._instance, True, record.previous)
+        entry = OwnershipEntry(
+            self._instance,
+            True,
+            record.previous,
+            fence=self._view.next_fence(worker),
+        )
         try:
             revision = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
@@ -303,27 +368,20 @@
             'Release not confirmed.', worker=worker, reason=reason
         )
 
-    def _record_release(self, worker: str, revision: int, wait: float) -> None:
+    def _record_release(self, worker: str, released: OwnershipRecord) -> None:
         self._confirmed.pop(worker, None)
         self._order_from.pop(worker, None)
         self._ordered_until.pop(worker, None)
         record = self._view.ownership.get(worker)
         # A member may have claimed it before the response was processed.
-        if record is None or record.revision < revision:
-            self._view.ownership[worker] = OwnershipRecord(
-                '', revision, previous=self._instance, wait=wait
-            )
+        if record is None or record.revision < released.revision:
+            self._view.put_ownership(worker, released)
 
     def _confirm(
         self, worker: str, revision: int, entry: OwnershipEntry
     ) -> None:
         self._confirmed[worker] = revision
-        self._view.ownership[worker] = OwnershipRecord(
-            entry.holder,
-            revision,
-            entry.is_settled,
-            entry.previous,
-        )
+        self._view.put_ownership(worker, entry.at_revision(revision))
 
     def _mark_contested(self, holder: str) -> None:
         if holder:
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from mintlanding.coordination.store_era import NO_ERA
 from mintlanding.core.logs import Logger
 from mintlanding.links.mesh import Mesh
 from mintlanding.links.messages import (
@@ -73,6 +74,8 @@
     leaving: Callable[[], tuple[tuple[str, int], ...]] = tuple
     asks_consent: Callable[[float], bool] = lambda now: False
     may_consent: Callable[[str], bool] = lambda member: True
+    may_consent_in: Callable[[int], bool] = lambda era: True
+    store_era: Callable[[float], tuple[int, float]] = lambda now: (0, 0)
 
 
 @dataclass(slots=True)
@@ -83,6 +86,9 @@
     on_admitted: Callable[[str, Counters, float], None] | None = None
     on_levels: Callable[[Counters], None] | None = None
     on_store_contact: Callable[[float, float], None] = lambda seconds, now: None
+    on_store_era: Callable[[int, float, float], None] = lambda era, age, now: (
+        None
+    )
     on_suspects: Callable[[tuple[SuspectPart, ...], float], None] = (
         lambda suspects, now: None
     )
@@ -251,8 +257,11 @@
             status.unreached,
             now,
         )
+        self.listeners.on_store_era(status.store_era, status.era_age, now)
         if status.asks_consent:
-            self._send_consent(status.instance, status.sent_at)
+            self._send_consent(
+                status.instance, status.sent_at, status.store_era
+            )
         self._statuses[status.instance] = status
         self._notify_digests(status.instance, status.digests)
         self.listeners.on_store_contact(status.store_contact, now)
@@ -278,13 +287,17 @@
         self._zones[zone_status.zone] = zone_status
         if zone_status.zone == self._zone:
             self._hub_seen_at[zone_status.hub] = now
+        self.listeners.on_store_era(
+            zone_status.store_era, zone_status.era_age, now
+        )
         for member in zone_status.members:
             if member.instance == self._instance:
                 continue
             unreached = zone_status.unreached.get(member.instance, ())
             is_newer = self._record(member, unreached, now)
             if is_newer and member.asks_consent:
-                self._send_consent(member.instance, member.sent_at)
+                era = zone_status.asking_eras.get(member.instance, NO_ERA)
+                self._send_consent(member.instance, member.sent_at, era)
         self.listeners.on_store_contact(zone_status.store_contact, now)
         self.listeners.on_suspects(zone_status.suspects, now)
         self.listeners.on_limits(zone_status.limits, now)
@@ -311,6 +324,7 @@
         self._own_counters[now] = admitted
         while len(self._own_counters) > _MAX_OWN_COUNTERS:
             self._own_counters.popitem(last=False)
+        store_era, era_age = self.sources.store_era(now)
         return Status(
             instance=self._instance,
             incarnation=self._incarnation,
@@ -327,6 +341,8 @@
             leaving=self.sources.leaving(),
             brittle=self.sources.brittle(now),
             unreached=self.sources.unreached(now),
+            store_era=store_era,
+            era_age=era_age,
         )
 
     def _send_use_reports(self) -> None:
@@ -410,6 +426,7 @@
             self._zone_counters.update(
                 status.instance, status.incarnation, status.admitted
             )
+        store_era, era_age = self.sources.store_era(now)
         return ZoneStatus(
             zone=self._zone,
             hub=self._instance,
@@ -466,6 +483,13 @@
                 for each in live.values()
                 if each.unreached
             },
+            store_era=store_era,
+            era_age=era_age,
+            asking_eras={
+                each.instance: each.store_era
+                for each in live.values()
+                if each.asks_consent
+            },
         )
 
     def _delay(self, member: str, now: float) -> float:
@@ -508,9 +532,12 @@
             self.listeners.on_new_incarnation()
         return True
 
-    def _send_consent(self, member: str, status_sent_at: float) -> None:
-        if self.mesh is not None and self.sources.may_consent(member):
-            self.mesh.send(member, Consent(status_sent_at))
+    def _send_consent(self, member: str, sent_at: float, era: int) -> None:
+        sources = self.sources
+        if self.mesh is None or not sources.may_consent_in(era):
+            return
+        if sources.may_consent(member):
+            self.mesh.send(member, Consent(sent_at))
 
     def _notify_leaving(self, targets: tuple[tuple[str, int], ...]) -> None:
         for target in targets:
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from mintlanding.coordination.store_era import StoreEra
 from mintlanding.coordination.transactional_store import (
     Change,
     Committed,
@@ -51,6 +52,7 @@
     """Grants leases, and renews them while `is_kept` is true."""
 
     def __init__(self):
+        self.era = StoreEra()
         self.revision = 10
         self.is_kept = True
         self.is_readable = True
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from mintlanding.coordination.store_era import StoreEra
 from mintlanding.coordination.transactional_store import Committed, Rejected
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.node import ownership as holds_module
@@ -28,6 +29,7 @@
     """Commits, rejects or does not respond, depending on `outcome`."""
 
     def __init__(self):
+        self.era = StoreEra()
         self.revision = 10
         self.outcome = 'commit'
         self.writes = []
--- a/mintlanding/node/tests/test_release_machine.py
+++ b/mintlanding/node/tests/test_release_machine.py
@@ -17,6 +17,7 @@
     rule,
 )
 
+from mintlanding.coordination.store_era import StoreEra
 from mintlanding.coordination.transactional_store import (
     Committed,
     Item,
@@ -99,6 +100,7 @@
 
     def __init__(self, store):
         self.store = store
+        self.era = StoreEra()
         self.fault = ''
 
     async def commit(self, transaction):
@@ -153,6 +155,8 @@
 class ReleaseMachine(RuleBasedStateMachine):
     """Orders of two members are a gap apart, and workers find a holder."""
 
+    store_class = Store
+
     def __init__(self):
         super().__init__()
         self.now = 1000.0
@@ -179,7 +183,7 @@
             )
             for name in WORKERS
         }
-        self.store = Store(self)
+        self.store = self.store_class(self)
         self.reach = {(name, each): True for name in NAMES for each in WORKERS}
         self.members = {}
         self.orders = []
@@ -194,7 +198,7 @@
             name, ZONES[name], '10.0.0.1', ('h', 1), ('h', 2), 3, 4
         )
         view = FleetView(records)
-        connection = Connection(self.store)
+        connection = self.connect()
         membership = Membership(
             NodeSettings(facts), connection, view, random.Random(1)
         )
@@ -204,6 +208,9 @@
         membership.is_cut_off = lambda: self.cut_from(name) == set(WORKERS)
         self.members[name] = Member(name, membership, view, connection)
 
+    def connect(self):
+        return Connection(self.store)
+
     def not_reached(self, name):
         return frozenset(each for each in WORKERS if not self.reach[name, each])
 
@@ -235,13 +242,10 @@
 
     def act(self, member):
         if not member.is_stale:
-            member.view.load(self.store.snapshot(), self.now)
+            self.watch(member)
         for other in self.members.values():
             if other is not member:
-                status = Status(other.name, 'boot', self.now)
-                member.membership.status_exchange.receive_status(
-                    status, self.now
-                )
+                self.exchange(member, other)
         if self.now >= member.renewed_at + 0.6:
             member.renewed_at = self.now
             self.attempt(member.membership._keep_lease())
@@ -256,6 +260,14 @@
                 is_answered = self.rnd.random() < ANSWERED_SHARE
                 ownership.record_order(worker, is_answered=is_answered)
 
+    def watch(self, member):
+        member.view.load(self.store.snapshot(), self.now)
+
+    def exchange(self, member, other):
+        """Let a member receive the status of another one."""
+        status = Status(other.name, 'boot', self.now)
+        member.membership.status_exchange.receive_status(status, self.now)
+
     def attempt(self, coroutine):
         try:
             run(coroutine)
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -1,6 +1,7 @@
 """The local copy of the store's records, updated in one place."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Protocol
@@ -18,6 +19,7 @@
     Amount,
     Count,
     Port,
+    StoreNumber,
 )
 from mintlanding.core.exceptions import MemberDataInvalid
 from mintlanding.core.logs import Logger, describe_exception
@@ -105,12 +107,26 @@
     record is settled once the holder has waited long enough for orders of
     the previous holder, from whom it took the worker, to have ended. A release
     tells in `order_wait` for how many seconds the next holder sends no orders.
+    `fence` is the holder's fencing token where the revision is not above every
+    token that was used before.
     """
 
     holder: str
     is_settled: bool = False
     previous: str = ''
     order_wait: Amount | None = None
+    fence: StoreNumber = 0
+
+    def at_revision(self, revision: int) -> OwnershipRecord:
+        """Return the record as it stands in the store at a revision."""
+        return OwnershipRecord(
+            self.holder,
+            revision,
+            self.is_settled,
+            self.previous,
+            self.order_wait,
+            self.fence,
+        )
 
 
 _MEMBER_DECODER = msgspec.json.Decoder(MemberRecord)
@@ -178,6 +194,10 @@
     versions: dict[tuple[str, str], NewestVersion] = field(default_factory=dict)
     members: dict[str, MemberRecord] = field(default_factory=dict)
     ownership: dict[str, OwnershipRecord] = field(default_factory=dict)
+    # Workers whose record here was lost by the store and is not written again.
+    unwritten: set[str] = field(default_factory=set)
+    # Highest fencing tokens of holders in earlier eras, by worker.
+    former_tokens: dict[str, int] = field(default_factory=dict)
     # Records of parts of prompts in quarantine.
     quarantines: dict[str, QuarantineRecord] = field(default_factory=dict)
     # Records of requests under which targets crashed, by digest.
@@ -200,6 +220,8 @@
     # Runs of targets that have said in a response that they leave.
     leaving: set[tuple[str, int]] = field(default_factory=set)
     listeners: list[Callable[[str], None]] = field(default_factory=list)
+    # Topics to notify of when a listing has been applied, in their order.
+    _pending: dict[str, None] | None = None
     logger: Logger = field(default_factory=lambda: Logger('view'))
 
     @property
@@ -282,16 +304,24 @@
         of a lower one, or of another era, shows that the store has lost
         changes.
         """
+        with self._one_notification():
+            self._load(snapshot, now, known)
+        self.fresh_at = now
+
+    def _load(self, snapshot: Snapshot, now: float, known: int) -> None:
         self.builds.restart(now)
+        former: dict[str, OwnershipRecord] = {}
         if snapshot.era != self.era or snapshot.revision < known:
+            former = self.ownership
             self._rewind(snapshot)
         for change in self.revisions.removals(snapshot):
             self.apply(change, now)
         for item in snapshot.items:
             # Versions in a snapshot may be old: they count as seen long ago.
             self._apply_item(item, float('-inf'))
+        for worker, record in former.items():
+            self._keep_lost_record(worker, record)
         self.as_of = max(self.as_of, snapshot.revision)
-        self.fresh_at = now
 
     def load_ownership(self, snapshot: Snapshot) -> bool:
         """Load ownership records only, ahead of the rest of the view.
@@ -355,12 +385,40 @@
         self.revisions.rewind()
         self.as_of = 0
         self.era = snapshot.era
-        listed = {item.key for item in snapshot.items}
-        self.ownership = {
-            worker: replace(record, revision=0)
-            for worker, record in self.ownership.items()
-            if OWNERSHIP_PREFIX + worker in listed
-        }
+        for worker, record in self.ownership.items():
+            token = max(record.token, self.former_tokens.get(worker, 0))
+            self.former_tokens[worker] = token
+        self.ownership = {}
+        self.unwritten.clear()
+
+    def _keep_lost_record(self, worker: str, record: OwnershipRecord) -> None:
+        """Keep a record that the store has lost until it is written again.
+
+        Until then its holder is the last one that is known, whatever the
+        returned store says.
+        """
+        listed = self.ownership.get(worker)
+        if listed is not None and listed.holder == record.holder:
+            return
+        revision = 0 if listed is None else listed.revision
+        self.ownership[worker] = replace(record, revision=revision)
+        self.unwritten.add(worker)
+
+    def put_ownership(self, worker: str, record: OwnershipRecord) -> None:
+        """Replace the record of a worker's holder by one that is stored."""
+        self.unwritten.discard(worker)
+        self.ownership[worker] = record
+
+    def next_fence(self, worker: str) -> int:
+        """Return the token to store with a record, 0 if its revision will do.
+
+        Revisions go back when the store returns from an older copy.
+        """
+        record = self.ownership.get(worker)
+        token = self.former_tokens.get(worker, 0)
+        if record is not None:
+            token = max(token, record.fence)
+        return token + 1 if token > self.as_of else 0
 
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
@@ -499,13 +557,7 @@
         if known is not None and known.revision > item.revision:
             return
         entry = decode_ownership(item.content)
-        self.ownership[worker] = OwnershipRecord(
-            entry.holder,
-            item.revision,
-            entry.is_settled,
-            entry.previous,
-            entry.order_wait,
-        )
+        self.put_ownership(worker, entry.at_revision(item.revision))
         self._notify('ownership')
 
     def _remove(self, key: str, now: float) -> None:
@@ -532,7 +584,9 @@
             )
             self._notify('quarantines')
         elif key.startswith(OWNERSHIP_PREFIX):
-            self.ownership.pop(key.removeprefix(OWNERSHIP_PREFIX), None)
+            worker = key.removeprefix(OWNERSHIP_PREFIX)
+            self.ownership.pop(worker, None)
+            self.unwritten.discard(worker)
 
     def _may_lapse(self, now: float) -> bool:
         """Tell whether a missing entry may have lapsed in an outage."""
@@ -556,7 +610,21 @@
             self.logger.info('Target removed.', target=name, reason=reason)
             self._notify('targets')
 
+    @contextmanager
+    def _one_notification(self) -> Iterator[None]:
+        """Notify of each topic once, when all of a listing is applied."""
+        self._pending = {}
+        try:
+            yield
+        finally:
+            topics, self._pending = self._pending or {}, None
+            for topic in topics:
+                self._notify(topic)
+
     def _notify(self, topic: str) -> None:
+        if self._pending is not None:
+            self._pending[topic] = None
+            return
         for listener in self.listeners:
             try:
                 listener(topic)
--- a/mintlanding/platform/tests/test_store_era.py
+++ b/mintlanding/platform/tests/test_store_era.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -18,7 +19,7 @@
 from mintlanding.platform.store import PlatformStore
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin
-from mintlanding.platform.tests.world import LOOKUP, World
+from mintlanding.platform.tests.world import LIVE, LOOKUP, World
 
 # Seconds within which a change is in force, with room for the listing.
 APPLY_SECONDS = 3
@@ -190,3 +191,28 @@
     found = await store.snapshot('')
     assert found.era == 0
     assert not (await store.changes('', found.revision, 0.01)).changes
+
+
+async def order_adapters(world, numbers):
+    """Request adapters, so that orders to load them go to the engines."""
+    for number in numbers:
+        await world.ask(LIVE, adapter=b'/b%d' % number, deadline_ms=600)
+
+
+async def test_fencing_tokens_rise_after_a_return_that_lost_the_record(world):
+    # Guards against: the record is claimed anew at a lower revision.
+    saved = world.store.copy()
+    write_much(world.store, 200, 'mintlanding/none/')
+    engine = await world.add_engine('e9', 'v1')
+    await order_adapters(world, range(12))
+    assert engine.orders
+    world.store.restore(saved)
+    world.store.put('servers/e9', engine.entry())
+    await asyncio.sleep(APPLY_SECONDS)
+    before = len(engine.orders)
+    async with asyncio.timeout(20):
+        while len(engine.orders) == before:
+            await order_adapters(world, range(12, 24))
+    used = [(each['fence'], each['holder']) for each in engine.orders]
+    for (low, one), (high, other) in itertools.pairwise(used):
+        assert low < high or (low, one) == (high, other)
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -59,6 +59,15 @@
         unused = min(self.lease, self.contact_timeout) - self.validity
         return max(0, self.min_order_gap - unused + self.slack)
 
+    @property
+    def era_delay(self) -> float:
+        """Return the pause of orders after the store's era has changed.
+
+        Members that consented just before it was seen here may let another
+        holder send orders for as long as a consent is valid.
+        """
+        return self.min_order_gap + self.validity + self.slack
+
     @property
     def handover_delay(self) -> float:
         """Return the wait before the first order after a released worker."""
@@ -71,6 +80,7 @@
 
     options: AuthorityOptions
     _renewed: float = float('-inf')
+    _restarted: float = float('-inf')
     _consents: dict[str, float] = field(default_factory=dict)
     _zone_members: frozenset[str] = frozenset()
     _other_members: frozenset[str] = frozenset()
@@ -83,8 +93,16 @@
         """Record that the lease has ended; members may still consent."""
         self._renewed = float('-inf')
 
+    def restart(self, now: float) -> None:
+        """Forget the lease and all consents to statuses sent until now."""
+        self._restarted = now
+        self._consents.clear()
+        self.record_lease_end()
+
     def record_ack(self, member: str, sent_at: float) -> None:
         """Record that a member acknowledged the status sent at `sent_at`."""
+        if sent_at <= self._restarted:
+            return
         before = self._consents.get(member, float('-inf'))
         self._consents[member] = max(before, sent_at)
 
@@ -122,7 +140,8 @@
 
     A settled holder has waited as long as it must after the previous holder,
     from which it took the worker. `wait`: seconds that the next holder must let
-    pass after a release, None if that is unknown.
+    pass after a release, None if that is unknown. `fence`: fencing token of the
+    holder, if it is above the revision.
     """
 
     holder: str
@@ -130,6 +149,12 @@
     is_settled: bool = False
     previous: str = ''
     wait: float | None = None
+    fence: int = 0
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token: it rises, also when revisions do not."""
+        return max(self.revision, self.fence)
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +189,8 @@
     `absent_since`: when its membership record was found to be missing.
     `joined`: when this instance started to watch. `unreachable`: workers that
     this instance cannot reach. `free_since`: when workers were first found to
-    be free to claim.
+    be free to claim. `unrecorded_wait`: seconds before the first order to a
+    worker without a record.
     """
 
     me: str
@@ -177,6 +203,7 @@
     absent_since: Mapping[str, float]
     unreachable: frozenset[str] = frozenset()
     free_since: Mapping[str, float] = field(default_factory=dict)
+    unrecorded_wait: float = 0
 
 
 def free_workers(
@@ -220,15 +247,10 @@
             view.me, worker, view.zones[worker], released_by, free_for
         ):
             continue
-        wait = _wait_after(record, options)
-        claims.append(
-            WorkerClaim(
-                worker,
-                record.revision,
-                record.holder,
-                wait if record.revision else 0,
-            ),
-        )
+        wait = view.unrecorded_wait
+        if worker in view.records:
+            wait = _wait_after(record, options)
+        claims.append(WorkerClaim(worker, record.revision, record.holder, wait))
     return claims
 
 
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -124,6 +124,8 @@
             ),
         ),
         unreached=('text-37',),
+        store_era=157,
+        era_age=158.5,
     ),
     'links.MemberWord': links.MemberStatus(
         instance='text-19',
@@ -194,6 +196,9 @@
             ),
         ),
         unreached={'text-57': ('text-58',)},
+        store_era=160,
+        era_age=161.5,
+        asking_eras={'text-163': 164},
     ),
     'links.UseReport': links.UseReport(
         instance='text-42',
@@ -957,6 +962,7 @@
         is_settled=True,
         previous='text-521',
         order_wait=522.5,
+        fence=162,
     ),
     'lease_calls.StewardRecord': lease_client.StewardRecord(
         instance='text-522', incarnation=623
