Bound what is kept of a target's bytes without end

What was seen: other operators report that endless bytes of a faulty target filled an instance's memory. Here a look-up was not answered in 5 s while a target sent an event without an end.

Cause: an incomplete event had no bound, and each chunk was joined to it and searched anew; after a complete response, while its caller still read it, the parser kept whatever came; a member that passes bytes on kept a head that does not end.

Why it works: each of the three buffers has a bound now, and closing stops the sender; what callers get of a complete response has been received by then.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -105,7 +105,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; close on bytes that belong to no exchange."""
-        if not self._is_busy:
+        if not self._is_busy or self._is_complete:
             self.abort()
             return
         self._unparsed += len(chunk)
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -369,3 +369,23 @@
     pool.release(conn)
     pool.close()
     server.close()
+
+
+@pytest.mark.parametrize(
+    'repeated',
+    [b'x' * 1000, b'HTTP/1.1 100 Continue\r\n\r\n' * 50],
+    ids=['header', 'interim responses'],
+)
+async def test_endless_bytes_after_a_response_are_cut_off(repeated):
+    # Guards against: they are kept while a slow caller reads the response.
+    complete = OK + b'Content-Length: 2\r\n\r\nok'
+    start = complete + OK + b'X-Long: '
+    if repeated.startswith(b'HTTP'):
+        start = complete
+    async with EndlessPeer(start, repeated) as peer:
+        conn = await peer.send()
+        await conn.read_head(5)
+        with bounded_memory():
+            await asyncio.wait_for(peer.closed.wait(), 5)
+        assert await conn.read_body(5) == b'ok'
+        assert not conn.is_reusable
--- a/mintlanding/node/events.py
+++ b/mintlanding/node/events.py
@@ -8,7 +8,11 @@
 
 # A blank line ends an event. A line ends with LF, CRLF or CR.
 _EVENT_END = re.compile(rb'\n\r?\n|\r\r')
+# Bytes of the longest end.
+_END_BYTES = 3
 _ID = b'id:'
+# Bytes of an incomplete event, above which a response is invalid.
+MAX_EVENT_BYTES = 1 << 20
 
 
 class EventBuffer:
@@ -42,13 +46,19 @@
         """Add a chunk; return the events that are complete now.
 
         Raise InvalidResponse if a response does not continue after the last
-        event of the one before.
+        event of the one before, or if an event has too many bytes.
         """
         text = self._rest + chunk
-        ends = [match.end() for match in _EVENT_END.finditer(text)]
+        # What is buffered contains no end, but may end amid one.
+        start = max(0, len(self._rest) - _END_BYTES)
+        ends = [match.end() for match in _EVENT_END.finditer(text, start)]
         end = ends[-1] if ends else 0
         whole = text[:end]
         self._rest = text[end:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise InvalidResponse(
+                f'more than {MAX_EVENT_BYTES} bytes contain no end of an event'
+            )
         ids = [
             line[len(_ID) :].strip().decode('latin-1')
             for line in whole.splitlines()
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -104,10 +104,19 @@
 
 
 class _HeadReader:
-    """Reads the head of the response that passes by."""
+    """Reads the head of the response that passes by.
 
-    def __init__(self, on_head: Callable[[ResponseHead], None]) -> None:
+    It gives up on a response whose bytes contain neither a head nor a part of a
+    body, since the parser keeps them all.
+    """
+
+    def __init__(
+        self, on_head: Callable[[ResponseHead], None], header_bytes: int
+    ) -> None:
         self._on_head = on_head
+        self._header_bytes = header_bytes
+        # Bytes received since the last head or part of a body.
+        self._unparsed = 0
         self._head = ResponseHead(0)
         self._parser: Any = HttpResponseParser(self)
 
@@ -115,11 +124,14 @@
         """Parse bytes up to the end of the head of the final response."""
         if self._parser is None:
             return
+        self._unparsed += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except HttpParserError:
             # The member judges the response; here only its head counts.
             self._parser = None
+        if self._unparsed > self._header_bytes:
+            self._parser = None
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Collect a header."""
@@ -130,8 +142,13 @@
         head = ResponseHead(self._parser.get_status_code(), self._head.headers)
         self._head = ResponseHead(0)
         if head.status >= _FIRST_FINAL_STATUS:
+            self._unparsed = 0
             self._on_head(head)
 
+    def on_body(self, chunk: bytes) -> None:
+        """Count only what comes after a part of a body."""
+        self._unparsed = 0
+
     def on_message_begin(self) -> None:
         """Collect the headers of the next response."""
         self._head = ResponseHead(0)
@@ -146,7 +163,7 @@
         options: ClientOptions,
     ) -> None:
         super().__init__(options)
-        self._reader = _HeadReader(on_head)
+        self._reader = _HeadReader(on_head, options.header_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Pass bytes on to the member."""
--- a/mintlanding/node/tests/test_events.py
+++ b/mintlanding/node/tests/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from mintlanding.core.exceptions import InvalidResponse
-from mintlanding.node.events import EventBuffer
+from mintlanding.node.events import MAX_EVENT_BYTES, EventBuffer
 
 LINE_ENDS = [b'\n', b'\r\n', b'\r']
 
@@ -82,3 +82,20 @@
         buffer.take(events(3, b'\n'))
     buffer.begin_response()
     assert buffer.take(b'id: 3\ndata: x\n\n')
+
+
+@pytest.mark.parametrize('piece', [b'x' * 65536, b'data: x\n' * 8192])
+def test_event_without_end_is_invalid(piece):
+    # Guards against: the bytes of a target that sends no event fill the memory.
+    buffer = EventBuffer()
+    with pytest.raises(InvalidResponse, match='no end of an event'):
+        for _ in range(2 * MAX_EVENT_BYTES // len(piece)):
+            buffer.take(piece)
+
+
+def test_largest_event_is_taken():
+    buffer = EventBuffer()
+    start = b'id: 1\ndata: '
+    assert not buffer.take(start + b'x' * (MAX_EVENT_BYTES - len(start)))
+    assert buffer.take(b'\n\n').startswith(start)
+    assert buffer.last_id == '1'
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 
 import pytest
 
@@ -10,7 +11,7 @@
 from mintlanding.http1.client import ConnectionPool
 from mintlanding.http1.models import ClientOptions
 from mintlanding.node.path_client import PathClient, PathIdentity
-from mintlanding.node.path_server import PathServer
+from mintlanding.node.path_server import PathServer, _HeadReader
 from mintlanding.platform.records import decode_target
 from mintlanding.platform.tests.samples import ENTRY, encode
 
@@ -305,3 +306,18 @@
             await reader.readexactly(1)
         writer.close()
         await world.exchange()
+
+
+def test_head_without_end_is_not_kept_by_the_member():
+    # Guards against: bytes that no member reads fill the helper's memory.
+    heads = []
+    reader = _HeadReader(heads.append, 4096)
+    reader.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    tracemalloc.start()
+    reader.feed(b'HTTP/1.1 200 OK\r\nX-Long: ')
+    for _ in range(8000):
+        reader.feed(b'x' * 1000)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert len(heads) == 1
+    assert peak < 1 << 20
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -289,6 +289,8 @@
     event_pause: float = 0.005
     # Bodies of plain responses, or those of reports, never end.
     endless: bool = False
+    # The same in an event of a stream.
+    endless_event: bool = False
     endless_reports: bool = False
     conflicts: int = 0
     # Written before the answer to each but the first request on a connection.
@@ -596,6 +598,9 @@
             req.abort()
         elif faults.endless:
             await self._send_endless(req, headers)
+        elif faults.endless_event:
+            kind = (b'content-type', b'text/event-stream')
+            await self._send_endless(req, [kind, *headers])
         elif is_crashing:
             req.begin(200, [(b'content-type', b'text/event-stream'), *headers])
             await asyncio.sleep(0.01)
--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -1,6 +1,7 @@
 """Instances, store and targets in one process, with and without faults."""
 
 import asyncio
+import contextlib
 import socket
 import time
 from dataclasses import replace
@@ -560,6 +561,20 @@
     assert sum(each.endless_bytes for each in world.plain) == sent
 
 
+async def test_event_without_end_ends_its_attempt(world):
+    # Guards against: its bytes are kept until the caller's time is over.
+    for engine in world.engines:
+        engine.faults.endless_event = True
+    asked = asyncio.ensure_future(world.ask(BATCH, deadline_ms=3000))
+    await asyncio.sleep(0.2)
+    status, _, _ = await world.ask(LOOKUP, method=b'GET', body=b'')
+    assert status == 200
+    with contextlib.suppress(asyncio.IncompleteReadError):
+        await asked
+    sent = sum(each.endless_bytes for each in world.engines)
+    assert sent < 60 << 20
+
+
 async def test_large_body_is_passed_on_whole(world):
     large = b'x' * (3 << 20)
     status, _, body = await world.ask(ORDER, body=large)
