Answer a request that came when its connection's idle limit ended

What callers saw: a connection was reset with a whole request unread, which got neither an answer nor a refusal.

Cause: the timer of the idle limit closed the connection without a look at the socket. It runs before the loop reads again, so that a request which came while the loop was busy was lost. A change of the configuration keeps the loop busy, and a shorter limit makes the timers of all idle connections due at once.

Change: the timer starts again if unread bytes have arrived.

Why it works: closing resets a connection only if bytes are unread.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -453,6 +453,9 @@
             return
         if self._in_request:
             self._refuse(408)
+        elif self._has_unread_bytes():
+            # A request came while the loop was busy with something else.
+            self._start_timer()
         else:
             self.close()
 
--- a/mintlanding/http1/tests/test_server.py
+++ b/mintlanding/http1/tests/test_server.py
@@ -569,6 +569,19 @@
         client.close()
 
 
+async def test_request_that_came_while_the_loop_was_busy_is_answered():
+    # Guards against: the idle limit closes a connection with a request unread.
+    async with World(idle_timeout=0.05) as world:
+        client = send_at_once(world.server.port)
+        assert await answer_to(client) == 200
+        (conn,) = world.server.connections
+        # Its timer runs before the loop looks at the sockets again.
+        client.sendall(GET)
+        conn._expire()
+        assert await answer_to(client) == 200
+        client.close()
+
+
 async def test_first_request_of_a_new_connection_is_waited_for(monkeypatch):
     monkeypatch.setattr(server, '_FIRST_REQUEST_SECONDS', 0.2)
     async with World() as world:
