Answer all requests that were read before a planned stop

Cause: while a server drains, each response announced the close and ended its connection, also with requests behind it that had been read.

Change: the close goes out with the response to the last request that was read.

Why it works: a request is dropped only if it comes after the announced close.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -132,7 +132,8 @@
             )
 
     def _with_close_header(self, headers: Headers) -> Headers:
-        if self.is_last or self.conn.is_draining:
+        is_stopping = self.conn.is_draining and not self.conn.has_pending
+        if self.is_last or is_stopping:
             self.is_last = True
             return [*headers, (b'connection', b'close')]
         return headers
@@ -173,6 +174,11 @@
         """Tell whether the server closes connections after a response."""
         return self._server.is_draining
 
+    @property
+    def has_pending(self) -> bool:
+        """Tell whether requests that were read wait behind the current one."""
+        return bool(self._pending)
+
     @property
     def _is_refused(self) -> bool:
         return self._refused_status != 0
