Remember targets that leave when an older copy has their entries

Cause: the mark of a response was dropped with the target's entry, and what only the entry told was replaced by the older copy.

Change: marks outlive entries, bounded in number, and a change of the era marks the targets that are known to leave. A mark is for one run of a target.

Why it works: what a living member knows of a run stays true whatever the store has forgotten.

Measured: of three new tests of the view two failed before; the third shows that the next run is served.

--- a/mintlanding/node/tests/test_missed_changes.py
+++ b/mintlanding/node/tests/test_missed_changes.py
@@ -168,3 +168,38 @@
     await member._load_snapshot()
     assert member._view.entry_state(TARGET) == 'ready'
     assert member._view.as_of == 6
+
+
+def returned_store(*items):
+    """Return the listing of a store that is back from an older copy."""
+    return Snapshot(items, 6, era=2)
+
+
+def test_target_that_left_is_not_ready_when_an_older_copy_has_its_entry():
+    # Guards against: the mark of a response is forgotten with the entry.
+    view = watcher(FakeStore())._view
+    view.load(Snapshot((written(5).item,), 5, era=1), boot_seconds() - 60)
+    view.mark_leaving(view.targets[TARGET].key)
+    view.apply(removed(6), boot_seconds())
+    assert not view.leaving_targets()
+    view.load(returned_store(written(5).item), boot_seconds())
+    assert view.entry_state(TARGET) == 'leaving'
+    assert view.leaving_targets()
+
+
+def test_target_whose_leaving_the_store_has_lost_is_not_ready():
+    # Guards against: an older copy has its entry from before.
+    view = watcher(FakeStore())._view
+    view.load(Snapshot((written(5).item,), 5, era=1), boot_seconds() - 60)
+    view.apply(written(6, state='draining'), boot_seconds())
+    view.load(returned_store(written(5).item), boot_seconds())
+    assert view.entry_state(TARGET) == 'leaving'
+
+
+def test_next_run_of_a_target_that_left_is_ready_after_a_return():
+    view = watcher(FakeStore())._view
+    view.load(Snapshot((written(5).item,), 5, era=1), boot_seconds() - 60)
+    view.mark_leaving(view.targets[TARGET].key)
+    started = written(5, born=ENTRY['born'] + 1).item
+    view.load(returned_store(started), boot_seconds())
+    assert view.entry_state(TARGET) == 'ready'
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -54,6 +54,8 @@
 REQUEST_QUARANTINE_PREFIX = 'mintlanding/request-quarantine/'
 ORIGINS_PREFIX = 'mintlanding/streams/'
 _BOUNDS = ValueBounds(MAX_WHOLE, 0, MAX_FINITE, MAX_RECORD_BYTES)
+# Runs of targets that are remembered to have left.
+_MAX_LEAVING = 4096
 
 
 class Records(Protocol):
@@ -217,8 +219,9 @@
     builds: BuildHistory = field(default_factory=BuildHistory)
     # Targets whose entry may have lapsed in an outage of the store.
     lapsed: set[str] = field(default_factory=set)
-    # Runs of targets that have said in a response that they leave.
-    leaving: set[tuple[str, int]] = field(default_factory=set)
+    # Runs of targets that are known to leave, also those whose entry is gone: a
+    # store that returns from an older copy has it again.
+    leaving: dict[tuple[str, int], None] = field(default_factory=dict)
     listeners: list[Callable[[str], None]] = field(default_factory=list)
     # Topics to notify of when a listing has been applied, in their order.
     _pending: dict[str, None] | None = None
@@ -311,6 +314,8 @@
     def _load(self, snapshot: Snapshot, now: float, known: int) -> None:
         self.builds.restart(now)
         former: dict[str, OwnershipRecord] = {}
+        if snapshot.era != self.era:
+            self._remember_leaving_targets()
         if snapshot.era != self.era or snapshot.revision < known:
             former = self.ownership
             self._rewind(snapshot)
@@ -391,6 +396,12 @@
         self.ownership = {}
         self.unwritten.clear()
 
+    def _remember_leaving_targets(self) -> None:
+        """Keep the targets that leave from being ready in an older copy."""
+        for target in self.targets.values():
+            if target.is_leaving:
+                self._remember_leaving(target.key)
+
     def _keep_lost_record(self, worker: str, record: OwnershipRecord) -> None:
         """Keep a record that the store has lost until it is written again.
 
@@ -491,7 +502,7 @@
         """Send nothing more to one run of a target, whatever its entry says."""
         if key in self.leaving:
             return
-        self.leaving.add(key)
+        self._remember_leaving(key)
         target = self.targets.get(key[0])
         if target is None or target.key != key or target.is_leaving:
             return
@@ -502,8 +513,12 @@
     def leaving_targets(self) -> tuple[tuple[str, int], ...]:
         """Return the known targets that have said that they leave."""
         current = {each.key for each in self.targets.values()}
-        self.leaving &= current
-        return tuple(sorted(self.leaving))
+        return tuple(sorted(self.leaving.keys() & current))
+
+    def _remember_leaving(self, key: tuple[str, int]) -> None:
+        self.leaving[key] = None
+        if len(self.leaving) > _MAX_LEAVING:
+            self.leaving.pop(next(iter(self.leaving)))
 
     def _put_target(self, item: Item, now: float) -> None:
         target = self.records.decode_target(item.key, item.content)
