Keep a lost holder only across eras, and not against a later record

What was seen: nothing yet; found while a failed test was traced (test_revision_beyond_those_of_the_store_is_corrected, whose update named no era and was dropped).

Cause: a listing with a lower revision than the view's was taken for a return of the store also within one era. An instance that had been wrong about its revision would have kept the holder of before, and written its record over that of the rightful one. After a real return, a later record in the copy lost against an earlier one that the instance knew.

Change: former holders are kept only when the era changes, and only if the copy has no later record.

Why it works: within one era the store is right; the copy is a part of the former era, so that its revisions compare with those known.

--- a/mintlanding/node/tests/test_store_watcher.py
+++ b/mintlanding/node/tests/test_store_watcher.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 
 from mintlanding.coordination.transactional_store import (
     Change,
@@ -141,3 +142,41 @@
     await reader._read_changes()
     assert reader._view.lapsed == {'w1'}
     assert other._view.lapsed == {'w1'}
+
+
+def ownership_item(holder, revision):
+    content = msgspec.json.encode(OwnershipEntry(holder, is_settled=True))
+    return Item(OWNERSHIP_PREFIX + 'w1', content, revision)
+
+
+@pytest.mark.parametrize(
+    ('known', 'listed', 'holder', 'is_unwritten'),
+    [
+        (('me', 9), None, 'me', True),
+        (('me', 9), ('other', 5), 'me', True),
+        (('me', 9), ('me', 5), 'me', False),
+        # This instance has missed that another one took the worker.
+        (('me', 5), ('other', 9), 'other', False),
+    ],
+)
+def test_last_known_holder_stands_after_a_return(
+    known, listed, holder, is_unwritten
+):
+    # Guards against: a copy's older holder is believed, or a later one is not.
+    view = FleetView(records)
+    view.load(Snapshot((ownership_item(*known),), 9, era=1), 0)
+    items = () if listed is None else (ownership_item(*listed),)
+    for era in (2, 3):
+        view.load(Snapshot(items, 9, era=era), 0)
+        assert view.ownership['w1'].holder == holder
+        assert ('w1' in view.unwritten) == is_unwritten
+
+
+def test_listing_of_the_same_era_replaces_the_holder():
+    # Guards against: an instance that was wrong about its revision takes a
+    # worker back.
+    view = FleetView(records)
+    view.load(Snapshot((ownership_item('me', 5),), 9, era=1), 0)
+    view.load(Snapshot((ownership_item('other', 4),), 4, era=1), 0, known=9)
+    assert view.ownership['w1'].holder == 'other'
+    assert not view.unwritten
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -314,10 +314,10 @@
     def _load(self, snapshot: Snapshot, now: float, known: int) -> None:
         self.builds.restart(now)
         former: dict[str, OwnershipRecord] = {}
-        if snapshot.era != self.era:
+        if self.era not in {NO_ERA, snapshot.era}:
             self._remember_leaving_targets()
-        if snapshot.era != self.era or snapshot.revision < known:
             former = self.ownership
+        if snapshot.era != self.era or snapshot.revision < known:
             self._rewind(snapshot)
         for change in self.revisions.removals(snapshot):
             self.apply(change, now)
@@ -405,13 +405,15 @@
     def _keep_lost_record(self, worker: str, record: OwnershipRecord) -> None:
         """Keep a record that the store has lost until it is written again.
 
-        Until then its holder is the last one that is known, whatever the
-        returned store says.
+        Until then its holder is the last one that is known, unless the copy
+        has a later record, which this instance has missed.
         """
         listed = self.ownership.get(worker)
+        revision = 0 if listed is None else listed.revision
         if listed is not None and listed.holder == record.holder:
             return
-        revision = 0 if listed is None else listed.revision
+        if revision > record.revision:
+            return
         self.ownership[worker] = replace(record, revision=revision)
         self.unwritten.add(worker)
 
