Write a holder's record again if the copy has an earlier one of its own

What was seen: nothing yet; found while the diff was read.

Cause: a copy that names the same holder was taken to have lost nothing. The record may be from before the holder settled it, so that its fencing token is below those in use.

Change: the record counts as lost if its token is below the last one known.

Why it works: the holder writes it again with a token above all before, and sends no orders until then.

--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -406,12 +406,14 @@
         """Keep a record that the store has lost until it is written again.
 
         Until then its holder is the last one that is known, unless the copy
-        has a later record, which this instance has missed.
+        has a later record, which this instance has missed. An earlier record of
+        the same holder has a lower fencing token, so it is written again, too.
         """
-        listed = self.ownership.get(worker)
-        revision = 0 if listed is None else listed.revision
-        if listed is not None and listed.holder == record.holder:
+        listed = self.ownership.get(worker, OwnershipRecord('', 0))
+        is_same = listed.holder == record.holder
+        if is_same and listed.token >= self.former_tokens[worker]:
             return
+        revision = listed.revision
         if revision > record.revision:
             return
         self.ownership[worker] = replace(record, revision=revision)
