Log and count the fencing tokens of orders

Cause: an order that was given up, the settling of a record and the token of an order left no trace, so that no log told whether the holder itself, a process before it or a return of the store had changed the token. Change: the token stands in the lines of claims, settling, resuming, rewriting and orders; a warning and a counter name an order under another token than one that may still arrive. Metrics: token in use, its changes, orders given up.

--- a/mintlanding/node/metrics.py
+++ b/mintlanding/node/metrics.py
@@ -11,6 +11,7 @@
 from mintlanding.node.relay import Relay
 from mintlanding.node.stewards import Stewards
 from mintlanding.node.store_watcher import StoreWatcher
+from mintlanding.residency.order_history import WorkerOrders
 
 
 def render_metrics(
@@ -66,6 +67,7 @@
             'unloads_total': counters.unloads,
             'order_conflicts_total': counters.conflicts,
             'orders_lost_total': counters.lost_orders,
+            **_order_figures(stewards, worker),
             'prefill_tokens_per_second': round(steward.pace.prefill_rate),
             'prefill_pause_share': round(steward.pauses.share, 2),
         }
@@ -112,5 +114,15 @@
             yield f'mintlanding_{name}_total{{{label}="{reason}"}} {count}'
 
 
+def _order_figures(stewards: Stewards, worker: str) -> dict[str, int]:
+    orders = stewards.order_history.workers.get(worker, WorkerOrders())
+    return {
+        'orders_given_up_total': orders.given_up,
+        'fencing_token': orders.token,
+        'fencing_token_changes_total': orders.token_changes,
+        'orders_overtaking_total': orders.overtaking,
+    }
+
+
 def _number(amount: float) -> str:
     return f'{amount:.2f}' if math.isfinite(amount) else '+Inf'
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -186,6 +186,7 @@
             previous=claim.previous,
             wait=round(claim.wait, 2),
             revision=revision,
+            fencing=self.fencing_token(claim.worker),
         )
 
     async def rewrite(self) -> None:
@@ -209,7 +210,10 @@
             self._order_from[worker] = boot_seconds()
             self._confirm(worker, revision, entry)
             self._logger.info(
-                'Ownership written again.', worker=worker, revision=revision
+                'Ownership written again.',
+                worker=worker,
+                revision=revision,
+                fencing=self.fencing_token(worker),
             )
 
     def avoided(self) -> frozenset[str]:
@@ -306,8 +310,15 @@
                 reason=str(exc),
             )
             return
-        if revision is not None:
-            self._confirm(worker, revision, entry)
+        if revision is None:
+            return
+        self._confirm(worker, revision, entry)
+        self._logger.info(
+            'Ownership record settled.',
+            worker=worker,
+            revision=revision,
+            fencing=self.fencing_token(worker),
+        )
 
     async def _write(
         self,
@@ -335,7 +346,13 @@
         self._order_from[worker] = now + wait
         # The earlier incarnation may have sent orders.
         self.record_order(worker, is_answered=False)
-        self._logger.info('Ownership resumed.', worker=worker, wait=wait)
+        self._logger.info(
+            'Ownership resumed.',
+            worker=worker,
+            wait=wait,
+            revision=record.revision,
+            fencing=record.token,
+        )
 
     def _is_given_up(self, worker: str) -> bool:
         """Tell whether a held worker is cut, or may have been released."""
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -43,6 +43,7 @@
     OrderResult,
     RequestReport,
 )
+from mintlanding.residency.order_history import OrderHistory
 from mintlanding.residency.steward import EngineSteward
 from mintlanding.traffic.models import Target
 
@@ -79,6 +80,7 @@
     ) -> None:
         """Start without stewards."""
         self.stewards: dict[str, EngineSteward] = {}
+        self.order_history = OrderHistory()
         self.on_steward_start: Callable[[], None] = lambda: None
         # Called when the path to a worker may be cut.
         self.on_unreachable: Callable[[Target], None] = lambda target: None
@@ -456,6 +458,7 @@
         if steward is None:
             return
         result = OrderResult.not_sent
+        began = boot_seconds()
         if target is not None and target.incarnation == steward.incarnation:
             self._orders_under_way[worker] += 1
             # Unless it ends in order, it may have been sent.
@@ -480,6 +483,8 @@
             version=order.version,
             expected=order.expected,
             result=result.value,
+            fencing=self.order_history.token(worker),
+            seconds=round(boot_seconds() - began, 3),
         )
         self._execute(worker, steward.order_done(order, result, boot_seconds()))
 
@@ -510,11 +515,13 @@
             target.target, boot_seconds()
         ):
             return OrderResult.not_sent
+        token = self._membership.ownership.fencing_token(target.target)
+        self._record_token(target.target, token)
         payload = self._codec.order_request(
             order,
             target.target,
             self._membership.instance,
-            self._membership.ownership.fencing_token(target.target),
+            token,
             '{0}:{1}'.format(*target.address),
         )
         try:
@@ -528,11 +535,24 @@
             self._log_failed_order(target.target, exc)
             if not isinstance(exc, ResponseTimeout | InvalidResponse):
                 self.on_unreachable(target)
+            self.order_history.give_up(target.target, boot_seconds())
             return OrderResult.lost
         self.mark_reachable(target.target)
         self._record_response(target, head)
         return self._codec.order_result(head.status)
 
+    def _record_token(self, worker: str, token: int) -> None:
+        before = self.order_history.token(worker)
+        age = self.order_history.begin(worker, token, boot_seconds())
+        if age is not None:
+            self._logger.warning(
+                'Earlier order may arrive under another token.',
+                worker=worker,
+                before=before,
+                fencing=token,
+                age=round(age, 3),
+            )
+
     async def fetch_report(self, target: Target) -> EngineReport | None:
         """Return the report of an engine, None without a valid response."""
         payload = self._codec.report_request(
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -75,6 +75,7 @@
 from mintlanding.residency import messages as residency
 from mintlanding.residency import models as stewards
 from mintlanding.residency.authority import MemberInfo, preferred_member
+from mintlanding.residency.order_history import OrderHistory
 from mintlanding.residency.worker_choice import rank_workers
 from mintlanding.standin import engine_model as standin
 from mintlanding.target_speed.table import SpeedFigures
@@ -982,6 +983,10 @@
     'mintlanding_worker_unloads_total{worker="i-7f"} 2',
     'mintlanding_worker_order_conflicts_total{worker="i-7f"} 5',
     'mintlanding_worker_orders_lost_total{worker="i-7f"} 6',
+    'mintlanding_worker_orders_given_up_total{worker="i-7f"} 1',
+    'mintlanding_worker_fencing_token{worker="i-7f"} 22',
+    'mintlanding_worker_fencing_token_changes_total{worker="i-7f"} 1',
+    'mintlanding_worker_orders_overtaking_total{worker="i-7f"} 1',
     'mintlanding_worker_prefill_tokens_per_second{worker="i-7f"} 25800',
     'mintlanding_worker_prefill_pause_share{worker="i-7f"} 0.65',
 ]
@@ -1011,6 +1016,10 @@
             count_by_state=lambda now: {'free': 2}
         ),
     )
+    history = OrderHistory()
+    history.begin('i-7f', 21, 100)
+    history.give_up('i-7f', 101)
+    history.begin('i-7f', 22, 102)
     return render_metrics(
         types.SimpleNamespace(
             log=log,
@@ -1032,7 +1041,9 @@
                 requests=types.SimpleNamespace(quarantined=lambda: ('a', 'b')),
             ),
         ),
-        types.SimpleNamespace(stewards={'i-7f': steward}),
+        types.SimpleNamespace(
+            stewards={'i-7f': steward}, order_history=history
+        ),
         types.SimpleNamespace(reach=lambda now: (10, 11)),
         types.SimpleNamespace(
             count=lambda: 2, count_brittle=lambda: 3, count_cold=lambda: 4
