Keep the fencing token of a holder until the next claim

Cause: the token was the revision of the ownership record, and the holder writes that record again while it holds the worker: when its wait is over, and after a return of the store from a copy. An order that was given up after 60 ms may still arrive, after its repetition under the new token. Change: a record that its holder writes again names the token of the claim (claimed_token, last and with a default). A restarted process reads it there. Older builds ignore it and take revision or fence, which are not below it. Why it works: within a turn there is one token, whatever overtakes what; turns are separated by waits that are longer than an order's way.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -197,11 +197,7 @@
         """
         for worker in sorted(self._view.unwritten & self.held_workers()):
             record = self._view.ownership[worker]
-            entry = OwnershipEntry(
-                self._instance,
-                previous=record.previous,
-                fence=self._view.next_fence(worker),
-            )
+            entry = _continued(record)
             key = OWNERSHIP_PREFIX + worker
             revision = await self._write(key, {key: record.revision}, entry)
             if revision is None:
@@ -295,12 +291,7 @@
             return
         key = OWNERSHIP_PREFIX + worker
         expected = {key: record.revision}
-        entry = OwnershipEntry(
-            self._instance,
-            True,
-            record.previous,
-            fence=self._view.next_fence(worker),
-        )
+        entry = _continued(record, is_settled=True)
         try:
             revision = await self._write(key, expected, entry)
         except (PlatformError, StoreBusy) as exc:
@@ -403,3 +394,20 @@
     def _mark_contested(self, holder: str) -> None:
         if holder:
             self._contested[holder] = boot_seconds() + _LATE_WRITE_SECONDS
+
+
+def _continued(
+    record: OwnershipRecord, *, is_settled: bool = False
+) -> OwnershipEntry:
+    """Return the entry by which a holder goes on under its fencing token.
+
+    Older builds take the greater one of revision and `fence` for the token.
+    """
+    token = record.token
+    return OwnershipEntry(
+        record.holder,
+        is_settled,
+        record.previous,
+        fence=token if token > record.revision else 0,
+        claimed_token=token,
+    )
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -6,7 +6,11 @@
 import pytest
 
 from mintlanding.coordination.store_era import StoreEra
-from mintlanding.coordination.transactional_store import Committed, Rejected
+from mintlanding.coordination.transactional_store import (
+    Committed,
+    Rejected,
+    Snapshot,
+)
 from mintlanding.core.exceptions import PlatformUnavailable
 from mintlanding.node import ownership as holds_module
 from mintlanding.node.ownership import WorkerOwnership
@@ -331,3 +335,37 @@
     before = len(world.ownership._store.writes)
     await world.ownership.settle('w', world.now + 100)
     assert len(world.ownership._store.writes) == before
+
+
+@pytest.mark.parametrize('written_again', ['settled', 'lost and rewritten'])
+async def test_holder_keeps_its_token_when_it_writes_its_record_again(
+    world, written_again
+):
+    # Orders that were given up may still arrive after those that follow.
+    world.view.era = 1
+    await world.ownership.claim(TAKEOVER)
+    world.now += OPTIONS.takeover_delay
+    assert world.may_order()
+    token = world.ownership.fencing_token('w')
+    if written_again == 'settled':
+        await world.ownership.settle('w', world.now)
+    else:
+        world.view.load(Snapshot((), 2, 2), world.now)
+        world.store.revision = 2
+        await world.ownership.rewrite()
+    assert world.ownership.fencing_token('w') == token
+    world.restart()
+    assert world.ownership.fencing_token('w') == token
+
+
+async def test_next_turn_has_a_higher_token_than_one_that_was_settled(world):
+    await world.ownership.claim(TAKEOVER)
+    world.now += OPTIONS.takeover_delay
+    await world.ownership.settle('w', world.now)
+    token = world.ownership.fencing_token('w')
+    assert await world.ownership.release('w', 1)
+    released = world.view.ownership['w']
+    assert released.token > token
+    claim = WorkerClaim('w', released.revision, '', released.wait)
+    await world.ownership.claim(claim)
+    assert world.ownership.fencing_token('w') > released.token
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -111,8 +111,9 @@
     record is settled once the holder has waited long enough for orders of
     the previous holder, from whom it took the worker, to have ended. A release
     tells in `order_wait` for how many seconds the next holder sends no orders.
-    `fence` is the holder's fencing token where the revision is not above every
-    token that was used before.
+    `fence` is a lower bound of the holder's fencing token, where the revision
+    is not above every token that was used before. `claimed_token` is that of
+    the claim, in a record that its holder has written again.
     """
 
     holder: str
@@ -120,6 +121,7 @@
     previous: str = ''
     order_wait: Amount | None = None
     fence: StoreNumber = 0
+    claimed_token: StoreNumber = 0
 
     def at_revision(self, revision: int) -> OwnershipRecord:
         """Return the record as it stands in the store at a revision."""
@@ -130,6 +132,7 @@
             self.previous,
             self.order_wait,
             self.fence,
+            self.claimed_token,
         )
 
 
@@ -430,7 +433,9 @@
         revision = listed.revision
         if revision > record.revision:
             return
-        self.ownership[worker] = replace(record, revision=revision)
+        self.ownership[worker] = replace(
+            record, revision=revision, claimed_token=record.token
+        )
         self.unwritten.add(worker)
 
     def put_ownership(self, worker: str, record: OwnershipRecord) -> None:
@@ -440,15 +445,14 @@
         self._notify('ownership')
 
     def next_fence(self, worker: str) -> int:
-        """Return the token to store with a record, 0 if its revision will do.
+        """Return a bound for the token of a new turn, 0 if none is needed.
 
-        Revisions go back when the store returns from an older copy.
+        The token is above all earlier ones: the revision of the write will do,
+        unless revisions went back when the store returned from an older copy.
         """
-        record = self.ownership.get(worker)
-        token = self.former_tokens.get(worker, 0)
-        if record is not None:
-            token = max(token, record.fence)
-        return token + 1 if token > self.as_of else 0
+        record = self.ownership.get(worker, OwnershipRecord('', 0))
+        token = max(record.token, self.former_tokens.get(worker, 0))
+        return token + 1 if token > max(self.as_of, record.revision) else 0
 
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
--- a/mintlanding/residency/authority.py
+++ b/mintlanding/residency/authority.py
@@ -140,8 +140,9 @@
 
     A settled holder has waited as long as it must after the previous holder,
     from which it took the worker. `wait`: seconds that the next holder must let
-    pass after a release, None if that is unknown. `fence`: fencing token of the
-    holder, if it is above the revision.
+    pass after a release, None if that is unknown. `fence`: lower bound of the
+    holder's fencing token. `claimed_token`: that token itself, if the holder
+    has written the record again since it took the worker.
     """
 
     holder: str
@@ -150,11 +151,16 @@
     previous: str = ''
     wait: float | None = None
     fence: int = 0
+    claimed_token: int = 0
 
     @property
     def token(self) -> int:
-        """Return the fencing token: it rises, also when revisions do not."""
-        return max(self.revision, self.fence)
+        """Return the fencing token of the holder's orders.
+
+        It rises with each claim, also when revisions do not, and stays the same
+        until the next one: orders may reach a worker in any order.
+        """
+        return self.claimed_token or max(self.revision, self.fence)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -992,6 +992,7 @@
         previous='text-521',
         order_wait=522.5,
         fence=162,
+        claimed_token=163,
     ),
     'lease_calls.StewardRecord': lease_client.StewardRecord(
         instance='text-522', incarnation=623
@@ -1355,6 +1356,13 @@
     'view.HoldEntry, released': view.OwnershipEntry(
         holder='', previous='text-521'
     ),
+    'view.HoldEntry, without a token': view.OwnershipEntry(
+        holder='text-520',
+        is_settled=True,
+        previous='text-521',
+        order_wait=522.5,
+        fence=162,
+    ),
     'view.HoldEntry, without a wait': view.OwnershipEntry(
         holder='text-520', is_settled=True, previous='text-521'
     ),
