Let no late response to a claim replace a later ownership record

What callers would see: an instance that stalls between a claim and its response takes itself for the holder again, although another one has claimed the worker meanwhile, and may send orders beside it: two holders, falling tokens. The view kept the wrong record until the next change of it. Cause: the records of claims, settlings and rewritings went into the view without a comparison of revisions. Updates of members are applied as their bytes are read, a response only in a later turn of the loop, so that a process that was stopped may apply what followed the claim first. That order is read in the code; it was not produced with real processes. Change: what an instance has written goes into its view as what it reads does; for each record the newest revision wins, also above a removal. Measured: the two new tests failed before: the view named the own instance as holder after a later record of another one, and after the record's removal. Now node's tests of ownership, membership, releases, store watcher, and the machines of releases and eras pass.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -186,7 +186,7 @@
             previous=claim.previous,
             wait=round(claim.wait, 2),
             revision=revision,
-            fencing=self.fencing_token(claim.worker),
+            fencing=entry.at_revision(revision).token,
         )
 
     async def rewrite(self) -> None:
@@ -209,7 +209,7 @@
                 'Ownership written again.',
                 worker=worker,
                 revision=revision,
-                fencing=self.fencing_token(worker),
+                fencing=entry.at_revision(revision).token,
             )
 
     def avoided(self) -> frozenset[str]:
@@ -269,7 +269,7 @@
         if revision is None:
             self._postpone_release(worker, 'a record has changed')
             return False
-        self._record_release(worker, entry.at_revision(revision))
+        self._record_release(worker, revision, entry)
         self._logger.info(
             'Worker released.',
             worker=worker,
@@ -308,7 +308,7 @@
             'Ownership record settled.',
             worker=worker,
             revision=revision,
-            fencing=self.fencing_token(worker),
+            fencing=entry.at_revision(revision).token,
         )
 
     async def _write(
@@ -376,20 +376,23 @@
             'Release not confirmed.', worker=worker, reason=reason
         )
 
-    def _record_release(self, worker: str, released: OwnershipRecord) -> None:
+    def _record_release(
+        self, worker: str, revision: int, entry: OwnershipEntry
+    ) -> None:
         self._confirmed.pop(worker, None)
         self._order_from.pop(worker, None)
         self._ordered_until.pop(worker, None)
-        record = self._view.ownership.get(worker)
-        # A member may have claimed it before the response was processed.
-        if record is None or record.revision < released.revision:
-            self._view.put_ownership(worker, released)
+        self._view.apply_write(
+            OWNERSHIP_PREFIX + worker, msgspec.json.encode(entry), revision
+        )
 
     def _confirm(
         self, worker: str, revision: int, entry: OwnershipEntry
     ) -> None:
         self._confirmed[worker] = revision
-        self._view.put_ownership(worker, entry.at_revision(revision))
+        self._view.apply_write(
+            OWNERSHIP_PREFIX + worker, msgspec.json.encode(entry), revision
+        )
 
     def _mark_contested(self, holder: str) -> None:
         if holder:
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -7,7 +7,9 @@
 
 from mintlanding.coordination.store_era import StoreEra
 from mintlanding.coordination.transactional_store import (
+    Change,
     Committed,
+    Item,
     Rejected,
     Snapshot,
 )
@@ -369,3 +371,38 @@
     claim = WorkerClaim('w', released.revision, '', released.wait)
     await world.ownership.claim(claim)
     assert world.ownership.fencing_token('w') > released.token
+
+
+async def test_late_response_to_a_claim_leaves_a_later_record_in_force(world):
+    # Guards against: two holders, after a stall in which another one claimed.
+    commit = world.store.commit
+
+    async def commit_and_stall(transaction):
+        reply = await commit(transaction)
+        later = msgspec.json.encode(OwnershipEntry('other', True, 'me'))
+        item = Item('mintlanding/hold/w', later, reply.revision + 3)
+        world.view.apply(Change(item.key, item.revision, item), world.now)
+        return reply
+
+    world.store.commit = commit_and_stall
+    await world.ownership.claim(TAKEOVER)
+    assert world.view.ownership['w'].holder == 'other'
+    assert not world.ownership.held_workers()
+    world.now += 10
+    assert not world.may_order()
+
+
+async def test_late_response_to_a_claim_brings_no_removed_record_back(world):
+    commit = world.store.commit
+
+    async def commit_and_remove(transaction):
+        reply = await commit(transaction)
+        change = Change('mintlanding/hold/w', reply.revision + 1)
+        item = Item(change.key, transaction.writes[0].content, reply.revision)
+        world.view.apply(Change(item.key, item.revision, item), world.now)
+        world.view.apply(change, world.now)
+        return reply
+
+    world.store.commit = commit_and_remove
+    await world.ownership.claim(TAKEOVER)
+    assert not world.ownership.held_workers()
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -381,6 +381,13 @@
             return True
         return _shared_state(before, service) != _shared_state(after, service)
 
+    def apply_write(self, key: str, content: bytes, revision: int) -> None:
+        """Apply a write of this instance, unless a newer state is known.
+
+        Its response may be processed after changes that followed it.
+        """
+        self._apply_item(Item(key, content, revision), self.fresh_at)
+
     def entry_state(self, name: str) -> str:
         """Return the state of a target's entry, as requests are routed by."""
         target = self.targets.get(name)
