Begin fencing tokens of each era of the store above all earlier ones

What callers would see: after the store's return from an older copy, orders under lower tokens than before, where the one that knew the tokens was killed: its record is not in the copy, or the copy names an earlier turn of a holder, which goes on with it. Cause: without a memory of the time before, the token of a claim was its revision, and revisions go back. A record of the copy counted as the last turn, also for a process that had not been there when the later ones were lost. Change: a claim after the first era names a token above 2^40 for each era before (`era_floor`), in the field that older builds read. Tokens of the first era, and of stores without eras, are revisions as before. A holder goes on under a token of an earlier era only if it had authority until it saw the new one; any other claims its worker anew, with a token of the new era and the wait of a new holder. Not covered: an older build beside claims a worker without a record under the revision alone.

--- a/mintlanding/coordination/store_era.py
+++ b/mintlanding/coordination/store_era.py
@@ -10,6 +10,19 @@
 
 # Of a store that names none, or before its first response.
 NO_ERA = 0
+# Revisions of one era are taken to be below this.
+_REVISIONS = 2**40
+# Fencing tokens that readers of JSON keep exactly, whatever their numbers are.
+_MAX_TOKEN = 2**53
+
+
+def era_floor(era: int) -> int:
+    """Return a number above the fencing tokens of earlier eras.
+
+    It is 0 in the first era and in those beyond the range of tokens.
+    """
+    floor = max(0, era - 1) * _REVISIONS
+    return floor if floor < _MAX_TOKEN else 0
 
 
 class StoreEra:
--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -334,7 +334,7 @@
             if not await self.ownership.release(worker, self._stored_revision):
                 # An earlier write of the entry may have been committed late.
                 self._entry = None
-        for claim in self._claims(now):
+        for claim in (*self.ownership.new_turns(), *self._claims(now)):
             await self.ownership.claim(claim)
         for held in sorted(self.ownership.held_workers()):
             if not self.ownership.is_releasing(held):
--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mintlanding.coordination.store_era import era_floor
 from mintlanding.coordination.transactional_store import (
     NO_REVISION,
     Rejected,
@@ -69,6 +70,8 @@
         self._ordered_until: dict[str, float] = {}
         # Revisions of the ownership records that this process has confirmed.
         self._confirmed: dict[str, int] = {}
+        # Fencing tokens under which this process was allowed to send orders.
+        self._turns: dict[str, int] = {}
         # Holders from whom this process may be taking a worker, and until when.
         self._contested: dict[str, float] = {}
         # Revisions of the records for which a release may have been committed.
@@ -89,7 +92,16 @@
         return self._view.ownership[worker].token
 
     def begin_era(self, now: float) -> None:
-        """Send no orders until this instance is registered in the new era."""
+        """Send no orders until this instance is registered in the new era.
+
+        Nobody can have followed on the turns that have authority until now.
+        """
+        held = self.held_workers() if now < self.authority.until() else set()
+        self._turns = {
+            worker: token
+            for worker, token in self._turns.items()
+            if worker in held and token == self.fencing_token(worker)
+        }
         self.authority.restart(now)
         self.era_hold.begin(now)
         self._confirmed.clear()
@@ -102,11 +114,16 @@
             return False
         if worker in self._view.unwritten or now < self.era_hold.orders_from:
             return False
+        if self._may_have_followers(worker, record):
+            return False
         if self._confirmed.get(worker) != record.revision:
             self._resume(worker, record, now)
         if self._is_given_up(worker):
             return False
-        return self._order_from[worker] <= now < self.authority.until()
+        if not self._order_from[worker] <= now < self.authority.until():
+            return False
+        self._turns[worker] = record.token
+        return True
 
     def orders_from(self, worker: str, now: float) -> float:
         """Return the time from which orders may be sent, inf if unknown."""
@@ -117,6 +134,8 @@
             return float('inf')
         if worker in self._view.unwritten:
             return float('inf')
+        if self._may_have_followers(worker, record):
+            return float('inf')
         begin = self._order_from.get(worker, float('inf'))
         return max(now, begin, self.era_hold.orders_from)
 
@@ -212,6 +231,21 @@
                 fencing=entry.at_revision(revision).token,
             )
 
+    def new_turns(self) -> list[WorkerClaim]:
+        """Return the claims of held workers that need another token.
+
+        The store has returned from a copy that names this instance, and what
+        followed in the earlier era may be lost: the holder waits as a new one.
+        """
+        records = self._view.ownership
+        wait = self._options.takeover_delay
+        return [
+            WorkerClaim(worker, records[worker].revision, '', wait)
+            for worker in sorted(self.held_workers() - self._view.unwritten)
+            if self._may_have_followers(worker, records[worker])
+            and not self.is_releasing(worker)
+        ]
+
     def avoided(self) -> frozenset[str]:
         """Return the workers that this instance does not claim now."""
         return self.unreachable() | self.cuts.recent()
@@ -345,6 +379,11 @@
             fencing=record.token,
         )
 
+    def _may_have_followers(self, worker: str, record: OwnershipRecord) -> bool:
+        """Tell whether others may have followed on a turn, in a lost record."""
+        is_former = record.token < era_floor(self._view.era)
+        return is_former and self._turns.get(worker) != record.token
+
     def _is_given_up(self, worker: str) -> bool:
         """Tell whether a held worker is cut, or may have been released."""
         return self.is_releasing(worker) or self.cuts.is_cut(worker)
--- a/mintlanding/node/tests/test_era_machine.py
+++ b/mintlanding/node/tests/test_era_machine.py
@@ -16,6 +16,7 @@
 from mintlanding.core.exceptions import PlatformError, PlatformUnavailable
 from mintlanding.links.messages import Status
 from mintlanding.node.tests.test_release_machine import (
+    NAMES,
     OPTIONS,
     Connection,
     ReleaseMachine,
@@ -185,6 +186,25 @@
         self.store.restore(seconds)
         self.advance(3)
 
+    @rule(seconds=st.sampled_from([0, 3, 6, 8]))
+    def return_without_a_memory(self, seconds):
+        """The store returns while no process runs; all start again."""
+        self.members.clear()
+        self.advance(OPTIONS.min_order_gap)
+        self.store.restore(seconds)
+        for name in NAMES:
+            self.start(name)
+        self.advance(1)
+
+    @rule(names=st.lists(names, min_size=1, max_size=3, unique=True))
+    def some_stop_for_a_return(self, names):
+        """Processes that were stopped know the time before only."""
+        stopped = {name: self.members.pop(name) for name in names}
+        self.advance(6)
+        self.store.restore(8)
+        self.members |= stopped
+        self.advance(1)
+
     @rule()
     def faults_of_the_store_end(self):
         for member in self.members.values():
@@ -211,6 +231,11 @@
 class Fleet(EraMachine):
     """The same fleet, driven by the tests below."""
 
+    def keep_only(self, copy):
+        """Let the store return from one copy, whenever it does."""
+        self.store.copies = [copy]
+        self.store.keep_copy = lambda: None
+
 
 @pytest.fixture
 def fleet():
@@ -232,6 +257,54 @@
     assert fleet.tokens['w1'][-1][0] >= before
 
 
+def test_token_rises_where_nobody_remembers_the_lost_record(fleet):
+    # Guards against: the token of a claim is a revision that has gone back.
+    fleet.store.revision += 1000
+    fleet.reach[fleet.holder('w1').name, 'w1'] = False
+    empty = (fleet.now, 1, {}, {})
+    fleet.advance(RECOVERY_SECONDS)
+    turns = len(fleet.tokens['w1'])
+    fleet.keep_only(empty)
+    fleet.return_without_a_memory(0)
+    fleet.advance(RECOVERY_SECONDS)
+    assert len(fleet.tokens['w1']) > turns
+    fleet.tokens_never_fall()
+
+
+def test_holder_without_a_memory_begins_a_new_turn_in_a_later_era(fleet):
+    # Guards against: it goes on under a token that lost ones were above.
+    (first,) = fleet.served('w1')
+    copy = fleet.store.copies[-1]
+    fleet.reach[first, 'w1'] = False
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1') != [first]
+    fleet.reach[first, 'w1'] = True
+    fleet.keep_only(copy)
+    fleet.return_without_a_memory(0)
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1') == [first]
+    fleet.tokens_never_fall()
+
+
+def test_holder_that_lost_its_authority_begins_a_new_turn_in_a_later_era(
+    fleet,
+):
+    # Others may have followed, of whom nobody knows any more.
+    (first,) = fleet.served('w1')
+    copy = fleet.store.copies[-1]
+    stopped = fleet.members.pop(first)
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1') not in ([], [first])
+    fleet.members.clear()
+    fleet.advance(OPTIONS.min_order_gap)
+    fleet.keep_only(copy)
+    fleet.store.restore(0)
+    fleet.members[first] = stopped
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1') == [first]
+    fleet.tokens_never_fall()
+
+
 def test_new_process_waits_at_a_worker_whose_record_was_lost():
     # Guards against: it takes the worker for one that never had a holder.
     hold = EraHold(OPTIONS)
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from mintlanding.coordination.store_era import StoreEra
+from mintlanding.coordination.store_era import StoreEra, era_floor
 from mintlanding.coordination.transactional_store import (
     Change,
     Committed,
@@ -406,3 +406,50 @@
     world.store.commit = commit_and_remove
     await world.ownership.claim(TAKEOVER)
     assert not world.ownership.held_workers()
+
+
+@pytest.mark.parametrize('era', [2, 3, 8192])
+async def test_token_of_a_later_era_is_above_all_of_earlier_ones(world, era):
+    # Nobody remembers the time before.
+    world.view.era = era
+    await world.ownership.claim(FIRST_CLAIM)
+    highest_revision = 2**40 - 1
+    before = era_floor(era - 1) + highest_revision
+    assert before < world.ownership.fencing_token('w') < 2**53
+
+
+@pytest.mark.parametrize('era', [0, 1, 8193, 2**62])
+async def test_tokens_are_revisions_in_eras_without_a_range(world, era):
+    world.view.era = era
+    await world.ownership.claim(FIRST_CLAIM)
+    assert world.ownership.fencing_token('w') == world.store.revision
+
+
+async def test_holder_that_restarts_in_a_later_era_waits_as_a_new_one(world):
+    world.view.era = 2
+    world.set_record('me', 12, is_settled=True)
+    assert not world.may_order()
+    assert world.ownership.orders_from('w', world.now) == float('inf')
+    (claim,) = world.ownership.new_turns()
+    assert claim == WorkerClaim('w', 12, '', OPTIONS.takeover_delay)
+    world.store.revision = 12
+    await world.ownership.claim(claim)
+    assert not world.ownership.new_turns()
+    assert world.ownership.fencing_token('w') > era_floor(2)
+    assert not world.may_order()
+    world.now += OPTIONS.takeover_delay
+    assert world.may_order()
+
+
+@pytest.mark.parametrize('has_authority', [True, False])
+async def test_holder_keeps_a_turn_on_which_nobody_can_have_followed(
+    world, has_authority
+):
+    world.view.era = 1
+    await world.ownership.claim(FIRST_CLAIM)
+    assert world.may_order()
+    if not has_authority:
+        world.now += OPTIONS.zone_hold
+    world.ownership.begin_era(world.now)
+    world.view.era = 2
+    assert bool(world.ownership.new_turns()) is not has_authority
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from mintlanding.coordination.store_contact import StoreContact
-from mintlanding.coordination.store_era import NO_ERA
+from mintlanding.coordination.store_era import NO_ERA, era_floor
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
 from mintlanding.core.borders import ValueBounds, border, decode_with
 from mintlanding.core.bounds import (
@@ -456,10 +456,16 @@
 
         The token is above all earlier ones: the revision of the write will do,
         unless revisions went back when the store returned from an older copy.
+        Tokens of earlier eras may be those of turns that nobody remembers.
         """
         record = self.ownership.get(worker, OwnershipRecord('', 0))
-        token = max(record.token, self.former_tokens.get(worker, 0))
-        return token + 1 if token > max(self.as_of, record.revision) else 0
+        reached = max(self.as_of, record.revision)
+        token = max(
+            record.token,
+            self.former_tokens.get(worker, 0),
+            era_floor(self.era) + reached,
+        )
+        return token + 1 if token > reached else 0
 
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
