Compare statuses and consents by the process that sent them

What callers would see, each after a restart of an instance: quotas that charge a former process again, as if its whole use were new, so that a workspace is refused; a zone that counts as lost for as long as the machine of its hub needs to be up as long as the one before; a holder whose authority never ends, where a member consents to a status of its former process on another machine. Cause: numbers of two processes were compared. A late status of the former process replaced that of the new one, and an older status of the same process, on another link, its counters and digests. Zone statuses were ordered by the hub's name and its clock, which begins anew with each boot. A consent names a time only, which may be one of another clock, in the future. Change: a status that another one has overtaken is dropped as a whole; one of another process with an earlier time counts only once the known one is silent for `member_timeout`. Zone statuses are ordered within one process of a hub. A consent counts if its time lies within the life of this process. Measured: five of six new tests failed before: the former incarnation was back in force; counters fell from 50 to 0 by an older status; a zone status of a hub whose clock is behind was dropped; authority lasted 10^6 s. The sixth, of a process on a machine that was booted later, passed before and does now. Tests of memberships, statuses, links, silent peers and released engines pass. That such messages arrive late was read in the code (links that were dialled outlive the hello of a new process), not produced with real processes.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -98,6 +98,7 @@
         """Start unregistered."""
         self.incarnation = secrets.token_hex(4)
         self.instance = cfg.facts.instance
+        self._started_at = boot_seconds()
         self.ownership = WorkerOwnership(
             self.instance, store, view, cfg.authority
         )
@@ -477,7 +478,13 @@
         self.status_exchange.receive_zone_status(status, boot_seconds())
 
     def _receive_consent(self, peer: str, consent: Consent) -> None:
-        self.ownership.authority.record_ack(peer, consent.status_sent_at)
+        """Record a consent, unless it is to a status of a former process.
+
+        That one may have run on another machine, with another clock.
+        """
+        sent_at = consent.status_sent_at
+        if self._started_at < sent_at <= boot_seconds():
+            self.ownership.authority.record_ack(peer, sent_at)
 
     def _store_era(self, now: float) -> tuple[int, float]:
         return self._store.era.number, self.ownership.era_hold.age(now)
--- a/mintlanding/node/status_exchange.py
+++ b/mintlanding/node/status_exchange.py
@@ -247,8 +247,11 @@
             self.mesh.send(member, self._status(now))
 
     def receive_status(self, status: Status, now: float) -> None:
-        """Process the status of a member and keep it for the zone's status."""
-        self._record(
+        """Process the status of a member and keep it for the zone's status.
+
+        One that a later one has overtaken, on another link, tells nothing.
+        """
+        is_newer = self._record(
             MemberStatus(
                 status.instance,
                 status.incarnation,
@@ -257,6 +260,8 @@
             status.unreached,
             now,
         )
+        if not is_newer:
+            return
         self.listeners.on_store_era(status.store_era, status.era_age, now)
         if status.asks_consent:
             self._send_consent(
@@ -280,7 +285,7 @@
         known = self._zones.get(zone_status.zone)
         if (
             known is not None
-            and known.hub == zone_status.hub
+            and known.hub_incarnation == zone_status.hub_incarnation
             and known.sent_at >= zone_status.sent_at
         ):
             return
@@ -522,9 +527,8 @@
     ) -> bool:
         """Record a status; return false if it is no newer than the last one."""
         known = self.received.get(status.instance)
-        if known is not None and known.incarnation == status.incarnation:
-            if known.sent_at >= status.sent_at:
-                return False
+        if known is not None and not self._is_later(known, status, now):
+            return False
         self.received[status.instance] = ReceivedStatus(
             status.incarnation, status.sent_at, now, unreached
         )
@@ -532,6 +536,20 @@
             self.listeners.on_new_incarnation()
         return True
 
+    def _is_later(
+        self, known: ReceivedStatus, status: MemberStatus, now: float
+    ) -> bool:
+        """Tell whether a status was sent after the last known one.
+
+        Clocks of processes on one machine can be compared. Elsewhere a new
+        process may have an earlier time, but then the former one is silent.
+        """
+        if status.sent_at > known.sent_at:
+            return True
+        if status.incarnation == known.incarnation:
+            return False
+        return now >= known.at + self._options.member_timeout
+
     def _send_consent(self, member: str, sent_at: float, era: int) -> None:
         sources = self.sources
         if self.mesh is None or not sources.may_consent_in(era):
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -406,3 +406,16 @@
         await membership.claim_workers(now + 2 * step)
         revisions.append(membership._stored_revision)
     assert revisions == [11, 12, 12, 12]
+
+
+@pytest.mark.parametrize('seconds', [-5, 1e6])
+async def test_consent_to_a_status_of_a_former_process_gives_no_authority(
+    seconds,
+):
+    # Its machine may have been booted earlier: authority would never end.
+    membership = make_membership(FakeStore(), 50)
+    now = boot_seconds()
+    membership.ownership.authority.set_members((), ('far',))
+    consent = Consent(now + seconds)
+    membership.receive('far', consent, lambda message: True)
+    assert membership.ownership.authority.until() < now + seconds
--- a/mintlanding/node/tests/test_status_exchange.py
+++ b/mintlanding/node/tests/test_status_exchange.py
@@ -286,3 +286,83 @@
     ((receiver, report),) = fleet.uses
     assert receiver == 'n2'
     assert report.in_use == (('w', 'a1'),)
+
+
+def late_status(fleet, name, sent_at, incarnation, admitted=0.0):
+    """Return a status that is under way, maybe of a former process."""
+    return Status(name, incarnation, sent_at, admitted={'w': admitted})
+
+
+def test_status_of_a_former_process_that_arrives_late_changes_nothing():
+    # Guards against: the zone's counters take each process for an ended one.
+    fleet = Fleet(40)
+    fleet.run(4)
+    hub = fleet.exchanges['n2']._hub(fleet.now)
+    member = next(
+        name
+        for name, each in fleet.records.items()
+        if name != hub and each.zone == fleet.records[hub].zone
+    )
+    fleet.admitted[member] = 1000.0
+    fleet.run(0.5)
+    late = late_status(fleet, member, fleet.now, 'b', 1000.0)
+    fleet.exchanges.pop(member)
+    fleet.run(2)
+    fleet.add(member, 'b2')
+    fleet.admitted[member] = 10.0
+    fleet.run(0.5)
+    counters = fleet.exchanges[hub]._zone_counters
+    assert counters.total() == {'w': 1010.0}
+    fleet.exchanges[hub].receive_status(late, fleet.now)
+    assert fleet.exchanges[hub].incarnation_of(member) == 'b2'
+    fleet.run(0.5)
+    assert counters.total() == {'w': 1010.0}
+
+
+def test_counters_of_an_older_status_are_not_taken():
+    # Members change the link on which they send.
+    fleet = Fleet(40)
+    fleet.run(4)
+    hub = fleet.exchanges['n2']._hub(fleet.now)
+    member = next(
+        name
+        for name, each in fleet.records.items()
+        if name != hub and each.zone == fleet.records[hub].zone
+    )
+    late = late_status(fleet, member, fleet.now - 0.1, 'b')
+    fleet.admitted[member] = 50.0
+    fleet.run(0.5)
+    exchange = fleet.exchanges[hub]
+    exchange.receive_status(late, fleet.now)
+    assert exchange._zone_status(fleet.now).admitted == {'w': 50.0}
+
+
+def test_process_on_a_machine_that_was_booted_later_is_recognised():
+    fleet = Fleet(6)
+    fleet.run(4)
+    exchange = fleet.exchanges['n0']
+    fleet.exchanges.pop('n1')
+    for _ in range(8):
+        fleet.run(INTERVAL)
+        status = Status('n1', 'b2', fleet.now - 90)
+        exchange.receive_status(status, fleet.now)
+    assert exchange.incarnation_of('n1') == 'b2'
+    assert exchange.is_reachable('n1', fleet.now)
+
+
+def test_zone_status_of_a_hub_whose_machine_was_booted_later_counts():
+    # Guards against: its zone counts as lost until its clock has caught up.
+    fleet = Fleet(40)
+    fleet.run(4)
+    exchange = fleet.exchanges['n0']
+    known = exchange._zones['z1']
+    (first, *_) = known.members
+    restarted = msgspec.structs.replace(
+        known,
+        hub_incarnation=f'{known.hub}/b2',
+        sent_at=3.0,
+        members=(msgspec.structs.replace(first, sent_at=fleet.now + 1),),
+    )
+    exchange.receive_zone_status(restarted, fleet.now + 1)
+    assert exchange._zones['z1'] is restarted
+    assert exchange.is_reachable(first.instance, fleet.now + 1.1)
