Write an entry again that a former process has replaced

What callers would see: an instance that is restarted while the store is slow may be left without an entry, for as long as it runs: others leave it out of the fleet, and claim its workers once they do not hear it, although its lease is renewed and it sends orders: two holders. Cause: the former process's last write of the entry, as in a planned stop, may be committed after the new one's, under the former lease, and is removed with it. An entry of another process was not taken for a replaced one, nor a missing one. Change: an instance that sees its entry removed, or of another process, at a later revision than its own gives up its authority and registers anew; it renews the authority when it has read the ownership records up to that. Measured: the new test failed before in both cases (the former entry, and its removal): authority went on and nothing was written. Now it passes, with the tests of memberships, releases, views and the machines of releases and eras. The order of the writes was read in the code, not produced with a store.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -640,6 +640,11 @@
         is_cut_off = self.ownership.cuts.is_cut_off
         if not self._registered or now < self._entry_retry_at:
             return
+        if self._is_entry_lost():
+            # Others may claim workers of a member without an entry.
+            self._registered = False
+            self._entry = None
+            self.ownership.authority.record_lease_end()
         if self._is_entry_replaced():
             self._entry = None
         before = self._entry
@@ -657,6 +662,21 @@
             targets=len(self._view.targets),
         )
 
+    def _is_entry_lost(self) -> bool:
+        """Tell whether the entry is removed, or that of a former process.
+
+        A late write of that one is removed when the former lease ends, although
+        the lease of this process goes on.
+        """
+        if self._entry_era != self._view.era:
+            return False
+        key = MEMBERS_PREFIX + self.instance
+        if self._view.revisions.removed_at(key) > self._stored_revision:
+            return True
+        stored = self._view.members.get(self.instance)
+        is_former = stored is not None and stored.boot != self.incarnation
+        return is_former and self._view.as_of >= self._stored_revision
+
     def _is_entry_replaced(self) -> bool:
         """Tell whether an earlier write of the entry was committed late."""
         stored = self._view.members.get(self.instance)
--- a/mintlanding/node/record_revisions.py
+++ b/mintlanding/node/record_revisions.py
@@ -36,6 +36,10 @@
             self._revisions[key] = revision
         return True
 
+    def removed_at(self, key: str) -> int:
+        """Return the revision of a key's removal, 0 if none is known."""
+        return self._removals.get(key, 0)
+
     def removals(self, snapshot: Snapshot) -> Iterator[Change]:
         """Yield the removals that a listing of all records implies."""
         listed = {item.key for item in snapshot.items}
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -59,6 +59,7 @@
         self.is_kept = True
         self.is_readable = True
         self.ownership = {}
+        self.writes = []
 
     async def grant_lease(self, seconds):
         return 7
@@ -67,6 +68,7 @@
         return self.is_kept
 
     async def commit(self, transaction):
+        self.writes.append(transaction)
         self.revision += 1
         return Committed(self.revision)
 
@@ -419,3 +421,29 @@
     consent = Consent(now + seconds)
     membership.receive('far', consent, lambda message: True)
     assert membership.ownership.authority.until() < now + seconds
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_entry_that_a_former_process_has_replaced_is_written_again(
+    is_removed,
+):
+    # Its write was committed late, under its lease, which then ends.
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    entry = msgspec.json.decode(store.writes[-1].writes[0].content)
+    former = msgspec.json.encode({**entry, 'boot': 'former'})
+    key = 'mintlanding/member/me'
+    late = Item(key, former, store.revision + 1)
+    changes = [Change(key, late.revision, late)]
+    if is_removed:
+        changes.append(Change(key, late.revision + 1))
+    for change in changes:
+        membership._view.apply(change, boot_seconds())
+        store.revision = membership._view.as_of = change.revision
+    await membership._update_entry(boot_seconds() + 2)
+    assert not may_order(membership)
+    await membership._keep_lease()
+    written = msgspec.json.decode(store.writes[-1].writes[0].content)
+    assert written['boot'] == membership.incarnation
+    assert membership._entry_revision == store.revision
