--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -98,6 +98,7 @@
         """Start unregistered."""
         self.incarnation = secrets.token_hex(4)
         self.instance = cfg.facts.instance
+        self._started_at = boot_seconds()
         self.ownership = WorkerOwnership(
             self.instance, store, view, cfg.authority
         )
@@ -334,7 +335,7 @@
             if not await self.ownership.release(worker, self._stored_revision):
                 # An earlier write of the entry may have been committed late.
                 self._entry = None
-        for claim in self._claims(now):
+        for claim in (*self.ownership.new_turns(), *self._claims(now)):
             await self.ownership.claim(claim)
         for held in sorted(self.ownership.held_workers()):
             if not self.ownership.is_releasing(held):
@@ -477,7 +478,13 @@
         self.status_exchange.receive_zone_status(status, boot_seconds())
 
     def _receive_consent(self, peer: str, consent: Consent) -> None:
-        self.ownership.authority.record_ack(peer, consent.status_sent_at)
+        """Record a consent, unless it is to a status of a former process.
+
+        That one may have run on another machine, with another clock.
+        """
+        sent_at = consent.status_sent_at
+        if self._started_at < sent_at <= boot_seconds():
+            self.ownership.authority.record_ack(peer, sent_at)
 
     def _store_era(self, now: float) -> tuple[int, float]:
         return self._store.era.number, self.ownership.era_hold.age(now)
@@ -633,6 +640,11 @@
         is_cut_off = self.ownership.cuts.is_cut_off
         if not self._registered or now < self._entry_retry_at:
             return
+        if self._is_entry_lost():
+            # Others may claim workers of a member without an entry.
+            self._registered = False
+            self._entry = None
+            self.ownership.authority.record_lease_end()
         if self._is_entry_replaced():
             self._entry = None
         before = self._entry
@@ -650,6 +662,21 @@
             targets=len(self._view.targets),
         )
 
+    def _is_entry_lost(self) -> bool:
+        """Tell whether the entry is removed, or that of a former process.
+
+        A late write of that one is removed when the former lease ends, although
+        the lease of this process goes on.
+        """
+        if self._entry_era != self._view.era:
+            return False
+        key = MEMBERS_PREFIX + self.instance
+        if self._view.revisions.removed_at(key) > self._stored_revision:
+            return True
+        stored = self._view.members.get(self.instance)
+        is_former = stored is not None and stored.boot != self.incarnation
+        return is_former and self._view.as_of >= self._stored_revision
+
     def _is_entry_replaced(self) -> bool:
         """Tell whether an earlier write of the entry was committed late."""
         stored = self._view.members.get(self.instance)
--- a/mintlanding/node/view.py
+++ b/mintlanding/node/view.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from mintlanding.coordination.store_contact import StoreContact
-from mintlanding.coordination.store_era import NO_ERA
+from mintlanding.coordination.store_era import NO_ERA, era_floor
 from mintlanding.coordination.transactional_store import Change, Item, Snapshot
 from mintlanding.core.borders import ValueBounds, border, decode_with
 from mintlanding.core.bounds import (
@@ -381,6 +381,13 @@
             return True
         return _shared_state(before, service) != _shared_state(after, service)
 
+    def apply_write(self, key: str, content: bytes, revision: int) -> None:
+        """Apply a write of this instance, unless a newer state is known.
+
+        Its response may be processed after changes that followed it.
+        """
+        self._apply_item(Item(key, content, revision), self.fresh_at)
+
     def entry_state(self, name: str) -> str:
         """Return the state of a target's entry, as requests are routed by."""
         target = self.targets.get(name)
@@ -449,10 +456,16 @@
 
         The token is above all earlier ones: the revision of the write will do,
         unless revisions went back when the store returned from an older copy.
+        Tokens of earlier eras may be those of turns that nobody remembers.
         """
         record = self.ownership.get(worker, OwnershipRecord('', 0))
-        token = max(record.token, self.former_tokens.get(worker, 0))
-        return token + 1 if token > max(self.as_of, record.revision) else 0
+        reached = max(self.as_of, record.revision)
+        token = max(
+            record.token,
+            self.former_tokens.get(worker, 0),
+            era_floor(self.era) + reached,
+        )
+        return token + 1 if token > reached else 0
 
     def _entry(self, key: str) -> Target | None:
         return self.entries.get(key.removeprefix(self.records.TARGETS_PREFIX))
