Keep a worker when an order of an earlier lease is refused

What callers would see: after a lease was lost and regained, a worker without a steward for as long as the process lives: its queue is refused with "no target". Cause: an order may be under way for 30 s, a lease lasts 6 s. The engine refuses an order of the earlier lease that arrives after one of the present lease, and the refusal was taken for one of the present token. Change: only a refusal of an order with the present token ends a steward. Measured: test_refusal_of_an_order_of_an_earlier_lease_ends_no_steward failed before (the steward was stopped, and no claim succeeded in the ticks after it) and passes; so do the tests of mintlanding/agent and mintlanding/placement (67).

--- a/mintlanding/agent/steward_runner.py
+++ b/mintlanding/agent/steward_runner.py
@@ -176,22 +176,24 @@
                 code=int(outcome.code),
                 detail=outcome.detail,
             )
-        self._finish_order(order.order_id, outcome, finish)
+        self._finish_order(order, outcome, finish)
 
     def _finish_order(
         self,
-        order_id: int,
+        order: LoadOrder | EvictOrder | FenceOrder,
         outcome: Outcome[None],
         finish: Callable[[int, bool, float], Sequence[Action]],
     ) -> None:
         now = self._context.now
         if isinstance(outcome, Done):
-            self.execute(finish(order_id, True, now))
+            self.execute(finish(order.order_id, True, now))
         elif outcome.ran is not Ran.not_run:
-            self.execute(self.steward.order_unanswered(order_id, now))
+            self.execute(self.steward.order_unanswered(order.order_id, now))
         else:
-            self.execute(finish(order_id, False, now))
-            if outcome.code is ResultCode.fencing_old:
+            self.execute(finish(order.order_id, False, now))
+            is_refused = outcome.code is ResultCode.fencing_old
+            # Orders of an earlier lease may arrive after those of this one.
+            if is_refused and order.fencing == self.steward.fencing:
                 self._on_superseded(self.target.name)
 
     def _weights(self, ref: AdapterRef) -> str:
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -80,6 +80,11 @@
         """Return the state of the lease."""
         return self._authority.state
 
+    @property
+    def fencing(self) -> int:
+        """Return the fencing token of new orders."""
+        return self._authority.fencing
+
     def reserve(self, req: ReserveRequest, now: float) -> Sequence[Action]:
         """Queue a reservation; the reply is in these actions or later ones."""
         self._authority.advance(now)
