Settle claims of workers whose answers are late or lost

What callers would see: a worker without a steward for as long as the process that claimed it lives, or a queue that is refused while no other agent has the worker. Cause: a claim that was given up may have created the record, or may yet. The next claim found this agent's own record and took it for one of another agent, and so did a worker that was given up and claimed again, and a lease that ended here before it ended at the store. A reply to a claim of an earlier lease counted for the present one. Change: a claim is repeated until it is answered, wanted or not. If the record may be this process's own, it is read: with the present lease it is the answer, with an earlier one it is deleted, by its index. Giving a worker up deletes its record before the next claim, so that no token serves two stewards. The record names its lease, last and with a default; older builds ignore it.

--- a/mintlanding/agent/lease_client.py
+++ b/mintlanding/agent/lease_client.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from mintlanding.agent.context import AgentContext
+from mintlanding.coordination.keyvalue import CREATE_ONLY
 from mintlanding.core.exceptions import PlatformError
 from mintlanding.core.logs import Logger
 from mintlanding.core.results import Failed
 from mintlanding.placement.leases import (
     ClaimWorker,
+    DropRecord,
     LeaseAction,
     OpenLease,
     RenewLease,
@@ -21,11 +23,15 @@
 _logger = Logger('placement')
 
 
-class StewardRecord(msgspec.Struct, frozen=True):
-    """Record of a worker's steward in the key-value service."""
+class StewardRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Record of a worker's steward in the key-value service.
+
+    It ends with `lease`; a record without one was written by an older build.
+    """
 
     instance: str
     incarnation: int
+    lease: str = ''
 
 
 class LeaseClient:
@@ -50,6 +56,8 @@
                 await self._renew_lease(lease)
             case ClaimWorker():
                 await self._claim(action)
+            case DropRecord():
+                await self._drop(action)
 
     async def _open_lease(self, seconds: float) -> None:
         try:
@@ -69,24 +77,62 @@
         self._on_actions(self._leases.lease_renewed(lease, is_kept))
 
     async def _claim(self, action: ClaimWorker) -> None:
-        own = self._context.own
-        record = StewardRecord(own.instance, own.incarnation)
-        fencing = 0
         try:
-            outcome = await self._context.key_value.put(
-                f'{STEWARDS_PREFIX}{action.worker}',
-                msgspec.json.encode(record),
-                0,
-                action.lease,
-            )
-            if not isinstance(outcome, Failed):
-                fencing = outcome.value
+            fencing = await self._create_record(action)
         except PlatformError as exc:
             _logger.warning('Worker claim failed.', reason=str(exc))
+            fencing = None
+        if fencing is None:
+            self._leases.claim_unanswered(action.worker, action.lease)
+            return
         self._on_actions(
             self._leases.worker_claimed(action.worker, action.lease, fencing),
         )
 
+    async def _create_record(self, action: ClaimWorker) -> int | None:
+        """Return the fencing token, 0 if there is another steward.
+
+        None means that the claim has to be repeated.
+        """
+        outcome = await self._context.key_value.put(
+            _key(action.worker),
+            msgspec.json.encode(self._record(action.lease)),
+            CREATE_ONLY,
+            action.lease,
+        )
+        if not isinstance(outcome, Failed):
+            return outcome.value
+        return await self._read_back(action) if action.may_be_own else 0
+
+    async def _read_back(self, action: ClaimWorker) -> int | None:
+        key_value = self._context.key_value
+        entry = await key_value.get(_key(action.worker))
+        if entry is None:
+            return None
+        record = msgspec.json.decode(entry.value, type=StewardRecord)
+        own = self._record(action.lease)
+        if record == own:
+            return entry.index
+        if msgspec.structs.replace(record, lease=own.lease) != own:
+            return 0
+        await key_value.delete(entry.key, entry.index)
+        return None
+
+    async def _drop(self, action: DropRecord) -> None:
+        is_done = True
+        try:
+            await self._context.key_value.delete(
+                _key(action.worker), action.fencing
+            )
+        except PlatformError as exc:
+            _logger.warning('Worker record not deleted.', reason=str(exc))
+            is_done = False
+        self._leases.record_dropped(action.worker, action.lease, is_done)
+
+    def _record(self, lease: str) -> StewardRecord:
+        own = self._context.own
+        return StewardRecord(own.instance, own.incarnation, lease)
+
     async def revoke(self) -> None:
         lease = self._leases.lease
         if not lease:
@@ -95,3 +141,7 @@
             await self._context.key_value.revoke_lease(lease)
         except PlatformError as exc:
             _logger.warning('Lease revocation failed.', reason=str(exc))
+
+
+def _key(worker: str) -> str:
+    return f'{STEWARDS_PREFIX}{worker}'
--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -20,6 +20,7 @@
 from mintlanding.peers.messages import Empty
 from mintlanding.placement.leases import (
     ClaimWorker,
+    DropRecord,
     LeaseAction,
     OpenLease,
     RenewLease,
@@ -183,7 +184,7 @@
     def _execute(self, actions: Iterable[LeaseAction]) -> None:
         for action in actions:
             match action:
-                case OpenLease() | RenewLease() | ClaimWorker():
+                case OpenLease() | RenewLease() | ClaimWorker() | DropRecord():
                     self._context.application.spawn(
                         self._lease_client.execute(action)
                     )
@@ -197,6 +198,7 @@
     def _take_over(self, won: StewardshipWon) -> None:
         target = self._context.directory.get('target', won.worker)
         if not isinstance(target, Target):
+            self._leases.release(won.worker)
             return
         runner = self._runners.get(won.worker)
         if runner is None:
@@ -243,8 +245,7 @@
         An engine rejects the fencing token of this steward if a newer one
         exists; that may be known before the lease is lost.
         """
-        self._leases.held.pop(worker, None)
-        self._leases.lapsed.pop(worker, None)
+        self._leases.release(worker)
         self._handle_lost(worker)
 
     def _stop_removed(self) -> None:
--- a/mintlanding/agent/tests/steward_world.py
+++ b/mintlanding/agent/tests/steward_world.py
@@ -56,17 +56,24 @@
             self.key_value,
             None,
         )
-        self.context.directory.apply(Delta(0, 1, self._objects()))
+        self.configure(self.objects())
         self.context.members = {OWN.instance: OWN}
         limits = SimpleNamespace()
         self.stewards = StewardsComponent(
             self.context, limits, lambda: self.digests, self._publish
         )
 
+    def configure(self, objects):
+        revision = self.context.directory.revision + 1
+        self.context.directory.apply(Delta(0, revision, objects))
+
+    def end_process(self):
+        for task in tuple(self.application._tasks):
+            task.cancel()
+
     async def stop(self):
         tasks = tuple(self.application._tasks)
-        for task in tasks:
-            task.cancel()
+        self.end_process()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.way.stop()
         await self.engine.stop()
@@ -111,7 +118,7 @@
     def _publish(self, digest):
         self.digests[digest.worker] = digest
 
-    def _objects(self):
+    def objects(self):
         service = Service(name='model', engine=True)
         target = Target(
             name=WORKER,
--- a/mintlanding/placement/leases.py
+++ b/mintlanding/placement/leases.py
@@ -33,10 +33,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimWorker:
-    """Create the steward's record of a worker under the lease."""
+    """Create the steward's record of a worker under the lease.
+
+    A record that exists `may_be_own`: of a claim without an answer, or of the
+    previous lease.
+    """
 
     worker: str
     lease: str
+    may_be_own: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DropRecord:
+    """Delete the record of a worker that this agent does not run any more."""
+
+    worker: str
+    lease: str
+    fencing: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +79,7 @@
     OpenLease
     | RenewLease
     | ClaimWorker
+    | DropRecord
     | StewardshipWon
     | StewardshipLapsed
     | StewardshipLost
@@ -83,7 +98,11 @@
     lapsed: dict[str, int] = field(default_factory=dict)
     _is_call_pending: bool = False
     _called_at: float = float('-inf')
-    _claims: set[str] = field(default_factory=set)
+    # Workers with a call under way for their record.
+    _calls: set[str] = field(default_factory=set)
+    # Workers whose record may have been created under this lease.
+    _unanswered: set[str] = field(default_factory=set)
+    _released: dict[str, int] = field(default_factory=dict)
 
     def is_valid(self, now: float) -> bool:
         """Return whether the lease is certain to be valid at the service."""
@@ -97,9 +116,17 @@
         if not self._is_call_pending:
             actions.extend(self._renew_or_open(wanted, now))
         if self.is_valid(now):
+            actions.extend(self._drop_released())
             actions.extend(self._claim(wanted))
         return actions
 
+    def release(self, worker: str) -> None:
+        """Stop holding a worker; its next claim has another token."""
+        self.lapsed.pop(worker, None)
+        fencing = self.held.pop(worker, None)
+        if fencing is not None:
+            self._released[worker] = fencing
+
     def lease_opened(self, lease: str, now: float) -> None:
         """Apply the reply to OpenLease; `lease` is empty if there was none."""
         self._is_call_pending = False
@@ -128,17 +155,37 @@
         lease: str,
         fencing: int,
     ) -> list[LeaseAction]:
-        """Apply the reply to ClaimWorker; `fencing` 0 means that it failed."""
-        self._claims.discard(worker)
-        is_current = lease == self.lease and fencing > 0
-        if is_current:
-            self.lapsed.pop(worker, None)
+        """Apply the reply to ClaimWorker; 0 if another agent has the worker.
+
+        A reply for an earlier lease tells nothing about this one.
+        """
+        if lease != self.lease:
+            return []
+        self._calls.discard(worker)
+        self._unanswered.discard(worker)
+        was_lapsed = self.lapsed.pop(worker, None) is not None
+        if fencing:
             self.held[worker] = fencing
             return [StewardshipWon(worker, fencing)]
-        if worker in self.lapsed:
-            self.lapsed.pop(worker)
-            return [StewardshipLost(worker)]
-        return []
+        return [StewardshipLost(worker)] if was_lapsed else []
+
+    def claim_unanswered(self, worker: str, lease: str) -> None:
+        """Record that ClaimWorker may take effect, now or later.
+
+        The claim is repeated until it is answered, also if the worker is not
+        wanted any more: its record would keep all others from it.
+        """
+        if lease == self.lease:
+            self._calls.discard(worker)
+            self._unanswered.add(worker)
+
+    def record_dropped(self, worker: str, lease: str, is_done: bool) -> None:
+        """Apply the reply to DropRecord, or that there was none."""
+        if lease != self.lease:
+            return
+        self._calls.discard(worker)
+        if is_done:
+            self._released.pop(worker, None)
 
     def _renew_or_open(
         self,
@@ -160,14 +207,28 @@
         return [RenewLease(self.lease)]
 
     def _claim(self, wanted: Collection[str]) -> list[LeaseAction]:
-        missing = (set(wanted) | set(self.lapsed)) - set(self.held)
-        new_claims = sorted(missing - self._claims)
-        self._claims.update(new_claims)
-        return [ClaimWorker(worker, self.lease) for worker in new_claims]
+        unsettled = self._unanswered.union(self.lapsed)
+        missing = unsettled.union(wanted).difference(self.held, self._released)
+        new_claims = sorted(missing - self._calls)
+        self._calls.update(new_claims)
+        return [
+            ClaimWorker(worker, self.lease, worker in unsettled)
+            for worker in new_claims
+        ]
+
+    def _drop_released(self) -> list[LeaseAction]:
+        due = sorted(self._released.keys() - self._calls)
+        self._calls.update(due)
+        return [
+            DropRecord(worker, self.lease, self._released[worker])
+            for worker in due
+        ]
 
     def _lapse(self) -> list[LeaseAction]:
         self.lease = ''
-        self._claims.clear()
+        self._calls.clear()
+        self._unanswered.clear()
+        self._released.clear()
         self.lapsed.update(self.held)
         self.held.clear()
         return [StewardshipLapsed(worker) for worker in sorted(self.lapsed)]
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -995,7 +995,7 @@
         claimed_token=163,
     ),
     'lease_calls.StewardRecord': lease_client.StewardRecord(
-        instance='text-522', incarnation=623
+        instance='text-522', incarnation=623, lease='text-624'
     ),
     'seats.SeatRecord': seats.SeatRecord(
         owner='text-524', incarnation=625, epoch=626, zone='text-527'
@@ -1353,6 +1353,9 @@
             path_port=621,
         )
     ),
+    'lease_calls.StewardRecord, without a lease': lease_client.StewardRecord(
+        instance='text-522', incarnation=623
+    ),
     'view.HoldEntry, released': view.OwnershipEntry(
         holder='', previous='text-521'
     ),
