Give a hand-over of seats to one process of its receiver only

What callers would see: more tokens admitted than a window allows, after an instance that got seats from a leaving one is restarted within seconds; or a drain that waits for its whole time-out. Cause: a hand-over without an acknowledgement is repeated, and the repetition was addressed to the present process of the receiver. The one before may have accepted it and have spent its tokens; the next one remembers nothing of it. Its timestamp is of the clock of the earlier process, which may be ahead. And an announcement that was overtaken by a later one set the timestamp back. Change: a hand-over is repeated to one incarnation. A timestamp that the receiver's clock has not reached is void. An older announcement is ignored.

--- a/mintlanding/limits/handover.py
+++ b/mintlanding/limits/handover.py
@@ -24,9 +24,14 @@
 
 @dataclass(slots=True)
 class _PendingHandOver:
-    """A hand-over that is repeated until the receiver acknowledges it."""
+    """A hand-over that is repeated until the receiver acknowledges it.
+
+    The next life of the receiver must not get it: the one before may have
+    accepted it and have spent its tokens.
+    """
 
     receiver: str
+    incarnation: int
     message: HandOver
     due: float
 
@@ -52,6 +57,7 @@
             return
         for successor, seats in self._successors(now).items():
             self._hand_over(successor, tuple(seats), now)
+        self._drop_outdated()
         retry = self.loans.state.options.settle_retry
         for pending in self._pending.values():
             if pending.due <= now:
@@ -73,7 +79,8 @@
         if key in self._accepted:
             self.loans.state.outbox.put(sender, HandedOver(message.number), now)
             return
-        if now - message.stamp > self.loans.state.options.grace / 2:
+        age = now - message.stamp
+        if not 0 <= age <= self.loans.state.options.grace / 2:
             return
         if self.loans.state.is_leaving:
             return
@@ -98,9 +105,22 @@
         """Stop repeating a hand-over."""
         self._pending.pop(message.number, None)
 
+    def _drop_outdated(self) -> None:
+        outbox = self.loans.state.outbox
+        self._pending = {
+            number: pending
+            for number, pending in self._pending.items()
+            if outbox.incarnation_of(pending.receiver) == pending.incarnation
+        }
+
+    def _has_announced(self, name: str) -> bool:
+        stamp = self.loans.stamps.get(name)
+        incarnation = self.loans.state.outbox.incarnation_of(name)
+        return stamp is not None and stamp[0] == incarnation
+
     def _successors(self, now: float) -> dict[str, list[int]]:
         state = self.loans.state
-        names = sorted(set(state.view.zone_peers()) & self.loans.stamps.keys())
+        names = sorted(filter(self._has_announced, state.view.zone_peers()))
         chosen: dict[str, list[int]] = {}
         if not names:
             return chosen
@@ -132,9 +152,9 @@
             )
         state.owned.difference_update(seats)
         self._last_number += 1
-        stamp = self.loans.stamps[receiver]
+        incarnation, stamp = self.loans.stamps[receiver]
         message = HandOver(self._last_number, stamp, seats, tuple(moved))
-        pending = _PendingHandOver(receiver, message, now)
+        pending = _PendingHandOver(receiver, incarnation, message, now)
         self._pending[self._last_number] = pending
         self.events.append(SeatsHandedOver(frozenset(seats)))
 
--- a/mintlanding/limits/loans.py
+++ b/mintlanding/limits/loans.py
@@ -13,15 +13,15 @@
 class Loans:
     """Move seats to the instances that are their holders.
 
-    `stamps` are the timestamps of the latest announcements by instance,
-    `used_at` the times at which other instances announced a seat.
+    `stamps` are the incarnations and timestamps of the latest announcements by
+    instance, `used_at` the times at which other instances announced a seat.
     """
 
     state: LimitsState
     borrowing: Borrowing
     lending: Lending
     seat_owners: set[str] = field(default_factory=set)
-    stamps: dict[str, float] = field(default_factory=dict)
+    stamps: dict[str, tuple[int, float]] = field(default_factory=dict)
     used_at: dict[int, float] = field(default_factory=dict)
 
     @classmethod
@@ -42,13 +42,17 @@
     def handle_announce(
         self, message: Announce, sender: str, now: float
     ) -> None:
-        """Record the sender's seats; request loans from a new lender."""
-        self.stamps[sender] = message.stamp
+        """Record the sender's seats; request loans from a new lender.
+
+        An announcement that was overtaken by a later one is ignored.
+        """
+        incarnation = self.state.outbox.incarnation_of(sender)
+        stamp = (incarnation, message.stamp)
+        if stamp < self.stamps.get(sender, stamp):
+            return
+        self.stamps[sender] = stamp
         if message.is_leaving:
-            self.stamps.pop(sender)
-            if self.state.view.exclude(
-                sender, self.state.outbox.incarnation_of(sender)
-            ):
+            if self.state.view.exclude(sender, incarnation):
                 self.rebalance(now)
         for seat in message.seats:
             self.used_at[seat] = now
--- a/mintlanding/limits/tests/test_faults.py
+++ b/mintlanding/limits/tests/test_faults.py
@@ -5,7 +5,14 @@
 from mintlanding.core.results import Done, ResultCode
 from mintlanding.limits.bucket import Bucket, Transfer
 from mintlanding.limits.holders import rendezvous
-from mintlanding.limits.messages import Lend, Return
+from mintlanding.limits.messages import (
+    Announce,
+    Envelope,
+    HandedOver,
+    HandOver,
+    Lend,
+    Return,
+)
 from mintlanding.limits.tests.fleet import WORKSPACE, Fleet
 
 
@@ -309,3 +316,56 @@
     fleet.run(0.2)
     assert fleet.seats['i2'] == {0, 2}
     assert fleet.nodes['i0'].is_drained()
+
+
+def has(message, kind):
+    return any(isinstance(each, kind) for each in message.messages)
+
+
+def test_hand_over_is_not_repeated_to_the_next_life_of_its_receiver():
+    # Guards against: tokens that were spent before a restart come again.
+    fleet = Fleet(size=2)
+    fleet.run(12)
+    fleet.do('i0', 'drain')
+    while fleet.queue:
+        fleet.deliver(drop=has(fleet.queue[0][2], HandedOver))
+    assert fleet.nodes['i1']._state.owned == set(range(6))
+    fleet.do('i1', 'reserve', 'first', WORKSPACE, 290)
+    assert fleet.is_done('first')
+    fleet.restart('i1')
+    fleet.see(fleet.names)
+    fleet.run(1)
+    fleet.do('i1', 'reserve', 'second', WORKSPACE, 140)
+    assert fleet.worst_overshoot() <= 0
+
+
+def test_hand_over_that_bears_no_clock_of_its_receiver_is_void():
+    # Guards against: a late hand-over, as the clock before was ahead of it.
+    fleet = Fleet(size=2)
+    fleet.restart('i1')
+    node = fleet.nodes['i1']
+    hand_over = HandOver(1, fleet.now, (0,), ())
+    envelope = Envelope(1, 1, 2, (hand_over,))
+    node.receive(envelope, 'i0', fleet.now - 500)
+    assert node._state.owned == set()
+
+
+def test_late_announcement_does_not_make_hand_overs_void():
+    # Guards against: the time of an announcement that was overtaken.
+    fleet = Fleet(size=2)
+    fleet.run(12)
+    fleet.do('i1', 'tick')
+    fleet.deliver_all()
+    fleet.nodes['i1']._announce_at = fleet.now
+    fleet.do('i1', 'tick')
+    held = [each for each in fleet.queue if has(each[2], Announce)]
+    assert held
+    fleet.queue.clear()
+    fleet.run(fleet.options.grace / 2 + 1)
+    fleet.queue.extend(held)
+    fleet.deliver_all()
+    fleet.do('i0', 'drain')
+    fleet.deliver_all()
+    fleet.run(0.2)
+    assert fleet.nodes['i0'].is_drained()
+    assert fleet.nodes['i1']._state.owned == set(range(6))
