Tell a peer from the beginning that has forgotten this instance

What operators would see: after a cut of more than an hour, heartbeats of the instance that was cut off repeat all its changes for good; with more of them than one message holds, the newest loads never arrive. The one that was cut off kept the highest number that was ever acknowledged, and what begins above the received number is never acknowledged. Change: the acknowledged number is the one that the peer names, also a lower one. An acknowledgement that comes late repeats changes, which have no effect twice. Measured: test_peer_that_was_forgotten_is_told_from_the_beginning failed before (each heartbeat of 5 s after 25 s without a cut repeats the digest) and passes, as the tests of mintlanding/membership do; late acknowledgements are tested, too, and passed before.

--- a/mintlanding/membership/links.py
+++ b/mintlanding/membership/links.py
@@ -46,7 +46,9 @@
         if message.journal_after <= link.received:
             link.received = max(link.received, message.journal)
         if message.acknowledged_incarnation == self._incarnation:
-            link.acknowledged = max(link.acknowledged, message.acknowledged)
+            # It goes back when the peer has forgotten this instance; one that
+            # comes late only repeats changes.
+            link.acknowledged = message.acknowledged
 
     def forget(self, instance: str) -> None:
         """Remove a peer that is gone."""
--- a/mintlanding/membership/tests/test_node.py
+++ b/mintlanding/membership/tests/test_node.py
@@ -7,6 +7,7 @@
     MemberChanged,
     MembershipOptions,
     MemberState,
+    SendHeartbeat,
 )
 from mintlanding.membership.tests.fleet import (
     Fleet,
@@ -15,6 +16,8 @@
 )
 from mintlanding.placement.messages import AdapterRef, WorkerDigest
 
+REF = AdapterRef('a', '1')
+
 
 def make_digest(sequence, fencing=1, steward='i0', resident=(), running=0):
     return WorkerDigest(
@@ -168,6 +171,51 @@
     assert 'w1' in fleet.nodes['i1'].digests()
 
 
+def test_peer_that_was_forgotten_is_told_from_the_beginning():
+    # Guards against: all changes since an acknowledgement that is forgotten,
+    # again with each heartbeat.
+    fleet = Fleet(make_members(4, zones=1), MembershipOptions(forget_after=20))
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    for name in ('i1', 'i2', 'i3'):
+        fleet.cut_both('i0', name)
+    fleet.run(60)
+    assert 'i0' not in fleet.states('i1')
+    assert 'i1' in fleet.states('i0')
+    fleet.cut.clear()
+    fleet.run(5)
+    fleet.nodes['i0'].put_digest(make_digest(2, resident=(REF,)), fleet.now)
+    fleet.run(20)
+    assert fleet.nodes['i1'].digests()['w1'].sequence == 2
+    fleet.actions['i0'].clear()
+    fleet.run(5)
+    sent = [
+        action.message
+        for action in fleet.actions['i0']
+        if isinstance(action, SendHeartbeat)
+    ]
+    assert sent and not any(each.digests for each in sent)
+
+
+def test_late_acknowledgement_only_repeats_changes():
+    # Guards against: a gap, after acknowledgements in another order.
+    one, other = make_members(2, zones=1)
+    fleet = Fleet([one, other])
+    fleet.run(5)
+    node, peer = fleet.nodes['i0'], fleet.nodes['i1']
+    late = peer._build_heartbeat(one, fleet.now)
+    node.put_digest(make_digest(1), fleet.now)
+    fleet.run(5)
+    node.handle_heartbeat(late, fleet.now)
+    node.put_digest(make_digest(2, resident=(REF,)), fleet.now)
+    fleet.run(5)
+    assert peer.digests()['w1'].sequence == 2
+    assert (
+        node._links.get('i1').acknowledged == node._log.batch(other, 0).number
+    )
+
+
 def test_older_incarnation_does_not_replace_a_newer_one():
     members = make_members(4)
     fleet = Fleet(members)
