Trust no report about an adapter whose eviction is still under way

What callers would see: a request that was granted on an adapter which its engine evicts before the request arrives there. Cause: an order without a response for 5 s leaves its slot uncertain, and a report of 1.5 s later that shows the adapter settled it. The call of the order goes on for up to 30 s, so that the order may arrive after that report; its answer was ignored then, too. Change: until the call of an eviction has ended, no report makes its adapter resident again; a call that was given up counts from its end. At most call_timeout (35 s) after the order, reports count again.

--- a/mintlanding/placement/models.py
+++ b/mintlanding/placement/models.py
@@ -28,6 +28,8 @@
     `load_tries` failed loads in a row, requests for the adapter are refused for
     `load_backoff`, which doubles up to `max_load_backoff`. An adapter with
     queued requests is evicted only if it was not used for `min_unused_time`.
+    An order without a response for `order_timeout` leaves its slot uncertain;
+    its call ends within `call_timeout`.
     """
 
     start_within: float = 2
@@ -35,6 +37,7 @@
     reservation_lifetime: float = 600
     report_timeout: float = 6
     order_timeout: float = 5
+    call_timeout: float = 35
     load_tries: int = 3
     load_backoff: float = 0.5
     max_load_backoff: float = 30
--- a/mintlanding/placement/slots.py
+++ b/mintlanding/placement/slots.py
@@ -10,17 +10,24 @@
     """Slots in use by adapter.
 
     A report shows an earlier time, so it is applied to an adapter only if
-    nothing was done with that adapter here within `report_lag` seconds.
+    nothing was done with that adapter here within `report_lag` seconds. It does
+    not show that an adapter stays whose eviction is still under way: the order
+    may reach the engine until its call ends, after `call_timeout` at most.
     """
 
-    def __init__(self, capacity: int, report_lag: float) -> None:
+    def __init__(
+        self, capacity: int, report_lag: float, call_timeout: float
+    ) -> None:
         """Start with all slots free."""
         self.capacity = capacity
         self.incarnation: int | None = None
         self._lag = report_lag
+        self._call_timeout = call_timeout
         self._slots: dict[AdapterRef, Slot] = {}
         self._removed: dict[AdapterRef, float] = {}
         self._orders: dict[int, AdapterRef] = {}
+        # Times of the evictions whose calls have not ended.
+        self._evictions: dict[int, float] = {}
 
     def __iter__(self) -> Iterator[Slot]:
         """Iterate over the slots in use."""
@@ -61,6 +68,7 @@
         slot.order_id = order_id
         slot.changed = now
         self._orders[order_id] = ref
+        self._evictions[order_id] = now
 
     def settle(
         self, order_id: int, is_occupied: bool, now: float
@@ -72,6 +80,7 @@
         After a failed eviction the slot is uncertain until a report arrives,
         because some engines and networks fail after the eviction took effect.
         """
+        self._evictions.pop(order_id, None)
         ref = self._orders.pop(order_id, None)
         slot = None if ref is None else self._slots.get(ref)
         if slot is None or slot.order_id != order_id:
@@ -85,14 +94,20 @@
         return slot
 
     def mark_uncertain(self, order_id: int, now: float) -> Slot | None:
-        """Mark the slot of an order that may or may not have taken effect."""
+        """Mark the slot of an order that may or may not have taken effect.
+
+        Return it unless it has been uncertain before.
+        """
+        is_eviction = self._evictions.pop(order_id, None) is not None
         ref = self._orders.get(order_id)
         slot = None if ref is None else self._slots.get(ref)
-        if slot is None or slot.order_id != order_id or slot.is_uncertain:
+        if slot is None or slot.order_id != order_id:
             return None
-        slot.is_uncertain = True
-        slot.changed = now
-        return slot
+        was_uncertain = slot.is_uncertain
+        if is_eviction or not was_uncertain:
+            slot.is_uncertain = True
+            slot.changed = now
+        return None if was_uncertain else slot
 
     def overdue(self, before: float) -> list[Slot]:
         """Mark and return the slots whose order was sent before a time."""
@@ -120,6 +135,7 @@
         ]
         self.incarnation = report.incarnation
         self._orders.clear()
+        self._evictions.clear()
         for slot in self:
             if slot.state is SlotState.loading:
                 slot.order_id = 0
@@ -139,7 +155,8 @@
             if is_response_pending or slot.changed >= before:
                 continue
             if slot.ref in resident:
-                self._confirm(slot, now)
+                if not self._is_eviction_under_way(slot, now):
+                    self._confirm(slot, now)
             elif not self._is_loading(slot, loading):
                 self._remove(slot, now)
         for held in report.resident + report.loading:
@@ -160,9 +177,14 @@
     def _is_loading(self, slot: Slot, loading: set[AdapterRef]) -> bool:
         return slot.state is SlotState.loading and slot.ref in loading
 
+    def _is_eviction_under_way(self, slot: Slot, now: float) -> bool:
+        sent_at = self._evictions.get(slot.order_id)
+        return sent_at is not None and now < sent_at + self._call_timeout
+
     def _confirm(self, slot: Slot, now: float) -> None:
         if slot.is_uncertain:
             self._orders.pop(slot.order_id, None)
+            self._evictions.pop(slot.order_id, None)
             self._make_resident(slot, now)
 
     def _add_reported(
@@ -196,4 +218,5 @@
 
     def _remove(self, slot: Slot, now: float) -> None:
         self._slots.pop(slot.ref)
+        self._evictions.pop(slot.order_id, None)
         self._removed[slot.ref] = now
--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -49,7 +49,9 @@
         """Start without a lease and without knowledge of the engine."""
         self._options = options
         self._digests = digests
-        self._slots = SlotTable(spec.slots, options.report_lag)
+        self._slots = SlotTable(
+            spec.slots, options.report_lag, options.call_timeout
+        )
         self._admission = Admission(spec, options)
         self._authority = Authority(spec, options)
         self._planner = LoadPlanner(
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -200,6 +200,50 @@
     assert first.ref != second.ref
 
 
+def order_eviction(steward):
+    fill(steward)
+    for number in (1, 2):
+        steward.release(ReleaseRequest(f'r{number}', 'w', 100), READY)
+    (ask,) = only(
+        steward.reserve(request(3, ref_of(3), wait=60), READY),
+        RequestPermit,
+    )
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    steward.engine_report(report(ref_of(1), ref_of(2)), LATE - 1)
+    steward.tick(LATE)
+    return evict
+
+
+@pytest.mark.parametrize('is_evicted', [True, False])
+def test_report_does_not_settle_an_eviction_that_is_under_way(
+    steward, is_evicted
+):
+    # Guards against: a grant for an adapter that a late order evicts.
+    evict = order_eviction(steward)
+    later = LATE + OPTIONS.report_lag
+    steward.engine_report(report(ref_of(1), ref_of(2)), later)
+    granted = replies(steward.reserve(request(4, evict.ref, wait=60), later))
+    assert ('r4', 0) not in granted
+    actions = steward.evict_done(evict.order_id, is_evicted, later)
+    assert ('r4', 0) not in replies(actions)
+    assert evict.ref not in steward.digest(later).resident
+    held = {ref_of(1), ref_of(2)} - ({evict.ref} if is_evicted else set())
+    after = later + OPTIONS.report_lag + 0.1
+    granted = replies(steward.engine_report(report(*held), after))
+    assert (('r4', 0) in granted) != is_evicted
+
+
+def test_eviction_that_was_given_up_is_settled_by_a_later_report(steward):
+    evict = order_eviction(steward)
+    later = LATE + OPTIONS.report_lag
+    steward.order_unanswered(evict.order_id, later)
+    steward.reserve(request(4, evict.ref, wait=60), later)
+    both = report(ref_of(1), ref_of(2))
+    assert ('r4', 0) not in replies(steward.engine_report(both, later + 1))
+    after = later + OPTIONS.report_lag + 0.1
+    assert ('r4', 0) in replies(steward.engine_report(both, after))
+
+
 @pytest.mark.parametrize('had_effect', [True, False])
 def test_eviction_that_failed_grants_nothing_before_a_report(
     steward,
