Let evictions arrive late in a machine of stewards

The machines of stewards carried out each order as it was sent. In a third one evictions stay on their way, also after their order timed out, while reports, requests and new stewards pass them by, until their calls end.

--- a/mintlanding/placement/tests/test_steward_machine.py
+++ b/mintlanding/placement/tests/test_steward_machine.py
@@ -452,5 +452,64 @@
     checks_fencing = False
 
 
+class LateEvictionsMachine(StewardMachine):
+    """The same with evictions that arrive late, until their calls end.
+
+    The engine checks tokens: evictions of former stewards come as late.
+    """
+
+    def __init__(self):
+        self.is_holding = False
+        self.held = []
+        super().__init__()
+
+    def execute(self, steward, action):
+        if not (self.is_holding and isinstance(action, EvictOrder)):
+            super().execute(steward, action)
+            return
+        self.check_order(steward, action)
+        self.held.append((self.now, steward, action))
+
+    @rule(is_holding=st.booleans())
+    def hold_evictions(self, is_holding):
+        self.is_holding = is_holding
+
+    @rule(index=st.integers(0, 3))
+    def arrive(self, index):
+        if index < len(self.held):
+            _, steward, order = self.held.pop(index)
+            self.engine.execute(steward, order)
+
+    @rule(first=st.integers(0, len(REFS) - 1), rounds=st.integers(1, 5))
+    def overtake_evictions(self, first, rounds):
+        """Let reports and requests pass by the evictions under way."""
+        self.ask_for_others(first, False)
+        while self.active:
+            self.serve_and_release()
+        self.is_holding = True
+        self.ask_for_others(first + SLOTS, False)
+        for _ in range(rounds):
+            self.advance(2)
+            self.engine.snapshots.clear()
+            self.measure_and_deliver()
+        for _, _, order in self.held:
+            self.reserve(REFS.index(order.ref), 30, 0, ENTRIES[0], 'one', False)
+        self.arrive(0)
+
+    @invariant()
+    def calls_end(self):
+        due = [
+            each
+            for each in self.held
+            if self.now >= each[0] + OPTIONS.call_timeout
+        ]
+        for each in due:
+            self.held.remove(each)
+            _, steward, order = each
+            actions = steward.order_unanswered(order.order_id, self.now)
+            self.run(steward, actions)
+
+
+TestLateEvictions = LateEvictionsMachine.TestCase
 TestChecked = StewardMachine.TestCase
 TestUnchecked = UncheckedStewardMachine.TestCase
