Count a report of pins only for the steward that it was sent to

What callers would see: an adapter in use that is evicted after a worker went to another agent and came back. Cause: a report of an entry's reservations named no token. One that was sent under an earlier lease of an agent and arrived under a later one counted as that entry's report, without the reservations of the time between; those that had ended were pinned again. Change: the report names the token of the steward (fencing, last and with a default); a steward ignores reports to an earlier one. Reports of older builds name none and count as before. Measured: test_pins_reported_under_an_earlier_lease_do_not_count failed before with the late report (it counted) and passes; so do mintlanding/agent, mintlanding/entry, the steward's tests and the wire samples (640).

--- a/mintlanding/agent/steward_runner.py
+++ b/mintlanding/agent/steward_runner.py
@@ -115,7 +115,12 @@
         self.execute(self.steward.release(req, self._context.now))
 
     def handle_pins(self, report: PinReport) -> None:
-        """Pass the active reservations of an entry to the steward."""
+        """Pass the active reservations of an entry to the steward.
+
+        A report to an earlier steward may lack reservations of the time since.
+        """
+        if report.fencing not in {0, self.steward.fencing}:
+            return
         self.pinned_entries.add(report.entry)
         self.execute(self.steward.pins(report, self._context.now))
 
--- a/mintlanding/agent/tests/test_late_answers.py
+++ b/mintlanding/agent/tests/test_late_answers.py
@@ -4,7 +4,7 @@
 
 from mintlanding.agent.tests.steward_world import OWN, WORKER, StewardWorld
 from mintlanding.membership.models import Member
-from mintlanding.placement.messages import WorkerDigest
+from mintlanding.placement.messages import PinReport, WorkerDigest
 from mintlanding.standin.engine_model import OrderResult
 
 OTHER = Member('i1', OWN.zone, OWN.region, '127.0.0.1:2', incarnation=8)
@@ -120,3 +120,18 @@
     await world.until(lambda: world.token > earlier)
     assert world.runner is runner
     await world.settle(lambda: world.engine.model.fencing == world.token)
+
+
+@pytest.mark.parametrize('is_late', [True, False])
+async def test_pins_reported_under_an_earlier_lease_do_not_count(
+    world, is_late
+):
+    # Guards against: evictions before the pins since then are known.
+    await world.until(lambda: world.runner)
+    earlier = world.token
+    await world.lapse()
+    await world.until(lambda: world.token > earlier)
+    token = earlier if is_late else world.token
+    report = PinReport(WORKER, 'entry', fencing=token)
+    await world.stewards._handle_pins(report, 'entry')
+    assert ('entry' in world.runner.pinned_entries) != is_late
--- a/mintlanding/entry/pin_reports.py
+++ b/mintlanding/entry/pin_reports.py
@@ -42,7 +42,9 @@
                 await self._client.call(
                     digest.steward_address,
                     REPORT_PINS,
-                    self._pins.report(digest.worker, self._instance),
+                    self._pins.report(
+                        digest.worker, self._instance, digest.fencing
+                    ),
                     TIMEOUT_SECONDS,
                 )
             except PeerError as exc:
--- a/mintlanding/entry/pins.py
+++ b/mintlanding/entry/pins.py
@@ -26,7 +26,7 @@
         if not refs:
             self._by_worker.pop(worker, None)
 
-    def report(self, worker: str, entry: str) -> PinReport:
+    def report(self, worker: str, entry: str, fencing: int) -> PinReport:
         """Return all reservations on a worker."""
         refs = self._by_worker.get(worker, {})
-        return PinReport(worker, entry, tuple(sorted(refs.items())))
+        return PinReport(worker, entry, tuple(sorted(refs.items())), fencing)
--- a/mintlanding/placement/messages.py
+++ b/mintlanding/placement/messages.py
@@ -98,11 +98,15 @@
 
 
 class PinReport(msgspec.Struct, frozen=True, omit_defaults=True):
-    """All reservations that an entry has on one worker, for a new steward."""
+    """All reservations that an entry has on one worker, for a new steward.
+
+    `fencing` is the steward's token, 0 from older builds.
+    """
 
     worker: str
     entry: str
     pins: tuple[tuple[str, AdapterRef], ...] = ()
+    fencing: int = 0
 
 
 class EngineReport(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -863,6 +863,7 @@
                 placement.AdapterRef(adapter='text-427', version='text-428'),
             ),
         ),
+        fencing=429,
     ),
     'placement.EngineReport': placement.EngineReport(
         worker='text-429',
@@ -1353,6 +1354,16 @@
             path_port=621,
         )
     ),
+    'placement.PinReport, without a token': placement.PinReport(
+        worker='text-424',
+        entry='text-425',
+        pins=(
+            (
+                'text-426',
+                placement.AdapterRef(adapter='text-427', version='text-428'),
+            ),
+        ),
+    ),
     'lease_calls.StewardRecord, without a lease': lease_client.StewardRecord(
         instance='text-522', incarnation=623
     ),
