--- a/mintlanding/placement/steward.py
+++ b/mintlanding/placement/steward.py
@@ -49,7 +49,9 @@
         """Start without a lease and without knowledge of the engine."""
         self._options = options
         self._digests = digests
-        self._slots = SlotTable(spec.slots, options.report_lag)
+        self._slots = SlotTable(
+            spec.slots, options.report_lag, options.call_timeout
+        )
         self._admission = Admission(spec, options)
         self._authority = Authority(spec, options)
         self._planner = LoadPlanner(
@@ -80,6 +82,11 @@
         """Return the state of the lease."""
         return self._authority.state
 
+    @property
+    def fencing(self) -> int:
+        """Return the fencing token of new orders."""
+        return self._authority.fencing
+
     def reserve(self, req: ReserveRequest, now: float) -> Sequence[Action]:
         """Queue a reservation; the reply is in these actions or later ones."""
         self._authority.advance(now)
