Answer statuses that are none with 502 at once

A target that answered with status 000, or any other below 100, was taken for one that sends an interim answer: the client waited for a final one to the end of the request's time, and the caller got 504. A status of 600 or above was passed on to the caller as it came.

Cause: every status below 200 counted as interim and every other as final. Now 100 to 199 without 101, which nothing asks for, are interim and 200 to 599 are final. Any other fails the exchange at once and closes the connection; a route that allows it tries another target, else the caller gets 502. Nothing that follows a failed answer in the same bytes is taken any more, and a member that passes bytes on learns nothing after such a status. Interim answers without end are bounded by `header_bytes` as before.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -19,6 +19,8 @@
 )
 from mintlanding.core.numbers import parse_count
 from mintlanding.http1.models import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
     NO_BODY_STATUSES,
     BodyFraming,
     ClientOptions,
@@ -29,7 +31,6 @@
 Address = tuple[str, int]
 
 _MILLISECONDS = 1000
-_FIRST_FINAL_STATUS = 200
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
@@ -106,7 +107,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; close on bytes that belong to no exchange."""
-        if not self._is_busy or self._is_complete:
+        if not self._is_busy or self._is_over:
             self.abort()
             return
         self._unparsed += len(chunk)
@@ -203,7 +204,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response; a second one was not requested."""
-        if self._is_complete:
+        if self._is_over:
             self._may_reuse = False
             return
         self._head = ResponseHead(0)
@@ -211,7 +212,7 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Collect a header, up to the size limit."""
-        if self._is_complete or self._head is None:
+        if self._is_over or self._head is None:
             return
         self._header_bytes += len(name) + len(field)
         limit = self._options.header_bytes
@@ -221,12 +222,18 @@
         self._head.headers.append((name.lower(), field))
 
     def on_headers_complete(self) -> None:
-        """Publish the head of a final response; ignore an interim one."""
-        if self._is_complete or self._head is None:
+        """Publish the head of a final response; ignore an interim one.
+
+        A status that is neither fails the exchange at once.
+        """
+        if self._is_over or self._head is None:
             return
         head = self._head
         head.status = self._parser.get_status_code()
-        if head.status < _FIRST_FINAL_STATUS:
+        if head.status in INTERIM_STATUSES:
+            return
+        if head.status not in FINAL_STATUSES:
+            self._reject(f'status {head.status:03} is no answer to a request')
             return
         head.framing = _framing(head)
         self._may_reuse = (
@@ -239,7 +246,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        if self._is_complete:
+        if self._is_over:
             return
         self._unparsed = 0
         self._chunks.append(chunk)
@@ -250,10 +257,15 @@
 
     def on_message_complete(self) -> None:
         """Record the end of a final response."""
-        if self._has_head:
+        if self._has_head and not self._is_over:
             self._is_complete = True
             self._wake()
 
+    @property
+    def _is_over(self) -> bool:
+        """Tell whether the response is complete or has failed."""
+        return self._is_complete or self._error is not None
+
     def _bound_silence(self, size: int) -> None:
         """Let the server read nothing for longer while a body is sent."""
         is_large = size > UNREAD_BYTES
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -6,6 +6,9 @@
 # Names are lower case; values are as received.
 Headers = list[tuple[bytes, bytes]]
 NO_BODY_STATUSES = frozenset((204, 304))
+# 101 answers an upgrade, which no request asks for.
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+FINAL_STATUSES = range(200, 600)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -406,3 +406,39 @@
             await asyncio.wait_for(peer.closed.wait(), 5)
         assert await conn.read_body(5) == b'ok'
         assert not conn.is_reusable
+
+
+NO_STATUSES = [
+    b'000 Odd',
+    b'000',
+    b'001 Odd',
+    b'099 Odd',
+    b'101 Switching Protocols',
+    b'600 Odd',
+    b'999 Odd',
+]
+NO_STATUS_LINES = [b'20 OK', b'2000 OK', b'2x0 OK', b'-20 OK', b'200OK', b'']
+
+
+@pytest.mark.parametrize('line', NO_STATUSES + NO_STATUS_LINES)
+async def test_status_that_is_none_is_invalid_at_once(line):
+    """Guards against waiting for a final answer, and against passing it on."""
+    odd = b'HTTP/1.1 ' + line + b'\r\nContent-Length: 2\r\n\r\nok'
+    for response in (odd, odd + COMPLETE):
+        async with Peer(response) as peer:
+            conn = await peer.pool.acquire(peer.address)
+            conn.send(REQUEST)
+            async with asyncio.timeout(5):
+                with pytest.raises(InvalidResponse):
+                    await conn.read_head(30)
+                with pytest.raises(InvalidResponse):
+                    await conn.read_body(30)
+            peer.pool.release(conn)
+            assert not conn.is_open
+
+
+async def test_status_that_is_none_after_an_interim_one_is_invalid():
+    response = b'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n'
+    async with Peer(response) as peer:
+        with pytest.raises(InvalidResponse):
+            await peer.call(seconds=30)
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -17,7 +17,12 @@
 from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import UNREAD_BYTES, Address, set_user_timeout
-from mintlanding.http1.models import ClientOptions, ResponseHead
+from mintlanding.http1.models import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
+    ClientOptions,
+    ResponseHead,
+)
 from mintlanding.http1.receiving import ReceivingProtocol
 from mintlanding.paths.frames import END, FrameBuffer, FrameTooLarge, frame
 from mintlanding.paths.messages import (
@@ -41,8 +46,6 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 
-_FIRST_FINAL_STATUS = 200
-
 # Returns the address of a target, or the reason why there is no path to it.
 Resolver = Callable[[str, int], Address | str]
 # Takes name and incarnation of a target, and the head of its response.
@@ -161,6 +164,7 @@
         self._header_bytes = header_bytes
         # Bytes received since the last head or part of a body.
         self._unparsed = 0
+        self._is_invalid = False
         self._head = ResponseHead(0)
         self._parser: Any = HttpResponseParser(self)
 
@@ -174,7 +178,7 @@
         except HttpParserError:
             # The member judges the response; here only its head counts.
             self._parser = None
-        if self._unparsed > self._header_bytes:
+        if self._is_invalid or self._unparsed > self._header_bytes:
             self._parser = None
 
     def on_header(self, name: bytes, field: bytes) -> None:
@@ -182,12 +186,19 @@
         self._head.headers.append((name.lower(), field))
 
     def on_headers_complete(self) -> None:
-        """Report the head of a final response."""
+        """Report the head of a final response.
+
+        Nothing is learned after a status that is none.
+        """
+        if self._is_invalid:
+            return
         head = ResponseHead(self._parser.get_status_code(), self._head.headers)
         self._head = ResponseHead(0)
-        if head.status >= _FIRST_FINAL_STATUS:
+        if head.status in FINAL_STATUSES:
             self._unparsed = 0
             self._on_head(head)
+        elif head.status not in INTERIM_STATUSES:
+            self._is_invalid = True
 
     def on_body(self, chunk: bytes) -> None:
         """Count only what comes after a part of a body."""
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -329,6 +329,16 @@
     assert peak < 1 << 20
 
 
+@pytest.mark.parametrize('line', [b'000', b'099 Odd', b'101 Odd', b'600 Odd'])
+def test_nothing_is_learned_after_a_status_that_is_none(line):
+    heads = []
+    reader = _HeadReader(heads.append, 4096)
+    odd = b'HTTP/1.1 ' + line + b'\r\nContent-Length: 2\r\n\r\nok'
+    reader.feed(odd + WHOLE)
+    reader.feed(WHOLE)
+    assert not heads
+
+
 async def wait_for(condition):
     async with asyncio.timeout(5):
         while not condition():
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -297,6 +297,8 @@
     stale: StaleResponse | None = None
     # Share of the head of a response after which its connection is closed.
     broken_head: float = 0
+    # What follows the version in the status lines of its responses.
+    status_line: bytes = b''
     # Status of its responses without a body, 0 for others.
     bare_status: int = 0
     # Response to a request that goes on with a stream.
@@ -614,8 +616,8 @@
             self.crashing = asyncio.ensure_future(self.crash())
         elif faults.broken_head:
             _break_head(req, headers, faults.broken_head)
-        elif faults.bare_status:
-            req.respond(faults.bare_status, headers, b'')
+        elif faults.bare_status or faults.status_line:
+            _send_odd_status(req, headers, faults)
         elif faults.on_resume and req.get(b'last-event-id'):
             faults.on_resume.send(req, headers)
         elif self.service == 'engines':
@@ -676,6 +678,18 @@
     req.conn.close()
 
 
+def _send_odd_status(req, headers, faults):
+    """Respond with a status line as given, and keep the connection."""
+    if not faults.status_line:
+        req.respond(faults.bare_status, headers, b'')
+        return
+    _, _, fields = head_bytes(
+        200, [*headers, (b'content-length', b'2')]
+    ).partition(b'\r\n')
+    req.conn.write(b'HTTP/1.1 ' + faults.status_line + b'\r\n' + fields + b'ok')
+    req.is_answered = True
+
+
 async def _drip_bytes(req):
     while not req.is_disconnected:
         req.write(b':')
