Take no status that is none from targets of the product's own entry

A caller of /services/ would get a status of 000, 099, 600 or 2000 as it came from the service, and 200 for "200OK" or for 20 with a length; the client of engines took them for errors of the engine.

Cause: aiosonic takes any number in the status line, and anything after it. The connection now checks the line; anything but HTTP/1.0 or 1.1 with a status of 200 to 599 is an invalid response. Interim answers were invalid before (they have no length) and stay so.

--- a/mintlanding/core/http_transport.py
+++ b/mintlanding/core/http_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ipaddress
+import re
 import socket
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import HttpParsingError
 from aiosonic.pools import WsPool
 from aiosonic.resolver import AbstractResolver
 from httptools import HttpParserError, HttpResponseParser
@@ -21,6 +23,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 11_000),
 )
+# The expression of aiosonic takes any number, and anything after it.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [2-5][0-9]{2}(?: [^\r\n]*)?\r?\n')
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
@@ -58,6 +62,16 @@
         current_attempt.get().is_sent = True
         super().write(data)
 
+    async def readuntil(self, separator: bytes = b'\n') -> bytes:
+        """Return the status line, all that aiosonic reads with this method.
+
+        Raise HttpParsingError for one without a final status.
+        """
+        line = bytes(await super().readuntil(separator))
+        if _STATUS_LINE.fullmatch(line) is None:
+            raise HttpParsingError(f'no final status in {line!r}')
+        return line
+
     async def __aexit__(self, exc_type: Any, exc: Any, trace: Any) -> None:
         """Close, even where aiosonic would keep it for the next request."""
         self.keep = False
--- a/mintlanding/core/tests/test_http_client.py
+++ b/mintlanding/core/tests/test_http_client.py
@@ -165,3 +165,42 @@
         with pytest.raises(error) as caught:
             await HttpClient.from_config().call(HttpRequest('GET', f'{url}/x'))
     assert caught.type is error
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        '1.1 000 Odd',
+        '1.1 000',
+        '1.1 099 Odd',
+        '1.1 101 Switching Protocols',
+        '1.1 600 Odd',
+        '1.1 20 OK',
+        '1.1 2000 OK',
+        '1.1 200OK',
+        '7 200 OK',
+    ],
+)
+async def test_status_that_is_none_is_an_invalid_response(line):
+    """Guards against passing it on to a caller."""
+
+    async def respond(path, writer):
+        head = f'HTTP/{line}\r\ncontent-length: 2\r\n\r\nok'
+        writer.write(head.encode())
+
+    async with raw_server(respond) as (url, _):
+        with pytest.raises(InvalidResponse):
+            await HttpClient.from_config().call(HttpRequest('GET', f'{url}/x'))
+
+
+@pytest.mark.parametrize('line', ['200 OK', '200', '200 ', '418 I am', '599 x'])
+async def test_final_status_is_taken_with_any_reason(line):
+    async def respond(path, writer):
+        head = f'HTTP/1.1 {line}\r\ncontent-length: 2\r\n\r\nok'
+        writer.write(head.encode())
+
+    async with raw_server(respond) as (url, _):
+        response = await HttpClient.from_config().call(
+            HttpRequest('GET', f'{url}/x')
+        )
+    assert (response.status, response.body) == (int(line[:3]), b'ok')
