Take no answer as whole whose reset is hidden by an end before it

A target answered a long upload at once with a 200 without a length, sent part of its body, ended its side of the connection and then reset it while the upload was still being written. The caller got the part as a complete answer, on all kinds of routes, directly and through a member.

Cause: the end of the target's side completed the body, whatever became of the request. On Linux a reset that follows an end in quick succession is reported as the end only, since reading prefers it to the error; a later one comes when nobody reads any more. A reset without such an end was seen before, too.

Now such an end completes a body once the kernel of the target has taken the whole request and has not reset the connection; until then the request is written on. A target that reads a request to its end after its answer is believed as before. A member that passes bytes on does the same, and then tells the end; if bytes of the request are on the way to it at that moment, the response is lost. A target that ends its answer, reads nothing more and does not close is waited for up to the end of the request's time or of the time that a peer may read nothing.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -18,6 +18,11 @@
     ResponseTimeout,
 )
 from mintlanding.core.numbers import parse_count
+from mintlanding.http1.delivery import (
+    DELIVERY_SECONDS,
+    Delivery,
+    delivery,
+)
 from mintlanding.http1.models import (
     FINAL_STATUSES,
     INTERIM_STATUSES,
@@ -49,6 +54,8 @@
         self._exchanges = 0
         self._transport: asyncio.Transport | None = None
         self._is_large = False
+        # Runs while a body has ended, but the request is not taken whole.
+        self._end_timer: asyncio.TimerHandle | None = None
         self._head: ResponseHead | None = None
         self._is_complete = False
         self._reset_exchange()
@@ -93,17 +100,18 @@
         """Complete a body that the server's close delimits.
 
         The transport closes itself and reports any other body as lost. A close
-        by this side never completes a body.
+        by this side never completes a body. While the server has not taken the
+        whole request, a reset may follow, which shows that it has broken off.
         """
         self._may_reuse = False
         head = self._head
         ends_body = (
             self._has_head and head is not None and not head.is_delimited
         )
-        if self._is_busy and ends_body and self._error is None:
-            self._is_complete = True
-            self._wake()
-        return False
+        if not self._is_busy or self._is_over or not ends_body:
+            return False
+        self._end_body()
+        return not self._is_over
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; close on bytes that belong to no exchange."""
@@ -266,6 +274,30 @@
         """Tell whether the response is complete or has failed."""
         return self._is_complete or self._error is not None
 
+    def _end_body(self) -> None:
+        """Complete the response once the server has taken the request."""
+        if self._is_over or self._transport is None:
+            return
+        found = delivery(self._transport)
+        if found is Delivery.reset:
+            self._lose_body('the connection was reset at the end of the body')
+        elif found is Delivery.taken:
+            self._is_complete = True
+            self._wake()
+        else:
+            self._await_delivery()
+
+    def _lose_body(self, reason: str) -> None:
+        self._fail(ResponseLost(reason))
+        self.abort()
+
+    def _await_delivery(self) -> None:
+        # A pause in reading lets the same end be reported again.
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._end_timer = loop.call_later(DELIVERY_SECONDS, self._end_body)
+
     def _bound_silence(self, size: int) -> None:
         """Let the server read nothing for longer while a body is sent."""
         is_large = size > UNREAD_BYTES
--- a/mintlanding/node/path_client.py
+++ b/mintlanding/node/path_client.py
@@ -108,6 +108,10 @@
                 ClientConnection.eof_received(self)
             payload = self._frames.take()
 
+    def _await_delivery(self) -> None:
+        """Lose the response: nothing is passed on after the target's end."""
+        self._lose('the target ended before the request was passed on')
+
     def _lose(self, reason: str) -> None:
         if not self._reply.done():
             self._reply.set_result(PathReply(reason))
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -17,6 +17,12 @@
 from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import UNREAD_BYTES, Address, set_user_timeout
+from mintlanding.http1.delivery import (
+    DELIVERY_SECONDS,
+    Delivery,
+    delivery,
+    unread_bytes,
+)
 from mintlanding.http1.models import (
     FINAL_STATUSES,
     INTERIM_STATUSES,
@@ -219,6 +225,8 @@
     ) -> None:
         super().__init__(server)
         self._reader = _HeadReader(on_head, server.options.header_bytes)
+        # Runs while the target has ended, but not taken all bytes.
+        self._timer: asyncio.TimerHandle | None = None
 
     def data_received(self, chunk: bytes) -> None:
         """Pass bytes on to the member."""
@@ -226,18 +234,52 @@
             self.peer.write(frame(chunk))
             self._reader.feed(chunk)
 
+    def eof_received(self) -> bool:
+        """Go on passing bytes to a target that has not taken them all.
+
+        A reset may follow, which shows that its response has broken off.
+        """
+        if not self._is_taken():
+            self._end_later()
+        return self._timer is not None
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the member of an end in order, after all bytes of the target.
 
         Without it the member knows that the connection broke.
         """
         self.release()
+        if self._timer is not None:
+            self._timer.cancel()
         if self.peer is None:
             return
         if exc is None and not self._is_broken:
             self.peer.write(END)
         self.peer.close()
 
+    def _end_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(DELIVERY_SECONDS, self._end)
+
+    def _end(self) -> None:
+        """Close once the target has taken what the member has sent."""
+        if self._is_taken():
+            self.close()
+        else:
+            self._end_later()
+
+    def _is_taken(self) -> bool:
+        """Tell whether all bytes are taken; break the path after a reset."""
+        if self.transport is None or self.peer is None:
+            return True
+        found = delivery(self.transport)
+        if found is Delivery.reset:
+            self.reset()
+            return True
+        if found is Delivery.under_way or self.peer.transport is None:
+            return False
+        return not unread_bytes(self.peer.transport)
+
 
 class _MemberSide(_Side):
     """The connection of a member that asks for a path."""
--- a/mintlanding/node/tests/test_paths.py
+++ b/mintlanding/node/tests/test_paths.py
@@ -1,6 +1,7 @@
 """Paths to targets through a member: what it passes on, refuses and ends."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import tracemalloc
@@ -14,6 +15,7 @@
 from mintlanding.http1.client import ConnectionPool
 from mintlanding.http1.models import ClientOptions, MessageLimits
 from mintlanding.http1.server import CallerServer
+from mintlanding.http1.tests.early_server import BREAKING, ENDING, EarlyServer
 from mintlanding.node.path_client import PathClient, PathIdentity
 from mintlanding.node.path_server import PathServer, _HeadReader
 from mintlanding.platform.records import decode_target
@@ -345,6 +347,50 @@
             await asyncio.sleep(0.01)
 
 
+@contextlib.asynccontextmanager
+async def early_answer(part, ending):
+    """A world whose target answers before it has read a request."""
+    early = EarlyServer(b'x' * part, ending)
+    async with World() as world, early as server:
+        world.entry = decode_target(
+            'servers/t1',
+            encode({**ENTRY, 'addr': '{0}:{1}'.format(*server.address)}),
+        )
+        yield world
+
+
+async def ask_early(world):
+    size = 16 << 20
+    conn = await world.open(lifetime=8)
+    conn.send(
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n' % size
+        + b'u' * size
+    )
+    try:
+        await conn.read_head(5)
+        return await conn.read_body(5)
+    finally:
+        world.pool.release(conn)
+
+
+@pytest.mark.parametrize('ending', BREAKING)
+@pytest.mark.parametrize('part', [16, 960 << 10])
+async def test_answer_that_is_reset_amid_the_request_is_lost(ending, part):
+    async with early_answer(part, ending) as world:
+        async with asyncio.timeout(8):
+            with pytest.raises(ResponseLost):
+                await ask_early(world)
+
+
+@pytest.mark.parametrize('ending', ENDING)
+@pytest.mark.parametrize('part', [16, 960 << 10])
+async def test_answer_whose_target_reads_the_request_to_its_end_is_whole(
+    ending, part
+):
+    async with early_answer(part, ending) as world:
+        assert await ask_early(world) == b'x' * part
+
+
 class BudgetWorld(World):
     """A member that draws on a small budget, and small kernel buffers."""
 
