Show that services' answers without a length are no results

The product's own entry takes no answer of a service without a length or chunks, whether its connection is reset or ended amid the upload: the call fails, and counts as one that may have run. Nothing had to change there.

--- a/mintlanding/engines/tests/test_plain.py
+++ b/mintlanding/engines/tests/test_plain.py
@@ -5,6 +5,7 @@
 from mintlanding.core.results import Done, Failed, Ran, ResultCode
 from mintlanding.engines.models import TargetTimeouts
 from mintlanding.engines.plain import PlainClient
+from mintlanding.http1.tests.early_server import BREAKING, ENDING, EarlyServer
 from mintlanding.standin.faults import Faults
 from mintlanding.standin.plain import PlainStandin
 from mintlanding.standin.settings import StandinSettings
@@ -90,3 +91,17 @@
     outcome = await client.call('POST', '/orders', [], _ORDER)
     assert isinstance(outcome, Done)
     assert standin.records.counts['order o-1'] == 1
+
+
+@pytest.mark.parametrize('ending', BREAKING + ENDING)
+@pytest.mark.parametrize('part', [16, 960 << 10])
+async def test_answer_without_length_amid_the_request_is_no_result(
+    ending, part
+):
+    async with EarlyServer(b'x' * part, ending) as server:
+        url = 'http://{0}:{1}'.format(*server.address)
+        client = PlainClient.from_config(url)
+        outcome = await client.call('POST', '/orders', [], b'u' * (3 << 20))
+        await client.close()
+    assert isinstance(outcome, Failed)
+    assert outcome.ran is Ran.unknown
