--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -19,7 +19,14 @@
     ResponseTimeout,
 )
 from mintlanding.core.numbers import parse_count
+from mintlanding.http1.delivery import (
+    DELIVERY_SECONDS,
+    Delivery,
+    delivery,
+)
 from mintlanding.http1.models import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
     NO_BODY_STATUSES,
     BodyFraming,
     ClientOptions,
@@ -30,7 +37,6 @@
 Address = tuple[str, int]
 
 _MILLISECONDS = 1000
-_FIRST_FINAL_STATUS = 200
 # Times the timeout of one chunk that a whole body may take.
 _BODY_TIMEOUTS = 4
 _KEEP_ALIVE = b'timeout='
@@ -51,6 +57,8 @@
         self._exchanges = 0
         self._transport: asyncio.Transport | None = None
         self._is_large = False
+        # Runs while a body has ended, but the request is not taken whole.
+        self._end_timer: asyncio.TimerHandle | None = None
         self._head: ResponseHead | None = None
         self._is_complete = False
         self._reset_exchange()
@@ -95,21 +103,22 @@
         """Complete a body that the server's close delimits.
 
         The transport closes itself and reports any other body as lost. A close
-        by this side never completes a body.
+        by this side never completes a body. While the server has not taken the
+        whole request, a reset may follow, which shows that it has broken off.
         """
         self._may_reuse = False
         head = self._head
         ends_body = (
             self._has_head and head is not None and not head.is_delimited
         )
-        if self._is_busy and ends_body and self._error is None:
-            self._is_complete = True
-            self._wake()
-        return False
+        if not self._is_busy or self._is_over or not ends_body:
+            return False
+        self._end_body()
+        return not self._is_over
 
     def data_received(self, chunk: bytes) -> None:
         """Parse a chunk; close on bytes that belong to no exchange."""
-        if not self._is_busy or self._is_complete:
+        if not self._is_busy or self._is_over:
             self.abort()
             return
         self._unparsed += len(chunk)
@@ -206,7 +215,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response; a second one was not requested."""
-        if self._is_complete:
+        if self._is_over:
             self._may_reuse = False
             return
         self._head = ResponseHead(0)
@@ -214,7 +223,7 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Collect a header, up to the size limit."""
-        if self._is_complete or self._head is None:
+        if self._is_over or self._head is None:
             return
         self._header_bytes += len(name) + len(field)
         limit = self._options.header_bytes
@@ -224,12 +233,18 @@
         self._head.headers.append((name.lower(), field))
 
     def on_headers_complete(self) -> None:
-        """Publish the head of a final response; ignore an interim one."""
-        if self._is_complete or self._head is None:
+        """Publish the head of a final response; ignore an interim one.
+
+        A status that is neither fails the exchange at once.
+        """
+        if self._is_over or self._head is None:
             return
         head = self._head
         head.status = self._parser.get_status_code()
-        if head.status < _FIRST_FINAL_STATUS:
+        if head.status in INTERIM_STATUSES:
+            return
+        if head.status not in FINAL_STATUSES:
+            self._reject(f'status {head.status:03} is no answer to a request')
             return
         head.framing = _framing(head)
         self._may_reuse = (
@@ -242,7 +257,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        if self._is_complete:
+        if self._is_over:
             return
         self._unparsed = 0
         self._chunks.append(chunk)
@@ -253,9 +268,38 @@
 
     def on_message_complete(self) -> None:
         """Record the end of a final response."""
-        if self._has_head:
+        if self._has_head and not self._is_over:
+            self._is_complete = True
+            self._wake()
+
+    @property
+    def _is_over(self) -> bool:
+        """Tell whether the response is complete or has failed."""
+        return self._is_complete or self._error is not None
+
+    def _end_body(self) -> None:
+        """Complete the response once the server has taken the request."""
+        if self._is_over or self._transport is None:
+            return
+        found = delivery(self._transport)
+        if found is Delivery.reset:
+            self._lose_body('the connection was reset at the end of the body')
+        elif found is Delivery.taken:
             self._is_complete = True
             self._wake()
+        else:
+            self._await_delivery()
+
+    def _lose_body(self, reason: str) -> None:
+        self._fail(ResponseLost(reason))
+        self.abort()
+
+    def _await_delivery(self) -> None:
+        # A pause in reading lets the same end be reported again.
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._end_timer = loop.call_later(DELIVERY_SECONDS, self._end_body)
 
     def _bound_silence(self, size: int) -> None:
         """Let the server read nothing for longer while a body is sent."""
--- a/mintlanding/node/path_server.py
+++ b/mintlanding/node/path_server.py
@@ -17,7 +17,18 @@
 from mintlanding.core.listening import listen
 from mintlanding.core.logs import Logger, describe_exception
 from mintlanding.http1.client import UNREAD_BYTES, Address, set_user_timeout
-from mintlanding.http1.models import ClientOptions, ResponseHead
+from mintlanding.http1.delivery import (
+    DELIVERY_SECONDS,
+    Delivery,
+    delivery,
+    unread_bytes,
+)
+from mintlanding.http1.models import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
+    ClientOptions,
+    ResponseHead,
+)
 from mintlanding.http1.receiving import ReceivingProtocol
 from mintlanding.paths.frames import END, FrameBuffer, FrameTooLarge, frame
 from mintlanding.paths.messages import (
@@ -41,8 +52,6 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 
-_FIRST_FINAL_STATUS = 200
-
 # Returns the address of a target, or the reason why there is no path to it.
 Resolver = Callable[[str, int], Address | str]
 # Takes name and incarnation of a target, and the head of its response.
@@ -161,6 +170,7 @@
         self._header_bytes = header_bytes
         # Bytes received since the last head or part of a body.
         self._unparsed = 0
+        self._is_invalid = False
         self._head = ResponseHead(0)
         self._parser: Any = HttpResponseParser(self)
 
@@ -174,7 +184,7 @@
         except HttpParserError:
             # The member judges the response; here only its head counts.
             self._parser = None
-        if self._unparsed > self._header_bytes:
+        if self._is_invalid or self._unparsed > self._header_bytes:
             self._parser = None
 
     def on_header(self, name: bytes, field: bytes) -> None:
@@ -182,12 +192,19 @@
         self._head.headers.append((name.lower(), field))
 
     def on_headers_complete(self) -> None:
-        """Report the head of a final response."""
+        """Report the head of a final response.
+
+        Nothing is learned after a status that is none.
+        """
+        if self._is_invalid:
+            return
         head = ResponseHead(self._parser.get_status_code(), self._head.headers)
         self._head = ResponseHead(0)
-        if head.status >= _FIRST_FINAL_STATUS:
+        if head.status in FINAL_STATUSES:
             self._unparsed = 0
             self._on_head(head)
+        elif head.status not in INTERIM_STATUSES:
+            self._is_invalid = True
 
     def on_body(self, chunk: bytes) -> None:
         """Count only what comes after a part of a body."""
@@ -208,6 +225,8 @@
     ) -> None:
         super().__init__(server)
         self._reader = _HeadReader(on_head, server.options.header_bytes)
+        # Runs while the target has ended, but not taken all bytes.
+        self._timer: asyncio.TimerHandle | None = None
 
     def data_received(self, chunk: bytes) -> None:
         """Pass bytes on to the member."""
@@ -215,18 +234,52 @@
             self.peer.write(frame(chunk))
             self._reader.feed(chunk)
 
+    def eof_received(self) -> bool:
+        """Go on passing bytes to a target that has not taken them all.
+
+        A reset may follow, which shows that its response has broken off.
+        """
+        if not self._is_taken():
+            self._end_later()
+        return self._timer is not None
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the member of an end in order, after all bytes of the target.
 
         Without it the member knows that the connection broke.
         """
         self.release()
+        if self._timer is not None:
+            self._timer.cancel()
         if self.peer is None:
             return
         if exc is None and not self._is_broken:
             self.peer.write(END)
         self.peer.close()
 
+    def _end_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(DELIVERY_SECONDS, self._end)
+
+    def _end(self) -> None:
+        """Close once the target has taken what the member has sent."""
+        if self._is_taken():
+            self.close()
+        else:
+            self._end_later()
+
+    def _is_taken(self) -> bool:
+        """Tell whether all bytes are taken; break the path after a reset."""
+        if self.transport is None or self.peer is None:
+            return True
+        found = delivery(self.transport)
+        if found is Delivery.reset:
+            self.reset()
+            return True
+        if found is Delivery.under_way or self.peer.transport is None:
+            return False
+        return not unread_bytes(self.peer.transport)
+
 
 class _MemberSide(_Side):
     """The connection of a member that asks for a path."""
