Compare fencing tokens as orders arrive in the machines of holders

Cause: the machines of releases and of eras compared tokens as orders were sent, and their rounds of claims always came before the orders of the same moment, so that a record was settled before its holder's first order. Neither could see an order that arrives under a lower token than a later one. Orders come before or after the round of claims. Workers may stop answering, above all a new holder. At a worker, tokens never fall, and no token is of two holders. The invariants before stand as they were.

--- a/mintlanding/node/tests/test_era_machine.py
+++ b/mintlanding/node/tests/test_era_machine.py
@@ -2,7 +2,7 @@
 
 As the machine of releases, with returns, members that lose the store alone and
 consents between members. No two holders order too close to each other, and
-fencing tokens never fall.
+fencing tokens never fall, neither as they are sent nor as they arrive.
 """
 
 from types import SimpleNamespace
--- a/mintlanding/node/tests/test_release_machine.py
+++ b/mintlanding/node/tests/test_release_machine.py
@@ -1,7 +1,9 @@
 """Members that lose paths, processes and responses never order too close.
 
 A model of the store and of the paths drives the real membership and ownership
-of three members. It knows which orders were sent when, and by whom.
+of three members. It knows which orders were sent when, and by whom. Fencing
+tokens are compared as orders arrive: one without an answer arrives late, also
+after its process has ended or its holder has lost the worker.
 """
 
 import random
@@ -48,6 +50,11 @@
 # after a hand-over.
 RECOVERY_SECONDS = 16
 OPTIONS = AuthorityOptions()
+# Seconds after which an order without an answer has arrived: holders are that
+# far apart, so that it arrives before the orders of the next one.
+LATE_ORDER_SECONDS = OPTIONS.min_order_gap
+# Share of the orders without an answer that arrive once more.
+REPEATED_SHARE = 0.25
 
 names = st.sampled_from(NAMES)
 workers = st.sampled_from(WORKERS)
@@ -143,6 +150,54 @@
     claimed_at: float = float('-inf')
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order as its worker gets it."""
+
+    worker: str
+    token: int
+    holder: str
+
+
+class Arrivals:
+    """Orders on their way to workers, and the tokens that workers have got."""
+
+    def __init__(self, clock, rnd):
+        self.clock = clock
+        self.rnd = rnd
+        # Orders by the time at which they arrive.
+        self.late = []
+        # The order with the highest token, by worker.
+        self.highest = {}
+        self.holders = {}
+        # Orders under lower tokens or another holder's, after which ones.
+        self.faults = []
+
+    def delay(self, order):
+        """Let an order arrive within the bound, sometimes once more."""
+        is_repeated = self.rnd.random() < REPEATED_SHARE
+        for _ in range(1 + is_repeated):
+            late = self.rnd.uniform(0, LATE_ORDER_SECONDS)
+            self.late.append((self.clock.now + late, order))
+
+    def deliver(self):
+        """Let those orders arrive that are due."""
+        self.late.sort(key=lambda each: each[0])
+        while self.late and self.late[0][0] <= self.clock.now:
+            self.receive(self.late.pop(0)[1])
+
+    def receive(self, order):
+        before = self.highest.setdefault(order.worker, order)
+        if order.token < before.token:
+            self.faults.append((before, order))
+        elif order.token > before.token:
+            self.highest[order.worker] = order
+        key = (order.worker, order.token)
+        first = self.holders.setdefault(key, order)
+        if first.holder != order.holder:
+            self.faults.append((first, order))
+
+
 def run(coroutine):
     """Run a coroutine that never waits."""
     try:
@@ -188,6 +243,8 @@
         self.members = {}
         self.orders = []
         self.last_orders = {}
+        self.arrivals = Arrivals(self, random.Random(seed))
+        self.answered_shares = dict.fromkeys(WORKERS, ANSWERED_SHARE)
         for name in NAMES:
             self.start(name)
         self.advance(8)
@@ -235,6 +292,7 @@
         while self.now < until:
             self.now += STEP
             self.store.expire()
+            self.arrivals.deliver()
             order = list(self.members.values())
             self.rnd.shuffle(order)
             for member in order:
@@ -249,16 +307,35 @@
         if self.now >= member.renewed_at + 0.6:
             member.renewed_at = self.now
             self.attempt(member.membership._keep_lease())
+        # Orders do not wait for the next round of claims.
+        activities = [self.claim_workers, self.send_orders]
+        self.rnd.shuffle(activities)
+        for activity in activities:
+            activity(member)
+
+    def claim_workers(self, member):
         if self.now >= member.claimed_at + 0.25:
             member.claimed_at = self.now
             run(member.membership.claim_workers(self.now))
+
+    def send_orders(self, member):
         # Old connections may live on while new ones fail.
         for worker in WORKERS:
             ownership = member.membership.ownership
             if ownership.may_order(worker, self.now) and not member.is_idle:
                 self.record_order(member.name, worker)
-                is_answered = self.rnd.random() < ANSWERED_SHARE
-                ownership.record_order(worker, is_answered=is_answered)
+                self.send_order(member.name, worker)
+
+    def send_order(self, name, worker):
+        """Let an order be answered, or arrive later."""
+        ownership = self.members[name].membership.ownership
+        order = Order(worker, ownership.fencing_token(worker), name)
+        is_answered = self.rnd.random() < self.answered_shares[worker]
+        ownership.record_order(worker, is_answered=is_answered)
+        if is_answered:
+            self.arrivals.receive(order)
+        else:
+            self.arrivals.delay(order)
 
     def watch(self, member):
         member.view.load(self.store.snapshot(), self.now)
@@ -310,6 +387,21 @@
     def restart(self, name):
         self.start(name)
 
+    @rule(worker=workers, share=st.sampled_from([0, 0.5, ANSWERED_SHARE]))
+    def change_answers(self, worker, share):
+        self.answered_shares[worker] = share
+
+    @rule(worker=workers)
+    def first_orders_of_the_next_holder_are_late(self, worker):
+        member = self.holder(worker)
+        if member is None:
+            return
+        self.reach[member.name, worker] = False
+        self.answered_shares[worker] = 0
+        self.advance(8)
+        self.answered_shares[worker] = ANSWERED_SHARE
+        self.advance(LATE_ORDER_SECONDS)
+
     def holder(self, worker):
         """Return the member that takes itself for the holder of a worker."""
         for member in self.members.values():
@@ -382,5 +474,9 @@
                 now - at,
             )
 
+    @invariant()
+    def tokens_never_fall_at_a_worker(self):
+        assert not self.arrivals.faults
+
 
 TestReleaseMachine = ReleaseMachine.TestCase
