Test tokens above those that the store has forgotten

Cause: with tokens of earlier eras left out of the bound for the next claim, the tests of ownership, mixed builds and late orders and the machines of holders passed. Change: a claim is above them, also after two returns; an earlier record of the same holder is written again under its last token.

--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -8,6 +8,7 @@
 from mintlanding.coordination.store_era import StoreEra
 from mintlanding.coordination.transactional_store import (
     Committed,
+    Item,
     Rejected,
     Snapshot,
 )
@@ -15,6 +16,7 @@
 from mintlanding.node import ownership as holds_module
 from mintlanding.node.ownership import WorkerOwnership
 from mintlanding.node.view import (
+    OWNERSHIP_PREFIX,
     FleetView,
     MemberRecord,
     OwnershipEntry,
@@ -369,3 +371,33 @@
     claim = WorkerClaim('w', released.revision, '', released.wait)
     await world.ownership.claim(claim)
     assert world.ownership.fencing_token('w') > released.token
+
+
+def listing(era, revision, entry):
+    content = msgspec.json.encode(entry)
+    item = Item(f'{OWNERSHIP_PREFIX}w', content, revision)
+    return Snapshot((item,), revision, era)
+
+
+@pytest.mark.parametrize('eras', [[2], [2, 3]])
+async def test_claim_is_above_tokens_that_the_store_has_forgotten(world, eras):
+    # Guards against: only the token of the listed record counts.
+    entry = OwnershipEntry('other', is_settled=True, fence=90)
+    world.view.load(listing(1, 5, entry), world.now)
+    for era in eras:
+        later = OwnershipEntry('third', is_settled=True)
+        world.view.load(listing(era, 9, later), world.now)
+    assert world.view.ownership['w'].holder == 'third'
+    claim = WorkerClaim('w', 9, 'third', OPTIONS.takeover_delay)
+    await world.ownership.claim(claim)
+    assert world.ownership.fencing_token('w') > 90
+
+
+async def test_earlier_record_of_the_same_holder_is_written_again(world):
+    # Guards against: a holder takes its token from the record of a former turn.
+    entry = OwnershipEntry('me', is_settled=True)
+    world.view.load(listing(1, 9, entry), world.now)
+    world.view.load(listing(2, 5, entry), world.now)
+    assert not world.may_order()
+    await world.ownership.rewrite()
+    assert world.ownership.fencing_token('w') == 9
