Show a worker without a holder after a return of the store

Cause: a holder that restarts as the store returns from a copy that names the holder before takes the copy's word. The others keep the lost record and wait for its holder to write it again. Each takes another one for the holder.

--- a/mintlanding/node/tests/test_era_machine.py
+++ b/mintlanding/node/tests/test_era_machine.py
@@ -232,6 +232,34 @@
     assert fleet.tokens['w1'][-1][0] >= before
 
 
+@pytest.fixture
+def former(fleet):
+    """The store names the former holder, as the present one has restarted."""
+    found = fleet.holder('w1')
+    fleet.reach[found.name, 'w1'] = False
+    fleet.advance(6.5)
+    fleet.reach[found.name, 'w1'] = True
+    present = fleet.holder('w1')
+    assert fleet.tokens['w1'][-1][1] == present.name != found.name
+    fleet.store.restore(6)
+    fleet.start(present.name)
+    fleet.advance(RECOVERY_SECONDS)
+    return found
+
+
+def test_worker_is_served_when_its_holder_forgets_with_the_store(fleet, former):
+    # Guards against: each of two members takes the other one for the holder.
+    assert fleet.served('w1')
+
+
+def test_tokens_stay_above_one_that_holder_and_store_forget(fleet, former):
+    # Guards against: the former holder, restarted, orders under its old token.
+    fleet.start(former.name)
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1')
+    fleet.tokens_never_fall()
+
+
 def test_new_process_waits_at_a_worker_whose_record_was_lost():
     # Guards against: it takes the worker for one that never had a holder.
     hold = EraHold(OPTIONS)
