Let orders reach engines late or twice in the soak

What callers would see: nothing in the soak played the incident of an order under a lower fencing token, since its proxies kept orders in order. Cause: an order that its sender has given up could arrive only on its own connection, which the sender closes. Change: the fault 'orders late' holds a share of the orders back for 0.2 to 1.6 s, or lets a copy arrive again, on a connection of their own; callers ask for more adapters meanwhile. Engines record token, incarnation and delay of orders in the order of their arrival, those before a restart too. The time between two holders is compared as sent for an order that was held back; all others as before. OrderProxy delivers orders by the same function.

--- a/mintlanding/platform/tests/order_proxy.py
+++ b/mintlanding/platform/tests/order_proxy.py
@@ -7,6 +7,28 @@
 
 _CHUNK_BYTES = 1 << 16
 _ORDER = b'POST /v1/order '
+# Header of an order that was held back: for how many seconds.
+HELD_HEADER = b'x-held-seconds'
+
+
+def is_order(chunk):
+    """Tell whether bytes from a sender are an order."""
+    return chunk.startswith(_ORDER)
+
+
+async def deliver(address, payload, held=0.0):
+    """Let an order arrive, after some seconds; return once it is answered.
+
+    The connection is not that of its sender, who may have closed it.
+    """
+    line, separator, rest = payload.partition(b'\r\n')
+    header = b'%b: %.3f\r\n' % (HELD_HEADER, held)
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(line + separator + header + rest)
+        await reader.readuntil(b'\r\n\r\n')
+    finally:
+        writer.close()
 
 
 class OrderProxy:
@@ -40,10 +62,7 @@
         """Let the held orders arrive; return once they are answered."""
         held, self.held = self.held, []
         for payload in held:
-            reader, writer = await asyncio.open_connection(*self._address)
-            writer.write(payload)
-            await reader.readuntil(b'\r\n\r\n')
-            writer.close()
+            await deliver(self._address, payload)
 
     async def _accept(self, reader, writer):
         upstream = await asyncio.open_connection(*self._address)
@@ -56,7 +75,7 @@
     async def _forward(self, source, sink):
         try:
             while chunk := await source.read(_CHUNK_BYTES):
-                if self.is_holding and chunk.startswith(_ORDER):
+                if self.is_holding and is_order(chunk):
                     self.held.append(chunk)
                 else:
                     sink.write(chunk)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -95,7 +95,8 @@
             whole = sum(each.status == 200 for each in callers.outcomes)
             sys.stdout.write(
                 f'seed {number}: {len(drawn)} faults, {len(callers.outcomes)} '
-                f'requests, {whole} served, {len(broken)} broken\n',
+                f'requests, {whole} served, {_describe_orders(callers.world)}, '
+                f'{len(broken)} broken\n',
             )
             if broken:
                 failed += 1
@@ -105,6 +106,19 @@
     sys.exit(1 if failed else 0)
 
 
+def _describe_orders(world):
+    orders = [
+        order for engine in world.engines for order in engine.arrivals_of_orders
+    ]
+    held = sum(order.held > 0 for order in orders)
+    turns = {
+        (engine.name, order.holder, order.token)
+        for engine in world.engines
+        for order in engine.arrivals_of_orders
+    }
+    return f'{len(orders)} orders, {held} late, {len(turns)} turns'
+
+
 def _keep(folder, keep, number):
     if not keep:
         return
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,10 @@
 }
 EVENTS = 3
 PAUSE_SECONDS = 0.03
+# Adapters that are asked for: as many as the engines have room for, and more
+# while orders come late, so that there are orders.
+ADAPTERS = 7
+MANY_ADAPTERS = 20
 # Share of requests that crash engines, while there are any.
 CRASHING_SHARE = 0.15
 RESPONSE_SECONDS = 8
@@ -180,7 +184,8 @@
         return Outcome(request, kind, status, body, is_whole=True)
 
     def _encode_request(self, kind, request, extra, body):
-        adapter = self.rnd.randrange(1, 8)
+        adapters = MANY_ADAPTERS if self.world.are_orders_late else ADAPTERS
+        adapter = self.rnd.randrange(1, adapters + 1)
         method = b'GET' if kind == 'lookup' else b'POST'
         if kind != 'lookup':
             body = body or request.encode()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """Checks of promises against the records of callers and targets."""
 
 from collections import Counter
+from operator import attrgetter
 
 from soak.callers import EVENTS, REFUSAL_STATUSES
 from soak.world import (
@@ -113,14 +114,29 @@
 
 
 def _find_overlapping_orders(world):
+    """Find orders of two holders with too little time between them.
+
+    An order that was held back counts when it was sent.
+    """
     for engine in world.engines:
-        last = {}
-        for at, holder in engine.order_times:
-            others = [when for name, when in last.items() if name != holder]
-            if others and at < max(others) + MIN_HANDOVER_SECONDS:
-                gap = at - max(others)
-                yield f'{engine.name}: {holder} ordered {gap:.2f} s after another'
-            last[holder] = at
+        arrivals = sorted(engine.arrivals_of_orders, key=attrgetter('sent_at'))
+        lives = {order.life for order in arrivals}
+        for life in sorted(lives):
+            orders = [order for order in arrivals if order.life == life]
+            yield from _overlaps(engine, orders)
+
+
+def _overlaps(engine, orders):
+    last = {}
+    for order in orders:
+        others = [at for name, at in last.items() if name != order.holder]
+        gap = order.sent_at - max(others, default=float('-inf'))
+        if gap < MIN_HANDOVER_SECONDS:
+            yield (
+                f'{engine.name}: {order.holder} ordered {gap:.2f} s after '
+                f'another'
+            )
+        last[order.holder] = order.sent_at
 
 
 def _find_requests_after_leaving(world, callers):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,13 @@
 """
 
 import asyncio
+import random
 import signal
 import time
 
 from mintlanding.core.registry import Registry
 from mintlanding.platform.tests.samples import CONFIG
-from soak.proxy import Mode, NewConnections, OldConnections
+from soak.proxy import LateOrders, Mode, NewConnections, OldConnections
 from soak.world import CONTACT_SECONDS
 
 FAULTS = Registry('soak fault')
@@ -339,6 +340,26 @@
     engine.faults.endless_reports = False
 
 
+@FAULTS.register('orders late')
+async def delay_orders(world, rnd):
+    """Let orders reach some engines late, or twice, for a while.
+
+    Senders get no answer to a late one and go on, on other connections.
+    """
+    engines = rnd.sample(world.engines, rnd.randint(1, len(world.engines)))
+    late = LateOrders(
+        random.Random(rnd.getrandbits(32)),
+        late_share=rnd.choice((0.1, 0.4, 0.7)),
+        double_share=rnd.choice((0, 0.1, 0.3)),
+    )
+    proxies = [proxy for engine in engines for proxy in engine.proxies]
+    for proxy in proxies:
+        proxy.late_orders.append(late)
+    await asyncio.sleep(rnd.uniform(4, 12))
+    for proxy in proxies:
+        proxy.late_orders.remove(late)
+
+
 async def _disrupt(proxies, mode, seconds):
     for proxy in proxies:
         proxy.mode = mode
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,11 +1,16 @@
 """A loopback proxy that delays, drops, refuses or resets connections."""
 
 import asyncio
+import contextlib
+import random
 import socket
 import struct
+import time
+from dataclasses import dataclass
 from enum import StrEnum
 
 from mintlanding.core.tests.ports import free_port
+from mintlanding.platform.tests.order_proxy import deliver, is_order
 
 
 class Mode(StrEnum):
@@ -37,6 +42,29 @@
     live_on = 'live_on'
 
 
+@dataclass(eq=False)
+class LateOrders:
+    """Shares of the orders on a path that come late, and that come twice."""
+
+    rnd: random.Random
+    late_share: float
+    double_share: float
+    # Shorter than the wait between the orders of two holders.
+    least_seconds: float = 0.2
+    most_seconds: float = 1.6
+
+    def draw(self):
+        """Return whether an order passes now, and the delay of a late one.
+
+        The delay is 0 if nothing comes later.
+        """
+        number = self.rnd.random()
+        if number >= self.late_share + self.double_share:
+            return True, 0
+        delay = self.rnd.uniform(self.least_seconds, self.most_seconds)
+        return number >= self.late_share, delay
+
+
 class Proxy:
     """Forwards connections to one address, subject to its mode."""
 
@@ -45,6 +73,8 @@
 
     def __init__(self, address, host='127.0.0.1'):
         self.mode = Mode.passing
+        # What happens to orders; the last one counts.
+        self.late_orders = []
         self._address = address
         self._host = host
         self._new = self._old = None
@@ -134,16 +164,21 @@
             (reader, upstream[1], False),
             (upstream[0], writer, True),
         ):
-            task = asyncio.create_task(self._forward(source, sink, is_response))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._forward(source, sink, is_response))
+
+    def _begin(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _forward(self, source, sink, is_response):
         try:
             while chunk := await source.read(self._CHUNK_BYTES):
                 if self.mode is Mode.delaying:
                     await asyncio.sleep(self.DELAY_SECONDS)
-                if not self._is_dropped(is_response):
+                if self._is_dropped(is_response):
+                    continue
+                if is_response or self._passes_now(chunk):
                     sink.write(chunk)
         except OSError:
             # Reset the other side as well, as a router does.
@@ -152,6 +187,23 @@
             self._writers.discard(sink)
             sink.close()
 
+    def _passes_now(self, chunk):
+        """Tell whether bytes for the upstream pass; a late order comes later."""
+        if not self.late_orders or not is_order(chunk):
+            return True
+        passes, delay = self.late_orders[-1].draw()
+        if delay:
+            self._begin(self._deliver_later(chunk, delay))
+        return passes
+
+    async def _deliver_later(self, payload, delay):
+        sent_at = time.monotonic()
+        await asyncio.sleep(delay)
+        # The upstream may be down by now.
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            held = time.monotonic() - sent_at
+            await deliver(self._address, payload, held)
+
     def _is_dropped(self, is_response):
         """Tell whether bytes in one direction are dropped."""
         if self._old is OldConnections.silent:
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,9 +6,13 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from mintlanding.core.tests.ports import free_port, free_ports
+from mintlanding.platform.tests.order_proxy import HELD_HEADER
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
 from soak.instance import TARGETS_HOST
@@ -129,6 +133,27 @@
             self.signal(signal.SIGCONT)
 
 
+@dataclass(frozen=True)
+class OrderArrival:
+    """An order as it reached an engine.
+
+    `held`: for how many seconds it was held back on its way. `born`: the
+    engine's incarnation. `life` changes when all state is lost on purpose.
+    """
+
+    at: float
+    holder: str
+    token: int
+    held: float
+    born: int
+    life: int
+
+    @property
+    def sent_at(self):
+        """Return when it was sent."""
+        return self.at - self.held
+
+
 class Target(TargetStandin):
     """A target behind proxies; it records when orders and requests arrive."""
 
@@ -142,7 +167,9 @@
         await first.start()
         for proxy in others:
             await proxy.start(first.address[1])
-        self.order_times = []
+        # Orders in the order of their arrival.
+        self.arrivals_of_orders = []
+        self.life = 0
         # Time, request and parts of the prompt of each request.
         self.requests = []
         # Time and part of the prompt of each crash.
@@ -233,10 +260,17 @@
         return super().entry(state).replace(own, front)
 
     def _order(self, req):
-        before = len(self.orders)
+        body = msgspec.json.decode(req.body)
+        arrival = OrderArrival(
+            at=time.monotonic(),
+            holder=body['holder'],
+            token=body['fence'],
+            held=float(req.get(HELD_HEADER) or 0),
+            born=self.born,
+            life=self.life,
+        )
+        self.arrivals_of_orders.append(arrival)
         super()._order(req)
-        holder = self.orders[before]['holder']
-        self.order_times.append((time.monotonic(), holder))
 
     def stop(self):
         """Stop the proxy and the target."""
@@ -286,6 +320,15 @@
         """Return the engines and the plain targets."""
         return [*self.engines, *self.plain]
 
+    @property
+    def are_orders_late(self):
+        """Tell whether orders to an engine come late or twice."""
+        return any(
+            proxy.late_orders
+            for engine in self.engines
+            for proxy in engine.proxies
+        )
+
     async def start(self):
         """Start everything and wait until all instances are ready."""
         await self.store.start()
@@ -369,7 +412,7 @@
         """Reset a target to a new incarnation that keeps its id."""
         target.adapters.clear()
         target.orders_taken = 0
-        target.order_times.clear()
+        target.life += 1
         target.crashes += 1
         target.name_limit(target.faults.limit)
         self.register(target)
