Stop holders and return the store from a copy in the soak

What callers would see: nothing in the soak let workers change hands for sure, and no store lost writes. Cause: a random freeze is mostly shorter than what a takeover needs, or meets an instance that holds nothing. Callers that wait for a suspended instance sent too little for orders to be due. Change: 'holder stopped' suspends the holder of an engine for 6.5 to 8 s, one after the other; 'store restored' returns the store from a copy of 0.2 to 4 s before, and operators and targets write theirs again. While orders come late, requests for more adapters are sent without waiting for those before; their outcomes are judged like the others.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,10 +13,13 @@
 }
 EVENTS = 3
 PAUSE_SECONDS = 0.03
-# Adapters that are asked for: as many as the engines have room for, and more
+# Adapters that are asked for: fewer than the engines have room for, and more
 # while orders come late, so that there are orders.
 ADAPTERS = 7
 MANY_ADAPTERS = 20
+# Pause between requests for many adapters, and how many of them may wait.
+ASKING_PAUSE_SECONDS = 0.05
+MOST_ASKING = 60
 # Share of requests that crash engines, while there are any.
 CRASHING_SHARE = 0.15
 RESPONSE_SECONDS = 8
@@ -64,7 +67,8 @@
     async def run(self, callers=6):
         """Send requests from several callers at once until stopped."""
         await asyncio.gather(
-            *(self._send_until_stopped() for _ in range(callers))
+            self._ask_for_many_adapters(),
+            *(self._send_until_stopped() for _ in range(callers)),
         )
 
     async def is_served(self, kind):
@@ -90,6 +94,27 @@
             self.outcomes.append(outcome)
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _ask_for_many_adapters(self):
+        """Let orders be due while they come late.
+
+        Unlike the callers, this does not wait for suspended instances.
+        """
+        asking = set()
+        while not self.is_stopped:
+            if self.world.are_orders_late and len(asking) < MOST_ASKING:
+                task = asyncio.create_task(self._ask_for_one_of_many())
+                asking.add(task)
+                task.add_done_callback(asking.discard)
+            await asyncio.sleep(ASKING_PAUSE_SECONDS)
+        await asyncio.gather(*asking)
+
+    async def _ask_for_one_of_many(self):
+        instance = self.rnd.choice(self.world.instances)
+        outcome = await self._send_request(
+            'live', instance, adapters=MANY_ADAPTERS
+        )
+        self.outcomes.append(outcome)
+
     async def _try_first(self, kind, instance):
         """Send a request and record how its first attempt ended."""
         sent_at = time.monotonic()
@@ -146,7 +171,9 @@
             await asyncio.sleep(RESUMPTION_PAUSE_SECONDS)
         return outcome
 
-    async def _send_request(self, kind, instance, extra=(), body=b''):
+    async def _send_request(
+        self, kind, instance, extra=(), body=b'', adapters=ADAPTERS
+    ):
         self.sent += 1
         request = f'r{self.sent}'
         self.sent_to[request] = instance
@@ -160,7 +187,9 @@
                     '127.0.0.1',
                     instance.front,
                 )
-                writer.write(self._encode_request(kind, request, extra, body))
+                writer.write(
+                    self._encode_request(kind, request, extra, body, adapters)
+                )
                 return await self._read(reader, writer, request, kind)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return Outcome(request, kind, 0)
@@ -183,8 +212,7 @@
             writer.close()
         return Outcome(request, kind, status, body, is_whole=True)
 
-    def _encode_request(self, kind, request, extra, body):
-        adapters = MANY_ADAPTERS if self.world.are_orders_late else ADAPTERS
+    def _encode_request(self, kind, request, extra, body, adapters):
         adapter = self.rnd.randrange(1, adapters + 1)
         method = b'GET' if kind == 'lookup' else b'POST'
         if kind != 'lookup':
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -71,6 +71,19 @@
         await instance.freeze(rnd.uniform(0.5, 6))
 
 
+@FAULTS.register('holder stopped')
+async def stop_holder(world, rnd):
+    """Suspend the holder of an engine until others have taken it over.
+
+    That happens while the others run; one is suspended after the other.
+    """
+    holder = world.holder(rnd.choice(world.engines))
+    if holder is None or any(each.lock.locked() for each in world.instances):
+        return
+    with world.disruption(holder):
+        await holder.freeze(rnd.uniform(6.5, 8))
+
+
 @FAULTS.register('reload')
 async def reload(world, rnd):
     """Signal all instances to reload their settings."""
@@ -125,6 +138,20 @@
         world.store.faults.oldest_revision = 0
 
 
+@FAULTS.register('store restored')
+async def restore_store(world, rnd):
+    """Return the store from a copy; instances have lost what they wrote.
+
+    Operators and targets write theirs again.
+    """
+    saved = world.store.copy()
+    await asyncio.sleep(rnd.uniform(0.2, 4))
+    with world.disruption():
+        world.restore_store(saved)
+        # Instances wait in the new era before they send orders.
+        await asyncio.sleep(CONTACT_SECONDS)
+
+
 @FAULTS.register('configurations')
 async def configurations(world, rnd):
     """Write configurations in quick succession."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from mintlanding.core.tests.ports import free_port, free_ports
+from mintlanding.node.view import OWNERSHIP_PREFIX
 from mintlanding.platform.tests.order_proxy import HELD_HEADER
 from mintlanding.platform.tests.samples import CONFIG, encode
 from mintlanding.platform.tests.standins import StoreStandin, TargetStandin
@@ -34,6 +35,8 @@
 # Software versions of the engines; each writes its own into its events.
 BUILDS = ('v1', 'v1', 'v2')
 START_SECONDS = 20
+# Keys that operators and targets write.
+OUTSIDE_PREFIXES = ('op/', 'servers/')
 # Host of the proxies through which an instance reaches the targets.
 WAY_HOST = '127.0.0.{number}'
 FIRST_WAY = 10
@@ -408,6 +411,33 @@
         cfg = {**BASE_CONFIG, 'version': self.version, **changes}
         self.store.put('op/config', encode(cfg))
 
+    def holder(self, engine):
+        """Return the instance that holds an engine, None without one."""
+        row = self.store.items.get(OWNERSHIP_PREFIX + engine.name)
+        if row is None:
+            return None
+        name = msgspec.json.decode(row[0])['holder'].partition('@')[0]
+        named = [each for each in self.instances if each.name == name]
+        return named[0] if named else None
+
+    def restore_store(self, saved):
+        """Return the store from a copy; only instances have lost writes."""
+        before = self._written_from_outside()
+        self.store.restore(saved)
+        restored = self._written_from_outside()
+        for key in restored.keys() - before.keys():
+            self.store.remove(key)
+        for key, content in before.items():
+            if restored.get(key) != content:
+                self.store.put(key, content)
+
+    def _written_from_outside(self):
+        return {
+            key: content
+            for key, (content, *_) in self.store.items.items()
+            if key.startswith(OUTSIDE_PREFIXES)
+        }
+
     def begin_new_incarnation(self, target):
         """Reset a target to a new incarnation that keeps its id."""
         target.adapters.clear()
