Compare fencing tokens in the soak as they arrive

What callers would see: two holders that change one worker at a time, or a worker that cannot tell which order is the newer one. Cause: the soak compared the times of orders of two holders, not their tokens, and forgot what an engine had got when it started anew. Change: within an incarnation of an engine, no token falls and none belongs to two holders. Lateness is no excuse for either. Lives that ended are checked too.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -45,7 +45,8 @@
         *_find_repeated_runs(callers, runs),
         *_find_false_refusals(callers, runs),
         *_find_wrong_responses(callers),
-        *_find_overlapping_orders(world),
+        *find_overlapping_orders(world),
+        *find_wrong_tokens(world),
         *_find_requests_after_leaving(world, callers),
         *_find_requests_to_evacuated_zones(world, callers),
         *_find_requests_that_crash_engines(world, callers),
@@ -113,7 +114,7 @@
     ]
 
 
-def _find_overlapping_orders(world):
+def find_overlapping_orders(world):
     """Find orders of two holders with too little time between them.
 
     An order that was held back counts when it was sent.
@@ -139,6 +140,37 @@
         last[order.holder] = order.sent_at
 
 
+def find_wrong_tokens(world):
+    """Find orders under lower tokens, and tokens of two holders, on arrival.
+
+    Each incarnation of an engine is taken for itself. No lateness is excused:
+    within the turn of a holder the token stays, and the longest time for which
+    an order is held back is shorter than the wait between two holders.
+    """
+    for engine in world.engines:
+        highest, holders = {}, {}
+        for order in engine.arrivals_of_orders:
+            incarnation = order.born
+            holder = holders.setdefault(
+                (incarnation, order.token), order.holder
+            )
+            if holder != order.holder:
+                yield (
+                    f'{engine.name}: {order.holder} ordered under token '
+                    f'{order.token} of {holder}'
+                )
+            before = highest.setdefault(incarnation, order)
+            if order.token < before.token:
+                yield (
+                    f'{engine.name}: {order.holder} ordered under token '
+                    f'{order.token}, {order.at - before.at:.2f} s after '
+                    f'{before.token} of {before.holder}; held back for '
+                    f'{order.held:.2f} s'
+                )
+            else:
+                highest[incarnation] = order
+
+
 def _find_requests_after_leaving(world, callers):
     for target in world.targets:
         ran = {run[0] for run in target.runs}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
+import itertools
 import math
 from types import SimpleNamespace
 
 import pytest
 
 from soak.__main__ import run_soak
+from soak.checks import find_overlapping_orders, find_wrong_tokens
 from soak.faults import announce_leaving
-from soak.world import Target
+from soak.world import OrderArrival, Target
 
 # Seeds that have failed, with the cause. The first is the default seed.
 REGRESSIONS = {
@@ -69,3 +71,63 @@
     assert target.announced
     assert all(math.isfinite(end) for _, end in target.announced)
     assert not target.faults.leaving
+
+
+def arrival(at, holder, token, *, held=0.0, born=1, life=0):
+    return OrderArrival(at, holder, token, held, born, life)
+
+
+def an_engine(*arrivals):
+    engine = SimpleNamespace(name='e0', arrivals_of_orders=arrivals)
+    return SimpleNamespace(engines=[engine])
+
+
+@pytest.mark.parametrize('held', [0.0, 0.8, 1.6, 3.0])
+@pytest.mark.parametrize('holder', ['a', 'b'])
+def test_order_that_arrives_under_a_lower_token_is_found(holder, held):
+    # Guards against: lateness excuses a falling token.
+    world = an_engine(arrival(5, 'a', 12), arrival(5.1, holder, 11, held=held))
+    (line,) = find_wrong_tokens(world)
+    assert 'token 11' in line
+
+
+def test_one_token_of_two_holders_is_found():
+    world = an_engine(arrival(1, 'a', 11), arrival(9, 'b', 11))
+    (line,) = find_wrong_tokens(world)
+    assert 'token 11 of a' in line
+
+
+def test_lower_token_after_several_orders_is_found_each_time():
+    tokens = (11, 12, 11, 12, 11)
+    orders = [arrival(at, 'a', token) for at, token in enumerate(tokens)]
+    assert len(list(find_wrong_tokens(an_engine(*orders)))) == 2
+
+
+def test_incarnations_of_an_engine_know_no_tokens_of_each_other():
+    world = an_engine(
+        arrival(1, 'a', 12), arrival(2, 'a', 11, born=2), arrival(3, 'a', 11)
+    )
+    (line,) = find_wrong_tokens(world)
+    assert 'after 12' in line
+
+
+def test_orders_of_two_holders_are_compared_by_the_times_of_sending():
+    early, late = arrival(1, 'a', 11), arrival(4.2, 'a', 11, held=1.6)
+    following = arrival(5.9, 'b', 12)
+    assert not list(find_overlapping_orders(an_engine(early, late, following)))
+    for held in (0.0, 1.0):
+        late = arrival(4.2, 'a', 11, held=held)
+        world = an_engine(early, late, following)
+        (line,) = find_overlapping_orders(world)
+        assert 'b ordered' in line
+
+
+def test_overlap_before_a_restart_of_the_engine_is_found():
+    # Guards against: what an engine got is forgotten when it starts anew.
+    orders = [
+        arrival(1, 'a', 11),
+        arrival(2, 'b', 12),
+        arrival(3, 'a', 13, life=1),
+    ]
+    for some in itertools.permutations(orders):
+        assert len(list(find_overlapping_orders(an_engine(*some)))) == 1
