Drop the end of a connection like the bytes before it in the soak

Cause: the soak's proxy, not the program. A silent path dropped the third event and passed the engine's end of the connection on, as no network does: the instance saw a whole stream. The log has the cut of all targets of that instance in the same 10 ms; the stream's framing was 'close'. Change: after bytes that were dropped, or while they are, no end passes. The reset that heals the path ends the connection. Measured: test_end_of_a_connection_is_dropped_like_the_bytes_before failed before and passes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -173,19 +173,28 @@
 
     async def _forward(self, source, sink, is_response):
         try:
-            while chunk := await source.read(self._CHUNK_BYTES):
-                if self.mode is Mode.delaying:
-                    await asyncio.sleep(self.DELAY_SECONDS)
-                if self._is_dropped(is_response):
-                    continue
-                if is_response or self._passes_now(chunk):
-                    sink.write(chunk)
+            has_gap = await self._forward_bytes(source, sink, is_response)
         except OSError:
             # Reset the other side as well, as a router does.
             sink.transport.abort()
-        finally:
-            self._writers.discard(sink)
-            sink.close()
+            has_gap = False
+        if has_gap:
+            # No end arrives after bytes that did not; a reset follows.
+            return
+        self._writers.discard(sink)
+        sink.close()
+
+    async def _forward_bytes(self, source, sink, is_response):
+        """Pass bytes on until they end; return whether some were dropped."""
+        has_gap = False
+        while chunk := await source.read(self._CHUNK_BYTES):
+            if self.mode is Mode.delaying:
+                await asyncio.sleep(self.DELAY_SECONDS)
+            if self._is_dropped(is_response):
+                has_gap = True
+            elif is_response or self._passes_now(chunk):
+                sink.write(chunk)
+        return has_gap or self._is_dropped(is_response)
 
     def _passes_now(self, chunk):
         """Tell whether bytes for the upstream pass; a late order comes later."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from soak.__main__ import run_soak
 from soak.checks import find_overlapping_orders, find_wrong_tokens
 from soak.faults import announce_leaving
+from soak.proxy import NewConnections, OldConnections, Proxy
 from soak.world import OrderArrival, Target
 
 # Seeds that have failed, with the cause. The first is the default seed.
@@ -59,6 +60,33 @@
         target.crashes += 1
 
 
+async def test_end_of_a_connection_is_dropped_like_the_bytes_before():
+    # Guards against: a stream without length that a silent path cut short
+    # ended like a whole one.
+    cut = asyncio.Event()
+
+    async def respond(reader, writer):
+        writer.write(b'first')
+        await cut.wait()
+        writer.write(b'last')
+        writer.close()
+
+    server = await asyncio.start_server(respond, '127.0.0.1', 0)
+    proxy = await Proxy(server.sockets[0].getsockname()).start()
+    reader, writer = await asyncio.open_connection(*proxy.address)
+    assert await reader.read(10) == b'first'
+    await proxy.cut(NewConnections.reset, OldConnections.silent)
+    cut.set()
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(reader.read(10), 0.2)
+    await proxy.heal()
+    with pytest.raises(ConnectionResetError):
+        await reader.read(10)
+    writer.close()
+    proxy.stop()
+    server.close()
+
+
 async def test_overlapping_announcements_of_one_target_all_end():
     world = OneTarget()
     seconds = iter((0.1, 0.05, 0.02))
