--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,13 +19,13 @@
 RECOVER_SECONDS = 12
 
 
-async def run_soak(seed, seconds, folder, names=()):
+async def run_soak(seed, seconds, folder, names=(), instances=4):
     """Run one soak; return its faults, its callers and the broken promises.
 
     Faults are drawn from `names`, by default from all.
     """
     rnd = random.Random(seed)
-    world = World(folder)
+    world = World(folder, instances)
     drawn = []
     try:
         await world.start()
@@ -70,7 +70,7 @@
     return [f'{kind} was not served again' for kind in sorted(unserved)]
 
 
-def run(seed=1, seconds=20, seeds=1, keep='', faults=()):
+def run(seed=1, seconds=20, seeds=1, keep='', faults=(), instances=4):
     """Run soaks with consecutive seeds; exit 1 if a promise was broken.
 
     Args:
@@ -79,13 +79,14 @@
         seeds: Number of soaks.
         keep: Folder for the logs of failed soaks.
         faults: Names of the faults to draw from, by default all.
+        instances: Number of instances.
     """
     failed = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
             try:
                 drawn, callers, broken = asyncio.run(
-                    run_soak(number, seconds, folder, faults),
+                    run_soak(number, seconds, folder, faults, instances),
                 )
             except TimeoutError:
                 sys.stdout.write(f'seed {number}: not ready in time\n')
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -49,9 +49,11 @@
     rnd: random.Random
     late_share: float
     double_share: float
-    # Shorter than the wait between the orders of two holders.
     least_seconds: float = 0.2
     most_seconds: float = 1.6
+    # An order that a slow machine holds back for longer is lost. This is less
+    # than the wait between the orders of two holders.
+    lost_after: float = 3.0
 
     def draw(self):
         """Return whether an order passes now, and the delay of a late one.
@@ -200,17 +202,20 @@
         """Tell whether bytes for the upstream pass; a late order comes later."""
         if not self.late_orders or not is_order(chunk):
             return True
-        passes, delay = self.late_orders[-1].draw()
+        late = self.late_orders[-1]
+        passes, delay = late.draw()
         if delay:
-            self._begin(self._deliver_later(chunk, delay))
+            self._begin(self._deliver_later(chunk, delay, late.lost_after))
         return passes
 
-    async def _deliver_later(self, payload, delay):
+    async def _deliver_later(self, payload, delay, lost_after):
         sent_at = time.monotonic()
         await asyncio.sleep(delay)
+        held = time.monotonic() - sent_at
+        if held > lost_after:
+            return
         # The upstream may be down by now.
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            held = time.monotonic() - sent_at
             await deliver(self._address, payload, held)
 
     def _is_dropped(self, is_response):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -49,6 +49,33 @@
     assert not broken
 
 
+# Seconds and faults of runs in which orders come late, by seed.
+LATE_ORDERS = {
+    5: (30, ('orders late', 'holder stopped')),
+    4: (15, ('orders late', 'store restored', 'kill')),
+}
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('seed', LATE_ORDERS)
+async def test_tokens_rise_as_orders_arrive_that_were_given_up(seed, tmp_path):
+    # Guards against: settling its record gives the holder another token.
+    seconds, names = LATE_ORDERS[seed]
+    _, callers, broken = await run_soak(seed, seconds, tmp_path, names)
+    orders = [
+        order
+        for engine in callers.world.engines
+        for order in engine.arrivals_of_orders
+    ]
+    assert any(order.held for order in orders)
+    if 'holder stopped' in names:
+        assert any(
+            len({order.holder for order in engine.arrivals_of_orders}) > 1
+            for engine in callers.world.engines
+        )
+    assert not broken
+
+
 class OneTarget:
     """A world with one target, to which faults can happen."""
 
