--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,13 +19,13 @@
 RECOVER_SECONDS = 12
 
 
-async def run_soak(seed, seconds, folder, names=()):
+async def run_soak(seed, seconds, folder, names=(), instances=4):
     """Run one soak; return its faults, its callers and the broken promises.
 
     Faults are drawn from `names`, by default from all.
     """
     rnd = random.Random(seed)
-    world = World(folder)
+    world = World(folder, instances)
     drawn = []
     try:
         await world.start()
@@ -70,7 +70,7 @@
     return [f'{kind} was not served again' for kind in sorted(unserved)]
 
 
-def run(seed=1, seconds=20, seeds=1, keep='', faults=()):
+def run(seed=1, seconds=20, seeds=1, keep='', faults=(), instances=4):
     """Run soaks with consecutive seeds; exit 1 if a promise was broken.
 
     Args:
@@ -79,13 +79,14 @@
         seeds: Number of soaks.
         keep: Folder for the logs of failed soaks.
         faults: Names of the faults to draw from, by default all.
+        instances: Number of instances.
     """
     failed = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
             try:
                 drawn, callers, broken = asyncio.run(
-                    run_soak(number, seconds, folder, faults),
+                    run_soak(number, seconds, folder, faults, instances),
                 )
             except TimeoutError:
                 sys.stdout.write(f'seed {number}: not ready in time\n')
@@ -95,7 +96,8 @@
             whole = sum(each.status == 200 for each in callers.outcomes)
             sys.stdout.write(
                 f'seed {number}: {len(drawn)} faults, {len(callers.outcomes)} '
-                f'requests, {whole} served, {len(broken)} broken\n',
+                f'requests, {whole} served, {_describe_orders(callers.world)}, '
+                f'{len(broken)} broken\n',
             )
             if broken:
                 failed += 1
@@ -105,6 +107,19 @@
     sys.exit(1 if failed else 0)
 
 
+def _describe_orders(world):
+    orders = [
+        order for engine in world.engines for order in engine.arrivals_of_orders
+    ]
+    held = sum(order.held > 0 for order in orders)
+    turns = {
+        (engine.name, order.holder, order.token)
+        for engine in world.engines
+        for order in engine.arrivals_of_orders
+    }
+    return f'{len(orders)} orders, {held} late, {len(turns)} turns'
+
+
 def _keep(folder, keep, number):
     if not keep:
         return
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """Checks of promises against the records of callers and targets."""
 
 from collections import Counter
+from operator import attrgetter
 
 from soak.callers import EVENTS, REFUSAL_STATUSES
 from soak.world import (
@@ -44,7 +45,8 @@
         *_find_repeated_runs(callers, runs),
         *_find_false_refusals(callers, runs),
         *_find_wrong_responses(callers),
-        *_find_overlapping_orders(world),
+        *find_overlapping_orders(world),
+        *find_wrong_tokens(world),
         *_find_requests_after_leaving(world, callers),
         *_find_requests_to_evacuated_zones(world, callers),
         *_find_requests_that_crash_engines(world, callers),
@@ -112,15 +114,61 @@
     ]
 
 
-def _find_overlapping_orders(world):
+def find_overlapping_orders(world):
+    """Find orders of two holders with too little time between them.
+
+    An order that was held back counts when it was sent.
+    """
+    for engine in world.engines:
+        arrivals = sorted(engine.arrivals_of_orders, key=attrgetter('sent_at'))
+        lives = {order.life for order in arrivals}
+        for life in sorted(lives):
+            orders = [order for order in arrivals if order.life == life]
+            yield from _overlaps(engine, orders)
+
+
+def _overlaps(engine, orders):
+    last = {}
+    for order in orders:
+        others = [at for name, at in last.items() if name != order.holder]
+        gap = order.sent_at - max(others, default=float('-inf'))
+        if gap < MIN_HANDOVER_SECONDS:
+            yield (
+                f'{engine.name}: {order.holder} ordered {gap:.2f} s after '
+                f'another'
+            )
+        last[order.holder] = order.sent_at
+
+
+def find_wrong_tokens(world):
+    """Find orders under lower tokens, and tokens of two holders, on arrival.
+
+    Each incarnation of an engine is taken for itself. No lateness is excused:
+    within the turn of a holder the token stays, and the longest time for which
+    an order is held back is shorter than the wait between two holders.
+    """
     for engine in world.engines:
-        last = {}
-        for at, holder in engine.order_times:
-            others = [when for name, when in last.items() if name != holder]
-            if others and at < max(others) + MIN_HANDOVER_SECONDS:
-                gap = at - max(others)
-                yield f'{engine.name}: {holder} ordered {gap:.2f} s after another'
-            last[holder] = at
+        highest, holders = {}, {}
+        for order in engine.arrivals_of_orders:
+            incarnation = order.born
+            holder = holders.setdefault(
+                (incarnation, order.token), order.holder
+            )
+            if holder != order.holder:
+                yield (
+                    f'{engine.name}: {order.holder} ordered under token '
+                    f'{order.token} of {holder}'
+                )
+            before = highest.setdefault(incarnation, order)
+            if order.token < before.token:
+                yield (
+                    f'{engine.name}: {order.holder} ordered under token '
+                    f'{order.token}, {order.at - before.at:.2f} s after '
+                    f'{before.token} of {before.holder}; held back for '
+                    f'{order.held:.2f} s'
+                )
+            else:
+                highest[incarnation] = order
 
 
 def _find_requests_after_leaving(world, callers):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,13 @@
 """
 
 import asyncio
+import random
 import signal
 import time
 
 from mintlanding.core.registry import Registry
 from mintlanding.platform.tests.samples import CONFIG
-from soak.proxy import Mode, NewConnections, OldConnections
+from soak.proxy import LateOrders, Mode, NewConnections, OldConnections
 from soak.world import CONTACT_SECONDS
 
 FAULTS = Registry('soak fault')
@@ -70,6 +71,19 @@
         await instance.freeze(rnd.uniform(0.5, 6))
 
 
+@FAULTS.register('holder stopped')
+async def stop_holder(world, rnd):
+    """Suspend the holder of an engine until others have taken it over.
+
+    That happens while the others run; one is suspended after the other.
+    """
+    holder = world.holder(rnd.choice(world.engines))
+    if holder is None or any(each.lock.locked() for each in world.instances):
+        return
+    with world.disruption(holder):
+        await holder.freeze(rnd.uniform(6.5, 8))
+
+
 @FAULTS.register('reload')
 async def reload(world, rnd):
     """Signal all instances to reload their settings."""
@@ -124,6 +138,20 @@
         world.store.faults.oldest_revision = 0
 
 
+@FAULTS.register('store restored')
+async def restore_store(world, rnd):
+    """Return the store from a copy; instances have lost what they wrote.
+
+    Operators and targets write theirs again.
+    """
+    saved = world.store.copy()
+    await asyncio.sleep(rnd.uniform(0.2, 4))
+    with world.disruption():
+        world.restore_store(saved)
+        # Instances wait in the new era before they send orders.
+        await asyncio.sleep(CONTACT_SECONDS)
+
+
 @FAULTS.register('configurations')
 async def configurations(world, rnd):
     """Write configurations in quick succession."""
@@ -339,6 +367,26 @@
     engine.faults.endless_reports = False
 
 
+@FAULTS.register('orders late')
+async def delay_orders(world, rnd):
+    """Let orders reach some engines late, or twice, for a while.
+
+    Senders get no answer to a late one and go on, on other connections.
+    """
+    engines = rnd.sample(world.engines, rnd.randint(1, len(world.engines)))
+    late = LateOrders(
+        random.Random(rnd.getrandbits(32)),
+        late_share=rnd.choice((0.1, 0.4, 0.7)),
+        double_share=rnd.choice((0, 0.1, 0.3)),
+    )
+    proxies = [proxy for engine in engines for proxy in engine.proxies]
+    for proxy in proxies:
+        proxy.late_orders.append(late)
+    await asyncio.sleep(rnd.uniform(4, 12))
+    for proxy in proxies:
+        proxy.late_orders.remove(late)
+
+
 async def _disrupt(proxies, mode, seconds):
     for proxy in proxies:
         proxy.mode = mode
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,11 +1,16 @@
 """A loopback proxy that delays, drops, refuses or resets connections."""
 
 import asyncio
+import contextlib
+import random
 import socket
 import struct
+import time
+from dataclasses import dataclass
 from enum import StrEnum
 
 from mintlanding.core.tests.ports import free_port
+from mintlanding.platform.tests.order_proxy import deliver, is_order
 
 
 class Mode(StrEnum):
@@ -37,6 +42,31 @@
     live_on = 'live_on'
 
 
+@dataclass(eq=False)
+class LateOrders:
+    """Shares of the orders on a path that come late, and that come twice."""
+
+    rnd: random.Random
+    late_share: float
+    double_share: float
+    least_seconds: float = 0.2
+    most_seconds: float = 1.6
+    # An order that a slow machine holds back for longer is lost. This is less
+    # than the wait between the orders of two holders.
+    lost_after: float = 3.0
+
+    def draw(self):
+        """Return whether an order passes now, and the delay of a late one.
+
+        The delay is 0 if nothing comes later.
+        """
+        number = self.rnd.random()
+        if number >= self.late_share + self.double_share:
+            return True, 0
+        delay = self.rnd.uniform(self.least_seconds, self.most_seconds)
+        return number >= self.late_share, delay
+
+
 class Proxy:
     """Forwards connections to one address, subject to its mode."""
 
@@ -45,6 +75,8 @@
 
     def __init__(self, address, host='127.0.0.1'):
         self.mode = Mode.passing
+        # What happens to orders; the last one counts.
+        self.late_orders = []
         self._address = address
         self._host = host
         self._new = self._old = None
@@ -134,23 +166,57 @@
             (reader, upstream[1], False),
             (upstream[0], writer, True),
         ):
-            task = asyncio.create_task(self._forward(source, sink, is_response))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._forward(source, sink, is_response))
+
+    def _begin(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _forward(self, source, sink, is_response):
         try:
-            while chunk := await source.read(self._CHUNK_BYTES):
-                if self.mode is Mode.delaying:
-                    await asyncio.sleep(self.DELAY_SECONDS)
-                if not self._is_dropped(is_response):
-                    sink.write(chunk)
+            has_gap = await self._forward_bytes(source, sink, is_response)
         except OSError:
             # Reset the other side as well, as a router does.
             sink.transport.abort()
-        finally:
-            self._writers.discard(sink)
-            sink.close()
+            has_gap = False
+        if has_gap:
+            # No end arrives after bytes that did not; a reset follows.
+            return
+        self._writers.discard(sink)
+        sink.close()
+
+    async def _forward_bytes(self, source, sink, is_response):
+        """Pass bytes on until they end; return whether some were dropped."""
+        has_gap = False
+        while chunk := await source.read(self._CHUNK_BYTES):
+            if self.mode is Mode.delaying:
+                await asyncio.sleep(self.DELAY_SECONDS)
+            if self._is_dropped(is_response):
+                has_gap = True
+            elif is_response or self._passes_now(chunk):
+                sink.write(chunk)
+        return has_gap or self._is_dropped(is_response)
+
+    def _passes_now(self, chunk):
+        """Tell whether bytes for the upstream pass; a late order comes later."""
+        if not self.late_orders or not is_order(chunk):
+            return True
+        late = self.late_orders[-1]
+        passes, delay = late.draw()
+        if delay:
+            self._begin(self._deliver_later(chunk, delay, late.lost_after))
+        return passes
+
+    async def _deliver_later(self, payload, delay, lost_after):
+        sent_at = time.monotonic()
+        await asyncio.sleep(delay)
+        held = time.monotonic() - sent_at
+        if held > lost_after:
+            return
+        # The upstream may be down by now.
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await deliver(self._address, payload, held)
 
     def _is_dropped(self, is_response):
         """Tell whether bytes in one direction are dropped."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,14 +5,17 @@
 """
 
 import asyncio
+import itertools
 import math
 from types import SimpleNamespace
 
 import pytest
 
 from soak.__main__ import run_soak
+from soak.checks import find_overlapping_orders, find_wrong_tokens
 from soak.faults import announce_leaving
-from soak.world import Target
+from soak.proxy import NewConnections, OldConnections, Proxy
+from soak.world import OrderArrival, Target
 
 # Seeds that have failed, with the cause. The first is the default seed.
 REGRESSIONS = {
@@ -46,6 +49,33 @@
     assert not broken
 
 
+# Seconds and faults of runs in which orders come late, by seed.
+LATE_ORDERS = {
+    5: (30, ('orders late', 'holder stopped')),
+    4: (15, ('orders late', 'store restored', 'kill')),
+}
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('seed', LATE_ORDERS)
+async def test_tokens_rise_as_orders_arrive_that_were_given_up(seed, tmp_path):
+    # Guards against: settling its record gives the holder another token.
+    seconds, names = LATE_ORDERS[seed]
+    _, callers, broken = await run_soak(seed, seconds, tmp_path, names)
+    orders = [
+        order
+        for engine in callers.world.engines
+        for order in engine.arrivals_of_orders
+    ]
+    assert any(order.held for order in orders)
+    if 'holder stopped' in names:
+        assert any(
+            len({order.holder for order in engine.arrivals_of_orders}) > 1
+            for engine in callers.world.engines
+        )
+    assert not broken
+
+
 class OneTarget:
     """A world with one target, to which faults can happen."""
 
@@ -57,6 +87,33 @@
         target.crashes += 1
 
 
+async def test_end_of_a_connection_is_dropped_like_the_bytes_before():
+    # Guards against: a stream without length that a silent path cut short
+    # ended like a whole one.
+    cut = asyncio.Event()
+
+    async def respond(reader, writer):
+        writer.write(b'first')
+        await cut.wait()
+        writer.write(b'last')
+        writer.close()
+
+    server = await asyncio.start_server(respond, '127.0.0.1', 0)
+    proxy = await Proxy(server.sockets[0].getsockname()).start()
+    reader, writer = await asyncio.open_connection(*proxy.address)
+    assert await reader.read(10) == b'first'
+    await proxy.cut(NewConnections.reset, OldConnections.silent)
+    cut.set()
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(reader.read(10), 0.2)
+    await proxy.heal()
+    with pytest.raises(ConnectionResetError):
+        await reader.read(10)
+    writer.close()
+    proxy.stop()
+    server.close()
+
+
 async def test_overlapping_announcements_of_one_target_all_end():
     world = OneTarget()
     seconds = iter((0.1, 0.05, 0.02))
@@ -69,3 +126,63 @@
     assert target.announced
     assert all(math.isfinite(end) for _, end in target.announced)
     assert not target.faults.leaving
+
+
+def arrival(at, holder, token, *, held=0.0, born=1, life=0):
+    return OrderArrival(at, holder, token, held, born, life)
+
+
+def an_engine(*arrivals):
+    engine = SimpleNamespace(name='e0', arrivals_of_orders=arrivals)
+    return SimpleNamespace(engines=[engine])
+
+
+@pytest.mark.parametrize('held', [0.0, 0.8, 1.6, 3.0])
+@pytest.mark.parametrize('holder', ['a', 'b'])
+def test_order_that_arrives_under_a_lower_token_is_found(holder, held):
+    # Guards against: lateness excuses a falling token.
+    world = an_engine(arrival(5, 'a', 12), arrival(5.1, holder, 11, held=held))
+    (line,) = find_wrong_tokens(world)
+    assert 'token 11' in line
+
+
+def test_one_token_of_two_holders_is_found():
+    world = an_engine(arrival(1, 'a', 11), arrival(9, 'b', 11))
+    (line,) = find_wrong_tokens(world)
+    assert 'token 11 of a' in line
+
+
+def test_lower_token_after_several_orders_is_found_each_time():
+    tokens = (11, 12, 11, 12, 11)
+    orders = [arrival(at, 'a', token) for at, token in enumerate(tokens)]
+    assert len(list(find_wrong_tokens(an_engine(*orders)))) == 2
+
+
+def test_incarnations_of_an_engine_know_no_tokens_of_each_other():
+    world = an_engine(
+        arrival(1, 'a', 12), arrival(2, 'a', 11, born=2), arrival(3, 'a', 11)
+    )
+    (line,) = find_wrong_tokens(world)
+    assert 'after 12' in line
+
+
+def test_orders_of_two_holders_are_compared_by_the_times_of_sending():
+    early, late = arrival(1, 'a', 11), arrival(4.2, 'a', 11, held=1.6)
+    following = arrival(5.9, 'b', 12)
+    assert not list(find_overlapping_orders(an_engine(early, late, following)))
+    for held in (0.0, 1.0):
+        late = arrival(4.2, 'a', 11, held=held)
+        world = an_engine(early, late, following)
+        (line,) = find_overlapping_orders(world)
+        assert 'b ordered' in line
+
+
+def test_overlap_before_a_restart_of_the_engine_is_found():
+    # Guards against: what an engine got is forgotten when it starts anew.
+    orders = [
+        arrival(1, 'a', 11),
+        arrival(2, 'b', 12),
+        arrival(3, 'a', 13, life=1),
+    ]
+    for some in itertools.permutations(orders):
+        assert len(list(find_overlapping_orders(an_engine(*some)))) == 1
