Send no order for a former run of an engine to the next one

What callers would see: an adapter that an engine loads without its steward's knowledge, so that it has one more than its slots; with late orders also an order of the former run under the former token. The next run has the same name and counts orders from 0. Change: it is compared again with the authority, as the order is written. Measured: test_order_for_a_former_run_of_an_engine_is_not_sent failed before (accepted) and passes.

--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -512,9 +512,12 @@
     async def _send_order_on(
         self, conn: ClientConnection, target: Target, order: Order
     ) -> OrderResult:
-        # Connecting may take a while, so authority is checked last.
-        if not self._membership.ownership.may_order(
-            target.target, boot_seconds()
+        # Connecting may take a while, so both are checked last.
+        if not (
+            self._is_current(target)
+            and self._membership.ownership.may_order(
+                target.target, boot_seconds()
+            )
         ):
             return OrderResult.not_sent
         token = self._membership.ownership.fencing_token(target.target)
@@ -543,6 +546,11 @@
         self._record_response(target, head)
         return self._codec.order_result(head.status)
 
+    def _is_current(self, target: Target) -> bool:
+        """Tell whether a target has not started anew since it was read."""
+        known = self._view.targets.get(target.target)
+        return known is not None and known.incarnation == target.incarnation
+
     def _record_token(self, worker: str, token: int) -> None:
         before = self.order_history.token(worker)
         age = self.order_history.begin(worker, token, boot_seconds())
--- a/mintlanding/platform/tests/test_late_orders.py
+++ b/mintlanding/platform/tests/test_late_orders.py
@@ -15,6 +15,7 @@
 from mintlanding.platform.tests.order_proxy import ProxiedTarget
 from mintlanding.platform.tests.standins import StoreStandin
 from mintlanding.platform.tests.world import LIVE, World
+from mintlanding.residency.models import OrderResult
 
 ENGINE = 'e1'
 KEY = OWNERSHIP_PREFIX + ENGINE
@@ -126,3 +127,27 @@
     await world.pass_a_new_order()
     await world.engine.proxy.release()
     world.assert_tokens_rise()
+
+
+async def test_order_for_a_former_run_of_an_engine_is_not_sent(world):
+    # Guards against: the next run, which counts from 0 too, carries it out.
+    stewards = world.holder()._stewards
+    view = world.holder().view
+    send = stewards._send_order_on
+    results = []
+
+    async def send_after_a_restart(conn, target, order):
+        stewards._send_order_on = send
+        world.engine.crashes += 1
+        world.store.put(f'servers/{ENGINE}', world.engine.entry())
+        born = world.engine.born
+        await world.until(lambda: view.targets[ENGINE].incarnation == born)
+        known = len(world.engine.orders)
+        results.append(await send(conn, target, order))
+        assert len(world.engine.orders) == known
+        return results[0]
+
+    stewards._send_order_on = send_after_a_restart
+    world.begin_asking()
+    await world.until(lambda: results)
+    assert results == [OrderResult.not_sent]
