Keep stewards' tokens rising when the store returns from a copy

What callers would see: after a return of the store from an older copy, an engine that refuses each steward, and entries that ignore each digest, until the store's indexes have passed the former ones. Cause: the fencing token was the index of the claim's record, and indexes are assigned again after such a return. A steward ignored its lower token and went on under the former one; the next steward was refused. Change: a claim stores a lower bound above the highest token that the worker's digest names, or its engine reported to a steward that was given up (fencing of the record, last and with a default). The token is the higher of both; without a return that is the index, as before. Older builds take the index. A reported token must fit the range of messages. A lease that is in the copy while its records are not goes unnoticed by its holder: not covered.

--- a/mintlanding/agent/lease_client.py
+++ b/mintlanding/agent/lease_client.py
@@ -27,11 +27,13 @@
     """Record of a worker's steward in the key-value service.
 
     It ends with `lease`; a record without one was written by an older build.
+    `fencing` is a lower bound of the token: above all tokens known before.
     """
 
     instance: str
     incarnation: int
     lease: str = ''
+    fencing: int = 0
 
 
 class LeaseClient:
@@ -42,11 +44,16 @@
         context: AgentContext,
         leases: StewardLeases,
         on_actions: Callable[[Iterable[LeaseAction]], None],
+        known_token: Callable[[str], int],
     ) -> None:
-        """Pass actions that result from a reply to `on_actions`."""
+        """Pass actions that result from a reply to `on_actions`.
+
+        `known_token` returns the highest known token of a worker, 0 if none.
+        """
         self._context = context
         self._leases = leases
         self._on_actions = on_actions
+        self._known_token = known_token
 
     async def execute(self, action: LeaseAction) -> None:
         match action:
@@ -94,14 +101,16 @@
 
         None means that the claim has to be repeated.
         """
+        known = self._known_token(action.worker)
+        record = self._record(action.lease, known + 1 if known else 0)
         outcome = await self._context.key_value.put(
             _key(action.worker),
-            msgspec.json.encode(self._record(action.lease)),
+            msgspec.json.encode(record),
             CREATE_ONLY,
             action.lease,
         )
         if not isinstance(outcome, Failed):
-            return outcome.value
+            return max(outcome.value, record.fencing)
         return await self._read_back(action) if action.may_be_own else 0
 
     async def _read_back(self, action: ClaimWorker) -> int | None:
@@ -110,28 +119,35 @@
         if entry is None:
             return None
         record = msgspec.json.decode(entry.value, type=StewardRecord)
-        own = self._record(action.lease)
-        if record == own:
-            return entry.index
-        if msgspec.structs.replace(record, lease=own.lease) != own:
+        own = self._record(record.lease, record.fencing)
+        if record != own:
             return 0
+        if record.lease == action.lease:
+            return max(entry.index, record.fencing)
         await key_value.delete(entry.key, entry.index)
         return None
 
     async def _drop(self, action: DropRecord) -> None:
         is_done = True
         try:
-            await self._context.key_value.delete(
-                _key(action.worker), action.fencing
-            )
+            await self._delete_record(action)
         except PlatformError as exc:
             _logger.warning('Worker record not deleted.', reason=str(exc))
             is_done = False
         self._leases.record_dropped(action.worker, action.lease, is_done)
 
-    def _record(self, lease: str) -> StewardRecord:
+    async def _delete_record(self, action: DropRecord) -> None:
+        key_value = self._context.key_value
+        entry = await key_value.get(_key(action.worker))
+        if entry is None:
+            return
+        record = msgspec.json.decode(entry.value, type=StewardRecord)
+        if record == self._record(action.lease, record.fencing):
+            await key_value.delete(entry.key, entry.index)
+
+    def _record(self, lease: str, fencing: int) -> StewardRecord:
         own = self._context.own
-        return StewardRecord(own.instance, own.incarnation, lease)
+        return StewardRecord(own.instance, own.incarnation, lease, fencing)
 
     async def revoke(self) -> None:
         lease = self._leases.lease
--- a/mintlanding/agent/steward_runner.py
+++ b/mintlanding/agent/steward_runner.py
@@ -75,6 +75,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._published: WorkerDigest | None = None
         self.pinned_entries: set[str] = set()
+        # The highest fencing token that the engine has reported.
+        self.reported_token = 0
 
     def start(self) -> None:
         """Start reading reports and the periodic work."""
@@ -227,6 +229,8 @@
         while True:
             outcome = await self._engine.report()
             if isinstance(outcome, Done):
+                token = outcome.value.fencing
+                self.reported_token = max(self.reported_token, token)
                 report = self._as_report(outcome.value)
                 self.execute(
                     self.steward.engine_report(report, self._context.now),
--- a/mintlanding/agent/stewards.py
+++ b/mintlanding/agent/stewards.py
@@ -77,7 +77,11 @@
             context.own.instance,
             context.cfg.agent.steward_lease,
         )
-        self._lease_client = LeaseClient(context, self._leases, self._execute)
+        self._lease_client = LeaseClient(
+            context, self._leases, self._execute, self._known_token
+        )
+        # Tokens that engines reported to stewards that were given up.
+        self._reported_tokens: dict[str, int] = {}
         self._is_leaving = False
         context.server.add(RESERVE_WORKER, self._reserve)
         context.server.add(RELEASE_WORKER, self._release)
@@ -171,6 +175,11 @@
         chosen = choose_steward(worker.name, own.zone, members.values())
         return chosen == own.instance
 
+    def _known_token(self, worker: str) -> int:
+        digest = self._digests().get(worker)
+        published = 0 if digest is None else digest.fencing
+        return max(published, self._reported_tokens.get(worker, 0))
+
     def _zone_workers(self) -> list[Target]:
         directory = self._context.directory
         return [
@@ -245,6 +254,9 @@
         An engine rejects the fencing token of this steward if a newer one
         exists; that may be known before the lease is lost.
         """
+        runner = self._runners.get(worker)
+        if runner is not None:
+            self._reported_tokens[worker] = runner.reported_token
         self._leases.release(worker)
         self._handle_lost(worker)
 
--- a/mintlanding/agent/tests/test_late_answers.py
+++ b/mintlanding/agent/tests/test_late_answers.py
@@ -1,5 +1,7 @@
 """Orders and claims that arrive late, or whose answers are lost."""
 
+import copy
+
 import pytest
 
 from mintlanding.agent.tests.steward_world import OWN, WORKER, StewardWorld
@@ -135,3 +137,28 @@
     report = PinReport(WORKER, 'entry', fencing=token)
     await world.stewards._handle_pins(report, 'entry')
     assert ('entry' in world.runner.pinned_entries) != is_late
+
+
+async def test_claim_after_a_return_of_the_store_bears_no_lower_token(world):
+    # Guards against: the index of the record is compared across a return of
+    # the store from an older copy.
+    before = copy.deepcopy(world.key_value.store)
+    await world.until(lambda: world.runner)
+    first = world.token
+    await world.lapse()
+    await world.until(lambda: world.token > first)
+    earlier = world.token
+    await world.settle(lambda: world.engine.model.fencing == earlier)
+    world.key_value.store = before
+    await world.until(lambda: not world.token)
+    await world.until(lambda: world.token)
+    assert world.token > earlier
+
+
+async def test_process_without_memory_learns_the_token_from_its_engine(world):
+    # Guards against: an engine that refuses each steward after a return.
+    world.engine.model.fencing = 500
+    await world.until(lambda: world.token > 500)
+    await world.settle(lambda: world.engine.model.fencing == world.token)
+    await world.tick()
+    assert world.runner.steward.fencing == world.token
--- a/mintlanding/engines/messages.py
+++ b/mintlanding/engines/messages.py
@@ -1,7 +1,12 @@
 """Messages of the engine protocol, apart from callers' bodies."""
 
+from typing import Annotated
+
 import msgspec
 
+# Within the range of numbers that messages can hold.
+Token = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+
 
 class LoadOrder(msgspec.Struct, frozen=True):
     """Load an adapter at a version."""
@@ -41,7 +46,7 @@
     queued: int = 0
     kv_use: float = 0
     role: str = 'mixed'
-    fencing: int = 0
+    fencing: Token = 0
     steps: int = 0
     batched: int = 0
 
--- a/mintlanding/placement/leases.py
+++ b/mintlanding/placement/leases.py
@@ -1,9 +1,11 @@
 """Exclusive stewardship of workers by leases of the key-value service.
 
 An agent has one lease. For each worker whose steward it runs it has created a
-record under that lease; the index that the service assigned to the record is
-the fencing token. The duration of a lease is counted from before the call that
-renewed it was sent, so the lease never ends later here than at the service.
+record under that lease. The index that the service assigned to the record is
+the fencing token, unless the record names a higher one: a service that returned
+from an older copy assigns lower indexes again. The duration of a lease is
+counted from before the call that renewed it was sent, so the lease never ends
+later here than at the service.
 """
 
 from collections.abc import Collection
@@ -50,7 +52,6 @@
 
     worker: str
     lease: str
-    fencing: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +103,7 @@
     _calls: set[str] = field(default_factory=set)
     # Workers whose record may have been created under this lease.
     _unanswered: set[str] = field(default_factory=set)
-    _released: dict[str, int] = field(default_factory=dict)
+    _released: set[str] = field(default_factory=set)
 
     def is_valid(self, now: float) -> bool:
         """Return whether the lease is certain to be valid at the service."""
@@ -123,9 +124,8 @@
     def release(self, worker: str) -> None:
         """Stop holding a worker; its next claim has another token."""
         self.lapsed.pop(worker, None)
-        fencing = self.held.pop(worker, None)
-        if fencing is not None:
-            self._released[worker] = fencing
+        if self.held.pop(worker, None) is not None:
+            self._released.add(worker)
 
     def lease_opened(self, lease: str, now: float) -> None:
         """Apply the reply to OpenLease; `lease` is empty if there was none."""
@@ -185,7 +185,7 @@
             return
         self._calls.discard(worker)
         if is_done:
-            self._released.pop(worker, None)
+            self._released.discard(worker)
 
     def _renew_or_open(
         self,
@@ -217,12 +217,9 @@
         ]
 
     def _drop_released(self) -> list[LeaseAction]:
-        due = sorted(self._released.keys() - self._calls)
+        due = sorted(self._released - self._calls)
         self._calls.update(due)
-        return [
-            DropRecord(worker, self.lease, self._released[worker])
-            for worker in due
-        ]
+        return [DropRecord(worker, self.lease) for worker in due]
 
     def _lapse(self) -> list[LeaseAction]:
         self.lease = ''
--- a/mintlanding/placement/tests/test_leases.py
+++ b/mintlanding/placement/tests/test_leases.py
@@ -50,7 +50,7 @@
 def test_released_worker_is_claimed_after_its_record_is_gone(leases):
     # Guards against: a token that is used by two stewards in turn.
     leases.release('w')
-    dropping = DropRecord('w', 'first', 11)
+    dropping = DropRecord('w', 'first')
     assert leases.tick(['w'], 1) == [dropping]
     assert leases.tick(['w'], 1) == []
     leases.record_dropped('w', 'first', False)
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -996,7 +996,7 @@
         claimed_token=163,
     ),
     'lease_calls.StewardRecord': lease_client.StewardRecord(
-        instance='text-522', incarnation=623, lease='text-624'
+        instance='text-522', incarnation=623, lease='text-624', fencing=625
     ),
     'seats.SeatRecord': seats.SeatRecord(
         owner='text-524', incarnation=625, epoch=626, zone='text-527'
