Ask for no permit for an adapter whose eviction is under way

What callers would see: an agent that asks for permits and returns them unused without end while a request waits for an adapter that is being evicted; the calls take the place of others. Cause: the number of permits counted such an adapter as one to load, the choice of the adapter to load did not. Change: the number leaves them out, too.

--- a/mintlanding/placement/planner.py
+++ b/mintlanding/placement/planner.py
@@ -194,8 +194,14 @@
     def _needed(self, now: float) -> int:
         queue, in_progress = self._queue, self.permits.pending_refs()
         in_progress.update(self._slots.in_state(SlotState.loading))
+        # No load can start for an adapter whose eviction is under way.
         skipped = in_progress.union(
-            ref for ref in self.failures if self.failures.is_waiting(ref, now)
+            self._slots.in_state(SlotState.evicting),
+            (
+                ref
+                for ref in self.failures
+                if self.failures.is_waiting(ref, now)
+            ),
         )
         needed = queue.missing_count() - sum(
             queue.count_for(ref) > 0 for ref in skipped
--- a/mintlanding/placement/tests/test_steward_faults.py
+++ b/mintlanding/placement/tests/test_steward_faults.py
@@ -1,6 +1,7 @@
 """What a steward does when something fails, one test for each fault."""
 
 import math
+from collections import deque
 
 import pytest
 
@@ -453,3 +454,23 @@
     assert 0 <= digest.queued_tokens < math.inf
     (reply,) = steward.reserve(request(7, ref_of(1)), READY + 1)
     assert reply.code == 0
+
+
+def test_adapter_whose_eviction_is_under_way_asks_for_no_permit():
+    # Guards against: permits are returned unused and asked for without end.
+    steward = build(slots=4)
+    steward.take_over(7, 0)
+    steward.pins_complete(0)
+    steward.engine_report(report(*map(ref_of, range(4))), READY)
+    (ask,) = only(
+        steward.reserve(request(1, ref_of(4), wait=60), READY), RequestPermit
+    )
+    (evict,) = steward.permit(ask.order_id, True, 0, READY)
+    reserved = steward.reserve(request(2, evict.ref, wait=60), READY)
+    asks = deque(only(reserved, RequestPermit))
+    granted = 0
+    while asks:
+        granted += 1
+        assert granted < 10
+        actions = steward.permit(asks.popleft().order_id, True, 0, READY)
+        asks.extend(only(actions, RequestPermit))
