End the authority of a leaving instance whose entry is lost

What callers would see: an instance in a planned stop whose entry was replaced by a late write of its former process, and removed with that one's lease, goes on sending orders while its lease is renewed. Members that do not hear it may claim its workers: two holders. Cause: an entry is looked at in the round of claims only, which an instance that leaves does not make. Change: the entry is looked at with each renewal of the lease, too, before the authority is renewed. Measured: test_leaving_instance_sends_no_orders_without_its_entry failed before in both cases (authority went on) and passes, with the other tests of memberships and ownership (77). The order of the writes was not produced with a store.

--- a/mintlanding/node/membership.py
+++ b/mintlanding/node/membership.py
@@ -556,6 +556,8 @@
     async def _keep_lease(self) -> None:
         sent_at = boot_seconds()
         if self._lease and await self._store.renew_lease(self._lease):
+            # An instance that leaves does not look at its entry else.
+            self._drop_lost_entry()
             if not self._registered:
                 await self._register()
             self._renew_authority(sent_at)
@@ -640,11 +642,7 @@
         is_cut_off = self.ownership.cuts.is_cut_off
         if not self._registered or now < self._entry_retry_at:
             return
-        if self._is_entry_lost():
-            # Others may claim workers of a member without an entry.
-            self._registered = False
-            self._entry = None
-            self.ownership.authority.record_lease_end()
+        self._drop_lost_entry()
         if self._is_entry_replaced():
             self._entry = None
         before = self._entry
@@ -662,6 +660,16 @@
             targets=len(self._view.targets),
         )
 
+    def _drop_lost_entry(self) -> None:
+        """End the authority by the lease if the entry is lost.
+
+        Others may claim workers of a member without an entry.
+        """
+        if self._is_entry_lost():
+            self._registered = False
+            self._entry = None
+            self.ownership.authority.record_lease_end()
+
     def _is_entry_lost(self) -> bool:
         """Tell whether the entry is removed, or that of a former process.
 
--- a/mintlanding/node/tests/test_membership.py
+++ b/mintlanding/node/tests/test_membership.py
@@ -447,3 +447,34 @@
     written = msgspec.json.decode(store.writes[-1].writes[0].content)
     assert written['boot'] == membership.incarnation
     assert membership._entry_revision == store.revision
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_leaving_instance_sends_no_orders_without_its_entry(is_removed):
+    # Others may claim its workers, while its lease is renewed.
+    store = FakeStore()
+    membership = make_membership(store, 50)
+    await membership._keep_lease()
+    await membership.leave()
+    assert may_order(membership)
+    entry = msgspec.json.decode(store.writes[-1].writes[0].content)
+    former = msgspec.json.encode({**entry, 'boot': 'former'})
+    key = 'mintlanding/member/me'
+    late = Item(key, former, store.revision + 50)
+    changes = [Change(key, late.revision, late)]
+    if is_removed:
+        changes.append(Change(key, late.revision + 1))
+    for change in changes:
+        membership._view.apply(change, boot_seconds())
+        store.revision = membership._view.as_of = change.revision
+    await membership.claim_workers(boot_seconds() + 2)
+    await membership._keep_lease()
+    assert not may_order(membership)
+    written = msgspec.json.decode(store.writes[-1].writes[0].content)
+    assert written['boot'] == membership.incarnation
+    assert written['is_leaving']
+    own = Item(key, store.writes[-1].writes[0].content, store.revision)
+    membership._view.apply(Change(key, own.revision, own), boot_seconds())
+    membership._view.as_of = store.revision
+    await membership._keep_lease()
+    assert may_order(membership)
