Keep consents back, and end turns, as records that are not read require

What callers would see, after the store has returned: two holders, where a member of an older build has lost the store alone and gets consent to orders at a worker that was taken over from it; orders under a token of the first era after those of the second one, where the store returns twice within a run. Cause: a new turn in a later era named nobody from whom the worker was taken, so that this one got consent again. A turn was kept at a return of the store if its holder had authority, also by consents alone, in an era whose records it had not read; another one may have claimed the worker in it. Change: a new turn names the same previous holder as its record. A turn is kept if an order was allowed in the era that ends. Measured: test_member_that_lost_a_worker_gets_no_consent_after_a_new_turn and test_turn_ends_in_an_era_whose_records_its_holder_did_not_read failed before and pass, with the tests of ownership, mixed builds and the era machine. Neither was produced with real processes.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -72,6 +72,8 @@
         self._confirmed: dict[str, int] = {}
         # Fencing tokens under which this process was allowed to send orders.
         self._turns: dict[str, int] = {}
+        # Workers to which it was allowed to send orders in the current era.
+        self._allowed: set[str] = set()
         # Holders from whom this process may be taking a worker, and until when.
         self._contested: dict[str, float] = {}
         # Revisions of the records for which a release may have been committed.
@@ -94,9 +96,12 @@
     def begin_era(self, now: float) -> None:
         """Send no orders until this instance is registered in the new era.
 
-        Nobody can have followed on the turns that have authority until now.
+        Nobody can have followed on the turns that have authority until now. In
+        an era whose records this instance has not read, consents tell nothing.
         """
         held = self.held_workers() if now < self.authority.until() else set()
+        held &= self._allowed
+        self._allowed.clear()
         self._turns = {
             worker: token
             for worker, token in self._turns.items()
@@ -123,6 +128,7 @@
         if not self._order_from[worker] <= now < self.authority.until():
             return False
         self._turns[worker] = record.token
+        self._allowed.add(worker)
         return True
 
     def orders_from(self, worker: str, now: float) -> float:
@@ -180,7 +186,7 @@
         entry = OwnershipEntry(
             self._instance,
             is_settled,
-            claim.previous,
+            claim.previous or self._kept_previous(claim.worker),
             fence=self._view.next_fence(claim.worker),
         )
         self._mark_contested(claim.previous)
@@ -379,6 +385,16 @@
             fencing=record.token,
         )
 
+    def _kept_previous(self, worker: str) -> str:
+        """Return from whom this instance took a worker that it claims anew.
+
+        That one may not know of it yet, and gets no consent until then.
+        """
+        record = self._view.ownership.get(worker)
+        if record is None or record.holder != self._instance:
+            return ''
+        return record.previous
+
     def _may_have_followers(self, worker: str, record: OwnershipRecord) -> bool:
         """Tell whether others may have followed on a turn, in a lost record."""
         is_former = record.token < era_floor(self._view.era)
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -456,6 +456,36 @@
     assert bool(world.ownership.new_turns()) is not has_authority
 
 
+async def test_turn_ends_in_an_era_whose_records_its_holder_did_not_read(world):
+    # Its members consented, as one that claimed a lost record's worker does.
+    world.view.era = 1
+    await world.ownership.claim(FIRST_CLAIM)
+    assert world.may_order()
+    authority = world.ownership.authority
+    authority.set_members(('other',), ())
+    world.ownership.begin_era(world.now)
+    world.now += OPTIONS.zone_hold + OPTIONS.handover_delay + 1
+    authority.record_ack('other', world.now)
+    world.now += 0.1
+    world.ownership.begin_era(world.now)
+    world.view.era = 3
+    assert world.ownership.new_turns()
+
+
+async def test_member_that_lost_a_worker_gets_no_consent_after_a_new_turn(
+    world,
+):
+    # It has no store, and does not know that its worker was taken over.
+    world.view.era = 2
+    world.set_record('me', 12, is_settled=True, previous='other')
+    assert not world.ownership.may_consent('other')
+    world.store.revision = 12
+    (claim,) = world.ownership.new_turns()
+    await world.ownership.claim(claim)
+    world.now += 20
+    assert not world.ownership.may_consent('other')
+
+
 def listing(era, revision, entry):
     content = msgspec.json.encode(entry)
     item = Item(f'{OWNERSHIP_PREFIX}w', content, revision)
