Release and rewrite only workers that are still held

What callers would see: two holders, or a worker that waits for its orders anew. An instance that comes back from a loss of the store, with several workers to release, may release one that another member has claimed meanwhile; a third one claims it, while the second one sends orders until it reads of that. A record of another member may be written again, which makes that one wait as after a claim. Where a record was removed meanwhile, the task of claims ended with a KeyError. Cause: workers are chosen once in a round, and each write waits for the store. In that time records may be read and the entry may be written; a release then expected the record of the other holder, as it was read by then. Change: release and rewrite look at the record again. A release also waits for an order that has begun since the choice. Measured: five new tests failed before (a release of another one's record was written, a record of another one was written again, KeyError twice, a release beside an order) and pass, with the tests of ownership, memberships and released engines and the machines of releases and eras. Not produced with real processes.

--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -221,7 +221,10 @@
         member in the meantime stands.
         """
         for worker in sorted(self._view.unwritten & self.held_workers()):
-            record = self._view.ownership[worker]
+            record = self._view.ownership.get(worker)
+            is_unwritten = worker in self._view.unwritten
+            if record is None or not is_unwritten or not self._holds(record):
+                continue
             entry = _continued(record)
             key = OWNERSHIP_PREFIX + worker
             revision = await self._write(key, {key: record.revision}, entry)
@@ -285,9 +288,15 @@
         """Release a worker; return false if a record it depends on has changed.
 
         That is its record or this instance's entry, which a new process writes
-        anew. No order is sent once the release may have been committed.
+        anew. No order is sent once the release may have been committed. Nothing
+        is done if the worker has a record of another one, or an order that has
+        begun since it was chosen.
         """
-        record = self._view.ownership[worker]
+        record = self._view.ownership.get(worker)
+        if record is None or not self._holds(record):
+            return True
+        if self.has_order_under_way(worker):
+            return True
         self._releasing[worker] = record.revision
         key = OWNERSHIP_PREFIX + worker
         expected = {
@@ -385,13 +394,16 @@
             fencing=record.token,
         )
 
+    def _holds(self, record: OwnershipRecord) -> bool:
+        return record.holder == self._instance
+
     def _kept_previous(self, worker: str) -> str:
         """Return from whom this instance took a worker that it claims anew.
 
         That one may not know of it yet, and gets no consent until then.
         """
         record = self._view.ownership.get(worker)
-        if record is None or record.holder != self._instance:
+        if record is None or not self._holds(record):
             return ''
         return record.previous
 
--- a/mintlanding/node/tests/test_ownership.py
+++ b/mintlanding/node/tests/test_ownership.py
@@ -332,6 +332,59 @@
     assert not world.may_order()
 
 
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_worker_that_another_one_has_claimed_meanwhile_is_not_released(
+    world, monkeypatch, is_removed
+):
+    # Other releases, with their own calls, come between choice and release.
+    add_engine(world, monkeypatch)
+    await world.ownership.claim(FIRST_CLAIM)
+    cut(world, seconds=3.0)
+    (worker,) = world.ownership.releasable(world.now)
+    writes = len(world.store.writes)
+    if is_removed:
+        world.view.ownership.pop('w')
+    else:
+        world.set_record('other', 15, is_settled=True, previous='me')
+    assert await world.ownership.release(worker, entry_revision=14)
+    assert len(world.store.writes) == writes
+
+
+async def test_worker_with_an_order_since_it_was_chosen_is_not_released(
+    world, monkeypatch
+):
+    add_engine(world, monkeypatch)
+    await world.ownership.claim(FIRST_CLAIM)
+    cut(world, seconds=3.0)
+    (worker,) = world.ownership.releasable(world.now)
+    world.ownership.has_order_under_way = lambda name: name == 'w'
+    assert await world.ownership.release(worker, entry_revision=3)
+    assert not world.ownership.is_releasing('w')
+    assert len(world.store.writes) == 1
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_record_that_another_one_has_written_is_not_written_again(
+    world, is_removed
+):
+    for worker in ('v', 'w'):
+        world.view.ownership[worker] = OwnershipRecord('me', 3, claimed_token=9)
+        world.view.unwritten.add(worker)
+    commit = world.store.commit
+
+    async def commit_late(transaction):
+        world.view.unwritten.discard('w')
+        world.view.ownership.pop('w')
+        if not is_removed:
+            world.set_record('other', 5, is_settled=True)
+        return await commit(transaction)
+
+    world.store.commit = commit_late
+    await world.ownership.rewrite()
+    (transaction,) = world.store.writes
+    assert transaction.writes[0].key == OWNERSHIP_PREFIX + 'v'
+
+
 async def test_settling_a_worker_whose_record_was_removed_does_nothing(world):
     await world.ownership.claim(TAKEOVER)
     world.ownership._view.ownership.pop('w')
