--- a/mintlanding/node/ownership.py
+++ b/mintlanding/node/ownership.py
@@ -72,6 +72,8 @@
         self._confirmed: dict[str, int] = {}
         # Fencing tokens under which this process was allowed to send orders.
         self._turns: dict[str, int] = {}
+        # Workers to which it was allowed to send orders in the current era.
+        self._allowed: set[str] = set()
         # Holders from whom this process may be taking a worker, and until when.
         self._contested: dict[str, float] = {}
         # Revisions of the records for which a release may have been committed.
@@ -94,9 +96,12 @@
     def begin_era(self, now: float) -> None:
         """Send no orders until this instance is registered in the new era.
 
-        Nobody can have followed on the turns that have authority until now.
+        Nobody can have followed on the turns that have authority until now. In
+        an era whose records this instance has not read, consents tell nothing.
         """
         held = self.held_workers() if now < self.authority.until() else set()
+        held &= self._allowed
+        self._allowed.clear()
         self._turns = {
             worker: token
             for worker, token in self._turns.items()
@@ -123,6 +128,7 @@
         if not self._order_from[worker] <= now < self.authority.until():
             return False
         self._turns[worker] = record.token
+        self._allowed.add(worker)
         return True
 
     def orders_from(self, worker: str, now: float) -> float:
@@ -180,7 +186,7 @@
         entry = OwnershipEntry(
             self._instance,
             is_settled,
-            claim.previous,
+            claim.previous or self._kept_previous(claim.worker),
             fence=self._view.next_fence(claim.worker),
         )
         self._mark_contested(claim.previous)
@@ -215,7 +221,10 @@
         member in the meantime stands.
         """
         for worker in sorted(self._view.unwritten & self.held_workers()):
-            record = self._view.ownership[worker]
+            record = self._view.ownership.get(worker)
+            is_unwritten = worker in self._view.unwritten
+            if record is None or not is_unwritten or not self._holds(record):
+                continue
             entry = _continued(record)
             key = OWNERSHIP_PREFIX + worker
             revision = await self._write(key, {key: record.revision}, entry)
@@ -279,9 +288,15 @@
         """Release a worker; return false if a record it depends on has changed.
 
         That is its record or this instance's entry, which a new process writes
-        anew. No order is sent once the release may have been committed.
+        anew. No order is sent once the release may have been committed. Nothing
+        is done if the worker has a record of another one, or an order that has
+        begun since it was chosen.
         """
-        record = self._view.ownership[worker]
+        record = self._view.ownership.get(worker)
+        if record is None or not self._holds(record):
+            return True
+        if self.has_order_under_way(worker):
+            return True
         self._releasing[worker] = record.revision
         key = OWNERSHIP_PREFIX + worker
         expected = {
@@ -379,6 +394,19 @@
             fencing=record.token,
         )
 
+    def _holds(self, record: OwnershipRecord) -> bool:
+        return record.holder == self._instance
+
+    def _kept_previous(self, worker: str) -> str:
+        """Return from whom this instance took a worker that it claims anew.
+
+        That one may not know of it yet, and gets no consent until then.
+        """
+        record = self._view.ownership.get(worker)
+        if record is None or not self._holds(record):
+            return ''
+        return record.previous
+
     def _may_have_followers(self, worker: str, record: OwnershipRecord) -> bool:
         """Tell whether others may have followed on a turn, in a lost record."""
         is_former = record.token < era_floor(self._view.era)
