Show two holders where a zone and all memory of a return are lost

What operators would see: after a return of the store, engines with orders of two holders between each other for some 6 s, under tokens that rise and fall. Apart from that, quotas and consents that go by a former process for 0.8 s. Cause, first test: a member that is alone in its zone and cut off from store and members sends orders for `zone_hold` (10.6 s). Members that were restarted after the return know of none; the copy names one of them, which waits 2.7 s. Cause, second test: a status with a later time counts as the later one, also of a former process, whose machine's clock may be ahead.

--- a/mintlanding/node/tests/test_era_machine.py
+++ b/mintlanding/node/tests/test_era_machine.py
@@ -231,6 +231,13 @@
 class Fleet(EraMachine):
     """The same fleet, driven by the tests below."""
 
+    partitioned = ''
+
+    def exchange(self, member, other):
+        """Let no status or consent reach the partitioned member, or leave."""
+        if self.partitioned not in {member.name, other.name}:
+            super().exchange(member, other)
+
     def keep_only(self, copy):
         """Let the store return from one copy, whenever it does."""
         self.store.copies = [copy]
@@ -305,6 +312,27 @@
     fleet.tokens_never_fall()
 
 
+def test_holder_without_a_memory_waits_for_one_that_its_zone_holds(fleet):
+    # Guards against: a zone that is cut off may order for `zone_hold`.
+    (first,) = fleet.served('w1')
+    copy = fleet.store.copies[-1]
+    fleet.reach.update({('a', 'w1'): False, ('b', 'w1'): False})
+    fleet.advance(RECOVERY_SECONDS)
+    assert first != 'c'
+    assert fleet.served('w1') == ['c']
+    fleet.reach.update({('a', 'w1'): True, ('b', 'w1'): True})
+    fleet.partitioned = 'c'
+    fleet.members['c'].connection.is_cut = True
+    fleet.keep_only(copy)
+    fleet.store.restore(0)
+    for name in ('a', 'b'):
+        fleet.start(name)
+    fleet.advance(RECOVERY_SECONDS)
+    assert fleet.served('w1') == [first]
+    fleet.orders_of_two_members_are_a_gap_apart()
+    fleet.tokens_never_fall()
+
+
 @pytest.fixture
 def former(fleet):
     """The store names the former holder, as the present one has restarted."""
--- a/mintlanding/node/tests/test_status_exchange.py
+++ b/mintlanding/node/tests/test_status_exchange.py
@@ -350,6 +350,20 @@
     assert exchange.is_reachable('n1', fleet.now)
 
 
+def test_late_status_of_a_process_on_a_machine_booted_earlier_changes_nothing():
+    # Guards against: its clock is ahead, so that it counts as the later one.
+    fleet = Fleet(6)
+    fleet.run(4)
+    exchange = fleet.exchanges['n0']
+    late = late_status(fleet, 'n1', fleet.now + 90, 'b')
+    fleet.exchanges.pop('n1')
+    fleet.run(2)
+    exchange.receive_status(Status('n1', 'b2', 3.0), fleet.now)
+    exchange.receive_status(late, fleet.now + 0.1)
+    exchange.receive_status(Status('n1', 'b2', 3.2), fleet.now + 0.2)
+    assert exchange.incarnation_of('n1') == 'b2'
+
+
 def test_zone_status_of_a_hub_whose_machine_was_booted_later_counts():
     # Guards against: its zone counts as lost until its clock has caught up.
     fleet = Fleet(40)
