Set the reset of order connections at their pool

Cause: the steward copied the client's options with replace(), which a fake of the options in test_unused_grants.py does not allow; the test failed since. Change: the pool takes the option, the options are as before.

--- a/mintlanding/http1/client.py
+++ b/mintlanding/http1/client.py
@@ -383,10 +383,17 @@
 class ConnectionPool:
     """Idle connections by address; the last released is used first."""
 
-    def __init__(self, options: ClientOptions) -> None:
-        """Start without connections."""
+    def __init__(
+        self, options: ClientOptions, *, discards_unsent: bool = False
+    ) -> None:
+        """Start without connections.
+
+        With `discards_unsent` a close takes back what the peer's kernel has not
+        received yet, also when the process ends.
+        """
         self.opened = 0
         self._options = options
+        self._discards_unsent = discards_unsent
         self._idle: dict[Address, list[ClientConnection]] = {}
 
     async def acquire(
@@ -456,7 +463,7 @@
             raise RequestNotSent(repr(exc)) from exc
         self.opened += 1
         set_user_timeout(transport, self._options.user_timeout)
-        if self._options.discards_unsent:
+        if self._discards_unsent:
             _reset_when_closed(transport)
         return conn
 
--- a/mintlanding/http1/models.py
+++ b/mintlanding/http1/models.py
@@ -35,9 +35,7 @@
     bytes that the kernel of a peer which falls silent cannot take them all.
     `header_bytes` also bounds what is received without any part of a body,
     `body_bytes` a body that is read as a whole. The server is slowed down while
-    `buffer_bytes` of a body wait to be read. With `discards_unsent` a close
-    takes back what the peer's kernel has not received yet, also when the
-    process ends.
+    `buffer_bytes` of a body wait to be read.
     """
 
     connect_timeout: float = 0.5
@@ -48,7 +46,6 @@
     header_bytes: int = 65536
     body_bytes: int = 32 << 20
     buffer_bytes: int = 256 << 10
-    discards_unsent: bool = False
 
 
 class BodyFraming(StrEnum):
--- a/mintlanding/http1/tests/test_client.py
+++ b/mintlanding/http1/tests/test_client.py
@@ -413,7 +413,7 @@
 
     ROOM_BYTES = 4096
 
-    def __init__(self, options):
+    def __init__(self, discards_unsent):
         self.listener = socket.socket()
         self.listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, self.ROOM_BYTES
@@ -421,7 +421,9 @@
         self.listener.bind(('127.0.0.1', 0))
         self.listener.listen()
         self.listener.setblocking(False)
-        self.pool = ConnectionPool(options)
+        self.pool = ConnectionPool(
+            ClientOptions(), discards_unsent=discards_unsent
+        )
 
     async def give_up(self, payload):
         """Send a request and close its connection without a response."""
@@ -445,7 +447,7 @@
 @pytest.mark.parametrize('discards_unsent', [False, True])
 async def test_request_that_is_given_up_can_be_taken_back(discards_unsent):
     # Guards against: an order arrives long after its connection was closed.
-    peer = UnreadPeer(ClientOptions(discards_unsent=discards_unsent))
+    peer = UnreadPeer(discards_unsent)
     payload = b'x' * 60000
     await peer.give_up(payload)
     await asyncio.sleep(0.1)
--- a/mintlanding/node/stewards.py
+++ b/mintlanding/node/stewards.py
@@ -8,7 +8,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator, Sequence
-from dataclasses import replace
 
 import msgspec
 
@@ -92,7 +91,7 @@
         self._limits = limits
         self._rnd = rnd
         # An order that is given up must not arrive after the next holder's.
-        self._pool = ConnectionPool(replace(cfg.client, discards_unsent=True))
+        self._pool = ConnectionPool(cfg.client, discards_unsent=True)
         self._reply_callbacks: dict[str, ReplyCallback] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
