Let the member of an older release write its own entry in a test

Cause: the test wrote an entry of an older release for a running instance. Change: the instance registers with the older link version itself; the test checks in addition that this version is the one that the other member sees. Its assertions are the same.

--- a/mintlanding/platform/tests/test_node.py
+++ b/mintlanding/platform/tests/test_node.py
@@ -11,6 +11,7 @@
 
 from mintlanding.http1.server import CallerConnection
 from mintlanding.node import application, origin_records
+from mintlanding.node import membership as membership_module
 from mintlanding.node.clock import boot_seconds
 from mintlanding.node.view import ORIGINS_PREFIX, MemberRecord
 from mintlanding.platform.tests.samples import CONFIG, encode
@@ -341,9 +342,11 @@
     assert (await world.ask(BATCH))[0] == 200
 
 
-async def test_members_of_an_older_release_get_no_origins(pair):
+async def test_members_of_an_older_release_get_no_origins(pair, monkeypatch):
     # They close a link on which an unknown message arrives.
     old = pair.nodes[1]
+    # It writes its entry again, as the one below is not its own.
+    monkeypatch.setattr(membership_module, 'LINK_VERSION', 0)
     entry = msgspec.json.encode(
         MemberRecord('n1', 'z1', HOST, old._cfg.facts.peer_port, 'old'),
     )
@@ -351,6 +354,7 @@
     await asyncio.sleep(0.8)
     await pair.change_build(pair.engines[1], 'v2')
     await pair.begin_stream(node=0)
+    assert pair.nodes[0].view.members['n1'].link_version == 0
     assert len(pair.nodes[0]._origins._table) == 1
     assert len(old._origins._table) == 0
 
