Log what a planned stop accepts and cuts, and whether callers still wait

Change: the begin and the end of a planned stop, each request that it accepts with the times that are left, and has_caller on requests and failed attempts.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -175,6 +175,12 @@
         self._front.is_draining = True
         leaving = asyncio.ensure_future(self._membership.leave())
         end = started + self._cfg.bounds.grace - _STOP_MARGIN
+        logger = self.application.logger
+        logger.info(
+            'Planned stop begins.',
+            requests=self.relay.requests_under_way,
+            seconds=round(end - started, 2),
+        )
         while loop.time() < end:
             if loop.time() > started + _ACCEPT_SECONDS:
                 self.relay.planned_stop.ends_at = end
@@ -187,6 +193,11 @@
                 if not is_used and not was_listening:
                     break
             await asyncio.sleep(_POLL_SECONDS)
+        logger.info(
+            'Planned stop ends requests.',
+            requests=self.relay.requests_under_way,
+            seconds=round(loop.time() - started, 2),
+        )
         await self.relay.end_requests()
         await asyncio.gather(leaving, return_exceptions=True)
 
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -117,6 +117,11 @@
             task.add_done_callback(self._tasks.discard)
         await self._handle(req)
 
+    @property
+    def requests_under_way(self) -> int:
+        """Return how many requests are being served."""
+        return len(self._tasks)
+
     async def end_requests(self) -> None:
         """Answer the requests that the end of the process would cut off.
 
@@ -210,6 +215,12 @@
         if isinstance(plan, Refusal):
             self._refuse(req, fields, plan)
             return None
+        ends_at = self.planned_stop.ends_at
+        if ends_at is not None:
+            now = loop_seconds()
+            self.log.log_accepted_late(
+                plan, ends_at - now, plan.time_left(now)
+            )
         return plan
 
     async def _run(self, plan: RequestPlan) -> AttemptResult:
--- a/mintlanding/node/request_log.py
+++ b/mintlanding/node/request_log.py
@@ -45,6 +45,23 @@
             age=_age(view),
         )
 
+    def log_accepted_late(
+        self, plan: RequestPlan, ends_in: float, deadline_in: float
+    ) -> None:
+        """Log a request that was accepted in a planned stop.
+
+        Both are in seconds from now: the end of the stop and the time by which
+        the response is due.
+        """
+        self._logger.info(
+            'Request accepted in a planned stop.',
+            request=plan.fields.request_id,
+            route=plan.route.name,
+            output_tokens=plan.demand.output_tokens,
+            ends_in=round(ends_in, 3),
+            deadline_in=round(deadline_in, 3),
+        )
+
     def log_failed_attempt(
         self, plan: RequestPlan, outcome: str, left: float
     ) -> None:
@@ -63,6 +80,7 @@
             outcome=outcome,
             reason=plan.reason,
             left=round(left, 3),
+            has_caller=not plan.req.is_disconnected,
         )
 
     def log_unforeseen_error(
@@ -131,6 +149,7 @@
             retry_after=round(plan.retry_after, 2),
             configuration=self.configuration,
             reason='' if outcome == 'served' else plan.reason,
+            has_caller=not plan.req.is_disconnected,
         )
 
     def render(self) -> list[str]:
