Refuse a request that has waited too long for a planned stop

Callers of a request that was accepted before SIGTERM and then waited, here for the pause of its engines, saw its stream cut by the end of the process. Cause: only the planning of a request asked whether it would end in time; what waits afterwards was sent without another look. Change: the gate that all sends pass asks again. A request that has run or begun to stream passes; a refused one gives its turn or place back as unused, is not retried here, and its caller is told to go elsewhere at once. Why it works: no send of a request that has not run comes later than the check.

--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -34,6 +34,14 @@
 
 # Seconds before a request that a worker refused while loading is sent again.
 _NOT_READY_PAUSE = 0.04
+# Results of attempts that the send gate has stopped.
+_UNSENT = frozenset(
+    (
+        AttemptResult.quarantined,
+        AttemptResult.no_turn,
+        AttemptResult.stopping,
+    )
+)
 
 
 class Relay:
@@ -291,6 +299,8 @@
         if plan.is_sent:
             status = 504 if result is AttemptResult.late else 502
         retry_after = plan.retry_after or self.retry_after.seconds()
+        if result is AttemptResult.stopping:
+            retry_after = self._cfg.relay.isolated_retry_after
         headers = self._codec.own_response_headers(
             plan.fields.request_id,
             retry_after if status == 503 else 0,
@@ -350,6 +360,7 @@
             AttemptResult.broken,
             AttemptResult.late,
             AttemptResult.quarantined,
+            AttemptResult.stopping,
         }:
             return False
         if result is AttemptResult.no_turn:
@@ -436,7 +447,7 @@
 def _outcome(result: AttemptResult, plan: RequestPlan) -> GrantOutcome:
     if result is AttemptResult.done:
         return GrantOutcome.served
-    if result in {AttemptResult.quarantined, AttemptResult.no_turn}:
+    if result in _UNSENT:
         return GrantOutcome.unused
     if result is AttemptResult.missing:
         return GrantOutcome.missing
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -23,7 +23,8 @@
     was lost after a part of it had been sent to the caller. `quarantined`: a
     part of the prompt crashes engines, so that the request was not sent.
     `no_turn`: the target has a limit or little room, and the request has no
-    turn within it, or it has asked for a pause.
+    turn within it, or it has asked for a pause. `stopping`: this process
+    ends before the response would.
     """
 
     done = 'done'
@@ -36,6 +37,7 @@
     broken = 'broken'
     quarantined = 'quarantined'
     no_turn = 'no_turn'
+    stopping = 'stopping'
 
 
 @dataclass(frozen=True, slots=True)
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -146,6 +146,20 @@
     return Barrier(AttemptResult.not_sent, reason)
 
 
+@SEND_CHECKS.register('planned stop')
+def check_planned_stop(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that a request that has waited still ends before the process.
+
+    One that has run cannot be refused any more.
+    """
+    has_run = plan.is_sent or plan.req.is_streaming
+    if has_run or not gate.outlasts_process(plan):
+        return None
+    return Barrier(AttemptResult.stopping, STOPPING_REASON)
+
+
 @SEND_CHECKS.register('entry')
 def check_entry(
     gate: SendGate, plan: RequestPlan, target: Target
--- a/mintlanding/platform/tests/test_planned_stop.py
+++ b/mintlanding/platform/tests/test_planned_stop.py
@@ -217,3 +217,29 @@
 
 async def test_usual_stream_is_still_served_late_in_a_planned_stop(two):
     assert await take_stream_late(two, 10, 3) == (200, True, [ANY])
+
+
+async def test_stream_that_waited_too_long_for_a_planned_stop_is_refused(two):
+    # Guards against: what was accepted before the stop is sent too late in it.
+    for engine in two.engines:
+        engine.faults.event_pause = 0.02
+    for _ in range(30):
+        assert (await two.ask(LIVE))[0] == 200
+    for engine in two.engines:
+        engine.events = 100
+        engine.faults.shed = 1
+        engine.faults.pause = 2.0
+    reader, writer = await two.connect()
+    writer.write(two.raw(LIVE, tokens=280, deadline_ms=5000))
+    async with asyncio.timeout(1.5):
+        while any(engine.faults.shed for engine in two.engines):
+            await asyncio.sleep(0.02)
+    node = two.nodes.pop(0)
+    stopping = asyncio.ensure_future(node.application.stop())
+    status, head, _ = await read_response(reader)
+    assert status == 503
+    assert b'connection: close' in head
+    ran = {run[0] for engine in two.engines for run in engine.runs}
+    assert f'r{two.sent}' not in ran
+    writer.close()
+    await stopping
