Finish in a planned stop what runs for callers that have left

An order that a target was running was broken off by the stop of its instance, about three seconds after SIGTERM, if its caller had left: the target saw its connection close amid the work. Cause: a stop ended early as soon as no connection of a caller was open, although requests that outlive their callers have none. Evidence: test_order_whose_caller_left_is_finished_by_a_planned_stop failed before (the target was left once). Change: a stop lasts while requests are being served, within its time as before. Measured: the tests of planned stops pass.

--- a/mintlanding/node/application.py
+++ b/mintlanding/node/application.py
@@ -188,10 +188,8 @@
                 was_listening = self._front.is_listening
                 self._front.close_listener()
                 self._front.close_idle()
-                # Members' requests under way here end as the own ones do.
-                is_used = self._front.connections or self._paths.sides
                 # What was accepted last is not among the connections yet.
-                if not is_used and not was_listening:
+                if not self._is_used and not was_listening:
                     break
             await asyncio.sleep(_POLL_SECONDS)
         logger.info(
@@ -202,6 +200,14 @@
         await self.relay.end_requests()
         await asyncio.gather(leaving, return_exceptions=True)
 
+    @property
+    def _is_used(self) -> bool:
+        """Tell whether anything is under way that should end first."""
+        # Requests that have run are finished also after their callers left.
+        is_serving = self._front.connections or self.relay.requests_under_way
+        # Members' requests under way here end as the own ones do.
+        return bool(is_serving or self._paths.sides)
+
     async def stop(self) -> None:
         """Deregister and close all components."""
         await self._membership.deregister()
--- a/mintlanding/platform/tests/test_planned_stop.py
+++ b/mintlanding/platform/tests/test_planned_stop.py
@@ -243,3 +243,19 @@
     assert f'r{two.sent}' not in ran
     writer.close()
     await stopping
+
+
+async def test_order_whose_caller_left_is_finished_by_a_planned_stop(two):
+    # Guards against: a stop cuts what runs as soon as no caller is connected.
+    for target in two.plain:
+        target.delay = 1.2
+    _, writer = await two.connect()
+    writer.write(two.raw(ORDER))
+    async with asyncio.timeout(2):
+        while not any(target.runs for target in two.plain):
+            await asyncio.sleep(0.01)
+    writer.close()
+    node = two.nodes.pop(0)
+    await node.application.stop()
+    assert not any(target.left for target in two.plain)
+    assert node.relay.log.outcomes[('order', 'served')] == 1
