End a request that was turned away together with its caller

Cause: an unsafe request outlives its caller from the moment it is sent. Nothing took that back when a target said that it had not run, nor did anything look whether the caller had left before the refusal; it waited for the pause and was sent again. Change: a refusal that is certain, which one on a fresh connection always is, ends the exception; if the caller has left by then, the request ends as gone. The gate that all sends pass refuses to begin anything for a caller that has left. Why it works: a request outlives its caller only while a target may be running it. Turns and places are given back as after any refusal, the quota once. Tests in test_departed_callers.py failed before: an order after its refusal, one whose caller leaves before the refusal, its quota, and the same over a path of a member. A lookup, a stream and an order that runs passed before and pass now. Measured: tests of http1, node and six modules of platform pass.

--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -99,7 +99,8 @@
     """A request with its body, and the response to it.
 
     `arrived` is the monotonic time of its first byte. The handler is cancelled
-    when the caller disconnects, unless the request `outlives_caller`.
+    when the caller disconnects, unless the request `outlives_caller`: it may be
+    running. If it has not run after all, the handler looks at `is_disconnected`.
     """
 
     method: bytes
--- a/mintlanding/node/attempts.py
+++ b/mintlanding/node/attempts.py
@@ -246,10 +246,14 @@
         plan.runs -= 1
         plan.is_sent = plan.runs > 0
         plan.reason = f'{target.target}: not run, {response.status}'
+        is_certain = not conn.is_reused or (
+            response.names_request and plan.sends == 1
+        )
+        if is_certain:
+            plan.req.outlives_caller = False
         await self.forwarder.hold_body(conn, plan)
         self.forwarder.release_body(plan)
-        is_certain = response.names_request and plan.sends == 1
-        if conn.is_reused and not is_certain:
+        if not is_certain:
             # If it refuses an earlier request, this one may still run.
             conn.abort()
         if not response.is_from(target.target):
--- a/mintlanding/node/relay.py
+++ b/mintlanding/node/relay.py
@@ -40,6 +40,7 @@
         AttemptResult.quarantined,
         AttemptResult.no_turn,
         AttemptResult.stopping,
+        AttemptResult.gone,
     )
 )
 
@@ -156,7 +157,7 @@
         except asyncio.CancelledError:
             if not self._is_ending or req.is_disconnected:
                 self._refund_unsent(plan)
-                self.log.ended(plan, 'gone', loop_seconds())
+                self.log.ended(plan, AttemptResult.gone.value, loop_seconds())
                 raise
             plan.reason = STOPPING_REASON
             result = AttemptResult.not_sent
@@ -287,6 +288,10 @@
             self.log.ended(plan, 'served', now)
             return
         self._refund_unsent(plan)
+        if plan.is_abandoned:
+            self.log.ended(plan, AttemptResult.gone.value, now)
+            req.abort()
+            return
         self.log.ended(plan, result.value, now)
         if req.is_streaming or result is AttemptResult.broken:
             req.abort()
@@ -363,6 +368,8 @@
             AttemptResult.stopping,
         }:
             return False
+        if plan.is_abandoned:
+            return False
         if result is AttemptResult.no_turn:
             return True
         if not self._gate.pauses.wait(target.target, boot_seconds()):
@@ -403,6 +410,8 @@
                 self.log.log_failed_attempt(
                     plan, result.value, plan.time_left(loop_seconds())
                 )
+            if plan.is_abandoned:
+                return result
             if result in {AttemptResult.not_run, AttemptResult.missing}:
                 if not self.budget.take(plan.service.name, loop_seconds()):
                     plan.reason = 'no retry budget'
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -24,7 +24,7 @@
     part of the prompt crashes engines, so that the request was not sent.
     `no_turn`: the target has a limit or little room, and the request has no
     turn within it, or it has asked for a pause. `stopping`: this process
-    ends before the response would.
+    ends before the response would. `gone`: its caller left before it was sent.
     """
 
     done = 'done'
@@ -38,6 +38,7 @@
     quarantined = 'quarantined'
     no_turn = 'no_turn'
     stopping = 'stopping'
+    gone = 'gone'
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +135,11 @@
         """Tell whether the last attempt has brought a whole event."""
         return self.is_stream_begun and self.events.has_events
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has left and no target may have run it."""
+        return self.req.is_disconnected and not self.is_sent
+
     def admission_id(self, number: str) -> str:
         """Return the id of a numbered request for an admission or a turn."""
         return f'{self.fields.request_id}.{self.mark}.{number}'
--- a/mintlanding/node/send_gate.py
+++ b/mintlanding/node/send_gate.py
@@ -146,6 +146,17 @@
     return Barrier(AttemptResult.not_sent, reason)
 
 
+@SEND_CHECKS.register('caller')
+def check_caller(
+    gate: SendGate, plan: RequestPlan, target: Target
+) -> Barrier | None:
+    """Check that nothing is begun for a caller that has left."""
+    if not plan.req.is_disconnected:
+        return None
+    reason = f'its caller left before it was sent to {target.target}'
+    return Barrier(AttemptResult.gone, reason)
+
+
 @SEND_CHECKS.register('planned stop')
 def check_planned_stop(
     gate: SendGate, plan: RequestPlan, target: Target
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -275,6 +275,8 @@
     # The same for responses to orders.
     repeat_orders: bool = False
     shed: int = 0
+    # Seconds before it turns such a request away.
+    shed_delay: float = 0
     break_after: int = 0
     # Responses have neither length nor chunks and end with the connection.
     unframed: bool = False
@@ -546,6 +548,7 @@
         if faults.shed:
             headers = [(b'x-not-run', b'1'), *self._own_headers()]
             faults.shed -= 1
+            await asyncio.sleep(faults.shed_delay)
             req.respond(503, headers, b'')
             return
         self.runs.append(
--- /dev/null
+++ b/mintlanding/platform/tests/test_departed_callers.py
@@ -0,0 +1,121 @@
+"""Callers that leave while their requests wait."""
+
+import asyncio
+import time
+
+import pytest
+
+from mintlanding.platform.tests.partition import TargetPartition
+from mintlanding.platform.tests.world import LIVE, LOOKUP, ORDER, World
+
+# Seconds after a departure in which its request may still reach a target.
+LATE_SECONDS = 0.5
+
+
+@pytest.fixture
+async def world():
+    found = await World().start(instances=2)
+    for _ in range(10):
+        for path in (ORDER, LOOKUP, LIVE):
+            assert (await found.ask(path))[0] == 200
+    yield found
+    await found.stop()
+
+
+def turn_away(targets, pause, delay=0.0):
+    """Let each target turn the next request away."""
+    for target in targets:
+        target.faults.shed = 1
+        target.faults.shed_delay = delay
+        target.faults.pause = pause
+
+
+async def until(condition):
+    async with asyncio.timeout(3):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def leave_after_refusals(world, path, targets):
+    """Send a request and leave when all targets have turned it away.
+
+    Return how many requests reached a target long after that, and how requests
+    of its route have ended meanwhile.
+    """
+    log = world.nodes[0].relay.log
+    before = log.outcomes.copy()
+    _, writer = await world.connect()
+    writer.write(world.raw(path))
+    await until(lambda: not any(target.faults.shed for target in targets))
+    # The last refusal is under way.
+    await asyncio.sleep(0.1)
+    writer.close()
+    left_at = time.monotonic()
+    await asyncio.sleep(2)
+    late = [
+        at
+        for target in targets
+        for at in target.arrived_at
+        if at > left_at + LATE_SECONDS
+    ]
+    return len(late), [outcome for _, outcome in log.outcomes - before]
+
+
+@pytest.mark.parametrize(
+    ('path', 'kind'), [(ORDER, 'plain'), (LOOKUP, 'plain'), (LIVE, 'engines')]
+)
+async def test_request_that_was_turned_away_ends_with_its_caller(
+    world, path, kind
+):
+    # Guards against: what was sent once outlives its caller although no target
+    # has run it.
+    targets = getattr(world, kind)
+    turn_away(targets, 1.0)
+    assert await leave_after_refusals(world, path, targets) == (0, ['gone'])
+
+
+async def test_order_is_not_sent_again_if_its_caller_left_before_the_refusal(
+    world,
+):
+    # Guards against: a departure is forgotten while the request might run.
+    turn_away(world.plain, 1.0, delay=0.4)
+    before = sum(target.arrivals for target in world.plain)
+    _, writer = await world.connect()
+    writer.write(world.raw(ORDER))
+    await until(lambda: sum(each.arrivals for each in world.plain) > before)
+    writer.close()
+    await asyncio.sleep(2)
+    assert sum(target.arrivals for target in world.plain) == before + 1
+    assert world.nodes[0].relay.log.outcomes[('order', 'gone')] == 1
+
+
+async def test_quota_of_an_abandoned_order_is_given_back_once(world):
+    # Guards against: a refusal and the departure each return the charge.
+    turn_away(world.plain, 1.0)
+    before = world.nodes[0].relay.quotas.counters()['hule930']
+    await leave_after_refusals(world, ORDER, world.plain)
+    assert world.nodes[0].relay.quotas.counters()['hule930'] == before
+
+
+async def test_order_that_runs_is_finished_after_its_caller_left(world):
+    # Guards against: what may have run is broken off with its caller.
+    for target in world.plain:
+        target.delay = 0.6
+    before = sum(len(target.runs) for target in world.plain)
+    _, writer = await world.connect()
+    writer.write(world.raw(ORDER))
+    await until(lambda: sum(len(each.runs) for each in world.plain) > before)
+    writer.close()
+    await asyncio.sleep(1)
+    assert sum(len(target.runs) for target in world.plain) == before + 1
+    assert not any(target.left for target in world.plain)
+
+
+async def test_order_that_a_member_passed_on_ends_with_its_caller(world):
+    # Guards against: a refusal over a path of a member proves nothing.
+    with TargetPartition(world, world.nodes[0], refuses=True):
+        for _ in range(5):
+            await world.ask(ORDER)
+        turn_away(world.plain, 1.0)
+        late, outcomes = await leave_after_refusals(world, ORDER, world.plain)
+    assert (late, outcomes) == (0, ['gone'])
