--- a/mintlanding/http1/server.py
+++ b/mintlanding/http1/server.py
@@ -99,8 +99,9 @@
     """A request with its body, and the response to it.
 
     `arrived` is the monotonic time of its first byte. The handler is cancelled
-    when the caller disconnects, unless the request `outlives_caller`: it may be
-    running. If it has not run after all, the handler looks at `is_disconnected`.
+    when the caller disconnects, unless the request `outlives_caller`, since it
+    may be running. A handler that learns that it is not has to look at
+    `is_disconnected`.
     """
 
     method: bytes
