Suspect no request of a crash that its target has surely not run

A caller that left while the rest of a refusal was awaited was remembered at the target like one whose request runs; a crash of the target in the next two seconds would have counted against the request, and could quarantine it. Cause: each cancelled exchange was recorded as a departure, whatever the target had said. Evidence: test_departure_amid_a_refusal_is_not_remembered_at_its_target failed before. Change: a certain refusal is marked on the plan until the next send, and no such departure is recorded. One over a used connection is not certain and still is.

--- a/mintlanding/node/attempts.py
+++ b/mintlanding/node/attempts.py
@@ -137,6 +137,7 @@
         plan.turn = None
         plan.record_sent(boot_seconds())
         plan.is_sent = True
+        plan.is_refused = False
         plan.is_stream_begun = False
         plan.limit = None
         plan.runs += 1
@@ -158,7 +159,8 @@
                 plan, target, conn, response_head, response
             )
         except asyncio.CancelledError:
-            self.crash_watch.record_departure(target, plan.as_lost())
+            if not plan.is_refused:
+                self.crash_watch.record_departure(target, plan.as_lost())
             raise
         except ResponseLost as exc:
             plan.reason = f'{target.target}: {exc}'
@@ -250,6 +252,7 @@
             response.names_request and plan.sends == 1
         )
         if is_certain:
+            plan.is_refused = True
             plan.req.outlives_caller = False
         await self.forwarder.hold_body(conn, plan)
         self.forwarder.release_body(plan)
--- a/mintlanding/node/request_plan.py
+++ b/mintlanding/node/request_plan.py
@@ -60,7 +60,8 @@
     `sends` counts all attempts, `runs` those that may have run, and `waited`
     the seconds spent waiting for admissions. `framing` is that of the last
     response that a target began, `limit` the rate in requests per second that
-    it named, and `is_stream_begun` tells whether it was a stream. `build` is
+    it named, and `is_stream_begun` tells whether it was a stream. `is_refused`:
+    the last target has certainly not run the request. `build` is
     that of the last target, `entry` the state of its entry and `view_age` the
     age of the view when the request was sent. Once a stream has begun, it may
     go on only at `began_at_build` and with events of its `media_type`. `turn`
@@ -113,6 +114,7 @@
     media_type: str = ''
     waited: float = 0
     is_sent: bool = False
+    is_refused: bool = False
     retry_after: float = 0
     reason: str = ''
     failure: FailedResponse | None = None
--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -277,6 +277,8 @@
     shed: int = 0
     # Seconds before it turns such a request away.
     shed_delay: float = 0
+    # The body of such a refusal never comes.
+    shed_stalls: bool = False
     break_after: int = 0
     # Responses have neither length nor chunks and end with the connection.
     unframed: bool = False
@@ -549,6 +551,9 @@
             headers = [(b'x-not-run', b'1'), *self._own_headers()]
             faults.shed -= 1
             await asyncio.sleep(faults.shed_delay)
+            if faults.shed_stalls:
+                req.begin(503, headers)
+                await asyncio.sleep(30)
             req.respond(503, headers, b'')
             return
         self.runs.append(
--- a/mintlanding/platform/tests/test_departed_callers.py
+++ b/mintlanding/platform/tests/test_departed_callers.py
@@ -119,3 +119,19 @@
         turn_away(world.plain, 1.0)
         late, outcomes = await leave_after_refusals(world, ORDER, world.plain)
     assert (late, outcomes) == (0, ['gone'])
+
+
+async def test_departure_amid_a_refusal_is_not_remembered_at_its_target(world):
+    # Guards against: a request that has surely not run is suspected of a crash.
+    for target in world.plain:
+        target.faults.shed = 1
+        target.faults.shed_stalls = True
+    _, writer = await world.connect()
+    writer.write(world.raw(ORDER))
+    await until(lambda: not all(target.faults.shed for target in world.plain))
+    await asyncio.sleep(0.1)
+    writer.close()
+    await asyncio.sleep(0.2)
+    relay = world.nodes[0].relay
+    assert relay.log.outcomes[('order', 'gone')] == 1
+    assert not relay.crash_watch._departed
