Soak clients late in planned stops and clients that leave in pauses

Change: two kinds of faults. Checks: at the caller and the target, no stream that a stop accepted is cut before its deadline while its target is at work; at the target, nothing is sent over half a second after its caller left, and no order that runs is broken off with its caller.

--- a/mintlanding/platform/tests/standins.py
+++ b/mintlanding/platform/tests/standins.py
@@ -649,15 +649,26 @@
             await req.conn.drain()
             await asyncio.sleep(0)
 
+    def _size(self, req):
+        """Return the events of a stream and the seconds after each of them.
+
+        A request may name its own in `X-Events`.
+        """
+        events, _, pause = req.get(b'x-events').partition(b',')
+        if not events:
+            return self.events, self.faults.event_pause
+        return int(events), float(pause)
+
     async def _stream(self, req, headers):
         first = int(req.get(b'last-event-id') or b'0')
+        events, pause = self._size(req)
         headers = [(b'content-type', b'text/event-stream'), *headers]
         write, end = req.write, req.end
         if self.faults.unframed:
             write, end = _begin_unframed(req, headers)
         else:
             req.begin(200, headers)
-        for number in range(first + 1, self.events + 1):
+        for number in range(first + 1, events + 1):
             if self.faults.break_after and number > self.faults.break_after:
                 self.faults.break_after = 0
                 write(b'id: %d\nda' % number)
@@ -668,7 +679,7 @@
                     req.abort()
                 return
             write(b'id: %d\ndata: %b\n\n' % (number, self.text))
-            await asyncio.sleep(self.faults.event_pause)
+            await asyncio.sleep(pause)
             if number == self.faults.silent_after:
                 await asyncio.sleep(1)
             if number == self.faults.drip_after:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -59,11 +59,14 @@
     rnd: random.Random
     outcomes: list = field(default_factory=list)
     first_tries: list = field(default_factory=list)
-    # Instance that each request was sent to.
-    sent_to: dict = field(default_factory=dict)
     sent: int = 0
     is_stopped: bool = False
 
+    @property
+    def sent_to(self):
+        """Return the instance that each request was sent to."""
+        return self.world.sent_to
+
     async def run(self, callers=6):
         """Send requests from several callers at once until stopped."""
         await asyncio.gather(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 from operator import attrgetter
 
 from soak.callers import EVENTS, REFUSAL_STATUSES
+from soak.late_callers import DEADLINE_SECONDS
 from soak.world import (
     BUILDS,
     COLD_EXCESS,
@@ -34,6 +35,11 @@
 MOST_FAILED_TRIES = 10
 FAILED_SHARE = 1 / 50
 SERVED_SHARE = 2 / 3
+# Time after a departure in which the request may still reach a target, and a
+# target may still work on it.
+DEPARTURE_SECONDS = 0.5
+# Time before its deadline in which a request may be given up.
+DEADLINE_MARGIN_SECONDS = 0.1
 # Seconds over which the requests to a target with a limit are counted.
 LIMIT_WINDOW_SECONDS = 4.0
 
@@ -57,6 +63,9 @@
         *_find_requests_after_announced_leaving(world, callers),
         *_find_requests_in_pauses(world, callers),
         *_find_tries_failed_at_cut_instances(world, callers),
+        *find_streams_cut_by_stops(world),
+        *_find_requests_after_departures(world),
+        *_find_runs_cut_by_departures(world),
         *_find_unexpected_exits(world),
     ]
 
@@ -383,6 +392,74 @@
                 )
 
 
+def find_streams_cut_by_stops(world):
+    """Find streams that a planned stop accepted and cut off.
+
+    Their target was at work when its connection was closed. Without an answer
+    a request may have crossed the close of its connection.
+    """
+    cut = {request for each in world.targets for _, request in each.cut_runs}
+    for stream in world.late_streams:
+        is_late = stream.used > DEADLINE_SECONDS - DEADLINE_MARGIN_SECONDS
+        if stream.is_whole or is_late or stream.request not in cut:
+            continue
+        if _is_only_stopped(world, stream):
+            yield (
+                f'{stream.request} at {stream.instance.name}, asked for '
+                f'{stream.sent_at - stream.disruption[0]:.2f} s into a planned '
+                f'stop, was cut off after {stream.used:.2f} s'
+            )
+
+
+def _is_only_stopped(world, stream):
+    """Tell whether nothing but its planned stop disrupted an instance."""
+    begin = stream.sent_at - CONTACT_SECONDS
+    has_targets = not any(
+        stream.instance in instances
+        and start <= stream.ended_at
+        and end >= begin
+        for start, end, instances in world.cuts
+    )
+    return has_targets and world.is_undisrupted_since(
+        stream.instance, begin, stream.ended_at, stream.disruption
+    )
+
+
+def _find_requests_after_departures(world):
+    """Find requests that were sent long after their callers had left."""
+    left = {each.request: each for each in world.departures}
+    late = []
+    for target in world.targets:
+        for at, request, _ in target.requests:
+            departure = left.get(request)
+            if departure is None or at <= departure.left_at + DEPARTURE_SECONDS:
+                continue
+            since = departure.left_at - CONTACT_SECONDS
+            if world.is_undisrupted_since(departure.instance, since, at):
+                late.append(f'{request} {at - departure.left_at:.2f} s')
+    if late:
+        yield (
+            f'{len(late)} requests reached targets after their callers had '
+            f'left: {", ".join(late[:5])}'
+        )
+
+
+def _find_runs_cut_by_departures(world):
+    """Find orders that were broken off at a target as their callers left."""
+    left = {each.request: each for each in world.departures}
+    for target in world.targets:
+        for at, request in target.cut_runs:
+            departure = left.get(request)
+            if departure is None or departure.kind != 'order':
+                continue
+            since = departure.left_at - CONTACT_SECONDS
+            if world.is_undisrupted_since(departure.instance, since, at):
+                yield (
+                    f'{request} was broken off at {target.name} '
+                    f'{at - departure.left_at:.2f} s after its caller left'
+                )
+
+
 def _find_tries_failed_at_cut_instances(world, callers):
     """Find cuts from the targets in which callers noticed the cut.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 
 from mintlanding.core.registry import Registry
 from mintlanding.platform.tests.samples import CONFIG
+from soak.late_callers import leave_early, stream_into_stop
 from soak.proxy import LateOrders, Mode, NewConnections, OldConnections
 from soak.world import CONTACT_SECONDS
 
@@ -63,6 +64,23 @@
             await instance.restart(signal.SIGTERM, 0.1)
 
 
+@FAULTS.register('long streams in a planned stop')
+async def stop_under_streams(world, rnd):
+    """Stop an instance whose clients go on with streams of all sizes."""
+    instance = rnd.choice(world.instances)
+    stopping = asyncio.get_running_loop().create_future()
+    streams = [
+        asyncio.create_task(stream_into_stop(world, instance, rnd, stopping))
+        for _ in range(8)
+    ]
+    # The connections are used before.
+    await asyncio.sleep(rnd.uniform(1.5, 3))
+    with world.disruption(instance) as row:
+        stopping.set_result(row)
+        await instance.restart(signal.SIGTERM, 0.1)
+    await asyncio.gather(*streams)
+
+
 @FAULTS.register('freeze')
 async def freeze(world, rnd):
     """Suspend an instance, sometimes for longer than its lease."""
@@ -358,6 +376,26 @@
         target.faults.shed = 2
 
 
+@FAULTS.register('callers leave in pauses')
+async def leave_in_pauses(world, rnd):
+    """Let callers leave while the targets of a service ask for pauses."""
+    targets, kinds = rnd.choice(
+        ((world.plain, ('order', 'lookup')), (world.engines, ('live', 'batch')))
+    )
+    tasks = []
+    for _ in range(rnd.randint(3, 6)):
+        for target in targets:
+            target.faults.pause = rnd.choice((0.6, 1.0, 1.5))
+            target.faults.shed = 3
+        for _ in range(12):
+            instance = rnd.choice(world.instances)
+            leaving = leave_early(world, instance, rnd, rnd.choice(kinds))
+            tasks.append(asyncio.create_task(leaving))
+            await asyncio.sleep(rnd.uniform(0, 0.03))
+        await asyncio.sleep(rnd.uniform(0.8, 1.8))
+    await asyncio.gather(*tasks)
+
+
 @FAULTS.register('report without end')
 async def send_endless_reports(world, rnd):
     """Answer requests for an engine's report with a body without end."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -193,6 +193,8 @@
         self.pauses = []
         # Times from which and until which its entry says that it has left.
         self.absences = []
+        # Time and request of each run whose connection was closed amid it.
+        self.cut_runs = []
         return self
 
     async def crash_now(self):
@@ -235,7 +237,12 @@
             self.deadly_runs.append((time.monotonic(), request, req.body))
         if self.faults.shed and self.faults.pause:
             self.pauses.append((time.monotonic(), request, self.faults.pause))
-        await super()._run(req)
+        try:
+            await super()._run(req)
+        except asyncio.CancelledError:
+            if not self.is_down:
+                self.cut_runs.append((time.monotonic(), request))
+            raise
 
     def announce_leaving(self):
         """Say in responses from now on that the target leaves."""
@@ -316,6 +323,12 @@
         self.cold = []
         # Start, end and instances of each cut from the targets.
         self.cuts = []
+        # Instance that each request was sent to.
+        self.sent_to = {}
+        # Streams asked for in planned stops.
+        self.late_streams = []
+        # Requests whose callers have left.
+        self.departures = []
         self.version = CONFIG['version']
 
     @property
@@ -361,7 +374,7 @@
         row = [time.monotonic(), float('inf'), instance]
         self.disruptions.append(row)
         try:
-            yield
+            yield row
         finally:
             row[1] = time.monotonic()
 
@@ -386,12 +399,15 @@
             if disrupted in {None, instance}
         )
 
-    def is_undisrupted_since(self, instance, begin, at):
-        """Tell whether nothing disrupted an instance between two times."""
+    def is_undisrupted_since(self, instance, begin, at, but=None):
+        """Tell whether nothing disrupted an instance between two times.
+
+        The disruption `but` does not count.
+        """
         return not any(
-            start <= at and end >= begin
-            for start, end, disrupted in self.disruptions
-            if disrupted in {None, instance}
+            row[0] <= at and row[1] >= begin
+            for row in self.disruptions
+            if row is not but and row[2] in {None, instance}
         )
 
     async def wait_ready(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,13 +7,19 @@
 import asyncio
 import itertools
 import math
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
 from soak.__main__ import run_soak
-from soak.checks import find_overlapping_orders, find_wrong_tokens
+from soak.checks import (
+    find_overlapping_orders,
+    find_streams_cut_by_stops,
+    find_wrong_tokens,
+)
 from soak.faults import announce_leaving
+from soak.late_callers import LateStream
 from soak.proxy import NewConnections, OldConnections, Proxy
 from soak.world import OrderArrival, Target
 
@@ -76,6 +82,50 @@
     assert not broken
 
 
+# Seeds of clients late in stops and clients that leave, with what they broke.
+PLANNED_STOPS = {
+    2: 'a stop cut streams that it had accepted late, and orders were sent '
+    'after their callers had left',
+}
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('seed', PLANNED_STOPS)
+async def test_clients_late_in_a_stop_and_clients_that_leave(seed, tmp_path):
+    # Guards against: what a stop accepts is cut, and what nobody waits for sent.
+    names = ('long streams in a planned stop', 'callers leave in pauses')
+    _, callers, broken = await run_soak(seed, 12, tmp_path, names)
+    assert callers.world.late_streams
+    assert callers.world.departures
+    assert not broken
+
+
+def a_stopped_world(**changes):
+    """Return a world with a stream that a planned stop has cut off."""
+    stop = [10, 17, 'n0']
+    stream = LateStream('late1', SimpleNamespace(name='n0'), stop, 13, 17, 200)
+    target = SimpleNamespace(cut_runs=[(17, 'late1')])
+    world = SimpleNamespace(
+        targets=[target],
+        late_streams=[replace(stream, **changes)],
+        cuts=[],
+        is_undisrupted_since=lambda *interval: True,
+    )
+    return world
+
+
+def test_stream_that_a_planned_stop_cut_is_found():
+    (line,) = find_streams_cut_by_stops(a_stopped_world())
+    assert 'late1 at n0, asked for 3.00 s into' in line
+
+
+@pytest.mark.parametrize(
+    'changes', [{'is_whole': True}, {'ended_at': 18}, {'request': 'late2'}]
+)
+def test_stream_that_ended_by_itself_or_at_its_deadline_is_not_found(changes):
+    assert not list(find_streams_cut_by_stops(a_stopped_world(**changes)))
+
+
 class OneTarget:
     """A world with one target, to which faults can happen."""
 
