--- a/mintlanding/platform/tests/test_departed_callers.py
+++ b/mintlanding/platform/tests/test_departed_callers.py
@@ -135,3 +135,54 @@
     relay = world.nodes[0].relay
     assert relay.log.outcomes[('order', 'gone')] == 1
     assert not relay.crash_watch._departed
+
+
+async def begin_pause(world):
+    turn_away(world.plain, 0.8)
+    _, writer = await world.connect()
+    writer.write(world.raw(LOOKUP))
+    await until(lambda: not any(target.faults.shed for target in world.plain))
+    writer.close()
+    await asyncio.sleep(0.1)
+
+
+async def use_up_limit(world):
+    for target in world.plain:
+        target.faults.limit = 2.5
+    await asyncio.gather(*(world.ask(LOOKUP) for _ in range(4)))
+
+
+async def fill_adapter_slots(world):
+    for engine in world.engines:
+        engine.faults.conflicts = 1000
+
+
+WAITS = {
+    'pause': (begin_pause, ORDER, b'/a1'),
+    'turn': (use_up_limit, ORDER, b'/a1'),
+    'adapter': (fill_adapter_slots, LIVE, b'/a9'),
+}
+
+
+@pytest.mark.parametrize('wait', WAITS)
+async def test_request_that_waits_for_its_first_send_ends_with_its_caller(
+    world, wait
+):
+    # Guards against: a wait goes on for a caller that has left.
+    begin, path, adapter = WAITS[wait]
+    await begin(world)
+    _, writer = await world.connect()
+    before = world.nodes[0].relay.log.outcomes.copy()
+    writer.write(world.raw(path, adapter=adapter))
+    request_id = f'r{world.sent}'
+    await until(lambda: world.nodes[0].relay.requests_under_way)
+    writer.close()
+    await until(lambda: not world.nodes[0].relay.requests_under_way)
+    for target in world.targets:
+        target.faults.limit = None
+        target.faults.conflicts = 0
+    await asyncio.sleep(2)
+    ended = world.nodes[0].relay.log.outcomes - before
+    assert [outcome for _, outcome in ended] == ['gone']
+    ran = {run[0] for target in world.targets for run in target.runs}
+    assert request_id not in ran
