Give the doubles of requests what plans and logs now read of them

Only the modules beside the changes had been run. Change: the doubles have these attributes, the names are recorded. No check eased. Measured: the three tests and load_replay pass.

--- a/mintlanding/load_replay/tests/test_log_reader.py
+++ b/mintlanding/load_replay/tests/test_log_reader.py
@@ -120,6 +120,7 @@
 
     class Req:
         arrived = 10.0
+        is_disconnected = False
 
     plan = RequestPlan(
         Req(),
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -395,6 +395,8 @@
     (AttemptResult.broken, 'broken'),
     (AttemptResult.quarantined, 'quarantined'),
     (AttemptResult.no_turn, 'no_turn'),
+    (AttemptResult.stopping, 'stopping'),
+    (AttemptResult.gone, 'gone'),
     (traffic.RouteKind.safe, 'safe'),
     (traffic.RouteKind.unsafe, 'unsafe'),
     (traffic.RouteKind.stream, 'stream'),
