--- a/soak/checks.py
+++ b/soak/checks.py
@@ -35,8 +35,7 @@
 MOST_FAILED_TRIES = 10
 FAILED_SHARE = 1 / 50
 SERVED_SHARE = 2 / 3
-# Time after a departure in which the request may still reach a target, and a
-# target may still work on it.
+# Time after a departure in which the request may still reach a target.
 DEPARTURE_SECONDS = 0.5
 # Time before its deadline in which a request may be given up.
 DEADLINE_MARGIN_SECONDS = 0.1
